--- /dev/null
+++ b/cell/node.go
@@ -0,0 +1,461 @@
+package cell
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/chart"
+	"github.com/doormast/doormast/table"
+	"github.com/doormast/doormast/timeline"
+)
+
+// Timing holds the spans that the control between boxes goes by.
+type Timing struct {
+	Heartbeat   time.Duration // between heartbeats
+	Dead        time.Duration // silence after which a box is dropped
+	Fanout      int           // boxes that get each heartbeat
+	Gossip      int           // sightings in each heartbeat
+	Join        time.Duration // a new box listens this long before it owns anything
+	Holding     time.Duration // between renewals of leases
+	LeaseLife   time.Duration // a lease that is not renewed ends
+	StartBy     time.Duration // a granted slot must be used within this time
+	Learn       time.Duration // a new owner waits this long for what others hold
+	OwnerSilent time.Duration // silence of an owner after which a box uses its own share
+	ClaimRetry  time.Duration // between askings for a key
+	ClaimGiveUp time.Duration // after which a claim is given up
+	LimitWait   time.Duration // a request waits this long for a borrowed share
+	Spare       time.Duration // between summaries to other domains
+	Patience    time.Duration // a request waits this long before it may bid elsewhere
+	Pull        time.Duration // a pull that takes longer is tried elsewhere
+	Gap         time.Duration // a gap in the own time that voids leases and view
+}
+
+// DefaultTiming suits boxes a fraction of a millisecond apart.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:   250 * time.Millisecond,
+		Dead:        2 * time.Second,
+		Fanout:      3,
+		Gossip:      8,
+		Join:        600 * time.Millisecond,
+		Holding:     500 * time.Millisecond,
+		LeaseLife:   3 * time.Second,
+		StartBy:     time.Second,
+		Learn:       1500 * time.Millisecond,
+		OwnerSilent: 900 * time.Millisecond,
+		ClaimRetry:  100 * time.Millisecond,
+		ClaimGiveUp: time.Second,
+		LimitWait:   250 * time.Millisecond,
+		Spare:       time.Second,
+		Patience:    200 * time.Millisecond,
+		Pull:        time.Second,
+		Gap:         900 * time.Millisecond,
+	}
+}
+
+// Config configures a Node.
+type Config struct {
+	Box    string
+	Domain string
+	Boot   uint64 // larger for each incarnation of the box
+	Seed   uint64
+	Timing Timing
+	Peers  []BoxEntry // known from the settings, until the platform's list comes
+	// Pool configures the pools that this box owns; Learn and Seed are filled in.
+	Pool decide.PoolConfig
+	// Alone makes the box its own owner of everything, as if it were the only
+	// one: the baseline of independent boxes.
+	Alone bool
+	// Split gives the box 1/n of each upstream's slots: the baseline of a static
+	// split. It goes with Alone.
+	Split bool
+	// Unfenced leaves out the care that keeps a promise; tests switch it on to
+	// see the promise broken.
+	Unfenced Unfenced
+}
+
+// Unfenced names the mechanisms that tests can switch off.
+type Unfenced struct {
+	OldTables bool // adopt any table, also an older one
+	Claims    bool // dispatch without a claim
+	Gaps      bool // do not notice pauses
+	Learning  bool // a new owner grants at once
+	StartBy   bool // use a grant however old
+	Boots     bool // accept messages of old incarnations
+}
+
+// Node is one box's part in its failure domain. It is not safe for several
+// goroutines: one duty owns it.
+type Node struct {
+	cfg      Config
+	timing   Timing
+	random   *rand.Rand
+	now      time.Duration
+	wall     time.Duration
+	started  time.Duration
+	running  bool // the first tick has come
+	lastTick time.Duration
+	members  *membership
+	claims   *decide.Claims
+	arrivals uint64
+	actions  []Action
+	draining bool
+	joined   bool
+
+	table    *table.Table
+	roster   Roster
+	pulling  time.Duration // a pull is under way until then
+	reading  bool
+	nextRead time.Duration
+	blind    bool
+
+	owners  map[string]string // owner of each set, as this box sees it
+	pools   map[string]*decide.Pool
+	dirty   map[string]bool
+	spares  map[string]map[string]*spare // by set and domain
+	locals  map[uint64]*local
+	parked  []*local
+	limits  map[string]*limit
+	lengths map[string]*decide.Lengths
+	budgets map[string]*decide.RetryBudget
+	routed  []decide.Verdict
+
+	nextHeartbeat time.Duration
+	nextHolding   time.Duration
+	nextSpare     time.Duration
+	empties       map[holdingKey]int // how often an empty sum is still sent
+}
+
+// NewNode returns the node of one incarnation of a box.
+func NewNode(cfg Config) *Node {
+	n := &Node{
+		cfg:     cfg,
+		timing:  cfg.Timing,
+		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Boot)),
+		claims:  decide.NewClaims(cfg.Domain, cfg.Box, cfg.Boot, cfg.Timing.Dead),
+		owners:  make(map[string]string),
+		pools:   make(map[string]*decide.Pool),
+		dirty:   make(map[string]bool),
+		spares:  make(map[string]map[string]*spare),
+		locals:  make(map[uint64]*local),
+		limits:  make(map[string]*limit),
+		lengths: make(map[string]*decide.Lengths),
+		budgets: make(map[string]*decide.RetryBudget),
+		empties: make(map[holdingKey]int),
+	}
+	n.members = newMembership(cfg.Box, cfg.Boot, cfg.Timing, n.random)
+	return n
+}
+
+var requestChart = chart.MustLoad(requestChartFile)
+
+// Events of the request chart.
+var (
+	eventClaim  = requestChart.Event("claim")
+	eventBid    = requestChart.Event("bid")
+	eventGrant  = requestChart.Event("grant")
+	eventSend   = requestChart.Event("send")
+	eventToken  = requestChart.Event("token")
+	eventAnswer = requestChart.Event("answer")
+	eventRefuse = requestChart.Event("refuse")
+	eventLose   = requestChart.Event("lose")
+	eventLeave  = requestChart.Event("leave")
+)
+
+// States of the request chart that the code asks about.
+var (
+	stateClaiming = requestChart.State("claiming")
+	stateWaiting  = requestChart.State("waiting")
+	stateLeased   = requestChart.State("leased")
+	stateSending  = requestChart.State("sending")
+	stateRunning  = requestChart.State("running")
+)
+
+// Take returns the actions since the last call. They are valid until the next
+// call of any method.
+func (n *Node) Take() []Action {
+	out := n.actions
+	n.actions = n.actions[:0]
+	return out
+}
+
+func (n *Node) act(a Action) { n.actions = append(n.actions, a) }
+
+func (n *Node) send(to string, m Message) {
+	n.act(Action{Kind: SendMessage, To: to, Message: m})
+}
+
+func (n *Node) record(e timeline.Event) {
+	e.Box, e.Boot = n.cfg.Box, n.cfg.Boot
+	n.act(Action{Kind: Record, Event: e})
+}
+
+// Tick lets time pass: now on the box's own clock, wall since 1970. It is called
+// every few tens of milliseconds. A long gap between ticks means that the box
+// was paused: what it believes is old, and is dropped before anything is done.
+func (n *Node) Tick(now, wall time.Duration) {
+	n.now, n.wall = now, wall
+	if !n.running {
+		n.start()
+	}
+	if gap := now - n.lastTick; gap > n.timing.Gap && !n.cfg.Unfenced.Gaps {
+		n.woke(gap)
+	}
+	n.lastTick = now
+	n.members.sweep(now, n.memberChanged)
+	n.join()
+	n.observe()
+	n.beat()
+	n.readPublished()
+	n.reown()
+	n.tickClaims()
+	n.tickParked()
+	n.tickDeadlines()
+	n.tickFallback()
+	n.tickHolding()
+	n.tickSpares()
+	n.expireLeases()
+	for set := range n.pools {
+		n.dirty[set] = true
+	}
+	n.flush()
+}
+
+func (n *Node) start() {
+	n.running = true
+	n.started, n.lastTick = n.now, n.now
+	n.nextHeartbeat, n.nextHolding, n.nextSpare = n.now, n.now, n.now
+	var own []BoxEntry
+	for _, b := range n.cfg.Peers {
+		if b.Domain == n.cfg.Domain {
+			own = append(own, b)
+		}
+	}
+	n.members.list(n.now, own)
+	if n.roster.Revision == 0 && len(n.roster.Boxes) == 0 {
+		n.roster.Boxes = n.cfg.Peers
+	}
+}
+
+// woke drops what was believed before a pause: ownership, leases that were not
+// used yet, and who is alive. It runs before any message that came meanwhile.
+func (n *Node) woke(gap time.Duration) {
+	n.record(timeline.Event{Kind: timeline.Woke, Value: int64(gap / time.Microsecond)})
+	n.members.stale(n.now)
+	n.claims.Forget()
+	n.joined = false
+	n.started = n.now
+	for set := range n.pools {
+		n.disown(set)
+	}
+	clear(n.owners)
+	for _, l := range n.sorted(func(l *local) bool { return l.state == stateWaiting }) {
+		l.owner = ""
+	}
+	for _, l := range n.sorted(func(l *local) bool { return l.state == stateLeased && !l.stopping }) {
+		l.stopping = true
+		n.act(Action{Kind: CancelRun, Request: l.req.ID})
+	}
+}
+
+// join ends the time of listening, after which this box may own something.
+func (n *Node) join() {
+	if n.joined {
+		return
+	}
+	all := true
+	for _, p := range n.members.peers {
+		all = all && (p.alive || !p.listed)
+	}
+	if n.now-n.started >= n.timing.Join || all && len(n.members.peers) > 0 {
+		n.joined = true
+	}
+}
+
+// observe keeps the claims' picture of the list up to date.
+func (n *Node) observe() {
+	n.claims.Observe(n.wall, n.listed(), n.agreed())
+}
+
+func (n *Node) agreed() bool {
+	return n.joined && n.members.agreed(n.now, n.roster.Revision)
+}
+
+// listed names the boxes of the domain on the list, sorted.
+func (n *Node) listed() []string {
+	var out []string
+	for _, b := range n.roster.Boxes {
+		if b.Domain == n.cfg.Domain {
+			out = append(out, b.Name)
+		}
+	}
+	if !slices.Contains(out, n.cfg.Box) {
+		out = append(out, n.cfg.Box)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (n *Node) memberChanged(p *peer) {
+	kind := timeline.BoxAlive
+	if !p.alive {
+		kind = timeline.BoxDead
+		for set, pool := range n.pools {
+			pool.BoxGone(p.name)
+			n.dirty[set] = true
+		}
+	}
+	n.record(timeline.Event{Kind: kind, Reason: p.name})
+}
+
+// beat sends heartbeats when they are due.
+func (n *Node) beat() {
+	if n.now < n.nextHeartbeat {
+		return
+	}
+	n.nextHeartbeat = n.now + n.timing.Heartbeat
+	n.sendHeartbeat(n.members.targets())
+}
+
+func (n *Node) sendHeartbeat(targets []string) {
+	h := n.members.heartbeat()
+	h.Leaving, h.Blind, h.Roster = n.draining, n.blind, n.roster.Revision
+	if n.table != nil {
+		h.Table, h.Digest = n.table.Revision, n.table.Digest()
+	}
+	for _, to := range targets {
+		n.send(to, h)
+	}
+}
+
+// Receive takes in a message from another box. Age and authenticity have been
+// checked by the edge: boot and sequence never go back.
+func (n *Node) Receive(now time.Duration, from string, boot uint64, m Message) {
+	if !n.running {
+		return
+	}
+	n.now = now
+	if gap := now - n.lastTick; gap > n.timing.Gap && !n.cfg.Unfenced.Gaps {
+		// The pause is noticed here if a message comes before the next tick.
+		n.lastTick = now
+		n.woke(gap)
+	}
+	if p := n.members.peers[from]; p != nil && boot < p.boot && !n.cfg.Unfenced.Boots {
+		return
+	}
+	switch m := m.(type) {
+	case *Heartbeat:
+		n.onHeartbeat(from, boot, m)
+	case *TableOffer:
+		n.onTableOffer(from, m)
+	case *Bid:
+		n.onBid(from, m)
+	case *Withdraw:
+		n.onWithdraw(m)
+	case *Grant:
+		n.onGrant(from, m)
+	case *Refusal:
+		n.onRefusal(from, m)
+	case *Preempt:
+		n.onPreempt(from, m)
+	case *Release:
+		n.onRelease(m)
+	case *Holding:
+		n.onHolding(from, m)
+	case *HoldingAsk:
+		n.onHoldingAsk(from, m)
+	case *Claim:
+		n.onClaim(from, m)
+	case *ClaimReply:
+		n.onClaimReply(m)
+	case *Ask:
+		n.onAsk(from, m)
+	case *Lend:
+		n.onLend(from, m)
+	case *Spare:
+		n.onSpare(m)
+	}
+	n.flush()
+}
+
+func (n *Node) onHeartbeat(from string, boot uint64, h *Heartbeat) {
+	if !n.known(from) {
+		return
+	}
+	p := n.members.peers[from]
+	wasLeaving := p != nil && p.leaving
+	if p != nil && p.boot != 0 && boot > p.boot {
+		// A new incarnation: what the old one held died with it.
+		for _, pool := range n.pools {
+			pool.BoxGone(from)
+		}
+	}
+	n.members.hear(n.now, from, boot, h)
+	n.members.sweep(n.now, n.memberChanged)
+	if h.Leaving != wasLeaving {
+		n.reown()
+	}
+	n.comparePublished(from, h.Table, h.Roster)
+}
+
+// known reports whether a box belongs to this domain: heartbeats of others are
+// not part of its membership.
+func (n *Node) known(box string) bool {
+	if n.members.peers[box] != nil {
+		return true
+	}
+	for _, b := range n.roster.Boxes {
+		if b.Name == box {
+			return b.Domain == n.cfg.Domain
+		}
+	}
+	return true // not listed yet: a new box speaks before the list names it
+}
+
+// Drain begins a planned stop: the box gives up what it owns and tells the
+// others, but goes on with what it carries.
+func (n *Node) Drain(now time.Duration) {
+	n.now = now
+	if n.draining {
+		return
+	}
+	n.draining = true
+	n.record(timeline.Event{Kind: timeline.Draining, Value: int64(len(n.locals))})
+	n.sendHeartbeat(n.members.live())
+	n.reown()
+	n.flush()
+}
+
+// Draining reports whether a planned stop has begun.
+func (n *Node) Draining() bool { return n.draining }
+
+// InProgress is how many requests this box carries.
+func (n *Node) InProgress() int { return len(n.locals) }
+
+// sorted lists the requests for which keep holds, in the order of their arrival
+// and then of their ids, so that runs can be repeated.
+func (n *Node) sorted(keep func(*local) bool) []*local {
+	var out []*local
+	for _, l := range n.locals {
+		if keep(l) {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b *local) int {
+		if a.order < b.order {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// jitter is a random part of a span, so that boxes do not act together.
+func jitter(n *Node, span time.Duration) time.Duration {
+	return time.Duration(n.random.Int64N(int64(span) + 1))
+}
+
+// Live lists the other boxes of the domain that are alive.
+func (n *Node) Live() []string { return n.members.live() }
--- /dev/null
+++ b/cell/owner.go
@@ -0,0 +1,339 @@
+package cell
+
+// This file defines the owner's side of slot leases: which box decides for which
+// upstream set, and how verdicts reach the holders. The invariant: at one time a
+// box decides for a set only while it believes to be its owner, and a box that
+// becomes owner grants only what the upstreams report as free until it knows
+// what the others hold.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/table"
+	"github.com/doormast/doormast/timeline"
+)
+
+// sets lists the upstream sets of the table, sorted.
+func (n *Node) sets() []string {
+	if n.table == nil {
+		return nil
+	}
+	var out []string
+	for _, c := range n.table.Classes {
+		if !slices.Contains(out, c.Set) {
+			out = append(out, c.Set)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// reown works out the owner of each set anew and acts on what has changed.
+func (n *Node) reown() {
+	if !n.joined || n.table == nil {
+		return
+	}
+	candidates := []string{n.cfg.Box}
+	if !n.cfg.Alone {
+		candidates = n.members.candidates(n.draining)
+	}
+	sets := n.sets()
+	for _, set := range sets {
+		owner := decide.Owner("set/"+set, candidates)
+		if owner != n.owners[set] {
+			n.owners[set] = owner
+			n.ownerChanged(set, owner)
+		}
+	}
+	for set := range n.pools {
+		if !slices.Contains(sets, set) {
+			n.disown(set)
+		}
+	}
+}
+
+func (n *Node) ownerChanged(set, owner string) {
+	if owner == n.cfg.Box {
+		n.own(set)
+	} else if n.pools[set] != nil {
+		n.disown(set)
+	}
+	n.rebidAll(set)
+}
+
+func (n *Node) own(set string) {
+	cfg := n.cfg.Pool
+	cfg.Learn = n.timing.Learn
+	cfg.Seed = n.cfg.Seed ^ n.cfg.Boot
+	p := decide.NewPool(cfg)
+	n.pools[set] = p
+	n.configurePool(set)
+	live := n.members.live()
+	if !n.cfg.Alone && !n.cfg.Unfenced.Learning && len(live) > 0 {
+		p.Learn(n.now, live)
+	}
+	p.Adopt(n.now, n.cfg.Box, n.heldIn(set, n.cfg.Box), nil)
+	n.dirty[set] = true
+	n.record(timeline.Event{Kind: timeline.Owning, Set: set, Value: int64(len(live))})
+}
+
+func (n *Node) disown(set string) {
+	delete(n.pools, set)
+	delete(n.dirty, set)
+	n.record(timeline.Event{Kind: timeline.Disowning, Set: set})
+}
+
+// configurePool puts the table's rows and upstreams in force in a pool.
+func (n *Node) configurePool(set string) {
+	if n.table == nil {
+		return
+	}
+	p := n.pools[set]
+	p.SetRules(n.now, n.rules(set), n.table.QueueLimit(set))
+	p.SetBackends(n.now, n.backends(set))
+	n.dirty[set] = true
+}
+
+func (n *Node) rules(set string) []decide.Rule {
+	var out []decide.Rule
+	for i := range n.table.Classes {
+		if c := &n.table.Classes[i]; c.Set == set {
+			out = append(out, n.rule(c))
+		}
+	}
+	return out
+}
+
+func (n *Node) rule(c *table.Class) decide.Rule {
+	r := decide.Rule{
+		Class:       c.Name,
+		Tier:        c.Tier,
+		Weight:      c.Weight,
+		Floor:       c.Floor,
+		FirstToken:  c.FirstToken.Std(),
+		Queue:       c.Queue,
+		Concurrency: c.Concurrency,
+		Refuse:      c.OnLate == table.Refuse,
+		Repeatable:  c.Repeatable,
+	}
+	if c.Scope == table.ScopeAll && c.Concurrency > 0 {
+		r.Concurrency = n.domainPart("class/"+c.Name, c.Concurrency)
+	}
+	return r
+}
+
+// domainPart is this domain's fixed part of a limit that all domains share. A
+// part of 0 would read as no limit, so a domain that is left without runs none
+// of the class by a limit of -1.
+func (n *Node) domainPart(key string, limit int) int {
+	var domains []string
+	for _, u := range n.table.Upstreams {
+		if !slices.Contains(domains, u.Domain) {
+			domains = append(domains, u.Domain)
+		}
+	}
+	rank := decide.Rank(key, n.cfg.Domain, domains)
+	part := int(decide.PartOf(decide.ConcurrencyLimit, float64(limit), len(domains), rank))
+	if part == 0 {
+		return -1
+	}
+	return part
+}
+
+// backends lists the upstreams of a set in this domain, with what the list says
+// of them.
+func (n *Node) backends(set string) []decide.Backend {
+	var out []decide.Backend
+	for _, u := range n.table.Upstreams {
+		if u.Set != set || u.Domain != n.cfg.Domain {
+			continue
+		}
+		b := decide.Backend{Name: u.Name, Slots: u.Slots, Pausing: u.Kind == table.Engine,
+			Leaving: slices.Contains(n.roster.Leaving, u.Name)}
+		if n.cfg.Split {
+			b.Slots = n.splitPart(u.Name, u.Slots)
+		}
+		if b.Slots > 0 {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// splitPart is this box's fixed part of an upstream's slots.
+func (n *Node) splitPart(upstream string, slots int) int {
+	boxes := n.listed()
+	rank := decide.Rank("split/"+upstream, n.cfg.Box, boxes)
+	return int(decide.PartOf(decide.ConcurrencyLimit, float64(slots), len(boxes), rank))
+}
+
+// Owned lists the sets that this box owns, sorted.
+func (n *Node) Owned() []string {
+	var out []string
+	for set := range n.pools {
+		out = append(out, set)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Watched lists the upstreams whose reports this box wants: those of its sets.
+func (n *Node) Watched() []string {
+	var out []string
+	for _, set := range n.Owned() {
+		for _, b := range n.backends(set) {
+			out = append(out, b.Name)
+		}
+	}
+	return out
+}
+
+// Report takes in what an upstream says of itself.
+func (n *Node) Report(now time.Duration, r decide.Report) {
+	n.now = now
+	for set, p := range n.pools {
+		p.Report(now, r)
+		n.dirty[set] = true
+	}
+	n.flush()
+}
+
+// Counts returns the state of a set that this box owns.
+func (n *Node) Counts(set string) decide.Counts {
+	if p := n.pools[set]; p != nil {
+		return p.Counts(n.now)
+	}
+	return decide.Counts{}
+}
+
+func (n *Node) onBid(from string, m *Bid) {
+	p := n.pools[m.Set]
+	if p == nil {
+		return // the sender learns who the owner is by its own view
+	}
+	b := m.Bid
+	b.Box = from
+	p.Offer(n.now, b)
+	n.dirty[m.Set] = true
+}
+
+func (n *Node) onWithdraw(m *Withdraw) {
+	if p := n.pools[m.Set]; p != nil {
+		p.Withdraw(m.ID)
+		n.dirty[m.Set] = true
+	}
+}
+
+func (n *Node) onRelease(m *Release) {
+	if p := n.pools[m.Set]; p != nil {
+		p.Release(n.now, m.ID, m.Tokens, m.Outcome, m.Pace)
+		n.dirty[m.Set] = true
+	}
+}
+
+func (n *Node) onHolding(from string, m *Holding) {
+	p := n.pools[m.Set]
+	if p == nil {
+		return
+	}
+	if m.Full {
+		p.Adopt(n.now, from, m.Held, m.Waiting)
+		n.dirty[m.Set] = true
+		return
+	}
+	if p.Compare(n.now, from, decide.Sum{Count: m.Count, Digest: m.Digest, WaitingCount: m.WaitingCount, WaitingDigest: m.WaitingDigest}) {
+		n.send(from, &HoldingAsk{Set: m.Set})
+	}
+}
+
+// expireLeases ends the leases of boxes that have gone silent.
+func (n *Node) expireLeases() {
+	for set, p := range n.pools {
+		if gone := p.Expire(n.now, n.timing.LeaseLife); len(gone) > 0 {
+			n.dirty[set] = true
+		}
+	}
+}
+
+// flush lets the pools that something has happened to decide, and routes their
+// verdicts. A verdict for this box may cause more, hence the loop.
+func (n *Node) flush() {
+	for range 4 {
+		worked := false
+		for _, set := range n.dirtySets() {
+			worked = true
+			delete(n.dirty, set)
+			n.decideSet(set)
+		}
+		if !worked {
+			return
+		}
+	}
+}
+
+func (n *Node) dirtySets() []string {
+	if len(n.dirty) == 0 {
+		return nil
+	}
+	out := make([]string, 0, len(n.dirty))
+	for set := range n.dirty {
+		out = append(out, set)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (n *Node) decideSet(set string) {
+	p := n.pools[set]
+	if p == nil || !n.joined && !n.cfg.Alone {
+		return
+	}
+	// Handling a verdict may change the pool, so the list is copied first.
+	start := len(n.routed)
+	n.routed = append(n.routed, p.Decide(n.now)...)
+	for i := start; i < len(n.routed); i++ {
+		n.route(set, n.routed[i])
+	}
+	n.routed = n.routed[:start]
+	n.overflow(set, p)
+}
+
+func (n *Node) route(set string, v decide.Verdict) {
+	switch v.Kind {
+	case decide.GrantSlot:
+		n.record(timeline.Event{Kind: timeline.Granted, Request: v.ID, Class: v.Class, Tier: v.Tier, Upstream: v.Upstream, Set: set})
+		n.deliver(v.Box, &Grant{Set: set, ID: v.ID, Upstream: v.Upstream, StartBy: v.Queued + n.timing.StartBy})
+	case decide.RefuseBid:
+		r := &Refusal{Set: set, ID: v.ID, Reason: v.Reason, RetryAfter: v.RetryAfter,
+			LowerWaiting: v.LowerWaiting, LowerRunning: v.LowerRunning}
+		r.Redirect = n.elsewhere(set, v.Reason)
+		n.deliver(v.Box, r)
+	case decide.PauseLease:
+		n.record(timeline.Event{Kind: timeline.PauseOrdered, Request: v.ID, Class: v.Class, Tier: v.Tier, Upstream: v.Upstream, Set: set})
+		n.deliver(v.Box, &Preempt{Set: set, ID: v.ID})
+	}
+}
+
+// deliver sends a message to a box, or hands it over if the box is this one.
+func (n *Node) deliver(box string, m Message) {
+	if box != n.cfg.Box {
+		n.send(box, m)
+		return
+	}
+	switch m := m.(type) {
+	case *Grant:
+		n.onGrant(box, m)
+	case *Refusal:
+		n.onRefusal(box, m)
+	case *Preempt:
+		n.onPreempt(box, m)
+	case *Bid:
+		n.onBid(box, m)
+	case *Release:
+		n.onRelease(m)
+	case *Withdraw:
+		n.onWithdraw(m)
+	}
+}
--- /dev/null
+++ b/cmd/doormastd/main.go
@@ -0,0 +1,73 @@
+// Command doormastd is the daemon of one entry box.
+//
+// It reads its settings, starts a box and waits: SIGTERM or SIGINT begins a
+// planned stop, a second one ends it at once.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/doormast/doormast"
+	"github.com/doormast/doormast/settings"
+)
+
+func main() {
+	var file string
+	cmd := &cobra.Command{
+		Use:           "doormastd --settings FILE",
+		Short:         "Run one entry box of the doormast router",
+		Version:       doormast.Version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return run(file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
+	_ = cmd.MarkFlagRequired("settings")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	box, err := doormast.Start(context.Background(), doormast.Config{Settings: *s, Log: newLog(s.Log)})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-signals:
+	case <-box.DrainAsked():
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return box.Stop(ctx)
+}
+
+func newLog(s settings.Log) *logrus.Logger {
+	log := logrus.New()
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		log.SetLevel(level)
+	}
+	if s.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log
+}
--- /dev/null
+++ b/decide/pool.go
@@ -0,0 +1,839 @@
+package decide
+
+// This file defines a pool: the waiting requests and the slots of one upstream
+// set in one failure domain, as its owner sees them. The invariants: a slot is
+// never granted twice by one owner; grants go by tier, but for what floors take
+// openly; every bid ends in exactly one grant, refusal or withdrawal.
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Queue is how many requests may wait, over all classes.
+	Queue int
+	// Learn is how long a new owner waits for the boxes to say what they hold.
+	Learn time.Duration
+	// NoPause turns the pausing of lower tiers off, to measure what it is worth.
+	NoPause bool
+	// Arrival serves in the order of arrival, whatever the tier: a baseline.
+	Arrival bool
+	// Seed makes the jitter of RetryAfter repeatable.
+	Seed uint64
+}
+
+const (
+	// leadTokens is how far, in tokens over weight, a class may run ahead of
+	// the others of its tier because its requests are more urgent.
+	leadTokens = 4000
+	// refreshEvery bounds how old the pool's picture of its upstreams is.
+	refreshEvery = 50 * time.Millisecond
+	// settleTime is how long a lease is kept that its holder does not list: the
+	// grant may have been on its way when the list was made.
+	settleTime = 2 * time.Second
+	// pausesAtOnce bounds how many leases are being paused for one class.
+	pausesAtOnce = 8
+	// never is later than any moment.
+	never = Time(1<<63 - 1)
+)
+
+// lease is a granted slot.
+type lease struct {
+	id       uint64
+	box      string
+	class    *classQueue
+	customer string
+	backend  *backend
+	work     float64
+	granted  Time
+	queued   time.Duration
+	pausing  bool
+	gone     bool
+}
+
+// ledger sums up the leases of one box, for comparison with its own count.
+type ledger struct {
+	count         int
+	digest        uint64
+	waiting       int
+	waitingDigest uint64
+	mismatch      int
+	heard         Time // when the box last gave a sign of its leases
+}
+
+// Pool decides for one upstream set.
+type Pool struct {
+	cfg       PoolConfig
+	random    *rand.Rand
+	classes   []*classQueue // by tier, then in the table's order
+	byClass   map[string]*classQueue
+	backends  []*backend
+	byName    map[string]*backend
+	cached    map[uint64][]*backend // prefix to the upstreams that hold it
+	waiting   map[uint64]*waiter
+	expiry    expiryHeap
+	leases    map[uint64]*lease
+	ledgers   map[string]*ledger
+	verdicts  []Verdict
+	paces     []float64
+	median    float64
+	slots     int     // usable now, over all upstreams
+	rate      float64 // tokens a second when full
+	refreshed Time
+	pausing   int
+	learnEnd  Time
+	unheard   map[string]bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{
+		cfg:       cfg,
+		random:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		byClass:   make(map[string]*classQueue),
+		byName:    make(map[string]*backend),
+		cached:    make(map[uint64][]*backend),
+		waiting:   make(map[uint64]*waiter),
+		leases:    make(map[uint64]*lease),
+		ledgers:   make(map[string]*ledger),
+		unheard:   make(map[string]bool),
+		median:    defaultPace,
+		rate:      1,
+		refreshed: -refreshEvery,
+	}
+}
+
+// Learn makes the pool grant only what the upstreams' own reports show free,
+// until each of the boxes has said what it holds or the time for it is over. It
+// is called when the ownership of the pool comes to this box.
+func (p *Pool) Learn(now Time, boxes []string) {
+	p.learnEnd = now + p.cfg.Learn
+	clear(p.unheard)
+	for _, b := range boxes {
+		p.unheard[b] = true
+	}
+}
+
+func (p *Pool) learning(now Time) bool {
+	return len(p.unheard) > 0 && now < p.learnEnd
+}
+
+// SetRules puts the table's rows in force, also for what waits already.
+func (p *Pool) SetRules(now Time, rules []Rule, queue int) {
+	p.cfg.Queue = queue
+	old := p.byClass
+	p.byClass = make(map[string]*classQueue, len(rules))
+	p.classes = p.classes[:0]
+	for _, r := range rules {
+		c := old[r.Class]
+		if c == nil {
+			c = newClassQueue(r)
+		}
+		c.rule = r
+		p.byClass[r.Class] = c
+		p.classes = append(p.classes, c)
+	}
+	slices.SortStableFunc(p.classes, func(a, b *classQueue) int { return a.rule.Tier - b.rule.Tier })
+	for _, w := range p.waiting {
+		if p.byClass[w.bid.Class] != w.class {
+			p.refuse(now, w, NoUpstream)
+			continue
+		}
+		p.schedule(w)
+	}
+	p.fitQueues(now)
+}
+
+// fitQueues refuses the newest of what waits beyond limits that were lowered.
+func (p *Pool) fitQueues(now Time) {
+	for _, c := range p.classes {
+		for c.rule.Queue > 0 && c.waiting > c.rule.Queue {
+			p.refuse(now, c.tail(), OverClassLimit)
+		}
+	}
+}
+
+// SetBackends says which upstreams the pool has.
+func (p *Pool) SetBackends(now Time, list []Backend) {
+	old := p.byName
+	p.byName = make(map[string]*backend, len(list))
+	p.backends = p.backends[:0]
+	for _, d := range list {
+		b := old[d.Name]
+		if b == nil {
+			b = newBackend(now, d)
+		}
+		b.Backend = d
+		p.byName[d.Name] = b
+		p.backends = append(p.backends, b)
+	}
+	for name, b := range old {
+		if p.byName[name] == nil {
+			p.forgetPrefixes(b)
+		}
+	}
+	p.refreshed = now - refreshEvery
+}
+
+// Report takes in what an upstream said of itself.
+func (p *Pool) Report(now Time, r Report) {
+	if b := p.byName[r.Upstream]; b != nil {
+		p.takeReport(now, b, r)
+		p.refreshed = now - refreshEvery
+	}
+}
+
+// Offer takes in a bid. It may come twice: a holder that hears nothing asks again.
+func (p *Pool) Offer(now Time, bid Bid) {
+	if l := p.leases[bid.ID]; l != nil {
+		if !l.pausing {
+			p.emitGrant(l)
+		}
+		return
+	}
+	if p.waiting[bid.ID] != nil {
+		return
+	}
+	class := p.byClass[bid.Class]
+	w := &waiter{bid: bid, class: class, arrived: now - bid.Waited, offered: now, index: -1}
+	if class == nil || len(p.backends) == 0 {
+		p.refuseNew(now, w, NoUpstream)
+		return
+	}
+	if reason := p.admit(now, w); reason != NoReason {
+		p.refuseNew(now, w, reason)
+		return
+	}
+	p.waiting[bid.ID] = w
+	g := p.ledger(bid.Box)
+	g.waiting++
+	g.waitingDigest ^= bid.ID
+	g.heard = now
+	class.push(w)
+	if class.waiting == 1 {
+		class.vtime = max(class.vtime, p.leastVtime(class))
+	}
+	if bid.Visitor {
+		class.visitors++
+	}
+	p.schedule(w)
+}
+
+// admit says why a new bid cannot wait here, or NoReason. A request that comes
+// back after a pause was admitted before and is not asked again.
+func (p *Pool) admit(now Time, w *waiter) Reason {
+	rule := &w.class.rule
+	if w.bid.Resume != "" {
+		return NoReason
+	}
+	if rule.Queue > 0 && w.class.waiting >= rule.Queue {
+		return OverClassLimit
+	}
+	if p.cfg.Queue > 0 && len(p.waiting) >= p.cfg.Queue && !p.evict(now, rule.Tier) {
+		return QueueFull
+	}
+	if rule.Refuse && !p.cfg.Arrival && !p.inTime(now, w) {
+		return Late
+	}
+	return NoReason
+}
+
+// evict refuses one request of a tier lower than tier, the lowest there is, and
+// reports whether there was one.
+func (p *Pool) evict(now Time, tier int) bool {
+	for i := len(p.classes) - 1; i >= 0 && p.classes[i].rule.Tier > tier; i-- {
+		if c := p.classes[i]; c.waiting > 0 {
+			p.refuse(now, c.tail(), Evicted)
+			return true
+		}
+	}
+	return false
+}
+
+// inTime reports whether a new request can still meet its first-token target.
+// While something of a lower tier runs that could be paused for it, it can.
+func (p *Pool) inTime(now Time, w *waiter) bool {
+	if now-w.arrived >= w.class.rule.FirstToken {
+		return false
+	}
+	ahead := 0
+	for _, c := range p.classes {
+		if c.rule.Tier <= w.class.rule.Tier {
+			ahead += c.waiting
+		}
+	}
+	if p.pausable(w.class.rule.Tier) > ahead {
+		return true
+	}
+	return now-w.arrived+p.expectedWait(now, w.class) <= w.class.rule.FirstToken
+}
+
+// expectedWait is how long a new request of the class would wait: what is ahead
+// of it in higher tiers and, by the class's share, in its own, over the pace at
+// which the pool gets through work.
+func (p *Pool) expectedWait(now Time, class *classQueue) time.Duration {
+	p.freshen(now)
+	higher, same, weights := 0.0, 0.0, 0.0
+	for _, c := range p.classes {
+		switch {
+		case c.rule.Tier < class.rule.Tier:
+			higher += c.work
+		case c.rule.Tier == class.rule.Tier && (c.waiting > 0 || c == class):
+			same += c.work
+			weights += c.rule.Weight
+		}
+	}
+	own := class.work * weights / class.rule.Weight
+	seconds := (higher + min(same, own)) / p.rate
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// pausable counts the running leases of tiers lower than tier, beyond what
+// their floors protect.
+func (p *Pool) pausable(tier int) int {
+	if p.cfg.NoPause || p.cfg.Arrival {
+		return 0
+	}
+	n := 0
+	for _, c := range p.classes {
+		if c.rule.Tier > tier {
+			n += max(0, c.running-p.protected(c))
+		}
+	}
+	return n
+}
+
+// protected is how many running leases of a class its floor keeps from being
+// paused. A class that may run only once may not be paused at all.
+func (p *Pool) protected(c *classQueue) int {
+	if !c.rule.Repeatable {
+		return c.running
+	}
+	return max(1, int(c.rule.Floor*float64(p.slots)))
+}
+
+// schedule files when something has to be done about a waiter: its caller's
+// deadline passes, or its target does.
+func (p *Pool) schedule(w *waiter) {
+	w.target = w.arrived + w.class.rule.FirstToken
+	w.expires = never
+	if w.bid.Remaining > 0 {
+		w.expires = w.offered + w.bid.Remaining
+	}
+	if !w.late && !p.cfg.Arrival {
+		w.expires = min(w.expires, w.target)
+	}
+	if w.index >= 0 {
+		heap.Fix(&p.expiry, w.index)
+	} else if w.expires != never {
+		heap.Push(&p.expiry, w)
+	}
+}
+
+// expire deals with the waiters whose moment has come.
+func (p *Pool) expire(now Time) {
+	for len(p.expiry) > 0 && p.expiry[0].expires <= now {
+		w := p.expiry[0]
+		deadline := w.bid.Remaining > 0 && now >= w.arrived+w.bid.Waited+w.bid.Remaining
+		if deadline || w.class.rule.Refuse && w.bid.Resume == "" {
+			p.refuse(now, w, Late)
+			continue
+		}
+		heap.Pop(&p.expiry)
+		w.class.delay(w)
+		p.schedule(w)
+	}
+}
+
+// Withdraw takes a bid back: the caller left, or another owner granted first.
+func (p *Pool) Withdraw(id uint64) {
+	if w := p.waiting[id]; w != nil {
+		w.class.forget(w)
+		p.drop(w)
+	}
+}
+
+// drop takes a waiter off the pool's own lists.
+func (p *Pool) drop(w *waiter) {
+	delete(p.waiting, w.bid.ID)
+	g := p.ledger(w.bid.Box)
+	g.waiting--
+	g.waitingDigest ^= w.bid.ID
+	if w.index >= 0 {
+		heap.Remove(&p.expiry, w.index)
+	}
+	if w.bid.Visitor {
+		w.class.visitors--
+	}
+}
+
+// Release gives a slot back. Tokens is the true length of the answer and pace
+// the time for one token, 0 if unknown.
+func (p *Pool) Release(now Time, id uint64, tokens int, outcome Outcome, pace time.Duration) {
+	l := p.leases[id]
+	if l == nil {
+		return
+	}
+	b := l.backend
+	switch outcome {
+	case Answered, Paused, Abandoned:
+		b.succeeded()
+		if pace > 0 {
+			b.sample(pace.Seconds())
+		}
+	case Failed:
+		b.failed(now)
+		p.refreshed = now - refreshEvery
+	}
+	l.class.settle(l.customer, float64(tokens)-l.work)
+	p.end(l)
+}
+
+// end frees the slot of a lease.
+func (p *Pool) end(l *lease) {
+	l.gone = true
+	l.backend.held--
+	l.class.running--
+	if l.pausing {
+		p.pausing--
+	}
+	delete(p.leases, l.id)
+	p.ledger(l.box).remove(l.id)
+}
+
+func (p *Pool) ledger(box string) *ledger {
+	g := p.ledgers[box]
+	if g == nil {
+		g = new(ledger)
+		p.ledgers[box] = g
+	}
+	return g
+}
+
+// Expire ends the leases and drops the bids of boxes that have not renewed them
+// for life, and returns those boxes.
+func (p *Pool) Expire(now Time, life time.Duration) []string {
+	var gone []string
+	for box, g := range p.ledgers {
+		if now-g.heard > life && !p.unheard[box] {
+			gone = append(gone, box)
+		}
+	}
+	slices.Sort(gone)
+	for _, box := range gone {
+		p.BoxGone(box)
+	}
+	return gone
+}
+
+func (g *ledger) add(id uint64) {
+	g.count++
+	g.digest ^= id
+}
+
+func (g *ledger) remove(id uint64) {
+	g.count--
+	g.digest ^= id
+}
+
+// Held is a lease as its holder lists it.
+type Held struct {
+	ID       uint64
+	Upstream string
+	Class    string
+	Customer string
+	Work     float64
+}
+
+// Sum is a holder's own account of its leases and bids in a pool.
+type Sum struct {
+	Count         int
+	Digest        uint64 // exclusive-or of the ids
+	WaitingCount  int
+	WaitingDigest uint64
+}
+
+// Compare renews a holder's leases and reports whether it should send the full
+// list, because its account differs from the pool's. One difference may be a
+// message on its way; two are not.
+func (p *Pool) Compare(now Time, box string, sum Sum) bool {
+	g := p.ledger(box)
+	g.heard = now
+	if p.unheard[box] {
+		return true
+	}
+	if (Sum{g.count, g.digest, g.waiting, g.waitingDigest}) == sum {
+		g.mismatch = 0
+		return false
+	}
+	g.mismatch++
+	return g.mismatch >= 2
+}
+
+// Adopt takes a holder's full list as the truth about its leases.
+func (p *Pool) Adopt(now Time, box string, list []Held, waiting []uint64) {
+	listed := make(map[uint64]bool, len(list))
+	for _, h := range list {
+		listed[h.ID] = true
+		p.adoptOne(now, box, h)
+	}
+	for id, l := range p.leases {
+		if l.box == box && !listed[id] && now-l.granted > settleTime {
+			p.end(l)
+		}
+	}
+	wanted := make(map[uint64]bool, len(waiting))
+	for _, id := range waiting {
+		wanted[id] = true
+	}
+	for id, w := range p.waiting {
+		if w.bid.Box == box && !wanted[id] && now-w.offered > settleTime {
+			w.class.forget(w)
+			p.drop(w)
+		}
+	}
+	g := p.ledger(box)
+	g.mismatch, g.heard = 0, now
+	delete(p.unheard, box)
+}
+
+func (p *Pool) adoptOne(now Time, box string, h Held) {
+	class, b := p.byClass[h.Class], p.byName[h.Upstream]
+	if p.leases[h.ID] != nil || class == nil || b == nil {
+		return
+	}
+	if w := p.waiting[h.ID]; w != nil {
+		class.forget(w)
+		p.drop(w)
+	}
+	l := &lease{id: h.ID, box: box, class: class, customer: h.Customer, backend: b, work: h.Work, granted: now}
+	class.running++
+	p.hold(now, l)
+}
+
+// hold enters a lease into the books.
+func (p *Pool) hold(now Time, l *lease) {
+	p.leases[l.id] = l
+	g := p.ledger(l.box)
+	g.add(l.id)
+	g.heard = now
+	l.backend.held++
+	l.backend.fresh++
+	l.backend.note(now)
+	l.class.remember(l)
+}
+
+// remember keeps the newest leases last, for pausing; ended ones are dropped as
+// they are met.
+func (c *classQueue) remember(l *lease) {
+	if len(c.leases) > 64 && len(c.leases) > 2*c.running {
+		c.leases = slices.DeleteFunc(c.leases, func(l *lease) bool { return l.gone })
+	}
+	c.leases = append(c.leases, l)
+}
+
+// BoxGone drops what a dead box held and waited for. Its connections to the
+// upstreams died with it.
+func (p *Pool) BoxGone(box string) {
+	for _, l := range p.leases {
+		if l.box == box {
+			p.end(l)
+		}
+	}
+	for _, w := range p.waiting {
+		if w.bid.Box == box {
+			w.class.forget(w)
+			p.drop(w)
+		}
+	}
+	delete(p.ledgers, box)
+	delete(p.unheard, box)
+}
+
+func (p *Pool) freshen(now Time) {
+	if now-p.refreshed >= refreshEvery {
+		p.refresh(now)
+	}
+}
+
+// Decide settles all that can be settled now. The verdicts are valid until the
+// next call of any method.
+func (p *Pool) Decide(now Time) []Verdict {
+	p.freshen(now)
+	p.expire(now)
+	for len(p.waiting) > 0 {
+		w := p.next(now)
+		if w == nil {
+			break
+		}
+		b := p.choose(now, &w.bid)
+		if b == nil {
+			p.pauseFor(now)
+			break
+		}
+		p.grant(now, w, b)
+	}
+	out := p.verdicts
+	p.verdicts = p.verdicts[:0]
+	return out
+}
+
+// next returns the request that is to have the next free slot, or nil: one that
+// a floor owes its slot, or else the first of the highest tier.
+func (p *Pool) next(now Time) *waiter {
+	if p.cfg.Arrival {
+		return p.oldest()
+	}
+	if w := p.owed(); w != nil {
+		return w
+	}
+	for i := 0; i < len(p.classes); {
+		j := i
+		for j < len(p.classes) && p.classes[j].rule.Tier == p.classes[i].rule.Tier {
+			j++
+		}
+		if w := mostUrgent(now, p.classes[i:j]); w != nil {
+			return w
+		}
+		i = j
+	}
+	return nil
+}
+
+func (p *Pool) oldest() *waiter {
+	var first *waiter
+	for _, c := range p.classes {
+		if w := c.head(); w != nil && c.backlogged() && (first == nil || w.arrived < first.arrived) {
+			first = w
+		}
+	}
+	return first
+}
+
+// owed returns the head of the class whose floor is furthest behind, or nil.
+func (p *Pool) owed() *waiter {
+	var best *waiter
+	most := 0.0
+	for _, c := range p.classes {
+		if c.credit <= most || !c.backlogged() {
+			continue
+		}
+		if w := c.head(); w != nil && c.credit >= w.bid.Work {
+			best, most = w, c.credit
+		}
+	}
+	return best
+}
+
+// mostUrgent picks among the classes of one tier: of those not too far ahead of
+// their share, the one whose head has the least slack. Heads that have missed
+// their target come after those that can still meet it. A visitor comes after
+// the domain's own.
+func mostUrgent(now Time, classes []*classQueue) *waiter {
+	least := leastOf(classes)
+	var best *waiter
+	for _, c := range classes {
+		if !c.backlogged() || c.vtime > least+leadTokens {
+			continue
+		}
+		w := c.head()
+		if w != nil && (best == nil || before(now, w, best)) {
+			best = w
+		}
+	}
+	return best
+}
+
+func before(now Time, a, b *waiter) bool {
+	if a.bid.Visitor != b.bid.Visitor {
+		return b.bid.Visitor
+	}
+	lateA, lateB := now >= a.target, now >= b.target
+	if lateA != lateB {
+		return lateB
+	}
+	return a.target < b.target
+}
+
+// leastOf is the least virtual time of the classes that have something to run.
+func leastOf(classes []*classQueue) float64 {
+	least, found := 0.0, false
+	for _, c := range classes {
+		if c.backlogged() && (!found || c.vtime < least) {
+			least, found = c.vtime, true
+		}
+	}
+	return least
+}
+
+// leastVtime is the least virtual time of the other classes of its tier that
+// wait; a class that comes back after a while starts from there.
+func (p *Pool) leastVtime(class *classQueue) float64 {
+	least, found := class.vtime, false
+	for _, c := range p.classes {
+		if c != class && c.rule.Tier == class.rule.Tier && c.waiting > 0 && (!found || c.vtime < least) {
+			least, found = c.vtime, true
+		}
+	}
+	return least
+}
+
+// grant gives a slot of b to w.
+func (p *Pool) grant(now Time, w *waiter, b *backend) {
+	p.accrue(w)
+	w.class.granted(w)
+	p.drop(w)
+	l := &lease{id: w.bid.ID, box: w.bid.Box, class: w.class, customer: w.bid.Customer,
+		backend: b, work: w.bid.Work, granted: now, queued: now - w.offered}
+	p.hold(now, l)
+	p.cache(b, w.bid.Prefix)
+	p.emitGrant(l)
+}
+
+// accrue credits the floors of the classes that wait with their share of the
+// work granted, and debits the class that got it. So a class with floor f whose
+// next request is w tokens long gets it at the latest when w/f tokens have been
+// granted in the pool.
+func (p *Pool) accrue(w *waiter) {
+	for _, c := range p.classes {
+		if c.waiting == 0 {
+			c.credit = 0
+			continue
+		}
+		c.credit += c.rule.Floor * w.bid.Work
+	}
+	w.class.credit = max(0, w.class.credit-w.bid.Work)
+}
+
+func (p *Pool) emitGrant(l *lease) {
+	p.verdicts = append(p.verdicts, Verdict{Kind: GrantSlot, ID: l.id, Box: l.box,
+		Class: l.class.rule.Class, Tier: l.class.rule.Tier, Upstream: l.backend.Name, Queued: l.queued})
+}
+
+// pauseFor pauses running requests of lower tiers for waiting ones that would
+// otherwise miss their target.
+func (p *Pool) pauseFor(now Time) {
+	if p.cfg.NoPause || p.cfg.Arrival {
+		return
+	}
+	wanted := 0
+	for _, c := range p.classes {
+		w := c.head()
+		if w == nil || !c.backlogged() || !urgent(now, w) {
+			continue
+		}
+		wanted += min(c.waiting, pausesAtOnce)
+		for p.pausing < wanted && p.pauseOne(c.rule.Tier) {
+		}
+	}
+}
+
+// urgent reports whether half of the time to the target is gone, and the target
+// can still be met.
+func urgent(now Time, w *waiter) bool {
+	return now < w.target && now-w.arrived >= w.class.rule.FirstToken/2
+}
+
+// pauseOne pauses the newest lease of the lowest tier below tier.
+func (p *Pool) pauseOne(tier int) bool {
+	for i := len(p.classes) - 1; i >= 0 && p.classes[i].rule.Tier > tier; i-- {
+		c := p.classes[i]
+		if c.running <= p.protected(c) {
+			continue
+		}
+		for j := len(c.leases) - 1; j >= 0; j-- {
+			if l := c.leases[j]; !l.gone && !l.pausing && l.backend.Pausing {
+				l.pausing = true
+				p.pausing++
+				p.verdicts = append(p.verdicts, Verdict{Kind: PauseLease, ID: l.id, Box: l.box,
+					Class: c.rule.Class, Tier: c.rule.Tier, Upstream: l.backend.Name})
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// refuseNew refuses a bid that was never let in.
+func (p *Pool) refuseNew(now Time, w *waiter, reason Reason) {
+	v := Verdict{Kind: RefuseBid, ID: w.bid.ID, Box: w.bid.Box, Class: w.bid.Class, Reason: reason}
+	if w.class != nil {
+		v.Tier = w.class.rule.Tier
+		p.evidence(&v)
+		v.RetryAfter = p.retryAfter(now, w.class)
+	} else {
+		v.RetryAfter = time.Second
+	}
+	p.verdicts = append(p.verdicts, v)
+}
+
+// refuse refuses a request that waits.
+func (p *Pool) refuse(now Time, w *waiter, reason Reason) {
+	w.class.forget(w)
+	p.drop(w)
+	p.refuseNew(now, w, reason)
+}
+
+// evidence counts what of a lower tier could have given way to w.
+func (p *Pool) evidence(v *Verdict) {
+	switch v.Reason {
+	case QueueFull, Evicted:
+		for _, c := range p.classes {
+			if c.rule.Tier > v.Tier {
+				v.LowerWaiting += c.waiting
+			}
+		}
+	case Late:
+		ahead := 0
+		for _, c := range p.classes {
+			if c.rule.Tier <= v.Tier {
+				ahead += c.waiting
+			}
+		}
+		v.LowerRunning = max(0, p.pausable(v.Tier)-ahead)
+	}
+}
+
+// retryAfter tells a caller when to come back: once what waits now will have
+// been worked off, with jitter so that those refused together do not return
+// together.
+func (p *Pool) retryAfter(now Time, class *classQueue) time.Duration {
+	wait := max(p.expectedWait(now, class), time.Second)
+	return wait + time.Duration(p.random.Float64()*float64(wait)/2)
+}
+
+// TakeSurplus takes out up to most of the requests that are next and have waited
+// for at least patience, so that they can bid in another failure domain.
+func (p *Pool) TakeSurplus(now Time, most int, patience time.Duration) []Bid {
+	var out []Bid
+	for len(out) < most {
+		w := p.next(now)
+		if w == nil || w.bid.Visitor || w.bid.Resume != "" || now-w.offered < patience {
+			break
+		}
+		out = append(out, w.bid)
+		w.class.forget(w)
+		p.drop(w)
+	}
+	return out
+}
+
+// Counts sums up a pool for status and for the summary between domains.
+type Counts struct {
+	Waiting int
+	Running int
+	Slots   int
+	Spare   int // free slots that nobody waits for
+}
+
+// Counts returns the pool's state.
+func (p *Pool) Counts(now Time) Counts {
+	p.freshen(now)
+	c := Counts{Waiting: len(p.waiting), Running: len(p.leases), Slots: p.slots}
+	c.Spare = max(0, c.Slots-c.Running-c.Waiting)
+	return c
+}
--- /dev/null
+++ b/decide/retry.go
@@ -0,0 +1,65 @@
+package decide
+
+// This file defines when a request that failed may be tried again. The
+// invariant: over any time, a class spends on retries at most retryShare of its
+// first attempts plus retryBurst, so that retries cannot feed an overload.
+
+const (
+	retryShare  = 0.1
+	retryBurst  = 10
+	maxAttempts = 4
+)
+
+// RetryBudget is the retry budget of one class on one box.
+type RetryBudget struct {
+	credit  float64
+	started bool
+}
+
+// Attempt notes a first attempt, which earns credit.
+func (r *RetryBudget) Attempt() {
+	r.start()
+	r.credit = min(r.credit+retryShare, retryBurst)
+}
+
+// Spend takes one retry from the budget and reports whether there was one.
+func (r *RetryBudget) Spend() bool {
+	r.start()
+	if r.credit < 1 {
+		return false
+	}
+	r.credit--
+	return true
+}
+
+func (r *RetryBudget) start() {
+	if !r.started {
+		r.started, r.credit = true, retryBurst
+	}
+}
+
+// Failure describes an attempt that failed.
+type Failure struct {
+	Ran        bool // a byte may have left for the upstream
+	Repeatable bool // the request may run twice
+	Resumable  bool // an upstream can go on from what was delivered
+	Delivered  int  // tokens the caller has had
+	Attempts   int  // attempts so far, this one included
+	TimeLeft   bool // the caller's deadline has not passed
+}
+
+// MayRetry says whether a request may be tried again after a failure. What is
+// not repeatable and may have run is never tried again, whatever the budget.
+func MayRetry(f Failure, budget *RetryBudget) Reason {
+	switch {
+	case f.Ran && !f.Repeatable:
+		return UpstreamFailed
+	case f.Delivered > 0 && !f.Resumable:
+		return UpstreamFailed
+	case !f.TimeLeft:
+		return Late
+	case f.Attempts >= maxAttempts || !budget.Spend():
+		return RetriesSpent
+	}
+	return NoReason
+}
--- /dev/null
+++ b/internal/control/convert.go
@@ -0,0 +1,153 @@
+package control
+
+// This file converts between the decisions' messages and the wire's. The
+// invariant: what decode accepts, encode made; fields out of range are errors.
+
+import (
+	"time"
+
+	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/wire"
+)
+
+// limitScale is how limits, which may be fractions, are written on the wire.
+const limitScale = 1000
+
+func micros(d time.Duration) uint64 { return uint64(max(0, d) / time.Microsecond) }
+
+func span(us uint64) time.Duration {
+	const longest = uint64(24 * time.Hour / time.Microsecond)
+	return time.Duration(min(us, longest)) * time.Microsecond
+}
+
+// toWire converts a message for sending.
+func toWire(m cell.Message) *wire.Message {
+	switch m := m.(type) {
+	case *cell.Heartbeat:
+		return &wire.Message{Body: &wire.Message_Heartbeat{Heartbeat: heartbeatToWire(m)}}
+	case *cell.Bid:
+		return &wire.Message{Body: &wire.Message_Bid{Bid: &wire.Bid{
+			Id: m.Bid.ID, Set: m.Set, Class: m.Bid.Class, Customer: m.Bid.Customer, Waited: micros(m.Bid.Waited),
+			Remaining: micros(m.Bid.Remaining), Work: uint32(m.Bid.Work), Prefix: m.Bid.Prefix,
+			Visitor: m.Bid.Visitor, Resume: m.Bid.Resume}}}
+	case *cell.Withdraw:
+		return &wire.Message{Body: &wire.Message_Withdraw{Withdraw: &wire.Withdraw{Id: m.ID, Set: m.Set}}}
+	case *cell.Grant:
+		return &wire.Message{Body: &wire.Message_Grant{Grant: &wire.Grant{
+			Id: m.ID, Set: m.Set, Upstream: m.Upstream, StartBy: micros(m.StartBy)}}}
+	case *cell.Refusal:
+		return &wire.Message{Body: &wire.Message_Refusal{Refusal: &wire.Refusal{
+			Id: m.ID, Set: m.Set, Reason: uint32(m.Reason), RetryAfter: micros(m.RetryAfter),
+			LowerWaiting: uint32(m.LowerWaiting), LowerRunning: uint32(m.LowerRunning), Redirect: m.Redirect}}}
+	case *cell.Preempt:
+		return &wire.Message{Body: &wire.Message_Preempt{Preempt: &wire.Preempt{Id: m.ID, Set: m.Set}}}
+	case *cell.Release:
+		return &wire.Message{Body: &wire.Message_Release{Release: &wire.Release{
+			Id: m.ID, Set: m.Set, Upstream: m.Upstream, Tokens: uint32(m.Tokens), Outcome: uint32(m.Outcome), Pace: micros(m.Pace)}}}
+	case *cell.Holding:
+		return &wire.Message{Body: &wire.Message_Holding{Holding: holdingToWire(m)}}
+	case *cell.HoldingAsk:
+		return &wire.Message{Body: &wire.Message_HoldingAsk{HoldingAsk: &wire.HoldingAsk{Set: m.Set}}}
+	case *cell.Claim:
+		return &wire.Message{Body: &wire.Message_Claim{Claim: &wire.Claim{Key: m.Key, Id: m.ID, GiveBack: m.GiveBack}}}
+	case *cell.ClaimReply:
+		return &wire.Message{Body: &wire.Message_ClaimReply{ClaimReply: &wire.ClaimReply{Key: m.Key, Id: m.ID, Verdict: uint32(m.Verdict)}}}
+	case *cell.Ask:
+		return &wire.Message{Body: &wire.Message_Ask{Ask: &wire.Ask{Limit: m.Limit, WantMilli: uint64(m.Want * limitScale)}}}
+	case *cell.Lend:
+		return &wire.Message{Body: &wire.Message_Lend{Lend: &wire.Lend{Limit: m.Limit, Milli: uint64(m.Amount * limitScale), Life: micros(m.Life)}}}
+	case *cell.Spare:
+		return &wire.Message{Body: &wire.Message_Spare{Spare: &wire.Spare{
+			Set: m.Set, Domain: m.Domain, Slots: uint32(m.Slots), Owner: m.Owner, PassedOn: m.PassedOn}}}
+	case *cell.TableOffer:
+		return &wire.Message{Body: &wire.Message_TableOffer{TableOffer: &wire.TableOffer{Revision: m.Revision, Digest: m.Digest}}}
+	}
+	return nil
+}
+
+func heartbeatToWire(m *cell.Heartbeat) *wire.Heartbeat {
+	h := &wire.Heartbeat{Counter: m.Counter, TableRevision: m.Table, TableDigest: m.Digest,
+		RosterRevision: m.Roster, Leaving: m.Leaving, Blind: m.Blind}
+	for _, s := range m.Sightings {
+		h.Sightings = append(h.Sightings, &wire.Sighting{Box: s.Box, Boot: s.Boot, Counter: s.Counter, Leaving: s.Leaving, RosterRevision: s.Roster})
+	}
+	return h
+}
+
+func holdingToWire(m *cell.Holding) *wire.Holding {
+	h := &wire.Holding{Set: m.Set, Count: uint32(m.Count), Digest: m.Digest, WaitingCount: uint32(m.WaitingCount),
+		WaitingDigest: m.WaitingDigest, Full: m.Full, Waiting: m.Waiting}
+	for _, l := range m.Held {
+		h.Held = append(h.Held, &wire.Held{Id: l.ID, Upstream: l.Upstream, Class: l.Class, Customer: l.Customer, Work: uint32(l.Work)})
+	}
+	return h
+}
+
+// fromWire converts a received message; nil means that its kind is unknown or a
+// field is out of range.
+func fromWire(m *wire.Message) cell.Message {
+	switch b := m.Body.(type) {
+	case *wire.Message_Heartbeat:
+		return heartbeatFromWire(b.Heartbeat)
+	case *wire.Message_Bid:
+		w := b.Bid
+		return &cell.Bid{Set: w.Set, Bid: decide.Bid{ID: w.Id, Class: w.Class, Customer: w.Customer, Waited: span(w.Waited),
+			Remaining: span(w.Remaining), Work: float64(max(1, w.Work)), Prefix: w.Prefix, Visitor: w.Visitor, Resume: w.Resume}}
+	case *wire.Message_Withdraw:
+		return &cell.Withdraw{Set: b.Withdraw.Set, ID: b.Withdraw.Id}
+	case *wire.Message_Grant:
+		return &cell.Grant{Set: b.Grant.Set, ID: b.Grant.Id, Upstream: b.Grant.Upstream, StartBy: span(b.Grant.StartBy)}
+	case *wire.Message_Refusal:
+		w := b.Refusal
+		return &cell.Refusal{Set: w.Set, ID: w.Id, Reason: decide.Reason(min(w.Reason, 255)), RetryAfter: span(w.RetryAfter),
+			LowerWaiting: int(w.LowerWaiting), LowerRunning: int(w.LowerRunning), Redirect: w.Redirect}
+	case *wire.Message_Preempt:
+		return &cell.Preempt{Set: b.Preempt.Set, ID: b.Preempt.Id}
+	case *wire.Message_Release:
+		w := b.Release
+		if w.Outcome > uint32(decide.Unused) {
+			return nil
+		}
+		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace)}
+	case *wire.Message_Holding:
+		return holdingFromWire(b.Holding)
+	case *wire.Message_HoldingAsk:
+		return &cell.HoldingAsk{Set: b.HoldingAsk.Set}
+	case *wire.Message_Claim:
+		return &cell.Claim{Key: b.Claim.Key, ID: b.Claim.Id, GiveBack: b.Claim.GiveBack}
+	case *wire.Message_ClaimReply:
+		if b.ClaimReply.Verdict > uint32(decide.ClaimElsewhere) {
+			return nil
+		}
+		return &cell.ClaimReply{Key: b.ClaimReply.Key, ID: b.ClaimReply.Id, Verdict: decide.ClaimVerdict(b.ClaimReply.Verdict)}
+	case *wire.Message_Ask:
+		return &cell.Ask{Limit: b.Ask.Limit, Want: float64(b.Ask.WantMilli) / limitScale}
+	case *wire.Message_Lend:
+		return &cell.Lend{Limit: b.Lend.Limit, Amount: float64(b.Lend.Milli) / limitScale, Life: span(b.Lend.Life)}
+	case *wire.Message_Spare:
+		w := b.Spare
+		return &cell.Spare{Set: w.Set, Domain: w.Domain, Slots: int(min(w.Slots, 1<<20)), Owner: w.Owner, PassedOn: w.PassedOn}
+	case *wire.Message_TableOffer:
+		return &cell.TableOffer{Revision: b.TableOffer.Revision, Digest: b.TableOffer.Digest}
+	}
+	return nil
+}
+
+func heartbeatFromWire(w *wire.Heartbeat) cell.Message {
+	h := &cell.Heartbeat{Counter: w.Counter, Table: w.TableRevision, Digest: w.TableDigest,
+		Roster: w.RosterRevision, Leaving: w.Leaving, Blind: w.Blind}
+	for _, s := range w.Sightings {
+		h.Sightings = append(h.Sightings, cell.Sighting{Box: s.GetBox(), Boot: s.GetBoot(), Counter: s.GetCounter(), Roster: s.GetRosterRevision(), Leaving: s.GetLeaving()})
+	}
+	return h
+}
+
+func holdingFromWire(w *wire.Holding) cell.Message {
+	h := &cell.Holding{Set: w.Set, Count: int(w.Count), Digest: w.Digest, WaitingCount: int(w.WaitingCount),
+		WaitingDigest: w.WaitingDigest, Full: w.Full, Waiting: w.Waiting}
+	for _, l := range w.Held {
+		h.Held = append(h.Held, decide.Held{ID: l.GetId(), Upstream: l.GetUpstream(), Class: l.GetClass(), Customer: l.GetCustomer(), Work: float64(max(1, l.GetWork()))})
+	}
+	return h
+}
--- /dev/null
+++ b/run.go
@@ -0,0 +1,156 @@
+package doormast
+
+// This file defines the runs of requests on upstreams. The invariant: before the
+// first byte of a request leaves, the core has been told that it may have.
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/caller"
+	"github.com/doormast/doormast/internal/upstream"
+	"github.com/doormast/doormast/table"
+	"github.com/doormast/doormast/timeline"
+)
+
+// run is a request that this box carries, with its current run if it has one.
+// Its fields belong to the core duty.
+type run struct {
+	box       *Box
+	request   cell.Request
+	exchange  *caller.Exchange
+	arrived   time.Duration
+	cancel    context.CancelFunc
+	address   string
+	delivered int  // tokens, by runs that have ended
+	seen      bool // the first token has come
+	gone      bool // its caller has had its final answer
+}
+
+// dispatch starts a run.
+func (b *Box) dispatch(a cell.Action) {
+	r := b.runs[a.Request]
+	u := b.upstream(a.Upstream)
+	if r == nil || u == nil {
+		b.mustTell(notice{kind: noticeFinished, request: a.Request, result: cell.Result{Outcome: decide.Failed}})
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel, r.address = cancel, u.Address
+	tier := 0
+	if c := b.class(r.request.Class); c != nil {
+		tier = c.Tier
+	}
+	x := r.exchange
+	c := upstream.Call{
+		ID:       timeline.RequestText(a.Request),
+		Address:  u.Address,
+		Plain:    x.Plain || u.Kind == table.Plain,
+		Method:   x.Method,
+		Path:     x.Path,
+		Body:     x.Body,
+		Type:     x.Type,
+		Key:      r.request.Key,
+		Priority: tier,
+		From:     a.Tokens,
+		Resume:   a.Resume,
+		StartBy:  a.StartBy,
+	}
+	go b.runCall(ctx, c, x, a.Request)
+}
+
+// runCall is the goroutine of one run; the notice of its end is its report.
+func (b *Box) runCall(ctx context.Context, c upstream.Call, x *caller.Exchange, id uint64) {
+	s := &sink{box: b, exchange: x, id: id}
+	result := b.runner.Run(ctx, c, s)
+	if result.Outcome == decide.Answered {
+		x.Done()
+	}
+	b.mustTell(notice{kind: noticeFinished, request: id, result: result})
+}
+
+// sink passes what comes from an upstream to the caller.
+type sink struct {
+	box      *Box
+	exchange *caller.Exchange
+	id       uint64
+	started  atomic.Bool
+}
+
+var _ upstream.Sink = (*sink)(nil)
+
+// Sending tells the core, and forbids the sending if the caller has left.
+func (s *sink) Sending() bool {
+	select {
+	case <-s.exchange.Left():
+		return false
+	default:
+	}
+	s.box.mustTell(notice{kind: noticeSending, request: s.id})
+	return true
+}
+
+// Event passes on one event.
+func (s *sink) Event(data []byte) error {
+	if s.started.CompareAndSwap(false, true) {
+		s.box.mustTell(notice{kind: noticeFirstToken, request: s.id})
+	}
+	return s.exchange.Event(data)
+}
+
+// Whole passes on the answer of a plain service.
+func (s *sink) Whole(status int, contentType string, body []byte) error {
+	s.box.mustTell(notice{kind: noticeFirstToken, request: s.id})
+	return s.exchange.Whole(status, contentType, body)
+}
+
+func (b *Box) upstream(name string) *table.Upstream {
+	t := b.table.Load()
+	if t == nil {
+		return nil
+	}
+	for i := range t.Upstreams {
+		if t.Upstreams[i].Name == name {
+			return &t.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+func (b *Box) cancelRun(id uint64) {
+	if r := b.runs[id]; r != nil && r.cancel != nil {
+		r.cancel()
+		r.gone = true
+	}
+}
+
+// pauseRun asks the upstream to pause; the run's own end tells the rest.
+func (b *Box) pauseRun(id uint64) {
+	r := b.runs[id]
+	if r == nil || r.cancel == nil {
+		return
+	}
+	address, text := r.address, timeline.RequestText(id)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := b.runner.Pause(ctx, address, text); err != nil {
+			b.say("upstream").Warnf("Request %s cannot be paused: %v.", text, err)
+		}
+	}()
+}
+
+// endRuns cancels all runs when the box closes, and gives their callers the
+// truth about them.
+func (b *Box) endRuns() {
+	for _, r := range b.runs {
+		ran := r.cancel != nil
+		if ran {
+			r.cancel()
+		}
+		r.exchange.Refuse(cell.Final{Reason: decide.Stopping, Ran: ran, RetryAfter: time.Second})
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,170 @@
+// Package settings reads a daemon's settings: JSON with comments, checked whole
+// before anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/doormast/doormast/internal/jsonc"
+)
+
+// Settings is what a daemon is told at its start. It learns its addresses and
+// failure domain from here only.
+type Settings struct {
+	Box      string `json:"box"`
+	Domain   string `json:"domain"`
+	Listen   Listen `json:"listen"`
+	Platform string `json:"platform"` // IP:port
+	PeerKey  string `json:"peer_key"` // secret shared by the boxes, 16 characters or more
+	OpsKey   string `json:"ops_key"`  // secret of the operators' calls, 16 characters or more
+	Peers    []Peer `json:"peers"`    // boxes known before the platform answers
+	Limits   Limits `json:"limits"`
+	Log      Log    `json:"log"`
+	Stop     Stop   `json:"stop"`
+	Timeline int    `json:"timeline"` // events kept
+}
+
+// Listen holds the daemon's addresses, each IP:port.
+type Listen struct {
+	Callers string `json:"callers"`
+	Control string `json:"control"` // UDP
+	Ops     string `json:"ops"`
+}
+
+// Peer is another box.
+type Peer struct {
+	Box     string `json:"box"`
+	Domain  string `json:"domain"`
+	Control string `json:"control"`
+	Ops     string `json:"ops"`
+}
+
+// Limits bounds what a caller may cost.
+type Limits struct {
+	Body        int            `json:"body"`    // bytes
+	Headers     int            `json:"headers"` // bytes
+	Connections int            `json:"connections"`
+	InProgress  int            `json:"in_progress"` // requests
+	Buffer      int            `json:"buffer"`      // events held for a slow caller
+	ReadWait    jsonc.Duration `json:"read_wait"`
+	WriteWait   jsonc.Duration `json:"write_wait"`
+	Silence     jsonc.Duration `json:"silence"` // an upstream silent for longer is taken for dead
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // text or json
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	Notice   jsonc.Duration `json:"notice"`   // between failing the health check and closing
+	Deadline jsonc.Duration `json:"deadline"` // after which what is left is cut
+}
+
+// Defaults are the settings where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{
+			Body:        1 << 20,
+			Headers:     16 << 10,
+			Connections: 20000,
+			InProgress:  10000,
+			Buffer:      32,
+			ReadWait:    jsonc.Duration(30 * time.Second),
+			WriteWait:   jsonc.Duration(30 * time.Second),
+			Silence:     jsonc.Duration(time.Minute),
+		},
+		Log:      Log{Level: "info", Format: "text"},
+		Stop:     Stop{Notice: jsonc.Duration(2 * time.Second), Deadline: jsonc.Duration(15 * time.Minute)},
+		Timeline: 20000,
+	}
+}
+
+// Load reads and checks the file. The error is of type jsonc.Problems, or says
+// why the file cannot be read.
+func Load(file string) (*Settings, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, source)
+}
+
+// Parse reads and checks settings.
+func Parse(file string, source []byte) (*Settings, error) {
+	s := Defaults()
+	doc, err := jsonc.Parse(file, source, &s)
+	if err != nil {
+		return nil, err
+	}
+	if problems := s.check(doc); len(problems) > 0 {
+		return nil, problems
+	}
+	return &s, nil
+}
+
+const minKey = 16
+
+func (s *Settings) check(doc *jsonc.Document) jsonc.Problems {
+	var problems jsonc.Problems
+	want := func(ok bool, field string, found any, allowed string) {
+		if !ok {
+			problems = append(problems, doc.Problem(field, fmt.Sprint(found), allowed))
+		}
+	}
+	address := func(field, value string) {
+		_, err := netip.ParseAddrPort(value)
+		want(err == nil, field, fmt.Sprintf("%q", value), "want IP:port")
+	}
+	secret := func(field, value string) {
+		// The value itself does not belong in a log.
+		want(len(value) >= minKey, field, fmt.Sprintf("%d characters", len(value)), "want 16 characters or more")
+	}
+	want(s.Box != "", "box", `""`, "want a name")
+	want(s.Domain != "", "domain", `""`, "want a failure domain")
+	address("listen.callers", s.Listen.Callers)
+	address("listen.control", s.Listen.Control)
+	address("listen.ops", s.Listen.Ops)
+	address("platform", s.Platform)
+	secret("peer_key", s.PeerKey)
+	secret("ops_key", s.OpsKey)
+	for i, p := range s.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		want(p.Box != "" && p.Box != s.Box, field+".box", fmt.Sprintf("%q", p.Box), "want the name of another box")
+		want(p.Domain != "", field+".domain", `""`, "want a failure domain")
+		address(field+".control", p.Control)
+		address(field+".ops", p.Ops)
+	}
+	l := s.Limits
+	between := func(field string, value, least, most int) {
+		want(value >= least && value <= most, field, value, fmt.Sprintf("want %d to %d", least, most))
+	}
+	between("limits.body", l.Body, 1<<10, 64<<20)
+	between("limits.headers", l.Headers, 1<<10, 1<<20)
+	between("limits.connections", l.Connections, 1, 1<<20)
+	between("limits.in_progress", l.InProgress, 1, 1<<20)
+	between("limits.buffer", l.Buffer, 1, 1<<12)
+	between("timeline", s.Timeline, 100, 10<<20)
+	want(l.ReadWait > 0, "limits.read_wait", l.ReadWait.Std(), "want a duration above 0")
+	want(l.WriteWait > 0, "limits.write_wait", l.WriteWait.Std(), "want a duration above 0")
+	want(l.Silence > 0, "limits.silence", l.Silence.Std(), "want a duration above 0")
+	want(s.Stop.Deadline > 0, "stop.deadline", s.Stop.Deadline.Std(), "want a duration above 0")
+	want(s.Stop.Notice >= 0, "stop.notice", s.Stop.Notice.Std(), "want 0 or more")
+	want(oneOf(s.Log.Level, "debug", "info", "warn", "error"), "log.level", s.Log.Level, "want debug, info, warn or error")
+	want(oneOf(s.Log.Format, "text", "json"), "log.format", s.Log.Format, "want text or json")
+	return problems
+}
+
+func oneOf(s string, allowed ...string) bool {
+	for _, a := range allowed {
+		if s == a {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,93 @@
+package standin
+
+// This file defines the stand-in plain service. It counts executions by key, and
+// so is the judge of what ran at most once.
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// PlainFaults are what can be wrong with a plain service.
+type PlainFaults struct {
+	DropAfter bool `json:"drop_after"` // execute, then close without an answer
+	Refuse    bool `json:"refuse"`     // say that it did not run
+	DelayMS   int  `json:"delay_ms"`
+}
+
+// Plain is a stand-in plain service.
+type Plain struct {
+	*server
+	mu         sync.Mutex
+	faults     PlainFaults
+	executions map[string]int
+	total      int
+}
+
+// NewPlain starts a plain service.
+func NewPlain(address string) (*Plain, error) {
+	p := &Plain{executions: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Executions()) })
+	mux.HandleFunc("POST /faults", p.putFaults)
+	mux.HandleFunc("/", p.execute)
+	var err error
+	p.server, err = serve(address, mux)
+	return p, err
+}
+
+// SetFaults puts faults in force.
+func (p *Plain) SetFaults(f PlainFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+func (p *Plain) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f PlainFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+}
+
+// Executions counts what was executed, by the body of the request.
+func (p *Plain) Executions() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]int, len(p.executions))
+	for k, n := range p.executions {
+		out[k] = n
+	}
+	return out
+}
+
+func (p *Plain) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	f := p.faults
+	if f.Refuse {
+		p.mu.Unlock()
+		w.Header().Set("X-Ran", "no")
+		http.Error(w, "nothing runs here", http.StatusServiceUnavailable)
+		return
+	}
+	p.executions[string(body)]++
+	p.total++
+	n := p.total
+	p.mu.Unlock()
+	if f.DelayMS > 0 {
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+	}
+	if f.DropAfter {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, map[string]any{"executed": n, "echo": string(body)})
+}
--- /dev/null
+++ b/table/check.go
@@ -0,0 +1,132 @@
+package table
+
+// This file defines what makes a table acceptable. The invariant: a table that
+// passes check can be met as a whole, so that no two of its promises fight.
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+
+	"github.com/doormast/doormast/internal/jsonc"
+)
+
+const (
+	maxTier = 8
+	// maxFloors is the share of a set that floors may take together. The rest
+	// is left to tier order; a set promised away whole has no tiers.
+	maxFloors = 0.5
+)
+
+type checker struct {
+	doc      *jsonc.Document
+	problems jsonc.Problems
+}
+
+func (c *checker) want(ok bool, path string, found any, allowed string) {
+	if !ok {
+		c.problems = append(c.problems, c.doc.Problem(path, fmt.Sprint(found), allowed))
+	}
+}
+
+func (t *Table) check(doc *jsonc.Document) jsonc.Problems {
+	c := &checker{doc: doc}
+	c.want(len(t.Classes) > 0, "classes", "none", "want at least one class")
+	sets := make(map[string]int)
+	for _, u := range t.Upstreams {
+		sets[u.Set] += u.Slots
+	}
+	names := make(map[string]bool)
+	for i := range t.Classes {
+		t.checkClass(c, i, sets, names)
+	}
+	t.checkFloors(c)
+	t.checkCustomers(c, names)
+	t.checkUpstreams(c)
+	return c.problems
+}
+
+func (t *Table) checkClass(c *checker, i int, sets map[string]int, names map[string]bool) {
+	row, path := t.Classes[i], fmt.Sprintf("classes[%d]", i)
+	c.want(row.Name != "", path+".name", `""`, "want a name")
+	c.want(!names[row.Name], path+".name", row.Name, "want a name that no other class has")
+	names[row.Name] = true
+	c.want(row.Tier >= 1 && row.Tier <= maxTier, path+".tier", row.Tier, "want 1 to 8, 1 is sacrificed last")
+	c.want(row.FirstToken > 0, path+".first_token", row.FirstToken.Std(), "want a duration above 0")
+	c.want(row.Whole == 0 || row.Whole >= row.FirstToken, path+".whole", row.Whole.Std(), "want 0 or at least first_token")
+	c.want(row.Weight > 0, path+".weight", row.Weight, "want a number above 0")
+	c.want(row.Floor > 0 && row.Floor <= maxFloors, path+".floor", row.Floor,
+		"want a share above 0 and up to 0.5, so that the class cannot starve")
+	c.want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
+	c.want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
+	c.want(row.Queue >= 0, path+".queue", row.Queue, "want 0 or more")
+	c.want(row.MaxTokens >= 0, path+".max_tokens", row.MaxTokens, "want 0 or more")
+	c.want(row.OnLate == Wait || row.OnLate == Refuse, path+".on_late", row.OnLate, `want "wait" or "refuse"`)
+	c.want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
+	slots, ok := sets[row.Set]
+	c.want(ok, path+".set", row.Set, "want a set that some upstream belongs to")
+	c.want(!ok || row.Concurrency == 0 || float64(row.Concurrency) >= row.Floor*float64(slots)/float64(max(1, t.domains(row.Set))),
+		path+".concurrency", row.Concurrency, "want at least the class's floor of the set's slots, or the floor cannot be met")
+}
+
+// domains counts the failure domains in which a set has upstreams.
+func (t *Table) domains(set string) int {
+	seen := make(map[string]bool)
+	for _, u := range t.Upstreams {
+		if u.Set == set {
+			seen[u.Domain] = true
+		}
+	}
+	return len(seen)
+}
+
+// checkFloors refuses floors that cannot be met together.
+func (t *Table) checkFloors(c *checker) {
+	sums := make(map[string]float64)
+	for i, row := range t.Classes {
+		sums[row.Set] += row.Floor
+		c.want(sums[row.Set] <= maxFloors+1e-9, fmt.Sprintf("classes[%d].floor", i), row.Floor,
+			fmt.Sprintf("floors of set %q add up to %.3g, want at most %.3g together", row.Set, sums[row.Set], maxFloors))
+	}
+}
+
+func (t *Table) checkCustomers(c *checker, classes map[string]bool) {
+	names, keys := make(map[string]bool), make(map[string]bool)
+	for i, row := range t.Customers {
+		path := fmt.Sprintf("customers[%d]", i)
+		c.want(row.Name != "", path+".name", `""`, "want a name")
+		c.want(!names[row.Name], path+".name", row.Name, "want a name that no other customer has")
+		names[row.Name] = true
+		c.want(classes[row.DefaultClass], path+".default_class", row.DefaultClass, "want a class of this table")
+		c.want(row.MayUse(row.DefaultClass), path+".default_class", row.DefaultClass, "want one of the customer's own classes")
+		c.want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
+		c.want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
+		c.want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
+		for j, name := range row.Classes {
+			c.want(classes[name], fmt.Sprintf("%s.classes[%d]", path, j), name, "want a class of this table")
+		}
+		for j, hash := range row.KeyHashes {
+			at := fmt.Sprintf("%s.key_hashes[%d]", path, j)
+			raw, err := hex.DecodeString(hash)
+			c.want(err == nil && len(raw) == 32, at, hash, "want a SHA-256 in hex, as doormast table key prints it")
+			c.want(!keys[hash], at, hash, "want a key that no other customer has")
+			keys[hash] = true
+		}
+	}
+}
+
+func (t *Table) checkUpstreams(c *checker) {
+	names := make(map[string]bool)
+	for i, row := range t.Upstreams {
+		path := fmt.Sprintf("upstreams[%d]", i)
+		c.want(row.Name != "", path+".name", `""`, "want a name")
+		c.want(!names[row.Name], path+".name", row.Name, "want a name that no other upstream has")
+		names[row.Name] = true
+		c.want(row.Domain != "", path+".domain", `""`, "want a failure domain")
+		c.want(row.Set != "", path+".set", `""`, "want a set")
+		c.want(row.Slots > 0, path+".slots", row.Slots, "want 1 or more")
+		c.want(row.Kind == Engine || row.Kind == Plain, path+".kind", row.Kind, `want "engine" or "plain"`)
+		_, err := netip.ParseAddrPort(row.Address)
+		c.want(err == nil, path+".address", row.Address, "want IP:port")
+	}
+}
--- /dev/null
+++ b/table/delta.go
@@ -0,0 +1,173 @@
+package table
+
+// This file defines what changes between two tables: for operators, in terms of
+// rows and columns, and for boxes, as a delta that is smaller than the whole.
+// The invariant: a delta is applied only to the table it was made from, and the
+// result has the digest of the table it was made to.
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Change is one difference between two tables.
+type Change struct {
+	Row    string // such as class letters
+	Column string // "" where the whole row was added or removed
+	From   string
+	To     string
+}
+
+func (c Change) String() string {
+	switch {
+	case c.Column == "" && c.From == "":
+		return c.Row + ": added"
+	case c.Column == "":
+		return c.Row + ": removed"
+	}
+	return fmt.Sprintf("%s: %s: %s -> %s", c.Row, c.Column, c.From, c.To)
+}
+
+// Diff lists what changes from a to b, row by row.
+func Diff(a, b *Table) []Change {
+	var out []Change
+	out = diffRows(out, "class ", a.Classes, b.Classes, func(r Class) string { return r.Name })
+	out = diffRows(out, "customer ", a.Customers, b.Customers, func(r Customer) string { return r.Name })
+	out = diffRows(out, "set ", a.Sets, b.Sets, func(r Set) string { return r.Name })
+	return diffRows(out, "upstream ", a.Upstreams, b.Upstreams, func(r Upstream) string { return r.Name })
+}
+
+func diffRows[R any](out []Change, what string, a, b []R, name func(R) string) []Change {
+	before := make(map[string]R, len(a))
+	for _, r := range a {
+		before[name(r)] = r
+	}
+	for _, r := range b {
+		old, ok := before[name(r)]
+		if !ok {
+			out = append(out, Change{Row: what + name(r), To: "new"})
+			continue
+		}
+		delete(before, name(r))
+		out = diffColumns(out, what+name(r), old, r)
+	}
+	for _, r := range a {
+		if _, gone := before[name(r)]; gone {
+			out = append(out, Change{Row: what + name(r), From: "old"})
+		}
+	}
+	return out
+}
+
+func diffColumns(out []Change, row string, a, b any) []Change {
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range va.NumField() {
+		x, y := va.Field(i).Interface(), vb.Field(i).Interface()
+		if !reflect.DeepEqual(x, y) {
+			column, _, _ := strings.Cut(va.Type().Field(i).Tag.Get("json"), ",")
+			out = append(out, Change{row, column, cell(x), cell(y)})
+		}
+	}
+	return out
+}
+
+// cell writes a value as the document would.
+func cell(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprint(v)
+	}
+	return string(b)
+}
+
+// Delta is the rows of a table that differ from an older one.
+type Delta struct {
+	From      uint64             `json:"from"`
+	To        uint64             `json:"to"`
+	Digest    uint64             `json:"digest,string"` // of the result
+	Classes   RowDelta[Class]    `json:"classes"`
+	Customers RowDelta[Customer] `json:"customers"`
+	Sets      RowDelta[Set]      `json:"sets"`
+	Upstreams RowDelta[Upstream] `json:"upstreams"`
+}
+
+// RowDelta is how one list of rows changes. Order names all rows of the result
+// where their order or number changes.
+type RowDelta[R any] struct {
+	Changed []R      `json:"changed,omitempty"`
+	Order   []string `json:"order,omitempty"`
+}
+
+// MakeDelta makes the delta from a to b.
+func MakeDelta(a, b *Table) *Delta {
+	return &Delta{
+		From: a.Revision, To: b.Revision, Digest: b.Digest(),
+		Classes:   rowDelta(a.Classes, b.Classes, func(r Class) string { return r.Name }),
+		Customers: rowDelta(a.Customers, b.Customers, func(r Customer) string { return r.Name }),
+		Sets:      rowDelta(a.Sets, b.Sets, func(r Set) string { return r.Name }),
+		Upstreams: rowDelta(a.Upstreams, b.Upstreams, func(r Upstream) string { return r.Name }),
+	}
+}
+
+func rowDelta[R any](a, b []R, name func(R) string) RowDelta[R] {
+	var d RowDelta[R]
+	before := make(map[string]R, len(a))
+	for _, r := range a {
+		before[name(r)] = r
+	}
+	sameOrder := len(a) == len(b)
+	var order []string
+	for i, r := range b {
+		order = append(order, name(r))
+		sameOrder = sameOrder && name(a[i]) == name(r)
+		if old, ok := before[name(r)]; !ok || !reflect.DeepEqual(old, r) {
+			d.Changed = append(d.Changed, r)
+		}
+	}
+	if !sameOrder {
+		d.Order = order
+	}
+	return d
+}
+
+// Apply makes the table that a delta leads to from the one it was made from. An
+// error means that the whole document has to be fetched.
+func (t *Table) Apply(d *Delta) (*Table, error) {
+	if t.Revision != d.From || d.To <= d.From {
+		return nil, fmt.Errorf("table: delta from revision %d to %d does not follow %d", d.From, d.To, t.Revision)
+	}
+	n := &Table{
+		Revision:  d.To,
+		Classes:   applyRows(t.Classes, d.Classes, func(r Class) string { return r.Name }),
+		Customers: applyRows(t.Customers, d.Customers, func(r Customer) string { return r.Name }),
+		Sets:      applyRows(t.Sets, d.Sets, func(r Set) string { return r.Name }),
+		Upstreams: applyRows(t.Upstreams, d.Upstreams, func(r Upstream) string { return r.Name }),
+	}
+	n.index()
+	if n.digest != d.Digest {
+		return nil, fmt.Errorf("table: delta to revision %d gives another digest", d.To)
+	}
+	return n, nil
+}
+
+func applyRows[R any](rows []R, d RowDelta[R], name func(R) string) []R {
+	byName := make(map[string]R, len(rows))
+	var order []string
+	for _, r := range rows {
+		byName[name(r)] = r
+		order = append(order, name(r))
+	}
+	for _, r := range d.Changed {
+		byName[name(r)] = r
+	}
+	if d.Order != nil {
+		order = d.Order
+	}
+	var out []R
+	for _, n := range order {
+		out = append(out, byName[n])
+	}
+	return out
+}
