--- a/cell/holder.go
+++ b/cell/holder.go
@@ -318,7 +318,7 @@
 
 // release gives the slot back to its owner.
 func (n *Node) release(l *local, r Result) {
-	m := &Release{Set: l.set, ID: l.req.ID, Upstream: l.upstream, Tokens: r.Tokens, Outcome: r.Outcome, Pace: r.Pace}
+	m := &Release{Set: l.set, ID: l.req.ID, Upstream: l.upstream, Tokens: r.Tokens, Outcome: r.Outcome, Pace: r.Pace, First: r.First}
 	if l.owner != "" {
 		n.deliver(l.owner, m)
 	}
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -228,7 +228,7 @@
 
 func (n *Node) onRelease(m *Release) {
 	if p := n.pools[m.Set]; p != nil {
-		p.Release(n.now, m.ID, m.Tokens, m.Outcome, m.Pace)
+		p.Release(n.now, m.ID, decide.Usage{Outcome: m.Outcome, Tokens: m.Tokens, Pace: m.Pace, First: m.First})
 		n.dirty[m.Set] = true
 	}
 }
--- a/cell/types.go
+++ b/cell/types.go
@@ -85,6 +85,7 @@
 	Tokens   int
 	Outcome  decide.Outcome
 	Pace     time.Duration // for one token; 0 if unknown
+	First    time.Duration // from sending to the first token; 0 if unknown
 }
 
 // Holding sums up all that the sender holds and waits for in a set; with Full,
@@ -215,7 +216,8 @@
 	Outcome decide.Outcome
 	Ran     bool // a byte may have left for the upstream
 	Tokens  int  // generated in all, earlier runs included
-	Pace    time.Duration
+	Pace    time.Duration // for one token; 0 if unknown
+	First   time.Duration // from sending to the first token; 0 if unknown
 	Refused bool // the upstream itself said that it did not run it
 	Leaving bool // the upstream said that it is leaving
 }
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -38,6 +38,10 @@
 	settleTime = 2 * time.Second
 	// pausesAtOnce bounds how many leases are being paused for one class.
 	pausesAtOnce = 8
+	// giveWayTime is how long it takes until a lower tier has given way.
+	giveWayTime = pauseRepeat
+	// firstMemory is the weight of a new sample of the time to the first token.
+	firstMemory = 0.05
 	// pauseRepeat is how long an order to pause is given to take effect.
 	pauseRepeat = 300 * time.Millisecond
 	// never is later than any moment.
@@ -85,8 +89,9 @@
 	verdicts  []Verdict
 	paces     []float64
 	median    float64
-	slots     int     // usable now, over all upstreams
-	rate      float64 // tokens a second when full
+	slots     int           // usable now, over all upstreams
+	rate      float64       // tokens a second when full
+	first     time.Duration // from sending to the first token, the recent mean
 	refreshed Time
 	pausing   []*lease // whose pause is ordered
 	learnEnd  Time
@@ -205,7 +210,7 @@
 	class := p.byClass[bid.Class]
 	w := &waiter{bid: bid, class: class, arrived: now - bid.Waited, offered: now, index: -1}
 	if class != nil {
-		w.target = w.arrived + class.rule.FirstToken
+		w.target = w.arrived + p.waitLimit(class)
 	}
 	if class == nil || len(p.backends) == 0 {
 		p.refuseNew(now, w, NoUpstream)
@@ -264,7 +269,8 @@
 // inTime reports whether a new request can still meet its first-token target.
 // While something of a lower tier runs that could be paused for it, it can.
 func (p *Pool) inTime(now Time, w *waiter) bool {
-	if now-w.arrived >= w.class.rule.FirstToken {
+	limit := p.waitLimit(w.class)
+	if now-w.arrived >= limit {
 		return false
 	}
 	ahead := 0
@@ -276,7 +282,14 @@
 	if p.pausable(w.class.rule.Tier) > ahead {
 		return true
 	}
-	return now-w.arrived+p.expectedWait(now, w.class) <= w.class.rule.FirstToken
+	return now-w.arrived+p.expectedWait(now, w.class) <= limit
+}
+
+// waitLimit is how long a request of the class may wait and still have its first
+// token in time. An upstream's own time for that is taken off, but never more
+// than half, so that a slow upstream does not close the class.
+func (p *Pool) waitLimit(c *classQueue) time.Duration {
+	return c.rule.FirstToken - min(p.first, c.rule.FirstToken/2)
 }
 
 // expectedWait is how long a new request of the class would wait: what is ahead
@@ -296,6 +309,10 @@
 	}
 	own := class.work * weights / class.rule.Weight
 	seconds := (higher + min(same, own)) / p.rate
+	if class.rule.Floor > 0 {
+		// Whatever the tiers do, the floor gets through the class's own work.
+		seconds = min(seconds, class.work/(class.rule.Floor*p.rate))
+	}
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -326,7 +343,7 @@
 // schedule files when something has to be done about a waiter: its caller's
 // deadline passes, or its target does.
 func (p *Pool) schedule(w *waiter) {
-	w.target = w.arrived + w.class.rule.FirstToken
+	w.target = w.arrived + p.waitLimit(w.class)
 	w.expires = never
 	if w.bid.Remaining > 0 {
 		w.expires = w.offered + w.bid.Remaining
@@ -378,25 +395,35 @@
 	}
 }
 
-// Release gives a slot back. Tokens is the true length of the answer and pace
-// the time for one token, 0 if unknown.
-func (p *Pool) Release(now Time, id uint64, tokens int, outcome Outcome, pace time.Duration) {
+// Usage is how a lease was used.
+type Usage struct {
+	Outcome Outcome
+	Tokens  int           // generated
+	Pace    time.Duration // for one token; 0 if unknown
+	First   time.Duration // from sending to the first token; 0 if unknown
+}
+
+// Release gives a slot back.
+func (p *Pool) Release(now Time, id uint64, u Usage) {
 	l := p.leases[id]
 	if l == nil {
 		return
 	}
 	b := l.backend
-	switch outcome {
+	switch u.Outcome {
 	case Answered, Paused, Abandoned:
 		b.succeeded()
-		if pace > 0 {
-			b.sample(pace.Seconds())
+		if u.Pace > 0 {
+			b.sample(u.Pace.Seconds())
+		}
+		if u.First > 0 {
+			p.first += time.Duration(firstMemory * float64(u.First-p.first))
 		}
 	case Failed:
 		b.failed(now)
 		p.refreshed = now - refreshEvery
 	}
-	l.class.settle(l.customer, float64(tokens)-l.work)
+	l.class.settle(l.customer, float64(u.Tokens)-l.work)
 	p.end(l)
 }
 
@@ -752,7 +779,7 @@
 	p.orderAgain(now)
 	wanted := 0
 	for _, c := range p.classes {
-		w := c.head()
+		w := c.oldest()
 		if w == nil || !c.backlogged() || !urgent(now, w) {
 			continue
 		}
@@ -803,13 +830,13 @@
 		Class: l.class.rule.Class, Tier: l.class.rule.Tier, Upstream: l.backend.Name})
 }
 
-// refuseNew refuses a bid that was never let in. One that comes with its target
-// passed already is late whatever gave way for it, so it needs no evidence.
+// refuseNew refuses a bid that was never let in. One whose target passes before
+// anything could give way for it is late by itself, so it needs no evidence.
 func (p *Pool) refuseNew(now Time, w *waiter, reason Reason) {
 	v := Verdict{Kind: RefuseBid, ID: w.bid.ID, Box: w.bid.Box, Class: w.bid.Class, Reason: reason}
 	if w.class != nil {
 		v.Tier = w.class.rule.Tier
-		if now < w.target || w.offered < now {
+		if now < w.target || now-w.offered >= giveWayTime {
 			p.evidence(&v)
 		}
 		v.RetryAfter = p.retryAfter(now, w.class)
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -105,6 +105,7 @@
 	credit    float64 // tokens owed to the class by its floor
 	customers map[string]*customerQueue
 	active    customerHeap
+	arrivals  line // all that wait on time, by arrival
 	late      line
 	onTime    int // granted on time since the last late one
 	waiting   int
@@ -133,6 +134,7 @@
 		heap.Push(&c.active, q)
 	}
 	q.line.push(w)
+	c.arrivals.push(w)
 	c.waiting++
 	c.work += w.bid.Work
 }
@@ -173,6 +175,10 @@
 	return c.late.first(true)
 }
 
+// oldest returns the request that has waited longest and can still meet its
+// target, or nil. Fairness between customers may put others before it.
+func (c *classQueue) oldest() *waiter { return c.arrivals.first(false) }
+
 // tail returns the request that gives way first, or nil: of the customer
 // furthest ahead of its share, the newest.
 func (c *classQueue) tail() *waiter {
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -175,3 +175,17 @@
 	w.bits |= 1 << (w.highest - sequence)
 	return DropNone
 }
+
+// Size is how many bytes a message takes within a datagram.
+func Size(m cell.Message) int {
+	n := proto.Size(toWire(m))
+	return n + 1 + varintSize(n)
+}
+
+func varintSize(n int) int {
+	size := 1
+	for ; n >= 128; n >>= 7 {
+		size++
+	}
+	return size
+}
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -44,7 +44,7 @@
 		return &wire.Message{Body: &wire.Message_Preempt{Preempt: &wire.Preempt{Id: m.ID, Set: m.Set}}}
 	case *cell.Release:
 		return &wire.Message{Body: &wire.Message_Release{Release: &wire.Release{
-			Id: m.ID, Set: m.Set, Upstream: m.Upstream, Tokens: uint32(m.Tokens), Outcome: uint32(m.Outcome), Pace: micros(m.Pace)}}}
+			Id: m.ID, Set: m.Set, Upstream: m.Upstream, Tokens: uint32(m.Tokens), Outcome: uint32(m.Outcome), Pace: micros(m.Pace), First: micros(m.First)}}}
 	case *cell.Holding:
 		return &wire.Message{Body: &wire.Message_Holding{Holding: holdingToWire(m)}}
 	case *cell.HoldingAsk:
@@ -109,7 +109,7 @@
 		if w.Outcome > uint32(decide.Unused) {
 			return nil
 		}
-		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace)}
+		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace), First: span(w.First)}
 	case *wire.Message_Holding:
 		return holdingFromWire(b.Holding)
 	case *wire.Message_HoldingAsk:
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -163,6 +163,9 @@
 	r := h.runOn(k, run)
 	r.Tokens = run.tokens
 	r.Pace = run.pace(h.cfg.Clock.Boot())
+	if run.first > 0 {
+		r.First = run.first - run.sent
+	}
 	if stop() && run.clean {
 		h.put(c.Address, k)
 		return r
@@ -190,6 +193,7 @@
 	call   Call
 	sink   Sink
 	tokens int
+	sent   time.Duration // when the first byte left
 	first  time.Duration // when the first token came
 	whole  bool          // the end mark was seen
 	clean  bool          // the connection can be used again
@@ -206,6 +210,7 @@
 
 func (h *HTTP) runOn(k *conn, r *run) cell.Result {
 	failed := cell.Result{Outcome: decide.Failed, Ran: true}
+	r.sent = h.cfg.Clock.Boot()
 	if err := writeRequest(k, r.call); err != nil {
 		return failed
 	}
