Pausing goes by who is urgent, and orders to pause are sized by them

A request that comes back from a frozen box is old but was filed last, so the oldest was not found; orders to pause that a dead holder never answers stood in the way of others; at most 8 pauses were under way for a class whatever the number of urgent ones.

Tried and reverted: protecting from pauses what a floor has granted.

--- a/decide/pool.go
+++ b/decide/pool.go
@@ -37,7 +37,7 @@
 	// grant may have been on its way when the list was made.
 	settleTime = 2 * time.Second
 	// pausesAtOnce bounds how many leases are being paused for one class.
-	pausesAtOnce = 8
+	pausesAtOnce = 64
 	// giveWayTime is how long it takes until a lower tier has given way.
 	giveWayTime = pauseRepeat
 	// firstMemory is the weight of a new sample of the time to the first token.
@@ -59,7 +59,8 @@
 	granted  Time
 	queued   time.Duration
 	pausing  bool
-	ordered  Time // when its pause was last ordered
+	pausedAt Time // when its pause was first ordered
+	ordered  Time // when it was last ordered
 	gone     bool
 }
 
@@ -95,6 +96,7 @@
 	refreshed Time
 	pausing   []*lease // whose pause is ordered
 	learnEnd  Time
+	learnt    Time // when a lease granted by another owner was last learnt of
 	unheard   map[string]bool
 }
 
@@ -154,6 +156,9 @@
 		}
 		p.schedule(w)
 	}
+	for _, c := range p.classes {
+		heap.Init(&c.targets)
+	}
 	p.fitQueues(now)
 }
 
@@ -547,6 +552,7 @@
 	}
 	l := &lease{id: h.ID, box: box, class: class, customer: h.Customer, backend: b, work: h.Work, granted: now}
 	class.running++
+	p.learnt = now
 	p.hold(now, l)
 }
 
@@ -776,25 +782,19 @@
 	if p.cfg.NoPause || p.cfg.Arrival {
 		return
 	}
-	p.orderAgain(now)
+	underWay := p.orderAgain(now)
 	wanted := 0
 	for _, c := range p.classes {
-		w := c.oldest()
-		if w == nil || !c.backlogged() || !urgent(now, w) {
+		if !c.backlogged() {
 			continue
 		}
-		wanted += min(c.waiting, pausesAtOnce)
-		for len(p.pausing) < wanted && p.pauseOne(now, c.rule.Tier) {
+		wanted += c.urgent(now, 0, pausesAtOnce)
+		for underWay < wanted && p.pauseOne(now, c.rule.Tier) {
+			underWay++
 		}
 	}
 }
 
-// urgent reports whether half of the time to the target is gone, and the target
-// can still be met.
-func urgent(now Time, w *waiter) bool {
-	return now < w.target && now-w.arrived >= w.class.rule.FirstToken/2
-}
-
 // pauseOne pauses the newest lease of the lowest tier below tier.
 func (p *Pool) pauseOne(now Time, tier int) bool {
 	for i := len(p.classes) - 1; i >= 0 && p.classes[i].rule.Tier > tier; i-- {
@@ -804,7 +804,7 @@
 		}
 		for j := len(c.leases) - 1; j >= 0; j-- {
 			if l := c.leases[j]; !l.gone && !l.pausing && l.backend.Pausing {
-				l.pausing = true
+				l.pausing, l.pausedAt = true, now
 				c.pausing++
 				p.pausing = append(p.pausing, l)
 				p.orderPause(now, l)
@@ -815,13 +815,20 @@
 	return false
 }
 
-// orderAgain repeats the orders to pause that may have been lost.
-func (p *Pool) orderAgain(now Time) {
+// orderAgain repeats the orders to pause that may have been lost, and counts
+// those that can be expected to take effect. A holder that does not answer must
+// not stand in the way of others.
+func (p *Pool) orderAgain(now Time) int {
+	underWay := 0
 	for _, l := range p.pausing {
+		if now-l.pausedAt < 2*pauseRepeat {
+			underWay++
+		}
 		if now-l.ordered >= pauseRepeat {
 			p.orderPause(now, l)
 		}
 	}
+	return underWay
 }
 
 func (p *Pool) orderPause(now Time, l *lease) {
@@ -836,8 +843,8 @@
 	v := Verdict{Kind: RefuseBid, ID: w.bid.ID, Box: w.bid.Box, Class: w.bid.Class, Reason: reason}
 	if w.class != nil {
 		v.Tier = w.class.rule.Tier
-		if now < w.target || now-w.offered >= giveWayTime {
-			p.evidence(&v)
+		if now < w.target || now-max(w.offered, p.learnt) >= giveWayTime {
+			p.evidence(now, &v)
 		}
 		v.RetryAfter = p.retryAfter(now, w.class)
 	} else {
@@ -854,7 +861,7 @@
 }
 
 // evidence counts what of a lower tier could have given way to w.
-func (p *Pool) evidence(v *Verdict) {
+func (p *Pool) evidence(now Time, v *Verdict) {
 	switch v.Reason {
 	case QueueFull, Evicted:
 		for _, c := range p.classes {
@@ -869,10 +876,27 @@
 				ahead += c.waiting
 			}
 		}
-		v.LowerRunning = max(0, p.pausable(v.Tier)-ahead)
+		v.LowerRunning = max(0, p.pausable(v.Tier)-p.recent(now, v.Tier)-ahead)
 	}
 }
 
+// recent counts the leases of lower tiers that were granted so lately, by a floor
+// as a rule, that they could not have given way yet.
+func (p *Pool) recent(now Time, tier int) int {
+	n := 0
+	for _, c := range p.classes {
+		if c.rule.Tier <= tier {
+			continue
+		}
+		for i := len(c.leases) - 1; i >= 0 && now-c.leases[i].granted < giveWayTime; i-- {
+			if l := c.leases[i]; !l.gone && !l.pausing {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // retryAfter tells a caller when to come back: once what waits now will have
 // been worked off, with jitter so that those refused together do not return
 // together.
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -105,7 +105,7 @@
 	credit    float64 // tokens owed to the class by its floor
 	customers map[string]*customerQueue
 	active    customerHeap
-	arrivals  line // all that wait on time, by arrival
+	targets   targetHeap // all that wait on time
 	late      line
 	onTime    int // granted on time since the last late one
 	waiting   int
@@ -134,7 +134,10 @@
 		heap.Push(&c.active, q)
 	}
 	q.line.push(w)
-	c.arrivals.push(w)
+	for len(c.targets) > 0 && (c.targets[0].gone || c.targets[0].late) {
+		heap.Pop(&c.targets)
+	}
+	heap.Push(&c.targets, w)
 	c.waiting++
 	c.work += w.bid.Work
 }
@@ -175,9 +178,21 @@
 	return c.late.first(true)
 }
 
-// oldest returns the request that has waited longest and can still meet its
-// target, or nil. Fairness between customers may put others before it.
-func (c *classQueue) oldest() *waiter { return c.arrivals.first(false) }
+// urgent counts, up to most, the requests from place i of the heap on that can
+// still meet their targets but have little more than half of their time left. A
+// request's heirs in the heap are no more urgent than itself, so only urgent
+// ones are looked at.
+func (c *classQueue) urgent(now Time, i, most int) int {
+	if i >= len(c.targets) || most <= 0 || c.targets[i].target-now > c.rule.FirstToken/2 {
+		return 0
+	}
+	n := 0
+	if w := c.targets[i]; !w.gone && !w.late && now < w.target {
+		n = 1
+	}
+	n += c.urgent(now, 2*i+1, most-n)
+	return n + c.urgent(now, 2*i+2, most-n)
+}
 
 // tail returns the request that gives way first, or nil: of the customer
 // furthest ahead of its share, the newest.
@@ -227,6 +242,21 @@
 	return c.waiting > 0 && (c.rule.Concurrency == 0 || c.running < c.rule.Concurrency)
 }
 
+// targetHeap orders waiters by their targets.
+type targetHeap []*waiter
+
+func (h targetHeap) Len() int           { return len(h) }
+func (h targetHeap) Less(i, j int) bool { return h[i].target < h[j].target }
+func (h targetHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *targetHeap) Push(x any)        { *h = append(*h, x.(*waiter)) }
+func (h *targetHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
+
 // expiryHeap orders waiters by when something has to be done about them.
 type expiryHeap []*waiter
 
