The operators' client and the demo

Cause: the system could be run but not operated. doormast now checks, shows and diffs tables, checks settings, shows status, time line and one request's story, drains boxes, runs experiments, and runs the main job in one process.

Ruled out: a client that reads its boxes from the platform; operators give the addresses, so that it works when the platform is down.

--- a/cmd/doormast/main.go
+++ b/cmd/doormast/main.go
@@ -18,7 +18,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(experimentCommand())
+	root.AddCommand(demoCommand(), tableCommand(), statusCommand(), timelineCommand(), explainCommand(),
+		drainCommand(), settingsCommand(), experimentCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/table/delta.go
+++ b/table/delta.go
@@ -171,3 +171,19 @@
 	}
 	return out
 }
+
+// Undone lists the changes from base to current that an edit of base does not
+// hold, and so would undo if it were put in force.
+func Undone(base, current, edit *Table) []Change {
+	inEdit := make(map[Change]bool)
+	for _, c := range Diff(base, edit) {
+		inEdit[c] = true
+	}
+	var out []Change
+	for _, c := range Diff(base, current) {
+		if !inEdit[c] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
