--- a/cell/published.go
+++ b/cell/published.go
@@ -111,6 +111,9 @@
 	}
 }
 
+// Reading reports whether this box is reading the platform.
+func (n *Node) Reading() bool { return n.reading }
+
 // readPublished starts a read of the platform if it is this box's to do.
 func (n *Node) readPublished() {
 	if n.reading || n.now < n.nextRead || !n.joined || !n.isReader() {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -247,11 +247,13 @@
 	length := 1 + int(rand.ExpFloat64()*float64(c.length))
 	body := fmt.Sprintf(`{"model":"demo","stream":true,"messages":[{"role":"user","content":"%d len=%d"}]}`, rand.Uint32(), length)
 	address, _ := d.boxes[rand.IntN(len(d.boxes))].Addresses()
+	d.mu.Lock()
+	d.tally(c.row.Name).offered++
+	d.mu.Unlock()
 	first, tokens, status := d.ask(ctx, address, c.row.Name, body)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.tally(c.row.Name)
-	t.offered++
 	switch {
 	case status == http.StatusOK && tokens == length:
 		t.answered++
--- a/experiment/loop.go
+++ b/experiment/loop.go
@@ -5,6 +5,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -50,6 +51,10 @@
 	frozen bool
 	sent   map[string]int // since the last report, by engine
 	bytes  int
+	count  int            // messages
+	grams  int            // datagrams
+	spent  time.Duration  // processor time of the node and of its datagrams
+	codec  *control.Codec // set where the cost of datagrams is measured
 	to     map[string][]cell.Message
 }
 
@@ -73,6 +78,10 @@
 	lag      time.Duration
 	delay    time.Duration
 	steps    int
+	loss     float64 // share of datagrams
+	random   *rand.Rand
+	first    *table.Table
+	platform *table.Table // a newer table that the platform has published
 }
 
 type timer struct {
@@ -107,6 +116,13 @@
 
 // run runs one policy on one trace.
 func run(s *Spec, sc *Scenario, policy string, trace []arrival, seed uint64) *loop {
+	l := newLoop(s, sc, policy, seed)
+	l.prepare(trace)
+	l.loop(settle + s.Duration.Std() + drain)
+	return l
+}
+
+func newLoop(s *Spec, sc *Scenario, policy string, seed uint64) *loop {
 	l := &loop{spec: s, scenario: sc, policy: policy, byName: make(map[string]*box), byEngine: make(map[string]*engine),
 		requests: make(map[uint64]*request), lag: s.Lag.Std(), delay: s.Delay.Std()}
 	if sc.Lag > 0 {
@@ -117,15 +133,15 @@
 	}
 	l.makeEngines()
 	l.makeBoxes(seed)
-	l.prepare(trace)
-	l.loop(settle + s.Duration.Std() + drain)
 	return l
 }
 
+// loop lets the run go on until the time end, or until all requests have ended
+// after the last arrival.
 func (l *loop) loop(end time.Duration) {
-	for len(l.queue) > 0 {
+	for len(l.queue) > 0 && l.queue[0].at <= end {
 		t := heap.Pop(&l.queue).(timer)
-		if t.at > end || l.open == 0 && t.at > settle+l.spec.Duration.Std() {
+		if l.open == 0 && t.at > settle+l.spec.Duration.Std() {
 			return
 		}
 		l.now = t.at
@@ -191,6 +207,7 @@
 		roster.Boxes = append(roster.Boxes, cell.BoxEntry{Name: b.name, Domain: fmt.Sprintf("d%d", b.domain)})
 	}
 	t := l.table()
+	l.first = t
 	for i, b := range l.boxes {
 		cfg := l.nodeConfig(b.name, b.domain, seed+uint64(i))
 		if cfg == nil {
@@ -211,24 +228,37 @@
 	t := new(table.Table)
 	for _, c := range l.spec.Classes {
 		row := table.Class{Name: c.Name, Tier: c.Tier, FirstToken: c.FirstToken, Weight: c.Weight, Floor: c.Floor,
-			Repeatable: true, OnLate: table.Wait, Set: "chat", Scope: table.ScopeDomain}
+			Repeatable: true, OnLate: table.Wait, Set: setName(c.Set), Scope: table.ScopeDomain}
 		if c.Refuse {
 			row.OnLate = table.Refuse
 		}
 		t.Classes = append(t.Classes, row)
 	}
-	t.Sets = []table.Set{{Name: "chat", Queue: l.spec.Queue * l.spec.Domains / l.domains()}}
-	for _, e := range l.engines {
-		t.Upstreams = append(t.Upstreams, table.Upstream{Name: e.name, Domain: fmt.Sprintf("d%d", e.domain), Kind: table.Engine, Set: "chat", Slots: e.slots})
+	sets := max(1, l.spec.Sets)
+	for i := range sets {
+		t.Sets = append(t.Sets, table.Set{Name: setName(i), Queue: l.spec.Queue * l.spec.Domains / l.domains()})
+	}
+	for i, e := range l.engines {
+		t.Upstreams = append(t.Upstreams, table.Upstream{Name: e.name, Domain: fmt.Sprintf("d%d", e.domain), Kind: table.Engine, Set: setName(i / l.domains() % sets), Slots: e.slots})
 	}
 	return t.WithRevision(1)
 }
 
+func setName(i int) string { return fmt.Sprintf("set%d", i) }
+
 func (l *loop) tick(b *box) {
 	if b.frozen {
 		return
 	}
-	b.node.Tick(l.now, l.now)
+	l.tell(b, func(n *cell.Node) { n.Tick(l.now, l.now) })
+}
+
+// tell tells a node something, does what it wants done, and adds the time that
+// the node took to its box's account.
+func (l *loop) tell(b *box, f func(n *cell.Node)) {
+	start := time.Now()
+	f(b.node)
+	b.spent += time.Since(start)
 	l.perform(b)
 }
 
@@ -273,9 +303,10 @@
 		return
 	}
 	c := &l.spec.Classes[r.arrival.class]
-	r.box.node.Arrive(l.now, cell.Request{ID: r.id, Class: c.Name, Customer: fmt.Sprintf("c%d", r.arrival.customer),
-		Prefix: r.arrival.prefix, Repeatable: true, Resumable: true})
-	l.perform(r.box)
+	l.tell(r.box, func(n *cell.Node) {
+		n.Arrive(l.now, cell.Request{ID: r.id, Class: c.Name, Customer: fmt.Sprintf("c%d", r.arrival.customer),
+			Prefix: r.arrival.prefix, Repeatable: true, Resumable: true})
+	})
 }
 
 // giveUp is a caller that leaves without having seen a token.
@@ -286,8 +317,7 @@
 	r.left = true
 	l.close(r)
 	if r.box.node != nil {
-		r.box.node.CallerLeft(l.now, r.id)
-		l.perform(r.box)
+		l.tell(r.box, func(n *cell.Node) { n.CallerLeft(l.now, r.id) })
 	} else if r.job != nil {
 		l.endJob(r, true)
 	}
@@ -312,8 +342,10 @@
 			l.stop(b, a)
 		case cell.End:
 			l.refused(l.requests[a.Request])
+		case cell.PullFrom:
+			l.pull(b, l.byName[a.To])
 		case cell.ReadPlatform:
-			// The table and list do not change in an experiment.
+			l.read(b)
 		case cell.Record:
 			e := a.Event
 			e.Wall, e.Logical = int64(l.now), len(l.events)
@@ -323,6 +355,49 @@
 	l.sendAll(b)
 }
 
+// pullTime is what a pull of the table takes beside two messages.
+const pullTime = 10 * time.Millisecond
+
+// pull fetches a newer table from another box.
+func (l *loop) pull(b, from *box) {
+	l.after(2*l.delay+pullTime, func() {
+		l.tell(b, func(n *cell.Node) {
+			if !from.frozen {
+				n.SetTable(from.node.Table())
+			}
+			n.PullDone()
+		})
+	})
+}
+
+// watchTime is how long a watch of the platform lasts without a change.
+const watchTime = 5 * time.Second
+
+// read is a watch of the platform.
+func (l *loop) read(b *box) {
+	if l.policy == Bound || l.spec.Name != "cell" {
+		return // the table does not change in an experiment
+	}
+	start := l.now
+	var look func()
+	look = func() {
+		if t := l.platform; t != nil && t.Revision > b.node.Table().Revision || l.now-start > watchTime {
+			l.tell(b, func(n *cell.Node) {
+				if t != nil && !b.frozen {
+					n.SetTable(t)
+				}
+				n.ReadDone(true)
+			})
+			return
+		}
+		l.after(readLatency, look)
+	}
+	l.after(readLatency, look)
+}
+
+// readLatency is what the platform takes to answer.
+const readLatency = 5 * time.Millisecond
+
 // datagramBytes is what a datagram costs beside its messages: headers of IP and
 // UDP, sender, incarnation, sequence, stamp and MAC.
 const datagramBytes = 28 + 40 + 16
@@ -340,23 +415,48 @@
 	for _, name := range names {
 		messages := b.to[name]
 		delete(b.to, name)
+		b.grams++
+		b.count += len(messages)
 		b.bytes += datagramBytes
 		for _, m := range messages {
 			b.bytes += control.Size(m)
 		}
 		dst := l.byName[name]
-		if b.frozen || dst.frozen {
+		if b.frozen || dst.frozen || l.loss > 0 && l.random.Float64() < l.loss {
 			continue
 		}
+		if b.codec != nil {
+			messages = l.throughCodec(b, dst, messages)
+		}
 		l.after(l.delay, func() {
-			for _, m := range messages {
-				dst.node.Receive(l.now, b.name, 1, m)
-			}
-			l.perform(dst)
+			l.tell(dst, func(n *cell.Node) {
+				for _, m := range messages {
+					n.Receive(l.now, b.name, 1, m)
+				}
+			})
 		})
 	}
 }
 
+// throughCodec makes real datagrams of the messages and reads them again, so that
+// the cost of that is counted on both sides.
+func (l *loop) throughCodec(b, dst *box, messages []cell.Message) []cell.Message {
+	start := time.Now()
+	grams, err := b.codec.Encode(nil, messages)
+	b.spent += time.Since(start)
+	if err != nil {
+		return nil
+	}
+	start = time.Now()
+	var out []cell.Message
+	for _, g := range grams {
+		r, _ := dst.codec.Decode(g)
+		out = append(out, r.Messages...)
+	}
+	dst.spent += time.Since(start)
+	return out
+}
+
 // dispatch brings a request to an engine.
 func (l *loop) dispatch(b *box, a cell.Action) {
 	r, e := l.requests[a.Request], l.byEngine[a.Upstream]
@@ -388,8 +488,7 @@
 			r.first = l.now - settle - r.arrival.at
 		}
 		if r.box.node != nil {
-			r.box.node.FirstToken(l.now, r.id)
-			l.perform(r.box)
+			l.tell(r.box, func(n *cell.Node) { n.FirstToken(l.now, r.id) })
 		}
 	})
 	l.after(j.lasts(e.pace), func() {
@@ -405,8 +504,9 @@
 	r.answered, r.ended = true, l.now
 	l.close(r)
 	if r.box.node != nil {
-		r.box.node.Finished(l.now, r.id, cell.Result{Outcome: decide.Answered, Ran: true, Tokens: j.total, Pace: e.pace, First: j.prefill + e.pace})
-		l.perform(r.box)
+		l.tell(r.box, func(n *cell.Node) {
+			n.Finished(l.now, r.id, cell.Result{Outcome: decide.Answered, Ran: true, Tokens: j.total, Pace: e.pace, First: j.prefill + e.pace})
+		})
 	}
 }
 
@@ -501,8 +601,9 @@
 		for _, name := range b.node.Watched() {
 			e := l.byEngine[name]
 			s := e.reportAt(l.now, l.lag)
-			b.node.Report(l.now, decide.Report{Upstream: name, Age: l.now - s.at, Running: s.running, Waiting: s.waiting, Prefixes: slices.Clone(e.news)})
-			l.perform(b)
+			l.tell(b, func(n *cell.Node) {
+				n.Report(l.now, decide.Report{Upstream: name, Age: l.now - s.at, Running: s.running, Waiting: s.waiting, Prefixes: slices.Clone(e.news)})
+			})
 		}
 	}
 	for _, e := range l.engines {
--- a/experiment/spec.go
+++ b/experiment/spec.go
@@ -31,6 +31,7 @@
 	Lag       jsonc.Duration `json:"lag"`     // age of the engines' reports
 	Queue     int            `json:"queue"`   // waiting at once in a domain
 	Load      float64        `json:"load"`    // offered work over capacity
+	Sets      int            `json:"sets"`    // upstream sets, among which the engines are divided; 0 is one
 	Customers int            `json:"customers"`
 	Classes   []ClassSpec    `json:"classes"`
 	Policies  []string       `json:"policies"`
@@ -50,6 +51,7 @@
 	Spread     float64        `json:"spread"`   // sigma of the lengths' logarithm
 	Patience   float64        `json:"patience"` // callers leave after this many targets without a token; 0 is never
 	Prefixes   int            `json:"prefixes"` // different prompt prefixes; 0 is none
+	Set        int            `json:"set"`      // number of the upstream set that serves it
 }
 
 // Scenario is what is out of the ordinary in a run.
--- a/table/table.go
+++ b/table/table.go
@@ -176,7 +176,6 @@
 func (t *Table) Document() []byte {
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
-	e.SetIndent("", " ")
 	// A struct of strings and numbers always encodes.
 	_ = e.Encode(t)
 	return b.Bytes()
