A suspicion is passed on at once

Cause: with both readers of a 93-box domain dead, a change of the table took 4.1 s to be in force, over the 4 s allowed: suspicions travelled with the probes only. Ruled out: shorter time to refute; it would bring false deaths under loss.

--- a/cell/member.go
+++ b/cell/member.go
@@ -65,6 +65,7 @@
 	order    []string // of peers, shuffled, for probing in turn
 	next     int
 	selfLeft int  // how often this box's own state is still passed on
+	urgent   bool // a suspicion is to be passed on without waiting for a probe
 	complete bool // a full list was heard since the start or a pause
 }
 
@@ -128,6 +129,7 @@
 	}
 	p.state, p.since = s, now
 	p.left = m.spread()
+	m.urgent = m.urgent || s == memberSuspect || s == memberDead
 }
 
 // announce passes on this box's own state: a change, or that it is alive.
@@ -292,6 +294,13 @@
 	return out
 }
 
+// some picks up to n boxes that are alive.
+func (m *membership) some(n int) []string {
+	live := m.live()
+	m.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(n, len(live))]
+}
+
 // candidates lists the boxes that may own something: alive and not leaving,
 // this box included unless it is leaving.
 func (m *membership) candidates(selfLeaving bool) []string {
--- a/cell/node.go
+++ b/cell/node.go
@@ -222,6 +222,7 @@
 	n.lastTick = now
 	n.probe(n.members.unanswered(now))
 	n.members.sweep(now, n.memberChanged)
+	n.passOn()
 	n.join()
 	n.observe()
 	n.beat()
@@ -362,6 +363,18 @@
 	}
 }
 
+// urgentFanout is how many boxes are told of a suspicion at once.
+const urgentFanout = 2
+
+// passOn tells a few boxes at once of a new suspicion, and they others: it should
+// be refuted or believed everywhere soon.
+func (n *Node) passOn() {
+	if n.members.urgent {
+		n.members.urgent = false
+		n.sendHeartbeat(n.members.some(urgentFanout))
+	}
+}
+
 // sendHeartbeat tells boxes of this one's state, without wanting an answer.
 func (n *Node) sendHeartbeat(targets []string) {
 	if len(targets) == 0 {
@@ -451,6 +464,7 @@
 	}
 	n.members.hear(n.now, from, boot, h)
 	n.members.sweep(n.now, n.memberChanged)
+	n.passOn()
 	if h.Probe {
 		n.send(from, n.heartbeat(h.Joining))
 	}
--- a/cell/published.go
+++ b/cell/published.go
@@ -75,13 +75,7 @@
 // spreadTo picks the boxes that are told at once of a new revision. Heartbeats
 // tell the rest.
 func (n *Node) spreadTo() []string {
-	live := n.members.live()
-	fanout := n.timing.Fanout + 1
-	if len(live) <= fanout {
-		return live
-	}
-	n.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:fanout]
+	return n.members.some(n.timing.Fanout + 1)
 }
 
 func (n *Node) onTableOffer(from string, o *TableOffer) {
