--- a/cmd/doormast/main.go
+++ b/cmd/doormast/main.go
@@ -19,7 +19,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand(), tableCommand(), statusCommand(), timelineCommand(), explainCommand(),
-		drainCommand(), settingsCommand(), experimentCommand())
+		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -880,6 +880,7 @@
 // those that can be expected to take effect. A holder that does not answer must
 // not stand in the way of others.
 func (p *Pool) orderAgain(now Time) int {
+	p.dropOrders()
 	underWay := 0
 	for _, l := range p.pausing {
 		if now-l.pausedAt < 2*pauseRepeat {
@@ -892,6 +893,25 @@
 	return underWay
 }
 
+// dropOrders forgets the orders to pause whose reason is gone: nothing of a higher
+// tier waits any more. The holder may have paused already, which does no harm.
+func (p *Pool) dropOrders() {
+	highest := math.MaxInt
+	for _, c := range p.classes {
+		if c.backlogged() {
+			highest = min(highest, c.rule.Tier)
+		}
+	}
+	p.pausing = slices.DeleteFunc(p.pausing, func(l *lease) bool {
+		if l.class.rule.Tier > highest {
+			return false
+		}
+		l.pausing = false
+		l.class.pausing--
+		return true
+	})
+}
+
 func (p *Pool) orderPause(now Time, l *lease) {
 	l.ordered = now
 	p.verdicts = append(p.verdicts, Verdict{Kind: PauseLease, ID: l.id, Box: l.box,
--- a/experiment/loop.go
+++ b/experiment/loop.go
@@ -398,9 +398,9 @@
 // readLatency is what the platform takes to answer.
 const readLatency = 5 * time.Millisecond
 
-// datagramBytes is what a datagram costs beside its messages: headers of IP and
+// DatagramBytes is what a datagram costs beside its messages: headers of IP and
 // UDP, sender, incarnation, sequence, stamp and MAC.
-const datagramBytes = 28 + 40 + 16
+const DatagramBytes = 28 + 40 + 16
 
 // sendAll sends what was gathered, one datagram for each box.
 func (l *loop) sendAll(b *box) {
@@ -417,7 +417,7 @@
 		delete(b.to, name)
 		b.grams++
 		b.count += len(messages)
-		b.bytes += datagramBytes
+		b.bytes += DatagramBytes
 		for _, m := range messages {
 			b.bytes += control.Size(m)
 		}
--- a/table/delta.go
+++ b/table/delta.go
@@ -187,3 +187,12 @@
 	}
 	return out
 }
+
+// Size is the length of the delta as it is sent, in bytes.
+func (d *Delta) Size() int {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
