--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,286 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/table"
+)
+
+// fasthttp's own housekeeping sleeps for ten seconds before it sees that its
+// server has ended.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// fakeCore answers arrivals as a test says.
+type fakeCore struct {
+	mu       sync.Mutex
+	table    *table.Table
+	on       func(Arrival)
+	left     chan uint64
+	refused  map[decide.Reason]int
+	full     bool
+	requests []cell.Request
+}
+
+func (f *fakeCore) Table() *table.Table { return f.table }
+func (f *fakeCore) NextID() uint64      { return 7 }
+func (f *fakeCore) Arrive(a Arrival) bool {
+	f.mu.Lock()
+	f.requests = append(f.requests, a.Request)
+	f.mu.Unlock()
+	if f.full {
+		return false
+	}
+	go f.on(a)
+	return true
+}
+func (f *fakeCore) Left(id uint64)              { f.left <- id }
+func (f *fakeCore) Mint(context.Context) string { return "minted" }
+func (f *fakeCore) Healthy() bool               { return f.table != nil }
+func (f *fakeCore) Metrics() []byte             { return []byte("metric 1\n") }
+func (f *fakeCore) Refused(r decide.Reason) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused[r]++
+}
+
+var _ Core = (*fakeCore)(nil)
+
+func start(t *testing.T, on func(Arrival)) (*Server, *fakeCore) {
+	t.Helper()
+	tab, err := table.Parse("t", []byte(`{"classes":[{"name":"c","tier":1,"first_token":"1s","floor":0.1,"set":"s","repeatable":true,"max_tokens":50},
+		{"name":"once","tier":1,"first_token":"1s","floor":0.1,"set":"s"}],
+		"customers":[{"name":"u","default_class":"c","classes":["c"],"key_hashes":["`+table.HashKey("k")+`"]},
+		{"name":"v","default_class":"once","key_hashes":["`+table.HashKey("kv")+`"]}],
+		"upstreams":[{"name":"e","domain":"d","address":"127.0.0.1:1","set":"s","slots":1,"model":"m"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := &fakeCore{table: tab, on: on, left: make(chan uint64, 10), refused: make(map[decide.Reason]int)}
+	s, err := Listen(Config{Address: "127.0.0.1:0", Core: core, MaxBody: 2000, MaxHeaders: 4096, MaxConns: 50, ReadWait: 5 * time.Second, WriteWait: 5 * time.Second, Buffer: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close(5 * time.Second); http.DefaultClient.CloseIdleConnections() })
+	return s, core
+}
+
+const chat = `{"messages":[{"role":"user","content":"hi"}]}`
+
+// TestRequests is the fault table of the callers' edge.
+func TestRequests(t *testing.T) {
+	answer := func(a Arrival) {
+		_ = a.Exchange.Event([]byte(`{"model":"m","choices":[{"delta":{"content":"hello "}}]}`))
+		_ = a.Exchange.Event([]byte(`{"model":"m","choices":[{"delta":{"content":"you"},"finish_reason":"stop"}]}`))
+		a.Exchange.Done()
+	}
+	refuse := func(f cell.Final) func(Arrival) { return func(a Arrival) { a.Exchange.Refuse(f) } }
+	for _, c := range []struct {
+		name   string
+		on     func(Arrival)
+		key    string
+		method string
+		path   string
+		body   string
+		header string
+		status int
+		want   string // in the body
+		ran    string
+	}{
+		{"whole answer", answer, "k", "POST", pathChat, chat, "", 200, `"content":"hello you"`, ""},
+		{"no key", answer, "", "POST", pathChat, chat, "", 401, "not_allowed", "no"},
+		{"wrong key", answer, "x", "POST", pathChat, chat, "", 401, "not_allowed", "no"},
+		{"class of another customer", answer, "k", "POST", pathChat, chat, "X-Doormast-Class: once", 403, "not_allowed", "no"},
+		{"unknown class", answer, "k", "POST", pathChat, chat, "X-Doormast-Class: zzz", 400, `unknown class`, "no"},
+		{"no JSON", answer, "k", "POST", pathChat, "{", "", 400, "bad_request", "no"},
+		{"no messages", answer, "k", "POST", pathChat, `{"messages":[]}`, "", 400, "want messages", "no"},
+		{"too large", answer, "k", "POST", pathChat, strings.Repeat("x", 3000), "", 413, "bad_request", "no"},
+		{"headers too large", answer, "k", "POST", pathChat, chat, "X-Long: " + strings.Repeat("x", 8000), 431, "bad_request", "no"},
+		{"bad deadline", answer, "k", "POST", pathChat, chat, "X-Doormast-Deadline: soon", 400, "found \\\"soon\\\"", "no"},
+		{"bad idempotency key", answer, "k", "POST", pathChat, chat, "Idempotency-Key: dmd1:x", 400, "idempotency key", "no"},
+		{"unknown path", answer, "k", "GET", "/nowhere", "", "", 404, "no such path", "no"},
+		{"late", refuse(cell.Final{Reason: decide.Late, RetryAfter: 1500 * time.Millisecond}), "k", "POST", pathChat, chat, "", 503, `"code":"late"`, "no"},
+		{"over a limit", refuse(cell.Final{Reason: decide.OverCustomer}), "k", "POST", pathChat, chat, "", 429, "over_customer_limit", "no"},
+		{"may have run", refuse(cell.Final{Reason: decide.UpstreamFailed, Ran: true}), "k", "POST", pathChat, chat, "", 502, "upstream_failed", "unknown"},
+		{"key used before", refuse(cell.Final{Reason: decide.DuplicateKey, Ran: true}), "k", "POST", pathChat, chat, "", 409, "duplicate_key", "unknown"},
+		{"models", answer, "k", "GET", pathModels, "", "", 200, `"id":"m"`, ""},
+		{"health", answer, "", "GET", pathHealth, "", "", 200, "ok", ""},
+		{"metrics", answer, "", "GET", pathMetric, "", "", 200, "metric 1", ""},
+		{"minted key", answer, "k", "POST", pathKeys, "", "", 201, "minted", ""},
+		{"plain service", func(a Arrival) { _ = a.Exchange.Whole(201, "text/x", []byte("paid")) }, "k", "POST", "/services/c/do", "x", "", 201, "paid", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := start(t, c.on)
+			req, err := http.NewRequest(c.method, "http://"+s.Address()+c.path, strings.NewReader(c.body))
+			is.NoErr(err)
+			if c.key != "" {
+				req.Header.Set("Authorization", "Bearer "+c.key)
+			}
+			if name, value, ok := strings.Cut(c.header, ": "); ok {
+				req.Header.Set(name, value)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get(HeaderRan), c.ran)
+			if !strings.Contains(string(body), c.want) {
+				t.Errorf("body %q does not say %q", body, c.want)
+			}
+			if c.name == "late" {
+				is.Equal(resp.Header.Get("Retry-After"), "2")
+			}
+		})
+	}
+}
+
+// TestHeaders: what the decisions get of a request.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	s, core := start(t, func(a Arrival) { a.Exchange.Done() })
+	req, err := http.NewRequest("POST", "http://"+s.Address()+pathChat, strings.NewReader(`{"max_tokens":90,"messages":[{"a":1},{"b":2}]}`))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set(HeaderOnce, "1")
+	req.Header.Set(HeaderKey, "mine")
+	req.Header.Set(HeaderDeadline, "30s")
+	req.Header.Set(HeaderOwn, "own-id")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.Header.Get(HeaderOwn), "own-id")
+	r := core.requests[0]
+	is.Equal(r.Class, "c")
+	is.Equal(r.Repeatable, false)
+	is.Equal(r.Key, "u/mine") // another customer's same key is another key
+	is.Equal(r.Deadline, 30*time.Second)
+	is.Equal(r.MaxTokens, 50) // the class's limit
+	is.True(r.Prefix != 0)
+}
+
+// TestCutStream: a stream that is not whole ends as an error, without the mark.
+func TestCutStream(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, func(a Arrival) {
+		_ = a.Exchange.Event([]byte("one"))
+		a.Exchange.Refuse(cell.Final{Reason: decide.UpstreamFailed, Ran: true})
+	})
+	conn, r := stream(t, s)
+	defer func() { _ = conn.Close() }()
+	raw, err := io.ReadAll(r)
+	is.NoErr(err)
+	is.True(strings.Contains(string(raw), "data: one"))
+	is.True(strings.Contains(string(raw), `"code":"upstream_failed"`))
+	is.True(!strings.Contains(string(raw), "[DONE]"))
+}
+
+func stream(t *testing.T, s *Server) (net.Conn, io.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := `{"stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer k\r\nContent-Length: %d\r\n\r\n%s", pathChat, len(body), body)
+	return conn, bufio.NewReader(conn)
+}
+
+// TestEventsAreFlushed: each event reaches the caller before the next is made.
+func TestEventsAreFlushed(t *testing.T) {
+	is := is.New(t)
+	next := make(chan bool)
+	s, _ := start(t, func(a Arrival) {
+		for i := range 3 {
+			_ = a.Exchange.Event([]byte(fmt.Sprint("event", i)))
+			<-next
+		}
+		a.Exchange.Done()
+	})
+	conn, r := stream(t, s)
+	defer func() { _ = conn.Close() }()
+	lines := bufio.NewReader(r)
+	for i := range 3 {
+		for {
+			line, err := lines.ReadString('\n')
+			is.NoErr(err)
+			if strings.Contains(line, fmt.Sprint("event", i)) {
+				break
+			}
+		}
+		next <- true
+	}
+}
+
+// TestLeavingIsSeen: a caller that goes away while its stream is idle, or before
+// it has begun.
+func TestLeavingIsSeen(t *testing.T) {
+	for _, events := range []int{0, 1} {
+		is := is.New(t)
+		arrived := make(chan bool, 1)
+		s, core := start(t, func(a Arrival) {
+			for range events {
+				_ = a.Exchange.Event([]byte("one"))
+			}
+			arrived <- true
+		})
+		conn, r := stream(t, s)
+		<-arrived
+		if events > 0 {
+			_, err := r.Read(make([]byte, 1))
+			is.NoErr(err)
+		}
+		is.NoErr(conn.Close())
+		for len(core.left) == 0 {
+			s.Sweep()
+		}
+		is.Equal(<-core.left, uint64(7))
+	}
+}
+
+// TestSlowCaller: what is held for a caller that does not read is bounded.
+func TestSlowCaller(t *testing.T) {
+	x := NewExchange(4)
+	pushed := make(chan int, 100)
+	go func() {
+		for i := range 100 {
+			if x.Event([]byte("e")) != nil {
+				break
+			}
+			pushed <- i
+		}
+		close(pushed)
+	}()
+	for len(pushed) < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	x.Leave()
+	n := 0
+	for range pushed {
+		n++
+	}
+	if n > 5 {
+		t.Errorf("%d events taken for a caller that reads none", n)
+	}
+	if err := x.Event(nil); err != ErrLeft {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"sync"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/doormast/doormast/cell"
@@ -87,7 +88,7 @@
 		if w == nil {
 			continue
 		}
-		n := proto.Size(w)
+		n := framed(proto.Size(w))
 		if size+n > maxDatagram-256 && len(d.Messages) > 0 {
 			var err error
 			if out, err = c.seal(out, d); err != nil {
@@ -177,15 +178,7 @@
 }
 
 // Size is how many bytes a message takes within a datagram.
-func Size(m cell.Message) int {
-	n := proto.Size(toWire(m))
-	return n + 1 + varintSize(n)
-}
+func Size(m cell.Message) int { return framed(proto.Size(toWire(m))) }
 
-func varintSize(n int) int {
-	size := 1
-	for ; n >= 128; n >>= 7 {
-		size++
-	}
-	return size
-}
+// framed adds the tag and the length of an element of n bytes.
+func framed(n int) int { return 1 + protowire.SizeBytes(n) }
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"flag"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/timeline"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261202") }
+
+var key = []byte("a key for the tests")
+
+func codec(name string, boot uint64, key []byte) *Codec {
+	return NewCodec(name, boot, key, func() timeline.Stamp { return timeline.Stamp{Wall: 5, Logical: 6} })
+}
+
+// messages are one of each kind, with every field set.
+func messages() []cell.Message {
+	return []cell.Message{
+		&cell.Heartbeat{Counter: 1, Table: 2, Digest: 3, Roster: 4, Leaving: true, Blind: true, Probe: true, Joining: true, Announce: true, Full: true,
+			Sightings: []cell.Sighting{{Box: "x", Boot: 1, Counter: 2, Roster: 3, Leaving: true, State: 2}}},
+		&cell.Bid{Set: "s", Bid: decide.Bid{ID: 1, Class: "c", Customer: "u", Waited: time.Second, Remaining: time.Minute, Work: 7, Prefix: 8, Visitor: true, Resume: "e"}},
+		&cell.Withdraw{Set: "s", ID: 1},
+		&cell.Grant{Set: "s", ID: 1, Upstream: "e", StartBy: time.Second, Keep: time.Second},
+		&cell.Recall{Set: "s"},
+		&cell.Refusal{Set: "s", ID: 1, Reason: decide.Late, RetryAfter: time.Second, LowerWaiting: 1, LowerRunning: 2, Redirect: "b"},
+		&cell.Preempt{Set: "s", ID: 1},
+		&cell.Release{Set: "s", ID: 1, Upstream: "e", Tokens: 3, Outcome: decide.Failed, Pace: time.Millisecond, First: time.Millisecond},
+		&cell.Holding{Set: "s", Count: 1, Digest: 2, WaitingCount: 3, WaitingDigest: 4, Full: true, Waiting: []uint64{9},
+			Held: []decide.Held{{ID: 1, Upstream: "e", Class: "c", Customer: "u", Work: 2}}},
+		&cell.HoldingAsk{Set: "s"},
+		&cell.Claim{Key: "k", ID: 1, GiveBack: true},
+		&cell.ClaimReply{Key: "k", ID: 1, Verdict: decide.ClaimDuplicate},
+		&cell.Ask{Limit: "l", Want: 1.5},
+		&cell.Lend{Limit: "l", Amount: 2.5, Life: time.Second},
+		&cell.Spare{Set: "s", Domain: "d", Slots: 3, Owner: "b", PassedOn: true},
+		&cell.TableOffer{Revision: 1, Digest: 2},
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	a, b := codec("a", 1, key), codec("b", 1, key)
+	grams, err := a.Encode(nil, messages())
+	is.NoErr(err)
+	is.Equal(len(grams), 1)
+	r, drop := b.Decode(grams[0])
+	is.Equal(drop, DropNone)
+	is.Equal(r.Sender, "a")
+	is.Equal(r.Stamp, timeline.Stamp{Wall: 5, Logical: 6})
+	if !reflect.DeepEqual(r.Messages, messages()) {
+		t.Errorf("got %v", r.Messages)
+	}
+}
+
+func TestLongBatchesAreSplit(t *testing.T) {
+	is := is.New(t)
+	var many []cell.Message
+	for range 500 {
+		many = append(many, messages()[1])
+	}
+	grams, err := codec("a", 1, key).Encode(nil, many)
+	is.NoErr(err)
+	is.True(len(grams) > 1)
+	n := 0
+	b := codec("b", 1, key)
+	for _, g := range grams {
+		is.True(len(g) <= maxDatagram)
+		r, _ := b.Decode(g)
+		n += len(r.Messages)
+	}
+	is.Equal(n, 500)
+}
+
+// TestDrops is the fault table of the control edge.
+func TestDrops(t *testing.T) {
+	one := func(c *Codec) []byte {
+		grams, err := c.Encode(nil, []cell.Message{&cell.Recall{Set: "s"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return grams[0]
+	}
+	for _, c := range []struct {
+		name string
+		gram func(b *Codec) []byte
+		want Drop
+	}{
+		{"empty", func(*Codec) []byte { return nil }, DropSize},
+		{"shorter than a MAC", func(*Codec) []byte { return make([]byte, 10) }, DropSize},
+		{"garbage", func(*Codec) []byte { return []byte("some text that is no datagram at all") }, DropMAC},
+		{"another key", func(*Codec) []byte { return one(codec("a", 1, []byte("another key entirely"))) }, DropMAC},
+		{"truncated", func(*Codec) []byte { g := one(codec("a", 1, key)); return g[:len(g)-1] }, DropMAC},
+		{"a bit turned", func(*Codec) []byte { g := one(codec("a", 1, key)); g[3] ^= 1; return g }, DropMAC},
+		{"own", func(*Codec) []byte { return one(codec("b", 1, key)) }, DropOwn},
+		{"nameless", func(*Codec) []byte { return one(codec("", 1, key)) }, DropGarbage},
+		{"old incarnation", func(b *Codec) []byte {
+			b.Decode(one(codec("a", 2, key)))
+			return one(codec("a", 1, key))
+		}, DropOldBoot},
+		{"twice", func(b *Codec) []byte {
+			g := one(codec("a", 1, key))
+			b.Decode(g)
+			return g
+		}, DropReplay},
+		{"far behind", func(b *Codec) []byte {
+			a := codec("a", 1, key)
+			old := one(a)
+			for range replayWindow + 1 {
+				b.Decode(one(a))
+			}
+			return old
+		}, DropReplay},
+		{"a little out of order", func(b *Codec) []byte {
+			a := codec("a", 1, key)
+			first := one(a)
+			b.Decode(one(a))
+			return first
+		}, DropNone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := codec("b", 1, key)
+			_, drop := b.Decode(c.gram(b))
+			is.New(t).Equal(drop, c.want)
+		})
+	}
+}
+
+// TestReplayWindow: whatever the order, each datagram is taken at most once.
+func TestReplayWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := codec("b", 1, key)
+		taken := make(map[uint64]bool)
+		for range 300 {
+			n := rapid.Uint64Range(1, 150).Draw(rt, "sequence")
+			if b.accept("a", 1, n) == DropNone {
+				if taken[n] {
+					rt.Fatalf("%d taken twice", n)
+				}
+				taken[n] = true
+			}
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	grams, err := codec("a", 1, key).Encode(nil, messages())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(grams[0][:len(grams[0])-macSize])
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		b := codec("b", 1, key)
+		// Sealed rightly, so that the parser behind the MAC is reached.
+		b.Decode(append(append([]byte(nil), body...), b.mac(body)...))
+	})
+}
+
+func TestLink(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	got := make(chan Received, 10)
+	drops := make(map[Drop]int)
+	listen := func(name, address string) *Link {
+		l, err := Listen(context.Background(), Config{Address: address, Codec: codec(name, 1, key),
+			Handler: func(r Received) { got <- r },
+			Dropped: func(d Drop) { mu.Lock(); drops[d]++; mu.Unlock() },
+			Sent:    func(int) {}})
+		is.NoErr(err)
+		return l
+	}
+	free := func() string {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		return c.LocalAddr().String()
+	}
+	addressA, addressB := free(), free()
+	a, b := listen("a", addressA), listen("b", addressB)
+	a.SetAddress("b", addressB)
+	a.Send("b", []cell.Message{&cell.Recall{Set: "s"}})
+	r := <-got
+	is.Equal(r.Sender, "a")
+	c, err := net.Dial("udp", addressB)
+	is.NoErr(err)
+	_, err = c.Write([]byte("garbage of a stranger, longer than a MAC"))
+	is.NoErr(err)
+	a.Send("b", []cell.Message{&cell.Recall{Set: "t"}})
+	is.Equal((<-got).Messages[0].(*cell.Recall).Set, "t") // still served
+	mu.Lock()
+	is.Equal(drops[DropMAC], 1)
+	mu.Unlock()
+	is.NoErr(c.Close())
+	is.NoErr(a.Close())
+	is.NoErr(b.Close())
+}
--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,99 @@
+package timeline
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func line(events ...Event) []Event {
+	for i := range events {
+		events[i].Wall = int64(i)
+		if events[i].Box == "" {
+			events[i].Box = "b"
+		}
+	}
+	return events
+}
+
+// TestCheck: each broken promise is found, and a good line has none.
+func TestCheck(t *testing.T) {
+	received := Event{Kind: Received, Request: 1, Class: "once", Tier: 2}
+	sending := Event{Kind: Sending, Request: 1, Class: "once"}
+	for _, c := range []struct {
+		name   string
+		events []Event
+		want   string
+	}{
+		{"good", line(received, sending, Event{Kind: Answered, Request: 1}), ""},
+		{"disclaimed and sent again", line(received, sending, Event{Kind: Disclaimed, Request: 1}, sending, Event{Kind: Answered, Request: 1}), ""},
+		{"sent twice", line(received, sending, sending), PromiseOnce},
+		{"refused after sending", line(received, sending, Event{Kind: Refused, Request: 1}), PromiseTruth},
+		{"ended twice", line(received, Event{Kind: Refused, Request: 1}, Event{Kind: Answered, Request: 1}), PromiseOneEnd},
+		{"sent after its end", line(received, Event{Kind: Refused, Request: 1}, sending), PromiseOneEnd},
+		{"table reverts", line(Event{Kind: TableAdopted, Revision: 2}, Event{Kind: TableAdopted, Revision: 1}), PromiseRevision},
+		{"table on another box", line(Event{Kind: TableAdopted, Revision: 2}, Event{Kind: TableAdopted, Revision: 1, Box: "c"}), ""},
+		{"evicted before a lower tier", line(received, Event{Kind: Refused, Request: 1, Reason: "evicted", LowerWaiting: 1}), PromiseTiers},
+		{"late while a lower tier runs", line(received, Event{Kind: Refused, Request: 1, Reason: "late", LowerRunning: 1}), PromiseTiers},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := Check(c.events, func(string) bool { return false })
+			if c.want == "" {
+				is.Equal(len(got), 0)
+				return
+			}
+			is.Equal(len(got), 1)
+			is.Equal(got[0].Promise, c.want)
+		})
+	}
+}
+
+// TestClock: what follows a message is later, whatever the wall clocks say, and a
+// clock that is far off is not believed.
+func TestClock(t *testing.T) {
+	is := is.New(t)
+	var a, b Clock
+	now := time.Unix(1000, 0)
+	sent := a.Now(now.Add(time.Second))
+	b.See(now, sent)
+	is.True(b.Now(now).Compare(sent) > 0)
+	b.See(now, Stamp{Wall: now.Add(time.Hour).UnixNano()})
+	is.True(b.Now(now.Add(2*time.Second)).Wall < now.Add(time.Minute).UnixNano())
+}
+
+func TestRingAndMerge(t *testing.T) {
+	is := is.New(t)
+	r := NewRing(3)
+	for i := range 5 {
+		r.Add(Event{Stamp: Stamp{Wall: int64(i)}, Box: "a"})
+	}
+	got := r.Events()
+	is.Equal(len(got), 3)
+	is.Equal(got[0].Wall, int64(2)) // the oldest are gone
+	merged := Merge(got, []Event{{Stamp: Stamp{Wall: 3, Logical: 1}, Box: "b"}})
+	is.Equal(merged[2].Box, "b")
+}
+
+func TestFormats(t *testing.T) {
+	is := is.New(t)
+	events := line(Event{Kind: Received, Request: 0xab, Class: "c", Tier: 1, Customer: "u"}, Event{Kind: Owning, Set: "s"},
+		Event{Kind: Sending, Request: 0xab, Class: "c", Upstream: "e"}, Event{Kind: Answered, Request: 0xab, Class: "c", Value: 9})
+	var text, lines, trace, story bytes.Buffer
+	is.NoErr(WriteText(&text, events))
+	is.Equal(strings.Count(text.String(), "\n"), 4)
+	is.NoErr(WriteJSON(&lines, events))
+	var e Event
+	is.NoErr(json.NewDecoder(&lines).Decode(&e))
+	is.Equal(e.Request, uint64(0xab))
+	is.NoErr(WriteTrace(&trace, events))
+	is.True(json.Valid(trace.Bytes()))
+	is.NoErr(Explain(&story, events, 0xab))
+	is.True(strings.Contains(story.String(), "It was sent to e."))
+	is.True(strings.Contains(story.String(), "9 tokens reached the caller"))
+	is.Equal(len(Open(events)), 0)
+}
