--- a/cell/holder.go
+++ b/cell/holder.go
@@ -25,23 +25,25 @@
 	order   uint64 // of arrival
 	arrived time.Duration
 
-	slot      uint64        // id of its lease: its own, or that of the request it was granted for
-	keep      time.Duration // how long its slot may be kept after the answer
-	slotEnd   time.Duration // when its slot must go back to be placed anew
-	owner     string        // box that it bids to
-	firstBid  time.Duration // before the bid was first sent to that owner
-	upstream  string        // that it holds a slot of
-	startBy   time.Duration
-	resume    string // upstream that holds its paused answer
-	tokens    int    // delivered to the caller
-	attempts  int
-	visiting  bool // it bids or runs in another failure domain
-	hopped    bool // it has been to another one, once is all
-	fallback  bool // its slot is from this box's own share
-	ran       bool // a byte has left for an upstream at some time
-	ranBefore bool // the same, before the present run
-	stopping  bool // its run is being cancelled
-	left      bool // its caller went away
+	slot        uint64        // id of its lease: its own, or that of the request it was granted for
+	slotAttempt uint32        // attempt that its lease was granted for
+	attempt     uint32        // counts its bids
+	keep        time.Duration // how long its slot may be kept after the answer
+	slotEnd     time.Duration // when its slot must go back to be placed anew
+	owner       string        // box that it bids to
+	firstBid    time.Duration // before the bid was first sent to that owner
+	upstream    string        // that it holds a slot of
+	startBy     time.Duration
+	resume      string // upstream that holds its paused answer
+	tokens      int    // delivered to the caller
+	attempts    int
+	visiting    bool // it bids or runs in another failure domain
+	hopped      bool // it has been to another one, once is all
+	fallback    bool // its slot is from this box's own share
+	ran         bool // a byte has left for an upstream at some time
+	ranBefore   bool // the same, before the present run
+	stopping    bool // its run is being cancelled
+	left        bool // its caller went away
 
 	taken       []*limit
 	parkedUntil time.Duration
@@ -129,6 +131,7 @@
 func (n *Node) bidAt(l *local, owner string) {
 	l.step(eventBid)
 	l.owner, l.firstBid = owner, n.now
+	l.attempt++
 	l.upstream, l.fallback, l.stopping = "", false, false
 	l.work = n.expected(l)
 	if owner == "" {
@@ -151,6 +154,7 @@
 		Prefix:   l.req.Prefix,
 		Visitor:  l.visiting,
 		Resume:   l.resume,
+		Attempt:  l.attempt,
 	}}
 	if l.req.Deadline > 0 {
 		b.Bid.Remaining = max(l.arrived+l.req.Deadline-n.now, time.Microsecond)
@@ -176,19 +180,19 @@
 
 func (n *Node) onGrant(from string, m *Grant) {
 	l := n.locals[m.ID]
-	if l != nil && l.owner == from && l.state != stateWaiting && l.upstream == m.Upstream && !l.left {
+	if l != nil && l.owner == from && l.state != stateWaiting && l.upstream == m.Upstream && l.attempt == m.Attempt && !l.left {
 		return // it came twice
 	}
-	if l == nil || l.owner != from || l.state != stateWaiting {
-		n.deliver(from, &Release{Set: m.Set, ID: m.ID, Upstream: m.Upstream, Outcome: decide.Unused})
+	if l == nil || l.owner != from || l.state != stateWaiting || l.attempt != m.Attempt {
+		n.deliver(from, &Release{Set: m.Set, ID: m.ID, Upstream: m.Upstream, Outcome: decide.Unused, Attempt: m.Attempt})
 		return
 	}
 	if n.now > l.firstBid+m.StartBy && !n.cfg.Unfenced.StartBy {
-		n.deliver(from, &Release{Set: m.Set, ID: m.ID, Upstream: m.Upstream, Outcome: decide.Unused})
+		n.deliver(from, &Release{Set: m.Set, ID: m.ID, Upstream: m.Upstream, Outcome: decide.Unused, Attempt: m.Attempt})
 		n.bid(l)
 		return
 	}
-	l.slot, l.keep, l.slotEnd = l.req.ID, m.Keep, n.now+reuseTime
+	l.slot, l.slotAttempt, l.keep, l.slotEnd = l.req.ID, m.Attempt, m.Keep, n.now+reuseTime
 	n.lease(l, m.Upstream, l.firstBid+m.StartBy)
 }
 
@@ -329,7 +333,7 @@
 	if r.Outcome == decide.Answered && n.keepSlot(l) {
 		return
 	}
-	m := &Release{Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: r.Outcome, Pace: r.Pace, First: r.First}
+	m := &Release{Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: r.Outcome, Pace: r.Pace, First: r.First, Attempt: l.slotAttempt}
 	if l.owner != "" {
 		n.deliver(l.owner, m)
 	}
@@ -557,7 +561,7 @@
 
 // held describes the request's lease to an owner.
 func (l *local) held() decide.Held {
-	return decide.Held{ID: l.slot, Upstream: l.upstream, Class: l.req.Class, Customer: l.req.Customer, Work: l.work}
+	return decide.Held{ID: l.slot, Upstream: l.upstream, Class: l.req.Class, Customer: l.req.Customer, Work: l.work, Attempt: l.slotAttempt}
 }
 
 func (n *Node) onHoldingAsk(from string, m *HoldingAsk) {
@@ -621,7 +625,7 @@
 			l := waiting[0]
 			waiting = waiting[1:]
 			held[b.Name]++
-			l.fallback, l.slot = true, l.req.ID
+			l.fallback, l.slot, l.slotAttempt = true, l.req.ID, l.attempt
 			n.lease(l, b.Name, n.now+n.timing.StartBy)
 		}
 	}
--- a/cell/kept.go
+++ b/cell/kept.go
@@ -16,6 +16,7 @@
 // keptSlot is a slot without a running answer.
 type keptSlot struct {
 	id       uint64 // of the lease
+	attempt  uint32 // that it was granted for
 	upstream string
 	class    string // that it was granted for
 	customer string
@@ -38,7 +39,7 @@
 		n.now-n.recalled[l.set] < recallQuiet && n.recalled[l.set] > 0 {
 		return false
 	}
-	n.kept[l.set] = append(n.kept[l.set], keptSlot{l.slot, l.upstream, l.req.Class, l.req.Customer, l.req.Prefix, l.keep, n.now + l.keep, l.slotEnd})
+	n.kept[l.set] = append(n.kept[l.set], keptSlot{l.slot, l.slotAttempt, l.upstream, l.req.Class, l.req.Customer, l.req.Prefix, l.keep, n.now + l.keep, l.slotEnd})
 	return true
 }
 
@@ -59,7 +60,8 @@
 	n.kept[l.set] = slices.Delete(list, best, best+1)
 	l.step(eventBid)
 	l.owner, l.firstBid = n.owners[l.set], n.now
-	l.slot, l.keep, l.slotEnd = s.id, s.keep, s.end
+	l.attempt++ // what it may have bid before is void
+	l.slot, l.slotAttempt, l.keep, l.slotEnd = s.id, s.attempt, s.keep, s.end
 	l.stopping, l.fallback = false, false
 	l.work = n.expected(l)
 	n.lease(l, s.upstream, n.now+n.timing.StartBy)
@@ -100,7 +102,7 @@
 	}
 	n.kept[set] = rest
 	for _, s := range back {
-		n.deliver(n.owners[set], &Release{Set: set, ID: s.id, Upstream: s.upstream, Outcome: decide.Unused})
+		n.deliver(n.owners[set], &Release{Set: set, ID: s.id, Upstream: s.upstream, Outcome: decide.Unused, Attempt: s.attempt})
 		n.dirtyIfOwn(set)
 	}
 }
@@ -143,7 +145,7 @@
 func (n *Node) keptIn(set string) []decide.Held {
 	var out []decide.Held
 	for _, s := range n.kept[set] {
-		out = append(out, decide.Held{ID: s.id, Upstream: s.upstream, Class: s.class, Customer: s.customer, Work: 1})
+		out = append(out, decide.Held{ID: s.id, Upstream: s.upstream, Class: s.class, Customer: s.customer, Work: 1, Attempt: s.attempt})
 	}
 	return out
 }
--- a/cell/node.go
+++ b/cell/node.go
@@ -124,6 +124,7 @@
 	ownedBy    *table.Table      // the table that they were worked out from
 	inDomain   []string          // the listed boxes of the domain, sorted, this one included
 	pools      map[string]*decide.Pool
+	orders     map[string]*decide.Orders
 	dirty      map[string]bool
 	spares     map[string]map[string]*spare // by set and domain
 	locals     map[uint64]*local
@@ -151,6 +152,7 @@
 		claims:   decide.NewClaims(cfg.Domain, cfg.Box, cfg.Boot, cfg.Timing.Dead),
 		owners:   make(map[string]string),
 		pools:    make(map[string]*decide.Pool),
+		orders:   make(map[string]*decide.Orders),
 		dirty:    make(map[string]bool),
 		spares:   make(map[string]map[string]*spare),
 		locals:   make(map[uint64]*local),
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -86,12 +86,14 @@
 		p.Learn(n.now, live)
 	}
 	p.Adopt(n.now, n.cfg.Box, n.heldIn(set, n.cfg.Box), nil)
+	n.orders[set] = decide.NewOrders(n.now, n.timing.LeaseLife)
 	n.dirty[set] = true
 	n.record(timeline.Event{Kind: timeline.Owning, Set: set, Value: int64(len(live))})
 }
 
 func (n *Node) disown(set string) {
 	delete(n.pools, set)
+	delete(n.orders, set)
 	delete(n.dirty, set)
 	n.record(timeline.Event{Kind: timeline.Disowning, Set: set})
 }
@@ -161,7 +163,7 @@
 		if u.Set != set || u.Domain != n.cfg.Domain {
 			continue
 		}
-		b := decide.Backend{Name: u.Name, Slots: u.Slots, Pausing: u.Kind == table.Engine,
+		b := decide.Backend{Name: u.Name, Slots: u.Slots, Pausing: u.Kind == table.Engine, Model: u.Model,
 			Leaving: slices.Contains(n.roster.Leaving, u.Name)}
 		if n.cfg.Split {
 			b.Slots = n.splitPart(u.Name, u.Slots)
@@ -208,9 +210,37 @@
 		p.Report(now, r)
 		n.dirty[set] = true
 	}
+	n.order(r)
 	n.flush()
 }
 
+// order compares what an engine has loaded with what its row wants, and gives the
+// orders that are due in its set.
+func (n *Node) order(r decide.Report) {
+	u := n.upstreamRow(r.Upstream)
+	if u == nil || n.orders[u.Set] == nil {
+		return
+	}
+	o := n.orders[u.Set]
+	o.Observe(decide.EngineState{Upstream: u.Name, Want: u.Model, Checks: u.ChecksFence, Loaded: r.Loaded, Loading: r.Loading, Fence: r.Fence})
+	for _, next := range o.Next(n.now) {
+		n.record(timeline.Event{Kind: timeline.Ordered, Upstream: next.Upstream, Set: u.Set, Reason: next.Load, Revision: next.Fence})
+		n.act(Action{Kind: GiveOrder, Upstream: next.Upstream, Order: next})
+	}
+}
+
+func (n *Node) upstreamRow(name string) *table.Upstream {
+	if n.table == nil {
+		return nil
+	}
+	for i := range n.table.Upstreams {
+		if n.table.Upstreams[i].Name == name {
+			return &n.table.Upstreams[i]
+		}
+	}
+	return nil
+}
+
 // Counts returns the state of a set that this box owns.
 func (n *Node) Counts(set string) decide.Counts {
 	if p := n.pools[set]; p != nil {
@@ -239,7 +269,7 @@
 
 func (n *Node) onRelease(m *Release) {
 	if p := n.pools[m.Set]; p != nil {
-		p.Release(n.now, m.ID, decide.Usage{Outcome: m.Outcome, Tokens: m.Tokens, Pace: m.Pace, First: m.First})
+		p.Release(n.now, m.ID, decide.Usage{Outcome: m.Outcome, Tokens: m.Tokens, Pace: m.Pace, First: m.First, Attempt: m.Attempt})
 		n.dirty[m.Set] = true
 	}
 }
@@ -323,7 +353,7 @@
 	switch v.Kind {
 	case decide.GrantSlot:
 		n.record(timeline.Event{Kind: timeline.Granted, Request: v.ID, Class: v.Class, Tier: v.Tier, Upstream: v.Upstream, Set: set})
-		n.deliver(v.Box, &Grant{Set: set, ID: v.ID, Upstream: v.Upstream, StartBy: v.Queued + n.timing.StartBy, Keep: v.Keep})
+		n.deliver(v.Box, &Grant{Set: set, ID: v.ID, Upstream: v.Upstream, StartBy: v.Queued + n.timing.StartBy, Keep: v.Keep, Attempt: v.Attempt})
 	case decide.RefuseBid:
 		r := &Refusal{Set: set, ID: v.ID, Reason: v.Reason, RetryAfter: v.RetryAfter,
 			LowerWaiting: v.LowerWaiting, LowerRunning: v.LowerRunning}
--- a/cell/types.go
+++ b/cell/types.go
@@ -64,6 +64,7 @@
 	Upstream string
 	StartBy  time.Duration
 	Keep     time.Duration // how long the slot may be kept after the answer
+	Attempt  uint32        // of the bid that it answers
 }
 
 // Recall wants back the slots of a set that are kept without an answer running.
@@ -95,6 +96,7 @@
 	Outcome  decide.Outcome
 	Pace     time.Duration // for one token; 0 if unknown
 	First    time.Duration // from sending to the first token; 0 if unknown
+	Attempt  uint32        // of the bid that the slot was granted for
 }
 
 // Holding sums up all that the sender holds and waits for in a set; with Full,
@@ -197,6 +199,7 @@
 	End                            // the request ends with Final
 	PullFrom                       // fetch the table and list from box To
 	ReadPlatform                   // read the table and list from the platform
+	GiveOrder                      // give Upstream the Order
 	Record                         // enter Event in the time line
 )
 
@@ -219,6 +222,7 @@
 	StartBy  time.Duration // for Dispatch: send no byte after this moment
 	Final    Final
 	Event    timeline.Event
+	Order    decide.EngineOrder
 }
 
 // Result is how a run on an upstream ended.
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -160,6 +160,25 @@
 		Peers: w.peersOf(name), Unfenced: w.unfenced})
 	boot := b.boot
 	w.after(time.Duration(w.random.Int64N(int64(testTick))), func() { w.tick(b, boot) })
+	w.after(testReport, func() { w.report(b, boot) })
+}
+
+const (
+	testReport = 250 * time.Millisecond
+	reportLag  = 200 * time.Millisecond
+)
+
+// report brings the engines' loads to a box that owns them, as they were a while
+// ago.
+func (w *world) report(b *testBox, boot uint64) {
+	if b.boot != boot || b.dead {
+		return
+	}
+	for _, name := range b.node.Watched() {
+		r := decide.Report{Upstream: name, Age: reportLag, Running: w.engines[name].running, Leaving: w.engines[name].leaving}
+		w.after(reportLag, func() { w.on(b, boot, func() { b.node.Report(w.now, r) }) })
+	}
+	w.after(testReport, func() { w.report(b, boot) })
 }
 
 func (w *world) peersOf(name string) []BoxEntry {
--- a/core.go
+++ b/core.go
@@ -233,6 +233,8 @@
 			}
 		case cell.ReadPlatform:
 			b.startRead()
+		case cell.GiveOrder:
+			b.giveOrder(a.Order)
 		case cell.Record:
 			b.recordEvent(a.Event)
 		}
--- a/decide/doc.go
+++ b/decide/doc.go
@@ -38,6 +38,7 @@
 	Work      float64       // expected tokens
 	Prefix    uint64        // hash of the prompt's prefix; 0 is none
 	Visitor   bool          // comes from another failure domain
+	Attempt   uint32        // counts the bids of the request; a newer one voids what the older got
 	Resume    string        // the upstream that holds its paused answer, if any
 }
 
@@ -110,6 +111,7 @@
 	Reason   Reason
 	// RetryAfter is when the caller should come back, for a refusal.
 	RetryAfter time.Duration
+	Attempt    uint32
 	// Keep is how long the holder may keep the slot after the answer.
 	Keep time.Duration
 	// Queued is how long the bid had been with the pool when the slot was granted.
--- a/decide/place.go
+++ b/decide/place.go
@@ -15,7 +15,8 @@
 	Name    string
 	Slots   int
 	Leaving bool
-	Pausing bool // whether it can pause and resume an answer
+	Pausing bool   // whether it can pause and resume an answer
+	Model   string // that it has to have loaded; "" is any
 }
 
 // Report is what an upstream said of its own load, some time ago.
@@ -30,6 +31,11 @@
 	Prefixes []uint64
 	Evicted  []uint64
 	Gap      bool
+	// Loaded is the model that it has loaded, "" if it does not say; Fence is the
+	// highest of the orders that it has seen.
+	Loaded  string
+	Loading bool
+	Fence   uint64
 }
 
 const (
@@ -49,6 +55,7 @@
 // backend is an upstream with what is known of its state.
 type backend struct {
 	Backend
+	index    int // among the pool's backends
 	held     int
 	history  [historyLength]int // most held in each of the last seconds
 	second   int64
@@ -99,6 +106,7 @@
 func (p *Pool) takeReport(now Time, b *backend, r Report) {
 	b.note(now)
 	b.report, b.reportAt, b.reported = r, now-r.Age, true
+	defer p.countFree(b)
 	b.foreign = max(0, r.Running+r.Waiting-b.heldAround(now, r.Age))
 	b.fresh = 0
 	if r.Leaving && !b.draining {
@@ -178,9 +186,15 @@
 	b.failures, b.broken = 0, 0
 }
 
+// wrongModel reports whether the upstream says that it has another model loaded
+// than its row wants.
+func (b *backend) wrongModel() bool {
+	return b.Model != "" && b.reported && (b.report.Loading || b.report.Loaded != "" && b.report.Loaded != b.Model)
+}
+
 // usable is how many slots may be held now, given the pool's median pace.
 func (b *backend) usable(now Time, median float64) int {
-	if b.Leaving || b.draining || now < b.until {
+	if b.Leaving || b.draining || now < b.until || b.wrongModel() {
 		return 0
 	}
 	slots := float64(b.Slots)
@@ -209,6 +223,13 @@
 	return min(n, b.Slots-b.report.Running-b.report.Waiting-b.fresh)
 }
 
+// countFree renews the pool's own count of a backend's free slots.
+func (p *Pool) countFree(b *backend) {
+	if b.index < len(p.frees) && p.backends[b.index] == b {
+		p.frees[b.index] = b.limit - b.held - b.foreign
+	}
+}
+
 // score rates an upstream with free slots; the least is the best.
 func (p *Pool) score(b *backend, free int) float64 {
 	score := 1 - float64(free)/float64(b.Slots)
@@ -228,10 +249,15 @@
 	}
 	var best *backend
 	least := 0.0
-	for _, b := range p.backends {
-		free := b.free(now, learning)
+	for i, free := range p.frees {
 		if free <= 0 {
-			continue
+			continue // most are full when it matters, so this loop is kept tight
+		}
+		b := p.backends[i]
+		if learning {
+			if free = b.free(now, true); free <= 0 {
+				continue
+			}
 		}
 		if score := p.score(b, free); best == nil || score < least {
 			best, least = b, score
@@ -260,6 +286,7 @@
 		n := max(0, b.limit-b.foreign)
 		p.slots += n
 		p.rate += float64(n) / b.pace
+		p.countFree(b)
 	}
 	p.rate = max(p.rate, 1)
 }
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -71,6 +71,7 @@
 	granted  Time
 	queued   time.Duration
 	keep     time.Duration
+	attempt  uint32
 	pausing  bool
 	pausedAt Time // when its pause was first ordered
 	ordered  Time // when it was last ordered
@@ -101,6 +102,9 @@
 	leases    map[uint64]*lease
 	ledgers   map[string]*ledger
 	verdicts  []Verdict
+	frees     []int // free slots of each backend
+	spareW    []waiter
+	spareL    []lease
 	paces     []float64
 	median    float64
 	slots     int           // usable now, over all upstreams
@@ -198,10 +202,11 @@
 		if b == nil {
 			b = newBackend(now, d)
 		}
-		b.Backend = d
+		b.Backend, b.index = d, len(p.backends)
 		p.byName[d.Name] = b
 		p.backends = append(p.backends, b)
 	}
+	p.frees = make([]int, len(p.backends))
 	for name, b := range old {
 		if p.byName[name] == nil {
 			p.forgetPrefixes(b)
@@ -221,16 +226,29 @@
 // Offer takes in a bid. It may come twice: a holder that hears nothing asks again.
 func (p *Pool) Offer(now Time, bid Bid) {
 	if l := p.leases[bid.ID]; l != nil {
-		if !l.pausing {
-			p.emitGrant(l)
+		if bid.Attempt < l.attempt {
+			return
 		}
-		return
+		if bid.Attempt == l.attempt {
+			if !l.pausing {
+				p.emitGrant(l)
+			}
+			return
+		}
+		// The holder has given this slot back, and its word of that is still on
+		// its way: a grant repeated now would be used after the slot was freed.
+		p.end(l)
 	}
-	if p.waiting[bid.ID] != nil {
-		return
+	if w := p.waiting[bid.ID]; w != nil {
+		if bid.Attempt <= w.bid.Attempt {
+			return
+		}
+		w.class.forget(w)
+		p.drop(w)
 	}
 	class := p.byClass[bid.Class]
-	w := &waiter{bid: bid, class: class, arrived: now - bid.Waited, offered: now, index: -1}
+	w := p.newWaiter()
+	*w = waiter{bid: bid, class: class, arrived: now - bid.Waited, offered: now, index: -1}
 	if class != nil {
 		w.target = w.arrived + p.waitLimit(class)
 	}
@@ -257,6 +275,28 @@
 	p.schedule(w)
 }
 
+// slab is how many waiters or leases are made at once, which spares the allocator
+// and the collector a call for each.
+const slab = 128
+
+func (p *Pool) newWaiter() *waiter {
+	if len(p.spareW) == 0 {
+		p.spareW = make([]waiter, slab)
+	}
+	w := &p.spareW[0]
+	p.spareW = p.spareW[1:]
+	return w
+}
+
+func (p *Pool) newLease() *lease {
+	if len(p.spareL) == 0 {
+		p.spareL = make([]lease, slab)
+	}
+	l := &p.spareL[0]
+	p.spareL = p.spareL[1:]
+	return l
+}
+
 // admit says why a new bid cannot wait here, or NoReason. A request that comes
 // back after a pause was admitted before and is not asked again.
 func (p *Pool) admit(now Time, w *waiter) Reason {
@@ -423,13 +463,14 @@
 	Tokens  int           // generated
 	Pace    time.Duration // for one token; 0 if unknown
 	First   time.Duration // from sending to the first token; 0 if unknown
+	Attempt uint32        // of the bid that the slot was granted for
 }
 
 // Release gives a slot back.
 func (p *Pool) Release(now Time, id uint64, u Usage) {
 	l := p.leases[id]
-	if l == nil {
-		return
+	if l == nil || u.Attempt != l.attempt {
+		return // it speaks of a slot that was taken back already
 	}
 	b := l.backend
 	switch u.Outcome {
@@ -453,6 +494,7 @@
 func (p *Pool) end(l *lease) {
 	l.gone = true
 	l.backend.held--
+	p.countFree(l.backend)
 	l.class.running--
 	if l.pausing {
 		p.pausing = slices.DeleteFunc(p.pausing, func(m *lease) bool { return m == l })
@@ -504,6 +546,7 @@
 	Class    string
 	Customer string
 	Work     float64
+	Attempt  uint32
 }
 
 // Sum is a holder's own account of its leases and bids in a pool.
@@ -560,14 +603,20 @@
 
 func (p *Pool) adoptOne(now Time, box string, h Held) {
 	class, b := p.byClass[h.Class], p.byName[h.Upstream]
+	if l := p.leases[h.ID]; l != nil && h.Attempt > l.attempt {
+		p.end(l)
+	}
 	if p.leases[h.ID] != nil || class == nil || b == nil {
 		return
 	}
 	if w := p.waiting[h.ID]; w != nil {
+		if w.bid.Attempt > h.Attempt {
+			return // the list is older than the bid
+		}
 		class.forget(w)
 		p.drop(w)
 	}
-	l := &lease{id: h.ID, box: box, class: class, customer: h.Customer, backend: b, work: h.Work, granted: now}
+	l := &lease{id: h.ID, box: box, class: class, customer: h.Customer, backend: b, work: h.Work, granted: now, attempt: h.Attempt}
 	class.running++
 	p.learnt = now
 	p.hold(now, l)
@@ -580,6 +629,7 @@
 	g.add(l.id)
 	g.heard = now
 	l.backend.held++
+	p.countFree(l.backend)
 	l.backend.fresh++
 	l.backend.note(now)
 	l.class.remember(l)
@@ -766,8 +816,9 @@
 	p.accrue(w)
 	w.class.granted(w)
 	p.drop(w)
-	l := &lease{id: w.bid.ID, box: w.bid.Box, class: w.class, customer: w.bid.Customer,
-		backend: b, work: w.bid.Work, granted: now, queued: now - w.offered}
+	l := p.newLease()
+	*l = lease{id: w.bid.ID, box: w.bid.Box, class: w.class, customer: w.bid.Customer,
+		backend: b, work: w.bid.Work, granted: now, queued: now - w.offered, attempt: w.bid.Attempt}
 	p.hold(now, l)
 	p.cache(b, w.bid.Prefix)
 	p.countGrant(now)
@@ -834,7 +885,7 @@
 
 func (p *Pool) emitGrant(l *lease) {
 	p.verdicts = append(p.verdicts, Verdict{Kind: GrantSlot, ID: l.id, Box: l.box,
-		Class: l.class.rule.Class, Tier: l.class.rule.Tier, Upstream: l.backend.Name, Queued: l.queued, Keep: l.keep})
+		Class: l.class.rule.Class, Tier: l.class.rule.Tier, Upstream: l.backend.Name, Queued: l.queued, Keep: l.keep, Attempt: l.attempt})
 }
 
 // pauseFor pauses running requests of lower tiers for waiting ones that would
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -339,3 +339,30 @@
 		_ = c.Close()
 	}
 }
+
+// TestEngineOrders edits the model of the engines' rows: they are ordered to load
+// it, with fences, two at a time, and serve on.
+func TestEngineOrders(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, config{domains: 1, boxes: 2, engines: 3, slots: 2, pace: time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range s.table.Upstreams {
+		if s.table.Upstreams[i].Set == "chat" {
+			s.table.Upstreams[i].Model = "next"
+		}
+	}
+	s.platform.SetTable(s.table)
+	await(t, "all engines to load it", func() bool {
+		for _, e := range s.engines {
+			if len(e.Loaded()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	expectWhole(t, "after", ask(ctx, s.boxes[0], call{prompt: "after", stream: true}))
+	for _, e := range s.engines {
+		is.Equal(e.Loaded(), []string{"next"}) // once
+	}
+}
--- a/edges.go
+++ b/edges.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
 	"github.com/doormast/doormast/internal/ops"
 	"github.com/doormast/doormast/internal/platform"
+	"github.com/doormast/doormast/internal/upstream"
 	"github.com/doormast/doormast/table"
 	"github.com/doormast/doormast/timeline"
 	"github.com/doormast/doormast/wire"
@@ -289,6 +291,27 @@
 	b.notices.TryPush(notice{kind: noticeReport, report: r})
 }
 
+// giveOrder gives an engine an order. Its next report shows what came of it.
+func (b *Box) giveOrder(o decide.EngineOrder) {
+	u := b.upstream(o.Upstream)
+	if u == nil {
+		return
+	}
+	b.say("orders").Infof("Engine %s is to load %s, fence %d.", o.Upstream, o.Load, o.Fence)
+	address := u.Address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		r, err := b.runner.Order(ctx, address, upstream.Order{Fence: o.Fence, Load: o.Load})
+		switch {
+		case err != nil:
+			b.say("orders").Warnf("Engine %s did not take the order: %v.", o.Upstream, err)
+		case !r.Accepted:
+			b.say("orders").Warnf("Engine %s has seen fence %d and refused %d.", o.Upstream, r.Fence, o.Fence)
+		}
+	}()
+}
+
 // addressBook holds where other boxes listen.
 type addressBook struct {
 	mu      sync.Mutex
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -30,12 +30,12 @@
 		return &wire.Message{Body: &wire.Message_Bid{Bid: &wire.Bid{
 			Id: m.Bid.ID, Set: m.Set, Class: m.Bid.Class, Customer: m.Bid.Customer, Waited: micros(m.Bid.Waited),
 			Remaining: micros(m.Bid.Remaining), Work: uint32(m.Bid.Work), Prefix: m.Bid.Prefix,
-			Visitor: m.Bid.Visitor, Resume: m.Bid.Resume}}}
+			Visitor: m.Bid.Visitor, Resume: m.Bid.Resume, Attempt: m.Bid.Attempt}}}
 	case *cell.Withdraw:
 		return &wire.Message{Body: &wire.Message_Withdraw{Withdraw: &wire.Withdraw{Id: m.ID, Set: m.Set}}}
 	case *cell.Grant:
 		return &wire.Message{Body: &wire.Message_Grant{Grant: &wire.Grant{
-			Id: m.ID, Set: m.Set, Upstream: m.Upstream, StartBy: micros(m.StartBy), Keep: micros(m.Keep)}}}
+			Id: m.ID, Set: m.Set, Upstream: m.Upstream, StartBy: micros(m.StartBy), Keep: micros(m.Keep), Attempt: m.Attempt}}}
 	case *cell.Recall:
 		return &wire.Message{Body: &wire.Message_Recall{Recall: &wire.Recall{Set: m.Set}}}
 	case *cell.Refusal:
@@ -46,7 +46,7 @@
 		return &wire.Message{Body: &wire.Message_Preempt{Preempt: &wire.Preempt{Id: m.ID, Set: m.Set}}}
 	case *cell.Release:
 		return &wire.Message{Body: &wire.Message_Release{Release: &wire.Release{
-			Id: m.ID, Set: m.Set, Upstream: m.Upstream, Tokens: uint32(m.Tokens), Outcome: uint32(m.Outcome), Pace: micros(m.Pace), First: micros(m.First)}}}
+			Id: m.ID, Set: m.Set, Upstream: m.Upstream, Tokens: uint32(m.Tokens), Outcome: uint32(m.Outcome), Pace: micros(m.Pace), First: micros(m.First), Attempt: m.Attempt}}}
 	case *cell.Holding:
 		return &wire.Message{Body: &wire.Message_Holding{Holding: holdingToWire(m)}}
 	case *cell.HoldingAsk:
@@ -82,7 +82,7 @@
 	h := &wire.Holding{Set: m.Set, Count: uint32(m.Count), Digest: m.Digest, WaitingCount: uint32(m.WaitingCount),
 		WaitingDigest: m.WaitingDigest, Full: m.Full, Waiting: m.Waiting}
 	for _, l := range m.Held {
-		h.Held = append(h.Held, &wire.Held{Id: l.ID, Upstream: l.Upstream, Class: l.Class, Customer: l.Customer, Work: uint32(l.Work)})
+		h.Held = append(h.Held, &wire.Held{Id: l.ID, Upstream: l.Upstream, Class: l.Class, Customer: l.Customer, Work: uint32(l.Work), Attempt: l.Attempt})
 	}
 	return h
 }
@@ -96,11 +96,11 @@
 	case *wire.Message_Bid:
 		w := b.Bid
 		return &cell.Bid{Set: w.Set, Bid: decide.Bid{ID: w.Id, Class: w.Class, Customer: w.Customer, Waited: span(w.Waited),
-			Remaining: span(w.Remaining), Work: float64(max(1, w.Work)), Prefix: w.Prefix, Visitor: w.Visitor, Resume: w.Resume}}
+			Remaining: span(w.Remaining), Work: float64(max(1, w.Work)), Prefix: w.Prefix, Visitor: w.Visitor, Resume: w.Resume, Attempt: w.Attempt}}
 	case *wire.Message_Withdraw:
 		return &cell.Withdraw{Set: b.Withdraw.Set, ID: b.Withdraw.Id}
 	case *wire.Message_Grant:
-		return &cell.Grant{Set: b.Grant.Set, ID: b.Grant.Id, Upstream: b.Grant.Upstream, StartBy: span(b.Grant.StartBy), Keep: span(b.Grant.Keep)}
+		return &cell.Grant{Set: b.Grant.Set, ID: b.Grant.Id, Upstream: b.Grant.Upstream, StartBy: span(b.Grant.StartBy), Keep: span(b.Grant.Keep), Attempt: b.Grant.Attempt}
 	case *wire.Message_Recall:
 		return &cell.Recall{Set: b.Recall.Set}
 	case *wire.Message_Refusal:
@@ -114,7 +114,7 @@
 		if w.Outcome > uint32(decide.Unused) {
 			return nil
 		}
-		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace), First: span(w.First)}
+		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace), First: span(w.First), Attempt: w.Attempt}
 	case *wire.Message_Holding:
 		return holdingFromWire(b.Holding)
 	case *wire.Message_HoldingAsk:
@@ -153,7 +153,7 @@
 	h := &cell.Holding{Set: w.Set, Count: int(w.Count), Digest: w.Digest, WaitingCount: int(w.WaitingCount),
 		WaitingDigest: w.WaitingDigest, Full: w.Full, Waiting: w.Waiting}
 	for _, l := range w.Held {
-		h.Held = append(h.Held, decide.Held{ID: l.GetId(), Upstream: l.GetUpstream(), Class: l.GetClass(), Customer: l.GetCustomer(), Work: float64(max(1, l.GetWork()))})
+		h.Held = append(h.Held, decide.Held{ID: l.GetId(), Upstream: l.GetUpstream(), Class: l.GetClass(), Customer: l.GetCustomer(), Work: float64(max(1, l.GetWork())), Attempt: l.GetAttempt()})
 	}
 	return h
 }
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -380,6 +380,9 @@
 	Running   int          `json:"running"`
 	Waiting   int          `json:"waiting"`
 	Leaving   bool         `json:"leaving"`
+	Loaded    string       `json:"loaded"`
+	Loading   bool         `json:"loading"`
+	Fence     uint64       `json:"fence"`
 	First     uint64       `json:"first_event"` // oldest cache event still held
 	Last      uint64       `json:"last_event"`
 	Events    []cacheEvent `json:"events"`
@@ -407,7 +410,8 @@
 	h.mu.Lock()
 	h.seq[address] = e.Last
 	h.mu.Unlock()
-	r := decide.Report{Age: time.Duration(e.AgeMillis) * time.Millisecond, Running: max(0, e.Running), Waiting: max(0, e.Waiting), Leaving: e.Leaving}
+	r := decide.Report{Age: time.Duration(e.AgeMillis) * time.Millisecond, Running: max(0, e.Running), Waiting: max(0, e.Waiting), Leaving: e.Leaving,
+		Loaded: e.Loaded, Loading: e.Loading, Fence: e.Fence}
 	r.Gap = e.First > after+1 || e.Last < after
 	for _, c := range e.Events {
 		if c.Evicted {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -29,6 +29,7 @@
 	CacheSize   int           // prefixes held
 	ReportLag   time.Duration // age of what reports say
 	ChecksFence bool
+	LoadTime    time.Duration // to load a model
 }
 
 // Faults are what can be wrong with an engine.
@@ -58,6 +59,8 @@
 	samples   []engineSample
 	fence     uint64
 	loaded    []string
+	model     string
+	loadedAt  time.Time
 	generated int // tokens, in all
 	started   map[string]int
 }
@@ -110,7 +113,7 @@
 	if cfg.CacheSize == 0 {
 		cfg.CacheSize = 64
 	}
-	e := &Engine{cfg: cfg, runs: make(map[string]*engineRun), paused: make(map[string]int), started: make(map[string]int)}
+	e := &Engine{cfg: cfg, model: cfg.Model, runs: make(map[string]*engineRun), paused: make(map[string]int), started: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.generate)
 	mux.HandleFunc("POST /control/cancel", func(w http.ResponseWriter, r *http.Request) { e.stopRun(r.FormValue("id"), false) })
@@ -437,6 +440,9 @@
 	Running   int           `json:"running"`
 	Waiting   int           `json:"waiting"`
 	Leaving   bool          `json:"leaving"`
+	Loaded    string        `json:"loaded"`
+	Loading   bool          `json:"loading"`
+	Fence     uint64        `json:"fence"`
 	First     uint64        `json:"first_event"`
 	Last      uint64        `json:"last_event"`
 	Events    []engineEvent `json:"events"`
@@ -452,7 +458,8 @@
 		e.samples = e.samples[1:]
 	}
 	s := e.samples[0]
-	out := engineReport{AgeMillis: now.Sub(s.at).Milliseconds(), Running: s.running, Waiting: s.waiting, Leaving: e.faults.Leaving, First: 1}
+	out := engineReport{AgeMillis: now.Sub(s.at).Milliseconds(), Running: s.running, Waiting: s.waiting, Leaving: e.faults.Leaving, First: 1,
+		Loaded: e.model, Loading: now.Before(e.loadedAt), Fence: e.fence}
 	if n := len(e.events); n > 0 {
 		out.First, out.Last = e.events[0].Sequence, e.events[n-1].Sequence
 	}
@@ -485,6 +492,7 @@
 		e.fence = max(e.fence, o.Fence)
 		if o.Load != "" {
 			e.loaded = append(e.loaded, o.Load)
+			e.model, e.loadedAt = o.Load, time.Now().Add(e.cfg.LoadTime)
 		}
 	}
 	fence := e.fence
