Every way into a node notices a pause first

In the experiment a frozen box still took arrivals and decided on them; made to hold them as a stopped process does, it showed that a node woken by anything but a tick or a message acted once on its old view: arrivals, ends of runs and reports did not look for the gap. Changed: all entries pass one place that notices the pause. Ruled out: the search's schedules; they wake by ticks and messages alone.

--- a/cell/holder.go
+++ b/cell/holder.go
@@ -73,7 +73,7 @@
 
 // Arrive takes in a request from a caller.
 func (n *Node) Arrive(now time.Duration, req Request) {
-	n.now = now
+	n.at(now)
 	n.arrivals++
 	l := &local{req: req, arrived: now, order: n.arrivals}
 	l.rule.Class = req.Class
@@ -237,7 +237,7 @@
 
 // Sending tells the node that a byte of the request is about to leave.
 func (n *Node) Sending(now time.Duration, id uint64) {
-	n.now = now
+	n.at(now)
 	l := n.locals[id]
 	if l == nil || l.state != stateLeased {
 		return
@@ -251,7 +251,7 @@
 
 // FirstToken tells the node that the answer has begun.
 func (n *Node) FirstToken(now time.Duration, id uint64) {
-	n.now = now
+	n.at(now)
 	l := n.locals[id]
 	if l == nil || l.state != stateSending {
 		return
@@ -262,7 +262,7 @@
 
 // CallerLeft tells the node that a caller went away or was given up on.
 func (n *Node) CallerLeft(now time.Duration, id uint64) {
-	n.now = now
+	n.at(now)
 	l := n.locals[id]
 	if l == nil || l.left {
 		return
@@ -292,7 +292,7 @@
 
 // Finished tells the node how a run ended.
 func (n *Node) Finished(now time.Duration, id uint64, r Result) {
-	n.now = now
+	n.at(now)
 	l := n.locals[id]
 	if l == nil || l.state == stateWaiting {
 		return
--- a/cell/node.go
+++ b/cell/node.go
@@ -214,13 +214,12 @@
 // every few tens of milliseconds. A long gap between ticks means that the box
 // was paused: what it believes is old, and is dropped before anything is done.
 func (n *Node) Tick(now, wall time.Duration) {
-	n.now, n.wall = now, wall
+	n.wall = wall
 	if !n.running {
+		n.now = now
 		n.start()
 	}
-	if gap := now - n.lastTick; gap > n.timing.Gap && !n.cfg.Unfenced.Gaps {
-		n.woke(gap)
-	}
+	n.at(now)
 	n.lastTick = now
 	n.probe(n.members.unanswered(now))
 	n.members.sweep(now, n.memberChanged)
@@ -245,6 +244,16 @@
 	n.flush()
 }
 
+// at moves the node's time on. Every way into the node passes here first, so that
+// a pause is noticed before anything is done, whatever comes first after it.
+func (n *Node) at(now time.Duration) {
+	n.now = now
+	if gap := now - n.lastTick; n.running && gap > n.timing.Gap && !n.cfg.Unfenced.Gaps {
+		n.lastTick = now
+		n.woke(gap)
+	}
+}
+
 func (n *Node) start() {
 	n.running = true
 	n.started, n.lastTick = n.now, n.now
@@ -403,15 +412,10 @@
 	if !n.running {
 		return
 	}
-	n.now = now
+	n.at(now)
 	if p := n.members.peers[from]; p != nil && boot == p.boot {
 		p.direct = now
 	}
-	if gap := now - n.lastTick; gap > n.timing.Gap && !n.cfg.Unfenced.Gaps {
-		// The pause is noticed here if a message comes before the next tick.
-		n.lastTick = now
-		n.woke(gap)
-	}
 	if p := n.members.peers[from]; p != nil && boot < p.boot && !n.cfg.Unfenced.Boots {
 		return
 	}
@@ -493,7 +497,7 @@
 // Drain begins a planned stop: the box gives up what it owns and tells the
 // others, but goes on with what it carries.
 func (n *Node) Drain(now time.Duration) {
-	n.now = now
+	n.at(now)
 	if n.draining {
 		return
 	}
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -205,7 +205,7 @@
 
 // Report takes in what an upstream says of itself.
 func (n *Node) Report(now time.Duration, r decide.Report) {
-	n.now = now
+	n.at(now)
 	for set, p := range n.pools {
 		p.Report(now, r)
 		n.dirty[set] = true
