Slots are kept by what is held; recalls and answers to sums only where they help

Cause: at 93 boxes slots were kept only while grants were many, and keeping makes them few, so it held itself at 40 grants a second for each set. Under overload (80 requests/s of a box) recalls went to every holder ten times a second, and each sum of a waiting holder was answered although grants showed the owner alive.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -91,6 +91,9 @@
 	return s, err
 }
 
+// overloadRate is the rate of the overloaded domain, in requests a second of a box.
+const overloadRate = 80
+
 // cells are the sizes measured: today's, some in between, and the target's.
 func cells() []experiment.CellConfig {
 	var out []experiment.CellConfig
@@ -100,7 +103,8 @@
 				Slots: 165, Rate: rate, Seconds: 25})
 		}
 	}
-	return out
+	// Twice the rate: half as much again as the upstreams carry.
+	return append(out, experiment.CellConfig{Boxes: 93, Upstreams: 345, Sets: 28, Slots: 165, Rate: overloadRate, Seconds: 15})
 }
 
 // wireSizes are the bytes of each message, with names of ordinary length.
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -50,8 +50,9 @@
 	running   float64 // requests of a box at once
 	idle      experiment.CellResult
 	busy      experiment.CellResult
-	table     float64 // bytes of the document at the target size
-	changes   float64 // a second
+	over      experiment.CellResult // offered half as much again as it carries
+	table     float64               // bytes of the document at the target size
+	changes   float64               // a second
 	memory    []line
 	memorySum float64
 }
@@ -72,6 +73,8 @@
 		switch {
 		case c.Boxes == boxes && c.Rate == 0:
 			f.idle = c
+		case c.Rate == overloadRate:
+			f.over = c
 		case c.Boxes == boxes:
 			f.busy = c
 		}
@@ -179,6 +182,8 @@
 	row("control sent, mean", "7 KB/s", fmt.Sprintf("%.1f KB/s", bytes/1000), verdict(bytes, budgetBytes), "bids, grants and releases that are not spared by kept slots")
 	mostBytes := f.busy.MostBytes + f.tableBytes()
 	row("control sent, busiest box", "7 KB/s", fmt.Sprintf("%.1f KB/s", mostBytes/1000), verdict(mostBytes, budgetBytes), "grants by the owner of several sets; ownership of a set would have to be divided")
+	row("control sent under overload, mean", "7 KB/s", fmt.Sprintf("%.1f KB/s", f.over.Bytes/1000), verdict(f.over.Bytes, budgetBytes), "each request is bid for, and each refusal sent, by itself")
+	row("processor under overload, busiest box", "2.8 % of a core", fmt.Sprintf("%.2f %%", 100*f.over.MostCore), verdict(f.over.MostCore, budgetCore), "the owner's decisions")
 	reader := core + f.readerCore()
 	row("processor of a table reader", "2.8 % of a core", fmt.Sprintf("%.2f %%", 100*reader), verdict(reader, budgetCore), "parsing the whole document for each change")
 	received := bytes + f.changes*f.table
--- a/cell/holder.go
+++ b/cell/holder.go
@@ -192,7 +192,7 @@
 		n.bid(l)
 		return
 	}
-	l.slot, l.slotAttempt, l.keep, l.slotEnd = l.req.ID, m.Attempt, m.Keep, n.now+reuseTime
+	l.slot, l.slotAttempt, l.keep, l.slotEnd = l.req.ID, m.Attempt, m.Keep, n.now+decide.KeptLife
 	n.lease(l, m.Upstream, l.firstBid+m.StartBy)
 }
 
--- a/cell/kept.go
+++ b/cell/kept.go
@@ -26,10 +26,6 @@
 	end      time.Duration
 }
 
-// reuseTime is how long a slot is used again before it goes back, so that the
-// owner's view of the upstreams, and not the past, decides where requests run.
-const reuseTime = time.Minute
-
 // recallQuiet is how long after a recall nothing is kept.
 const recallQuiet = time.Second
 
--- a/cell/node.go
+++ b/cell/node.go
@@ -140,7 +140,8 @@
 	nextHolding   time.Duration
 	nextRenew     time.Duration
 	nextSpare     time.Duration
-	empties       map[holdingKey]int // how often an empty sum is still sent
+	empties       map[holdingKey]int       // how often an empty sum is still sent
+	told          map[string]time.Duration // when each box was last told something
 }
 
 // NewNode returns the node of one incarnation of a box.
@@ -160,6 +161,7 @@
 		lengths:  make(map[string]*decide.Lengths),
 		budgets:  make(map[string]*decide.RetryBudget),
 		empties:  make(map[holdingKey]int),
+		told:     make(map[string]time.Duration),
 		kept:     make(map[string][]keptSlot),
 		recalled: make(map[string]time.Duration),
 	}
@@ -202,6 +204,7 @@
 func (n *Node) act(a Action) { n.actions = append(n.actions, a) }
 
 func (n *Node) send(to string, m Message) {
+	n.told[to] = n.now
 	n.act(Action{Kind: SendMessage, To: to, Message: m})
 }
 
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -15,9 +15,10 @@
 	"github.com/doormast/doormast/timeline"
 )
 
-// keepAbove is the number of grants a second in a set from which on holders keep
-// slots. Below it, asking for each costs little and places better.
-const keepAbove = 40
+// keepAbove is the number of slots held of a set from which on holders keep slots.
+// Below it, asking for each costs little and places better. It goes by what is
+// held and not by the grants: those become few just because slots are kept.
+const keepAbove = 500
 
 // sets lists the upstream sets of the table, sorted.
 func (n *Node) sets() []string {
@@ -279,7 +280,7 @@
 	if p == nil {
 		return
 	}
-	if m.WaitingCount > 0 && !m.Full {
+	if m.WaitingCount > 0 && !m.Full && n.now-n.told[from] >= n.timing.Holding {
 		n.sendHeartbeat([]string{from}) // who waits wants to know that its owner lives
 	}
 	if m.Full {
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -24,13 +24,17 @@
 	NoPause bool
 	// Arrival serves in the order of arrival, whatever the tier: a baseline.
 	Arrival bool
-	// KeepAbove is the number of grants a second from which on holders may keep
-	// slots for their next requests, while the pool has slots to spare; 0 is never.
-	KeepAbove float64
+	// KeepAbove is the number of slots held from which on holders may keep slots
+	// for their next requests, while the pool has slots to spare; 0 is never.
+	KeepAbove int
 	// Seed makes the jitter of RetryAfter repeatable.
 	Seed uint64
 }
 
+// KeptLife is how long a slot may be used again before it goes back, so that the
+// owner's view of the upstreams, and not the past, decides where requests run.
+const KeptLife = time.Minute
+
 const (
 	// leadTokens is how far, in tokens over weight, a class may run ahead of
 	// the others of its tier because its requests are more urgent.
@@ -42,14 +46,13 @@
 	settleTime = 2 * time.Second
 	// pausesAtOnce bounds how many leases are being paused for one class.
 	pausesAtOnce = 64
-	// grantMemory is the span over which grants are counted, in seconds.
-	grantMemory = 3.0
 	// keepBusy is the share of the slots in use from which on none is kept.
 	keepBusy = 0.85
 	// keepTime is how long a holder keeps a slot for its next request.
-	keepTime = 2 * time.Second
-	// recallEvery bounds the recalls.
-	recallEvery = 100 * time.Millisecond
+	keepTime = 3 * time.Second
+	// recallEvery bounds the recalls. After one, holders keep nothing for longer
+	// than this.
+	recallEvery = 900 * time.Millisecond
 	// giveWayTime is how long it takes until a lower tier has given way.
 	giveWayTime = pauseRepeat
 	// firstMemory is the weight of a new sample of the time to the first token.
@@ -112,8 +115,7 @@
 	first     time.Duration // from sending to the first token, the recent mean
 	refreshed Time
 	pausing   []*lease // whose pause is ordered
-	grants    float64  // a second, the recent mean
-	granted   Time
+	keptUntil Time     // until then slots may be kept by holders
 	recalled  Time
 	recallNow bool
 	learnEnd  Time
@@ -821,24 +823,19 @@
 		backend: b, work: w.bid.Work, granted: now, queued: now - w.offered, attempt: w.bid.Attempt}
 	p.hold(now, l)
 	p.cache(b, w.bid.Prefix)
-	p.countGrant(now)
-	l.keep = p.keep(w.class)
+	if l.keep = p.keep(w.class); l.keep > 0 {
+		p.keptUntil = now + KeptLife
+	}
 	p.emitGrant(l)
 }
 
-// countGrant keeps a fading count of the grants.
-func (p *Pool) countGrant(now Time) {
-	p.grants = p.grants*math.Exp(-(now-p.granted).Seconds()/grantMemory) + 1/grantMemory
-	p.granted = now
-}
-
-// keep is how long a slot granted now may be kept after its answer. With many
-// requests a second, asking for each costs more than the slots that lie idle; but
+// keep is how long a slot granted now may be kept after its answer. In a large
+// pool asking for each costs more than the slots that lie idle; but
 // what is kept is out of the tiers' reach until it is recalled, so nothing is
 // kept when slots are short, nor of a class whose concurrency is limited.
 func (p *Pool) keep(c *classQueue) time.Duration {
 	busy := float64(len(p.leases)) > keepBusy*float64(p.slots)
-	if p.cfg.KeepAbove == 0 || p.grants < p.cfg.KeepAbove || busy || c.rule.Concurrency != 0 {
+	if p.cfg.KeepAbove == 0 || len(p.leases) < p.cfg.KeepAbove || busy || c.rule.Concurrency != 0 {
 		return 0
 	}
 	return keepTime
@@ -848,8 +845,8 @@
 // is free, or an upstream is leaving. It says so at most every recallEvery.
 func (p *Pool) Recall(now Time) bool {
 	short := len(p.waiting) > 0 && now-p.recalled >= recallEvery
-	if p.cfg.KeepAbove == 0 || !short && !p.recallNow {
-		return false
+	if now > p.keptUntil || !short && !p.recallNow {
+		return false // nothing can be kept, or nothing is wanted
 	}
 	p.recallNow = false
 	p.recalled = now
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -21,7 +21,6 @@
 	Slots     int     // of each upstream
 	Rate      float64 // requests a second for each box
 	Seconds   float64 // measured, after the same time to fill up
-	Overload  bool    // offer half as much again as the upstreams carry
 }
 
 // CellResult is what control cost there. All but the sizes are for a box.
