--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -27,7 +27,8 @@
 	names    []string
 	table    *table.Table
 	roster   Roster
-	down     bool // the platform
+	down     bool            // the platform
+	blind    map[string]bool // domains that are cut off from the platform
 	old      *table.Table
 	loss     float64
 	repeat   float64
@@ -105,7 +106,7 @@
 // newWorld makes domains with the given numbers of boxes, and engines of four
 // slots for each.
 func newWorld(t testing.TB, seed uint64, domains, boxes, engines int) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 7)), boxes: make(map[string]*testBox), cut: make(map[[2]string]bool),
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 7)), boxes: make(map[string]*testBox), cut: make(map[[2]string]bool), blind: make(map[string]bool),
 		engines: make(map[string]*testEngine), finals: make(map[uint64]Final), ends: make(map[uint64]int),
 		executed: make(map[string]int), delay: 2 * time.Millisecond, slow: time.Millisecond}
 	w.table = testTable()
@@ -343,7 +344,7 @@
 func (w *world) read(b *testBox, boot uint64) {
 	w.calls++
 	w.after(20*time.Millisecond, func() {
-		if w.down {
+		if w.down || w.blind[b.domain] {
 			w.on(b, boot, func() { b.node.ReadDone(false) })
 			return
 		}
--- a/cmd/doormast/main.go
+++ b/cmd/doormast/main.go
@@ -11,6 +11,13 @@
 )
 
 func main() {
+	if err := newRoot().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "doormast",
 		Short:         "Operate the doormast router",
@@ -20,8 +27,5 @@
 	}
 	root.AddCommand(demoCommand(), tableCommand(), statusCommand(), timelineCommand(), explainCommand(),
 		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	return root
 }
