A cancelled run whose caller waits is kept; a refusal tells that an upstream leaves

Cause: reading the root package: cancelling a run marked its request as done with, although after a pause the caller still waits: its next dispatch would have found nothing and the caller would never have been answered. An upstream's own refusal for leaving was not passed on.

--- a/cell/holder.go
+++ b/cell/holder.go
@@ -333,7 +333,11 @@
 	if r.Outcome == decide.Answered && n.keepSlot(l) {
 		return
 	}
-	m := &Release{Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: r.Outcome, Pace: r.Pace, First: r.First, Attempt: l.slotAttempt}
+	outcome := r.Outcome
+	if r.Leaving {
+		outcome = decide.Draining
+	}
+	m := &Release{Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: outcome, Pace: r.Pace, First: r.First, Attempt: l.slotAttempt}
 	if l.owner != "" {
 		n.deliver(l.owner, m)
 	}
--- a/core.go
+++ b/core.go
@@ -129,6 +129,7 @@
 		b.finished(now, n.request, n.result)
 	case noticeLeft:
 		b.node.CallerLeft(now, n.request)
+		b.callerGone(n.request)
 	case noticeReport:
 		b.node.Report(now, n.report)
 	case noticeTable:
@@ -254,9 +255,5 @@
 		return
 	}
 	r.exchange.Refuse(a.Final)
-	if r.cancel == nil {
-		delete(b.runs, a.Request)
-	} else {
-		r.gone = true
-	}
+	b.callerGone(a.Request)
 }
--- a/decide/doc.go
+++ b/decide/doc.go
@@ -88,6 +88,7 @@
 	Paused                   // stopped for a higher tier; the upstream keeps the state
 	Failed                   // the upstream broke
 	Unused                   // nothing was sent
+	Draining                 // the upstream refused it because it is leaving
 )
 
 // VerdictKind tells what a Verdict is.
--- a/decide/place.go
+++ b/decide/place.go
@@ -109,10 +109,7 @@
 	defer p.countFree(b)
 	b.foreign = max(0, r.Running+r.Waiting-b.heldAround(now, r.Age))
 	b.fresh = 0
-	if r.Leaving && !b.draining {
-		p.recallNow = true // what is kept there must not be used again
-	}
-	b.draining = r.Leaving
+	p.setDraining(b, r.Leaving)
 	if r.Gap {
 		// Announcements were lost: what is known of this cache is in doubt, so
 		// forget it and learn it again.
@@ -126,6 +123,14 @@
 	}
 }
 
+// setDraining notes whether an upstream is leaving, by its own word.
+func (p *Pool) setDraining(b *backend, on bool) {
+	if on && !b.draining {
+		p.recallNow = true // what is kept there must not be used again
+	}
+	b.draining = on
+}
+
 // cache notes a prefix as held by b; what was noted first is forgotten first.
 func (p *Pool) cache(b *backend, prefix uint64) {
 	holders := p.cached[prefix]
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -487,6 +487,9 @@
 	case Failed:
 		b.failed(now)
 		p.refreshed = now - refreshEvery
+	case Draining:
+		p.setDraining(b, true)
+		p.refreshed = now - refreshEvery
 	}
 	l.class.settle(l.customer, float64(u.Tokens)-l.work)
 	p.end(l)
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -439,6 +439,24 @@
 	is.Equal(p.byName["a"].held+p.byName["b"].held, 3)
 }
 
+// TestDrainingByRefusal: an upstream that refuses a request because it is leaving
+// gets no other, before any report says so.
+func TestDrainingByRefusal(t *testing.T) {
+	is := is.New(t)
+	p := testPool(4, rule("c", 1, false))
+	p.Offer(0, bid(1, "c"))
+	gone := p.Decide(0)[0].Upstream
+	p.Release(0, 1, Usage{Outcome: Draining})
+	for i := range uint64(8) {
+		p.Offer(0, bid(10+i, "c"))
+	}
+	got := p.Decide(0)
+	is.Equal(len(got), 4)
+	for _, v := range got {
+		is.True(v.Upstream != gone)
+	}
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, waiting := range []int{0, 1000, 10000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -111,7 +111,7 @@
 		return &cell.Preempt{Set: b.Preempt.Set, ID: b.Preempt.Id}
 	case *wire.Message_Release:
 		w := b.Release
-		if w.Outcome > uint32(decide.Unused) {
+		if w.Outcome > uint32(decide.Draining) {
 			return nil
 		}
 		return &cell.Release{Set: w.Set, ID: w.Id, Upstream: w.Upstream, Tokens: int(w.Tokens), Outcome: decide.Outcome(w.Outcome), Pace: span(w.Pace), First: span(w.First), Attempt: w.Attempt}
--- a/run.go
+++ b/run.go
@@ -123,7 +123,18 @@
 func (b *Box) cancelRun(id uint64) {
 	if r := b.runs[id]; r != nil && r.cancel != nil {
 		r.cancel()
-		r.gone = true
+	}
+}
+
+// callerGone notes that nobody waits for the request any more.
+func (b *Box) callerGone(id uint64) {
+	r := b.runs[id]
+	if r == nil {
+		return
+	}
+	r.gone = true
+	if r.cancel == nil {
+		delete(b.runs, id)
 	}
 }
 
