Domains tell what they can spare for each tier

A domain told others of free slots only, and under overload none are free, though one domain may run low tiers while another refuses high ones. Changed: the summary counts, for each tier, free slots and those of lower tiers beyond their floors, less what waits of the tier and above.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -122,7 +122,7 @@
 		"claim":    control.Size(&cell.Claim{Key: "dmd1:domain-12:1800000000000:0123456789abcdef", ID: id}),
 		"ask":      control.Size(&cell.Ask{Limit: "customer/customer-123/rate", Want: 1}),
 		"lend":     control.Size(&cell.Lend{Limit: "customer/customer-123/rate", Amount: 1, Life: decide.LoanLife}),
-		"spare":    control.Size(&cell.Spare{Set: set, Domain: "domain-12", Slots: 100, Owner: box}),
+		"spare":    control.Size(&cell.Spare{Set: set, Domain: "domain-12", Slots: []int{100, 50, 20, 10}, Owner: box}),
 		"offer":    control.Size(&cell.TableOffer{Revision: 20000, Digest: id}),
 		"datagram": experiment.DatagramBytes,
 	}
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -358,7 +358,7 @@
 	case decide.RefuseBid:
 		r := &Refusal{Set: set, ID: v.ID, Reason: v.Reason, RetryAfter: v.RetryAfter,
 			LowerWaiting: v.LowerWaiting, LowerRunning: v.LowerRunning}
-		r.Redirect = n.elsewhere(set, v.Reason)
+		r.Redirect = n.elsewhere(set, v.Tier, v.Reason)
 		n.deliver(v.Box, r)
 	case decide.PauseLease:
 		n.record(timeline.Event{Kind: timeline.PauseOrdered, Request: v.ID, Class: v.Class, Tier: v.Tier, Upstream: v.Upstream, Set: set})
--- a/cell/spare.go
+++ b/cell/spare.go
@@ -6,6 +6,7 @@
 // and there it comes after the domain's own of the same tier.
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,7 +24,7 @@
 
 // spare is what another domain said it has free.
 type spare struct {
-	slots int
+	slots []int // by tier
 	owner string
 	heard time.Duration
 }
@@ -35,18 +36,28 @@
 	}
 	n.nextSpare = n.now + n.timing.Spare
 	for _, set := range n.Owned() {
-		slots := int(spareShare * float64(n.pools[set].Counts(n.now).Spare))
-		if slots == 0 {
-			continue
-		}
 		others := n.otherDomains()
+		slots := n.spareSlots(n.pools[set], len(others))
+		if len(slots) == 0 || slots[0] == 0 {
+			continue // a tier has at least what lower ones have
+		}
 		for _, boxes := range others {
 			to := decide.Owner("set/"+set, boxes)
-			n.send(to, &Spare{Set: set, Domain: n.cfg.Domain, Slots: slots/len(others) + 1, Owner: n.cfg.Box})
+			n.send(to, &Spare{Set: set, Domain: n.cfg.Domain, Slots: slots, Owner: n.cfg.Box})
 		}
 	}
 }
 
+// spareSlots is what each other domain is offered of a pool, by tier.
+func (n *Node) spareSlots(p *decide.Pool, others int) []int {
+	var out []int
+	for tier := 1; tier <= p.Tiers(); tier++ {
+		spare := spareShare * float64(p.SpareFor(n.now, tier)) / float64(max(1, others))
+		out = append(out, int(math.Ceil(spare)))
+	}
+	return out
+}
+
 // otherDomains lists the boxes of each other domain that are not leaving, in the
 // order of the list.
 func (n *Node) otherDomains() [][]string {
@@ -86,8 +97,23 @@
 	n.dirty[m.Set] = true
 }
 
-// bestSpare is the domain with the most spare slots of a set, or nil.
-func (n *Node) bestSpare(set string) *spare {
+// room is how many slots are spare for a tier.
+func (s *spare) room(tier int) int {
+	if tier < 1 || tier > len(s.slots) {
+		return 0
+	}
+	return s.slots[tier-1]
+}
+
+// take notes that one of the slots is sent a request.
+func (s *spare) take() {
+	for i := range s.slots {
+		s.slots[i] = max(0, s.slots[i]-1)
+	}
+}
+
+// bestSpare is the domain with the most spare slots of a set for a tier, or nil.
+func (n *Node) bestSpare(set string, tier int) *spare {
 	var domains []string
 	for d := range n.spares[set] {
 		domains = append(domains, d)
@@ -96,7 +122,7 @@
 	var best *spare
 	for _, d := range domains {
 		s := n.spares[set][d]
-		if n.now-s.heard < spareLife*n.timing.Spare && s.slots > 0 && (best == nil || s.slots > best.slots) {
+		if n.now-s.heard < spareLife*n.timing.Spare && s.room(tier) > 0 && (best == nil || s.room(tier) > best.room(tier)) {
 			best = s
 		}
 	}
@@ -104,35 +130,37 @@
 }
 
 // elsewhere names the owner that a request refused here may bid to, or "".
-func (n *Node) elsewhere(set string, reason decide.Reason) string {
+func (n *Node) elsewhere(set string, tier int, reason decide.Reason) string {
 	switch reason {
 	case decide.Late, decide.QueueFull, decide.Evicted, decide.NoUpstream:
 	default:
 		return ""
 	}
-	s := n.bestSpare(set)
+	s := n.bestSpare(set, tier)
 	if s == nil {
 		return ""
 	}
-	s.slots--
+	s.take()
 	return s.owner
 }
 
 // overflow sends on what waits here while there is room elsewhere.
 func (n *Node) overflow(set string, p *decide.Pool) {
-	for {
-		s := n.bestSpare(set)
+	if len(n.spares[set]) == 0 {
+		return
+	}
+	var owners []string
+	bids := p.TakeSurplus(n.now, n.timing.Patience, func(tier int) bool {
+		s := n.bestSpare(set, tier)
 		if s == nil {
-			return
-		}
-		bids := p.TakeSurplus(n.now, s.slots, n.timing.Patience)
-		if len(bids) == 0 {
-			return
-		}
-		s.slots -= len(bids)
-		for _, b := range bids {
-			n.deliver(b.Box, &Refusal{Set: set, ID: b.ID, Reason: decide.NoUpstream, Redirect: s.owner, RetryAfter: time.Second})
+			return false
 		}
+		s.take()
+		owners = append(owners, s.owner)
+		return true
+	})
+	for i, b := range bids {
+		n.deliver(b.Box, &Refusal{Set: set, ID: b.ID, Reason: decide.NoUpstream, Redirect: owners[i], RetryAfter: time.Second})
 	}
 }
 
--- a/cell/types.go
+++ b/cell/types.go
@@ -142,11 +142,12 @@
 	Life   time.Duration
 }
 
-// Spare says how many slots of a set are free in a domain, and where to bid.
+// Spare says how many slots of a set are spare in a domain for each tier, the
+// highest first, and where to bid.
 type Spare struct {
 	Set      string
 	Domain   string
-	Slots    int
+	Slots    []int
 	Owner    string
 	PassedOn bool
 }
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -1037,13 +1037,14 @@
 	return wait + time.Duration(p.random.Float64()*float64(wait)/2)
 }
 
-// TakeSurplus takes out up to most of the requests that are next and have waited
-// for at least patience, so that they can bid in another failure domain.
-func (p *Pool) TakeSurplus(now Time, most int, patience time.Duration) []Bid {
+// TakeSurplus takes out the requests that are next, have waited for at least
+// patience, and for whose tier there is room elsewhere, so that they can bid in
+// another failure domain.
+func (p *Pool) TakeSurplus(now Time, patience time.Duration, room func(tier int) bool) []Bid {
 	var out []Bid
-	for len(out) < most {
+	for {
 		w := p.next(now)
-		if w == nil || w.bid.Visitor || w.bid.Resume != "" || now-w.offered < patience {
+		if w == nil || w.bid.Visitor || w.bid.Resume != "" || now-w.offered < patience || !room(w.class.rule.Tier) {
 			break
 		}
 		out = append(out, w.bid)
@@ -1058,13 +1059,35 @@
 	Waiting int
 	Running int
 	Slots   int
-	Spare   int // free slots that nobody waits for
 }
 
 // Counts returns the pool's state.
 func (p *Pool) Counts(now Time) Counts {
 	p.freshen(now)
 	c := Counts{Waiting: len(p.waiting), Running: len(p.leases), Slots: p.slots}
-	c.Spare = max(0, c.Slots-c.Running-c.Waiting)
 	return c
 }
+
+// SpareFor counts the slots that a request of the tier from elsewhere could have:
+// free ones, and those of lower tiers beyond what their floors protect, less what
+// waits of its tier and higher ones here.
+func (p *Pool) SpareFor(now Time, tier int) int {
+	p.freshen(now)
+	n := p.slots
+	for _, c := range p.classes {
+		if c.rule.Tier <= tier {
+			n -= c.running + c.waiting
+		} else {
+			n -= min(c.running, p.protected(c))
+		}
+	}
+	return max(0, n)
+}
+
+// Tiers is the number of the lowest tier of the pool's classes.
+func (p *Pool) Tiers() int {
+	if len(p.classes) == 0 {
+		return 0
+	}
+	return p.classes[len(p.classes)-1].rule.Tier
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -44,7 +44,7 @@
 		&cell.ClaimReply{Key: "k", ID: 1, Verdict: decide.ClaimDuplicate},
 		&cell.Ask{Limit: "l", Want: 1.5},
 		&cell.Lend{Limit: "l", Amount: 2.5, Life: time.Second},
-		&cell.Spare{Set: "s", Domain: "d", Slots: 3, Owner: "b", PassedOn: true},
+		&cell.Spare{Set: "s", Domain: "d", Slots: []int{3, 1}, Owner: "b", PassedOn: true},
 		&cell.TableOffer{Revision: 1, Digest: 2},
 	}
 }
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -61,7 +61,7 @@
 		return &wire.Message{Body: &wire.Message_Lend{Lend: &wire.Lend{Limit: m.Limit, Milli: uint64(m.Amount * limitScale), Life: micros(m.Life)}}}
 	case *cell.Spare:
 		return &wire.Message{Body: &wire.Message_Spare{Spare: &wire.Spare{
-			Set: m.Set, Domain: m.Domain, Slots: uint32(m.Slots), Owner: m.Owner, PassedOn: m.PassedOn}}}
+			Set: m.Set, Domain: m.Domain, Slots: slotsToWire(m.Slots), Owner: m.Owner, PassedOn: m.PassedOn}}}
 	case *cell.TableOffer:
 		return &wire.Message{Body: &wire.Message_TableOffer{TableOffer: &wire.TableOffer{Revision: m.Revision, Digest: m.Digest}}}
 	}
@@ -132,13 +132,32 @@
 		return &cell.Lend{Limit: b.Lend.Limit, Amount: float64(b.Lend.Milli) / limitScale, Life: span(b.Lend.Life)}
 	case *wire.Message_Spare:
 		w := b.Spare
-		return &cell.Spare{Set: w.Set, Domain: w.Domain, Slots: int(min(w.Slots, 1<<20)), Owner: w.Owner, PassedOn: w.PassedOn}
+		return &cell.Spare{Set: w.Set, Domain: w.Domain, Slots: slotsFromWire(w.Slots), Owner: w.Owner, PassedOn: w.PassedOn}
 	case *wire.Message_TableOffer:
 		return &cell.TableOffer{Revision: b.TableOffer.Revision, Digest: b.TableOffer.Digest}
 	}
 	return nil
 }
 
+func slotsToWire(slots []int) []uint32 {
+	var out []uint32
+	for _, n := range slots {
+		out = append(out, uint32(n))
+	}
+	return out
+}
+
+// maxSpare bounds what another domain may claim to have.
+const maxSpare = 1 << 20
+
+func slotsFromWire(slots []uint32) []int {
+	var out []int
+	for _, n := range slots {
+		out = append(out, int(min(n, maxSpare)))
+	}
+	return out
+}
+
 func heartbeatFromWire(w *wire.Heartbeat) cell.Message {
 	h := &cell.Heartbeat{Counter: w.Counter, Table: w.TableRevision, Digest: w.TableDigest,
 		Roster: w.RosterRevision, Leaving: w.Leaving, Blind: w.Blind,
