--- a/decide/length.go
+++ b/decide/length.go
@@ -36,19 +36,19 @@
 	return max(1, (l.sum+lengthPrior*priorAnswers)/(l.count+priorAnswers))
 }
 
-// Quantile is a length that a share q of the answers does not exceed.
-func (l *Lengths) Quantile(q float64) float64 {
-	if l.count == 0 {
-		return lengthPrior
+// Remaining is how many tokens are expected of an answer that has had done, which
+// has grown past some of the class's: only the longer ones tell of it.
+func (l *Lengths) Remaining(done int) float64 {
+	have := float64(done)
+	count, sum := 0.0, 0.0
+	for i := bucketOf(have) + 1; i < lengthBuckets; i++ {
+		count += l.buckets[i]
+		sum += l.buckets[i] * math.Pow(lengthBase, float64(i)+0.5)
 	}
-	seen := 0.0
-	for i, n := range l.buckets {
-		seen += n
-		if seen >= q*l.count {
-			return math.Pow(lengthBase, float64(i+1))
-		}
+	if count < 1 {
+		return max(l.Mean()-have, l.Mean()/4)
 	}
-	return math.Pow(lengthBase, lengthBuckets)
+	return max(sum/count-have, 1)
 }
 
 func bucketOf(tokens float64) int {
--- a/decide/limit.go
+++ b/decide/limit.go
@@ -147,9 +147,6 @@
 	s.use = max(0, s.use-1/useMemory)
 }
 
-// InUse is how many requests use the limit now, for a concurrency.
-func (s *Share) InUse() int { return s.inUse }
-
 // Lend hands over up to want of what this box does not need, and returns how
 // much. From now until the loan ends the box does not use it. What was borrowed
 // is not lent on.
@@ -185,12 +182,6 @@
 	}
 }
 
-// Overdrawn is how many requests run beyond the share, because a loan ended
-// under them. They are not cut.
-func (s *Share) Overdrawn(now Time) int {
-	return max(0, s.inUse-int(s.effective(now)))
-}
-
 // RetryAfter is when one more request is allowed, as far as this box can tell.
 func (s *Share) RetryAfter(now Time) time.Duration {
 	rate := s.effective(now)
--- a/decide/once.go
+++ b/decide/once.go
@@ -256,9 +256,6 @@
 	}
 }
 
-// Size is how many keys are remembered.
-func (c *Claims) Size() int { return len(c.keys) }
-
 func equal(a, b []string) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -291,7 +291,7 @@
 		req.MaxTokens = class.MaxTokens
 	}
 	req.Prefix = prefixOf(body.Messages)
-	x := newExchange(s.cfg.Buffer, body.Stream)
+	x := NewExchange(s.cfg.Buffer)
 	x.Path, x.Method, x.Type = pathChat, "POST", "application/json"
 	x.Body = withLimit(ctx.PostBody(), req.MaxTokens, body.MaxTokens)
 	s.serve(ctx, req, x, body.Stream)
@@ -335,7 +335,7 @@
 	if class == nil {
 		return
 	}
-	x := newExchange(s.cfg.Buffer, false)
+	x := NewExchange(s.cfg.Buffer)
 	x.Plain, x.Path, x.Method = true, "/"+rest, string(ctx.Method())
 	x.Type = string(ctx.Request.Header.ContentType())
 	x.Body = append([]byte(nil), ctx.PostBody()...)
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -49,13 +49,11 @@
 	end    sync.Once
 }
 
-func newExchange(buffer int, _ bool) *Exchange {
+// NewExchange returns an exchange that holds up to buffer pieces.
+func NewExchange(buffer int) *Exchange {
 	return &Exchange{pieces: make(chan piece, buffer), left: make(chan struct{})}
 }
 
-// NewExchange returns an exchange that is not from the edge, for embedding.
-func NewExchange(buffer int) *Exchange { return newExchange(buffer, true) }
-
 // Event hands over an event of the stream. It blocks while the caller is slow,
 // and fails once the caller has left.
 func (x *Exchange) Event(data []byte) error {
