Files by concept in cell, caller and experiment; log lines begin with their part

Cause: node.go, caller.go and loop.go were the largest files left; the house style wants a fixed prefix for each part, which was a field so far. The edge's figures lacked allocations, requests on a core and 10,000 open streams.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -55,10 +55,13 @@
 
 // EdgeCost is what requests and streams cost the whole daemon.
 type EdgeCost struct {
-	EventNanos  float64 `json:"event_nanos"`  // processor time of a streamed event, both stand-ins' share not taken off
-	StreamBytes float64 `json:"stream_bytes"` // memory of an open stream
-	AddedMedian float64 `json:"added_median"` // microseconds to the first byte of an answer
-	AddedP99    float64 `json:"added_p99"`
+	EventNanos   float64 `json:"event_nanos"`   // processor time of a streamed event, both stand-ins' share not taken off
+	EventAllocs  float64 `json:"event_allocs"`  // allocations of a streamed event
+	RequestNanos float64 `json:"request_nanos"` // processor time of a request with an answer of one token
+	StreamBytes  float64 `json:"stream_bytes"`  // memory of an open stream, of 1,000
+	ManyBytes    float64 `json:"many_bytes"`    // the same, of 10,000
+	AddedMedian  float64 `json:"added_median"`  // microseconds to the first byte of an answer
+	AddedP99     float64 `json:"added_p99"`
 }
 
 // Measure takes all slopes. It lasts about two minutes.
--- a/capacity/edge.go
+++ b/capacity/edge.go
@@ -125,12 +125,15 @@
 		e.close()
 		return c, err
 	}
-	if c.EventNanos, err = e.events(address); err != nil {
+	if err = e.events(address, &c); err != nil {
 		e.close()
 		return c, err
 	}
 	e.close()
-	c.StreamBytes, err = measureStreams()
+	if c.StreamBytes, err = measureStreams(1000); err != nil {
+		return c, err
+	}
+	c.ManyBytes, err = measureStreams(10000)
 	return c, err
 }
 
@@ -160,39 +163,68 @@
 	return nil
 }
 
-// events measures the processor time of an event through the daemon, less that
-// of one straight from the stand-in.
-func (e *edgeSystem) events(address string) (float64, error) {
-	const streams, tokens = 16, 4000
-	run := func(address string) (float64, error) {
-		start := processorTime()
-		var wg sync.WaitGroup
-		errs := make(chan error, streams)
-		for range streams {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				_, err := e.ask(address, tokens)
-				errs <- err
-			}()
-		}
-		wg.Wait()
-		for range streams {
-			if err := <-errs; err != nil {
-				return 0, err
+// work is what a number of requests cost the whole process, for each.
+type work struct {
+	nanos  float64 // processor time
+	allocs float64
+}
+
+// many makes requests, some at a time, for answers of some tokens.
+func (e *edgeSystem) many(address string, atOnce, requests, tokens int) (work, error) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start := processorTime()
+	var wg sync.WaitGroup
+	errs := make(chan error, atOnce)
+	for range atOnce {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range requests / atOnce {
+				if _, err := e.ask(address, tokens); err != nil {
+					errs <- err
+					return
+				}
 			}
-		}
-		return float64((processorTime() - start).Nanoseconds()) / streams / tokens, nil
+		}()
 	}
-	if _, err := run(address); err != nil {
-		return 0, err
+	wg.Wait()
+	spent := processorTime() - start
+	runtime.ReadMemStats(&after)
+	select {
+	case err := <-errs:
+		return work{}, err
+	default:
 	}
-	direct, err := run(e.engine.Address())
+	n := float64(requests)
+	return work{float64(spent.Nanoseconds()) / n, float64(after.Mallocs-before.Mallocs) / n}, nil
+}
+
+// through measures requests through the daemon, less those straight from the
+// stand-in.
+func (e *edgeSystem) through(address string, atOnce, requests, tokens int) (work, error) {
+	if _, err := e.many(address, atOnce, requests, tokens); err != nil {
+		return work{}, err // warm
+	}
+	direct, err := e.many(e.engine.Address(), atOnce, requests, tokens)
 	if err != nil {
-		return 0, err
+		return work{}, err
 	}
-	through, err := run(address)
-	return through - direct, err
+	w, err := e.many(address, atOnce, requests, tokens)
+	return work{w.nanos - direct.nanos, w.allocs - direct.allocs}, err
+}
+
+// events measures a streamed event and a short request.
+func (e *edgeSystem) events(address string, c *EdgeCost) error {
+	const tokens = 4000
+	long, err := e.through(address, 16, 16, tokens)
+	if err != nil {
+		return err
+	}
+	c.EventNanos, c.EventAllocs = long.nanos/tokens, long.allocs/tokens
+	short, err := e.through(address, 16, 16000, 1)
+	c.RequestNanos = short.nanos
+	return err
 }
 
 func processorTime() time.Duration {
@@ -205,18 +237,16 @@
 
 // measureStreams measures the memory of an open stream through the daemon, less
 // that of one straight from the stand-in; the caller's side is in both.
-func measureStreams() (float64, error) {
-	direct, err := streamsBytes(false)
+func measureStreams(openStreams int) (float64, error) {
+	direct, err := streamsBytes(openStreams, false)
 	if err != nil {
 		return 0, err
 	}
-	through, err := streamsBytes(true)
+	through, err := streamsBytes(openStreams, true)
 	return through - direct, err
 }
 
-const openStreams = 1000
-
-func streamsBytes(throughBox bool) (float64, error) {
+func streamsBytes(openStreams int, throughBox bool) (float64, error) {
 	e, err := startEdge(openStreams*2, time.Minute)
 	if err != nil {
 		return 0, err
@@ -244,7 +274,7 @@
 	}
 	for range 1500 {
 		if e.engine.Counts().Running == openStreams {
-			return float64(inUse()-before) / openStreams, nil
+			return float64(inUse()-before) / float64(openStreams), nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/cell/node.go
+++ b/cell/node.go
@@ -1,5 +1,9 @@
 package cell
 
+// This file defines the node itself: its configuration and state, the passing of
+// time, and the ways in. The invariant: a pause of the box is noticed before
+// anything is done after it.
+
 import (
 	"math/rand/v2"
 	"slices"
@@ -11,58 +15,6 @@
 	"github.com/doormast/doormast/timeline"
 )
 
-// Timing holds the spans that the control between boxes goes by.
-type Timing struct {
-	Heartbeat   time.Duration // between probes
-	Probe       time.Duration // an unanswered probe is repeated after this time
-	Suspect     time.Duration // a suspected box has this time to refute it
-	Dead        time.Duration // after which a silent box is missed at the latest, by one it does not answer
-	Fanout      int           // boxes that get each heartbeat
-	Gossip      int           // sightings in each heartbeat
-	Join        time.Duration // a new box listens this long before it owns anything
-	Holding     time.Duration // between renewals of leases while something waits
-	Renew       time.Duration // between renewals of leases otherwise
-	LeaseLife   time.Duration // a lease that is not renewed ends
-	StartBy     time.Duration // a granted slot must be used within this time
-	Learn       time.Duration // a new owner waits this long for what others hold
-	OwnerSilent time.Duration // silence of an owner after which a box uses its own share
-	ClaimRetry  time.Duration // between askings for a key
-	ClaimGiveUp time.Duration // after which a claim is given up
-	LimitWait   time.Duration // a request waits this long for a borrowed share
-	Spare       time.Duration // between summaries to other domains
-	Patience    time.Duration // a request waits this long before it may bid elsewhere
-	Visit       time.Duration // a bid elsewhere that is not granted in this time comes home
-	Pull        time.Duration // a pull that takes longer is tried elsewhere
-	Gap         time.Duration // a gap in the own time that voids leases and view
-}
-
-// DefaultTiming suits boxes a fraction of a millisecond apart.
-func DefaultTiming() Timing {
-	return Timing{
-		Heartbeat:   250 * time.Millisecond,
-		Probe:       150 * time.Millisecond,
-		Suspect:     1500 * time.Millisecond,
-		Dead:        2 * time.Second,
-		Fanout:      3,
-		Gossip:      8,
-		Join:        600 * time.Millisecond,
-		Holding:     500 * time.Millisecond,
-		Renew:       2 * time.Second,
-		LeaseLife:   5 * time.Second,
-		StartBy:     time.Second,
-		Learn:       1500 * time.Millisecond,
-		OwnerSilent: 900 * time.Millisecond,
-		ClaimRetry:  100 * time.Millisecond,
-		ClaimGiveUp: time.Second,
-		LimitWait:   250 * time.Millisecond,
-		Spare:       time.Second,
-		Patience:    200 * time.Millisecond,
-		Visit:       time.Second,
-		Pull:        time.Second,
-		Gap:         900 * time.Millisecond,
-	}
-}
-
 // Config configures a Node.
 type Config struct {
 	Box    string
@@ -297,21 +249,6 @@
 	}
 }
 
-// join ends the time of listening, after which this box may own something.
-func (n *Node) join() {
-	if n.joined {
-		return
-	}
-	all := true
-	for _, p := range n.members.peers {
-		all = all && (p.alive || !p.listed)
-	}
-	waited := n.now - n.started
-	if all && len(n.members.peers) > 0 || waited >= n.timing.Join && n.members.complete || waited >= 2*n.timing.Join {
-		n.joined = true
-	}
-}
-
 // observe keeps the claims' picture of the list up to date.
 func (n *Node) observe() {
 	n.claims.Observe(n.wall, n.listed(), n.agreed())
@@ -344,71 +281,6 @@
 	return out
 }
 
-func (n *Node) memberChanged(p *peer) {
-	kind := timeline.BoxAlive
-	if !p.alive {
-		kind = timeline.BoxDead
-		for set, pool := range n.pools {
-			pool.BoxGone(p.name)
-			n.dirty[set] = true
-		}
-	}
-	n.record(timeline.Event{Kind: kind, Reason: p.name})
-}
-
-// beat probes other boxes when it is time. A box that is joining does so in every
-// tick.
-func (n *Node) beat() {
-	if n.now < n.nextHeartbeat && n.joined {
-		return
-	}
-	n.nextHeartbeat = n.now + n.timing.Heartbeat
-	n.probe(n.members.targets(n.now, !n.joined))
-}
-
-func (n *Node) probe(targets []string) {
-	if len(targets) == 0 {
-		return
-	}
-	h := n.heartbeat(false)
-	h.Probe, h.Joining = true, !n.joined
-	for _, to := range targets {
-		n.send(to, h)
-	}
-}
-
-// urgentFanout is how many boxes are told of a suspicion at once.
-const urgentFanout = 2
-
-// passOn tells a few boxes at once of a new suspicion, and they others: it should
-// be refuted or believed everywhere soon.
-func (n *Node) passOn() {
-	if n.members.urgent {
-		n.members.urgent = false
-		n.sendHeartbeat(n.members.some(urgentFanout))
-	}
-}
-
-// sendHeartbeat tells boxes of this one's state, without wanting an answer.
-func (n *Node) sendHeartbeat(targets []string) {
-	if len(targets) == 0 {
-		return
-	}
-	h := n.heartbeat(false)
-	for _, to := range targets {
-		n.send(to, h)
-	}
-}
-
-func (n *Node) heartbeat(full bool) *Heartbeat {
-	h := n.members.heartbeat(full)
-	h.Leaving, h.Blind, h.Roster = n.draining, n.blind, n.roster.Revision
-	if n.table != nil {
-		h.Table, h.Digest = n.table.Revision, n.table.Digest()
-	}
-	return h
-}
-
 // Receive takes in a message from another box. Age and authenticity have been
 // checked by the edge: boot and sequence never go back.
 func (n *Node) Receive(now time.Duration, from string, boot uint64, m Message) {
@@ -459,44 +331,6 @@
 	n.flush()
 }
 
-func (n *Node) onHeartbeat(from string, boot uint64, h *Heartbeat) {
-	if !n.known(from) {
-		return
-	}
-	p := n.members.peers[from]
-	wasLeaving := p != nil && p.leaving
-	if p != nil && p.boot != 0 && boot > p.boot {
-		// A new incarnation: what the old one held died with it.
-		for _, pool := range n.pools {
-			pool.BoxGone(from)
-		}
-	}
-	n.members.hear(n.now, from, boot, h)
-	n.members.sweep(n.now, n.memberChanged)
-	n.passOn()
-	if h.Probe {
-		n.send(from, n.heartbeat(h.Joining))
-	}
-	if h.Leaving != wasLeaving {
-		n.reown()
-	}
-	n.comparePublished(from, h.Table, h.Roster)
-}
-
-// known reports whether a box belongs to this domain: heartbeats of others are
-// not part of its membership.
-func (n *Node) known(box string) bool {
-	if n.members.peers[box] != nil {
-		return true
-	}
-	for _, b := range n.roster.Boxes {
-		if b.Name == box {
-			return b.Domain == n.cfg.Domain
-		}
-	}
-	return true // not listed yet: a new box speaks before the list names it
-}
-
 // Drain begins a planned stop: the box gives up what it owns and tells the
 // others, but goes on with what it carries.
 func (n *Node) Drain(now time.Duration) {
@@ -540,6 +374,3 @@
 func jitter(n *Node, span time.Duration) time.Duration {
 	return time.Duration(n.random.Int64N(int64(span) + 1))
 }
-
-// Live lists the other boxes of the domain that are alive.
-func (n *Node) Live() []string { return n.members.live() }
--- a/doormast.go
+++ b/doormast.go
@@ -199,8 +199,18 @@
 	go func() { b.ended <- dutyEnd{name, f(ctx)} }()
 }
 
-// say returns the log of a part; each part has its fixed prefix.
-func (b *Box) say(part string) *logrus.Entry { return b.log.WithField("part", part) }
+// partLog writes log lines that begin with the fixed prefix of a part.
+type partLog struct {
+	entry  *logrus.Entry
+	prefix string
+}
+
+// say returns the log of a part.
+func (b *Box) say(part string) partLog { return partLog{b.log, part + ": "} }
+
+func (p partLog) Infof(format string, args ...any)  { p.entry.Infof(p.prefix+format, args...) }
+func (p partLog) Warnf(format string, args ...any)  { p.entry.Warnf(p.prefix+format, args...) }
+func (p partLog) Errorf(format string, args ...any) { p.entry.Errorf(p.prefix+format, args...) }
 
 // Addresses returns where the box listens for callers and operators.
 func (b *Box) Addresses() (callers, operators string) {
@@ -217,7 +227,7 @@
 // goes to others, and what is in progress goes on.
 func (b *Box) Drain() {
 	if b.leaving.CompareAndSwap(false, true) {
-		b.say("box").Info("Planned stop begins.")
+		b.say("box").Infof("Planned stop begins.")
 		b.mustTell(notice{kind: noticeDrain})
 	}
 }
@@ -242,7 +252,7 @@
 		b.say("box").Warnf("The stop cut off %d requests.", left)
 		return &Error{Op: "stop", Kind: KindDeadline, Err: context.DeadlineExceeded}
 	}
-	b.say("box").Info("Planned stop is complete.")
+	b.say("box").Infof("Planned stop is complete.")
 	return err
 }
 
--- a/experiment/loop.go
+++ b/experiment/loop.go
@@ -94,14 +94,18 @@
 type timers []timer
 
 func (q timers) Len() int { return len(q) }
+
 func (q timers) Less(i, j int) bool {
 	if q[i].at != q[j].at {
 		return q[i].at < q[j].at
 	}
 	return q[i].order < q[j].order
 }
+
 func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
+
+func (q *timers) Push(x any) { *q = append(*q, x.(timer)) }
+
 func (q *timers) Pop() any {
 	old := *q
 	t := old[len(old)-1]
@@ -123,20 +127,6 @@
 	return l
 }
 
-func newLoop(s *Spec, sc *Scenario, policy string, seed uint64) *loop {
-	l := &loop{spec: s, scenario: sc, policy: policy, byName: make(map[string]*box), byEngine: make(map[string]*engine),
-		requests: make(map[uint64]*request), lag: s.Lag.Std(), delay: s.Delay.Std()}
-	if sc.Lag > 0 {
-		l.lag = sc.Lag.Std()
-	}
-	if policy == Bound {
-		l.lag, l.delay = 0, 0
-	}
-	l.makeEngines()
-	l.makeBoxes(seed)
-	return l
-}
-
 // loop lets the run go on until the time end, or until all requests have ended
 // after the last arrival.
 func (l *loop) loop(end time.Duration) {
@@ -151,27 +141,6 @@
 	}
 }
 
-func (l *loop) domains() int {
-	if l.policy == Bound {
-		return 1
-	}
-	return l.spec.Domains
-}
-
-func (l *loop) makeEngines() {
-	slow := int(l.scenario.Slow * float64(l.spec.Engines))
-	for i := range l.spec.Engines {
-		e := &engine{name: fmt.Sprintf("e%d", i), domain: i % l.domains(), slots: l.spec.Slots, pace: l.spec.Pace.Std(),
-			base: l.spec.Prefill.Std(), cacheMax: l.spec.Cache, priority: l.policy != FIFO && l.policy != LeastLoad}
-		if i < slow {
-			e.pace = time.Duration(float64(e.pace) * l.scenario.Slower)
-		}
-		l.engines = append(l.engines, e)
-		l.byEngine[e.name] = e
-	}
-	l.every(reportEvery, l.reports)
-}
-
 func (l *loop) every(d time.Duration, do func()) {
 	l.after(d, func() {
 		do()
@@ -179,74 +148,6 @@
 	})
 }
 
-// nodeConfig is how a policy sets up a node; nil means that it has none.
-func (l *loop) nodeConfig(name string, domain int, seed uint64) *cell.Config {
-	cfg := &cell.Config{Box: name, Domain: fmt.Sprintf("d%d", domain), Boot: 1, Seed: seed, Timing: cell.DefaultTiming()}
-	switch l.policy {
-	case NoPause:
-		cfg.Pool.NoPause = true
-	case Independent:
-		cfg.Alone = true
-	case Split:
-		cfg.Alone, cfg.Split = true, true
-	case FIFO, LeastLoad:
-		return nil
-	}
-	return cfg
-}
-
-func (l *loop) makeBoxes(seed uint64) {
-	n := l.spec.Boxes
-	if l.policy == Bound {
-		n = 1
-	}
-	roster := cell.Roster{Revision: 1}
-	for i := range n {
-		b := &box{name: fmt.Sprintf("b%d", i), domain: i % l.domains(), sent: make(map[string]int), to: make(map[string][]cell.Message)}
-		l.boxes = append(l.boxes, b)
-		l.byName[b.name] = b
-		roster.Boxes = append(roster.Boxes, cell.BoxEntry{Name: b.name, Domain: fmt.Sprintf("d%d", b.domain)})
-	}
-	t := l.table()
-	l.first = t
-	for i, b := range l.boxes {
-		cfg := l.nodeConfig(b.name, b.domain, seed+uint64(i))
-		if cfg == nil {
-			continue
-		}
-		cfg.Peers = slices.DeleteFunc(slices.Clone(roster.Boxes), func(e cell.BoxEntry) bool { return e.Name == b.name })
-		b.node = cell.NewNode(*cfg)
-		l.tick(b)
-		b.node.SetRoster(roster)
-		b.node.SetTable(t)
-		l.perform(b)
-		l.every(tickEvery, func() { l.tick(b) })
-	}
-}
-
-// table makes the table that the boxes go by.
-func (l *loop) table() *table.Table {
-	t := new(table.Table)
-	for _, c := range l.spec.Classes {
-		row := table.Class{Name: c.Name, Tier: c.Tier, FirstToken: c.FirstToken, Weight: c.Weight, Floor: c.Floor,
-			Repeatable: true, OnLate: table.Wait, Set: setName(c.Set), Scope: table.ScopeDomain}
-		if c.Refuse {
-			row.OnLate = table.Refuse
-		}
-		t.Classes = append(t.Classes, row)
-	}
-	sets := max(1, l.spec.Sets)
-	for i := range sets {
-		t.Sets = append(t.Sets, table.Set{Name: setName(i), Queue: l.spec.Queue * l.spec.Domains / l.domains()})
-	}
-	for i, e := range l.engines {
-		t.Upstreams = append(t.Upstreams, table.Upstream{Name: e.name, Domain: fmt.Sprintf("d%d", e.domain), Kind: table.Engine, Set: setName(i / l.domains() % sets), Slots: e.slots})
-	}
-	return t.WithRevision(1)
-}
-
-func setName(i int) string { return fmt.Sprintf("set%d", i) }
-
 func (l *loop) tick(b *box) {
 	if b.frozen {
 		return
@@ -370,108 +271,6 @@
 	l.sendAll(b)
 }
 
-// pullTime is what a pull of the table takes beside two messages.
-const pullTime = 10 * time.Millisecond
-
-// pull fetches a newer table from another box.
-func (l *loop) pull(b, from *box) {
-	l.after(2*l.delay+pullTime, func() {
-		l.tell(b, func(n *cell.Node) {
-			if !from.frozen {
-				n.SetTable(from.node.Table())
-			}
-			n.PullDone()
-		})
-	})
-}
-
-// watchTime is how long a watch of the platform lasts without a change.
-const watchTime = 5 * time.Second
-
-// read is a watch of the platform.
-func (l *loop) read(b *box) {
-	if l.policy == Bound || l.spec.Name != "cell" {
-		return // the table does not change in an experiment
-	}
-	start := l.now
-	var look func()
-	look = func() {
-		if t := l.platform; t != nil && t.Revision > b.node.Table().Revision || l.now-start > watchTime {
-			l.tell(b, func(n *cell.Node) {
-				if t != nil && !b.frozen {
-					n.SetTable(t)
-				}
-				n.ReadDone(true)
-			})
-			return
-		}
-		l.after(readLatency, look)
-	}
-	l.after(readLatency, look)
-}
-
-// readLatency is what the platform takes to answer.
-const readLatency = 5 * time.Millisecond
-
-// DatagramBytes is what a datagram costs beside its messages: headers of IP and
-// UDP, sender, incarnation, sequence, stamp and MAC.
-const DatagramBytes = 28 + 40 + 16
-
-// sendAll sends what was gathered, one datagram for each box.
-func (l *loop) sendAll(b *box) {
-	if len(b.to) == 0 {
-		return
-	}
-	names := make([]string, 0, len(b.to))
-	for name := range b.to {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		messages := b.to[name]
-		delete(b.to, name)
-		b.grams++
-		b.count += len(messages)
-		b.bytes += DatagramBytes
-		for _, m := range messages {
-			b.bytes += control.Size(m)
-		}
-		dst := l.byName[name]
-		if l.loss > 0 && l.random.Float64() < l.loss {
-			continue
-		}
-		if b.codec != nil {
-			messages = l.throughCodec(b, dst, messages)
-		}
-		l.after(l.delay, func() {
-			l.tell(dst, func(n *cell.Node) {
-				for _, m := range messages {
-					n.Receive(l.now, b.name, 1, m)
-				}
-			})
-		})
-	}
-}
-
-// throughCodec makes real datagrams of the messages and reads them again, so that
-// the cost of that is counted on both sides.
-func (l *loop) throughCodec(b, dst *box, messages []cell.Message) []cell.Message {
-	start := time.Now()
-	grams, err := b.codec.Encode(nil, messages)
-	b.spent += time.Since(start)
-	if err != nil {
-		return nil
-	}
-	start = time.Now()
-	var out []cell.Message
-	for _, g := range grams {
-		r, _ := dst.codec.Decode(g)
-		out = append(out, r.Messages...)
-	}
-	dst.spent += time.Since(start)
-	return out
-}
-
 // dispatch brings a request to an engine.
 func (l *loop) dispatch(b *box, a cell.Action) {
 	r, e := l.requests[a.Request], l.byEngine[a.Upstream]
--- /dev/null
+++ b/internal/caller/serve.go
@@ -0,0 +1,170 @@
+package caller
+
+// This file defines how an answer goes out, whole or as a stream, and how a
+// caller's leaving is seen.
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/timeline"
+)
+
+// watch is an open request whose connection is looked at for its caller leaving.
+type watch struct {
+	conn net.Conn
+	x    *Exchange
+}
+
+// serve hands the request over and answers the caller with what comes back.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, req cell.Request, x *Exchange, stream bool) {
+	x.ID = req.ID
+	ctx.Response.Header.Set(HeaderRequest, timeline.RequestText(req.ID))
+	if own := ctx.Request.Header.Peek(HeaderOwn); len(own) > 0 && len(own) <= 128 {
+		ctx.Response.Header.SetBytesV(HeaderOwn, own)
+	}
+	s.open.Add(1)
+	s.watch(req.ID, ctx.Conn(), x)
+	if !s.cfg.Core.Arrive(Arrival{req, x}) {
+		s.unwatch(req.ID)
+		s.open.Add(-1)
+		s.cfg.Core.Refused(decide.Overloaded)
+		refuse(ctx, fasthttp.StatusServiceUnavailable, refusal{reason: decide.Overloaded, message: "this box can take no more", after: time.Second})
+		return
+	}
+	if stream {
+		s.serveStream(ctx, x)
+		return
+	}
+	defer s.open.Add(-1)
+	defer s.unwatch(req.ID)
+	s.serveWhole(ctx, x)
+}
+
+// serveWhole waits for the end and answers in one piece.
+func (s *Server) serveWhole(ctx *fasthttp.RequestCtx, x *Exchange) {
+	var parts aggregate
+	for {
+		e, ok := x.next()
+		switch {
+		case !ok || e.kind == endLeft:
+			ctx.SetConnectionClose()
+			return
+		case e.kind == endRefused:
+			refuse(ctx, statusOf(e.final), refusalOf(e.final))
+			return
+		case e.kind == pieceWhole:
+			ctx.SetStatusCode(e.status)
+			ctx.SetContentType(e.contentType)
+			ctx.SetBody(e.data)
+			return
+		case e.kind == endWhole:
+			writeJSON(ctx, fasthttp.StatusOK, parts.answer(timeline.RequestText(x.ID)))
+			return
+		default:
+			parts.add(e.data)
+		}
+	}
+}
+
+// serveStream answers with server-sent events. The status is only sent once
+// there is something to send, so that a refusal still has its own status.
+func (s *Server) serveStream(ctx *fasthttp.RequestCtx, x *Exchange) {
+	first, ok := x.next()
+	done := func() {
+		s.unwatch(x.ID)
+		s.open.Add(-1)
+	}
+	if !ok || first.kind == endLeft {
+		done()
+		ctx.SetConnectionClose()
+		return
+	}
+	if first.kind == endRefused {
+		done()
+		refuse(ctx, statusOf(first.final), refusalOf(first.final))
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	ctx.Response.ImmediateHeaderFlush = true
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer done()
+		s.stream(conn, w, x, first)
+	})
+}
+
+// stream writes events until the end, each flushed by itself.
+func (s *Server) stream(conn net.Conn, w *bufio.Writer, x *Exchange, e piece) {
+	for {
+		_ = conn.SetWriteDeadline(time.Now().Add(s.cfg.WriteWait))
+		if err := writePiece(w, e); err != nil {
+			x.Leave()
+			s.cfg.Core.Left(x.ID)
+			return
+		}
+		if e.kind != pieceEvent {
+			return
+		}
+		next, ok := x.next()
+		if !ok {
+			return
+		}
+		e = next
+	}
+}
+
+func writePiece(w *bufio.Writer, e piece) error {
+	switch e.kind {
+	case pieceEvent:
+		writeEvent(w, e.data)
+	case endWhole:
+		writeEvent(w, []byte("[DONE]"))
+	case endRefused:
+		// The answer was cut: the caller must not take it for a short one.
+		writeEvent(w, errorBody(refusalOf(e.final)))
+	}
+	return w.Flush()
+}
+
+func writeEvent(w *bufio.Writer, data []byte) {
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(data)
+	_, _ = w.WriteString("\n\n")
+}
+
+func (s *Server) watch(id uint64, conn net.Conn, x *Exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watched[id] = &watch{conn, x}
+}
+
+func (s *Server) unwatch(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watched, id)
+}
+
+// Sweep looks for callers that went away while nothing is being sent to them,
+// which no write would show. It is called every few tens of milliseconds.
+func (s *Server) Sweep() {
+	s.mu.Lock()
+	var gone []uint64
+	for id, w := range s.watched {
+		if closedByPeer(w.conn) {
+			w.x.Leave()
+			gone = append(gone, id)
+			delete(s.watched, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range gone {
+		s.cfg.Core.Left(id)
+	}
+}
