--- a/cell/recovery_test.go
+++ b/cell/recovery_test.go
@@ -179,3 +179,38 @@
 	}
 	w.check()
 }
+
+// TestPlatformDownForAnHour takes the platform away for an hour: requests are
+// served throughout, a box replaced meanwhile gets the table from its peers, and
+// an edit made in that hour is in force soon after.
+func TestPlatformDownForAnHour(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 26, 1, 3, 2)
+	w.startAll()
+	w.ready()
+	w.down = true
+	for minute := range 60 {
+		for _, name := range w.names {
+			w.arrive(name, "review", "")
+		}
+		w.run(time.Minute)
+		if minute == 30 {
+			w.crash(w.names[0])
+			w.startBox(w.names[0])
+			w.run(2 * time.Second) // without a table its health check keeps callers away
+		}
+	}
+	is.Equal(w.answered, 180)
+	w.table = w.table.WithRevision(2)
+	w.run(time.Minute)
+	w.down = false
+	w.runUntil("the edit everywhere", 4*time.Second, func() bool {
+		for _, b := range w.boxes {
+			if b.node.Table().Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	w.check()
+}
