--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -314,7 +314,7 @@
 	name := rapid.SampledFrom(w.names).Draw(rt, "box")
 	other := rapid.SampledFrom(w.names).Draw(rt, "other")
 	b := w.boxes[name]
-	switch rapid.IntRange(0, 11).Draw(rt, "fault") {
+	switch rapid.IntRange(0, 13).Draw(rt, "fault") {
 	case 0:
 		if !b.dead {
 			w.crash(name)
@@ -345,6 +345,10 @@
 		w.down = !w.down
 	case 10:
 		w.table = w.table.WithRevision(w.table.Revision + 1)
+	case 12:
+		b.skew = time.Duration(rapid.IntRange(-900, 900).Draw(rt, "skew")) * time.Millisecond
+	case 13:
+		w.toggleListed(name)
 	case 11:
 		e := w.engines[rapid.SampledFrom([]string{"e0.0", "e1.0", "pd0"}).Draw(rt, "engine")]
 		e.dead = !e.dead
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -453,6 +453,25 @@
 	return id
 }
 
+// toggleListed takes a box off the platform's list, or puts it on again, whether
+// or not it is alive.
+func (w *world) toggleListed(name string) {
+	w.roster.Revision++
+	var boxes []BoxEntry
+	listed := false
+	for _, b := range w.roster.Boxes {
+		if b.Name == name {
+			listed = true
+		} else {
+			boxes = append(boxes, b)
+		}
+	}
+	if !listed {
+		boxes = append(boxes, BoxEntry{Name: name, Domain: w.boxes[name].domain})
+	}
+	w.roster.Boxes = boxes
+}
+
 // settle heals everything and lets the requests in progress end.
 func (w *world) settle() {
 	w.loss, w.repeat, w.down, w.old = 0, 0, false, nil
@@ -467,6 +486,11 @@
 	for _, e := range w.engines {
 		e.dead, e.leaving = false, false
 	}
+	for _, name := range w.names {
+		if !slices.ContainsFunc(w.roster.Boxes, func(b BoxEntry) bool { return b.Name == name }) {
+			w.toggleListed(name)
+		}
+	}
 	w.run(30 * time.Second)
 }
 
