Fields of the node and the pool say what they hold

Cause: read as a newcomer, a third of the fields had no word on unit or purpose. Measured: tests and lint green; no code changed but two names. Conclusion: kept.

--- a/cell/node.go
+++ b/cell/node.go
@@ -52,41 +52,41 @@
 	cfg      Config
 	timing   Timing
 	random   *rand.Rand
-	now      time.Duration
-	wall     time.Duration
-	started  time.Duration
-	running  bool // the first tick has come
+	now      time.Duration // the box's own clock, as of the last way in
+	wall     time.Duration // since 1970, as of the last tick
+	started  time.Duration // of the time of listening before it may own something
+	running  bool          // the first tick has come
 	lastTick time.Duration
 	members  *membership
 	claims   *decide.Claims
-	arrivals uint64
+	arrivals uint64 // requests so far; orders them
 	actions  []Action
-	draining bool
-	joined   bool
+	draining bool // a planned stop has begun
+	joined   bool // the time of listening is over
 
 	table    *table.Table
 	roster   Roster
 	pulling  time.Duration // a pull is under way until then
-	reading  bool
+	reading  bool          // of the platform, under way
 	nextRead time.Duration
-	blind    bool
+	blind    bool // the last read of the platform failed
 
-	owners     map[string]string // owner of each set, as this box sees it
-	candidates []string          // that the owners were worked out from
-	ownedBy    *table.Table      // the table that they were worked out from
-	inDomain   []string          // the listed boxes of the domain, sorted, this one included
-	pools      map[string]*decide.Pool
-	orders     map[string]*decide.Orders
-	dirty      map[string]bool
-	spares     map[string]map[string]*spare // by set and domain
-	locals     map[uint64]*local
-	parked     []*local
-	kept       map[string][]keptSlot    // by set, the newest last
-	recalled   map[string]time.Duration // when a set was last recalled
-	limits     map[string]*limit
-	lengths    map[string]*decide.Lengths
-	budgets    map[string]*decide.RetryBudget
-	routed     []decide.Verdict
+	owners     map[string]string              // owner of each set, as this box sees it
+	candidates []string                       // that the owners were worked out from
+	ownedBy    *table.Table                   // the table that they were worked out from
+	inDomain   []string                       // the listed boxes of the domain, sorted, this one included
+	pools      map[string]*decide.Pool        // of the sets that this box owns
+	orders     map[string]*decide.Orders      // to the engines of those sets
+	dirty      map[string]bool                // sets whose pools have something to decide
+	spares     map[string]map[string]*spare   // by set and domain
+	locals     map[uint64]*local              // requests that this box carries
+	parked     []*local                       // of those, the ones that wait for a borrowed share
+	kept       map[string][]keptSlot          // by set, the newest last
+	recalled   map[string]time.Duration       // when a set was last recalled
+	limits     map[string]*limit              // by key, see limitKey
+	lengths    map[string]*decide.Lengths     // by class
+	budgets    map[string]*decide.RetryBudget // by class
+	routed     []decide.Verdict               // a buffer, reused
 
 	nextHeartbeat time.Duration
 	nextHolding   time.Duration
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -75,34 +75,34 @@
 
 // Pool decides for one upstream set.
 type Pool struct {
-	cfg       PoolConfig
-	random    *rand.Rand
-	classes   []*classQueue // by tier, then in the table's order
-	byClass   map[string]*classQueue
-	backends  []*backend
-	byName    map[string]*backend
-	cached    map[uint64][]*backend // prefix to the upstreams that hold it
-	waiting   map[uint64]*waiter
-	expiry    expiryHeap
-	leases    map[uint64]*lease
-	ledgers   map[string]*ledger
-	verdicts  []Verdict
-	frees     []int // free slots of each backend
-	spareW    []waiter
-	spareL    []lease
-	paces     []float64
-	median    float64
-	slots     int           // usable now, over all upstreams
-	rate      float64       // tokens a second when full
-	first     time.Duration // from sending to the first token, the recent mean
-	refreshed Time
-	pausing   []*lease // whose pause is ordered
-	keptUntil Time     // until then slots may be kept by holders
-	recalled  Time
-	recallNow bool
-	learnEnd  Time
-	learnt    Time // when a lease granted by another owner was last learnt of
-	unheard   map[string]bool
+	cfg        PoolConfig
+	random     *rand.Rand
+	classes    []*classQueue // by tier, then in the table's order
+	byClass    map[string]*classQueue
+	backends   []*backend
+	byName     map[string]*backend
+	cached     map[uint64][]*backend // prefix to the upstreams that hold it
+	waiting    map[uint64]*waiter
+	expiry     expiryHeap
+	leases     map[uint64]*lease
+	ledgers    map[string]*ledger // by box
+	verdicts   []Verdict          // not yet taken
+	frees      []int              // free slots of each backend
+	waiterSlab []waiter
+	leaseSlab  []lease
+	paces      []float64       // a buffer for the median
+	median     float64         // pace of the upstreams, in seconds a token
+	slots      int             // usable now, over all upstreams
+	rate       float64         // tokens a second when full
+	first      time.Duration   // from sending to the first token, the recent mean
+	refreshed  Time            // when limits, median and rate were last worked out
+	pausing    []*lease        // whose pause is ordered
+	keptUntil  Time            // until then slots may be kept by holders
+	recalled   Time            // when kept slots were last recalled
+	recallNow  bool            // an upstream began to leave
+	learnEnd   Time            // of the time for the boxes to say what they hold
+	learnt     Time            // when a lease granted by another owner was last learnt of
+	unheard    map[string]bool // boxes that have not said it yet
 }
 
 // NewPool returns an empty pool.
@@ -240,20 +240,20 @@
 const slab = 128
 
 func (p *Pool) newWaiter() *waiter {
-	if len(p.spareW) == 0 {
-		p.spareW = make([]waiter, slab)
+	if len(p.waiterSlab) == 0 {
+		p.waiterSlab = make([]waiter, slab)
 	}
-	w := &p.spareW[0]
-	p.spareW = p.spareW[1:]
+	w := &p.waiterSlab[0]
+	p.waiterSlab = p.waiterSlab[1:]
 	return w
 }
 
 func (p *Pool) newLease() *lease {
-	if len(p.spareL) == 0 {
-		p.spareL = make([]lease, slab)
+	if len(p.leaseSlab) == 0 {
+		p.leaseSlab = make([]lease, slab)
 	}
-	l := &p.spareL[0]
-	p.spareL = p.spareL[1:]
+	l := &p.leaseSlab[0]
+	p.leaseSlab = p.leaseSlab[1:]
 	return l
 }
 
