A stream's write deadline ends with the stream

Ruled out: closing silent connections; the deadline is older than that. Measured: TestLaterAnswerOnOneConnection fails with EOF before, passes after.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -278,6 +278,32 @@
 	}
 }
 
+// TestLaterAnswerOnOneConnection: the time that a piece of one stream may take to
+// be written does not end the next request on the connection, which waits longer.
+func TestLaterAnswerOnOneConnection(t *testing.T) {
+	is := is.New(t)
+	var s *Server
+	s, _ = start(t, func(a Arrival) {
+		<-time.After(2 * s.cfg.WriteWait)
+		_ = a.Exchange.Event([]byte("one"))
+		a.Exchange.Done()
+	})
+	s.cfg.WriteWait = 20 * time.Millisecond
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		req, err := http.NewRequest("POST", "http://"+s.Address()+pathChat, strings.NewReader(`{"stream":true,"messages":[{"a":1}]}`))
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer k")
+		resp, err := client.Do(req)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.True(strings.Contains(string(body), "[DONE]"))
+	}
+}
+
 // TestSlowCaller: what is held for a caller that does not read is bounded.
 func TestSlowCaller(t *testing.T) {
 	x := NewExchange(4)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -102,6 +102,8 @@
 
 // stream writes events until the end, each flushed by itself.
 func (s *Server) stream(conn net.Conn, w *bufio.Writer, x *Exchange, e piece) {
+	// The connection may serve another request, whose answer may wait for longer.
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	for {
 		_ = conn.SetWriteDeadline(time.Now().Add(s.cfg.WriteWait))
 		if err := writePiece(w, e); err != nil {
