One place acts on a message, of another box or of this one to itself

Cause: two type switches listed the same messages, in node.go and owner.go, so that a new one could be forgotten in the second. Conclusion: no behaviour changed.

--- a/cell/node.go
+++ b/cell/node.go
@@ -294,9 +294,17 @@
 	if p := n.members.peers[from]; p != nil && boot < p.boot && !n.cfg.Unfenced.Boots {
 		return
 	}
+	if h, ok := m.(*Heartbeat); ok {
+		n.onHeartbeat(from, boot, h)
+	} else {
+		n.handle(from, m)
+	}
+	n.flush()
+}
+
+// handle acts on a message of another box, or of this one to itself.
+func (n *Node) handle(from string, m Message) {
 	switch m := m.(type) {
-	case *Heartbeat:
-		n.onHeartbeat(from, boot, m)
 	case *TableOffer:
 		n.onTableOffer(from, m)
 	case *Bid:
@@ -328,7 +336,6 @@
 	case *Spare:
 		n.onSpare(m)
 	}
-	n.flush()
 }
 
 // Drain begins a planned stop: the box gives up what it owns and tells the
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -372,20 +372,5 @@
 		n.send(box, m)
 		return
 	}
-	switch m := m.(type) {
-	case *Grant:
-		n.onGrant(box, m)
-	case *Refusal:
-		n.onRefusal(box, m)
-	case *Preempt:
-		n.onPreempt(box, m)
-	case *Recall:
-		n.onRecall(box, m)
-	case *Bid:
-		n.onBid(box, m)
-	case *Release:
-		n.onRelease(m)
-	case *Withdraw:
-		n.onWithdraw(m)
-	}
+	n.handle(box, m)
 }
