The thin path on the users' platform: a relay, placement over all zones, the adapter

Cause: doormast had no part that takes opaque requests by host and path, and none that knows the platform's store.

--- a/cmd/doormastd/main.go
+++ b/cmd/doormastd/main.go
@@ -31,6 +31,7 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(relayCommand())
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- /dev/null
+++ b/relay/conns.go
@@ -0,0 +1,200 @@
+package relay
+
+// This file defines the connections to upstreams. The invariants: a connection
+// carries one request at a time; it is kept only after a whole answer with nothing
+// behind it; and a kept one is looked at before it is used again.
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// defaultConnections is used where a service states no bound.
+	defaultConnections = 64
+	// dialWait is the longest a connection may take to come up; a round trip is a
+	// few ms, and a lost opening packet is sent again after a second.
+	dialWait = 600 * time.Millisecond
+	// idleKeep is how long a connection is kept where the upstream gives no time.
+	idleKeep = 3 * time.Second
+	// idleMargin is kept of the time that an upstream gives, so that its close and
+	// the next request do not cross.
+	idleMargin = 500 * time.Millisecond
+	// The sizes of a connection's buffers, in bytes.
+	readBuffer = 4 << 10
+)
+
+// keepAlive makes the kernel notice within 3 s that an upstream is gone without a
+// word.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// userTimeout is how long sent bytes may stay unacknowledged, in ms.
+const userTimeout = 2500
+
+// conn is a connection to an upstream.
+type conn struct {
+	net.Conn
+	reader   *bufio.Reader
+	upstream string
+	used     bool
+	keepTill time.Time
+}
+
+// conns keeps connections by upstream.
+type conns struct {
+	limit func(service string) int
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	open   map[string]int
+	closed bool
+}
+
+func newConns(limit func(string) int) *conns {
+	return &conns{limit: limit, idle: make(map[string][]*conn), open: make(map[string]int)}
+}
+
+// errConnections says that this box's share of an upstream's connections is used up.
+var errConnections = &Error{Op: "connect", Kind: KindFull}
+
+// get returns a connection that is known to be open, so that a failure after this
+// has to do with the request. fresh asks for a new one.
+func (p *conns) get(ctx context.Context, id, address, service string, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.takeIdle(id)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.keepTill) && c.quiet() {
+			c.used = true
+			return c, nil
+		}
+		p.drop(c)
+	}
+	if !p.reserve(id, p.limit(service)) {
+		return nil, errConnections
+	}
+	c, err := dial(ctx, address)
+	if err != nil {
+		p.release(id)
+		return nil, err
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), upstream: id}, nil
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialWait, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeout)
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// quiet reports whether the upstream has neither closed the connection nor sent
+// anything nobody asked for.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	known := true
+	err = raw.Control(func(fd uintptr) { _, known = peekEnd(int(fd)) })
+	return err == nil && !known
+}
+
+func (p *conns) takeIdle(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[id] = list[:len(list)-1]
+	return c
+}
+
+// reserve counts a new connection. If this box's share is used up, its own idle
+// ones were taken before, so there is nothing to close for it.
+func (p *conns) reserve(id string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[id] >= limit {
+		return false
+	}
+	p.open[id]++
+	return true
+}
+
+func (p *conns) release(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[id]--; p.open[id] <= 0 {
+		delete(p.open, id)
+	}
+}
+
+// drop closes a connection for good.
+func (p *conns) drop(c *conn) {
+	_ = c.Close()
+	p.release(c.upstream)
+}
+
+// keep puts a connection aside whose answer was read to its end; keepFor is the
+// time the upstream gave, or 0.
+func (p *conns) keep(c *conn, keepFor time.Duration) {
+	if keepFor == 0 {
+		keepFor = idleKeep
+	}
+	c.keepTill = time.Now().Add(keepFor - idleMargin)
+	_ = c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	if !p.closed && c.reader.Buffered() == 0 {
+		p.idle[c.upstream] = append(p.idle[c.upstream], c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	p.drop(c)
+}
+
+// forget closes the idle connections of an upstream.
+func (p *conns) forget(id string) {
+	p.mu.Lock()
+	list := p.idle[id]
+	delete(p.idle, id)
+	p.mu.Unlock()
+	for _, c := range list {
+		p.drop(c)
+	}
+}
+
+// close closes all idle connections and keeps none from now on.
+func (p *conns) close() {
+	p.mu.Lock()
+	p.closed = true
+	ids := make([]string, 0, len(p.idle))
+	for id := range p.idle {
+		ids = append(ids, id)
+	}
+	p.mu.Unlock()
+	for _, id := range ids {
+		p.forget(id)
+	}
+}
--- /dev/null
+++ b/relay/error.go
@@ -0,0 +1,30 @@
+package relay
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of error.
+const (
+	KindFull   Kind = "full"   // this box may use no more of something
+	KindGarble Kind = "garble" // bytes that are no answer in the protocol
+	KindCut    Kind = "cut"    // an answer ended before its end
+	KindSource Kind = "source" // what is published cannot be read
+)
+
+// Error is the error of this package: what was being done, and what went wrong.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error // nil where the kind says it all
+}
+
+func (e *Error) Error() string {
+	s := "relay: " + e.Op + ": " + string(e.Kind)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/relay/events.go
@@ -0,0 +1,128 @@
+package relay
+
+// This file defines how a stream of events is taken apart. The invariant: only
+// whole events come out, each once, in the order of their ids.
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEvent is the most bytes an event may have.
+const maxEvent = 1 << 20
+
+// events takes events from a body.
+type events struct {
+	src  io.Reader
+	buf  []byte
+	last int64 // the highest id that came out
+	seen bool  // an event has come out
+}
+
+var errLongEvent = &Error{Op: "read event", Kind: KindGarble, Err: errors.New("longer than a megabyte")}
+
+// next returns the whole events that have arrived, waiting for one at least. The
+// bytes are valid until the next call.
+func (e *events) next() ([]byte, error) {
+	for {
+		if end := lastEnd(e.buf); end > 0 {
+			out := e.fresh(e.buf[:end])
+			e.buf = append([]byte(nil), e.buf[end:]...)
+			if len(out) > 0 {
+				return out, nil
+			}
+			continue
+		}
+		if len(e.buf) > maxEvent {
+			return nil, errLongEvent
+		}
+		n, err := e.fill()
+		if n > 0 {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buf)) > 0 {
+			err = io.ErrUnexpectedEOF // it broke off within an event
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// fillStep is how much is read at once, in bytes; an event has some 60.
+const fillStep = 2 << 10
+
+func (e *events) fill() (int, error) {
+	at := len(e.buf)
+	if cap(e.buf)-at < fillStep {
+		e.buf = append(make([]byte, 0, at+2*fillStep), e.buf...)
+	}
+	n, err := e.src.Read(e.buf[at:cap(e.buf)])
+	e.buf = e.buf[:at+n]
+	return n, err
+}
+
+// lastEnd is where the last whole event in b ends, 0 if there is none.
+func lastEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// fresh returns the events of b that did not come out before.
+func (e *events) fresh(b []byte) []byte {
+	out := b[:0:0]
+	for len(b) > 0 {
+		n := firstEnd(b)
+		event := b[:n]
+		b = b[n:]
+		id, ok := eventID(event)
+		if ok && e.seen && id <= e.last {
+			continue
+		}
+		if ok {
+			e.last = id
+		}
+		e.seen = true
+		out = append(out, event...)
+	}
+	return out
+}
+
+// firstEnd is where the first event in b ends.
+func firstEnd(b []byte) int {
+	lf, crlf := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (lf < 0 || crlf < lf):
+		return crlf + 4
+	case lf >= 0:
+		return lf + 2
+	}
+	return len(b)
+}
+
+// eventID reads the id of an event.
+func eventID(event []byte) (int64, bool) {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, err == nil
+		}
+	}
+	return 0, false
+}
+
+// from goes on with another body: what was left of the old one is dropped.
+func (e *events) from(src io.Reader) {
+	e.src = src
+	e.buf = nil
+}
--- /dev/null
+++ b/relay/front.go
@@ -0,0 +1,124 @@
+package relay
+
+// This file defines the callers' side: what a caller may send, and the answers
+// that the box gives by itself.
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// Bounds that hold until a document states its own.
+	headerBytes = 64 << 10
+	bodyBytes   = 16 << 20
+	// readWait is the longest a caller may take over one request.
+	readWait = 10 * time.Second
+	// idleWait is how long a caller's connection may rest; documents allow 15 s.
+	idleWait = 75 * time.Second
+)
+
+// front serves callers and the balancer's readiness checks.
+type front struct {
+	relay  *Relay
+	server *fasthttp.Server
+	ready  *fasthttp.Server
+}
+
+func newFront(r *Relay) *front {
+	f := &front{relay: r}
+	f.server = &fasthttp.Server{
+		Handler:                       f.handle,
+		ErrorHandler:                  f.malformed,
+		ReadBufferSize:                headerBytes,
+		WriteBufferSize:               readBuffer,
+		MaxRequestBodySize:            bodyBytes,
+		ReadTimeout:                   readWait,
+		IdleTimeout:                   idleWait,
+		ReduceMemoryUsage:             true,
+		DisableHeaderNamesNormalizing: true,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		NoDefaultContentType:          true,
+		Logger:                        silent{},
+	}
+	f.ready = &fasthttp.Server{Handler: f.handleReady, NoDefaultServerHeader: true, ReduceMemoryUsage: true, Logger: silent{}}
+	return f
+}
+
+// silent keeps fasthttp's own log lines away: the process has one log.
+type silent struct{}
+
+var _ fasthttp.Logger = silent{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+func (f *front) serve(l net.Listener) { _ = f.server.Serve(l) }
+
+func (f *front) serveReady(l net.Listener) { _ = f.ready.Serve(l) }
+
+func (f *front) close() {
+	_ = f.relay.cfg.Callers.Close()
+	_ = f.relay.cfg.Ready.Close()
+}
+
+func (f *front) handleReady(ctx *fasthttp.RequestCtx) {
+	if !f.relay.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// malformed answers what could not be read as a request.
+func (f *front) malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	status := fasthttp.StatusBadRequest
+	switch {
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &network) && network.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	f.relay.cfg.Log.Event("request", "malformed", Fields{"status": status, "error": err.Error()})
+	ctx.SetConnectionClose()
+	refuse(ctx, refusal{status: status, reason: "the request cannot be read"})
+}
+
+// refusal is a final answer of the box's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration // when to come back; 0: not said
+}
+
+type refusalBody struct {
+	Error string `json:"error"`
+	Ran   string `json:"ran"` // "no" or "unknown"
+}
+
+func refuse(ctx *fasthttp.RequestCtx, f refusal) {
+	body := refusalBody{Error: f.reason, Ran: "no"}
+	if f.status == fasthttp.StatusBadGateway || f.status == fasthttp.StatusGatewayTimeout {
+		body.Ran = "unknown"
+	}
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(f.status)
+	if f.after > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 2, 64))
+	}
+	ctx.SetContentType("application/json")
+	text, err := json.Marshal(body)
+	if err != nil {
+		return // two texts always marshal
+	}
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/relay/protocol.go
@@ -0,0 +1,32 @@
+package relay
+
+// This file defines the words a deployment uses on the wire. The relay itself only
+// knows what each is for.
+
+import "github.com/doormast/doormast/balance"
+
+// Protocol names the headers that the relay reads and sets, and reads those that
+// describe a prompt. A header that a deployment lacks is an empty text.
+type Protocol struct {
+	RequestID  string // identifies one attempt of a caller; comes back in its answer
+	TimeLeft   string // milliseconds the caller will wait; milliseconds left for the upstream
+	Key        string // the caller's secret; not passed on
+	Customer   string // set for the upstream: who holds the key
+	Instance   string // set for the upstream: the start of it that is meant
+	NotRun     string // in an upstream's refusal: it has not run the request
+	Signature  string // in an upstream's answer
+	Priority   string // set for the upstream, 0 first
+	LastEvent  string // the last event of a stream that was seen
+	Fetch      string // set for the upstream: IP:port of another that keeps the prompt
+	Priorities int    // how many values Priority has, from 0
+
+	// Prompt reads the description of a prompt; get returns a header's value.
+	Prompt func(get func(name string) string) Prompt
+}
+
+// Prompt describes what a request asks of a model.
+type Prompt struct {
+	Parts  []balance.Part
+	Tokens int // of the prompt
+	Output int // tokens to be made, at most
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,165 @@
+// Package relay is a box that passes requests on to upstreams without knowing what
+// is in them: requests are told apart by host and path, prompts are described by
+// headers, and answers go back byte for byte.
+//
+// A Relay joins the parts: the callers' side (front.go), one request from its
+// arrival to its end (exchange.go), one run on an upstream (attempt.go), connections
+// to upstreams (conns.go), what the box believes of the world (belief.go), and what
+// boxes tell each other (peers.go). The decisions are in package balance.
+package relay
+
+// This file defines the relay's configuration, its start and its end.
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
+)
+
+// Source reads the routing document and the list of upstreams from where they are
+// published, and hands in each change until ctx ends.
+type Source interface {
+	Run(ctx context.Context, s Sink)
+}
+
+// Sink takes what a Source reads.
+type Sink interface {
+	// TakeDocument takes a document; an older one than the newest is ignored.
+	TakeDocument(d *route.Document)
+	// TakeUpstreams takes the whole list.
+	TakeUpstreams(list []balance.Upstream)
+	// TakeUpstream takes one entry of the list.
+	TakeUpstream(u balance.Upstream)
+	// DropUpstream takes that an entry is gone.
+	DropUpstream(id string)
+	// Upstreams names those that are known.
+	Upstreams() []string
+	// Confirm notes that all that was taken is known to be the newest now.
+	Confirm()
+	// Lost notes that the source cannot be read.
+	Lost(err error)
+}
+
+// Config configures a Relay.
+type Config struct {
+	Box      string
+	Domain   string
+	Callers  net.Listener
+	Ready    net.Listener
+	Protocol Protocol
+	Source   Source
+	Log      *Log
+	Budget   balance.BudgetConfig
+	Tuning   balance.Tuning
+	// FirstStart says that no box ran before, so that nothing is left of an
+	// earlier one's budget.
+	FirstStart bool
+	// Boxes is how many boxes share limits while nothing is known of the others.
+	Boxes int
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+}
+
+// Relay is a running box.
+type Relay struct {
+	cfg    Config
+	start  time.Time
+	belief belief
+	conns  *conns
+	stats  stats
+	front  *front
+
+	mu     sync.Mutex // guards fleet and budget
+	fleet  *balance.Fleet
+	budget *balance.Budget
+
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	ends     chan string // the name of each duty that has ended
+	duties   int
+}
+
+var _ Sink = (*Relay)(nil)
+
+// Start starts a relay; Stop ends it.
+func Start(cfg Config) (*Relay, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, 4)}
+	r.stats = newStats()
+	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
+	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
+	r.conns = newConns(r.connectionCap)
+	r.front = newFront(r)
+	r.run("source", func() { cfg.Source.Run(ctx, r) })
+	r.run("callers", func() { r.front.serve(cfg.Callers) })
+	r.run("ready", func() { r.front.serveReady(cfg.Ready) })
+	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain})
+	return r, nil
+}
+
+func (r *Relay) run(duty string, f func()) {
+	r.duties++
+	go func() {
+		f()
+		r.ends <- duty
+	}()
+}
+
+// now is the time since the start, on the steady clock.
+func (r *Relay) now() time.Duration { return time.Since(r.start) }
+
+// boxes is how many boxes share the limits.
+func (r *Relay) boxes() int { return max(r.cfg.Boxes, 1) }
+
+// connectionCap is how many connections this box may hold to an upstream.
+func (r *Relay) connectionCap(service string) int {
+	doc := r.belief.document()
+	if doc == nil {
+		return 1
+	}
+	s := doc.Service(service)
+	if s == nil || s.MaxConnections == 0 {
+		return defaultConnections
+	}
+	return max(1, s.MaxConnections/r.boxes())
+}
+
+// Ready reports whether callers may be sent here.
+func (r *Relay) Ready() bool { return !r.stopping.Load() && r.belief.document() != nil }
+
+const (
+	// callersLinger is how long a stopping box still accepts connections: two
+	// missed readiness checks of a second each, and some room.
+	callersLinger = 2500 * time.Millisecond
+	// graceMargin is kept of the grace for the process's own end.
+	graceMargin = 500 * time.Millisecond
+	// stopStep is how often a stopping box looks whether it is done.
+	stopStep = 100 * time.Millisecond
+)
+
+// Stop ends the relay as planned: it is no longer ready, goes on taking requests
+// until callers are sent elsewhere, and waits for those under way.
+func (r *Relay) Stop() {
+	r.stopping.Store(true)
+	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.open.Load()})
+	end := time.Now().Add(r.cfg.Grace - graceMargin)
+	time.Sleep(min(callersLinger, time.Until(end)))
+	for r.stats.open.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(stopStep)
+	}
+	r.cancel()
+	r.front.close()
+	r.conns.close()
+	for ; r.duties > 0; r.duties-- {
+		select {
+		case <-r.ends:
+		case <-time.After(graceMargin / 2):
+			return
+		}
+	}
+}
--- /dev/null
+++ b/relay/stats.go
@@ -0,0 +1,56 @@
+package relay
+
+// This file defines the figures a box tells of itself.
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// stats are counters and latencies, by name.
+type stats struct {
+	registry metrics.Registry
+	open     *atomic.Int64 // requests under way
+}
+
+func newStats() stats { return stats{metrics.NewRegistry(), new(atomic.Int64)} }
+
+// histogramSize is how many of the newest values a histogram keeps.
+const histogramSize = 256
+
+func (s *stats) count(name string) { metrics.GetOrRegisterCounter(name, s.registry).Inc(1) }
+
+func (s *stats) latency(name string, d time.Duration) {
+	h := s.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(histogramSize))
+	})
+	h.(metrics.Histogram).Update(d.Milliseconds())
+}
+
+// write prints all figures as text, one a line.
+func (s *stats) write(w io.Writer) {
+	var lines []string
+	s.registry.Each(func(name string, v any) {
+		switch m := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, m.Count()))
+		case metrics.Histogram:
+			h := m.Snapshot()
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g\n", name, q, h.Percentile(q)))
+			}
+			lines = append(lines, fmt.Sprintf("%s_count %d\n", name, h.Count()))
+		}
+	})
+	sort.Strings(lines)
+	fmt.Fprintf(w, "open_requests %d\n%s", s.open.Load(), strings.Join(lines, ""))
+}
+
+// WriteMetrics writes the box's figures as text.
+func (r *Relay) WriteMetrics(w io.Writer) { r.stats.write(w) }
--- /dev/null
+++ b/route/document.go
@@ -0,0 +1,176 @@
+// Package route holds the routing document that operators publish: which requests
+// there are, which service runs each, who may send them, and under which limits.
+//
+// A document is taken whole, never changed, and shared by all goroutines of a box.
+package route
+
+// This file defines the document and its look-ups. The invariant: a document that
+// New returned is never written again.
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Repeat says whether a request may run more than once.
+type Repeat uint8
+
+// What a route says about running a request again.
+const (
+	Once       Repeat = iota // at most one run
+	Repeatable               // any number of runs
+	Stream                   // a stream of events: one run, unless the route resumes
+)
+
+// Route is one class of request.
+type Route struct {
+	Name          string
+	Host          string // lower case, without a port
+	Prefix        string // of the path; begins and ends with a slash
+	Repeat        Repeat
+	Resumable     bool          // a stream may go on at another upstream
+	Timeout       time.Duration // the longest a request is held
+	Target        time.Duration // the latency target
+	EventGap      time.Duration // the longest pause between events that is still in time; 0: none given
+	Rank          int           // 0 is the most urgent
+	MaxAttempts   int           // upstreams one request may be sent to
+	Public        bool          // needs no key
+	PromptCaching bool          // requests describe their prompts, and upstreams keep prompts in memory
+	Targets       []Target      // the services that share the route's requests
+}
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Again reports whether a request of the route may run a second time.
+func (r *Route) Again() bool { return r.Repeat == Repeatable || r.Repeat == Stream && r.Resumable }
+
+// Service is a group of like upstreams.
+type Service struct {
+	Name           string
+	MaxConnections int // an upstream accepts, from all boxes together
+	Engine         *Engine
+}
+
+// Engine describes the model engine of a service's upstreams.
+type Engine struct {
+	Slots      int   // requests that run at once
+	Tokens     int   // that fit into an upstream's memory
+	TokenBytes int   // bytes of memory a token takes
+	Moves      bool  // memory can be fetched from another upstream
+	TokensStep int   // tokens an event holds
+	LinkBits   int64 // bits a second between two upstreams
+}
+
+// Customer is who sends requests, known by keys.
+type Customer struct {
+	Name string
+	Keys []string
+	Rank *int // goes before the rank of the route where given
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderWait  time.Duration
+	IdleWait    time.Duration
+}
+
+// Document is one version of the routing document.
+type Document struct {
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Customers []Customer
+	Limits    Limits
+
+	byHost    map[string][]*Route // the longest prefix first
+	byKey     map[string]*Customer
+	byService map[string]*Service
+	ranks     ranks
+}
+
+// New indexes a document; the caller does not touch it afterwards.
+func New(d Document) (*Document, error) {
+	d.byHost = make(map[string][]*Route)
+	d.byKey = make(map[string]*Customer)
+	d.byService = make(map[string]*Service)
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.check(); err != nil {
+			return nil, &Error{Op: fmt.Sprintf("routes[%d]", i), Kind: KindInvalid, Err: err}
+		}
+		d.byHost[r.Host] = append(d.byHost[r.Host], r)
+	}
+	for _, list := range d.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Customers {
+		for _, key := range d.Customers[i].Keys {
+			d.byKey[key] = &d.Customers[i]
+		}
+	}
+	for i := range d.Services {
+		d.byService[d.Services[i].Name] = &d.Services[i]
+	}
+	d.ranks = newRanks(&d)
+	return &d, nil
+}
+
+func (r *Route) check() error {
+	switch {
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+	case len(r.Targets) == 0:
+		return fmt.Errorf("route %q names no service", r.Name)
+	case r.MaxAttempts < 1:
+		return fmt.Errorf("route %q allows %d attempts, want at least 1", r.Name, r.MaxAttempts)
+	}
+	return nil
+}
+
+// Match returns the route of a request, or nil. A port behind the host is not
+// part of its name.
+func (d *Document) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range d.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns who holds the key, or nil.
+func (d *Document) Customer(key string) *Customer { return d.byKey[key] }
+
+// Service returns the service of that name, or nil.
+func (d *Document) Service(name string) *Service { return d.byService[name] }
+
+// Pick returns the service for a request: ticket, any number that differs from
+// request to request, falls on each service as often as its weight says.
+func (r *Route) Pick(ticket uint64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	at := int(ticket % uint64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/route/rank.go
@@ -0,0 +1,55 @@
+package route
+
+// This file defines how urgent a request is. The invariant: the customer's rank goes
+// before the route's, and two requests have the same order on every box that has the
+// same document.
+
+import "slices"
+
+// ranks are the ranks that a document gives, each list in order.
+type ranks struct {
+	customers []int
+	routes    []int
+}
+
+// plainRank is the rank of a customer that states none, and of a caller that is no
+// customer's.
+const plainRank = 1
+
+func newRanks(d *Document) ranks {
+	r := ranks{customers: []int{plainRank}}
+	for i := range d.Customers {
+		r.customers = append(r.customers, d.Customers[i].rank())
+	}
+	for i := range d.Routes {
+		r.routes = append(r.routes, d.Routes[i].Rank)
+	}
+	r.customers, r.routes = distinct(r.customers), distinct(r.routes)
+	return r
+}
+
+func distinct(list []int) []int {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func (c *Customer) rank() int {
+	if c == nil || c.Rank == nil {
+		return plainRank
+	}
+	return *c.Rank
+}
+
+// Urgency places a request of the customer, who may be nil, on the route among all
+// that the document allows: 0 is the most urgent, levels-1 the least. Where the
+// document tells more apart than there are levels, neighbours share one.
+func (d *Document) Urgency(r *Route, c *Customer, levels int) int {
+	at, _ := slices.BinarySearch(d.ranks.customers, c.rank())
+	in, _ := slices.BinarySearch(d.ranks.routes, r.Rank)
+	all := len(d.ranks.customers) * len(d.ranks.routes)
+	place := at*len(d.ranks.routes) + in
+	if all <= levels {
+		return place
+	}
+	return place * levels / all
+}
--- /dev/null
+++ b/settings/relay.go
@@ -0,0 +1,98 @@
+package settings
+
+// This file defines the settings of a box that relays opaque requests. The
+// invariant: what LoadRelay returns has passed every check.
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/doormast/doormast/internal/jsonc"
+)
+
+// Relay is what a relaying box is told at its start.
+type Relay struct {
+	Box        string      `json:"box"`
+	Domain     string      `json:"domain"`
+	FirstStart bool        `json:"first_start"` // no box ran before
+	Listen     RelayListen `json:"listen"`
+	Platform   string      `json:"platform"` // IP:port of the store
+	Seeds      []string    `json:"seeds"`    // IP:port of some boxes' control addresses
+	PeerPorts  []int       `json:"peer_ports"`
+	MemoryMB   int         `json:"memory_mb"`
+	Bounds     RelayBounds `json:"bounds"`
+}
+
+// RelayListen holds the box's addresses, each IP:port.
+type RelayListen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Control string `json:"control"`
+	Metrics string `json:"metrics"`
+	IP      string `json:"ip"`
+}
+
+// RelayBounds holds the figures that all boxes keep to.
+type RelayBounds struct {
+	GraceSeconds        float64 `json:"grace_s"`         // of a planned stop
+	RetryRatio          float64 `json:"retry_ratio"`     // requests sent again for each one taken
+	RetrySlack          float64 `json:"retry_slack"`     // and besides, over all boxes
+	RetryWindowSeconds  float64 `json:"retry_window_s"`  // the span both are counted in
+	DocumentMillis      float64 `json:"document_ms"`     // until a document is in force
+	RereadWindowSeconds float64 `json:"reread_window_s"` // in which reading a prompt again is waste
+}
+
+// Grace is how long a planned stop may take.
+func (b RelayBounds) Grace() time.Duration { return seconds(b.GraceSeconds) }
+
+// RetryWindow is the span in which requests sent again are counted.
+func (b RelayBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowSeconds) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadRelay reads and checks the file.
+func LoadRelay(file string) (*Relay, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseRelay(file, source)
+}
+
+// ParseRelay reads and checks settings.
+func ParseRelay(file string, source []byte) (*Relay, error) {
+	s := new(Relay)
+	doc, err := jsonc.Parse(file, source, s)
+	if err != nil {
+		return nil, err
+	}
+	if problems := s.check(doc); len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+func (s *Relay) check(doc *jsonc.Document) jsonc.Problems {
+	var problems jsonc.Problems
+	want := func(ok bool, field, found, allowed string) {
+		if !ok {
+			problems = append(problems, doc.Problem(field, found, allowed))
+		}
+	}
+	address := func(field, value string) {
+		_, err := netip.ParseAddrPort(value)
+		want(err == nil, field, value, "want IP:port")
+	}
+	want(s.Box != "", "box", `""`, "want a name")
+	want(s.Domain != "", "domain", `""`, "want a failure domain")
+	address("listen.callers", s.Listen.Callers)
+	address("listen.ready", s.Listen.Ready)
+	address("listen.metrics", s.Listen.Metrics)
+	address("platform", s.Platform)
+	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
+	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
+	want(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "", "want 0 or more")
+	want(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "", "want 0 or more")
+	return problems
+}
