A planned stop closes resting connections before anything else ends

After its linger the box waited up to 250 ms for the store's reader, whose watch lasts a second, and ended with requests that had been taken on kept connections meanwhile. Ruled out: the grace (4.5 s were left).

The server's own shutdown now claims resting connections against arriving requests; the store's call is ended by closing its connection.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -169,6 +169,9 @@
 // copyHead gives the upstream's head to the caller.
 func (x *exchange) copyHead(ctx *fasthttp.RequestCtx) {
 	out := &ctx.Response.Header
+	if x.relay.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 	ctx.SetStatusCode(x.answer.header.StatusCode())
 	out.SetNoDefaultContentType(true)
 	for k, v := range x.answer.header.All() {
--- a/relay/front.go
+++ b/relay/front.go
@@ -4,6 +4,7 @@
 // that the box gives by itself.
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
@@ -46,6 +47,7 @@
 		NoDefaultServerHeader:         true,
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
+		CloseOnShutdown:               true,
 		Logger:                        silent{},
 	}
 	f.ready = &fasthttp.Server{Handler: f.handleReady, NoDefaultServerHeader: true, ReduceMemoryUsage: true, Logger: silent{}}
@@ -64,9 +66,14 @@
 
 func (f *front) serveReady(l net.Listener) { _ = f.ready.Serve(l) }
 
-func (f *front) close() {
-	_ = f.relay.cfg.Callers.Close()
-	_ = f.relay.cfg.Ready.Close()
+// close takes no more connections, closes those that rest, and waits for the others
+// until ctx ends.
+func (f *front) close(ctx context.Context) error {
+	err := f.server.ShutdownWithContext(ctx)
+	if lnerr := f.relay.cfg.Ready.Close(); err == nil {
+		err = lnerr
+	}
+	return err
 }
 
 func (f *front) handleReady(ctx *fasthttp.RequestCtx) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -138,28 +138,28 @@
 	callersLinger = 2500 * time.Millisecond
 	// graceMargin is kept of the grace for the process's own end.
 	graceMargin = 500 * time.Millisecond
-	// stopStep is how often a stopping box looks whether it is done.
-	stopStep = 100 * time.Millisecond
 )
 
 // Stop ends the relay as planned: it is no longer ready, goes on taking requests
-// until callers are sent elsewhere, and waits for those under way.
+// until callers are sent elsewhere, and then waits for those under way. Connections
+// that rest are closed before anything else ends, so that no request is taken that
+// nobody would answer.
 func (r *Relay) Stop() {
 	r.stopping.Store(true)
 	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.open.Load()})
-	end := time.Now().Add(r.cfg.Grace - graceMargin)
-	time.Sleep(min(callersLinger, time.Until(end)))
-	for r.stats.open.Load() > 0 && time.Now().Before(end) {
-		time.Sleep(stopStep)
+	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Grace-graceMargin)
+	defer cancel()
+	select {
+	case <-time.After(callersLinger):
+	case <-ctx.Done():
+	}
+	if err := r.front.close(ctx); err != nil {
+		r.cfg.Log.Event("box", "stopped with requests under way", Fields{"open": r.stats.open.Load(), "error": err.Error()})
 	}
 	r.cancel()
-	r.front.close()
 	r.conns.close()
 	for ; r.duties > 0; r.duties-- {
-		select {
-		case <-r.ends:
-		case <-time.After(graceMargin / 2):
-			return
-		}
+		<-r.ends
 	}
+	r.cfg.Log.Event("box", "stopped", nil)
 }
