--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -9,14 +9,17 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/platform"
 	"github.com/doormast/doormast/relay"
 	"github.com/doormast/doormast/settings"
+	"github.com/doormast/doormast/wire"
 )
 
 func relayCommand() *cobra.Command {
@@ -87,13 +90,22 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for readiness checks")
 	}
+	control, err := net.Listen("tcp", s.Listen.Control)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for other boxes")
+	}
 	box, err := relay.Start(relay.Config{
 		Box:        s.Box,
 		Domain:     s.Domain,
 		Callers:    callers,
 		Ready:      ready,
+		Control:    control,
+		Self:       self(s),
+		Seeds:      s.SeedAddresses(),
+		Timing:     group.DefaultTiming,
 		Protocol:   platform.Protocol(),
-		Source:     platform.NewReader(s.Platform, log),
+		Publisher:  platform.NewStore(s.Platform),
+		Decode:     platform.Decode,
 		Log:        log,
 		Budget:     balance.BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Tuning:     balance.DefaultTuning,
@@ -108,6 +120,13 @@
 	return box, nil
 }
 
+// self is the box as the others know it. Its start is told by the time of day,
+// since nothing outlives a process here.
+func self(s *settings.Relay) *wire.GroupBox {
+	return &wire.GroupBox{Name: s.Box, Domain: s.Domain, Address: s.PeerAddress(s.Listen.IP), Pulls: s.Listen.Control,
+		Strength: s.Strength(), Boot: uint64(time.Now().UnixNano())}
+}
+
 // serveMetrics serves the box's figures until the process ends.
 func serveMetrics(address string, box *relay.Relay, log *relay.Log) {
 	err := http.ListenAndServe(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { box.WriteMetrics(w) }))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,5 +1,4 @@
-// Package control carries the messages between boxes over UDP: gnet receives
-// them, and a socket of the system's sends them.
+// Package control carries the messages between boxes over UDP, by package datagram.
 //
 // A datagram may be lost, come twice or late; the messages are made for that. The
 // invariant: what is handed on came from a box that knows the shared key, in an
@@ -8,16 +7,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
+	"net/netip"
 	"sync"
-	"time"
-
-	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
-	"go.uber.org/zap"
 
 	"github.com/doormast/doormast/cell"
+	"github.com/doormast/doormast/internal/datagram"
 )
 
 // Handler takes in what was received, on the receiving goroutine.
@@ -34,72 +28,45 @@
 	Sent func(bytes int)
 }
 
-// headerBytes is what IP and UDP add to a datagram.
-const headerBytes = 28
+const (
+	// headerBytes is what IP and UDP add to a datagram.
+	headerBytes = 28
+	// receiveBuffer holds what arrives while the receiver is busy, in bytes.
+	receiveBuffer = 1 << 20
+)
 
 // Link is a box's connection to the others.
 type Link struct {
-	gnet.BuiltinEventEngine
 	cfg    Config
-	engine gnet.Engine
-	booted chan struct{}
-	done   chan error
-	out    *net.UDPConn
+	socket *datagram.Socket
 
 	mu        sync.Mutex
-	addresses map[string]*net.UDPAddr
+	addresses map[string]netip.AddrPort
 	buffer    [][]byte
 }
 
 // Listen opens a link; Close ends it.
 func Listen(ctx context.Context, cfg Config) (*Link, error) {
-	out, err := net.ListenUDP("udp", &net.UDPAddr{})
+	l := &Link{cfg: cfg, addresses: make(map[string]netip.AddrPort)}
+	var err error
+	l.socket, err = datagram.Listen(ctx, datagram.Config{Address: cfg.Address, Handler: l.received, ReceiveBuffer: receiveBuffer})
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{cfg: cfg, booted: make(chan struct{}), done: make(chan error, 1), out: out, addresses: make(map[string]*net.UDPAddr)}
-	go func() {
-		l.done <- gnet.Run(l, "udp://"+cfg.Address, gnet.WithLogger(quiet()), gnet.WithReadBufferCap(64<<10),
-			gnet.WithSocketRecvBuffer(1<<20))
-	}()
-	select {
-	case <-l.booted:
-		return l, nil
-	case err := <-l.done:
-		_ = out.Close()
-		return nil, err
-	case <-ctx.Done():
-		_ = out.Close()
-		return nil, ctx.Err()
-	}
-}
-
-// quiet keeps gnet's own log lines away: the process has one log.
-func quiet() logging.Logger { return zap.NewNop().Sugar() }
-
-// OnBoot is called by gnet when the socket is open.
-func (l *Link) OnBoot(engine gnet.Engine) gnet.Action {
-	l.engine = engine
-	close(l.booted)
-	return gnet.None
+	return l, nil
 }
 
-// OnTraffic is called by gnet for each datagram.
-func (l *Link) OnTraffic(c gnet.Conn) gnet.Action {
-	b, err := c.Next(-1)
-	if err != nil {
-		return gnet.None
-	}
+// received takes a datagram.
+func (l *Link) received(b []byte) {
 	r, drop := l.cfg.Codec.Decode(b)
 	if drop != DropNone {
 		l.cfg.Dropped(drop)
-		return gnet.None
+		return
 	}
 	if r.Unknown > 0 {
 		l.cfg.Dropped(DropUnknown)
 	}
 	l.cfg.Handler(r)
-	return gnet.None
 }
 
 // SetAddress says where a box listens. An address that cannot be parsed is
@@ -107,7 +74,7 @@
 func (l *Link) SetAddress(box, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a, err := net.ResolveUDPAddr("udp", address)
+	a, err := netip.ParseAddrPort(address)
 	if err != nil {
 		delete(l.addresses, box)
 		return
@@ -120,8 +87,8 @@
 func (l *Link) Send(box string, messages []cell.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	to := l.addresses[box]
-	if to == nil {
+	to, ok := l.addresses[box]
+	if !ok {
 		return
 	}
 	var err error
@@ -129,17 +96,11 @@
 		return
 	}
 	for _, b := range l.buffer {
-		if n, err := l.out.WriteToUDP(b, to); err == nil {
-			l.cfg.Sent(n + headerBytes)
+		if l.socket.Send(to, b) {
+			l.cfg.Sent(len(b) + headerBytes)
 		}
 	}
 }
 
 // Close stops receiving and sending and waits for the receiver to end.
-func (l *Link) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	err := l.engine.Stop(ctx)
-	err = errors.Join(err, <-l.done)
-	return errors.Join(err, l.out.Close())
-}
+func (l *Link) Close() error { return l.socket.Close() }
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,188 @@
+// Package mirror keeps a box's copy of what is published: the routing document and
+// the list of upstreams, as items with revisions.
+//
+// A copy is filled by reading the publisher, or by the changes that another box
+// passes on; both may come late, twice or out of order. The package does no I/O.
+package mirror
+
+// This file defines the copy. The invariants: an item is never replaced by an older
+// one; and a copy at revision R lacks no change up to R.
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Item is something published, or the news that it is gone.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64 // of its last change
+	Gone     bool
+}
+
+// Publisher is where items are published. Both calls return the publisher's own
+// revision, from which the next call goes on.
+type Publisher interface {
+	// Everything reads all items.
+	Everything(ctx context.Context) ([]Item, uint64, error)
+	// Changes waits for changes behind a revision. An error that is ErrForgotten
+	// says that they are no longer known, so that everything has to be read.
+	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
+}
+
+// ErrForgotten says that the publisher no longer knows the changes asked for.
+var ErrForgotten = &Error{Op: "changes", Kind: KindForgotten}
+
+// Mirror is a copy. It is not safe for several goroutines.
+type Mirror struct {
+	items    map[string]Item
+	gone     map[string]uint64 // revisions at which items went, so that older news of them is known as such
+	revision uint64
+	history  []Item // the newest changes, in the order of their arrival
+	floor    uint64 // history holds all changes behind this revision
+	bytes    int    // of the values in history
+}
+
+const (
+	// historyItems and historyBytes bound the changes kept for other boxes: a
+	// minute of a large deployment, and a tenth of a small box's memory.
+	historyItems = 1024
+	historyBytes = 2 << 20
+	// goneKept bounds the news of items that went.
+	goneKept = 4096
+)
+
+// New returns an empty copy.
+func New() *Mirror { return &Mirror{items: make(map[string]Item), gone: make(map[string]uint64)} }
+
+// Revision is up to where the copy lacks nothing; 0 while it is empty.
+func (m *Mirror) Revision() uint64 { return m.revision }
+
+// Items returns all items, in the order of their keys.
+func (m *Mirror) Items() []Item {
+	list := make([]Item, 0, len(m.items))
+	for _, it := range m.items {
+		list = append(list, it)
+	}
+	slices.SortFunc(list, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
+// Load takes everything as it was at a revision, and returns what is new. A state
+// older than the copy is ignored.
+func (m *Mirror) Load(items []Item, revision uint64) []Item {
+	if revision < m.revision {
+		return nil
+	}
+	var changes []Item
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = true
+		if m.put(it) {
+			changes = append(changes, it)
+		}
+	}
+	for key, old := range m.items {
+		if !present[key] && old.Revision <= revision {
+			it := Item{Key: key, Revision: revision, Gone: true}
+			m.put(it)
+			changes = append(changes, it)
+		}
+	}
+	if m.revision == 0 {
+		m.floor = revision // what is new now is no change to anybody
+	} else {
+		m.record(changes)
+	}
+	m.revision = revision
+	return changes
+}
+
+// Apply takes the changes behind from, up to a revision, and returns what is new.
+// It reports false, and takes nothing, if the copy lacks changes before them.
+func (m *Mirror) Apply(from, to uint64, items []Item) ([]Item, bool) {
+	if from > m.revision || m.revision == 0 {
+		return nil, false
+	}
+	var changes []Item
+	for _, it := range items {
+		if m.put(it) {
+			changes = append(changes, it)
+		}
+	}
+	m.record(changes)
+	m.revision = max(m.revision, to)
+	return changes, true
+}
+
+// put stores an item if it is newer than what is known.
+func (m *Mirror) put(it Item) bool {
+	if old, ok := m.items[it.Key]; ok && old.Revision >= it.Revision {
+		return false
+	}
+	if m.gone[it.Key] >= it.Revision {
+		return false
+	}
+	if !it.Gone {
+		delete(m.gone, it.Key)
+		m.items[it.Key] = it
+		return true
+	}
+	_, known := m.items[it.Key]
+	delete(m.items, it.Key)
+	m.gone[it.Key] = it.Revision
+	m.trimGone()
+	return known
+}
+
+// trimGone forgets the oldest half of the news of items that went.
+func (m *Mirror) trimGone() {
+	if len(m.gone) <= goneKept {
+		return
+	}
+	revisions := make([]uint64, 0, len(m.gone))
+	for _, revision := range m.gone {
+		revisions = append(revisions, revision)
+	}
+	slices.Sort(revisions)
+	middle := revisions[len(revisions)/2]
+	for key, revision := range m.gone {
+		if revision < middle {
+			delete(m.gone, key)
+		}
+	}
+}
+
+// record keeps changes for other boxes.
+func (m *Mirror) record(changes []Item) {
+	for _, it := range changes {
+		m.history = append(m.history, it)
+		m.bytes += len(it.Value)
+	}
+	for len(m.history) > 0 && (len(m.history) > historyItems || m.bytes > historyBytes) {
+		m.floor = max(m.floor, m.history[0].Revision)
+		m.bytes -= len(m.history[0].Value)
+		m.history = m.history[1:]
+	}
+}
+
+// Since returns all changes behind a revision; false means that they are no longer
+// kept.
+func (m *Mirror) Since(revision uint64) ([]Item, bool) {
+	if revision == m.revision {
+		return nil, true
+	}
+	if revision == 0 || revision < m.floor || revision > m.revision {
+		return nil, false
+	}
+	var list []Item
+	for _, it := range m.history {
+		if it.Revision > revision {
+			list = append(list, it)
+		}
+	}
+	return list, true
+}
--- a/relay/belief.go
+++ b/relay/belief.go
@@ -1,8 +1,8 @@
 package relay
 
-// This file defines what the box believes: the routing document and the age of
-// what it has read. The invariant: within one life of the box the document's
-// version never falls.
+// This file defines what the box believes: the routing document, the upstreams, and
+// the age of both. The invariant: within one life of the box the document's version
+// never falls.
 
 import (
 	"sync"
@@ -13,12 +13,20 @@
 	"github.com/doormast/doormast/route"
 )
 
+// News is what an item says that was published; one of its fields is set, or none
+// where the item is of no concern.
+type News struct {
+	Document *route.Document
+	Upstream *balance.Upstream
+	Gone     string // id of an upstream whose entry is gone
+}
+
 // belief is the document in force and when it was last known to be the newest.
 type belief struct {
 	mu        sync.Mutex // orders the writers
 	current   atomic.Pointer[route.Document]
 	confirmed atomic.Int64 // time.Duration since the start
-	lost      atomic.Bool  // the source cannot be read
+	lost      bool         // the publisher could not be read; of the members' duty
 }
 
 func (b *belief) document() *route.Document { return b.current.Load() }
@@ -34,36 +42,30 @@
 	return true
 }
 
-// TakeDocument implements Sink.
-func (r *Relay) TakeDocument(d *route.Document) {
-	if r.belief.take(d) {
-		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
+// takeNews takes what was published. An upstream whose entry goes before the end of
+// doubt is only noted in missing, since the entry may come back.
+func (r *Relay) takeNews(n News, doubt time.Duration, missing map[string]time.Duration) {
+	switch {
+	case n.Document != nil:
+		r.takeDocument(n.Document)
+	case n.Upstream != nil:
+		delete(missing, n.Upstream.ID)
+		r.takeUpstream(*n.Upstream)
+	case n.Gone == "":
+	case r.now() < doubt:
+		missing[n.Gone] = doubt
+	default:
+		r.dropUpstream(n.Gone)
 	}
 }
 
-// TakeUpstreams implements Sink.
-func (r *Relay) TakeUpstreams(list []balance.Upstream) {
-	present := make(map[string]bool, len(list))
-	for _, u := range list {
-		present[u.ID] = true
-		r.TakeUpstream(u)
-	}
-	for _, id := range r.Upstreams() {
-		if !present[id] {
-			r.DropUpstream(id)
-		}
+func (r *Relay) takeDocument(d *route.Document) {
+	if r.belief.take(d) {
+		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
 }
 
-// Upstreams implements Sink.
-func (r *Relay) Upstreams() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fleet.IDs()
-}
-
-// TakeUpstream implements Sink.
-func (r *Relay) TakeUpstream(u balance.Upstream) {
+func (r *Relay) takeUpstream(u balance.Upstream) {
 	r.mu.Lock()
 	old := r.fleet.Get(u.ID)
 	changed := old == nil || old.Leaving != u.Leaving
@@ -74,8 +76,7 @@
 	}
 }
 
-// DropUpstream implements Sink.
-func (r *Relay) DropUpstream(id string) {
+func (r *Relay) dropUpstream(id string) {
 	r.mu.Lock()
 	known := r.fleet.Get(id) != nil
 	r.fleet.Remove(id)
@@ -86,18 +87,19 @@
 	}
 }
 
-// Confirm implements Sink.
-func (r *Relay) Confirm() {
-	r.belief.confirmed.Store(int64(r.now()))
-	if r.belief.lost.CompareAndSwap(true, false) {
-		r.cfg.Log.Event("source", "regained", nil)
+// lose notes that the publisher cannot be read.
+func (b *belief) lose(r *Relay, err error) {
+	if !b.lost {
+		b.lost = true
+		r.cfg.Log.Event("publisher", "lost", Fields{"error": err.Error(), "age_ms": r.age().Milliseconds()})
 	}
 }
 
-// Lost implements Sink.
-func (r *Relay) Lost(err error) {
-	if r.belief.lost.CompareAndSwap(false, true) {
-		r.cfg.Log.Event("source", "lost", Fields{"error": err.Error()})
+// regain notes that the publisher was read.
+func (b *belief) regain(r *Relay) {
+	if b.lost {
+		b.lost = false
+		r.cfg.Log.Event("publisher", "regained", Fields{"age_ms": r.age().Milliseconds()})
 	}
 }
 
--- a/relay/error.go
+++ b/relay/error.go
@@ -8,7 +8,7 @@
 	KindFull   Kind = "full"   // this box may use no more of something
 	KindGarble Kind = "garble" // bytes that are no answer in the protocol
 	KindCut    Kind = "cut"    // an answer ended before its end
-	KindSource Kind = "source" // what is published cannot be read
+	KindEdge   Kind = "edge"   // an address cannot be listened on
 )
 
 // Error is the error of this package: what was being done, and what went wrong.
--- /dev/null
+++ b/relay/pull.go
@@ -0,0 +1,69 @@
+package relay
+
+// This file defines how a box fetches all that another has, and answers the same.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/doormast/doormast/wire"
+)
+
+// pullWait is the longest a pull may take: a compressed document of 20 KB over the
+// slowest links, of 10 Mbit/s and shared.
+const pullWait = 1500 * time.Millisecond
+
+// pull fetches what another box has and hands it to the duty.
+func (m *members) pull(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, pullWait)
+	defer cancel()
+	client := wire.NewMirrorsClient(m.relay.pullClient, "http://"+address)
+	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{}))
+	result := &pullResult{err: err}
+	if err == nil {
+		result.response = resp.Msg
+	}
+	for !m.events.TryPush(memberEvent{pulled: result}) {
+		select {
+		case <-ctx.Done():
+			return // the box ends, or the duty is stuck: the next pull will tell
+		case <-time.After(memberTick):
+		}
+	}
+}
+
+// mirrors answers other boxes' pulls.
+type mirrors struct{ members *members }
+
+var _ wire.MirrorsHandler = mirrors{}
+
+var errBusy = errors.New("too much is waiting on this box")
+
+// Mirror implements wire.MirrorsHandler.
+func (s mirrors) Mirror(ctx context.Context, _ *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
+	answer := make(chan *wire.MirrorResponse, 1)
+	if !s.members.events.TryPush(memberEvent{ask: answer}) {
+		return nil, connect.NewError(connect.CodeUnavailable, errBusy)
+	}
+	select {
+	case r := <-answer:
+		return connect.NewResponse(r), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serveControl answers other boxes until the listener is closed.
+func (r *Relay) serveControl() {
+	mux := http.NewServeMux()
+	path, handler := wire.NewMirrorsHandler(mirrors{r.members})
+	mux.Handle(path, handler)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: pullWait, IdleTimeout: pullWait}
+	if err := server.Serve(r.cfg.Control); err != nil && !r.stopping.Load() {
+		r.cfg.Log.Event("control", "not served", Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/relay/reader.go
@@ -0,0 +1,72 @@
+package relay
+
+// This file defines the duty that reads the publisher while this box is to. The
+// invariant: a reading is taken in before the next one begins, so that each goes on
+// where the mirror is.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/doormast/doormast/mirror"
+)
+
+const (
+	// watchWait is how long a call waits for a change. What a watch has silently
+	// missed is found out by the next one, well inside the 2 s within which a
+	// document has to be in force.
+	watchWait = time.Second
+	// retryWait is the pause after a call that failed.
+	retryWait = 250 * time.Millisecond
+)
+
+// readDuty reads while the group wants this box to.
+func (m *members) readDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !m.reads.Load() {
+			select {
+			case <-ctx.Done():
+			case <-m.kick:
+			}
+			continue
+		}
+		if err := m.readOnce(ctx); err != nil {
+			sleep(ctx, retryWait)
+		}
+	}
+}
+
+// readOnce makes one call and hands in what came of it.
+func (m *members) readOnce(ctx context.Context) error {
+	r := &readResult{began: m.relay.now(), whole: m.revision.Load() == 0}
+	publisher := m.relay.cfg.Publisher
+	if !r.whole {
+		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watchWait)
+	}
+	if r.whole || errors.Is(r.err, mirror.ErrForgotten) {
+		r.began, r.whole = m.relay.now(), true
+		r.items, r.revision, r.err = publisher.Everything(ctx)
+	}
+	m.relay.stats.count("publisher_calls")
+	taken := make(chan struct{})
+	r.taken = taken
+	for !m.events.TryPush(memberEvent{read: r}) {
+		sleep(ctx, memberTick)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	select {
+	case <-taken:
+	case <-ctx.Done():
+	}
+	return r.err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,49 +13,35 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/doormast/doormast/balance"
-	"github.com/doormast/doormast/route"
+	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
 )
 
-// Source reads the routing document and the list of upstreams from where they are
-// published, and hands in each change until ctx ends.
-type Source interface {
-	Run(ctx context.Context, s Sink)
-}
-
-// Sink takes what a Source reads.
-type Sink interface {
-	// TakeDocument takes a document; an older one than the newest is ignored.
-	TakeDocument(d *route.Document)
-	// TakeUpstreams takes the whole list.
-	TakeUpstreams(list []balance.Upstream)
-	// TakeUpstream takes one entry of the list.
-	TakeUpstream(u balance.Upstream)
-	// DropUpstream takes that an entry is gone.
-	DropUpstream(id string)
-	// Upstreams names those that are known.
-	Upstreams() []string
-	// Confirm notes that all that was taken is known to be the newest now.
-	Confirm()
-	// Lost notes that the source cannot be read.
-	Lost(err error)
-}
-
 // Config configures a Relay.
 type Config struct {
 	Box      string
 	Domain   string
 	Callers  net.Listener
 	Ready    net.Listener
+	Control  net.Listener   // for other boxes' calls; nil where a box has no peers
+	Self     *wire.GroupBox // the box as the others know it; without an address it has no peers
+	Seeds    []string       // IP:port of boxes that may be there
+	Timing   group.Timing
 	Protocol Protocol
-	Source   Source
-	Log      *Log
-	Budget   balance.BudgetConfig
-	Tuning   balance.Tuning
+	// Publisher is read for the document and the list of upstreams, which Decode
+	// makes of what lies there.
+	Publisher mirror.Publisher
+	Decode    func(mirror.Item) (News, error)
+	Log       *Log
+	Budget    balance.BudgetConfig
+	Tuning    balance.Tuning
 	// FirstStart says that no box ran before, so that nothing is left of an
 	// earlier one's budget.
 	FirstStart bool
@@ -74,6 +60,9 @@
 	stats  stats
 	front  *front
 
+	members    *members
+	pullClient *http.Client
+
 	mu     sync.Mutex // guards fleet and budget
 	fleet  *balance.Fleet
 	budget *balance.Budget
@@ -84,24 +73,35 @@
 	duties   int
 }
 
-var _ Sink = (*Relay)(nil)
-
 // Start starts a relay; Stop ends it.
 func Start(cfg Config) (*Relay, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, 4)}
+	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, maxDuties),
+		pullClient: &http.Client{Timeout: pullWait}}
 	r.stats = newStats()
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
 	r.front = newFront(r)
-	r.run("source", func() { cfg.Source.Run(ctx, r) })
+	var err error
+	if r.members, err = newMembers(r); err != nil {
+		cancel()
+		return nil, &Error{Op: "listen to other boxes", Kind: KindEdge, Err: err}
+	}
+	r.run("members", func() { r.members.duty(ctx) })
+	r.run("reader", func() { r.members.readDuty(ctx) })
+	if cfg.Control != nil {
+		r.run("control", r.serveControl)
+	}
 	r.run("callers", func() { r.front.serve(cfg.Callers) })
 	r.run("ready", func() { r.front.serveReady(cfg.Ready) })
 	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain})
 	return r, nil
 }
 
+// maxDuties is how many duties a box has at most.
+const maxDuties = 8
+
 func (r *Relay) run(duty string, f func()) {
 	r.duties++
 	go func() {
@@ -114,7 +114,7 @@
 func (r *Relay) now() time.Duration { return time.Since(r.start) }
 
 // boxes is how many boxes share the limits.
-func (r *Relay) boxes() int { return max(r.cfg.Boxes, 1) }
+func (r *Relay) boxes() int { return max(int(r.members.boxes.Load()), 1) }
 
 // connectionCap is how many connections this box may hold to an upstream.
 func (r *Relay) connectionCap(service string) int {
@@ -149,15 +149,17 @@
 	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.open.Load()})
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Grace-graceMargin)
 	defer cancel()
-	select {
-	case <-time.After(callersLinger):
-	case <-ctx.Done():
-	}
+	r.members.leave(ctx)
+	sleep(ctx, callersLinger)
 	if err := r.front.close(ctx); err != nil {
 		r.cfg.Log.Event("box", "stopped with requests under way", Fields{"open": r.stats.open.Load(), "error": err.Error()})
 	}
 	r.cancel()
 	r.conns.close()
+	r.members.close()
+	if r.cfg.Control != nil {
+		_ = r.cfg.Control.Close() // it serves nobody any more
+	}
 	for ; r.duties > 0; r.duties-- {
 		<-r.ends
 	}
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -4,8 +4,10 @@
 // invariant: what LoadRelay returns has passed every check.
 
 import (
+	"net"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/doormast/doormast/internal/jsonc"
@@ -21,6 +23,8 @@
 	Seeds      []string    `json:"seeds"`    // IP:port of some boxes' control addresses
 	PeerPorts  []int       `json:"peer_ports"`
 	MemoryMB   int         `json:"memory_mb"`
+	CPUShare   float64     `json:"cpu_share"` // of a core
+	LinkMbps   float64     `json:"link_mbps"` // megabits a second
 	Bounds     RelayBounds `json:"bounds"`
 }
 
@@ -43,6 +47,27 @@
 	RereadWindowSeconds float64 `json:"reread_window_s"` // in which reading a prompt again is waste
 }
 
+// Strength orders boxes by what they can carry for others: the processor first, and
+// the link where it is the narrower of the two. 0.1 of a core counts as much as
+// 100 Mbit/s; the figures only have to put strong boxes before weak ones.
+func (s *Relay) Strength() uint32 { return uint32(min(s.CPUShare*1000, s.LinkMbps*10)) }
+
+// PeerAddress is where the box's datagrams arrive, and those of any box with that IP.
+func (s *Relay) PeerAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.PeerPorts[0]))
+}
+
+// SeedAddresses are where the datagrams of the boxes named as seeds arrive.
+func (s *Relay) SeedAddresses() []string {
+	var list []string
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			list = append(list, s.PeerAddress(host))
+		}
+	}
+	return list
+}
+
 // Grace is how long a planned stop may take.
 func (b RelayBounds) Grace() time.Duration { return seconds(b.GraceSeconds) }
 
@@ -90,6 +115,8 @@
 	address("listen.ready", s.Listen.Ready)
 	address("listen.metrics", s.Listen.Metrics)
 	address("platform", s.Platform)
+	want(len(s.PeerPorts) > 0, "peer_ports", "[]", "want a port at least")
+	address("listen.control", s.Listen.Control)
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
 	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
 	want(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "", "want 0 or more")
