A box that starts later than the first time reads what is published at once

Ruled out: the lead's own settling, which only happens at the first start of all.

The first start still waits, as nobody calls then.

--- a/group/node.go
+++ b/group/node.go
@@ -40,6 +40,9 @@
 	Seeds  []string // IP:port of boxes that may be there
 	Timing Timing
 	Mirror *mirror.Mirror
+	// FirstStart says that no box ran before: there is time to find the others
+	// before anything is read. A box that starts later has callers waiting.
+	FirstStart bool
 	// Changed is told what is new in the mirror.
 	Changed func([]mirror.Item)
 }
@@ -178,6 +181,9 @@
 // Reads reports whether this box should read what is published itself.
 func (n *Node) Reads(now time.Duration) bool {
 	t := n.cfg.Timing
+	if !n.cfg.FirstStart && n.cfg.Mirror.Revision() == 0 {
+		return true
+	}
 	if n.Leads() {
 		return now-n.started >= t.Settle || n.alone()
 	}
--- a/relay/members.go
+++ b/relay/members.go
@@ -72,7 +72,8 @@
 	m := &members{relay: r, copy: mirror.New(), events: ring.New[memberEvent](memberRing), kick: make(chan struct{}, 1),
 		missing: make(map[string]time.Duration)}
 	m.boxes.Store(int64(r.cfg.Boxes))
-	m.node = group.NewNode(group.Config{Self: r.cfg.Self, Seeds: r.cfg.Seeds, Timing: r.cfg.Timing, Mirror: m.copy, Changed: m.changed}, r.now())
+	m.node = group.NewNode(group.Config{Self: r.cfg.Self, Seeds: r.cfg.Seeds, Timing: r.cfg.Timing, Mirror: m.copy, Changed: m.changed,
+		FirstStart: r.cfg.FirstStart}, r.now())
 	if r.cfg.Self.Address == "" {
 		return m, nil
 	}
@@ -99,6 +100,7 @@
 func (m *members) duty(ctx context.Context) {
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
+	m.after(ctx) // the reader may be wanted at once
 	var batch []memberEvent
 	for {
 		select {
