An empty watch confirms up to its end; the leads that others name are counted

Cause, found by the new tests of the group on a virtual network: boxes of other domains named in a list were not taken for leads, so that two of three domains never spoke and a box counted 20 boxes of 60 (the retry budget would have been divided too little); and a watch that returned with nothing confirmed only the moment of its beginning, so that members read for themselves once a second.

--- /dev/null
+++ b/balance/fleet_test.go
@@ -0,0 +1,157 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func newTestFleet(n int) *Fleet {
+	f := NewFleet(Config{Domain: "d0", Tuning: DefaultTuning})
+	for i := range n {
+		f.Put(Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: fmt.Sprintf("d%d", i%3), Slots: 8})
+	}
+	return f
+}
+
+func prompt(shared uint64) Request {
+	return Request{Service: "s", Tokens: 1400, Parts: []Part{{ID: shared, Tokens: 1000}, {ID: shared + 1e6, Tokens: 400}}}
+}
+
+func TestPromptsWithTheSameBeginningGoToTheSameUpstream(t *testing.T) {
+	is := is.New(t)
+	f, g := newTestFleet(9), newTestFleet(9)
+	homes := make(map[string]bool)
+	for shared := range uint64(50) {
+		a, ok := f.Place(0, prompt(shared), nil)
+		is.True(ok)
+		b, _ := g.Place(0, prompt(shared), nil)
+		is.Equal(a.Upstream.ID, b.Upstream.ID) // two boxes agree without a word
+		homes[a.Upstream.ID] = true
+	}
+	is.True(len(homes) >= 8) // and the homes are spread
+}
+
+func TestABusyHomeIsLeftAndFetchedFrom(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(9)
+	home, _ := f.Place(0, prompt(7), nil)
+	big := Request{Service: "s", Tokens: 2 * DefaultTuning.SpillTokens}
+	ticket := f.Open(home.Upstream.ID, big)
+	c, ok := f.Place(0, prompt(7), nil)
+	is.True(ok)
+	is.True(c.Upstream.ID != home.Upstream.ID)
+	is.Equal(c.Fetch, home.Upstream.Address)
+	ticket.First() // once the prompt has been read, the home is free again
+	c, _ = f.Place(0, prompt(7), nil)
+	is.Equal(c.Upstream.ID, home.Upstream.ID)
+	is.Equal(c.Fetch, "")
+}
+
+func TestAnUpstreamThatIsLeavingIsNeverChosen(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(3)
+	f.Leave("u0")
+	f.Put(Upstream{ID: "u0", Service: "s", Slots: 8}) // an old entry does not bring it back
+	f.Put(Upstream{ID: "u1", Service: "s", Slots: 8, Leaving: true})
+	for shared := range uint64(50) {
+		c, ok := f.Place(0, prompt(shared), nil)
+		is.True(ok)
+		is.Equal(c.Upstream.ID, "u2")
+	}
+	_, ok := f.Place(0, prompt(1), []string{"u2"})
+	is.True(!ok)
+}
+
+func TestAnUpstreamThatFailsRestsForABoundedTime(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1)
+	f.Put(Upstream{ID: "good", Service: "s", Slots: 8})
+	for range 20 {
+		f.Open("u0", prompt(1)).Close(time.Second, Failed)
+	}
+	for shared := range uint64(50) {
+		c, _ := f.Place(time.Second, prompt(shared), nil)
+		is.Equal(c.Upstream.ID, "good")
+	}
+	seen := false
+	for shared := range uint64(50) {
+		c, _ := f.Place(time.Second+restMax, prompt(shared), nil)
+		seen = seen || c.Upstream.ID == "u0"
+	}
+	is.True(seen) // it is tried again
+	c, ok := f.Place(time.Second, prompt(1), []string{"good"})
+	is.True(ok) // where all others are out, one that rests is better than none
+	is.Equal(c.Upstream.ID, "u0")
+}
+
+func TestRequestsWithoutAPromptGoWhereTheFewestAre(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(3)
+	plain := Request{Service: "s"}
+	var tickets []*Ticket
+	counts := make(map[string]int)
+	for range 30 {
+		c, _ := f.Place(0, plain, nil)
+		counts[c.Upstream.ID]++
+		tickets = append(tickets, f.Open(c.Upstream.ID, plain))
+	}
+	is.Equal(counts, map[string]int{"u0": 10, "u1": 10, "u2": 10})
+	for _, ticket := range tickets {
+		ticket.Close(0, Answered)
+	}
+	c, _ := f.Place(0, plain, nil)
+	is.Equal(c.Upstream.Domain, "d0") // among equals, the box's own domain
+}
+
+// Whatever is opened and closed, and in whichever order upstreams come and go, the
+// work counted is that of the open tickets, and nothing leaving or tried is chosen.
+func TestCountsAndChoicesHoldOverAnySchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(4)
+		leaving := make(map[string]bool)
+		open := make(map[*Ticket]string)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+			id := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "upstream"))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				f.Remove(id)
+				delete(leaving, id)
+			case 1:
+				f.Put(Upstream{ID: id, Service: "s", Slots: 4})
+			case 2:
+				f.Leave(id)
+				leaving[id] = f.Get(id) != nil
+			case 3:
+				for ticket := range open {
+					ticket.Close(now, Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")))
+					ticket.Close(now, Failed) // a second end counts for nothing
+					delete(open, ticket)
+					break
+				}
+			default:
+				c, ok := f.Place(now, prompt(uint64(rapid.IntRange(0, 9).Draw(t, "part"))), []string{"u3"})
+				if !ok {
+					continue
+				}
+				if leaving[c.Upstream.ID] || c.Upstream.ID == "u3" {
+					t.Fatalf("%s was chosen", c.Upstream.ID)
+				}
+				open[f.Open(c.Upstream.ID, prompt(1))] = c.Upstream.ID
+			}
+		}
+		for ticket := range open {
+			ticket.Close(now, Neutral)
+		}
+		for id, m := range f.byID {
+			if m.open != 0 || m.unread != 0 {
+				t.Fatalf("%s still counts %d requests and %d tokens", id, m.open, m.unread)
+			}
+		}
+	})
+}
--- a/group/talk.go
+++ b/group/talk.go
@@ -152,15 +152,25 @@
 		p.boxes = int(m.DomainBoxes)
 	}
 	for _, b := range m.Boxes {
-		if b.Name != n.cfg.Self.Name {
-			n.note(b)
-		}
+		n.noteListed(b)
 	}
 	n.most = max(n.most, int(m.AllBoxes))
 	n.answer(now, m, p)
 	n.learn(now, m)
 }
 
+// noteListed remembers a box that another box named. Of other domains only leads
+// are named, so it is one until it says otherwise itself.
+func (n *Node) noteListed(b *wire.GroupBox) {
+	if b.Name == n.cfg.Self.Name {
+		return
+	}
+	known := n.peers[b.Name] != nil
+	if p := n.note(b); p != nil && !known {
+		p.leads = b.Domain != n.cfg.Self.Domain
+	}
+}
+
 // note remembers a box; nil means that a later life of it is known.
 func (n *Node) note(b *wire.GroupBox) *peer {
 	p := n.peers[b.Name]
@@ -259,9 +269,10 @@
 	n.send(to, m)
 }
 
-// Read notes that this box read the publisher itself: what is new since a revision,
-// or everything where whole is set. A box that reads for a lead tells it.
-func (n *Node) Read(now, began time.Duration, items []mirror.Item, revision uint64, whole bool) {
+// Read notes that this box read the publisher itself: what is new behind the mirror's
+// revision, or everything where whole is set, which was the newest at the moment
+// known. A box that reads for a lead tells it.
+func (n *Node) Read(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
 	if n.readFails {
 		n.doubt = max(n.doubt, now+lapse)
 	}
@@ -273,7 +284,7 @@
 	} else {
 		changes, _ = n.cfg.Mirror.Apply(from, revision, items)
 	}
-	n.confirmed = max(n.confirmed, began)
+	n.confirmed = max(n.confirmed, known)
 	n.tell(now, changes, from)
 	if !n.Leads() {
 		n.sendItems(now, n.lead().Address, from, changes)
--- /dev/null
+++ b/group/world_test.go
@@ -0,0 +1,230 @@
+package group
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
+)
+
+// world joins real nodes by a fake network and a fake publisher on a virtual clock.
+type world struct {
+	t         testing.TB
+	now       time.Duration
+	random    *rand.Rand
+	boxes     map[string]*testBox
+	names     []string // in the order of their starts
+	seeds     []string
+	flying    []flight
+	published *mirror.Mirror
+	down      bool            // the publisher
+	refused   map[string]bool // boxes that the publisher turns away
+	cut       map[string]bool // domains cut off from the others
+	loss      float64
+	calls     int
+	bytes     int
+}
+
+type flight struct {
+	at   time.Duration
+	from string
+	to   string
+	data []byte
+}
+
+type testBox struct {
+	self    *wire.GroupBox
+	node    *Node
+	copy    *mirror.Mirror
+	dead    bool
+	frozen  bool
+	reading time.Duration // when the call under way ends; 0: none
+	asked   uint64        // revision behind which it asks
+	whole   bool
+	began   time.Duration
+	taken   []uint64 // revisions of the document it took, in order
+}
+
+const documentKey = "document"
+
+func newWorld(t testing.TB, seed uint64) *world {
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), boxes: make(map[string]*testBox), published: mirror.New(),
+		refused: make(map[string]bool), cut: make(map[string]bool)}
+	w.published.Load([]mirror.Item{{Key: documentKey, Value: []byte("1"), Revision: 1}}, 1)
+	return w
+}
+
+// start starts a box, or starts it again.
+func (w *world) start(name, domain string, strength uint32, first bool) *testBox {
+	b := &testBox{copy: mirror.New(), self: &wire.GroupBox{Name: name, Domain: domain, Address: name, Pulls: name,
+		Strength: strength, Boot: uint64(w.now) + 1}}
+	if w.boxes[name] == nil {
+		w.names = append(w.names, name)
+	}
+	w.boxes[name] = b
+	b.node = NewNode(Config{Self: b.self, Seeds: w.seeds, Timing: DefaultTiming, Mirror: b.copy, FirstStart: first,
+		Changed: func(items []mirror.Item) {
+			for _, it := range items {
+				if it.Key == documentKey {
+					b.taken = append(b.taken, it.Revision)
+				}
+			}
+		}}, w.now)
+	return b
+}
+
+// publish changes an item.
+func (w *world) publish(key, value string) uint64 {
+	r := w.published.Revision()
+	w.published.Apply(r, r+1, []mirror.Item{{Key: key, Value: []byte(value), Revision: r + 1}})
+	return r + 1
+}
+
+const (
+	step     = 5 * time.Millisecond
+	tickStep = 20 // steps between two ticks of a node
+	watch    = time.Second
+)
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		w.deliver()
+		for i, name := range w.names {
+			b := w.boxes[name]
+			if b.dead || b.frozen {
+				continue
+			}
+			if (int(w.now/step)+i)%tickStep == 0 {
+				b.node.Tick(w.now)
+			}
+			w.read(b)
+			w.collect(b)
+		}
+	}
+}
+
+func (w *world) deliver() {
+	var later, due []flight
+	for _, f := range w.flying {
+		if f.at <= w.now {
+			due = append(due, f)
+		} else {
+			later = append(later, f)
+		}
+	}
+	w.flying = later
+	sort.SliceStable(due, func(i, j int) bool { return due[i].at < due[j].at })
+	for _, f := range due {
+		b := w.boxes[f.to]
+		if b == nil || b.dead || w.severed(f.from, f.to) {
+			continue
+		}
+		if b.frozen {
+			f.at = w.now + step
+			w.flying = append(w.flying, f)
+			continue
+		}
+		m := new(wire.GroupMessage)
+		if err := proto.Unmarshal(f.data, m); err != nil {
+			w.t.Fatal(err)
+		}
+		b.node.Handle(w.now, m)
+		w.collect(b)
+	}
+}
+
+func (w *world) severed(a, b string) bool {
+	x, y := w.boxes[a], w.boxes[b]
+	if x == nil || y == nil || x.self.Domain == y.self.Domain {
+		return x == nil || y == nil
+	}
+	return w.cut[x.self.Domain] || w.cut[y.self.Domain]
+}
+
+// collect takes the messages a node wants sent.
+func (w *world) collect(b *testBox) {
+	out, pull := b.node.Drain()
+	for _, o := range out {
+		data, err := proto.Marshal(o.Message)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.bytes += len(data)
+		if w.random.Float64() < w.loss {
+			continue
+		}
+		delay := time.Duration(w.random.IntN(4)) * step
+		w.flying = append(w.flying, flight{w.now + delay, b.self.Name, o.To, data})
+	}
+	if other := w.boxes[pull]; pull != "" && other != nil && !other.dead && !w.severed(b.self.Name, pull) {
+		b.node.Pulled(w.now, other.node.Everything(w.now))
+	}
+}
+
+// read makes the calls to the publisher that a node wants made.
+func (w *world) read(b *testBox) {
+	if b.reading == 0 {
+		if !b.node.Reads(w.now) {
+			return
+		}
+		w.calls++
+		b.asked, b.whole, b.began = b.copy.Revision(), b.copy.Revision() == 0, w.now
+		b.reading = w.now + watch
+		if b.whole {
+			b.reading = w.now + step
+		}
+	}
+	away := w.down || w.refused[b.self.Name]
+	news := !b.whole && w.published.Revision() > b.asked
+	if w.now < b.reading && (away || !news) {
+		return
+	}
+	b.reading = 0
+	switch items, known := w.published.Since(b.asked); {
+	case away:
+		b.node.ReadFailed()
+	case b.whole || !known:
+		b.node.Read(w.now, b.began, w.published.Items(), w.published.Revision(), true)
+	case !news:
+		b.node.Read(w.now, b.began+watch, nil, b.asked, false)
+	default:
+		b.node.Read(w.now, b.began, items, w.published.Revision(), false)
+	}
+}
+
+// fleet starts boxes in domains, the first of each the strongest.
+func (w *world) fleet(domains, boxes int) {
+	for d := range domains {
+		w.seeds = append(w.seeds, boxName(d, boxes/2))
+	}
+	for d := range domains {
+		for i := range boxes {
+			w.start(boxName(d, i), domainName(d), uint32(100-i), true)
+			w.run(step)
+		}
+	}
+}
+
+func boxName(domain, box int) string { return fmt.Sprintf("%s-%02d", domainName(domain), box) }
+
+func domainName(domain int) string { return fmt.Sprintf("domain%d", domain) }
+
+// behind lists the living boxes whose copy is not the newest.
+func (w *world) behind() []string {
+	var list []string
+	for _, name := range w.names {
+		b := w.boxes[name]
+		if !b.dead && !b.frozen && b.copy.Revision() != w.published.Revision() {
+			list = append(list, name)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,109 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func keys(list []Item) []string {
+	out := make([]string, 0, len(list))
+	for _, it := range list {
+		out = append(out, fmt.Sprintf("%s@%d", it.Key, it.Revision))
+	}
+	return out
+}
+
+func TestAnOlderItemNeverReplacesANewerOne(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Load([]Item{{Key: "a", Revision: 5}}, 5)
+	_, ok := m.Apply(5, 8, []Item{{Key: "a", Revision: 8, Gone: true}})
+	is.True(ok)
+	changes, ok := m.Apply(3, 6, []Item{{Key: "a", Revision: 6}}) // late, and gone since
+	is.True(ok)
+	is.Equal(len(changes), 0)
+	is.Equal(m.Revision(), uint64(8))
+	is.Equal(len(m.Load([]Item{{Key: "a", Revision: 5}}, 7)), 0) // a state older than the copy
+	is.Equal(len(m.Items()), 0)
+}
+
+func TestChangesWithAGapAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	_, ok := m.Apply(0, 4, []Item{{Key: "a", Revision: 4}})
+	is.True(!ok) // an empty copy lacks everything
+	m.Load(nil, 4)
+	_, ok = m.Apply(5, 6, []Item{{Key: "a", Revision: 6}})
+	is.True(!ok)
+	is.Equal(m.Revision(), uint64(4))
+}
+
+func TestALoadTellsWhatHasGone(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Load([]Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
+	changes := m.Load([]Item{{Key: "b", Revision: 4}}, 5)
+	is.Equal(keys(changes), []string{"b@4", "a@5"})
+	is.True(changes[1].Gone)
+	since, ok := m.Since(2)
+	is.True(ok)
+	is.Equal(len(since), 2)
+	_, ok = m.Since(1)
+	is.True(!ok) // before the copy's own beginning
+}
+
+func TestOldChangesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	m.Load(nil, 1)
+	for i := range uint64(historyItems + 10) {
+		m.Apply(i+1, i+2, []Item{{Key: fmt.Sprint(i), Revision: i + 2}})
+	}
+	_, ok := m.Since(5)
+	is.True(!ok)
+	list, ok := m.Since(m.Revision() - 10)
+	is.True(ok)
+	is.Equal(len(list), 10)
+}
+
+// However changes are cut into messages, lost, repeated and reordered, a copy that
+// says it is at a revision holds exactly what the publisher held there.
+func TestACopyAtARevisionLacksNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := New()
+		source.Load(nil, 1)
+		states := map[uint64][]string{1: {}}
+		var messages []struct {
+			from, to uint64
+			items    []Item
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			from := source.Revision()
+			it := Item{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Revision: from + 1, Gone: rapid.Bool().Draw(t, "gone")}
+			source.Apply(from, from+1, []Item{it})
+			states[from+1] = keys(source.Items())
+			since := uint64(rapid.IntRange(1, int(from)).Draw(t, "since"))
+			items, ok := source.Since(since)
+			if !ok {
+				t.Fatalf("no changes since %d", since)
+			}
+			messages = append(messages, struct {
+				from, to uint64
+				items    []Item
+			}{since, from + 1, items})
+		}
+		target := New()
+		target.Load(nil, 1)
+		for range 60 {
+			m := messages[rapid.IntRange(0, len(messages)-1).Draw(t, "message")]
+			target.Apply(m.from, m.to, m.items)
+			got, want := fmt.Sprint(keys(target.Items())), fmt.Sprint(states[target.Revision()])
+			if got != want {
+				t.Fatalf("at %d: %s, want %s", target.Revision(), got, want)
+			}
+		}
+	})
+}
--- a/relay/members.go
+++ b/relay/members.go
@@ -37,7 +37,7 @@
 
 // readResult is what came of a reading of the publisher.
 type readResult struct {
-	began    time.Duration
+	known    time.Duration // a moment at which what was read was the newest
 	items    []mirror.Item
 	revision uint64
 	whole    bool
@@ -150,7 +150,7 @@
 		m.relay.belief.lose(m.relay, r.err)
 		return
 	}
-	m.node.Read(now, r.began, r.items, r.revision, r.whole)
+	m.node.Read(now, r.known, r.items, r.revision, r.whole)
 	m.relay.belief.regain(m.relay)
 }
 
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -39,13 +39,16 @@
 
 // readOnce makes one call and hands in what came of it.
 func (m *members) readOnce(ctx context.Context) error {
-	r := &readResult{began: m.relay.now(), whole: m.revision.Load() == 0}
+	r := &readResult{known: m.relay.now(), whole: m.revision.Load() == 0}
 	publisher := m.relay.cfg.Publisher
 	if !r.whole {
 		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watchWait)
+		if waited := r.known + watchWait; len(r.items) == 0 && m.relay.now() >= waited {
+			r.known = waited // the publisher has waited that long before it answered
+		}
 	}
 	if r.whole || errors.Is(r.err, mirror.ErrForgotten) {
-		r.began, r.whole = m.relay.now(), true
+		r.known, r.whole = m.relay.now(), true
 		r.items, r.revision, r.err = publisher.Everything(ctx)
 	}
 	m.relay.stats.count("publisher_calls")
