A box that was cut off alone raises no doubt about entries that go

A request reached a leaving upstream 2024 ms after the store took it. Ruled out: the relay of changes (all boxes had the entry's going at once).

Doubt is only raised where nobody had confirmed the copy for 1.7 s, and a message without doubt no longer moves it.

--- a/group/node_test.go
+++ b/group/node_test.go
@@ -225,3 +225,21 @@
 		}
 	})
 }
+
+// A box that could not reach the publisher while others could has missed no outage:
+// what goes then has gone, and is not to be kept for a while.
+func TestABoxThatWasCutOffAloneRaisesNoDoubt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 11)
+	w.fleet(2, 4)
+	w.run(5 * time.Second)
+	lead := w.boxes[boxName(0, 0)]
+	w.refused[lead.self.Name] = true
+	w.run(5 * time.Second)
+	delete(w.refused, lead.self.Name)
+	w.run(2 * time.Second)
+	is.True(lead.node.readOK > w.now-2*time.Second) // it reads again
+	for _, name := range w.names {
+		is.True(w.boxes[name].node.Doubt() < 0)
+	}
+}
--- a/group/talk.go
+++ b/group/talk.go
@@ -212,7 +212,7 @@
 
 // learn takes in what the sender knows of what is published.
 func (n *Node) learn(now time.Duration, m *wire.GroupMessage) {
-	n.doubt = max(n.doubt, now+fromMicros(m.DoubtLeft))
+	n.doubtFor(now, m.DoubtLeft)
 	if items, ok := unpack(m.Items); ok && len(items) > 0 {
 		before := n.cfg.Mirror.Revision()
 		if changes, ok := n.cfg.Mirror.Apply(m.From, m.Revision, items); ok {
@@ -232,6 +232,13 @@
 	}
 }
 
+// doubtFor takes over another box's time of doubt, in microseconds.
+func (n *Node) doubtFor(now time.Duration, left uint64) {
+	if left > 0 {
+		n.doubt = max(n.doubt, now+fromMicros(left))
+	}
+}
+
 // tell passes changes on: to this box, and from a lead to the others.
 func (n *Node) tell(now time.Duration, changes []mirror.Item, from uint64) {
 	if len(changes) == 0 {
@@ -273,8 +280,8 @@
 // revision, or everything where whole is set, which was the newest at the moment
 // known. A box that reads for a lead tells it.
 func (n *Node) Read(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
-	if n.readFails {
-		n.doubt = max(n.doubt, now+lapse)
+	if n.readFails && now-n.confirmed > n.cfg.Timing.Stale {
+		n.doubt = max(n.doubt, now+lapse) // nobody else could read either
 	}
 	n.readOK, n.readFails = now, false
 	from := n.cfg.Mirror.Revision()
@@ -300,7 +307,7 @@
 
 // Pulled takes in all that another box has.
 func (n *Node) Pulled(now time.Duration, r *wire.MirrorResponse) {
-	n.doubt = max(n.doubt, now+fromMicros(r.DoubtLeft))
+	n.doubtFor(now, r.DoubtLeft)
 	items, ok := unpack(r.Items)
 	if !ok {
 		return // the next beat shows what is missing still
