--- /dev/null
+++ b/balance/fetch.go
@@ -0,0 +1,33 @@
+package balance
+
+// This file defines from where an upstream may fetch what it lacks of a prompt.
+// Fetching costs a fourth of reading again.
+
+import "time"
+
+// fetchFrom is the address of the upstream that is more likely to keep the prompt
+// than the chosen one: one that comes before it, or that did so until the chosen one
+// was new.
+func (f *Fleet) fetchFrom(now time.Duration, r Request, chosen *member) string {
+	key := sharedKey(r)
+	mine := weight(chosen.ID, key)
+	var best *member
+	var bestWeight uint64
+	for _, m := range f.byService[r.Service] {
+		w := weight(m.ID, key)
+		if m == chosen || m.out || m.health.rests(now) || !f.inLane(m, r.Tight) {
+			continue
+		}
+		older := !f.young(now, m)
+		if older && (w > mine || f.young(now, chosen)) && (best == nil || w > bestWeight) {
+			best, bestWeight = m, w
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Address
+}
+
+// young reports whether an upstream was listed too recently to keep much.
+func (f *Fleet) young(now time.Duration, m *member) bool { return now-m.since < f.cfg.Tuning.NewFor }
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -26,6 +26,8 @@
 	Parts   []Part // of the prompt, in order; the last belongs to this request alone
 	Tokens  int    // of the prompt
 	Output  int    // tokens to be made, at most
+	Tight   bool   // its events must follow each other closely
+	Urgency int    // 0 is the most urgent
 }
 
 // Part is a part of a prompt that other prompts may begin with too.
@@ -38,28 +40,29 @@
 type Choice struct {
 	Upstream *Upstream
 	Fetch    string // address of an upstream that keeps more of the prompt, or empty
+	Backlog  int    // prompt tokens that are to be read there before
 }
 
 // Ticket is a request on an upstream, from the moment it was placed to its end.
 type Ticket struct {
-	member *member
-	unread int // tokens of its prompt that are counted as not yet read
-	closed bool
+	fleet   *Fleet
+	member  *member
+	urgency int
+	unread  int // tokens of its prompt that are counted as not yet read
+	opened  time.Duration
+	alone   bool // nothing was before it
+	closed  bool
 }
 
 // member is an upstream with what this box knows of it besides.
 type member struct {
 	Upstream
-	open   int // requests of this box
-	unread int // prompt tokens of this box's requests without an answer yet
-	health health
-	others othersLoad
-}
-
-// othersLoad is what the other boxes have under way on an upstream.
-type othersLoad struct {
-	open   int
-	unread int
+	work     work // of this box
+	others   work // of all other boxes
+	health   health
+	out      bool // it cannot be reached
+	outSince time.Duration
+	since    time.Duration // when it was first listed
 }
 
 // Config configures a Fleet.
@@ -73,22 +76,34 @@
 	cfg       Config
 	byID      map[string]*member
 	byService map[string][]*member
+	rate      float64       // prompt tokens that an upstream reads in a ms
+	listed    time.Duration // when the first upstream was
 }
 
+// firstList is the span in which a box that has started hears of all upstreams there
+// are; those that come later are new.
+const firstList = 2 * time.Second
+
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member)}
+	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member), rate: cfg.Tuning.ReadRate}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
 // so: an entry that says otherwise is an old one.
-func (f *Fleet) Put(u Upstream) {
+func (f *Fleet) Put(now time.Duration, u Upstream) {
 	if m := f.byID[u.ID]; m != nil {
 		u.Leaving = u.Leaving || m.Leaving
 		m.Upstream = u
 		return
 	}
-	m := &member{Upstream: u}
+	if len(f.byID) == 0 {
+		f.listed = now
+	}
+	m := &member{Upstream: u, since: now}
+	if now-f.listed < firstList {
+		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
+	}
 	f.byID[u.ID] = m
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 }
@@ -135,14 +150,13 @@
 }
 
 // Open counts a request on an upstream.
-func (f *Fleet) Open(id string, r Request) *Ticket {
+func (f *Fleet) Open(now time.Duration, id string, r Request) *Ticket {
 	m := f.byID[id]
 	if m == nil {
 		return &Ticket{closed: true}
 	}
-	t := &Ticket{member: m, unread: f.missing(m, r)}
-	m.open++
-	m.unread += t.unread
+	t := &Ticket{fleet: f, member: m, urgency: r.level(), unread: f.missing(m, r), opened: now, alone: m.open() == 0}
+	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1})
 	return t
 }
 
@@ -159,11 +173,18 @@
 }
 
 // First notes that the first event came: the prompt has been read.
-func (t *Ticket) First() {
+func (t *Ticket) First(now time.Duration) {
 	if t.closed {
 		return
 	}
-	t.member.unread -= t.unread
+	if t.alone {
+		t.fleet.learnRate(t.unread, now-t.opened)
+	}
+	t.clear()
+}
+
+func (t *Ticket) clear() {
+	t.member.work.add(t.urgency, Load{Unread: -t.unread})
 	t.unread = 0
 }
 
@@ -172,10 +193,16 @@
 	if t.closed {
 		return
 	}
-	t.First()
+	t.clear()
 	t.closed = true
-	t.member.open--
+	t.member.work.add(t.urgency, Load{Open: -1})
 	t.member.health.note(now, outcome)
+	switch outcome {
+	case Unreachable:
+		t.fleet.unreached(now, t.member)
+	case Answered, Full:
+		t.member.out = false
+	}
 }
 
 // sharedKey identifies what a request shares with others, its last shared part; 0
--- a/balance/health.go
+++ b/balance/health.go
@@ -13,7 +13,7 @@
 	Answered    Outcome = iota
 	Full                // the upstream said that it has no room
 	Failed              // an error, a broken connection, or no answer
-	Unreachable         // no connection came up
+	Unreachable         // no connection came up, or it went silent
 	Neutral             // ended for reasons that say nothing about the upstream
 )
 
@@ -39,10 +39,10 @@
 	case Answered:
 		h.failing *= failShare
 		h.inRow = 0
-	case Failed, Unreachable:
+	case Failed:
 		h.failing = h.failing*failShare + (1 - failShare)
 		h.inRow++
-		if h.inRow > 1 || o == Unreachable {
+		if h.inRow > 1 {
 			h.restTill = now + min(restMin<<min(h.inRow, 8), restMax)
 		}
 	case Full:
--- /dev/null
+++ b/balance/load.go
@@ -0,0 +1,77 @@
+package balance
+
+// This file defines the work that is under way on an upstream, by urgency: engines
+// read the prompts of more urgent requests first. The invariant: no count is below 0.
+
+import "github.com/cespare/xxhash/v2"
+
+// Levels is how many urgencies are told apart; those beyond count as the last.
+const Levels = 10
+
+// Load is what boxes have under way on an upstream.
+type Load struct {
+	Unread int // prompt tokens that are not yet read
+	Open   int // requests
+}
+
+// LoadKey says whose load it is, where boxes tell each other.
+type LoadKey struct {
+	Upstream uint32 // Key of its id
+	Urgency  int
+}
+
+// Key identifies an upstream where boxes tell each other of it.
+func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// work is the load by urgency.
+type work [Levels]Load
+
+func (w *work) add(urgency int, l Load) {
+	at := &w[urgency]
+	at.Unread = max(0, at.Unread+l.Unread)
+	at.Open = max(0, at.Open+l.Open)
+}
+
+// upTo adds up what is at least as urgent.
+func (w *work) upTo(urgency int) Load {
+	var sum Load
+	for _, l := range w[:urgency+1] {
+		sum.Unread += l.Unread
+		sum.Open += l.Open
+	}
+	return sum
+}
+
+func (r Request) level() int { return min(max(r.Urgency, 0), Levels-1) }
+
+// ahead is the prompt tokens that an upstream reads before those of a request with
+// the urgency, for all boxes.
+func (m *member) ahead(urgency int) int {
+	return m.work.upTo(urgency).Unread + m.others.upTo(urgency).Unread
+}
+
+// open is how many requests are under way, for all boxes.
+func (m *member) open() int { return m.work.upTo(Levels-1).Open + m.others.upTo(Levels-1).Open }
+
+// Loads returns what this box has under way.
+func (f *Fleet) Loads() map[LoadKey]Load {
+	loads := make(map[LoadKey]Load)
+	for id, m := range f.byID {
+		for urgency, l := range m.work {
+			if l.Open > 0 {
+				loads[LoadKey{Key(id), urgency}] = l
+			}
+		}
+	}
+	return loads
+}
+
+// SetOthers takes what all other boxes have under way.
+func (f *Fleet) SetOthers(loads map[LoadKey]Load) {
+	for id, m := range f.byID {
+		key := Key(id)
+		for urgency := range Levels {
+			m.others[urgency] = loads[LoadKey{key, urgency}]
+		}
+	}
+}
--- a/balance/place.go
+++ b/balance/place.go
@@ -12,13 +12,30 @@
 	// SpillTokens is by how many unread prompt tokens the home of a prompt may be
 	// ahead of the next choice before a request goes there instead.
 	SpillTokens int
+	// NewFor is how long after its listing an upstream fetches prompts from the one
+	// that was their home before.
+	NewFor time.Duration
+	// TightShare is the share of a service's upstreams, in 100, that is kept for
+	// streams whose events must follow each other closely.
+	TightShare int
+	// Away is how many open requests for each slot an upstream of another failure
+	// domain counts as having more, for requests without a prompt.
+	Away float64
 	// FailWeight is how many open requests a certain failure counts for when the
 	// less busy upstream of a service without prompts is looked for.
 	FailWeight float64
+	// Admit is the share of its latency target that a request may wait for prompts
+	// that are read before its own; beyond it is refused and told when to come back.
+	// AdmitAgain is the same for one that has come back.
+	Admit, AdmitAgain float64
+	// ReadRate is how many prompt tokens an upstream reads in a ms, until that has
+	// been seen.
+	ReadRate float64
 }
 
 // DefaultTuning is used where a configuration names none.
-var DefaultTuning = Tuning{SpillTokens: 20000, FailWeight: 6}
+var DefaultTuning = Tuning{SpillTokens: 50000, NewFor: 15 * time.Second, TightShare: 25, Away: 0.3, FailWeight: 6,
+	Admit: 0.5, AdmitAgain: 2, ReadRate: 36}
 
 // home is where a prompt's shared part is kept: the first choice by rendezvous
 // among the upstreams that take new requests.
@@ -47,7 +64,7 @@
 	if sharedKey(r) == 0 {
 		return Choice{Upstream: &f.leastBusy(list).Upstream}, true
 	}
-	return f.placePrompt(r, list), true
+	return f.placePrompt(now, r, f.lane(r, list)), true
 }
 
 // usable lists the upstreams a request may go to.
@@ -56,7 +73,7 @@
 	for _, m := range f.byService[service] {
 		switch {
 		case m.Leaving || contains(tried, m.ID):
-		case m.health.rests(now):
+		case m.out || m.health.rests(now):
 			resting = append(resting, m)
 		default:
 			awake = append(awake, m)
@@ -74,9 +91,9 @@
 	var best *member
 	var bestScore float64
 	for _, m := range list {
-		score := (float64(m.open+m.others.open) + f.cfg.Tuning.FailWeight*m.health.failing) / float64(max(m.Slots, 1))
+		score := (float64(m.open()) + f.cfg.Tuning.FailWeight*m.health.failing) / float64(max(m.Slots, 1))
 		if m.Domain != f.cfg.Domain {
-			score += 0.01
+			score += f.cfg.Tuning.Away
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
@@ -86,8 +103,8 @@
 }
 
 // placePrompt chooses the home of the prompt's shared part, or the next choice if
-// that has much less left to read; the next choice then fetches from the home.
-func (f *Fleet) placePrompt(r Request, list []*member) Choice {
+// that has much less left to read.
+func (f *Fleet) placePrompt(now time.Duration, r Request, list []*member) Choice {
 	key := sharedKey(r)
 	var first, second *member
 	var firstWeight, secondWeight uint64
@@ -101,15 +118,13 @@
 			second, secondWeight = m, w
 		}
 	}
-	if second == nil || first.load() <= second.load()+f.cfg.Tuning.SpillTokens {
-		return Choice{Upstream: &first.Upstream}
+	chosen := first
+	if second != nil && first.ahead(r.level()) > second.ahead(r.level())+f.cfg.Tuning.SpillTokens {
+		chosen = second
 	}
-	return Choice{Upstream: &second.Upstream, Fetch: first.Address}
+	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
 }
 
-// load is the prompt tokens that an upstream has yet to read, for all boxes.
-func (m *member) load() int { return m.unread + m.others.unread }
-
 func contains(list []string, s string) bool {
 	for _, v := range list {
 		if v == s {
--- /dev/null
+++ b/balance/reach.go
@@ -0,0 +1,56 @@
+package balance
+
+// This file defines which upstreams cannot be reached. The invariant: one that could
+// not be reached gets no request while another can be had, until a trial connection
+// or an answer shows that it can be reached again.
+
+import "time"
+
+// domainFrom is how many upstreams of a failure domain must have become out of reach
+// for the domain itself to count as cut off.
+const domainFrom = 2
+
+// domainWithin is the span in which they must have.
+const domainWithin = 2 * time.Second
+
+// unreached notes that no connection to the upstream came up, or that one went
+// silent. Where others of its domain have failed alike, all of them are out.
+func (f *Fleet) unreached(now time.Duration, m *member) {
+	m.out, m.outSince = true, now
+	if m.Domain == f.cfg.Domain {
+		return
+	}
+	failed := 0
+	for _, o := range f.byID {
+		if o.Domain == m.Domain && o.out && now-o.outSince < domainWithin {
+			failed++
+		}
+	}
+	if failed < domainFrom {
+		return
+	}
+	for _, o := range f.byID {
+		if o.Domain == m.Domain && !o.out {
+			o.out, o.outSince = true, now
+		}
+	}
+}
+
+// Reached notes that an upstream can be reached. If its domain was cut off, the
+// others of it are tried next.
+func (f *Fleet) Reached(id string) {
+	if m := f.byID[id]; m != nil {
+		m.out = false
+	}
+}
+
+// Unreached lists the upstreams that cannot be reached.
+func (f *Fleet) Unreached() []Upstream {
+	var list []Upstream
+	for _, m := range f.byID {
+		if m.out {
+			list = append(list, m.Upstream)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/group/load.go
@@ -0,0 +1,148 @@
+package group
+
+// This file defines how boxes tell each other what they have under way. The
+// invariant: what a box is told of the others never contains its own.
+//
+// A member tells its lead, the lead tells the leads of the other domains the sum of
+// its domain, and tells each of its members all but that member's own. Only changes
+// are sent, at most one message a tick to each.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
+)
+
+// Loads are those of several upstreams, by their keys and urgency.
+type Loads = map[balance.LoadKey]balance.Load
+
+// unreadUnit is how many tokens one unit on the wire stands for: less than what an
+// upstream reads in 2 ms.
+const unreadUnit = 64
+
+// SetLoads notes what this box itself has under way.
+func (n *Node) SetLoads(l Loads) { n.loads = l }
+
+// Others is what the other boxes have under way.
+func (n *Node) Others() Loads { return n.others }
+
+// addLoads adds o to l.
+func addLoads(l, o Loads) {
+	for key, load := range o {
+		sum := l[key]
+		l[key] = balance.Load{Unread: sum.Unread + load.Unread, Open: sum.Open + load.Open}
+	}
+}
+
+// packLoads makes the wire's form, in a fixed order.
+func packLoads(l Loads) []*wire.GroupLoad {
+	out := make([]*wire.GroupLoad, 0, len(l))
+	for key, load := range l {
+		if load.Unread > 0 || load.Open > 0 {
+			out = append(out, &wire.GroupLoad{Upstream: key.Upstream, Urgency: uint32(key.Urgency), Unread: uint32(max(0, load.Unread) / unreadUnit), Open: uint32(max(0, load.Open))})
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.GroupLoad) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Urgency, b.Urgency))
+	})
+	return out
+}
+
+func unpackLoads(list []*wire.GroupLoad) Loads {
+	l := make(Loads, len(list))
+	for _, w := range list {
+		l[balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open)}
+	}
+	return l
+}
+
+// sameLoads compares two packed lists.
+func sameLoads(a, b []*wire.GroupLoad) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.GroupLoad) bool {
+		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open
+	})
+}
+
+// tellLoads sends what has changed since it was last told.
+func (n *Node) tellLoads(now time.Duration) {
+	if !n.Leads() {
+		if p := n.peers[n.lead().Name]; p != nil && p.leads {
+			n.tellLoad(now, p, n.loads)
+		}
+		return
+	}
+	domain, foreign := n.sumLoads(now)
+	n.others = Loads{}
+	addLoads(n.others, foreign)
+	for _, p := range n.peers {
+		switch {
+		case now-p.heard > n.cfg.Timing.Member:
+		case p.box.Domain != n.cfg.Self.Domain && p.leads:
+			n.tellLoad(now, p, domain)
+		case p.box.Domain == n.cfg.Self.Domain:
+			addLoads(n.others, p.loads)
+			n.tellLoad(now, p, n.allBut(p, domain, foreign))
+		}
+	}
+}
+
+// sumLoads adds up this domain's loads, and those of the others.
+func (n *Node) sumLoads(now time.Duration) (domain, foreign Loads) {
+	domain, foreign = Loads{}, Loads{}
+	addLoads(domain, n.loads)
+	for _, p := range n.peers {
+		switch {
+		case now-p.heard > n.cfg.Timing.Member:
+			p.loads = nil
+		case p.box.Domain == n.cfg.Self.Domain:
+			addLoads(domain, p.loads)
+		case p.leads:
+			addLoads(foreign, p.loads)
+		}
+	}
+	return domain, foreign
+}
+
+// allBut is everybody's load without the peer's own.
+func (n *Node) allBut(p *peer, domain, foreign Loads) Loads {
+	l := Loads{}
+	addLoads(l, domain)
+	addLoads(l, foreign)
+	for key, own := range p.loads {
+		sum := l[key]
+		l[key] = balance.Load{Unread: sum.Unread - own.Unread, Open: sum.Open - own.Open}
+	}
+	return l
+}
+
+func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
+	packed := packLoads(l)
+	if p.told && sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat {
+		return
+	}
+	if p.told && len(packed) == 0 && len(p.toldLoads) == 0 {
+		return // idle: nothing to repeat
+	}
+	p.told, p.toldLoads, p.toldAt = true, packed, now
+	m := n.message(now)
+	m.HasLoads, m.Loads = true, packed
+	n.send(p.box.Address, m)
+}
+
+// takeLoads takes in what a peer tells.
+func (n *Node) takeLoads(p *peer, m *wire.GroupMessage) {
+	if !m.HasLoads {
+		return
+	}
+	l := unpackLoads(m.Loads)
+	if m.Leads && p.box.Domain == n.cfg.Self.Domain {
+		if p.box.Name == n.lead().Name {
+			n.others = l
+		}
+		return
+	}
+	p.loads = l
+}
--- a/group/node.go
+++ b/group/node.go
@@ -62,6 +62,11 @@
 	leaving bool
 	silent  bool // it was expected to lead and was not heard
 	boxes   int  // alive in its domain, as it said when it led
+
+	loads     Loads             // its own, or its domain's where it leads another one
+	told      bool              // it was told loads
+	toldLoads []*wire.GroupLoad // the last ones
+	toldAt    time.Duration
 }
 
 // Node is one box's part of the group. It is not safe for several goroutines.
@@ -79,6 +84,8 @@
 	leadName  string        // the lead that is waited for
 	most      int           // the greatest count of boxes seen
 	leaving   bool
+	loads     Loads // this box's own
+	others    Loads // all other boxes'
 	out       []Outgoing
 	pull      string // address to pull everything from
 }
--- a/group/talk.go
+++ b/group/talk.go
@@ -30,6 +30,7 @@
 // Tick does what is due by time.
 func (n *Node) Tick(now time.Duration) {
 	n.watchLead(now)
+	n.tellLoads(now)
 	if now-n.lastBeat < n.cfg.Timing.Beat {
 		return
 	}
@@ -155,6 +156,7 @@
 		n.noteListed(b)
 	}
 	n.most = max(n.most, int(m.AllBoxes))
+	n.takeLoads(p, m)
 	n.answer(now, m, p)
 	n.learn(now, m)
 }
--- a/relay/belief.go
+++ b/relay/belief.go
@@ -69,7 +69,7 @@
 	r.mu.Lock()
 	old := r.fleet.Get(u.ID)
 	changed := old == nil || old.Leaving != u.Leaving
-	r.fleet.Put(u)
+	r.fleet.Put(r.now(), u)
 	r.mu.Unlock()
 	if changed {
 		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving})
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -17,8 +17,8 @@
 	// defaultConnections is used where a service states no bound.
 	defaultConnections = 64
 	// dialWait is the longest a connection may take to come up; a round trip is a
-	// few ms, and a lost opening packet is sent again after a second.
-	dialWait = 600 * time.Millisecond
+	// few ms, and what cannot be reached is tried elsewhere.
+	dialWait = 350 * time.Millisecond
 	// idleKeep is how long a connection is kept where the upstream gives no time.
 	idleKeep = 3 * time.Second
 	// idleMargin is kept of the time that an upstream gives, so that its close and
@@ -33,7 +33,7 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // userTimeout is how long sent bytes may stay unacknowledged, in ms.
-const userTimeout = 2500
+const userTimeout = 1200
 
 // conn is a connection to an upstream.
 type conn struct {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,7 @@
 	pending   []byte // events on their way to the caller
 	first     time.Duration
 	outcome   string
+	comeBack  time.Duration // when to come back, where that was worked out
 }
 
 // handle serves one request.
@@ -205,19 +207,33 @@
 		return balance.Choice{}, false
 	}
 	r := x.relay
-	q := balance.Request{Service: x.service, Parts: x.request.prompt.Parts, Tokens: x.request.prompt.Tokens, Output: x.request.prompt.Output}
+	tight := x.doc.Tight(x.route)
+	q := balance.Request{Service: x.service, Parts: x.request.prompt.Parts, Tokens: x.request.prompt.Tokens, Output: x.request.prompt.Output, Urgency: x.urgency, Tight: tight}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	choice, ok := r.fleet.Place(r.now(), q, x.tried)
 	if !ok {
 		return choice, false
 	}
-	x.ticket = r.fleet.Open(choice.Upstream.ID, q)
+	if x.sent == 0 && len(q.Parts) > 0 {
+		if x.comeBack, ok = r.fleet.Admit(x.admission(), choice); !ok {
+			return choice, false
+		}
+	}
+	x.ticket = r.fleet.Open(r.now(), choice.Upstream.ID, q)
 	x.upstream = *choice.Upstream
 	x.fetched = choice.Fetch != ""
 	return choice, true
 }
 
+// cameBack is the share of the route's time below which a request has come back
+// after a refusal: a first attempt has all of it.
+const cameBack = 0.95
+
+func (x *exchange) admission() balance.Admission {
+	return balance.Admission{Target: x.route.Target, Again: float64(time.Until(x.end)) < cameBack*float64(x.route.Timeout)}
+}
+
 // runOn runs the request on an upstream. With runAnswered, either the whole body
 // has been read or the stream's first events are pending.
 func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
@@ -288,6 +304,10 @@
 		outcome = balance.Neutral
 	case state == runUnsent:
 		x.unsent++
+		if !errors.Is(err, errConnections) {
+			outcome = balance.Unreachable
+		}
+	case errors.Is(err, syscall.ETIMEDOUT):
 		outcome = balance.Unreachable
 	case state == runRefused:
 		outcome = balance.Full
@@ -296,6 +316,10 @@
 		x.mayHave = true
 	}
 	x.settle(outcome)
+	if outcome == balance.Unreachable {
+		r.conns.forget(x.upstream.ID)
+		r.tryLater()
+	}
 	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusedBy}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -348,7 +372,7 @@
 	case x.mayHave:
 		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
 	}
-	return &refusal{fasthttp.StatusServiceUnavailable, reason, comeBack}
+	return &refusal{fasthttp.StatusServiceUnavailable, reason, max(comeBack, x.comeBack)}
 }
 
 // close gives back what the exchange holds and writes its line.
--- a/relay/members.go
+++ b/relay/members.go
@@ -107,6 +107,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			m.swapLoads()
 			m.node.Tick(m.relay.now())
 			m.dropMissing()
 		case <-m.events.Ready():
@@ -119,6 +120,15 @@
 	}
 }
 
+// swapLoads hands the node what this box has under way, and the fleet what the
+// others have.
+func (m *members) swapLoads() {
+	m.relay.mu.Lock()
+	defer m.relay.mu.Unlock()
+	m.node.SetLoads(m.relay.fleet.Loads())
+	m.relay.fleet.SetOthers(m.node.Others())
+}
+
 // take takes in one event.
 func (m *members) take(ctx context.Context, e memberEvent) {
 	now := m.relay.now()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,7 @@
 	fleet  *balance.Fleet
 	budget *balance.Budget
 
+	trials   chan struct{} // readable when an upstream could not be reached
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	ends     chan string // the name of each duty that has ended
@@ -77,7 +78,7 @@
 func Start(cfg Config) (*Relay, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, maxDuties),
-		pullClient: &http.Client{Timeout: pullWait}}
+		pullClient: &http.Client{Timeout: pullWait}, trials: make(chan struct{}, 1)}
 	r.stats = newStats()
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
@@ -90,6 +91,7 @@
 	}
 	r.run("members", func() { r.members.duty(ctx) })
 	r.run("reader", func() { r.members.readDuty(ctx) })
+	r.run("trials", func() { r.trialDuty(ctx) })
 	if cfg.Control != nil {
 		r.run("control", r.serveControl)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -45,7 +45,7 @@
 		x.first = time.Since(x.arrived)
 	}
 	x.relay.mu.Lock()
-	x.ticket.First()
+	x.ticket.First(x.relay.now())
 	x.relay.mu.Unlock()
 	x.answer, x.events, x.pending = a, e, pending
 	return runAnswered, nil, nil
--- /dev/null
+++ b/relay/trial.go
@@ -0,0 +1,69 @@
+package relay
+
+// This file defines the duty that tries upstreams which could not be reached, so
+// that no request has to find out for itself.
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// trialEvery is the pause between two trials of an upstream.
+	trialEvery = 500 * time.Millisecond
+	// trialsAtOnce bounds the trials under way.
+	trialsAtOnce = 4
+)
+
+// trialDuty tries upstreams until ctx ends. It sleeps while all can be reached.
+func (r *Relay) trialDuty(ctx context.Context) {
+	next := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.trials:
+		}
+		for list := r.unreached(); len(list) > 0 && ctx.Err() == nil; list = r.unreached() {
+			for range min(trialsAtOnce, len(list)) {
+				u := list[next%len(list)]
+				next++
+				go r.try(ctx, u.id, u.address)
+			}
+			sleep(ctx, trialEvery)
+		}
+	}
+}
+
+type trial struct{ id, address string }
+
+func (r *Relay) unreached() []trial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []trial
+	for _, u := range r.fleet.Unreached() {
+		list = append(list, trial{u.ID, u.Address})
+	}
+	return list
+}
+
+// try opens a connection and closes it.
+func (r *Relay) try(ctx context.Context, id, address string) {
+	c, err := dial(ctx, address)
+	if err != nil {
+		return // it is tried again
+	}
+	_ = c.Close()
+	r.mu.Lock()
+	r.fleet.Reached(id)
+	r.mu.Unlock()
+	r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id})
+}
+
+// tryLater wakes the duty.
+func (r *Relay) tryLater() {
+	select {
+	case r.trials <- struct{}{}:
+	default:
+	}
+}
