--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -5,6 +5,9 @@
 // tickets that were opened on it and not yet closed.
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -142,6 +145,24 @@
 	return ids
 }
 
+// View is an upstream as the fleet sees it.
+type View struct {
+	Upstream
+	Out  bool // it cannot be reached
+	Load Load // of all boxes
+}
+
+// View lists all upstreams, by service and id.
+func (f *Fleet) View() []View {
+	list := make([]View, 0, len(f.byID))
+	for _, m := range f.byID {
+		load := Load{Unread: m.ahead(Levels - 1), Open: m.open()}
+		list = append(list, View{Upstream: m.Upstream, Out: m.out, Load: load})
+	}
+	slices.SortFunc(list, func(a, b View) int { return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID)) })
+	return list
+}
+
 // Leave notes that an upstream takes no new requests.
 func (f *Fleet) Leave(id string) {
 	if m := f.byID[id]; m != nil {
--- a/cmd/doormast/main.go
+++ b/cmd/doormast/main.go
@@ -26,6 +26,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand(), tableCommand(), statusCommand(), timelineCommand(), explainCommand(),
-		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand())
+		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand(), relayCommand())
 	return root
 }
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -55,7 +55,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
 	}
-	log := relay.NewLog(os.Stdout)
+	log := relay.NewLog(s.Box, os.Stdout)
 	defer func() { _ = log.Close() }()
 	box, err := startRelay(s, log)
 	if err != nil {
--- /dev/null
+++ b/oplog/explain.go
@@ -0,0 +1,84 @@
+package oplog
+
+// This file defines how a request is explained: its own lines, and what its boxes
+// came to believe shortly before and while it was under way.
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// before is how long before a request's first line a change of belief may bear on it:
+// the longest that a document or a leaving upstream may take to be known.
+const before = 5 * time.Second
+
+// Explain writes what the lines tell about a request. The lines are in order.
+func Explain(w io.Writer, lines []Line, id string) error {
+	own := about(lines, id)
+	if len(own) == 0 {
+		return &Error{Op: "explain " + id, Kind: KindUnknown}
+	}
+	boxes, upstreams := make(map[string]bool), make(map[string]bool)
+	for _, l := range own {
+		boxes[l.Box] = true
+		upstreams[textOf(l.Fields["upstream"])] = true
+	}
+	from, to := own[0].At.Add(-before), own[len(own)-1].At
+	for _, l := range lines {
+		switch {
+		case textOf(l.Fields["id"]) == id:
+			if _, err := fmt.Fprintf(w, "%s\n  %s\n", l, meaning(l)); err != nil {
+				return err
+			}
+		case l.At.Before(from) || l.At.After(to) || !boxes[l.Box]:
+		case bears(l, upstreams):
+			if _, err := fmt.Fprintf(w, "    %s\n", l); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func about(lines []Line, id string) []Line {
+	var own []Line
+	for _, l := range lines {
+		if textOf(l.Fields["id"]) == id {
+			own = append(own, l)
+		}
+	}
+	return own
+}
+
+// bears reports whether a line that is no request's may bear on a request that went
+// to the upstreams.
+func bears(l Line, upstreams map[string]bool) bool {
+	switch l.Part {
+	case "document", "publisher", "box", "group", "settings", "published":
+		return true
+	case "upstream":
+		return upstreams[textOf(l.Fields["upstream"])]
+	}
+	return false
+}
+
+// meanings tell what a kind of line says, in a sentence.
+var meanings = map[string]string{
+	"request: answered":           "The upstream's answer went to the caller.",
+	"request: refused":            "The box answered by itself; no upstream was asked. The reason, the document's version and its age are given.",
+	"request: no upstream":        "No upstream could be asked any more: all were leaving, out of reach, or had been tried.",
+	"request: too much before it": "The upstream had so many prompt tokens to read before this one (ahead) that it would have been late; the caller was told when to come back.",
+	"request: no answer":          "A run may have happened and brought no answer, and the route, the attempts or the budget allowed no other.",
+	"request: out of time":        "The caller's or the route's time was over while an upstream was at work.",
+	"request: broken off":         "The stream's run ended before its end and could not go on elsewhere; the caller's connection was closed.",
+	"request: caller left":        "The caller closed its connection; the run was ended.",
+	"run: failed":                 "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
+}
+
+func meaning(l Line) string {
+	if m := meanings[l.Part+": "+l.Event]; m != "" {
+		return m
+	}
+	return "No more is known of this kind of line."
+}
--- /dev/null
+++ b/oplog/oplog.go
@@ -0,0 +1,96 @@
+// Package oplog reads the lines that relaying boxes log, over all boxes, and tells
+// what happened to a request.
+package oplog
+
+// This file defines how lines are read. The invariant: what is no line of a box is
+// counted and passed over, never an error, since logs come through pipes that mix
+// and cut.
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Line is one line of a box.
+type Line struct {
+	At     time.Time
+	Box    string
+	Part   string // of the box
+	Event  string
+	Fields map[string]any // what else it tells
+}
+
+// maxLine bounds a line, in bytes; longer ones are no lines of a box.
+const maxLine = 1 << 20
+
+// Read reads the lines of a log; passed is how many lines were none of a box. What
+// stands before a line's brace, such as the time of whoever collects logs, is
+// dropped.
+func Read(r io.Reader) (lines []Line, passed int, err error) {
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for in.Scan() {
+		if line, ok := parse(in.Bytes()); ok {
+			lines = append(lines, line)
+		} else {
+			passed++
+		}
+	}
+	return lines, passed, in.Err()
+}
+
+func parse(text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(text[start:], &fields) != nil {
+		return Line{}, false
+	}
+	at, err := time.Parse(time.RFC3339, textOf(fields["time"]))
+	part, event, ok := strings.Cut(textOf(fields["msg"]), ": ")
+	if err != nil || !ok {
+		return Line{}, false
+	}
+	line := Line{At: at, Box: textOf(fields["box"]), Part: part, Event: event, Fields: fields}
+	for _, name := range []string{"time", "msg", "box", "level"} {
+		delete(fields, name)
+	}
+	return line, true
+}
+
+func textOf(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+// Merge puts the lines of several logs in the order of their times. Clocks of boxes
+// may differ, so that the order between boxes is a hint.
+func Merge(logs ...[]Line) []Line {
+	all := slices.Concat(logs...)
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	return all
+}
+
+// String is a line for people.
+func (l Line) String() string {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s: %s", l.At.Format("15:04:05.000"), l.Box, l.Part, l.Event)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/oplog/oplog_test.go
@@ -0,0 +1,64 @@
+package oplog
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const log1 = `12.1 box1 {"box":"box1","level":"info","msg":"document: in force","time":"2026-01-01T10:00:00.000Z","version":7}
+not a line
+{"broken":
+{"box":"box1","level":"info","msg":"run: failed","id":"r1","upstream":"u1","state":"unknown","time":"2026-01-01T10:00:02.500Z"}
+{"box":"box1","level":"info","msg":"request: no answer","id":"r1","upstream":"u1","runs":1,"time":"2026-01-01T10:00:02.501Z"}
+{"box":"box1","level":"info","msg":"upstream: gone from the list","upstream":"u2","time":"2026-01-01T10:00:02.000Z"}
+{"box":"box1","level":"info","msg":"upstream: gone from the list","upstream":"u1","time":"2026-01-01T10:00:02.100Z"}
+`
+
+const log2 = `{"box":"box2","level":"info","msg":"document: in force","time":"2026-01-01T10:00:01.000Z","version":7}
+{"box":"box2","level":"info","msg":"request: answered","id":"r2","time":"2026-01-01T10:00:01.000Z"}
+`
+
+func read(t *testing.T, text string) ([]Line, int) {
+	t.Helper()
+	lines, passed, err := Read(strings.NewReader(text))
+	is.New(t).NoErr(err)
+	return lines, passed
+}
+
+func TestLinesAreReadFromAnyPipe(t *testing.T) {
+	is := is.New(t)
+	lines, passed := read(t, log1)
+	is.Equal(len(lines), 5)
+	is.Equal(passed, 2)
+	is.Equal(lines[0].Box, "box1")
+	is.Equal(lines[0].Part, "document")
+	is.Equal(lines[0].Event, "in force")
+	is.Equal(lines[0].Fields["version"], 7.0)
+}
+
+func TestARequestIsExplained(t *testing.T) {
+	is := is.New(t)
+	a, _ := read(t, log1)
+	b, _ := read(t, log2)
+	var out bytes.Buffer
+	is.NoErr(Explain(&out, Merge(a, b), "r1"))
+	text := out.String()
+	for _, want := range []string{"document: in force", "gone from the list upstream=u1", "run: failed", "request: no answer", "may have happened"} {
+		is.True(strings.Contains(text, want))
+	}
+	is.True(!strings.Contains(text, "u2"))   // an upstream it did not go to
+	is.True(!strings.Contains(text, "box2")) // a box it did not go through
+	is.True(strings.Index(text, "gone from") < strings.Index(text, "run: failed"))
+}
+
+func TestAnUnknownRequestIsAnError(t *testing.T) {
+	is := is.New(t)
+	lines, _ := read(t, log1)
+	var e *Error
+	is.True(errors.As(Explain(&bytes.Buffer{}, lines, "other"), &e))
+	is.Equal(e.Kind, KindUnknown)
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -59,10 +59,12 @@
 	ticket    *balance.Ticket
 	upstream  balance.Upstream
 	fetched   bool
+	ahead     int // prompt tokens that were to be read before its own
 	answer    *answer
 	events    *events
 	pending   []byte // events on their way to the caller
 	first     time.Duration
+	late      bool // it would have been served too late
 	outcome   string
 	comeBack  time.Duration // when to come back, where that was worked out
 }
@@ -188,7 +190,10 @@
 func (x *exchange) run() ([]byte, *refusal) {
 	for {
 		choice, ok := x.place()
-		if !ok {
+		switch {
+		case x.late:
+			return nil, x.giveUp("too much before it")
+		case !ok:
 			return nil, x.giveUp("no upstream")
 		}
 		state, body := x.runOn(choice)
@@ -217,12 +222,13 @@
 	}
 	if x.sent == 0 && len(q.Parts) > 0 {
 		if x.comeBack, ok = r.fleet.Admit(x.admission(), choice); !ok {
+			x.ahead, x.late = choice.Backlog, true
 			return choice, false
 		}
 	}
 	x.ticket = r.fleet.Open(r.now(), choice.Upstream.ID, q)
 	x.upstream = *choice.Upstream
-	x.fetched = choice.Fetch != ""
+	x.fetched, x.ahead = choice.Fetch != "", choice.Backlog
 	return choice, true
 }
 
@@ -320,7 +326,8 @@
 		r.conns.forget(x.upstream.ID)
 		r.tryLater()
 	}
-	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusedBy}
+	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusedBy,
+		"budget_left": x.budgetLeft(), "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
@@ -330,6 +337,13 @@
 
 var runNames = [...]string{runUnsent: "unsent", runRefused: "refused", runUnknown: "unknown", runAnswered: "answered"}
 
+func (x *exchange) budgetLeft() int {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Left(r.now(), r.boxes())
+}
+
 // settle closes the count of the current run.
 func (x *exchange) settle(o balance.Outcome) {
 	if x.ticket == nil {
@@ -390,7 +404,7 @@
 func (x *exchange) fields() Fields {
 	f := Fields{"id": x.request.id, "route": x.route.Name, "upstream": x.upstream.ID, "runs": x.sent, "unreachable": x.unsent,
 		"urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
-		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "fetched": x.fetched}
+		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "fetched": x.fetched, "ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
 	if x.customer != nil {
 		f["customer"] = x.customer.Name
 	}
--- a/relay/members.go
+++ b/relay/members.go
@@ -60,11 +60,12 @@
 	socket *datagram.Socket // nil where a box has no peers
 
 	revision atomic.Uint64 // of the mirror
+	loadsAt  atomic.Int64  // time.Duration since the start, when the others' loads came
 	boxes    atomic.Int64
 	reads    atomic.Bool   // the box is to read the publisher
 	kick     chan struct{} // readable when reads has become true
 	pulling  bool
-	lead     string
+	lead     atomic.Pointer[string]
 	missing  map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
 }
 
@@ -129,12 +130,26 @@
 	m.relay.fleet.SetOthers(m.node.Others())
 }
 
+// leadName is the box that leads the domain, as far as is known.
+func (m *members) leadName() string {
+	if lead := m.lead.Load(); lead != nil {
+		return *lead
+	}
+	return ""
+}
+
+// loadsAge is how old the others' loads are.
+func (m *members) loadsAge() time.Duration { return m.relay.now() - time.Duration(m.loadsAt.Load()) }
+
 // take takes in one event.
 func (m *members) take(ctx context.Context, e memberEvent) {
 	now := m.relay.now()
 	switch {
 	case e.message != nil:
 		m.node.Handle(now, e.message)
+		if e.message.HasLoads {
+			m.loadsAt.Store(int64(now))
+		}
 	case e.read != nil:
 		m.takeRead(now, e.read)
 	case e.pulled != nil:
@@ -187,8 +202,8 @@
 		default:
 		}
 	}
-	if lead := m.node.Lead(); lead != m.lead {
-		m.lead = lead
+	if lead := m.node.Lead(); lead != m.leadName() {
+		m.lead.Store(&lead)
 		m.relay.cfg.Log.Event("group", "led by", Fields{"box": lead, "boxes": m.node.Boxes(), "age_ms": m.relay.age().Milliseconds()})
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -383,7 +383,7 @@
 
 func TestEntriesThatLapseWithThePublisherAreKeptForAWhile(t *testing.T) {
 	is := is.New(t)
-	r := &Relay{start: time.Now(), fleet: newEmptyFleet(), cfg: Config{Log: NewLog(io.Discard)}, conns: newConns(nil)}
+	r := &Relay{start: time.Now(), fleet: newEmptyFleet(), cfg: Config{Log: NewLog("box", io.Discard)}, conns: newConns(nil)}
 	missing := make(map[string]time.Duration)
 	r.takeNews(News{Upstream: upstreamOf("u1")}, 0, missing)
 	r.takeNews(News{Gone: "u1"}, r.now()+time.Hour, missing)
--- /dev/null
+++ b/relay/state.go
@@ -0,0 +1,52 @@
+package relay
+
+// This file defines what a box tells operators of itself.
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"github.com/doormast/doormast/route"
+	"github.com/doormast/doormast/wire"
+)
+
+// State implements wire.MirrorsHandler.
+func (s mirrors) State(context.Context, *connect.Request[wire.StateRequest]) (*connect.Response[wire.StateResponse], error) {
+	return connect.NewResponse(s.members.relay.state()), nil
+}
+
+func (r *Relay) state() *wire.StateResponse {
+	out := &wire.StateResponse{Box: r.cfg.Box, Domain: r.cfg.Domain, Lead: r.members.leadName(), Boxes: uint32(r.boxes()),
+		Ready: r.Ready(), Open: uint32(r.stats.open.Load()), ConfirmedAge: uint64(r.age().Microseconds())}
+	if d := r.belief.document(); d != nil {
+		out.Version = d.Version
+		for i := range d.Routes {
+			out.Routes = append(out.Routes, routeRow(&d.Routes[i]))
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
+	for _, u := range r.fleet.View() {
+		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Id: u.ID, Service: u.Service, Address: u.Address, Domain: u.Domain,
+			Leaving: u.Leaving, Out: u.Out, Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
+	}
+	return out
+}
+
+func routeRow(rt *route.Route) *wire.RouteRow {
+	repeat := [...]string{route.Once: "once", route.Repeatable: "repeatable", route.Stream: "stream"}[rt.Repeat]
+	if rt.Repeat == route.Stream && rt.Resumable {
+		repeat = "stream that resumes"
+	}
+	var services []string
+	for _, t := range rt.Targets {
+		services = append(services, fmt.Sprintf("%s:%d", t.Service, t.Weight))
+	}
+	return &wire.RouteRow{Name: rt.Name, Host: rt.Host, Prefix: rt.Prefix, Repeat: repeat, Rank: uint32(rt.Rank),
+		Target: uint64(rt.Target.Microseconds()), Timeout: uint64(rt.Timeout.Microseconds()), Attempts: uint32(rt.MaxAttempts),
+		Public: rt.Public, Services: strings.Join(services, " ")}
+}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -257,7 +257,7 @@
 		b.list(s, false)
 	}
 	callers, ready := listen(t), listen(t)
-	log := NewLog(io.Discard)
+	log := NewLog("box", io.Discard)
 	var err error
 	b.relay, err = Start(Config{Box: "box", Domain: "d", Callers: callers, Ready: ready, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1},
 		Timing: group.DefaultTiming, Protocol: testProtocol, Publisher: b.board, Decode: decode, Log: log,
--- a/wire/group.connect.go
+++ b/wire/group.connect.go
@@ -39,11 +39,14 @@
 const (
 	// MirrorsMirrorProcedure is the fully-qualified name of the Mirrors's Mirror RPC.
 	MirrorsMirrorProcedure = "/doormast.v1.Mirrors/Mirror"
+	// MirrorsStateProcedure is the fully-qualified name of the Mirrors's State RPC.
+	MirrorsStateProcedure = "/doormast.v1.Mirrors/State"
 )
 
 // MirrorsClient is a client for the doormast.v1.Mirrors service.
 type MirrorsClient interface {
 	Mirror(context.Context, *connect.Request[MirrorRequest]) (*connect.Response[MirrorResponse], error)
+	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
 // NewMirrorsClient constructs a client for the doormast.v1.Mirrors service. By default, it uses the
@@ -63,12 +66,19 @@
 			connect.WithSchema(mirrorsMethods.ByName("Mirror")),
 			connect.WithClientOptions(opts...),
 		),
+		state: connect.NewClient[StateRequest, StateResponse](
+			httpClient,
+			baseURL+MirrorsStateProcedure,
+			connect.WithSchema(mirrorsMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // mirrorsClient implements MirrorsClient.
 type mirrorsClient struct {
 	mirror *connect.Client[MirrorRequest, MirrorResponse]
+	state  *connect.Client[StateRequest, StateResponse]
 }
 
 // Mirror calls doormast.v1.Mirrors.Mirror.
@@ -76,9 +86,15 @@
 	return c.mirror.CallUnary(ctx, req)
 }
 
+// State calls doormast.v1.Mirrors.State.
+func (c *mirrorsClient) State(ctx context.Context, req *connect.Request[StateRequest]) (*connect.Response[StateResponse], error) {
+	return c.state.CallUnary(ctx, req)
+}
+
 // MirrorsHandler is an implementation of the doormast.v1.Mirrors service.
 type MirrorsHandler interface {
 	Mirror(context.Context, *connect.Request[MirrorRequest]) (*connect.Response[MirrorResponse], error)
+	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
 // NewMirrorsHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -94,10 +110,18 @@
 		connect.WithSchema(mirrorsMethods.ByName("Mirror")),
 		connect.WithHandlerOptions(opts...),
 	)
+	mirrorsStateHandler := connect.NewUnaryHandler(
+		MirrorsStateProcedure,
+		svc.State,
+		connect.WithSchema(mirrorsMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/doormast.v1.Mirrors/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MirrorsMirrorProcedure:
 			mirrorsMirrorHandler.ServeHTTP(w, r)
+		case MirrorsStateProcedure:
+			mirrorsStateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +134,7 @@
 func (UnimplementedMirrorsHandler) Mirror(context.Context, *connect.Request[MirrorRequest]) (*connect.Response[MirrorResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("doormast.v1.Mirrors.Mirror is not implemented"))
 }
+
+func (UnimplementedMirrorsHandler) State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("doormast.v1.Mirrors.State is not implemented"))
+}
