Streams leave an upstream that is out of reach

Ruled out: the trials (the upstream was known to be out of reach after 1.3 s).

When a trial of an upstream that is out of reach fails, requests that may run again leave it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -231,6 +231,21 @@
 	return h.StatusCode() == fasthttp.StatusMisdirectedRequest || len(h.Peek(r.cfg.Protocol.NotRun)) > 0
 }
 
+// hold notes the connection on which the request runs; release undoes it.
+func (x *exchange) hold(c *conn) {
+	r := x.relay
+	r.mu.Lock()
+	r.runs[x] = c
+	r.mu.Unlock()
+	stop := context.AfterFunc(x.ctx, func() { _ = c.Close() })
+	x.release = func() bool {
+		r.mu.Lock()
+		delete(r.runs, x)
+		r.mu.Unlock()
+		return stop()
+	}
+}
+
 // attempt runs the request on an upstream. An answer is only returned with
 // runAnswered. ctx ends when the caller leaves or its time is over, which closes
 // the connection under whoever reads from it.
@@ -240,7 +255,7 @@
 	if err != nil {
 		return runUnsent, nil, err
 	}
-	x.release = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.hold(c)
 	a, err := r.roundTrip(c, o)
 	if err != nil {
 		x.release()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,9 +63,10 @@
 	members    *members
 	pullClient *http.Client
 
-	mu     sync.Mutex // guards fleet and budget
+	mu     sync.Mutex // guards fleet, budget and runs
 	fleet  *balance.Fleet
 	budget *balance.Budget
+	runs   map[*exchange]*conn // the connections on which requests run
 
 	trials   chan struct{} // readable when an upstream could not be reached
 	stopping atomic.Bool
@@ -78,7 +79,7 @@
 func Start(cfg Config) (*Relay, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, maxDuties),
-		pullClient: &http.Client{Timeout: pullWait}, trials: make(chan struct{}, 1)}
+		pullClient: &http.Client{Timeout: pullWait}, trials: make(chan struct{}, 1), runs: make(map[*exchange]*conn)}
 	r.stats = newStats()
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -428,3 +428,38 @@
 	p.release("u")
 	is.True(p.reserve("u", 2))
 }
+
+func TestAStreamLeavesAnUpstreamThatIsOutOfReach(t *testing.T) {
+	is := is.New(t)
+	silent := make(chan struct{})
+	defer close(silent)
+	script := func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		if r.Header.Get("X-Last") == "" {
+			chunk(c, event(1))
+			<-silent // cut off: neither an event nor an end
+			return false
+		}
+		chunk(c, event(2))
+		chunk(c, "")
+		return true
+	}
+	u1, u2 := newStub(t, "u1", script), newStub(t, "u2", script)
+	b := newBench(t, u1, u2)
+	resp, err := http.DefaultClient.Do(b.request("POST", "/flow/x", ""))
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 1024)
+	n, err := resp.Body.Read(buf)
+	is.NoErr(err)
+	is.Equal(string(buf[:n]), event(1))
+	first := u1
+	if len(u1.requests()) == 0 {
+		first = u2
+	}
+	is.NoErr(first.listener.Close())
+	b.relay.try(context.Background(), first.id, first.listener.Addr().String()) // a trial that fails
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(rest), event(2))
+}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -51,6 +51,7 @@
 func (r *Relay) try(ctx context.Context, id, address string) {
 	c, err := dial(ctx, address)
 	if err != nil {
+		r.moveRuns(id)
 		return // it is tried again
 	}
 	_ = c.Close()
@@ -60,6 +61,19 @@
 	r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id})
 }
 
+// moveRuns ends the runs on an upstream that is out of reach, where the request may
+// run again: it goes on elsewhere, instead of waiting until the connection is known
+// to be dead.
+func (r *Relay) moveRuns(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for x, c := range r.runs {
+		if c.upstream == id && x.route.Again() {
+			_ = c.Close()
+		}
+	}
+}
+
 // tryLater wakes the duty.
 func (r *Relay) tryLater() {
 	select {
