Nothing is taken after the grace of a planned stop

Ruled out: the linger, resting connections.

The request now gets its final answer, which says that it has not run. Test that failed first: the box took it.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -104,6 +104,9 @@
 
 // admit decides whether a request may run at all.
 func (r *Relay) admit(q *request) (*exchange, *refusal) {
+	if r.ended.Load() {
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, "stopping", comeBack}
+	}
 	doc := r.belief.document()
 	if doc == nil {
 		return nil, &refusal{fasthttp.StatusServiceUnavailable, "starting", comeBackStarting}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,7 @@
 
 	trials   chan struct{} // readable when an upstream could not be reached
 	stopping atomic.Bool
+	ended    atomic.Bool // the grace of a planned stop is over
 	cancel   context.CancelFunc
 	ends     chan string // the name of each duty that has ended
 	duties   int
@@ -154,6 +155,8 @@
 	defer cancel()
 	r.members.leave(ctx)
 	sleep(ctx, callersLinger)
+	// The server goes on with its open connections when its shutdown returns.
+	context.AfterFunc(ctx, func() { r.ended.Store(true) })
 	if err := r.front.close(ctx); err != nil {
 		r.cfg.Log.Event("box", "stopped with requests under way", Fields{"open": r.stats.open.Load(), "error": err.Error()})
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -463,3 +463,16 @@
 	is.NoErr(err)
 	is.Equal(string(rest), event(2))
 }
+
+// After the grace of a planned stop, a connection that was busy until then may bring
+// another request: it is told that it has not run, instead of being taken and lost.
+func TestNothingIsTakenAfterTheGrace(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBench(t, u)
+	b.relay.ended.Store(true)
+	a := b.do(b.request("POST", "/once/x", ""))
+	is.Equal(a.status, 503)
+	is.True(strings.Contains(a.body, `"ran":"no"`))
+	is.Equal(len(u.requests()), 0)
+}
