--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -225,7 +225,7 @@
 	}
 	if x.sent == 0 && len(q.Parts) > 0 {
 		if x.comeBack, ok = r.fleet.Admit(x.admission(), choice); !ok {
-			x.ahead, x.late = choice.Backlog, true
+			x.upstream, x.ahead, x.late = *choice.Upstream, choice.Backlog, true
 			return choice, false
 		}
 	}
@@ -407,7 +407,7 @@
 func (x *exchange) fields() Fields {
 	f := Fields{"id": x.request.id, "route": x.route.Name, "upstream": x.upstream.ID, "runs": x.sent, "unreachable": x.unsent,
 		"urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
-		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "fetched": x.fetched, "ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
+		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "fetched": x.fetched, "come_back_ms": x.comeBack.Milliseconds(), "ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
 	if x.customer != nil {
 		f["customer"] = x.customer.Name
 	}
