A soak of real boxes under random faults

Boxes run as processes before stand-ins for callers, upstreams and the store; gates on loopback delay, silence, cut one way, refuse and reset; signals freeze, kill, stop and restart; documents, upstreams and the store's history change. It checks at most once, true refusals, whole and own answers, stream order, unchanged requests, no denial.

--- a/cmd/doormast/main.go
+++ b/cmd/doormast/main.go
@@ -26,6 +26,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(demoCommand(), tableCommand(), statusCommand(), timelineCommand(), explainCommand(),
-		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand(), relayCommand())
+		drainCommand(), settingsCommand(), experimentCommand(), capacityCommand(), relayCommand(), soakCommand())
 	return root
 }
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,145 @@
+package soak
+
+// This file defines the faults, drawn from the seed: they come in series and overlap.
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/doormast/doormast/platform"
+)
+
+// fault does something to the world and returns how to undo it, or nil.
+type fault struct {
+	name string
+	do   func(w *world) func()
+}
+
+const (
+	faultGap  = 250 // ms, the mean between two faults
+	faultLong = 900 // ms, the mean that one lasts
+)
+
+var faults = []fault{
+	{"freeze a box", func(w *world) func() {
+		b := pick(w, w.boxes)
+		b.signal(syscall.SIGSTOP)
+		return func() { b.signal(syscall.SIGCONT) }
+	}},
+	{"kill a box", func(w *world) func() {
+		b := pick(w, w.boxes)
+		b.kill()
+		return func() { w.restart(b) }
+	}},
+	{"stop a box as planned", func(w *world) func() {
+		b := pick(w, w.boxes)
+		if b.cmd == nil {
+			return nil
+		}
+		ended := b.ended
+		b.signal(syscall.SIGTERM)
+		return func() {
+			b.signal(syscall.SIGCONT)
+			<-ended
+			b.cmd = nil
+			w.restart(b)
+		}
+	}},
+	{"tell a box that its settings changed", func(w *world) func() {
+		pick(w, w.boxes).signal(syscall.SIGHUP)
+		return nil
+	}},
+	{"disturb an upstream's connections", func(w *world) func() { return w.disturb(pick(w, w.upstreams).gate) }},
+	{"reset an upstream's connections", func(w *world) func() {
+		pick(w, w.upstreams).gate.resetAll()
+		return nil
+	}},
+	{"disturb a box's way to the store", func(w *world) func() { return w.disturb(w.storeGate[pick(w, w.boxes).name]) }},
+	{"silence the store for all", func(w *world) func() {
+		for _, g := range w.storeGate {
+			g.mood.Store(int32(silent))
+		}
+		return func() {
+			for _, g := range w.storeGate {
+				g.mood.Store(int32(open))
+			}
+		}
+	}},
+	{"forget the store's history", func(w *world) func() { w.store.Forget(); return nil }},
+	{"change the document", func(w *world) func() {
+		w.document.Version += 1 + uint64(w.random.IntN(3))
+		if err := w.publish(); err != nil {
+			w.ledger.violate("publish: %v", err)
+		}
+		return nil
+	}},
+	{"replace an upstream", func(w *world) func() {
+		i := w.random.IntN(len(w.upstreams))
+		old := w.upstreams[i]
+		if err := w.startUpstream(i); err != nil {
+			w.ledger.violate("start an upstream: %v", err)
+			return nil
+		}
+		w.upstreams[i] = w.upstreams[len(w.upstreams)-1]
+		w.upstreams = w.upstreams[:len(w.upstreams)-1]
+		w.list(old, true)
+		return func() {
+			w.store.Put(platform.GoneItem(old.id))
+			old.close()
+		}
+	}},
+}
+
+func pick[T any](w *world, list []T) T { return list[w.random.IntN(len(list))] }
+
+func (w *world) disturb(g *gate) func() {
+	m := mood(1 + w.random.IntN(len(moodNames)-1))
+	w.note("  %s: %s", g.target, moodNames[m])
+	g.mood.Store(int32(m))
+	return func() { g.mood.Store(int32(open)) }
+}
+
+func (w *world) restart(b *box) {
+	if b.cmd != nil {
+		return // another fault has started it again
+	}
+	if err := b.restart(); err != nil {
+		w.ledger.violate("box %s does not start: %v", b.name, err)
+	}
+}
+
+// undo is a fault's end that is due.
+type undo struct {
+	at time.Time
+	do func()
+}
+
+// injectFaults injects faults for the run's time, and undoes them all.
+func (w *world) injectFaults(ctx context.Context) {
+	end := time.Now().Add(w.cfg.For)
+	var pending []undo
+	for time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(time.Duration(w.random.IntN(2*faultGap)) * time.Millisecond)
+		f := pick(w, faults)
+		w.note("%s", f.name)
+		if do := f.do(w); do != nil {
+			pending = append(pending, undo{time.Now().Add(time.Duration(w.random.IntN(2*faultLong)) * time.Millisecond), do})
+		}
+		pending = finish(pending, time.Now())
+	}
+	finish(pending, end.Add(time.Hour))
+}
+
+// finish undoes what is due by now and returns the rest.
+func finish(pending []undo, now time.Time) []undo {
+	var rest []undo
+	for _, u := range pending {
+		if u.at.After(now) {
+			rest = append(rest, u)
+			continue
+		}
+		u.do()
+	}
+	return rest
+}
--- /dev/null
+++ b/soak/ledger.go
@@ -0,0 +1,121 @@
+package soak
+
+// This file defines what is written down of requests on both sides, and the promises
+// that are checked on it.
+
+import (
+	"fmt"
+	"sync"
+)
+
+// entry is one request.
+type entry struct {
+	path     string
+	body     string
+	runs     int
+	arrivals int
+	promised bool // its caller was told that it has not run
+}
+
+// ledger holds all requests. Promises are checked as soon as they can be.
+type ledger struct {
+	mu         sync.Mutex
+	entries    map[string]*entry
+	answered   int
+	refused    int
+	violations []string
+}
+
+func newLedger() *ledger { return &ledger{entries: make(map[string]*entry)} }
+
+func (l *ledger) violate(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breach(format, args...)
+}
+
+func (l *ledger) breach(format string, args ...any) {
+	l.violations = append(l.violations, fmt.Sprintf(format, args...))
+}
+
+// asked notes a request that a caller is about to send.
+func (l *ledger) asked(id, path, body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[id] = &entry{path: path, body: body}
+}
+
+// arrived checks what reached an upstream.
+func (l *ledger) arrived(u *upstream, id, body, customer, instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	switch {
+	case e == nil:
+		l.breach("%s: a request nobody sent reached %s", id, u.id)
+		return
+	case e.body != body:
+		l.breach("%s: its body was changed on the way to %s", id, u.id)
+	case customer != "customer":
+		l.breach("%s: it came for %q", id, customer)
+	case instance == "":
+		l.breach("%s: it names no start of %s", id, u.id)
+	}
+	e.arrivals++
+}
+
+// ran notes that an upstream runs a request.
+func (l *ledger) ran(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil {
+		return
+	}
+	e.runs++
+	if e.promised {
+		l.breach("%s: it runs after its caller was told that it has not", id)
+	}
+	if e.runs > 1 && (hasPrefix(e.path, "/once/") || hasPrefix(e.path, "/fixed/")) {
+		l.breach("%s: it may run once and runs %d times", id, e.runs)
+	}
+}
+
+func hasPrefix(path, prefix string) bool {
+	return len(path) >= len(prefix) && path[:len(prefix)] == prefix
+}
+
+// told notes the caller's answer.
+func (l *ledger) told(id string, status int, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	switch {
+	case status == 200 && whole:
+		l.answered++
+	case status == 503 || status == 429:
+		l.refused++
+		e.promised = true
+		if e.runs > 0 && !hasPrefix(e.path, "/safe/") && !hasPrefix(e.path, "/flow/") {
+			l.breach("%s: its caller was told %d, and it has run", id, status)
+		}
+	case status == 401 || status == 404:
+		l.breach("%s: it was denied with %d, and no document denies it", id, status)
+	}
+}
+
+func (l *ledger) report() *Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &Report{Requests: len(l.entries), Answered: l.answered, Refused: l.refused, Violations: l.violations}
+	arrivals := 0
+	for _, e := range l.entries {
+		r.Runs += e.runs
+		arrivals += max(0, e.arrivals-1)
+	}
+	if bound := slackTop + ratioTop*float64(r.Requests); float64(arrivals) > bound {
+		// Over a run of one window or less; longer ones allow more.
+		r.Faults = append(r.Faults, fmt.Sprintf("%d requests were sent again, of %.0f in one window", arrivals, bound))
+	}
+	return r
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// seeds that failed once stay here, each with a line on its cause.
+var seeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "none: the first seed"},
+}
+
+// TestSoak is the short run of CI. What it checks holds under any interleaving.
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	daemon := filepath.Join(t.TempDir(), "doormastd")
+	out, err := exec.Command("go", "build", "-o", daemon, "github.com/doormast/doormast/cmd/doormastd").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for i, s := range seeds {
+		report, err := Run(context.Background(), Config{Daemon: daemon, Dir: t.TempDir(), Seed: s.seed, For: 4 * time.Second,
+			Boxes: 3, Upstreams: 4, Callers: 8, Net: 60 + i})
+		is.NoErr(err)
+		t.Logf("seed %d: %v", s.seed, report)
+		is.Equal(len(report.Violations), 0) // see the log above
+		is.True(report.Answered > 0)
+	}
+}
--- /dev/null
+++ b/soak/upstream.go
@@ -0,0 +1,134 @@
+package soak
+
+// This file defines the upstreams: they run requests, sometimes badly, and write down
+// which.
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/doormast/doormast/platform"
+)
+
+// upstream is one start of an upstream.
+type upstream struct {
+	id, domain string
+	world      *world
+	gate       *gate
+	server     *http.Server
+	random     *rand.Rand
+}
+
+// words are the deployment's, the same as the boxes use.
+var words = platform.Protocol()
+
+func (w *world) startUpstream(i int) error {
+	l, err := w.listen(100)
+	if err != nil {
+		return err
+	}
+	g, err := w.newGate(100, l.Addr().String())
+	if err != nil {
+		return err
+	}
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g}
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
+	go func() { _ = u.server.Serve(l) }()
+	w.upstreams = append(w.upstreams, u)
+	w.list(u, false)
+	return nil
+}
+
+func (u *upstream) close() {
+	u.gate.close()
+	_ = u.server.Close()
+}
+
+const (
+	eventsOfStream = 6
+	eventPause     = 15 * time.Millisecond
+	workLongest    = 30 // ms
+)
+
+// bodyOf is the answer to a request, which only that request can have.
+func bodyOf(id string) string { return "answer to " + id + strings.Repeat(".", len(id)*8) }
+
+func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+// ServeHTTP runs a request as its id says: some are refused, cut or lost.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(words.RequestID)
+	w.Header().Set(words.RequestID, id)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // it broke off before it was whole
+	}
+	u.world.ledger.arrived(u, id, string(body), r.Header.Get(words.Customer), r.Header.Get(words.Instance))
+	switch luck := rand.IntN(100); {
+	case r.Header.Get(words.Instance) != u.id:
+		w.Header().Set(words.NotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case luck < 4:
+		w.Header().Set(words.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case luck < 7:
+		u.world.ledger.ran(id)
+		hangUp(w) // its answer is lost
+		return
+	}
+	u.world.ledger.ran(id)
+	w.Header().Set(words.Signature, u.id+" "+id)
+	if isStream(r.URL.Path) {
+		u.stream(w, r, id)
+		return
+	}
+	time.Sleep(time.Duration(rand.IntN(workLongest)) * time.Millisecond)
+	_, _ = io.WriteString(w, bodyOf(id))
+}
+
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/flow/") || strings.HasPrefix(path, "/fixed/")
+}
+
+// stream sends events; one in ten streams is cut within an event.
+func (u *upstream) stream(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, err := strconv.Atoi(r.Header.Get(words.LastEvent))
+	if err != nil {
+		from = 0
+	}
+	cut := eventsOfStream + 1
+	if rand.IntN(10) == 0 {
+		cut = 1 + rand.IntN(eventsOfStream)
+	}
+	for n := from + 1; n <= eventsOfStream; n++ {
+		event := eventOf(id, n)
+		if n == cut {
+			event = event[:len(event)/2]
+		}
+		if _, err := io.WriteString(w, event); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		if n == cut {
+			hangUp(w)
+			return
+		}
+		time.Sleep(eventPause)
+	}
+}
+
+// hangUp closes the connection under an answer.
+func hangUp(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		reset(c)
+	}
+}
