A soak that is killed leaves no box behind

Cause: boxes of a killed soak went on listening, and the next run on the same addresses talked to them: 8,840 requests, none answered, which its report showed but not why.

--- a/soak/box.go
+++ b/soak/box.go
@@ -62,6 +62,8 @@
 	defer func() { _ = log.Close() }()
 	b.cmd = exec.Command(b.world.cfg.Daemon, "relay", "--settings", b.settings)
 	b.cmd.Stdout, b.cmd.Stderr = log, log
+	// A soak that is killed leaves no process behind.
+	b.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := b.cmd.Start(); err != nil {
 		return err
 	}
