--- a/cmd/doormast/soak.go
+++ b/cmd/doormast/soak.go
@@ -46,25 +46,33 @@
 	cmd.Flags().IntVar(&cfg.Upstreams, "upstreams", 5, "upstreams")
 	cmd.Flags().IntVar(&cfg.Callers, "callers", 16, "callers")
 	cmd.Flags().IntVar(&cfg.Net, "net", 77, "third number of the loopback addresses")
+	cmd.Flags().StringVar(&cfg.Dir, "keep", "", "folder for settings and logs, which are kept")
 	_ = cmd.MarkFlagRequired("daemon")
 	return cmd
 }
 
-// soakOnce runs one seed; settings and logs of one that fails are kept.
+// soakOnce runs one seed; settings and logs of one that fails are kept, and all where
+// a folder for them is given.
 func soakOnce(cmd *cobra.Command, cfg soak.Config) (bool, error) {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		return false, err
+	kept := cfg.Dir != ""
+	if !kept {
+		dir, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return false, err
+		}
+		cfg.Dir = dir
 	}
-	cfg.Dir = dir
 	report, err := soak.Run(cmd.Context(), cfg)
 	if err != nil {
 		return false, fmt.Errorf("seed %d: %w", cfg.Seed, err)
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %s\n", cfg.Seed, report)
 	if len(report.Violations) > 0 {
-		fmt.Fprintf(cmd.OutOrStdout(), "logs: %s\n", dir)
+		fmt.Fprintf(cmd.OutOrStdout(), "logs: %s\n", cfg.Dir)
 		return false, nil
 	}
-	return true, os.RemoveAll(dir)
+	if kept {
+		return true, nil
+	}
+	return true, os.RemoveAll(cfg.Dir)
 }
--- /dev/null
+++ b/group/cost_bench_test.go
@@ -0,0 +1,49 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// BenchmarkDomain tells what a domain's boxes say to each other in a calm minute and
+// under load: bytes a second of a member and of the lead, datagram heads excluded.
+func BenchmarkDomain(b *testing.B) {
+	for _, boxes := range []int{10, 30, 93} {
+		for _, busy := range []bool{false, true} {
+			b.Run(fmt.Sprintf("boxes=%d/busy=%v", boxes, busy), func(b *testing.B) {
+				for range b.N {
+					w := newWorld(b, 1)
+					w.fleet(1, boxes)
+					w.run(5 * time.Second)
+					w.bytes, w.calls = 0, 0
+					clear(w.sent)
+					const span = 10
+					for s := range span * 5 {
+						if busy {
+							w.shuffleLoads(s)
+						}
+						w.run(200 * time.Millisecond)
+					}
+					lead := w.sent[boxName(0, 0)]
+					b.ReportMetric(float64(lead)/span, "lead-B/s")
+					b.ReportMetric(float64(w.bytes-lead)/span/float64(boxes-1), "member-B/s")
+					b.ReportMetric(float64(w.calls)/span, "calls/s")
+				}
+			})
+		}
+	}
+}
+
+// shuffleLoads gives each box work on four upstreams that changes with every step.
+func (w *world) shuffleLoads(step int) {
+	for i, name := range w.names {
+		loads := make(Loads)
+		for u := range 4 {
+			loads[balance.LoadKey{Upstream: uint32((i*7 + u*13 + step) % 345), Urgency: u % 3}] = balance.Load{Unread: 640 * (step%9 + 1), Open: 1 + step%3}
+		}
+		w.boxes[name].node.SetLoads(loads)
+	}
+}
--- a/group/node.go
+++ b/group/node.go
@@ -63,6 +63,9 @@
 	silent  bool // it was expected to lead and was not heard
 	boxes   int  // alive in its domain, as it said when it led
 
+	beats    int    // that it was sent
+	toldList uint64 // digest of the boxes it was last told
+
 	loads     Loads             // its own, or its domain's where it leads another one
 	told      bool              // it was told loads
 	toldLoads []*wire.GroupLoad // the last ones
@@ -84,8 +87,9 @@
 	leadName  string        // the lead that is waited for
 	most      int           // the greatest count of boxes seen
 	leaving   bool
-	loads     Loads // this box's own
-	others    Loads // all other boxes'
+	loads     Loads              // this box's own
+	others    Loads              // all other boxes'
+	lists     map[string]boxList // of the beat under way, by domain
 	out       []Outgoing
 	pull      string // address to pull everything from
 }
--- a/group/talk.go
+++ b/group/talk.go
@@ -6,8 +6,11 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/doormast/doormast/mirror"
 	"github.com/doormast/doormast/wire"
 )
@@ -83,14 +86,46 @@
 		}
 		foreign = foreign || p.box.Domain != n.cfg.Self.Domain && now-p.heard < n.cfg.Timing.Member
 		m := n.message(now)
-		m.Boxes = n.listFor(p.box.Domain, now)
+		m.Boxes = n.listIfNew(p, now)
 		n.send(p.box.Address, m)
 	}
+	n.lists = nil
 	if !foreign {
 		n.hail(now)
 	}
 }
 
+// listEvery is after how many beats a list that has not changed is told again, since
+// the datagram with the last change may have been lost.
+const listEvery = 10
+
+// boxList is the boxes that a domain should know, with a digest of them.
+type boxList struct {
+	boxes  []*wire.GroupBox
+	digest uint64
+}
+
+// listIfNew is the list for a peer, or nil if it knows it.
+func (n *Node) listIfNew(p *peer, now time.Duration) []*wire.GroupBox {
+	l, ok := n.lists[p.box.Domain]
+	if !ok {
+		l.boxes = n.listFor(p.box.Domain, now)
+		for _, b := range l.boxes {
+			l.digest += xxhash.Sum64String(b.Name) ^ b.Boot // in no order
+		}
+		if n.lists == nil {
+			n.lists = make(map[string]boxList)
+		}
+		n.lists[p.box.Domain] = l
+	}
+	p.beats++
+	if p.toldList == l.digest && p.beats%listEvery != 0 {
+		return nil
+	}
+	p.toldList = l.digest
+	return l.boxes
+}
+
 // hail asks the seeds who is there.
 func (n *Node) hail(now time.Duration) {
 	for _, address := range n.cfg.Seeds {
@@ -125,16 +160,23 @@
 }
 
 // listFor names the boxes that a box of the domain should know: those of its own,
-// and the leads of all.
+// and the leads of all. Where they are too many, the strongest are named, since they
+// lead next.
 func (n *Node) listFor(domain string, now time.Duration) []*wire.GroupBox {
 	var list []*wire.GroupBox
 	for _, p := range n.peers {
 		recent := now-p.heard < 4*n.cfg.Timing.Member
-		if recent && !p.leaving && (p.box.Domain == domain || p.leads) && len(list) < maxListed {
+		if recent && !p.leaving && (p.box.Domain == domain || p.leads) {
 			list = append(list, p.box)
 		}
 	}
-	return list
+	slices.SortFunc(list, func(a, b *wire.GroupBox) int {
+		if better(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return list[:min(len(list), maxListed)]
 }
 
 // Handle takes in a message.
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -29,6 +29,7 @@
 	loss      float64
 	calls     int
 	bytes     int
+	sent      map[string]int // bytes, by box
 }
 
 type flight struct {
@@ -55,7 +56,7 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), boxes: make(map[string]*testBox), published: mirror.New(),
-		refused: make(map[string]bool), cut: make(map[string]bool)}
+		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int)}
 	w.published.Load([]mirror.Item{{Key: documentKey, Value: []byte("1"), Revision: 1}}, 1)
 	return w
 }
@@ -158,6 +159,7 @@
 			w.t.Fatal(err)
 		}
 		w.bytes += len(data)
+		w.sent[b.self.Name] += len(data)
 		if w.random.Float64() < w.loss {
 			continue
 		}
--- a/soak/box.go
+++ b/soak/box.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,7 @@
 	callers          string // IP:port
 	cmd              *exec.Cmd
 	ended            chan struct{}
+	asked            *atomic.Bool // the process was asked to end
 }
 
 // Ports of a box; each box has an address of its own.
@@ -67,14 +69,20 @@
 	if err := b.cmd.Start(); err != nil {
 		return err
 	}
-	b.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) {
-		_ = cmd.Wait() // a killed process is no error here
-		close(ended)
-	}(b.cmd, b.ended)
+	b.ended, b.asked = make(chan struct{}), new(atomic.Bool)
+	go b.wait(b.cmd, b.ended, b.asked)
 	return nil
 }
 
+// wait waits for the end of a process, which must have been asked for.
+func (b *box) wait(cmd *exec.Cmd, ended chan<- struct{}, asked *atomic.Bool) {
+	err := cmd.Wait()
+	if !asked.Load() {
+		b.world.ledger.violate("%s ended by itself: %v; see its log", b.name, err)
+	}
+	close(ended)
+}
+
 func (b *box) signal(s syscall.Signal) {
 	if b.cmd != nil && b.cmd.Process != nil {
 		_ = b.cmd.Process.Signal(s)
@@ -86,6 +94,7 @@
 	if b.cmd == nil {
 		return
 	}
+	b.asked.Store(true)
 	b.signal(syscall.SIGKILL)
 	<-b.ended
 	b.cmd = nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -37,13 +37,16 @@
 		if b.cmd == nil {
 			return nil
 		}
-		ended := b.ended
+		stopped, ended := b.cmd, b.ended
+		b.asked.Store(true)
 		b.signal(syscall.SIGTERM)
 		return func() {
 			b.signal(syscall.SIGCONT)
 			<-ended
-			b.cmd = nil
-			w.restart(b)
+			if b.cmd == stopped { // no other fault has started it again
+				b.cmd = nil
+				w.restart(b)
+			}
 		}
 	}},
 	{"tell a box that its settings changed", func(w *world) func() {
