A request in four files: arrival, runs, what became of them, the end

relay/exchange.go held arrival, the run loop, admission, final answers and the log line in some 420 lines. Each is now a file of its own, with its invariant; noting a failed run no longer mixes the verdict on the upstream with counting.

--- /dev/null
+++ b/relay/arrival.go
@@ -0,0 +1,85 @@
+package relay
+
+// This file defines a request's arrival: whether it may run at all, and until when.
+// The invariant: a request that is not admitted has run nowhere, and costs nothing
+// of the budget for sending requests again.
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/route"
+)
+
+// defaultHold is how long a request is held whose route states no time.
+const defaultHold = 60 * time.Second
+
+// handle serves one request.
+func (f *front) handle(ctx *fasthttp.RequestCtx) {
+	r := f.relay
+	q := r.readRequest(ctx)
+	if r.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	x, no := r.admit(q)
+	if no != nil {
+		r.logRefused(q, *no)
+		r.answerSelf(ctx, q, *no)
+		return
+	}
+	x.serve(ctx)
+}
+
+func (r *Relay) logRefused(q *request, no refusal) {
+	r.cfg.Log.Event("request", "refused", Fields{"id": q.id, "status": no.status, "reason": no.reason, "host": q.host,
+		"path": q.path(), "version": r.version(), "age_ms": r.age().Milliseconds()})
+	r.stats.count("refused_" + no.reason)
+}
+
+// admit decides whether a request may run at all.
+func (r *Relay) admit(q *request) (*exchange, *refusal) {
+	if r.ended.Load() {
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, "stopping", comeBackUsual}
+	}
+	doc := r.belief.document()
+	if doc == nil {
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, "starting", comeBackStarting}
+	}
+	rt := doc.Match(q.host, q.path())
+	if rt == nil {
+		return nil, &refusal{status: fasthttp.StatusNotFound, reason: "no route"}
+	}
+	if doc.Limits.BodyBytes > 0 && len(q.body) > doc.Limits.BodyBytes {
+		return nil, &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	customer := doc.Customer(q.key)
+	if customer == nil && !rt.Public && len(doc.Customers) > 0 {
+		return nil, &refusal{status: fasthttp.StatusUnauthorized, reason: "unknown key"}
+	}
+	x := &exchange{
+		relay:    r,
+		request:  q,
+		doc:      doc,
+		route:    rt,
+		customer: customer,
+		service:  rt.Pick(xxhash.Sum64String(q.id)),
+		urgency:  doc.Urgency(rt, customer, r.cfg.Protocol.Priorities),
+		arrived:  time.Now(),
+	}
+	x.end = x.arrived.Add(holdTime(rt, q))
+	return x, nil
+}
+
+// holdTime is how long a request is held.
+func holdTime(rt *route.Route, q *request) time.Duration {
+	hold := defaultHold
+	if rt.Timeout > 0 {
+		hold = rt.Timeout
+	}
+	if q.timeLeft > 0 {
+		hold = min(hold, q.timeLeft)
+	}
+	return hold
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -268,6 +268,6 @@
 	x.release()
 	_, err = io.Copy(io.Discard, a.body)
 	r.finish(a, err == nil)
-	x.refusedBy = a.header.StatusCode()
+	x.refusalStatus = a.header.StatusCode()
 	return runRefused, nil, nil
 }
--- a/relay/belief.go
+++ b/relay/belief.go
@@ -105,3 +105,11 @@
 
 // age is how long ago the belief was known to be the newest.
 func (r *Relay) age() time.Duration { return r.now() - time.Duration(r.belief.confirmed.Load()) }
+
+// version is that of the document in force; 0 without one.
+func (r *Relay) version() uint64 {
+	if d := r.belief.document(); d != nil {
+		return d.Version
+	}
+	return 0
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -1,14 +1,13 @@
 package relay
 
-// This file defines the callers' side: what a caller may send, and the answers
-// that the box gives by itself.
+// This file defines the callers' side: the servers that take requests and readiness
+// checks, and what becomes of bytes that are no request. The invariant: nothing that
+// a caller sends takes more memory or time than the bounds below.
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -99,33 +98,3 @@
 	ctx.SetConnectionClose()
 	refuse(ctx, refusal{status: status, reason: "the request cannot be read"})
 }
-
-// refusal is a final answer of the box's own.
-type refusal struct {
-	status int
-	reason string
-	after  time.Duration // when to come back; 0: not said
-}
-
-type refusalBody struct {
-	Error string `json:"error"`
-	Ran   string `json:"ran"` // "no" or "unknown"
-}
-
-func refuse(ctx *fasthttp.RequestCtx, f refusal) {
-	body := refusalBody{Error: f.reason, Ran: "no"}
-	if f.status == fasthttp.StatusBadGateway || f.status == fasthttp.StatusGatewayTimeout {
-		body.Ran = "unknown"
-	}
-	ctx.Response.ResetBody()
-	ctx.SetStatusCode(f.status)
-	if f.after > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 2, 64))
-	}
-	ctx.SetContentType("application/json")
-	text, err := json.Marshal(body)
-	if err != nil {
-		return // two texts always marshal
-	}
-	ctx.SetBody(text)
-}
--- /dev/null
+++ b/relay/outcome.go
@@ -0,0 +1,118 @@
+package relay
+
+// This file defines what becomes of a run: its answer is taken in, or its failure is
+// noted. The invariant: each run is told to the fleet once, with what it says about
+// the upstream.
+
+import (
+	"errors"
+	"io"
+	"syscall"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// wholeAnswer is the most bytes of an answer that is read before it is passed on, so
+// that a failure within it can be answered otherwise.
+const wholeAnswer = 4 << 20
+
+// accept takes an answer in: the first events of a stream, or a whole body.
+func (x *exchange) accept(a *answer) (runState, []byte, error) {
+	if x.isStream(a) {
+		return x.acceptStream(a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.body, wholeAnswer+1))
+	x.release()
+	whole := err == nil && len(body) <= wholeAnswer
+	x.relay.finish(a, whole)
+	if !whole {
+		return runUnknown, nil, err
+	}
+	if x.events != nil {
+		return runUnknown, nil, errNoStream
+	}
+	x.answer = a
+	if a.header.StatusCode() >= fasthttp.StatusInternalServerError && x.route.Again() && x.mayRunAgain(runUnknown) {
+		return runUnknown, nil, errors.New(fasthttp.StatusMessage(a.header.StatusCode()))
+	}
+	x.settle(outcomeOf(a.header.StatusCode()))
+	return runAnswered, body, nil
+}
+
+// errNoStream says that a stream was not taken up where it was to go on.
+var errNoStream = errors.New("the answer is no stream")
+
+// outcomeOf says what a status tells about the upstream that gave it.
+func outcomeOf(status int) balance.Outcome {
+	if status >= fasthttp.StatusInternalServerError {
+		return balance.Failed
+	}
+	return balance.Answered
+}
+
+// failed notes a run that brought nothing.
+func (x *exchange) failed(state runState, err error) {
+	outcome := x.outcomeOfFailure(state, err)
+	if state == runUnsent && outcome != balance.Neutral {
+		x.unsent++
+	}
+	if state == runUnknown {
+		x.mayHave = true
+	}
+	x.settle(outcome)
+	if outcome == balance.Unreachable {
+		x.relay.conns.forget(x.upstream.ID)
+		x.relay.tryLater()
+	}
+	x.logFailed(state, err)
+}
+
+// outcomeOfFailure says what a run that brought nothing tells about its upstream.
+func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
+	switch {
+	case x.ctx.Err() != nil:
+		return balance.Neutral
+	case state == runUnsent && errors.Is(err, errConnections):
+		return balance.Failed
+	case state == runUnsent, errors.Is(err, syscall.ETIMEDOUT):
+		return balance.Unreachable
+	case state == runRefused:
+		return balance.Full
+	}
+	return balance.Failed
+}
+
+func (x *exchange) logFailed(state runState, err error) {
+	r := x.relay
+	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusalStatus,
+		"budget_left": x.budgetLeft(), "loads_age_ms": r.members.loadsAge().Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	r.cfg.Log.Event("run", "failed", fields)
+	r.stats.count("runs_" + runNames[state])
+}
+
+// runNames are the states as they stand in log lines and names of metrics.
+var runNames = [...]string{runUnsent: "unsent", runRefused: "refused", runUnknown: "unknown", runAnswered: "answered"}
+
+func (x *exchange) budgetLeft() int {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Left(r.now(), r.boxes())
+}
+
+// settle closes the count of the current run.
+func (x *exchange) settle(o balance.Outcome) {
+	if x.ticket == nil {
+		return
+	}
+	r := x.relay
+	r.mu.Lock()
+	x.ticket.Close(r.now(), o)
+	r.mu.Unlock()
+	x.ticket = nil
+}
--- /dev/null
+++ b/relay/refusal.go
@@ -0,0 +1,79 @@
+package relay
+
+// This file defines the final answers that the box gives by itself. The invariant:
+// one that says that the request did not run is only given while no run of it may
+// have happened.
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// comeBackUsual is when a caller that is refused shall come back where nothing
+	// better is known.
+	comeBackUsual = 400 * time.Millisecond
+	// comeBackStarting is the same while the box knows no document yet.
+	comeBackStarting = time.Second
+)
+
+// answerSelf gives an answer of the box's own.
+func (r *Relay) answerSelf(ctx *fasthttp.RequestCtx, q *request, no refusal) {
+	if q.id != "" {
+		ctx.Response.Header.Set(r.cfg.Protocol.RequestID, q.id)
+	}
+	refuse(ctx, no)
+}
+
+// giveUp is the final answer of a request that no upstream answered.
+func (x *exchange) giveUp(reason string) *refusal {
+	if x.watch.gone.Load() {
+		return &refusal{status: fasthttp.StatusBadGateway, reason: "caller left"}
+	}
+	late := errors.Is(x.ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case x.mayHave && late:
+		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
+	case x.mayHave:
+		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
+	}
+	return &refusal{fasthttp.StatusServiceUnavailable, reason, max(comeBackUsual, x.comeBack)}
+}
+
+// refusal is a final answer of the box's own.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration // when to come back; 0: not said
+}
+
+// refusalBody is the body of such an answer.
+type refusalBody struct {
+	Error string `json:"error"`
+	Ran   string `json:"ran"` // "no" or "unknown"
+}
+
+// refuse writes the answer. A status that tells of an upstream says that the request
+// may have run.
+func refuse(ctx *fasthttp.RequestCtx, f refusal) {
+	body := refusalBody{Error: f.reason, Ran: "no"}
+	if f.status == fasthttp.StatusBadGateway || f.status == fasthttp.StatusGatewayTimeout {
+		body.Ran = "unknown"
+	}
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(f.status)
+	if f.after > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 2, 64))
+	}
+	ctx.SetContentType("application/json")
+	text, err := json.Marshal(body)
+	if err != nil {
+		return // two texts always marshal
+	}
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/relay/runs.go
@@ -0,0 +1,141 @@
+package relay
+
+// This file defines how a request is run on one upstream after another until one
+// answers. The invariant: a request that may have run is only sent again where its
+// route allows that, and each time it is sent again is taken from the budget.
+
+import (
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
+
+const (
+	// shortest is the least time left with which a request is sent (again).
+	shortest = 20 * time.Millisecond
+	// maxUnsent is how many upstreams may be unreachable before a request is given up.
+	maxUnsent = 4
+)
+
+// run sends the request to upstreams until one answers, or it is given up. The
+// body is that of an answer that is no stream.
+func (x *exchange) run() ([]byte, *refusal) {
+	for {
+		choice, ok := x.place()
+		switch {
+		case x.late:
+			return nil, x.giveUp("too much before it")
+		case !ok:
+			return nil, x.giveUp("no upstream")
+		}
+		state, body := x.runOn(choice)
+		if state == runAnswered {
+			return body, nil
+		}
+		if !x.mayRunAgain(state) {
+			return nil, x.giveUp("no answer")
+		}
+	}
+}
+
+// place chooses an upstream and counts the request there.
+func (x *exchange) place() (balance.Choice, bool) {
+	if x.ctx.Err() != nil {
+		return balance.Choice{}, false
+	}
+	r := x.relay
+	q := x.placement()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	choice, ok := r.fleet.Place(r.now(), q, x.tried)
+	if !ok {
+		return choice, false
+	}
+	if x.sent == 0 && len(q.Parts) > 0 {
+		if x.comeBack, ok = r.fleet.Admit(x.admission(), choice); !ok {
+			x.upstream, x.ahead, x.late = *choice.Upstream, choice.Backlog, true
+			return choice, false
+		}
+	}
+	x.ticket = r.fleet.Open(r.now(), choice.Upstream.ID, q)
+	x.upstream = *choice.Upstream
+	x.fetched, x.ahead = choice.Fetch != "", choice.Backlog
+	return choice, true
+}
+
+// placement is what the fleet looks at to place the request.
+func (x *exchange) placement() balance.Request {
+	p := &x.request.prompt
+	return balance.Request{
+		Service: x.service,
+		Parts:   p.Parts,
+		Tokens:  p.Tokens,
+		Output:  p.Output,
+		Tight:   x.doc.Tight(x.route),
+		Urgency: x.urgency,
+	}
+}
+
+// cameBack is the share of the route's time below which a request has come back
+// after a refusal: a first attempt has all of it.
+const cameBack = 0.95
+
+// admission is what the fleet looks at to decide whether the request would come late.
+func (x *exchange) admission() balance.Admission {
+	again := float64(time.Until(x.end)) < cameBack*float64(x.route.Timeout)
+	return balance.Admission{Target: x.route.Target, Again: again}
+}
+
+// runOn runs the request on an upstream. With runAnswered, either the whole body
+// has been read or the stream's first events are pending.
+func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
+	x.tried = append(x.tried, x.upstream.ID)
+	o := x.relay.outgoing(x.request, x.nextRun(choice.Fetch))
+	state, a, err := x.attempt(x.ctx, x.upstream.ID, x.upstream.Address, o)
+	if state != runUnsent {
+		x.sent++
+	}
+	var body []byte
+	if state == runAnswered {
+		state, body, err = x.accept(a)
+	}
+	if state != runAnswered {
+		x.failed(state, err)
+	}
+	return state, body
+}
+
+// nextRun is what the coming run has of its own; fetch is from where its upstream may
+// fetch the prompt.
+func (x *exchange) nextRun(fetch string) run {
+	n := run{
+		upstream: x.upstream,
+		timeLeft: time.Until(x.end),
+		urgency:  x.urgency,
+		customer: x.customer,
+		fetch:    fetch,
+		lastSeen: x.request.lastSeen,
+	}
+	if x.events != nil && x.events.seen {
+		n.lastSeen = formatID(x.events.last)
+	}
+	return n
+}
+
+// mayRunAgain decides whether the request may go to another upstream after a run
+// that came as far as state, and takes it from the budget.
+func (x *exchange) mayRunAgain(state runState) bool {
+	if x.ctx.Err() != nil || time.Until(x.end) < shortest {
+		return false
+	}
+	if state == runUnsent {
+		return x.unsent < maxUnsent && (x.sent == 0 || x.sent < x.route.MaxAttempts)
+	}
+	if x.sent >= x.route.MaxAttempts || state == runUnknown && !x.route.Again() {
+		return false
+	}
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Spend(r.now(), r.boxes())
+}
