What a box says, hears and passes on of what is published, each in its file

group/talk.go held sending, taking in, the spreading of items and their packing. These are talk.go, hear.go, published.go and pack.go now; the choice of the lead and the count of boxes left node.go, and figures that stood bare have names.

--- /dev/null
+++ b/group/count.go
@@ -0,0 +1,41 @@
+package group
+
+// This file defines how many boxes there are. The invariant: the count a box goes by
+// never falls within one life of it.
+
+import (
+	"time"
+)
+
+// Boxes is how many boxes there are, at the most that was ever known.
+func (n *Node) Boxes() int { return max(n.most, 1) }
+
+// Known reports whether the box has heard of the group's size.
+func (n *Node) Known() bool { return n.most > 0 }
+
+// domainBoxes counts the boxes of this domain that live, this one included.
+func (n *Node) domainBoxes(now time.Duration) int {
+	count := 1
+	for _, p := range n.peers {
+		if p.box.Domain == n.cfg.Self.Domain && now-p.heard < n.cfg.Timing.Member {
+			count++
+		}
+	}
+	return count
+}
+
+// allBoxes adds what the leads of the other domains said last. Where two boxes took
+// themselves for a domain's lead, the greater count is the better one.
+func (n *Node) allBoxes(now time.Duration) int {
+	domains := make(map[string]int)
+	for _, p := range n.peers {
+		if p.box.Domain != n.cfg.Self.Domain {
+			domains[p.box.Domain] = max(domains[p.box.Domain], p.boxes)
+		}
+	}
+	count := n.domainBoxes(now)
+	for _, boxes := range domains {
+		count += boxes
+	}
+	return count
+}
--- /dev/null
+++ b/group/hear.go
@@ -0,0 +1,90 @@
+package group
+
+// This file defines how a box takes in what others say: who they are, and what they
+// ask. The invariant: of two lives of a box, what the earlier one says is not taken
+// over what the later one said.
+
+import (
+	"time"
+
+	"github.com/doormast/doormast/wire"
+)
+
+// Handle takes in a message.
+func (n *Node) Handle(now time.Duration, m *wire.GroupMessage) {
+	if m.Sender == nil || m.Sender.Name == "" || m.Sender.Name == n.cfg.Self.Name {
+		return
+	}
+	p := n.noteSender(now, m.Sender)
+	if p == nil {
+		return // an earlier life of the box
+	}
+	p.heard, p.silent, p.leaving = now, false, m.Leaving
+	p.leads, p.reads = m.Leads, m.Reads
+	if m.Leads {
+		p.boxes = int(m.DomainBoxes)
+	}
+	for _, b := range m.Boxes {
+		n.noteListed(b)
+	}
+	n.most = max(n.most, int(m.AllBoxes))
+	n.takeLoads(p, m)
+	n.answer(now, m, p)
+	n.learn(now, m)
+}
+
+// noteListed remembers a box that another box named. Of other domains only leads
+// are named, so it is one until it says otherwise itself.
+func (n *Node) noteListed(b *wire.GroupBox) {
+	if b.Name == n.cfg.Self.Name {
+		return
+	}
+	known := n.peers[b.Name] != nil
+	if p := n.note(b); p != nil && !known {
+		p.leads = b.Domain != n.cfg.Self.Domain
+	}
+}
+
+// note remembers a box; nil means that a later life of it is known.
+func (n *Node) note(b *wire.GroupBox) *peer {
+	p := n.peers[b.Name]
+	switch {
+	case p == nil:
+		p = &peer{box: b, heard: never}
+		n.peers[b.Name] = p
+	case b.Boot < p.box.Boot:
+		return nil
+	case b.Boot > p.box.Boot:
+		p.box, p.silent, p.leaving = b, false, false
+	}
+	return p
+}
+
+// noteSender remembers the box that sent a message; nil means that a later life of it
+// is known. One that is heard with an older start than one that has fallen silent is
+// taken at its word: its clock was set back between the two.
+func (n *Node) noteSender(now time.Duration, b *wire.GroupBox) *peer {
+	if p := n.note(b); p != nil {
+		return p
+	}
+	if now-n.peers[b.Name].heard < n.cfg.Timing.Member {
+		return nil
+	}
+	p := &peer{box: b, heard: never}
+	n.peers[b.Name] = p
+	return p
+}
+
+// answer replies to what the sender asks, or should know.
+func (n *Node) answer(now time.Duration, m *wire.GroupMessage, p *peer) {
+	switch {
+	case m.Ask:
+		n.sendChanges(now, p.box.Address, m.Revision)
+	case m.Hello:
+		reply := n.message(now)
+		reply.Boxes = n.listFor(p.box.Domain, now)
+		n.send(p.box.Address, reply)
+	case m.Leads && p.box.Domain == n.cfg.Self.Domain && n.Leads():
+		n.send(p.box.Address, n.message(now)) // it does not know of this box yet
+	}
+}
--- a/group/load.go
+++ b/group/load.go
@@ -42,7 +42,7 @@
 	out := make([]*wire.GroupLoad, 0, len(l))
 	for key, load := range l {
 		if load.Unread > 0 || load.Open > 0 {
-			out = append(out, &wire.GroupLoad{Upstream: key.Upstream, Urgency: uint32(key.Urgency), Unread: uint32(max(0, load.Unread) / unreadUnit), Open: uint32(max(0, load.Open))})
+			out = append(out, packLoad(key, load))
 		}
 	}
 	slices.SortFunc(out, func(a, b *wire.GroupLoad) int {
@@ -51,10 +51,21 @@
 	return out
 }
 
+func packLoad(key balance.LoadKey, load balance.Load) *wire.GroupLoad {
+	return &wire.GroupLoad{
+		Upstream: key.Upstream,
+		Urgency:  uint32(key.Urgency),
+		Unread:   uint32(max(0, load.Unread) / unreadUnit),
+		Open:     uint32(max(0, load.Open)),
+	}
+}
+
+// unpackLoads reads the wire's form.
 func unpackLoads(list []*wire.GroupLoad) Loads {
 	l := make(Loads, len(list))
 	for _, w := range list {
-		l[balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open)}
+		key := balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}
+		l[key] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open)}
 	}
 	return l
 }
@@ -118,6 +129,7 @@
 	return l
 }
 
+// tellLoad tells a peer of loads, where they changed or a beat has passed since.
 func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
 	packed := packLoads(l)
 	if p.told && sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat {
--- a/group/node.go
+++ b/group/node.go
@@ -1,8 +1,10 @@
 package group
 
-// This file defines a box's view of the group. The invariants: the box count never
-// falls within one life of a box, so that shares of a common limit only shrink; and
-// confirmed never lies behind the moment at which the copy was the newest.
+// This file defines a box's view of the group: its configuration, the other boxes it
+// knows, and what it has to send. Who leads stands in lead.go, how many boxes there
+// are in count.go, what is said in talk.go and taken in in hear.go, what is published
+// in published.go, and the work under way in load.go. The invariant: messages leave a
+// Node by Drain alone.
 
 import (
 	"time"
@@ -93,9 +95,6 @@
 // never lies before every moment.
 const never = -time.Hour
 
-// maxStagger bounds the places that delay a box's own reading.
-const maxStagger = 5
-
 // NewNode returns the part of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
 	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never,
@@ -116,101 +115,6 @@
 // Doubt is until when entries that went may come back.
 func (n *Node) Doubt() time.Duration { return n.doubt }
 
-// Lead is the name of the box that leads the domain.
-func (n *Node) Lead() string { return n.lead().Name }
-
-// Leads reports whether this box leads its domain.
-func (n *Node) Leads() bool { return n.lead() == n.cfg.Self }
-
-// lead is the best box of the domain that is not known to be silent.
-func (n *Node) lead() *wire.GroupBox {
-	best := n.cfg.Self
-	for _, p := range n.peers {
-		if p.box.Domain == best.Domain && !p.silent && !p.leaving && (n.leaving && best == n.cfg.Self || better(p.box, best)) {
-			best = p.box
-		}
-	}
-	return best
-}
-
-// better orders the boxes of a domain: the stronger first.
-func better(a, b *wire.GroupBox) bool {
-	if a.Strength != b.Strength {
-		return a.Strength > b.Strength
-	}
-	return a.Name < b.Name
-}
-
-// place is how many boxes of the domain go before this one.
-func (n *Node) place() int {
-	place := 0
-	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain && better(p.box, n.cfg.Self) {
-			place++
-		}
-	}
-	return place
-}
-
-// Boxes is how many boxes there are, at the most that was ever known.
-func (n *Node) Boxes() int { return max(n.most, 1) }
-
-// Known reports whether the box has heard of the group's size.
-func (n *Node) Known() bool { return n.most > 0 }
-
-// domainBoxes counts the boxes of this domain that live, this one included.
-func (n *Node) domainBoxes(now time.Duration) int {
-	count := 1
-	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain && now-p.heard < n.cfg.Timing.Member {
-			count++
-		}
-	}
-	return count
-}
-
-// allBoxes adds what the leads of the other domains said last. Where two boxes took
-// themselves for a domain's lead, the greater count is the better one.
-func (n *Node) allBoxes(now time.Duration) int {
-	domains := make(map[string]int)
-	for _, p := range n.peers {
-		if p.box.Domain != n.cfg.Self.Domain {
-			domains[p.box.Domain] = max(domains[p.box.Domain], p.boxes)
-		}
-	}
-	count := n.domainBoxes(now)
-	for _, boxes := range domains {
-		count += boxes
-	}
-	return count
-}
-
-// Reads reports whether this box should read what is published itself.
-func (n *Node) Reads(now time.Duration) bool {
-	t := n.cfg.Timing
-	if !n.cfg.FirstStart && n.cfg.Mirror.Revision() == 0 {
-		return true
-	}
-	if n.Leads() {
-		return now-n.started >= t.Settle || n.alone()
-	}
-	if n.leadIsBlind() && now-n.readOK < t.Readback {
-		return true
-	}
-	// After a start, the lead is given its own time to settle and as much to read.
-	known := max(n.confirmed, n.started-t.Stale+2*t.Settle)
-	return now-known > t.Stale+time.Duration(min(n.place(), maxStagger))*t.Stagger
-}
-
-// alone reports whether there is nobody to wait for.
-func (n *Node) alone() bool { return len(n.cfg.Seeds) == 0 }
-
-// leadIsBlind reports whether the lead says that it cannot read.
-func (n *Node) leadIsBlind() bool {
-	p := n.peers[n.Lead()]
-	return p != nil && p.leads && !p.reads
-}
-
 // Leave tells all that this box is about to end, so that another leads.
 func (n *Node) Leave(now time.Duration) {
 	n.leaving = true
--- /dev/null
+++ b/group/pack.go
@@ -0,0 +1,74 @@
+package group
+
+// This file defines how items go on the wire. The invariant: unpack reads back what
+// pack made, or takes nothing.
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
+)
+
+const (
+	// maxItems bounds the bytes of the values in a datagram; with its head it stays
+	// within what the boxes' links carry in one.
+	maxItems = 6 << 10
+	// itemHead is what an item takes on the wire besides its key and value, in
+	// bytes, at most.
+	itemHead = 16
+	// packFrom is from how many bytes on a value is compressed.
+	packFrom = 512
+	// maxUnpacked bounds the bytes that a compressed value may grow to, four times
+	// the publisher's bound on a value.
+	maxUnpacked = 4 << 20
+)
+
+// pack makes the wire's items, and says how many bytes they take.
+func pack(list []mirror.Item) ([]*wire.GroupItem, int) {
+	size := 0
+	out := make([]*wire.GroupItem, 0, len(list))
+	for _, it := range list {
+		w := &wire.GroupItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Gone: it.Gone}
+		if len(w.Value) >= packFrom {
+			w.Value, w.Packed = deflate(w.Value), true
+		}
+		size += len(w.Key) + len(w.Value) + itemHead
+		out = append(out, w)
+	}
+	return out, size
+}
+
+// unpack reads the wire's items; false means that one of them cannot be read, so
+// that none may be taken.
+func unpack(list []*wire.GroupItem) ([]mirror.Item, bool) {
+	out := make([]mirror.Item, 0, len(list))
+	for _, w := range list {
+		it := mirror.Item{Key: w.Key, Value: w.Value, Revision: w.Revision, Gone: w.Gone}
+		if w.Packed {
+			var err error
+			if it.Value, err = inflate(w.Value); err != nil {
+				return nil, false
+			}
+		}
+		out = append(out, it)
+	}
+	return out, true
+}
+
+func inflate(b []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxUnpacked))
+}
+
+func deflate(b []byte) []byte {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil // the level is a valid one
+	}
+	_, _ = w.Write(b) // a buffer takes all
+	_ = w.Close()
+	return out.Bytes()
+}
--- /dev/null
+++ b/group/published.go
@@ -0,0 +1,145 @@
+package group
+
+// This file defines how what is published reaches the boxes: from the publisher to
+// the box that reads it, and from box to box. The invariant: confirmed only moves to
+// a moment at which nothing newer was known to be published than the mirror holds.
+
+import (
+	"time"
+
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
+)
+
+const (
+	// askPause is the least time between two questions for changes.
+	askPause = 100 * time.Millisecond
+	// lapse is how long after the publisher's return an entry that went may come
+	// back: 2 s, and some room.
+	lapse = 2200 * time.Millisecond
+)
+
+// learn takes in what the sender knows of what is published.
+func (n *Node) learn(now time.Duration, m *wire.GroupMessage) {
+	n.doubtFor(now, m.DoubtLeft)
+	n.takeItems(now, m)
+	switch mine := n.cfg.Mirror.Revision(); {
+	case m.Revision > mine && m.Pull:
+		n.pull = m.Sender.Pulls
+	case m.Revision > mine && now-n.lastAsk >= askPause:
+		n.lastAsk = now
+		ask := n.message(now)
+		ask.Ask = true
+		n.send(m.Sender.Address, ask)
+	case m.Revision <= mine && m.Revision > 0:
+		n.confirmed = max(n.confirmed, now-fromMicros(m.ConfirmedAge))
+	}
+}
+
+// takeItems takes in the changes that a message holds, unless some before them are
+// missing here.
+func (n *Node) takeItems(now time.Duration, m *wire.GroupMessage) {
+	items, ok := unpack(m.Items)
+	if !ok || len(items) == 0 {
+		return
+	}
+	before := n.cfg.Mirror.Revision()
+	if changes, ok := n.cfg.Mirror.Apply(m.From, m.Revision, items); ok {
+		n.tell(now, changes, before)
+	}
+}
+
+// doubtFor takes over another box's time of doubt, in microseconds.
+func (n *Node) doubtFor(now time.Duration, left uint64) {
+	if left > 0 {
+		n.doubt = max(n.doubt, now+fromMicros(left))
+	}
+}
+
+// tell passes changes on: to this box, and from a lead to the others.
+func (n *Node) tell(now time.Duration, changes []mirror.Item, from uint64) {
+	if len(changes) == 0 {
+		return
+	}
+	n.cfg.Changed(changes)
+	if !n.Leads() {
+		return
+	}
+	for _, p := range n.peers {
+		if p.box.Domain == n.cfg.Self.Domain || p.leads {
+			n.sendItems(now, p.box.Address, from, changes)
+		}
+	}
+}
+
+// sendChanges sends what is behind a revision, or says that it has to be pulled.
+func (n *Node) sendChanges(now time.Duration, to string, after uint64) {
+	changes, ok := n.cfg.Mirror.Since(after)
+	if !ok {
+		m := n.message(now)
+		m.Pull = true
+		n.send(to, m)
+		return
+	}
+	n.sendItems(now, to, after, changes)
+}
+
+// sendItems sends the changes behind a revision, or, where they are too many for a
+// datagram, says that everything has to be pulled.
+func (n *Node) sendItems(now time.Duration, to string, from uint64, changes []mirror.Item) {
+	m := n.message(now)
+	items, size := pack(changes)
+	if size > maxItems {
+		m.Pull = true
+	} else {
+		m.From, m.Items = from, items
+	}
+	n.send(to, m)
+}
+
+// Read notes that this box read the publisher itself: what is new behind the mirror's
+// revision, or everything where whole is set, which was the newest at the moment
+// known. A box that reads for a lead tells it.
+func (n *Node) Read(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
+	if n.readFails && now-n.confirmed > n.cfg.Timing.Stale {
+		n.doubt = max(n.doubt, now+lapse) // nobody else could read either
+	}
+	n.readOK, n.readFails = now, false
+	from := n.cfg.Mirror.Revision()
+	var changes []mirror.Item
+	if whole {
+		changes = n.cfg.Mirror.Load(items, revision)
+	} else {
+		changes, _ = n.cfg.Mirror.Apply(from, revision, items)
+	}
+	n.confirmed = max(n.confirmed, known)
+	n.tell(now, changes, from)
+	if !n.Leads() {
+		n.sendItems(now, n.lead().Address, from, changes)
+	}
+}
+
+// ReadFailed notes that this box could not read the publisher.
+func (n *Node) ReadFailed() { n.readFails = true }
+
+// Pulled takes in all that another box has.
+func (n *Node) Pulled(now time.Duration, r *wire.MirrorResponse) {
+	n.doubtFor(now, r.DoubtLeft)
+	items, ok := unpack(r.Items)
+	if !ok {
+		return // the next beat shows what is missing still
+	}
+	from := n.cfg.Mirror.Revision()
+	changes := n.cfg.Mirror.Load(items, r.Revision)
+	if r.Revision >= from {
+		n.confirmed = max(n.confirmed, now-fromMicros(r.ConfirmedAge))
+	}
+	n.tell(now, changes, from)
+}
+
+// Everything is the answer to another box's pull.
+func (n *Node) Everything(now time.Duration) *wire.MirrorResponse {
+	items, _ := pack(n.cfg.Mirror.Items())
+	return &wire.MirrorResponse{Revision: n.cfg.Mirror.Revision(), Items: items, ConfirmedAge: micros(now - n.confirmed),
+		DoubtLeft: micros(n.doubt - now)}
+}
