--- a/balance/admit.go
+++ b/balance/admit.go
@@ -7,16 +7,10 @@
 
 import "time"
 
+// The bounds of the time after which a refused caller shall come back.
 const (
-	// The bounds of the time after which a refused caller shall come back.
 	comeBackMin = 300 * time.Millisecond
 	comeBackMax = 3 * time.Second
-	// rateShare is the share of the past in the mean rate of reading, a prompt.
-	rateShare = 0.95
-	// rateFrom is from how many tokens on a prompt's reading tells the rate.
-	rateFrom = 2000
-	// The bounds within which a rate is believed, in tokens a ms.
-	rateMin, rateMax = 5, 500
 )
 
 // Admission is what is to be decided about a request that found a place.
@@ -40,17 +34,3 @@
 	}
 	return min(max(wait-bound/2, comeBackMin), comeBackMax), false
 }
-
-// readTime is how long an upstream reads a prompt.
-func (f *Fleet) readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / f.rate * float64(time.Millisecond))
-}
-
-// learnRate takes how long a prompt took that had nothing before it.
-func (f *Fleet) learnRate(tokens int, took time.Duration) {
-	if tokens < rateFrom || took <= 0 {
-		return
-	}
-	rate := float64(tokens) / float64(took.Milliseconds()+1)
-	f.rate = f.rate*rateShare + min(max(rate, rateMin), rateMax)*(1-rateShare)
-}
--- a/balance/health.go
+++ b/balance/health.go
@@ -23,6 +23,8 @@
 	// restMin and restMax bound how long an upstream rests after failing.
 	restMin = 200 * time.Millisecond
 	restMax = 2 * time.Second
+	// restDoublings bounds how often restMin is doubled, beyond what restMax allows.
+	restDoublings = 8
 	// fullRest is how long an upstream that had no room is passed over.
 	fullRest = 100 * time.Millisecond
 )
@@ -43,7 +45,7 @@
 		h.failing = h.failing*failShare + (1 - failShare)
 		h.inRow++
 		if h.inRow > 1 {
-			h.restTill = now + min(restMin<<min(h.inRow, 8), restMax)
+			h.restTill = now + min(restMin<<min(h.inRow, restDoublings), restMax)
 		}
 	case Full:
 		h.restTill = max(h.restTill, now+fullRest)
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -12,6 +12,9 @@
 // laneKey is the key by which rendezvous chooses the lane's upstreams.
 const laneKey = 1
 
+// percent is the whole that a share in 100 is taken of.
+const percent = 100
+
 // lane returns the upstreams of the list that are in the request's lane, or all where
 // none is.
 func (f *Fleet) lane(r Request, list []*member) []*member {
@@ -34,7 +37,7 @@
 	if len(all) < minLanes {
 		return true
 	}
-	places := (len(all)*f.cfg.Tuning.TightShare + 50) / 100
+	places := (len(all)*f.cfg.Tuning.TightShare + percent/2) / percent // rounded
 	own := weight(m.ID, laneKey)
 	before := 0
 	for _, o := range all {
--- a/balance/load.go
+++ b/balance/load.go
@@ -42,8 +42,6 @@
 	return sum
 }
 
-func (r Request) level() int { return min(max(r.Urgency, 0), Levels-1) }
-
 // ahead is the prompt tokens that an upstream reads before those of a request with
 // the urgency, for all boxes.
 func (m *member) ahead(urgency int) int {
--- /dev/null
+++ b/balance/request.go
@@ -0,0 +1,23 @@
+package balance
+
+// This file defines what the decisions look at of a request. The invariant: the parts
+// of a prompt stand in its order, and the last belongs to the request alone.
+
+// Request is what placement looks at.
+type Request struct {
+	Service string
+	Parts   []Part // of the prompt, in order; the last belongs to this request alone
+	Tokens  int    // of the prompt
+	Output  int    // tokens to be made, at most
+	Tight   bool   // its events must follow each other closely
+	Urgency int    // 0 is the most urgent
+}
+
+// Part is a part of a prompt that other prompts may begin with too.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// level is the urgency as the work on upstreams is counted by.
+func (r Request) level() int { return min(max(r.Urgency, 0), Levels-1) }
--- /dev/null
+++ b/balance/ticket.go
@@ -0,0 +1,74 @@
+package balance
+
+// This file defines tickets: how a request is counted on an upstream. The invariant:
+// what a ticket adds to the work of an upstream it takes away again, once.
+
+import "time"
+
+// Ticket is a request on an upstream, from the moment it was placed to its end.
+type Ticket struct {
+	fleet   *Fleet
+	member  *member
+	urgency int
+	unread  int // tokens of its prompt that are counted as not yet read
+	opened  time.Duration
+	alone   bool // nothing was before it
+	closed  bool
+}
+
+// Open counts a request on an upstream.
+func (f *Fleet) Open(now time.Duration, id string, r Request) *Ticket {
+	m := f.byID[id]
+	if m == nil {
+		return &Ticket{closed: true}
+	}
+	t := &Ticket{fleet: f, member: m, urgency: r.level(), unread: f.missing(m, r), opened: now, alone: m.open() == 0}
+	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1})
+	return t
+}
+
+// missing is how many tokens an upstream has to read for a request that is placed
+// there: all that no other request shares, and the rest where it is not at home.
+func (f *Fleet) missing(m *member, r Request) int {
+	if len(r.Parts) < 2 {
+		return r.Tokens
+	}
+	if home := f.home(r); home != nil && home.ID == m.ID {
+		return r.Parts[len(r.Parts)-1].Tokens
+	}
+	return r.Tokens
+}
+
+// First notes that the first event came: the prompt has been read.
+func (t *Ticket) First(now time.Duration) {
+	if t.closed {
+		return
+	}
+	if t.alone {
+		t.fleet.learnRate(t.unread, now-t.opened)
+	}
+	t.clear()
+}
+
+// clear takes the unread tokens of the prompt away.
+func (t *Ticket) clear() {
+	t.member.work.add(t.urgency, Load{Unread: -t.unread})
+	t.unread = 0
+}
+
+// Close ends the count, and tells what became of the request.
+func (t *Ticket) Close(now time.Duration, outcome Outcome) {
+	if t.closed {
+		return
+	}
+	t.clear()
+	t.closed = true
+	t.member.work.add(t.urgency, Load{Open: -1})
+	t.member.health.note(now, outcome)
+	switch outcome {
+	case Unreachable:
+		t.fleet.unreached(now, t.member)
+	case Answered, Full:
+		t.member.out = false
+	}
+}
--- /dev/null
+++ b/balance/tuning.go
@@ -0,0 +1,44 @@
+package balance
+
+// This file defines the figures that the decisions go by.
+
+import "time"
+
+// Tuning holds the figures of placement. They come from measured days; the runs
+// stand in docs/design/8-platform.md.
+type Tuning struct {
+	// SpillTokens is by how many unread prompt tokens the home of a prompt may be
+	// ahead of the next choice before a request goes there instead.
+	SpillTokens int
+	// NewFor is how long after its listing an upstream fetches prompts from the one
+	// that was their home before.
+	NewFor time.Duration
+	// TightShare is the share of a service's upstreams, in 100, that is kept for
+	// streams whose events must follow each other closely.
+	TightShare int
+	// Away is how many open requests for each slot an upstream of another failure
+	// domain counts as having more, for requests without a prompt.
+	Away float64
+	// FailWeight is how many open requests a certain failure counts for when the
+	// less busy upstream of a service without prompts is looked for.
+	FailWeight float64
+	// Admit is the share of its latency target that a request may wait for prompts
+	// that are read before its own; beyond it is refused and told when to come back.
+	// AdmitAgain is the same for one that has come back.
+	Admit, AdmitAgain float64
+	// ReadRate is how many prompt tokens an upstream reads in a ms, until that has
+	// been seen.
+	ReadRate float64
+}
+
+// DefaultTuning is used where a configuration names none.
+var DefaultTuning = Tuning{
+	SpillTokens: 50000,
+	NewFor:      15 * time.Second,
+	TightShare:  25,
+	Away:        0.3,
+	FailWeight:  6,
+	Admit:       0.5,
+	AdmitAgain:  2,
+	ReadRate:    36,
+}
--- a/group/count.go
+++ b/group/count.go
@@ -1,11 +1,9 @@
 package group
 
 // This file defines how many boxes there are. The invariant: the count a box goes by
-// never falls within one life of it.
+// never falls within one life of it, so that shares of a common limit only shrink.
 
-import (
-	"time"
-)
+import "time"
 
 // Boxes is how many boxes there are, at the most that was ever known.
 func (n *Node) Boxes() int { return max(n.most, 1) }
--- a/group/pack.go
+++ b/group/pack.go
@@ -16,8 +16,8 @@
 	// maxItems bounds the bytes of the values in a datagram; with its head it stays
 	// within what the boxes' links carry in one.
 	maxItems = 6 << 10
-	// itemHead is what an item takes on the wire besides its key and value, in
-	// bytes, at most.
+	// itemHead is what an item is reckoned to take on the wire besides its key and
+	// value, in bytes: its revision, and the tags and lengths of its fields.
 	itemHead = 16
 	// packFrom is from how many bytes on a value is compressed.
 	packFrom = 512
