The relay's datagrams, news, dialling, answers, bodies and stop, each in its file

members.go, belief.go, attempt.go, conns.go and request.go each held two or three concepts. A parameter that was always false, a field that nobody read and arguments that the exchange holds anyway are gone; long functions are cut into their steps.

--- /dev/null
+++ b/relay/body.go
@@ -0,0 +1,89 @@
+package relay
+
+// This file defines how the body of an answer is read. The invariant: io.EOF comes
+// only after a whole body, where its framing tells.
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+)
+
+// bodyReader returns a reader of the body: of a known length, in chunks, or up to
+// the end of the connection.
+func bodyReader(c *conn, h *fasthttp.ResponseHeader) io.Reader {
+	switch n := h.ContentLength(); {
+	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
+		return bytes.NewReader(nil)
+	case n >= 0:
+		return &sizedReader{r: c.reader, left: n}
+	case n == lengthChunked:
+		return &chunkedReader{c: c, r: httputil.NewChunkedReader(c.reader)}
+	default:
+		return c.reader
+	}
+}
+
+var (
+	_ io.Reader = (*sizedReader)(nil)
+	_ io.Reader = (*chunkedReader)(nil)
+)
+
+// sizedReader reads a body of a known length; an earlier end is an error.
+type sizedReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (s *sizedReader) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := s.r.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	if errors.Is(err, io.EOF) && s.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedReader reads a body in chunks, and the trailer behind it.
+type chunkedReader struct {
+	c    *conn
+	r    io.Reader
+	done bool
+}
+
+// Read implements io.Reader.
+func (k *chunkedReader) Read(p []byte) (int, error) {
+	if k.done {
+		return 0, io.EOF
+	}
+	n, err := k.r.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !k.skipTrailer() {
+		return n, io.ErrUnexpectedEOF
+	}
+	k.done = true
+	return n, io.EOF
+}
+
+// skipTrailer reads up to the empty line behind the last chunk; false means that the
+// connection ended before it.
+func (k *chunkedReader) skipTrailer() bool {
+	for {
+		line, err := k.c.reader.ReadSlice('\n')
+		if err != nil {
+			return false
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return true
+		}
+	}
+}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -16,31 +16,20 @@
 const (
 	// defaultConnections is used where a service states no bound.
 	defaultConnections = 64
-	// dialWait is the longest a connection may take to come up; a round trip is a
-	// few ms, and what cannot be reached is tried elsewhere.
-	dialWait = 350 * time.Millisecond
 	// idleKeep is how long a connection is kept where the upstream gives no time.
 	idleKeep = 3 * time.Second
 	// idleMargin is kept of the time that an upstream gives, so that its close and
 	// the next request do not cross.
 	idleMargin = 500 * time.Millisecond
-	// The sizes of a connection's buffers, in bytes.
+	// readBuffer is the size of a connection's buffer, in bytes.
 	readBuffer = 4 << 10
 )
 
-// keepAlive makes the kernel notice within 3 s that an upstream is gone without a
-// word.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
-// userTimeout is how long sent bytes may stay unacknowledged, in ms.
-const userTimeout = 1200
-
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
 	upstream string
-	used     bool
 	keepTill time.Time
 }
 
@@ -62,15 +51,10 @@
 var errConnections = &Error{Op: "connect", Kind: KindFull}
 
 // get returns a connection that is known to be open, so that a failure after this
-// has to do with the request. fresh asks for a new one.
-func (p *conns) get(ctx context.Context, id, address, service string, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.takeIdle(id)
-		if c == nil {
-			break
-		}
+// has to do with the request.
+func (p *conns) get(ctx context.Context, id, address, service string) (*conn, error) {
+	for c := p.takeIdle(id); c != nil; c = p.takeIdle(id) {
 		if time.Now().Before(c.keepTill) && c.quiet() {
-			c.used = true
 			return c, nil
 		}
 		p.drop(c)
@@ -86,23 +70,6 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), upstream: id}, nil
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialWait, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return d.DialContext(ctx, "tcp", address)
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeout)
-	})
-	if err != nil {
-		return err
-	}
-	return set
-}
-
 // quiet reports whether the upstream has neither closed the connection nor sent
 // anything nobody asked for.
 func (c *conn) quiet() bool {
@@ -118,6 +85,7 @@
 	return err == nil && !known
 }
 
+// takeIdle takes the newest idle connection of an upstream; nil where there is none.
 func (p *conns) takeIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,6 +110,7 @@
 	return true
 }
 
+// release undoes reserve.
 func (p *conns) release(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/relay/dial.go
@@ -0,0 +1,40 @@
+package relay
+
+// This file defines how a connection to an upstream comes up, and how the kernel
+// watches it. The invariant: an upstream that goes silent is noticed within seconds,
+// whether bytes are under way to it or not.
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// dialWait is the longest a connection may take to come up; a round trip is a few ms,
+// and what cannot be reached is tried elsewhere.
+const dialWait = 350 * time.Millisecond
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialWait, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// keepAlive makes the kernel notice within 3 s that an upstream is gone without a
+// word.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// userTimeout is how long sent bytes may stay unacknowledged, in ms.
+const userTimeout = 1200
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeout)
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -91,7 +91,7 @@
 	ctx.SetStatusCode(x.answer.header.StatusCode())
 	out.SetNoDefaultContentType(true)
 	for k, v := range x.answer.header.All() {
-		if !containsFold(hopHeaders, string(k)) {
+		if !namedIn(hopHeaders, k) {
 			out.AddBytesKV(k, v)
 		}
 	}
--- a/relay/front.go
+++ b/relay/front.go
@@ -69,8 +69,8 @@
 // until ctx ends.
 func (f *front) close(ctx context.Context) error {
 	err := f.server.ShutdownWithContext(ctx)
-	if lnerr := f.relay.cfg.Ready.Close(); err == nil {
-		err = lnerr
+	if closeErr := f.relay.cfg.Ready.Close(); err == nil {
+		err = closeErr
 	}
 	return err
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -1,16 +1,13 @@
 package relay
 
-// This file defines the duty that keeps the box's part of the group: it alone
-// touches the node and the mirror, and hands what is new to the rest of the box.
+// This file defines the duty that keeps the box's part of the group. The invariant: it
+// alone touches the node and the mirror, and hands what is new to the rest of the box.
 
 import (
 	"context"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/internal/datagram"
 	"github.com/doormast/doormast/internal/ring"
@@ -35,27 +32,11 @@
 	leave   chan<- struct{}             // the box is about to end; closed when the others were told
 }
 
-// readResult is what came of a reading of the publisher.
-type readResult struct {
-	known    time.Duration // a moment at which what was read was the newest
-	items    []mirror.Item
-	revision uint64
-	whole    bool
-	err      error
-	taken    chan<- struct{} // closed when it was taken in
-}
-
-// pullResult is what another box has.
-type pullResult struct {
-	response *wire.MirrorResponse
-	err      error
-}
-
 // members is the box's part of the group, with what other duties may look at.
 type members struct {
 	relay  *Relay
 	node   *group.Node
-	copy   *mirror.Mirror
+	mirror *mirror.Mirror
 	events *ring.Ring[memberEvent]
 	socket *datagram.Socket // nil where a box has no peers
 
@@ -70,31 +51,23 @@
 }
 
 func newMembers(r *Relay) (*members, error) {
-	m := &members{relay: r, copy: mirror.New(), events: ring.New[memberEvent](memberRing), kick: make(chan struct{}, 1),
-		missing: make(map[string]time.Duration)}
-	m.boxes.Store(int64(r.cfg.Boxes))
-	m.node = group.NewNode(group.Config{Self: r.cfg.Self, Seeds: r.cfg.Seeds, Timing: r.cfg.Timing, Mirror: m.copy, Changed: m.changed,
-		FirstStart: r.cfg.FirstStart}, r.now())
-	if r.cfg.Self.Address == "" {
-		return m, nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
-	defer cancel()
-	var err error
-	m.socket, err = datagram.Listen(ctx, datagram.Config{Address: r.cfg.Self.Address, Handler: m.received})
-	return m, err
-}
-
-// received takes a datagram, on the socket's goroutine.
-func (m *members) received(b []byte) {
-	msg := new(wire.GroupMessage)
-	if err := proto.Unmarshal(b, msg); err != nil {
-		m.relay.stats.count("datagrams_garbled")
-		return
-	}
-	if !m.events.TryPush(memberEvent{message: msg}) {
-		m.relay.stats.count("datagrams_dropped")
+	m := &members{
+		relay:   r,
+		mirror:  mirror.New(),
+		events:  ring.New[memberEvent](memberRing),
+		kick:    make(chan struct{}, 1),
+		missing: make(map[string]time.Duration),
 	}
+	m.boxes.Store(int64(r.cfg.Boxes))
+	m.node = group.NewNode(group.Config{
+		Self:       r.cfg.Self,
+		Seeds:      r.cfg.Seeds,
+		Timing:     r.cfg.Timing,
+		Mirror:     m.mirror,
+		Changed:    m.changed,
+		FirstStart: r.cfg.FirstStart,
+	}, r.now())
+	return m, m.listen()
 }
 
 // duty takes in events until ctx ends.
@@ -153,12 +126,7 @@
 	case e.read != nil:
 		m.takeRead(now, e.read)
 	case e.pulled != nil:
-		m.pulling = false
-		if e.pulled.err != nil {
-			m.relay.cfg.Log.Event("group", "pull failed", Fields{"error": e.pulled.err.Error()})
-			return
-		}
-		m.node.Pulled(now, e.pulled.response)
+		m.takePulled(now, e.pulled)
 	case e.ask != nil:
 		e.ask <- m.node.Everything(now)
 	case e.leave != nil:
@@ -168,19 +136,20 @@
 	}
 }
 
-func (m *members) takeRead(now time.Duration, r *readResult) {
-	defer close(r.taken)
-	if r.err != nil {
-		m.node.ReadFailed()
-		m.relay.belief.lose(m.relay, r.err)
-		return
+// after sends what the node wants sent, and shows other duties what they look at.
+func (m *members) after(ctx context.Context) {
+	m.sendOut(ctx)
+	m.revision.Store(m.mirror.Revision())
+	m.relay.belief.confirmed.Store(int64(m.node.Confirmed()))
+	if m.node.Known() {
+		m.boxes.Store(int64(m.node.Boxes()))
 	}
-	m.node.Read(now, r.known, r.items, r.revision, r.whole)
-	m.relay.belief.regain(m.relay)
+	m.showReads()
+	m.showLead()
 }
 
-// after sends what the node wants sent, and publishes what other duties look at.
-func (m *members) after(ctx context.Context) {
+// sendOut sends what the node wants sent, and begins the pull that it wants.
+func (m *members) sendOut(ctx context.Context) {
 	out, pull := m.node.Drain()
 	for _, o := range out {
 		m.send(o)
@@ -189,58 +158,24 @@
 		m.pulling = true
 		go m.pull(ctx, pull)
 	}
-	now := m.relay.now()
-	m.revision.Store(m.copy.Revision())
-	m.relay.belief.confirmed.Store(int64(m.node.Confirmed()))
-	if m.node.Known() {
-		m.boxes.Store(int64(m.node.Boxes()))
-	}
-	reads := m.node.Reads(now)
-	if reads != m.reads.Swap(reads) && reads {
-		select {
-		case m.kick <- struct{}{}:
-		default:
-		}
-	}
-	if lead := m.node.Lead(); lead != m.leadName() {
-		m.lead.Store(&lead)
-		m.relay.cfg.Log.Event("group", "led by", Fields{"box": lead, "boxes": m.node.Boxes(), "age_ms": m.relay.age().Milliseconds()})
-	}
 }
 
-func (m *members) send(o group.Outgoing) {
-	to, err := netip.ParseAddrPort(o.To)
-	if err != nil || m.socket == nil {
-		return // a seed that is no address, or a box without peers
-	}
-	b, err := proto.Marshal(o.Message)
-	if err != nil {
-		m.relay.cfg.Log.Event("group", "not sent", Fields{"to": o.To, "error": err.Error()})
+// showReads tells the reader whether this box is to read, and wakes it.
+func (m *members) showReads() {
+	reads := m.node.Reads(m.relay.now())
+	if before := m.reads.Swap(reads); before || !reads {
 		return
 	}
-	m.socket.Send(to, b)
-}
-
-// changed hands in what is new in the mirror.
-func (m *members) changed(items []mirror.Item) {
-	for _, it := range items {
-		news, err := m.relay.cfg.Decode(it)
-		if err != nil {
-			m.relay.cfg.Log.Event("published", "not taken", Fields{"key": it.Key, "revision": it.Revision, "error": err.Error()})
-			continue
-		}
-		m.relay.takeNews(news, m.node.Doubt(), m.missing)
+	select {
+	case m.kick <- struct{}{}:
+	default:
 	}
 }
 
-// dropMissing drops the upstreams whose entries did not come back in time.
-func (m *members) dropMissing() {
-	now := m.relay.now()
-	for id, due := range m.missing {
-		if now >= due && now >= m.node.Doubt() {
-			delete(m.missing, id)
-			m.relay.dropUpstream(id)
-		}
+func (m *members) showLead() {
+	if lead := m.node.Lead(); lead != m.leadName() {
+		m.lead.Store(&lead)
+		m.relay.cfg.Log.Event("group", "led by", Fields{"box": lead, "boxes": m.node.Boxes(), "age_ms": m.relay.age().Milliseconds()})
 	}
 }
 
@@ -256,6 +191,7 @@
 	}
 }
 
+// close closes the socket, where there is one.
 func (m *members) close() {
 	if m.socket == nil {
 		return
--- /dev/null
+++ b/relay/outgoing.go
@@ -0,0 +1,104 @@
+package relay
+
+// This file defines a request as it goes to an upstream. The invariant: the headers
+// that the box sets are its own, whatever the caller sent under these names.
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
+)
+
+// run is what differs from one run of a request to the next.
+type run struct {
+	upstream balance.Upstream
+	timeLeft time.Duration
+	urgency  int
+	customer *route.Customer
+	fetch    string // IP:port of an upstream that keeps the prompt, or empty
+	lastSeen string // id of the last event that the caller has, or empty
+}
+
+// outgoing writes the request for a run.
+func (r *Relay) outgoing(q *request, n run) outgoing {
+	p := &r.cfg.Protocol
+	var b bytes.Buffer
+	b.WriteString(q.method + " " + q.uri + " HTTP/1.1\r\n")
+	writeHeader(&b, "Host", q.host)
+	b.Write(q.passed)
+	writeHeader(&b, p.TimeLeft, strconv.FormatInt(max(1, n.timeLeft.Milliseconds()), 10))
+	writeHeader(&b, p.Instance, n.upstream.ID)
+	if n.customer != nil {
+		writeHeader(&b, p.Customer, n.customer.Name)
+	}
+	if len(q.prompt.Parts) > 0 {
+		writeHeader(&b, p.Priority, strconv.Itoa(n.urgency))
+		writeHeader(&b, p.Fetch, n.fetch)
+	}
+	writeHeader(&b, p.LastEvent, n.lastSeen)
+	if len(q.body) > 0 || q.method != fasthttp.MethodGet && q.method != fasthttp.MethodHead {
+		writeHeader(&b, "Content-Length", strconv.Itoa(len(q.body)))
+	}
+	b.WriteString("\r\n")
+	return outgoing{head: b.Bytes(), body: q.body, id: q.id}
+}
+
+// writeHeader writes a header's line; one without a name or a value is left out.
+func writeHeader(b *bytes.Buffer, name, value string) {
+	if name == "" || value == "" {
+		return
+	}
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// outgoing is what is sent to an upstream.
+type outgoing struct {
+	head []byte
+	body []byte
+	id   string // comes back in the answer
+}
+
+// largeBody is from how many bytes on a body is sent while the answer is awaited,
+// since an upstream may answer before it has read it all.
+const largeBody = 8 << 10
+
+// sending is a request on its way out.
+type sending struct {
+	done chan error
+}
+
+// send writes the request; a large one goes on being written in the background.
+func (c *conn) send(o outgoing) *sending {
+	s := &sending{done: make(chan error, 1)}
+	whole := slices.Concat(o.head, o.body)
+	if len(whole) <= largeBody {
+		_, err := c.Write(whole)
+		s.done <- err
+		return s
+	}
+	go func() {
+		_, err := c.Write(whole)
+		s.done <- err
+	}()
+	return s
+}
+
+// finished reports whether all was written without an error.
+func (s *sending) finished() bool {
+	select {
+	case err := <-s.done:
+		s.done <- err
+		return err == nil
+	default:
+		return false
+	}
+}
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -14,7 +14,7 @@
 	Customer   string // set for the upstream: who holds the key
 	Instance   string // set for the upstream: the start of it that is meant
 	NotRun     string // in an upstream's refusal: it has not run the request
-	Signature  string // in an upstream's answer
+	Signature  string // in an upstream's answer: who gave it; the relay only passes it on
 	Priority   string // set for the upstream, 0 first
 	LastEvent  string // the last event of a stream that was seen
 	Fetch      string // set for the upstream: IP:port of another that keeps the prompt
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -1,6 +1,8 @@
 package relay
 
-// This file defines how a box fetches all that another has, and answers the same.
+// This file defines how a box fetches all that another has, and answers the same. The
+// invariant: the answer is made by the duty that owns the mirror, and a box has one
+// pull under way at most.
 
 import (
 	"context"
@@ -36,6 +38,16 @@
 	}
 }
 
+// takePulled takes in, on the members' duty, what came of a pull.
+func (m *members) takePulled(now time.Duration, p *pullResult) {
+	m.pulling = false
+	if p.err != nil {
+		m.relay.cfg.Log.Event("group", "pull failed", Fields{"error": p.err.Error()})
+		return
+	}
+	m.node.Pulled(now, p.response)
+}
+
 // mirrors answers other boxes' pulls.
 type mirrors struct{ members *members }
 
@@ -67,3 +79,9 @@
 		r.cfg.Log.Event("control", "not served", Fields{"error": err.Error()})
 	}
 }
+
+// pullResult is what another box has.
+type pullResult struct {
+	response *wire.MirrorResponse
+	err      error
+}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -37,20 +37,9 @@
 	}
 }
 
-// readOnce makes one call and hands in what came of it.
+// readOnce reads once, hands in what came of it, and waits until that is taken in.
 func (m *members) readOnce(ctx context.Context) error {
-	r := &readResult{known: m.relay.now(), whole: m.revision.Load() == 0}
-	publisher := m.relay.cfg.Publisher
-	if !r.whole {
-		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watchWait)
-		if waited := r.known + watchWait; len(r.items) == 0 && m.relay.now() >= waited {
-			r.known = waited // the publisher has waited that long before it answered
-		}
-	}
-	if r.whole || errors.Is(r.err, mirror.ErrForgotten) {
-		r.known, r.whole = m.relay.now(), true
-		r.items, r.revision, r.err = publisher.Everything(ctx)
-	}
+	r := m.callPublisher(ctx)
 	m.relay.stats.count("publisher_calls")
 	taken := make(chan struct{})
 	r.taken = taken
@@ -67,9 +56,50 @@
 	return r.err
 }
 
+// sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
 	}
 }
+
+// readResult is what came of a reading of the publisher.
+type readResult struct {
+	known    time.Duration // a moment at which what was read was the newest
+	items    []mirror.Item
+	revision uint64
+	whole    bool
+	err      error
+	taken    chan<- struct{} // closed when it was taken in
+}
+
+// callPublisher asks for the changes behind the mirror's revision, or for everything
+// where the mirror is empty or they are no longer known.
+func (m *members) callPublisher(ctx context.Context) *readResult {
+	r := &readResult{known: m.relay.now(), whole: m.revision.Load() == 0}
+	publisher := m.relay.cfg.Publisher
+	if !r.whole {
+		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watchWait)
+		if waited := r.known + watchWait; len(r.items) == 0 && m.relay.now() >= waited {
+			r.known = waited // the publisher has waited that long before it answered
+		}
+	}
+	if r.whole || errors.Is(r.err, mirror.ErrForgotten) {
+		r.known, r.whole = m.relay.now(), true
+		r.items, r.revision, r.err = publisher.Everything(ctx)
+	}
+	return r
+}
+
+// takeRead takes in, on the members' duty, what came of a reading.
+func (m *members) takeRead(now time.Duration, r *readResult) {
+	defer close(r.taken)
+	if r.err != nil {
+		m.node.ReadFailed()
+		m.relay.belief.lose(m.relay, r.err)
+		return
+	}
+	m.node.Read(now, r.known, r.items, r.revision, r.whole)
+	m.relay.belief.regain(m.relay)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,7 +10,8 @@
 // balance.
 package relay
 
-// This file defines the relay's configuration, its start and its end.
+// This file defines the relay's configuration and its start. The invariant: every duty
+// that is started reports its end.
 
 import (
 	"context"
@@ -81,9 +82,16 @@
 // Start starts a relay; Stop ends it.
 func Start(cfg Config) (*Relay, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Relay{cfg: cfg, start: time.Now(), cancel: cancel, ends: make(chan string, maxDuties),
-		pullClient: &http.Client{Timeout: pullWait}, trials: make(chan struct{}, 1), runs: make(map[*exchange]*conn)}
-	r.stats = newStats()
+	r := &Relay{
+		cfg:        cfg,
+		start:      time.Now(),
+		cancel:     cancel,
+		ends:       make(chan string, maxDuties),
+		pullClient: &http.Client{Timeout: pullWait},
+		trials:     make(chan struct{}, 1),
+		runs:       make(map[*exchange]*conn),
+		stats:      newStats(),
+	}
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
@@ -93,21 +101,26 @@
 		cancel()
 		return nil, &Error{Op: "listen to other boxes", Kind: KindEdge, Err: err}
 	}
+	r.startDuties(ctx)
+	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain})
+	return r, nil
+}
+
+func (r *Relay) startDuties(ctx context.Context) {
 	r.run("members", func() { r.members.duty(ctx) })
 	r.run("reader", func() { r.members.readDuty(ctx) })
 	r.run("trials", func() { r.trialDuty(ctx) })
-	if cfg.Control != nil {
+	if r.cfg.Control != nil {
 		r.run("control", r.serveControl)
 	}
-	r.run("callers", func() { r.front.serve(cfg.Callers) })
-	r.run("ready", func() { r.front.serveReady(cfg.Ready) })
-	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain})
-	return r, nil
+	r.run("callers", func() { r.front.serve(r.cfg.Callers) })
+	r.run("ready", func() { r.front.serveReady(r.cfg.Ready) })
 }
 
 // maxDuties is how many duties a box has at most.
 const maxDuties = 8
 
+// run starts a duty; its name comes from ends when it has ended.
 func (r *Relay) run(duty string, f func()) {
 	r.duties++
 	go func() {
@@ -137,39 +150,3 @@
 
 // Ready reports whether callers may be sent here.
 func (r *Relay) Ready() bool { return !r.stopping.Load() && r.belief.document() != nil }
-
-const (
-	// callersLinger is how long a stopping box still accepts connections: two
-	// missed readiness checks of a second each, and some room.
-	callersLinger = 2500 * time.Millisecond
-	// graceMargin is kept of the grace for the process's own end.
-	graceMargin = 500 * time.Millisecond
-)
-
-// Stop ends the relay as planned: it is no longer ready, goes on taking requests
-// until callers are sent elsewhere, and then waits for those under way. Connections
-// that rest are closed before anything else ends, so that no request is taken that
-// nobody would answer.
-func (r *Relay) Stop() {
-	r.stopping.Store(true)
-	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.open.Load()})
-	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Grace-graceMargin)
-	defer cancel()
-	r.members.leave(ctx)
-	sleep(ctx, callersLinger)
-	// The server goes on with its open connections when its shutdown returns.
-	context.AfterFunc(ctx, func() { r.ended.Store(true) })
-	if err := r.front.close(ctx); err != nil {
-		r.cfg.Log.Event("box", "stopped with requests under way", Fields{"open": r.stats.open.Load(), "error": err.Error()})
-	}
-	r.cancel()
-	r.conns.close()
-	r.members.close()
-	if r.cfg.Control != nil {
-		_ = r.cfg.Control.Close() // it serves nobody any more
-	}
-	for ; r.duties > 0; r.duties-- {
-		<-r.ends
-	}
-	r.cfg.Log.Event("box", "stopped", nil)
-}
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,19 +1,17 @@
 package relay
 
-// This file defines how a caller's request is read and what of it goes to an
-// upstream: everything but what concerns one connection, the caller's secret, and
+// This file defines how a caller's request is read. The invariant: what goes on to an
+// upstream is everything but what concerns one connection, the caller's secret, and
 // the headers that the box sets itself.
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/doormast/doormast/balance"
-	"github.com/doormast/doormast/route"
 )
 
 // request is what the box reads of a caller's request.
@@ -77,36 +75,23 @@
 // passOn collects the headers that go to the upstream.
 func (r *Relay) passOn(h *fasthttp.RequestHeader) []byte {
 	p := &r.cfg.Protocol
-	drop := append([]string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch}, hopHeaders...)
+	own := []string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch}
+	drop := slices.Concat(own, hopHeaders)
 	for _, name := range strings.Split(string(h.Peek("Connection")), ",") {
 		drop = append(drop, strings.TrimSpace(name))
 	}
 	var out bytes.Buffer
 	for k, v := range h.All() {
-		if !containsFold(drop, string(k)) {
+		if !namedIn(drop, k) {
 			writeHeader(&out, string(k), string(v))
 		}
 	}
 	return out.Bytes()
 }
 
-func containsFold(list []string, name string) bool {
-	for _, v := range list {
-		if v != "" && strings.EqualFold(v, name) {
-			return true
-		}
-	}
-	return false
-}
-
-func writeHeader(b *bytes.Buffer, name, value string) {
-	if name == "" || value == "" {
-		return
-	}
-	b.WriteString(name)
-	b.WriteString(": ")
-	b.WriteString(value)
-	b.WriteString("\r\n")
+// namedIn reports whether the list names a header, whatever the case.
+func namedIn(list []string, header []byte) bool {
+	return slices.ContainsFunc(list, func(name string) bool { return strings.EqualFold(name, string(header)) })
 }
 
 // path is the part of a URI that routes are found by.
@@ -114,37 +99,3 @@
 	path, _, _ := strings.Cut(q.uri, "?")
 	return path
 }
-
-// run is what differs from one run of a request to the next.
-type run struct {
-	upstream balance.Upstream
-	timeLeft time.Duration
-	urgency  int
-	customer *route.Customer
-	fetch    string
-	lastSeen string
-}
-
-// outgoing writes the request for a run.
-func (r *Relay) outgoing(q *request, n run) outgoing {
-	p := &r.cfg.Protocol
-	var b bytes.Buffer
-	b.WriteString(q.method + " " + q.uri + " HTTP/1.1\r\n")
-	writeHeader(&b, "Host", q.host)
-	b.Write(q.passed)
-	writeHeader(&b, p.TimeLeft, strconv.FormatInt(max(1, n.timeLeft.Milliseconds()), 10))
-	writeHeader(&b, p.Instance, n.upstream.ID)
-	if n.customer != nil {
-		writeHeader(&b, p.Customer, n.customer.Name)
-	}
-	if len(q.prompt.Parts) > 0 {
-		writeHeader(&b, p.Priority, strconv.Itoa(n.urgency))
-		writeHeader(&b, p.Fetch, n.fetch)
-	}
-	writeHeader(&b, p.LastEvent, n.lastSeen)
-	if len(q.body) > 0 || q.method != fasthttp.MethodGet && q.method != fasthttp.MethodHead {
-		writeHeader(&b, "Content-Length", strconv.Itoa(len(q.body)))
-	}
-	b.WriteString("\r\n")
-	return outgoing{head: b.Bytes(), body: q.body, id: q.id}
-}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -91,7 +91,7 @@
 func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
 	x.tried = append(x.tried, x.upstream.ID)
 	o := x.relay.outgoing(x.request, x.nextRun(choice.Fetch))
-	state, a, err := x.attempt(x.ctx, x.upstream.ID, x.upstream.Address, o)
+	state, a, err := x.attempt(o)
 	if state != runUnsent {
 		x.sent++
 	}
