Routes, the publisher and a copy's history, each in its file

route/document.go held routes as well as the document, and mirror/mirror.go the publisher's side and the changes kept for other boxes. Each file is one concept now.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -9,33 +9,10 @@
 // one; and a copy at revision R lacks no change up to R.
 
 import (
-	"context"
 	"slices"
 	"strings"
-	"time"
 )
 
-// Item is something published, or the news that it is gone.
-type Item struct {
-	Key      string
-	Value    []byte
-	Revision uint64 // of its last change
-	Gone     bool
-}
-
-// Publisher is where items are published. Both calls return the publisher's own
-// revision, from which the next call goes on.
-type Publisher interface {
-	// Everything reads all items.
-	Everything(ctx context.Context) ([]Item, uint64, error)
-	// Changes waits for changes behind a revision. An error that is ErrForgotten
-	// says that they are no longer known, so that everything has to be read.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
-}
-
-// ErrForgotten says that the publisher no longer knows the changes asked for.
-var ErrForgotten = &Error{Op: "changes", Kind: KindForgotten}
-
 // Mirror is a copy. It is not safe for several goroutines.
 type Mirror struct {
 	items    map[string]Item
@@ -46,15 +23,6 @@
 	bytes    int    // of the values in history
 }
 
-const (
-	// historyItems and historyBytes bound the changes kept for other boxes: a
-	// minute of a large deployment, and a tenth of a small box's memory.
-	historyItems = 1024
-	historyBytes = 2 << 20
-	// goneKept bounds the news of items that went.
-	goneKept = 4096
-)
-
 // New returns an empty copy.
 func New() *Mirror { return &Mirror{items: make(map[string]Item), gone: make(map[string]uint64)} }
 
@@ -155,34 +123,3 @@
 		}
 	}
 }
-
-// record keeps changes for other boxes.
-func (m *Mirror) record(changes []Item) {
-	for _, it := range changes {
-		m.history = append(m.history, it)
-		m.bytes += len(it.Value)
-	}
-	for len(m.history) > 0 && (len(m.history) > historyItems || m.bytes > historyBytes) {
-		m.floor = max(m.floor, m.history[0].Revision)
-		m.bytes -= len(m.history[0].Value)
-		m.history = m.history[1:]
-	}
-}
-
-// Since returns all changes behind a revision; false means that they are no longer
-// kept.
-func (m *Mirror) Since(revision uint64) ([]Item, bool) {
-	if revision == m.revision {
-		return nil, true
-	}
-	if revision == 0 || revision < m.floor || revision > m.revision {
-		return nil, false
-	}
-	var list []Item
-	for _, it := range m.history {
-		if it.Revision > revision {
-			list = append(list, it)
-		}
-	}
-	return list, true
-}
--- /dev/null
+++ b/mirror/publisher.go
@@ -0,0 +1,31 @@
+package mirror
+
+// This file defines what is published, and how the mirror's owner reads it. The
+// invariant: the revision that a call returns is one from which the next call misses
+// nothing.
+
+import (
+	"context"
+	"time"
+)
+
+// Item is something published, or the news that it is gone.
+type Item struct {
+	Key      string
+	Value    []byte // as it was published; empty where it is gone
+	Revision uint64 // of its last change
+	Gone     bool
+}
+
+// Publisher is where items are published. Both calls return the publisher's own
+// revision, from which the next call goes on.
+type Publisher interface {
+	// Everything reads all items.
+	Everything(ctx context.Context) ([]Item, uint64, error)
+	// Changes waits for changes behind a revision. An error that is ErrForgotten
+	// says that they are no longer known, so that everything has to be read.
+	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
+}
+
+// ErrForgotten says that the publisher no longer knows the changes asked for.
+var ErrForgotten = &Error{Op: "changes", Kind: KindForgotten}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -21,6 +21,16 @@
 	retryWait = 250 * time.Millisecond
 )
 
+// readResult is what came of a reading of the publisher.
+type readResult struct {
+	known    time.Duration // a moment at which what was read was the newest
+	items    []mirror.Item
+	revision uint64
+	whole    bool
+	err      error
+	taken    chan<- struct{} // closed when it was taken in
+}
+
 // readDuty reads while the group wants this box to.
 func (m *members) readDuty(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -56,24 +66,6 @@
 	return r.err
 }
 
-// sleep waits for a time, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
-// readResult is what came of a reading of the publisher.
-type readResult struct {
-	known    time.Duration // a moment at which what was read was the newest
-	items    []mirror.Item
-	revision uint64
-	whole    bool
-	err      error
-	taken    chan<- struct{} // closed when it was taken in
-}
-
 // callPublisher asks for the changes behind the mirror's revision, or for everything
 // where the mirror is empty or they are no longer known.
 func (m *members) callPublisher(ctx context.Context) *readResult {
@@ -103,3 +95,11 @@
 	m.node.Read(now, r.known, r.items, r.revision, r.whole)
 	m.relay.belief.regain(m.relay)
 }
+
+// sleep waits for a time, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/route/document.go
+++ b/route/document.go
@@ -14,42 +14,6 @@
 	"time"
 )
 
-// Repeat says whether a request may run more than once.
-type Repeat uint8
-
-// What a route says about running a request again.
-const (
-	Once       Repeat = iota // at most one run
-	Repeatable               // any number of runs
-	Stream                   // a stream of events: one run, unless the route resumes
-)
-
-// Route is one class of request.
-type Route struct {
-	Name          string
-	Host          string // lower case, without a port
-	Prefix        string // of the path; begins and ends with a slash
-	Repeat        Repeat
-	Resumable     bool          // a stream may go on at another upstream
-	Timeout       time.Duration // the longest a request is held
-	Target        time.Duration // the latency target
-	EventGap      time.Duration // the longest pause between events that is still in time; 0: none given
-	Rank          int           // 0 is the most urgent
-	MaxAttempts   int           // upstreams one request may be sent to
-	Public        bool          // needs no key
-	PromptCaching bool          // requests describe their prompts, and upstreams keep prompts in memory
-	Targets       []Target      // the services that share the route's requests
-}
-
-// Target is a service with its share of a route's requests.
-type Target struct {
-	Service string
-	Weight  int
-}
-
-// Again reports whether a request of the route may run a second time.
-func (r *Route) Again() bool { return r.Repeat == Repeatable || r.Repeat == Stream && r.Resumable }
-
 // Service is a group of like upstreams.
 type Service struct {
 	Name           string
@@ -125,18 +89,6 @@
 	return &d, nil
 }
 
-func (r *Route) check() error {
-	switch {
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return fmt.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
-	case len(r.Targets) == 0:
-		return fmt.Errorf("route %q names no service", r.Name)
-	case r.MaxAttempts < 1:
-		return fmt.Errorf("route %q allows %d attempts, want at least 1", r.Name, r.MaxAttempts)
-	}
-	return nil
-}
-
 // Match returns the route of a request, or nil. A port behind the host is not
 // part of its name.
 func (d *Document) Match(host, path string) *Route {
@@ -165,23 +117,3 @@
 
 // Service returns the service of that name, or nil.
 func (d *Document) Service(name string) *Service { return d.byService[name] }
-
-// Pick returns the service for a request: ticket, any number that differs from
-// request to request, falls on each service as often as its weight says.
-func (r *Route) Pick(ticket uint64) string {
-	total := 0
-	for _, t := range r.Targets {
-		total += t.Weight
-	}
-	if total <= 0 {
-		return r.Targets[0].Service
-	}
-	at := int(ticket % uint64(total))
-	for _, t := range r.Targets {
-		if at < t.Weight {
-			return t.Service
-		}
-		at -= t.Weight
-	}
-	return r.Targets[len(r.Targets)-1].Service
-}
