--- a/mirror/history.go
+++ b/mirror/history.go
@@ -8,8 +8,6 @@
 	// minute of a large deployment, and a tenth of a small box's memory.
 	historyItems = 1024
 	historyBytes = 2 << 20
-	// goneKept bounds the news of items that went.
-	goneKept = 4096
 )
 
 // record keeps changes for other boxes.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -23,6 +23,9 @@
 	bytes    int    // of the values in history
 }
 
+// goneKept bounds the news of items that went.
+const goneKept = 4096
+
 // New returns an empty copy.
 func New() *Mirror { return &Mirror{items: make(map[string]Item), gone: make(map[string]uint64)} }
 
