Logs, settings and the operators' commands in shorter steps

Explaining a request mixed what was under way with printing; bare figures and sorting by hand stood in settings, oplog and the daemon. Figures have names, the scope of a request is a type, and reading logs gives them in order once.

--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -53,6 +53,7 @@
 	_ = cmd.MarkFlagRequired("box")
 }
 
+// micros reads a time of the wire.
 func micros(us uint64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func relayStatusCommand() *cobra.Command {
@@ -73,6 +74,7 @@
 	return cmd
 }
 
+// showStates prints the boxes, and the upstreams as the first of them sees them.
 func showStates(w io.Writer, all []*wire.StateResponse) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(tw, "BOX\tDOMAIN\tREADY\tOPEN\tVERSION\tAGE\tLEAD\tBOXES\tRETRIES LEFT")
@@ -82,18 +84,21 @@
 	}
 	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tOPEN\tUNREAD TOKENS")
 	for _, u := range all[0].Upstreams {
-		state := "ready"
-		switch {
-		case u.Leaving:
-			state = "leaving"
-		case u.Out:
-			state = "out of reach"
-		}
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, state, u.Open, u.Unread)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), u.Open, u.Unread)
 	}
 	return tw.Flush()
 }
 
+func upstreamState(u *wire.UpstreamRow) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case u.Out:
+		return "out of reach"
+	}
+	return "ready"
+}
+
 func relayTableCommand() *cobra.Command {
 	var boxes []string
 	cmd := &cobra.Command{
@@ -112,6 +117,7 @@
 	return cmd
 }
 
+// showRoutes prints the rows of the document that a box has in force.
 func showRoutes(w io.Writer, s *wire.StateResponse) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(tw, "version %d on %s, known to be the newest %v ago\n", s.Version, s.Box, micros(s.ConfirmedAge).Round(time.Millisecond))
@@ -123,11 +129,12 @@
 	return tw.Flush()
 }
 
-// readLogs reads the files given, or the standard input.
+// readLogs reads the files given, or the standard input, in the order of the lines'
+// times.
 func readLogs(cmd *cobra.Command, files []string) ([]oplog.Line, error) {
 	if len(files) == 0 {
 		lines, _, err := oplog.Read(cmd.InOrStdin())
-		return lines, err
+		return oplog.Merge(lines), err
 	}
 	var logs [][]oplog.Line
 	for _, file := range files {
@@ -140,6 +147,7 @@
 	return oplog.Merge(logs...), nil
 }
 
+// readLog reads one file.
 func readLog(file string) ([]oplog.Line, error) {
 	f, err := os.Open(file)
 	if err != nil {
@@ -160,7 +168,7 @@
 			if err != nil {
 				return err
 			}
-			return oplog.Explain(cmd.OutOrStdout(), oplog.Merge(lines), args[0])
+			return oplog.Explain(cmd.OutOrStdout(), lines, args[0])
 		},
 	}
 }
@@ -175,7 +183,7 @@
 			if err != nil {
 				return err
 			}
-			for _, l := range oplog.Merge(lines) {
+			for _, l := range lines {
 				if part == "" || l.Part == part {
 					fmt.Fprintln(cmd.OutOrStdout(), l)
 				}
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -40,17 +40,20 @@
 	// let the heap grow; the rest is for stacks and the kernel's buffers.
 	memoryShare = 0.5
 	megabyte    = 1 << 20
+	// maxSignals is how many signals may wait while one is dealt with.
+	maxSignals = 4
 	// boxesAssumed is how many boxes share limits while the others are not known:
 	// what a failure domain's loss leaves of today's deployments, with room to spare.
 	boxesAssumed = 10
 )
 
+// runRelay runs a box until it is told to stop.
 func runRelay(file string) error {
 	s, err := settings.LoadRelay(file)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
+	signals := make(chan os.Signal, maxSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
@@ -81,6 +84,7 @@
 	log.Event("settings", "read again", nil)
 }
 
+// startRelay starts a box with its listeners.
 func startRelay(s *settings.Relay, log *relay.Log) (*relay.Relay, error) {
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -3,6 +3,9 @@
 // connection for each peer.
 package datagram
 
+// This file defines the socket. The invariant: a datagram comes whole or not at all,
+// and sending one never waits for whom it goes to.
+
 import (
 	"context"
 	"errors"
@@ -42,6 +45,8 @@
 	stopWait = 5 * time.Second
 )
 
+var _ gnet.EventHandler = (*Socket)(nil)
+
 // Listen opens a socket; Close ends it.
 func Listen(ctx context.Context, cfg Config) (*Socket, error) {
 	out, err := net.ListenUDP("udp4", &net.UDPAddr{})
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -1,7 +1,8 @@
 package oplog
 
 // This file defines how a request is explained: its own lines, and what its boxes
-// came to believe shortly before and while it was under way.
+// came to believe shortly before and while it was under way. The invariant: every line
+// that names the request is shown.
 
 import (
 	"fmt"
@@ -13,34 +14,57 @@
 // the longest that a document or a leaving upstream may take to be known.
 const before = 5 * time.Second
 
-// Explain writes what the lines tell about a request. The lines are in order.
+// Explain writes what the lines tell about a request. The lines are in order. The
+// error is an Error of KindUnknown where none names the request, or w's.
 func Explain(w io.Writer, lines []Line, id string) error {
 	own := about(lines, id)
 	if len(own) == 0 {
 		return &Error{Op: "explain " + id, Kind: KindUnknown}
 	}
-	boxes, upstreams := make(map[string]bool), make(map[string]bool)
-	for _, l := range own {
-		boxes[l.Box] = true
-		upstreams[textOf(l.Fields["upstream"])] = true
-	}
-	from, to := own[0].At.Add(-before), own[len(own)-1].At
+	s := scopeOf(own)
 	for _, l := range lines {
+		var err error
 		switch {
 		case textOf(l.Fields["id"]) == id:
-			if _, err := fmt.Fprintf(w, "%s\n  %s\n", l, meaning(l)); err != nil {
-				return err
-			}
-		case l.At.Before(from) || l.At.After(to) || !boxes[l.Box]:
-		case bears(l, upstreams):
-			if _, err := fmt.Fprintf(w, "    %s\n", l); err != nil {
-				return err
-			}
+			_, err = fmt.Fprintf(w, "%s\n  %s\n", l, meaning(l))
+		case s.holds(l) && bears(l, s.upstreams):
+			_, err = fmt.Fprintf(w, "    %s\n", l)
+		}
+		if err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// scope is when and where a request was under way.
+type scope struct {
+	from, to  time.Time
+	boxes     map[string]bool
+	upstreams map[string]bool // by id
+}
+
+// scopeOf makes it of the request's own lines, of which there is one at least.
+func scopeOf(own []Line) scope {
+	s := scope{
+		from:      own[0].At.Add(-before),
+		to:        own[len(own)-1].At,
+		boxes:     make(map[string]bool),
+		upstreams: make(map[string]bool),
+	}
+	for _, l := range own {
+		s.boxes[l.Box] = true
+		s.upstreams[textOf(l.Fields["upstream"])] = true
+	}
+	return s
+}
+
+// holds reports whether a line comes from one of the boxes, and in that time.
+func (s scope) holds(l Line) bool {
+	return !l.At.Before(s.from) && !l.At.After(s.to) && s.boxes[l.Box]
+}
+
+// about returns the lines that name the request.
 func about(lines []Line, id string) []Line {
 	var own []Line
 	for _, l := range lines {
@@ -76,6 +100,7 @@
 	"run: failed":                 "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
 
+// meaning is what a line tells, in a sentence.
 func meaning(l Line) string {
 	if m := meanings[l.Part+": "+l.Event]; m != "" {
 		return m
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -12,8 +12,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 )
@@ -27,15 +27,19 @@
 	Fields map[string]any // what else it tells
 }
 
-// maxLine bounds a line, in bytes; longer ones are no lines of a box.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds a line, in bytes; longer ones are no lines of a box.
+	maxLine = 1 << 20
+	// usualLine is the room for a line to begin with, in bytes.
+	usualLine = 64 << 10
+)
 
 // Read reads the lines of a log; passed is how many lines were none of a box. What
 // stands before a line's brace, such as the time of whoever collects logs, is
 // dropped.
 func Read(r io.Reader) (lines []Line, passed int, err error) {
 	in := bufio.NewScanner(r)
-	in.Buffer(make([]byte, 0, 64<<10), maxLine)
+	in.Buffer(make([]byte, 0, usualLine), maxLine)
 	for in.Scan() {
 		if line, ok := parse(in.Bytes()); ok {
 			lines = append(lines, line)
@@ -46,6 +50,10 @@
 	return lines, passed, in.Err()
 }
 
+// lineFields are those that every line has; Line has fields of its own for them.
+var lineFields = []string{"time", "msg", "box", "level"}
+
+// parse reads a line; false means that it is none of a box.
 func parse(text []byte) (Line, bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
@@ -61,12 +69,13 @@
 		return Line{}, false
 	}
 	line := Line{At: at, Box: textOf(fields["box"]), Part: part, Event: event, Fields: fields}
-	for _, name := range []string{"time", "msg", "box", "level"} {
+	for _, name := range lineFields {
 		delete(fields, name)
 	}
 	return line, true
 }
 
+// textOf is a field's text, empty where the field is missing or no text.
 func textOf(v any) string {
 	s, _ := v.(string)
 	return s
@@ -76,20 +85,15 @@
 // may differ, so that the order between boxes is a hint.
 func Merge(logs ...[]Line) []Line {
 	all := slices.Concat(logs...)
-	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	slices.SortStableFunc(all, func(a, b Line) int { return a.At.Compare(b.At) })
 	return all
 }
 
 // String is a line for people.
 func (l Line) String() string {
-	names := make([]string, 0, len(l.Fields))
-	for name := range l.Fields {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %s: %s", l.At.Format("15:04:05.000"), l.Box, l.Part, l.Event)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
 		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
 	}
 	return b.String()
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -19,9 +19,9 @@
 	Domain     string      `json:"domain"`
 	FirstStart bool        `json:"first_start"` // no box ran before
 	Listen     RelayListen `json:"listen"`
-	Platform   string      `json:"platform"` // IP:port of the store
-	Seeds      []string    `json:"seeds"`    // IP:port of some boxes' control addresses
-	PeerPorts  []int       `json:"peer_ports"`
+	Platform   string      `json:"platform"`   // IP:port of the store
+	Seeds      []string    `json:"seeds"`      // IP:port of some boxes' control addresses
+	PeerPorts  []int       `json:"peer_ports"` // for datagrams; the first is used
 	MemoryMB   int         `json:"memory_mb"`
 	CPUShare   float64     `json:"cpu_share"` // of a core
 	LinkMbps   float64     `json:"link_mbps"` // megabits a second
@@ -34,7 +34,7 @@
 	Ready   string `json:"ready"`
 	Control string `json:"control"`
 	Metrics string `json:"metrics"`
-	IP      string `json:"ip"`
+	IP      string `json:"ip"` // at which other boxes reach this one
 }
 
 // RelayBounds holds the figures that all boxes keep to.
@@ -50,7 +50,15 @@
 // Strength orders boxes by what they can carry for others: the processor first, and
 // the link where it is the narrower of the two. 0.1 of a core counts as much as
 // 100 Mbit/s; the figures only have to put strong boxes before weak ones.
-func (s *Relay) Strength() uint32 { return uint32(min(s.CPUShare*1000, s.LinkMbps*10)) }
+func (s *Relay) Strength() uint32 {
+	return uint32(min(s.CPUShare*strengthOfCore, s.LinkMbps*strengthOfMegabit))
+}
+
+// What a core, and a megabit a second, add to a box's strength.
+const (
+	strengthOfCore    = 1000
+	strengthOfMegabit = 10
+)
 
 // PeerAddress is where the box's datagrams arrive, and those of any box with that IP.
 func (s *Relay) PeerAddress(ip string) string {
@@ -74,9 +82,11 @@
 // RetryWindow is the span in which requests sent again are counted.
 func (b RelayBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowSeconds) }
 
+// seconds makes a duration of a number of seconds.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// LoadRelay reads and checks the file.
+// LoadRelay reads and checks the file. The error is of type jsonc.Problems, or says
+// why the file cannot be read.
 func LoadRelay(file string) (*Relay, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
@@ -85,7 +95,7 @@
 	return ParseRelay(file, source)
 }
 
-// ParseRelay reads and checks settings.
+// ParseRelay reads and checks settings; file is the name that errors give.
 func ParseRelay(file string, source []byte) (*Relay, error) {
 	s := new(Relay)
 	doc, err := jsonc.Parse(file, source, s)
