Ends of a request, figures of streams and the daemon's start, a step a line

serve mixed three ways to answer, and startRelay listened and configured at once. A type that doubled Upstream is gone, the fields of an exchange stand by what they tell, and the ends of an event and the shown quantiles have names.

--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -1,7 +1,8 @@
 package balance
 
 // This file defines from where an upstream may fetch what it lacks of a prompt.
-// Fetching costs a fourth of reading again.
+// Fetching costs a fourth of reading again. The invariant: an upstream that was listed
+// too recently, or cannot be reached, is never fetched from.
 
 import "time"
 
@@ -14,12 +15,12 @@
 	var best *member
 	var bestWeight uint64
 	for _, m := range f.byService[r.Service] {
-		w := weight(m.ID, key)
-		if m == chosen || m.out || m.health.rests(now) || !f.inLane(m, r.Tight) {
+		if m == chosen || m.out || m.health.rests(now) || !f.inLane(m, r.Tight) || f.young(now, m) {
 			continue
 		}
-		older := !f.young(now, m)
-		if older && (w > mine || f.young(now, chosen)) && (best == nil || w > bestWeight) {
+		w := weight(m.ID, key)
+		likelier := w > mine || f.young(now, chosen)
+		if likelier && (best == nil || w > bestWeight) {
 			best, bestWeight = m, w
 		}
 	}
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -86,42 +86,55 @@
 
 // startRelay starts a box with its listeners.
 func startRelay(s *settings.Relay, log *relay.Log) (*relay.Relay, error) {
-	callers, err := net.Listen("tcp", s.Listen.Callers)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for callers")
+	cfg := configOf(s)
+	cfg.Log = log
+	if err := listen(s, &cfg); err != nil {
+		return nil, err
 	}
-	ready, err := net.Listen("tcp", s.Listen.Ready)
+	box, err := relay.Start(cfg)
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for readiness checks")
+		return nil, err
 	}
-	control, err := net.Listen("tcp", s.Listen.Control)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for other boxes")
+	go serveMetrics(s.Listen.Metrics, box, log)
+	return box, nil
+}
+
+// listen opens the box's listeners. What is open when one fails ends with the process.
+func listen(s *settings.Relay, cfg *relay.Config) error {
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+		purpose string
+	}{
+		{&cfg.Callers, s.Listen.Callers, "listen for callers"},
+		{&cfg.Ready, s.Listen.Ready, "listen for readiness checks"},
+		{&cfg.Control, s.Listen.Control, "listen for other boxes"},
+	} {
+		var err error
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			return eris.Wrap(err, l.purpose)
+		}
 	}
-	box, err := relay.Start(relay.Config{
+	return nil
+}
+
+// configOf is what the settings say of a box, without its listeners and its log.
+func configOf(s *settings.Relay) relay.Config {
+	return relay.Config{
 		Box:        s.Box,
 		Domain:     s.Domain,
-		Callers:    callers,
-		Ready:      ready,
-		Control:    control,
 		Self:       self(s),
 		Seeds:      s.SeedAddresses(),
 		Timing:     group.DefaultTiming,
 		Protocol:   platform.Protocol(),
 		Publisher:  platform.NewStore(s.Platform),
 		Decode:     platform.Decode,
-		Log:        log,
 		Budget:     balance.BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Tuning:     balance.DefaultTuning,
 		FirstStart: s.FirstStart,
 		Boxes:      boxesAssumed,
 		Grace:      s.Bounds.Grace(),
-	})
-	if err != nil {
-		return nil, err
 	}
-	go serveMetrics(s.Listen.Metrics, box, log)
-	return box, nil
 }
 
 // self is the box as the others know it. Its start is told by the time of day,
--- a/mirror/error.go
+++ b/mirror/error.go
@@ -17,6 +17,9 @@
 	Err  error // nil where the kind says it all
 }
 
+var _ error = (*Error)(nil)
+
+// Error implements error.
 func (e *Error) Error() string {
 	s := "mirror: " + e.Op + ": " + string(e.Kind)
 	if e.Err != nil {
--- a/oplog/error.go
+++ b/oplog/error.go
@@ -12,4 +12,7 @@
 	Kind Kind
 }
 
+var _ error = (*Error)(nil)
+
+// Error implements error.
 func (e *Error) Error() string { return "oplog: " + e.Op + ": " + string(e.Kind) }
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -89,6 +89,8 @@
 	return all
 }
 
+var _ fmt.Stringer = Line{}
+
 // String is a line for people.
 func (l Line) String() string {
 	var b strings.Builder
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// attempt runs the request on the upstream it was placed at. An answer is only returned with
-// runAnswered. The exchange's ctx ends when the caller leaves or its time is over, which
-// closes the connection under whoever reads from it.
+// attempt runs the request on the upstream it was placed at. An answer is only returned
+// with runAnswered. The exchange's ctx ends when the caller leaves or its time is over,
+// which closes the connection under whoever reads from it.
 func (x *exchange) attempt(o outgoing) (runState, *answer, error) {
 	r := x.relay
 	c, err := r.conns.get(x.ctx, x.upstream.ID, x.upstream.Address, x.service)
--- a/relay/error.go
+++ b/relay/error.go
@@ -18,6 +18,9 @@
 	Err  error // nil where the kind says it all
 }
 
+var _ error = (*Error)(nil)
+
+// Error implements error.
 func (e *Error) Error() string {
 	s := "relay: " + e.Op + ": " + string(e.Kind)
 	if e.Err != nil {
--- a/relay/events.go
+++ b/relay/events.go
@@ -29,7 +29,7 @@
 	for {
 		if end := lastEnd(e.buf); end > 0 {
 			out := e.fresh(e.buf[:end])
-			e.buf = append([]byte(nil), e.buf[end:]...)
+			e.buf = bytes.Clone(e.buf[end:])
 			if len(out) > 0 {
 				return out, nil
 			}
@@ -54,6 +54,7 @@
 // fillStep is how much is read at once, in bytes; an event has some 60.
 const fillStep = 2 << 10
 
+// fill reads more of the body, and returns how many bytes came.
 func (e *events) fill() (int, error) {
 	at := len(e.buf)
 	if cap(e.buf)-at < fillStep {
@@ -64,14 +65,20 @@
 	return n, err
 }
 
+// An empty line ends an event, with either end of a line.
+var (
+	endLF   = []byte("\n\n")
+	endCRLF = []byte("\r\n\r\n")
+)
+
 // lastEnd is where the last whole event in b ends, 0 if there is none.
 func lastEnd(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
+	if i := bytes.LastIndex(b, endLF); i >= 0 {
+		end = i + len(endLF)
 	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	if i := bytes.LastIndex(b, endCRLF); i >= 0 {
+		end = max(end, i+len(endCRLF))
 	}
 	return end
 }
@@ -98,12 +105,12 @@
 
 // firstEnd is where the first event in b ends.
 func firstEnd(b []byte) int {
-	lf, crlf := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\r\n\r\n"))
+	lf, crlf := bytes.Index(b, endLF), bytes.Index(b, endCRLF)
 	switch {
 	case crlf >= 0 && (lf < 0 || crlf < lf):
-		return crlf + 4
+		return crlf + len(endCRLF)
 	case lf >= 0:
-		return lf + 2
+		return lf + len(endLF)
 	}
 	return len(b)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,6 +5,7 @@
 // everything it holds is given back in close.
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -38,15 +39,16 @@
 	refusalStatus int      // status of the last refusal by an upstream
 	ticket        *balance.Ticket
 	upstream      balance.Upstream
-	fetched       bool
-	ahead         int // prompt tokens that were to be read before its own
-	answer        *answer
-	events        *events
-	pending       []byte // events on their way to the caller
-	first         time.Duration
-	late          bool // it would have been served too late
-	outcome       string
+	fetched       bool          // its upstream was told of another that keeps the prompt
+	ahead         int           // prompt tokens that were to be read before its own
+	late          bool          // it would have been served too late
 	comeBack      time.Duration // when to come back, where that was worked out; 0: not
+
+	answer  *answer       // of the last run that brought one
+	events  *events       // of a stream; nil until one was answered
+	pending []byte        // events on their way to the caller
+	first   time.Duration // from its arrival to the first events
+	outcome string        // how it ended, as the log says; empty while it is under way
 }
 
 // serve runs the request and answers the caller.
@@ -60,25 +62,30 @@
 	x.watch = watchLeave(ctx.Conn(), x.cancel)
 	if x.route.Repeat == route.Stream {
 		// A stream may be sent again when the handler has returned.
-		x.request.body = append([]byte(nil), x.request.body...)
+		x.request.body = bytes.Clone(x.request.body)
 	}
 	body, no := x.run()
-	if no != nil {
-		x.outcome = no.reason
-		if x.watch.gone.Load() {
-			ctx.SetConnectionClose()
-		}
-		r.answerSelf(ctx, x.request, *no)
+	switch {
+	case no != nil:
+		x.endWith(ctx, *no)
+	case x.events != nil:
+		x.copyHead(ctx)
+		ctx.Response.SetBodyStream(x, lengthChunked) // its end calls Close
+	default:
+		x.copyHead(ctx)
+		ctx.Response.SetBodyRaw(body)
+		x.outcome = "answered"
 		x.close()
-		return
 	}
-	x.copyHead(ctx)
-	if x.events != nil {
-		ctx.Response.SetBodyStream(x, -1)
-		return
+}
+
+// endWith ends a request that no upstream answered, with a final answer of the box's own.
+func (x *exchange) endWith(ctx *fasthttp.RequestCtx, no refusal) {
+	x.outcome = no.reason
+	if x.watch.gone.Load() {
+		ctx.SetConnectionClose()
 	}
-	ctx.Response.SetBodyRaw(body)
-	x.outcome = "answered"
+	x.relay.answerSelf(ctx, x.request, no)
 	x.close()
 }
 
@@ -90,9 +97,9 @@
 	}
 	ctx.SetStatusCode(x.answer.header.StatusCode())
 	out.SetNoDefaultContentType(true)
-	for k, v := range x.answer.header.All() {
-		if !namedIn(hopHeaders, k) {
-			out.AddBytesKV(k, v)
+	for name, value := range x.answer.header.All() {
+		if !namedIn(hopHeaders, name) {
+			out.AddBytesKV(name, value)
 		}
 	}
 }
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -53,10 +53,13 @@
 
 var _ wire.MirrorsHandler = mirrors{}
 
+// errBusy says that the duty has fallen behind.
 var errBusy = errors.New("too much is waiting on this box")
 
 // Mirror implements wire.MirrorsHandler.
-func (s mirrors) Mirror(ctx context.Context, _ *connect.Request[wire.MirrorRequest]) (*connect.Response[wire.MirrorResponse], error) {
+func (s mirrors) Mirror(
+	ctx context.Context, _ *connect.Request[wire.MirrorRequest],
+) (*connect.Response[wire.MirrorResponse], error) {
 	answer := make(chan *wire.MirrorResponse, 1)
 	if !s.members.events.TryPush(memberEvent{ask: answer}) {
 		return nil, connect.NewError(connect.CodeUnavailable, errBusy)
--- a/relay/request.go
+++ b/relay/request.go
@@ -81,9 +81,9 @@
 		drop = append(drop, strings.TrimSpace(name))
 	}
 	var out bytes.Buffer
-	for k, v := range h.All() {
-		if !namedIn(drop, k) {
-			writeHeader(&out, string(k), string(v))
+	for name, value := range h.All() {
+		if !namedIn(drop, name) {
+			writeHeader(&out, string(name), string(value))
 		}
 	}
 	return out.Bytes()
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -5,7 +5,7 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,8 +24,13 @@
 // histogramSize is how many of the newest values a histogram keeps.
 const histogramSize = 256
 
+// quantiles are those of a histogram that are shown.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// count adds 1 to a counter.
 func (s *stats) count(name string) { metrics.GetOrRegisterCounter(name, s.registry).Inc(1) }
 
+// latency adds a time to a histogram, in ms.
 func (s *stats) latency(name string, d time.Duration) {
 	h := s.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(histogramSize))
@@ -42,13 +47,13 @@
 			lines = append(lines, fmt.Sprintf("%s %d\n", name, m.Count()))
 		case metrics.Histogram:
 			h := m.Snapshot()
-			for _, q := range []float64{0.5, 0.95, 0.99} {
+			for _, q := range quantiles {
 				lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g\n", name, q, h.Percentile(q)))
 			}
 			lines = append(lines, fmt.Sprintf("%s_count %d\n", name, h.Count()))
 		}
 	})
-	sort.Strings(lines)
+	slices.Sort(lines)
 	fmt.Fprintf(w, "open_requests %d\n%s", s.open.Load(), strings.Join(lines, ""))
 }
 
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -1,11 +1,14 @@
 package relay
 
 // This file defines the duty that tries upstreams which could not be reached, so
-// that no request has to find out for itself.
+// that no request has to find out for itself. The invariant: while an upstream cannot
+// be reached, it is tried.
 
 import (
 	"context"
 	"time"
+
+	"github.com/doormast/doormast/balance"
 )
 
 const (
@@ -28,23 +31,18 @@
 			for range min(trialsAtOnce, len(list)) {
 				u := list[next%len(list)]
 				next++
-				go r.try(ctx, u.id, u.address)
+				go r.try(ctx, u.ID, u.Address)
 			}
 			sleep(ctx, trialEvery)
 		}
 	}
 }
 
-type trial struct{ id, address string }
-
-func (r *Relay) unreached() []trial {
+// unreached lists the upstreams that cannot be reached.
+func (r *Relay) unreached() []balance.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []trial
-	for _, u := range r.fleet.Unreached() {
-		list = append(list, trial{u.ID, u.Address})
-	}
-	return list
+	return r.fleet.Unreached()
 }
 
 // try opens a connection and closes it.
--- a/route/error.go
+++ b/route/error.go
@@ -13,6 +13,9 @@
 	Err  error
 }
 
+var _ error = (*Error)(nil)
+
+// Error implements error.
 func (e *Error) Error() string {
 	return "route: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
 }
