Fields of configurations, documents and connections say what they hold

Several exported fields had no word on their meaning or unit, and a comment in front.go claimed that documents replace the box's own bounds, which holds for bodies alone.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -18,8 +18,8 @@
 	Service string
 	Address string // IP:port
 	Domain  string // failure domain
-	Slots   int
-	Leaving bool
+	Slots   int    // requests it runs at once
+	Leaving bool   // it takes no new requests
 }
 
 // member is an upstream with what this box knows of it besides.
@@ -35,7 +35,7 @@
 
 // Config configures a Fleet.
 type Config struct {
-	Domain string // of this box
+	Domain string // failure domain of this box
 	Tuning Tuning
 }
 
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -32,13 +32,14 @@
 	x.serve(ctx)
 }
 
+// logRefused writes the line about a request that was not admitted, and counts it.
 func (r *Relay) logRefused(q *request, no refusal) {
 	r.cfg.Log.Event("request", "refused", Fields{"id": q.id, "status": no.status, "reason": no.reason, "host": q.host,
 		"path": q.path(), "version": r.version(), "age_ms": r.age().Milliseconds()})
 	r.stats.count("refused_" + no.reason)
 }
 
-// admit decides whether a request may run at all.
+// admit decides whether a request may run at all; the refusal is nil where it may.
 func (r *Relay) admit(q *request) (*exchange, *refusal) {
 	if r.ended.Load() {
 		return nil, &refusal{fasthttp.StatusServiceUnavailable, "stopping", comeBackUsual}
@@ -72,7 +73,8 @@
 	return x, nil
 }
 
-// holdTime is how long a request is held.
+// holdTime is how long a request is held: as its route says, and no longer than its
+// caller waits.
 func holdTime(rt *route.Route, q *request) time.Duration {
 	hold := defaultHold
 	if rt.Timeout > 0 {
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -29,18 +29,18 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	upstream string
-	keepTill time.Time
+	upstream string    // its id
+	keepTill time.Time // it may be used again up to then
 }
 
 // conns keeps connections by upstream.
 type conns struct {
-	limit func(service string) int
+	limit func(service string) int // connections to an upstream of the service, from this box
 
 	mu     sync.Mutex
-	idle   map[string][]*conn
-	open   map[string]int
-	closed bool
+	idle   map[string][]*conn // by upstream, the newest last
+	open   map[string]int     // connections by upstream, idle ones included
+	closed bool               // none is kept any more
 }
 
 func newConns(limit func(string) int) *conns {
--- a/relay/front.go
+++ b/relay/front.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// Bounds that hold until a document states its own.
+	// The most bytes that are read of a request's head and of its body; where the
+	// document bounds bodies more narrowly, admit refuses what is longer.
 	headerBytes = 64 << 10
 	bodyBytes   = 16 << 20
 	// readWait is the longest a caller may take over one request.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,10 +29,10 @@
 
 // Config configures a Relay.
 type Config struct {
-	Box      string
-	Domain   string
-	Callers  net.Listener
-	Ready    net.Listener
+	Box      string         // its name, as logs and operators see it
+	Domain   string         // its failure domain
+	Callers  net.Listener   // for requests
+	Ready    net.Listener   // for readiness checks
 	Control  net.Listener   // for other boxes' calls; nil where a box has no peers
 	Self     *wire.GroupBox // the box as the others know it; without an address it has no peers
 	Seeds    []string       // IP:port of boxes that may be there
@@ -42,7 +42,7 @@
 	// makes of what lies there.
 	Publisher mirror.Publisher
 	Decode    func(mirror.Item) (News, error)
-	Log       *Log
+	Log       *Log // the relay never closes it
 	Budget    balance.BudgetConfig
 	Tuning    balance.Tuning
 	// FirstStart says that no box ran before, so that nothing is left of an
@@ -50,7 +50,7 @@
 	FirstStart bool
 	// Boxes is how many boxes share limits while nothing is known of the others.
 	Boxes int
-	// Grace is how long a planned stop may take.
+	// Grace is how long a planned stop may take, graceMargin included.
 	Grace time.Duration
 }
 
@@ -79,7 +79,8 @@
 	duties   int
 }
 
-// Start starts a relay; Stop ends it.
+// Start starts a relay; Stop ends it. The error is an Error of KindEdge where datagrams
+// cannot be listened for.
 func Start(cfg Config) (*Relay, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
@@ -106,6 +107,7 @@
 	return r, nil
 }
 
+// startDuties starts what goes on until the box ends.
 func (r *Relay) startDuties(ctx context.Context) {
 	r.run("members", func() { r.members.duty(ctx) })
 	r.run("reader", func() { r.members.readDuty(ctx) })
--- a/route/document.go
+++ b/route/document.go
@@ -40,10 +40,10 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int
-	HeaderWait  time.Duration
-	IdleWait    time.Duration
+	HeaderBytes int           // of a request's head
+	BodyBytes   int           // of a request's body; 0: the document sets no bound
+	HeaderWait  time.Duration // the longest that a head may take to arrive
+	IdleWait    time.Duration // the longest that a connection may rest
 }
 
 // Document is one version of the routing document.
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -15,20 +15,20 @@
 
 // Relay is what a relaying box is told at its start.
 type Relay struct {
-	Box        string      `json:"box"`
-	Domain     string      `json:"domain"`
+	Box        string      `json:"box"`         // its name
+	Domain     string      `json:"domain"`      // its failure domain
 	FirstStart bool        `json:"first_start"` // no box ran before
 	Listen     RelayListen `json:"listen"`
 	Platform   string      `json:"platform"`   // IP:port of the store
 	Seeds      []string    `json:"seeds"`      // IP:port of some boxes' control addresses
 	PeerPorts  []int       `json:"peer_ports"` // for datagrams; the first is used
-	MemoryMB   int         `json:"memory_mb"`
-	CPUShare   float64     `json:"cpu_share"` // of a core
-	LinkMbps   float64     `json:"link_mbps"` // megabits a second
+	MemoryMB   int         `json:"memory_mb"`  // of the box, in megabytes; 0: not said
+	CPUShare   float64     `json:"cpu_share"`  // of a core
+	LinkMbps   float64     `json:"link_mbps"`  // megabits a second
 	Bounds     RelayBounds `json:"bounds"`
 }
 
-// RelayListen holds the box's addresses, each IP:port.
+// RelayListen holds the box's addresses, each IP:port, and its IP.
 type RelayListen struct {
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
