--- a/group/published.go
+++ b/group/published.go
@@ -1,8 +1,8 @@
 package group
 
 // This file defines how what is published reaches the boxes: from the publisher to
-// the box that reads it, and from box to box. The invariant: confirmed
-// is never later than a moment at which the mirror was the newest.
+// the box that reads it, and from box to box. The invariant: confirmed is never later
+// than a moment at which the mirror was the newest.
 
 import (
 	"time"
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -1,7 +1,7 @@
 package relay
 
-// This file defines the words a deployment uses on the wire. The relay itself only
-// knows what each is for.
+// This file defines the words a deployment uses on the wire. The invariant: the relay
+// itself only knows what each is for.
 
 import "github.com/doormast/doormast/balance"
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -16,12 +16,12 @@
 
 // request is what the box reads of a caller's request.
 type request struct {
-	id       string
+	id       string // of this attempt of the caller
 	method   string
 	uri      string // as it was sent
 	host     string
 	timeLeft time.Duration // the caller waits; 0: not said
-	key      string
+	key      string        // the caller's secret
 	prompt   Prompt
 	body     []byte
 	passed   []byte // the headers that go on, as lines
@@ -64,9 +64,9 @@
 	if v := h.Peek(name); v != nil {
 		return string(v)
 	}
-	for k, v := range h.All() {
-		if strings.EqualFold(string(k), name) {
-			return string(v)
+	for sent, value := range h.All() {
+		if strings.EqualFold(string(sent), name) {
+			return string(value)
 		}
 	}
 	return ""
--- a/relay/state.go
+++ b/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
-// This file defines what a box tells operators of itself.
+// This file defines what a box tells operators of itself. The invariant: nothing of a
+// request or of a key is told.
 
 import (
 	"context"
@@ -18,6 +19,7 @@
 	return connect.NewResponse(s.members.relay.state()), nil
 }
 
+// state is the box as it sees itself now.
 func (r *Relay) state() *wire.StateResponse {
 	out := &wire.StateResponse{Box: r.cfg.Box, Domain: r.cfg.Domain, Lead: r.members.leadName(), Boxes: uint32(r.boxes()),
 		Ready: r.Ready(), Open: uint32(r.stats.open.Load()), ConfirmedAge: uint64(r.age().Microseconds())}
@@ -37,8 +39,12 @@
 	return out
 }
 
+// repeatNames are the names that operators read.
+var repeatNames = [...]string{route.Once: "once", route.Repeatable: "repeatable", route.Stream: "stream"}
+
+// routeRow is a route as operators read it, times in microseconds.
 func routeRow(rt *route.Route) *wire.RouteRow {
-	repeat := [...]string{route.Once: "once", route.Repeatable: "repeatable", route.Stream: "stream"}[rt.Repeat]
+	repeat := repeatNames[rt.Repeat]
 	if rt.Repeat == route.Stream && rt.Resumable {
 		repeat = "stream that resumes"
 	}
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -1,6 +1,7 @@
 package relay
 
-// This file defines the figures a box tells of itself.
+// This file defines the figures a box tells of itself. The invariant: a figure takes a
+// bounded amount of memory, however long the box runs.
 
 import (
 	"fmt"
