--- a/relay/stats.go
+++ b/relay/stats.go
@@ -22,7 +22,7 @@
 
 func newStats() stats { return stats{metrics.NewRegistry(), new(atomic.Int64)} }
 
-// histogramSize is how many of the newest values a histogram keeps.
+// histogramSize is how many values a histogram keeps, drawn from all that came.
 const histogramSize = 256
 
 // quantiles are those of a histogram that are shown.
