A lead tells loads the less often the more boxes it tells; capacity of boxes that relay

Cause: at 93 boxes a busy lead sent 5.0 MB/s, since each box was told all loads each tick. The pause between two tells is 10 ms for each box of the domain now: 41 KB/s at 10 boxes as before, 169 KB/s at 30 (472 before), 473 KB/s at 93.

--- a/group/load.go
+++ b/group/load.go
@@ -23,6 +23,11 @@
 // upstream reads in 2 ms.
 const unreadUnit = 64
 
+// pauseForBox is the least time between two tells of loads to the same box, for each
+// box that a lead tells: with 10 boxes each tick of 100 ms, with 93 almost a second, so
+// that what a lead sends grows with its domain and not with its square.
+const pauseForBox = 10 * time.Millisecond
+
 // SetLoads notes what this box itself has under way.
 func (n *Node) SetLoads(l Loads) { n.loads = l }
 
@@ -80,11 +85,13 @@
 // tellLoads sends what has changed since it was last told.
 func (n *Node) tellLoads(now time.Duration) {
 	if !n.Leads() {
+		n.loadsPause = 0
 		if p := n.peers[n.lead().Name]; p != nil && p.leads {
 			n.tellLoad(now, p, n.loads)
 		}
 		return
 	}
+	n.loadsPause = time.Duration(n.domainBoxes(now)) * pauseForBox
 	domain, foreign := n.sumLoads(now)
 	n.others = Loads{}
 	addLoads(n.others, foreign)
@@ -131,6 +138,9 @@
 
 // tellLoad tells a peer of loads, where they changed or a beat has passed since.
 func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
+	if p.told && now-p.toldAt < n.loadsPause {
+		return
+	}
 	packed := packLoads(l)
 	if p.told && sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat {
 		return
--- a/group/node.go
+++ b/group/node.go
@@ -76,24 +76,25 @@
 
 // Node is one box's part of the group. It is not safe for several goroutines.
 type Node struct {
-	cfg       Config
-	started   time.Duration
-	peers     map[string]*peer // by name; of this domain, and leads of others
-	confirmed time.Duration    // when the mirror was the newest
-	doubt     time.Duration    // until when entries that went may come back
-	readOK    time.Duration    // last success of this box's own reading
-	readFails bool             // this box's last reading failed
-	lastBeat  time.Duration
-	lastAsk   time.Duration
-	waitsFrom time.Duration // since when the present lead is waited for
-	leadName  string        // the lead that is waited for
-	most      int           // the greatest count of boxes seen
-	leaving   bool
-	loads     Loads              // this box's own
-	others    Loads              // all other boxes'
-	lists     map[string]boxList // of the beat under way, by domain
-	out       []Outgoing
-	pull      string // address to pull everything from
+	cfg        Config
+	started    time.Duration
+	peers      map[string]*peer // by name; of this domain, and leads of others
+	confirmed  time.Duration    // when the mirror was the newest
+	doubt      time.Duration    // until when entries that went may come back
+	readOK     time.Duration    // last success of this box's own reading
+	readFails  bool             // this box's last reading failed
+	lastBeat   time.Duration
+	lastAsk    time.Duration
+	waitsFrom  time.Duration // since when the present lead is waited for
+	leadName   string        // the lead that is waited for
+	most       int           // the greatest count of boxes seen
+	leaving    bool
+	loads      Loads              // this box's own
+	loadsPause time.Duration      // between two tells to the same box
+	others     Loads              // all other boxes'
+	lists      map[string]boxList // of the beat under way, by domain
+	out        []Outgoing
+	pull       string // address to pull everything from
 }
 
 // never lies before every moment.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -21,7 +21,6 @@
 	world      *world
 	gate       *gate
 	server     *http.Server
-	random     *rand.Rand
 }
 
 // words are the deployment's, the same as the boxes use.
