The group's times follow the bound on documents; prompts are fetched only where upstreams can

Causes, from settings and fields that nobody read: a deployment whose documents have to be in force within less than 2 s would have had a lead's death noticed too late, since the times were fixed; and a service whose upstreams cannot fetch from each other would have been asked to. The settings' document_ms now scales beats, silence, staleness and the watch; the service's flag decides about fetching. What else was decoded and unused is gone (the rest of the engine's description, the output's bound, reread_window_s).

Each has a test.

--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -10,6 +10,9 @@
 // than the chosen one: one that comes before it, or that did so until the chosen one
 // was new.
 func (f *Fleet) fetchFrom(now time.Duration, r Request, chosen *member) string {
+	if !r.Moves {
+		return ""
+	}
 	key := sharedKey(r)
 	mine := weight(chosen.ID, key)
 	var best *member
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -18,7 +18,7 @@
 }
 
 func prompt(shared uint64) Request {
-	return Request{Service: "s", Tokens: 1400, Parts: []Part{{ID: shared, Tokens: 1000}, {ID: shared + 1e6, Tokens: 400}}}
+	return Request{Service: "s", Moves: true, Tokens: 1400, Parts: []Part{{ID: shared, Tokens: 1000}, {ID: shared + 1e6, Tokens: 400}}}
 }
 
 func TestPromptsWithTheSameBeginningGoToTheSameUpstream(t *testing.T) {
@@ -276,3 +276,15 @@
 	_, ok = f.Place(0, Request{Service: "other"}, nil)
 	is.True(!ok)
 }
+
+func TestNothingIsFetchedWhereUpstreamsCannot(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(9)
+	r := prompt(7)
+	home, _ := f.Place(0, r, nil)
+	f.Open(0, home.Upstream.ID, Request{Service: "s", Tokens: 2 * DefaultTuning.SpillTokens})
+	r.Moves = false
+	c, _ := f.Place(0, r, nil)
+	is.True(c.Upstream.ID != home.Upstream.ID)
+	is.Equal(c.Fetch, "")
+}
--- a/balance/request.go
+++ b/balance/request.go
@@ -8,7 +8,7 @@
 	Service string
 	Parts   []Part // of the prompt, in order; the last belongs to this request alone
 	Tokens  int    // of the prompt
-	Output  int    // tokens to be made, at most
+	Moves   bool   // its upstreams can fetch prompts from each other
 	Tight   bool   // its events must follow each other closely
 	Urgency int    // 0 is the most urgent
 }
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -125,7 +125,7 @@
 		Domain:     s.Domain,
 		Self:       self(s),
 		Seeds:      s.SeedAddresses(),
-		Timing:     group.DefaultTiming,
+		Timing:     group.TimingFor(s.Bounds.Document()),
 		Protocol:   platform.Protocol(),
 		Publisher:  platform.NewStore(s.Platform),
 		Decode:     platform.Decode,
--- a/group/node.go
+++ b/group/node.go
@@ -22,6 +22,7 @@
 	Settle   time.Duration // after a start, in which a lead may make itself known
 	Stale    time.Duration // age of knowledge from which a box reads for itself
 	Stagger  time.Duration // added to Stale for each place behind the lead, five at most
+	Watch    time.Duration // how long a call waits for a change
 	Readback time.Duration // how long a box that reads for a lead that cannot goes on
 }
 
@@ -33,9 +34,28 @@
 	Settle:   500 * time.Millisecond,
 	Stale:    1700 * time.Millisecond,
 	Stagger:  60 * time.Millisecond,
+	Watch:    time.Second,
 	Readback: 3 * time.Second,
 }
 
+// defaultBound is the time within which DefaultTiming brings a change everywhere.
+const defaultBound = 2 * time.Second
+
+// least is the part of DefaultTiming's times below which none is scaled: beats closer
+// than 100 ms would cost more than they bring.
+const least = 0.25
+
+// TimingFor returns the times that bring a change everywhere within the bound. Where
+// there is more time than DefaultTiming needs, it stays.
+func TimingFor(bound time.Duration) Timing {
+	part := max(min(float64(bound)/float64(defaultBound), 1), least)
+	t := DefaultTiming
+	for _, d := range []*time.Duration{&t.Beat, &t.Silence, &t.Stale, &t.Stagger, &t.Watch} {
+		*d = time.Duration(part * float64(*d))
+	}
+	return t
+}
+
 // Config configures a Node.
 type Config struct {
 	Self   *wire.GroupBox
--- a/group/node_test.go
+++ b/group/node_test.go
@@ -243,3 +243,14 @@
 		is.True(w.boxes[name].node.Doubt() < 0)
 	}
 }
+
+func TestTimingFollowsTheBound(t *testing.T) {
+	is := is.New(t)
+	is.Equal(TimingFor(3*time.Second), DefaultTiming)
+	half := TimingFor(time.Second)
+	is.Equal(half.Beat, DefaultTiming.Beat/2)
+	is.Equal(half.Stale, DefaultTiming.Stale/2)
+	is.Equal(half.Watch, DefaultTiming.Watch/2)
+	is.Equal(half.Member, DefaultTiming.Member)
+	is.Equal(TimingFor(0).Beat, DefaultTiming.Beat/4)
+}
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -28,5 +28,4 @@
 type Prompt struct {
 	Parts  []balance.Part
 	Tokens int // of the prompt
-	Output int // tokens to be made, at most
 }
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// watchWait is how long a call waits for a change. What a watch has silently
-	// missed is found out by the next one, well inside the 2 s within which a
-	// document has to be in force.
-	watchWait = time.Second
 	// retryWait is the pause after a call that failed.
 	retryWait = 250 * time.Millisecond
 )
@@ -72,8 +68,8 @@
 	r := &readResult{known: m.relay.now(), whole: m.revision.Load() == 0}
 	publisher := m.relay.cfg.Publisher
 	if !r.whole {
-		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watchWait)
-		if waited := r.known + watchWait; len(r.items) == 0 && m.relay.now() >= waited {
+		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), m.relay.cfg.Timing.Watch)
+		if waited := r.known + m.relay.cfg.Timing.Watch; len(r.items) == 0 && m.relay.now() >= waited {
 			r.known = waited // the publisher has waited that long before it answered
 		}
 	}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -79,12 +79,18 @@
 		Service: x.service,
 		Parts:   p.Parts,
 		Tokens:  p.Tokens,
-		Output:  p.Output,
+		Moves:   x.moves(),
 		Tight:   x.doc.Tight(x.route),
 		Urgency: x.urgency,
 	}
 }
 
+// moves reports whether the service's upstreams can fetch prompts from each other.
+func (x *exchange) moves() bool {
+	s := x.doc.Service(x.service)
+	return s != nil && s.Moves
+}
+
 // cameBack is the share of the route's time below which a request has come back
 // after a refusal: a first attempt has all of it.
 const cameBack = 0.95
--- a/route/document.go
+++ b/route/document.go
@@ -17,18 +17,8 @@
 // Service is a group of like upstreams.
 type Service struct {
 	Name           string
-	MaxConnections int // an upstream accepts, from all boxes together
-	Engine         *Engine
-}
-
-// Engine describes the model engine of a service's upstreams.
-type Engine struct {
-	Slots      int   // requests that run at once
-	Tokens     int   // that fit into an upstream's memory
-	TokenBytes int   // bytes of memory a token takes
-	Moves      bool  // memory can be fetched from another upstream
-	TokensStep int   // tokens an event holds
-	LinkBits   int64 // bits a second between two upstreams
+	MaxConnections int  // an upstream accepts, from all boxes together
+	Moves          bool // its upstreams can fetch from each other what they keep of prompts
 }
 
 // Customer is who sends requests, known by keys.
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -39,12 +39,11 @@
 
 // RelayBounds holds the figures that all boxes keep to.
 type RelayBounds struct {
-	GraceSeconds        float64 `json:"grace_s"`         // of a planned stop
-	RetryRatio          float64 `json:"retry_ratio"`     // requests sent again for each one taken
-	RetrySlack          float64 `json:"retry_slack"`     // and besides, over all boxes
-	RetryWindowSeconds  float64 `json:"retry_window_s"`  // the span both are counted in
-	DocumentMillis      float64 `json:"document_ms"`     // until a document is in force
-	RereadWindowSeconds float64 `json:"reread_window_s"` // in which reading a prompt again is waste
+	GraceSeconds       float64 `json:"grace_s"`        // of a planned stop
+	RetryRatio         float64 `json:"retry_ratio"`    // requests sent again for each one taken
+	RetrySlack         float64 `json:"retry_slack"`    // and besides, over all boxes
+	RetryWindowSeconds float64 `json:"retry_window_s"` // the span both are counted in
+	DocumentMillis     float64 `json:"document_ms"`    // until a document is in force
 }
 
 // Strength orders boxes by what they can carry for others: the processor first, and
@@ -79,6 +78,9 @@
 // Grace is how long a planned stop may take.
 func (b RelayBounds) Grace() time.Duration { return seconds(b.GraceSeconds) }
 
+// Document is the time within which a document has to be in force.
+func (b RelayBounds) Document() time.Duration { return seconds(b.DocumentMillis / 1000) }
+
 // RetryWindow is the span in which requests sent again are counted.
 func (b RelayBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowSeconds) }
 
@@ -128,6 +130,7 @@
 	want(len(s.PeerPorts) > 0, "peer_ports", "[]", "want a port at least")
 	address("listen.control", s.Listen.Control)
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
+	want(s.Bounds.DocumentMillis > 0, "bounds.document_ms", "", "want a number above 0")
 	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
 	want(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "", "want 0 or more")
 	want(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "", "want 0 or more")
--- a/settings/relay_test.go
+++ b/settings/relay_test.go
@@ -15,7 +15,7 @@
   "seeds": ["10.1.0.1:82", "10.2.0.1:82"],
   "peer_ports": [7340, 7355],
   "memory_mb": 284, "cpu_share": 0.4, "link_mbps": 1000.0,
-  "bounds": {"grace_s": 8.0, "retry_ratio": 0.2, "retry_slack": 54, "retry_window_s": 10, "document_ms": 2000, "reread_window_s": 9.6}
+  "bounds": {"grace_s": 8.0, "retry_ratio": 0.2, "retry_slack": 54, "retry_window_s": 10, "document_ms": 2000}
 }`
 
 func TestRelaySettings(t *testing.T) {
@@ -33,6 +33,7 @@
 		{"address", `"10.9.0.1:80"`, `"somewhere"`, "box.json:5: platform"},
 		{"no ports", `[7340, 7355]`, `[]`, "box.json:7: peer_ports"},
 		{"grace", `"grace_s": 8.0`, `"grace_s": 0`, "box.json:9: bounds.grace_s"},
+		{"no bound", `"document_ms": 2000`, `"document_ms": 0`, "box.json:9: bounds.document_ms"},
 		{"no domain", `"d1"`, `""`, "box.json:3: domain"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
