--- /dev/null
+++ b/balance/cost_bench_test.go
@@ -0,0 +1,40 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPlace tells what a decision costs with the lists of today, of the grown
+// deployments and of the target.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{9, 90, 1000, 10000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			f := newTestFleet(n)
+			for i := range b.N {
+				if _, ok := f.Place(0, prompt(uint64(1+i%500)), nil); !ok {
+					b.Fatal("no place")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSwapLoads tells what telling and taking loads costs, which happens ten
+// times a second.
+func BenchmarkSwapLoads(b *testing.B) {
+	for _, n := range []int{9, 90, 1000, 10000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			f := newTestFleet(n)
+			others := make(map[LoadKey]Load)
+			for i := range min(n, 90) {
+				others[LoadKey{Key(fmt.Sprintf("u%d", i)), i % 3}] = Load{Unread: 640, Open: 1}
+				f.Open(0, fmt.Sprintf("u%d", i), prompt(1))
+			}
+			for range b.N {
+				f.Loads()
+				f.SetOthers(others)
+			}
+		})
+	}
+}
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -31,6 +31,8 @@
 	out      bool // it cannot be reached
 	outSince time.Duration
 	since    time.Duration // when it was first listed
+	key      uint32        // Key of its id
+	tight    bool          // it is in the lane for tight streams
 }
 
 // Config configures a Fleet.
@@ -44,8 +46,11 @@
 	cfg       Config
 	byID      map[string]*member
 	byService map[string][]*member
-	rate      float64       // prompt tokens that an upstream reads in a ms
-	listed    time.Duration // when the first upstream was
+	byKey     map[uint32]*member
+	loaded    []*member       // those on which others have work
+	stale     map[string]bool // services whose lanes have to be divided anew
+	rate      float64         // prompt tokens that an upstream reads in a ms
+	listed    time.Duration   // when the first upstream was
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
@@ -54,7 +59,8 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member), rate: cfg.Tuning.ReadRate}
+	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member),
+		byKey: make(map[uint32]*member), stale: make(map[string]bool), rate: cfg.Tuning.ReadRate}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
@@ -71,11 +77,12 @@
 	if len(f.byID) == 0 {
 		f.listed = now
 	}
-	m := &member{Upstream: u, since: now}
+	m := &member{Upstream: u, since: now, key: Key(u.ID)}
 	if now-f.listed < firstList {
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
 	}
-	f.byID[u.ID] = m
+	f.byID[u.ID], f.byKey[m.key] = m, m
+	f.stale[u.Service] = true
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 }
 
@@ -86,6 +93,8 @@
 		return
 	}
 	delete(f.byID, id)
+	delete(f.byKey, m.key)
+	f.stale[m.Service] = true
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 }
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -5,6 +5,11 @@
 // holds up the tokens of everything that runs beside it. The invariant: two boxes
 // with the same list choose the same upstreams.
 
+import (
+	"cmp"
+	"slices"
+)
+
 // minLanes is from how many upstreams on a service has lanes: with fewer, the loss of
 // one would leave a lane empty too often.
 const minLanes = 4
@@ -33,17 +38,23 @@
 // inLane reports whether an upstream is in the lane for tight streams, or in the one
 // for the others.
 func (f *Fleet) inLane(m *member, tight bool) bool {
-	all := f.byService[m.Service]
-	if len(all) < minLanes {
+	if len(f.byService[m.Service]) < minLanes {
 		return true
 	}
+	if f.stale[m.Service] {
+		f.divide(m.Service)
+	}
+	return m.tight == tight
+}
+
+// divide puts a service's upstreams into their lanes, once after each change of its
+// list: a decision for each request would cost the square of the list.
+func (f *Fleet) divide(service string) {
+	all := slices.Clone(f.byService[service])
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(weight(b.ID, laneKey), weight(a.ID, laneKey)) })
 	places := (len(all)*f.cfg.Tuning.TightShare + percent/2) / percent // rounded
-	own := weight(m.ID, laneKey)
-	before := 0
-	for _, o := range all {
-		if weight(o.ID, laneKey) > own {
-			before++
-		}
+	for i, m := range all {
+		m.tight = i < places
 	}
-	return (before < places) == tight
+	delete(f.stale, service)
 }
--- a/balance/load.go
+++ b/balance/load.go
@@ -54,22 +54,31 @@
 // Loads returns what this box has under way.
 func (f *Fleet) Loads() map[LoadKey]Load {
 	loads := make(map[LoadKey]Load)
-	for id, m := range f.byID {
+	for _, m := range f.byID {
 		for urgency, l := range m.work {
 			if l.Open > 0 {
-				loads[LoadKey{Key(id), urgency}] = l
+				loads[LoadKey{m.key, urgency}] = l
 			}
 		}
 	}
 	return loads
 }
 
-// SetOthers takes what all other boxes have under way.
+// SetOthers takes what all other boxes have under way. It costs as much as there is
+// work, not as there are upstreams.
 func (f *Fleet) SetOthers(loads map[LoadKey]Load) {
-	for id, m := range f.byID {
-		key := Key(id)
-		for urgency := range Levels {
-			m.others[urgency] = loads[LoadKey{key, urgency}]
+	for _, m := range f.loaded {
+		m.others = work{}
+	}
+	f.loaded = f.loaded[:0]
+	for key, load := range loads {
+		m := f.byKey[key.Upstream]
+		if m == nil || key.Urgency < 0 || key.Urgency >= Levels {
+			continue // listed elsewhere, or no urgency of ours
+		}
+		if m.others == (work{}) {
+			f.loaded = append(f.loaded, m)
 		}
+		m.others[key.Urgency] = load
 	}
 }
