--- a/group/node.go
+++ b/group/node.go
@@ -14,7 +14,7 @@
 )
 
 // Timing holds a group's times. The figures of DefaultTiming keep a change known on
-// every box within 1.6 s of the death of the lead, of the 2 s that deployments allow.
+// every box within the 2 s that deployments allow, whichever box dies or is cut off just before it.
 type Timing struct {
 	Beat     time.Duration // between two signs of life
 	Silence  time.Duration // after which a lead counts as dead
