Lanes follow what is under way, and boxes agree on their size

Cause: a quarter of a service's engines was kept for streams with tight gaps, whatever was asked for. Now the strongest lead divides by the share of tight streams among what is open, 17 to 36 in 100, all others take it over; an upstream that changed its lane is fetched from for 15 s.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -33,6 +33,7 @@
 	since    time.Duration // when it was first listed
 	key      uint32        // Key of its id
 	tight    bool          // it is in the lane for tight streams
+	moved    time.Duration // when it came into its lane from the other
 }
 
 // Config configures a Fleet.
@@ -47,20 +48,23 @@
 	byID      map[string]*member
 	byService map[string][]*member
 	byKey     map[uint32]*member
-	loaded    []*member       // those on which others have work
-	stale     map[string]bool // services whose lanes have to be divided anew
-	rate      float64         // prompt tokens that an upstream reads in a ms
-	listed    time.Duration   // when the first upstream was
+	loaded    []*member         // those on which others have work
+	lanes     map[string]*lanes // by service
+	rate      float64           // prompt tokens that an upstream reads in a ms
+	listed    time.Duration     // when the first upstream was
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
 // are; those that come later are new.
 const firstList = 2 * time.Second
 
+// longAgo lies before every moment at which something is still of concern.
+const longAgo = -time.Hour
+
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
 	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member),
-		byKey: make(map[uint32]*member), stale: make(map[string]bool), rate: cfg.Tuning.ReadRate}
+		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), rate: cfg.Tuning.ReadRate}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
@@ -77,12 +81,12 @@
 	if len(f.byID) == 0 {
 		f.listed = now
 	}
-	m := &member{Upstream: u, since: now, key: Key(u.ID)}
+	m := &member{Upstream: u, since: now, moved: longAgo, key: Key(u.ID)}
 	if now-f.listed < firstList {
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
 	}
 	f.byID[u.ID], f.byKey[m.key] = m, m
-	f.stale[u.Service] = true
+	f.lanesOf(u.Service).stale = true
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 }
 
@@ -94,7 +98,7 @@
 	}
 	delete(f.byID, id)
 	delete(f.byKey, m.key)
-	f.stale[m.Service] = true
+	f.lanesOf(m.Service).stale = true
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 }
--- /dev/null
+++ b/balance/lane_test.go
@@ -0,0 +1,147 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// underWay is a load on each of n upstreams, of so many tight streams and others.
+func underWay(n, tight, rest int) map[LoadKey]Load {
+	loads := make(map[LoadKey]Load)
+	for i := range n {
+		loads[LoadKey{Key(fmt.Sprintf("u%d", i)), 0}] = Load{Open: tight + rest, Tight: tight}
+	}
+	return loads
+}
+
+// tightPlaces lists the upstreams that are kept for tight streams.
+func tightPlaces(f *Fleet) map[string]bool {
+	kept := make(map[string]bool)
+	for id, m := range f.byID {
+		if f.inLane(time.Hour, m, true) {
+			kept[id] = true
+		}
+	}
+	return kept
+}
+
+func TestLanesFollowWhatIsUnderWay(t *testing.T) {
+	tests := []struct {
+		name        string
+		tight, rest int // on each of 60 upstreams
+		want        int // of them kept for tight streams
+	}{
+		{"nothing yet", 0, 0, 12},
+		{"calm", 1, 2, 12},
+		{"a burst of long prompts", 1, 20, 12}, // within the slack of the least, 10
+		{"a burst of tight streams", 20, 2, 22},
+		{"both", 10, 10, 19},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(60)
+			f.SetOthers(underWay(60, tt.tight, tt.rest))
+			for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+				f.SizeLanes(now, nil)
+			}
+			is.Equal(len(tightPlaces(f)), tt.want)
+			is.Equal(f.Lanes(), LaneSizes{Key("s"): tt.want})
+		})
+	}
+}
+
+func TestALaneThatGrewShrinksAgain(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(60)
+	now := time.Duration(0)
+	settle := func(tight, rest int) int {
+		f.SetOthers(underWay(60, tight, rest))
+		for range 100 {
+			now += 100 * time.Millisecond
+			f.SizeLanes(now, nil)
+		}
+		return len(tightPlaces(f))
+	}
+	is.Equal(settle(20, 2), 22)
+	is.Equal(settle(1, 20), 10) // the least
+	is.Equal(settle(0, 0), 10)  // nothing under way tells nothing
+}
+
+func TestALaneThatIsToldIsTaken(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(20)
+	f.SetOthers(underWay(20, 20, 2))
+	changes := f.SizeLanes(time.Second, LaneSizes{Key("s"): 2, Key("unknown"): 3})
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Service, "s")
+	is.Equal(changes[0].Places, 2)
+	is.True(changes[0].Told)
+	is.Equal(len(tightPlaces(f)), 2)
+	is.Equal(len(f.SizeLanes(2*time.Second, LaneSizes{Key("s"): 2})), 0) // nothing new
+	f.SizeLanes(time.Minute, LaneSizes{Key("s"): 99})
+	is.Equal(len(tightPlaces(f)), 20) // no more than there are
+}
+
+// Boxes that go by different sizes differ in the last upstreams only: the smaller lane
+// is a part of the greater one.
+func TestTheSmallerLaneIsPartOfTheGreater(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(minLanes, 40).Draw(t, "upstreams")
+		small := rapid.IntRange(0, n).Draw(t, "small")
+		great := rapid.IntRange(small, n).Draw(t, "great")
+		a, b := newTestFleet(n), newTestFleet(n)
+		a.SizeLanes(0, LaneSizes{Key("s"): small})
+		b.SizeLanes(0, LaneSizes{Key("s"): great})
+		kept := tightPlaces(b)
+		for id := range tightPlaces(a) {
+			if !kept[id] {
+				t.Fatalf("%s is kept by the smaller lane only", id)
+			}
+		}
+		if len(kept) != great {
+			t.Fatalf("%d are kept, want %d", len(kept), great)
+		}
+	})
+}
+
+// An upstream that changes its lane keeps for a while what it had read there, and is
+// fetched from.
+func TestWhatAnUpstreamKeepsIsFetchedWhenItChangesItsLane(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(20)
+	f.SizeLanes(0, LaneSizes{Key("s"): 2})
+	before := make(map[uint64]*Upstream)
+	for shared := uint64(1); shared <= 100; shared++ {
+		c, _ := f.Place(time.Minute, prompt(shared), nil)
+		before[shared] = c.Upstream
+	}
+	now := 2 * time.Minute
+	f.SizeLanes(now, LaneSizes{Key("s"): 6})
+	kept := tightPlaces(f)
+	moved := 0
+	for shared, old := range before {
+		c, _ := f.Place(now, prompt(shared), nil)
+		if !kept[old.ID] {
+			is.Equal(c.Upstream.ID, old.ID)
+			is.Equal(c.Fetch, "")
+			continue
+		}
+		moved++
+		is.Equal(c.Fetch, old.Address)
+		c, _ = f.Place(now+DefaultTuning.NewFor, prompt(shared), nil)
+		is.Equal(c.Fetch, "") // by then it has what it needs
+	}
+	is.True(moved > 0)
+	now += time.Minute
+	f.SizeLanes(now, LaneSizes{Key("s"): 2}) // and back: what was read meanwhile is fetched
+	for shared, old := range before {
+		c, _ := f.Place(now, prompt(shared), nil)
+		is.Equal(c.Upstream.ID, old.ID)
+		is.Equal(c.Fetch != "", kept[old.ID])
+	}
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -12,6 +12,7 @@
 type Load struct {
 	Unread int // prompt tokens that are not yet read
 	Open   int // requests
+	Tight  int // those of them whose events must follow each other closely
 }
 
 // LoadKey says whose load it is, where boxes tell each other.
@@ -30,6 +31,7 @@
 	at := &w[urgency]
 	at.Unread = max(0, at.Unread+l.Unread)
 	at.Open = max(0, at.Open+l.Open)
+	at.Tight = max(0, at.Tight+l.Tight)
 }
 
 // upTo adds up what is at least as urgent.
@@ -38,6 +40,7 @@
 	for _, l := range w[:urgency+1] {
 		sum.Unread += l.Unread
 		sum.Open += l.Open
+		sum.Tight += l.Tight
 	}
 	return sum
 }
@@ -51,6 +54,11 @@
 // open is how many requests are under way, for all boxes.
 func (m *member) open() int { return m.work.upTo(Levels-1).Open + m.others.upTo(Levels-1).Open }
 
+// openTight is how many of those are tight streams.
+func (m *member) openTight() int {
+	return m.work.upTo(Levels-1).Tight + m.others.upTo(Levels-1).Tight
+}
+
 // Loads returns what this box has under way.
 func (f *Fleet) Loads() map[LoadKey]Load {
 	loads := make(map[LoadKey]Load)
--- a/balance/place.go
+++ b/balance/place.go
@@ -26,7 +26,7 @@
 	if sharedKey(r) == 0 {
 		return Choice{Upstream: &f.leastBusy(list).Upstream}, true
 	}
-	return f.placePrompt(now, r, f.lane(r, list)), true
+	return f.placePrompt(now, r, f.lane(now, r, list)), true
 }
 
 // usable lists the upstreams a request may go to.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -10,6 +10,7 @@
 	fleet   *Fleet
 	member  *member
 	urgency int
+	tight   int // 1 where it is a tight stream
 	unread  int // tokens of its prompt that are counted as not yet read
 	opened  time.Duration
 	alone   bool // nothing was before it
@@ -23,7 +24,10 @@
 		return &Ticket{closed: true}
 	}
 	t := &Ticket{fleet: f, member: m, urgency: r.level(), unread: f.missing(m, r), opened: now, alone: m.open() == 0}
-	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1})
+	if r.Tight {
+		t.tight = 1
+	}
+	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1, Tight: t.tight})
 	return t
 }
 
@@ -63,7 +67,7 @@
 	}
 	t.clear()
 	t.closed = true
-	t.member.work.add(t.urgency, Load{Open: -1})
+	t.member.work.add(t.urgency, Load{Open: -1, Tight: -t.tight})
 	t.member.health.note(now, outcome)
 	switch outcome {
 	case Unreachable:
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -14,8 +14,16 @@
 	// that was their home before.
 	NewFor time.Duration
 	// TightShare is the share of a service's upstreams, in 100, that is kept for
-	// streams whose events must follow each other closely.
+	// streams whose events must follow each other closely, until what is under way
+	// tells how many of them there are.
 	TightShare int
+	// TightLeast and TightMost bound the share that is kept for them.
+	TightLeast, TightMost float64
+	// RestWeight is how many tight streams another open request counts for when the
+	// upstreams are divided.
+	RestWeight float64
+	// LaneMemory is the time over which the requests under way are averaged for that.
+	LaneMemory time.Duration
 	// Away is how many open requests for each slot an upstream of another failure
 	// domain counts as having more, for requests without a prompt.
 	Away float64
@@ -35,7 +43,11 @@
 var DefaultTuning = Tuning{
 	SpillTokens: 50000,
 	NewFor:      15 * time.Second,
-	TightShare:  25,
+	TightShare:  20,
+	TightLeast:  0.17,
+	TightMost:   0.36,
+	RestWeight:  2.2,
+	LaneMemory:  time.Second,
 	Away:        0.3,
 	FailWeight:  6,
 	Admit:       0.5,
--- a/group/hear.go
+++ b/group/hear.go
@@ -29,6 +29,7 @@
 	}
 	n.most = max(n.most, int(m.AllBoxes))
 	n.takeLoads(p, m)
+	n.takeLanes(now, p, m)
 	n.answer(now, m, p)
 	n.learn(now, m)
 }
--- /dev/null
+++ b/group/lane.go
@@ -0,0 +1,75 @@
+package group
+
+// This file defines how boxes agree on the division of services into lanes: the
+// strongest lead decides, the other leads take over what it says, and each box what its
+// own lead says. The invariant: boxes in touch with the same lead go by the same
+// division; one that hears of none goes by its own.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
+)
+
+// SetLanes notes how this box would divide services.
+func (n *Node) SetLanes(own balance.LaneSizes) { n.ownLanes = own }
+
+// Lanes is the division to go by; nil means this box's own.
+func (n *Node) Lanes(now time.Duration) balance.LaneSizes {
+	if now-n.lanesAt > n.cfg.Timing.Silence || n.decidesLanes(now) {
+		return nil
+	}
+	return n.lanes
+}
+
+// decidesLanes reports whether this box is the strongest lead that it hears of.
+func (n *Node) decidesLanes(now time.Duration) bool {
+	return n.Leads() && n.strongestLead(now) == n.cfg.Self
+}
+
+// strongestLead is the strongest of the leads of all domains that are heard.
+func (n *Node) strongestLead(now time.Duration) *wire.GroupBox {
+	best := n.lead()
+	for _, p := range n.peers {
+		if p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence && p.box.Domain != n.cfg.Self.Domain && better(p.box, best) {
+			best = p.box
+		}
+	}
+	return best
+}
+
+// takeLanes takes over the division that a message tells, if its sender is the one to
+// be followed.
+func (n *Node) takeLanes(now time.Duration, p *peer, m *wire.GroupMessage) {
+	if !m.Leads {
+		return
+	}
+	followed := n.lead()
+	if n.Leads() {
+		followed = n.strongestLead(now)
+	}
+	if p.box.Name != followed.Name {
+		return
+	}
+	n.lanes, n.lanesAt = make(balance.LaneSizes, len(m.Lanes)), now
+	for _, l := range m.Lanes {
+		n.lanes[l.Service] = int(l.Places)
+	}
+}
+
+// packLanes is what a lead tells of the division it goes by, in a fixed order.
+func (n *Node) packLanes(now time.Duration) []*wire.GroupLane {
+	lanes := n.Lanes(now)
+	if lanes == nil {
+		lanes = n.ownLanes
+	}
+	out := make([]*wire.GroupLane, 0, len(lanes))
+	for service, places := range lanes {
+		out = append(out, &wire.GroupLane{Service: service, Places: uint32(max(places, 0))})
+	}
+	slices.SortFunc(out, func(a, b *wire.GroupLane) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
--- a/group/load.go
+++ b/group/load.go
@@ -38,7 +38,7 @@
 func addLoads(l, o Loads) {
 	for key, load := range o {
 		sum := l[key]
-		l[key] = balance.Load{Unread: sum.Unread + load.Unread, Open: sum.Open + load.Open}
+		l[key] = balance.Load{Unread: sum.Unread + load.Unread, Open: sum.Open + load.Open, Tight: sum.Tight + load.Tight}
 	}
 }
 
@@ -62,6 +62,7 @@
 		Urgency:  uint32(key.Urgency),
 		Unread:   uint32(max(0, load.Unread) / unreadUnit),
 		Open:     uint32(max(0, load.Open)),
+		Tight:    uint32(max(0, load.Tight)),
 	}
 }
 
@@ -70,7 +71,7 @@
 	l := make(Loads, len(list))
 	for _, w := range list {
 		key := balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}
-		l[key] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open)}
+		l[key] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open), Tight: int(w.Tight)}
 	}
 	return l
 }
@@ -78,7 +79,7 @@
 // sameLoads compares two packed lists.
 func sameLoads(a, b []*wire.GroupLoad) bool {
 	return slices.EqualFunc(a, b, func(x, y *wire.GroupLoad) bool {
-		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open
+		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open && x.Tight == y.Tight
 	})
 }
 
@@ -131,7 +132,7 @@
 	addLoads(l, foreign)
 	for key, own := range p.loads {
 		sum := l[key]
-		l[key] = balance.Load{Unread: sum.Unread - own.Unread, Open: sum.Open - own.Open}
+		l[key] = balance.Load{Unread: sum.Unread - own.Unread, Open: sum.Open - own.Open, Tight: sum.Tight - own.Tight}
 	}
 	return l
 }
--- a/group/node.go
+++ b/group/node.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/mirror"
 	"github.com/doormast/doormast/wire"
 )
@@ -112,6 +113,9 @@
 	loads      Loads              // this box's own
 	loadsPause time.Duration      // between two tells to the same box
 	others     Loads              // all other boxes'
+	ownLanes   balance.LaneSizes  // as this box would divide services
+	lanes      balance.LaneSizes  // as the lead it follows does
+	lanesAt    time.Duration      // when that was heard last
 	lists      map[string]boxList // of the beat under way, by domain
 	out        []Outgoing
 	pull       string // address to pull everything from
@@ -122,7 +126,7 @@
 
 // NewNode returns the part of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
-	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never,
+	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never, lanesAt: never,
 		lastBeat: never, lastAsk: never, waitsFrom: now}
 }
 
--- a/group/talk.go
+++ b/group/talk.go
@@ -142,6 +142,7 @@
 	if n.Leads() {
 		m.Leads, m.Reads = true, !n.readFails
 		m.DomainBoxes, m.AllBoxes = uint32(n.domainBoxes(now)), uint32(n.most)
+		m.Lanes = n.packLanes(now)
 	}
 	return m
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -101,6 +101,19 @@
 	defer m.relay.mu.Unlock()
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
+	m.sizeLanes()
+}
+
+// sizeLanes divides services by what is under way, or as the group's strongest lead
+// does. The caller holds the relay's mu.
+func (m *members) sizeLanes() {
+	now := m.relay.now()
+	changes := m.relay.fleet.SizeLanes(now, m.node.Lanes(now))
+	m.node.SetLanes(m.relay.fleet.Lanes())
+	for _, c := range changes {
+		m.relay.cfg.Log.Event("lanes", "sized", Fields{"service": c.Service, "tight_upstreams": c.Places, "upstreams": c.Upstreams,
+			"tight_open": c.Tight, "other_open": c.Rest, "told": c.Told, "loads_age_ms": m.loadsAge().Milliseconds()})
+	}
 }
 
 // leadName is the box that leads the domain, as far as is known.
