Boxes tell each other which engine was sent which part of a prompt

Cause: a prompt's home was its first choice by rendezvous, whatever waited there, and a box took the part to be kept at home without knowing. At the start of a burst every shared part has to be read once; homes are uneven, the busiest had 60,000 to 160,000 tokens waiting while others had 10,000; and what was read off home was read there again by the next box. Now each box notes which upstream it sends a part of 1,000 tokens or more, tells its lead, the lead its members and the other leads, twice each; a request goes where the part lies, unless three tokens for each of the part's wait there more than elsewhere, a part nobody was sent to the less busy of its first two choices, and what lies elsewhere is fetched from there. A box that has started since guesses by rendezvous and names the next choice to fetch from.

--- /dev/null
+++ b/balance/cost.go
@@ -0,0 +1,95 @@
+package balance
+
+// This file defines what it costs to place a prompt at an upstream, in prompt tokens:
+// those to be read there before, and those that the upstream lacks. The invariant: of
+// two upstreams with the same work before them, the one that keeps more of the prompt
+// costs less.
+
+import "time"
+
+// prompt is a request with what is known of its shared parts.
+type promptCost struct {
+	fleet   *Fleet
+	now     time.Duration
+	request Request
+	shared  []Part
+	kept    []bool  // by shared part: somebody in reach keeps it
+	home    *member // it is thought to keep what nobody is known to
+}
+
+// promptCostOf gathers what is known. home is the first choice by rendezvous.
+func (f *Fleet) promptCostOf(now time.Duration, r Request, home *member) promptCost {
+	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), home: home}
+	p.kept = make([]bool, len(p.shared))
+	for i, part := range p.shared {
+		p.kept[i] = p.guessed(part) || f.keeperOf(now, part, nil) != nil
+	}
+	return p
+}
+
+// guessed reports whether a part is taken to be kept at home: one that is too small to
+// be told of, or one nobody is known to keep while this box has not heard of all.
+func (p *promptCost) guessed(part Part) bool {
+	if p.home == nil {
+		return false
+	}
+	return part.Tokens < keptFrom || len(p.fleet.kept.keepers[PartKey(part.ID)]) == 0 && !p.fleet.sure(p.now)
+}
+
+// holds reports whether an upstream keeps a shared part.
+func (p *promptCost) holds(m *member, part Part) bool {
+	if p.guessed(part) {
+		return m == p.home
+	}
+	return p.fleet.kept.holds(p.now, PartKey(part.ID), m)
+}
+
+// at is the cost at an upstream. Of the shared parts the last one counts, which is the
+// longest as a rule: once where nobody keeps it, since it has to be read somewhere, and
+// more where it would be read or moved once more. Counting those before it as well drew
+// the prompts that share them to few upstreams and made them late.
+func (p *promptCost) at(m *member) int {
+	cost := m.ahead(p.request.level())
+	last := len(p.shared) - 1
+	if p.holds(m, p.shared[last]) {
+		return cost
+	}
+	tokens := float64(p.shared[last].Tokens)
+	if p.kept[last] {
+		tokens *= p.fleet.cfg.Tuning.AgainWeight
+	}
+	return cost + int(tokens)
+}
+
+// unread is how many tokens an upstream has to read of the prompt: the request's own
+// part, and what it lacks and cannot fetch.
+func (p *promptCost) unread(m *member) int {
+	if len(p.request.Parts) < 2 {
+		return p.request.Tokens
+	}
+	tokens := p.request.Parts[len(p.request.Parts)-1].Tokens
+	lacks := false
+	for i, part := range p.shared {
+		lacks = lacks || !p.holds(m, part)
+		if lacks && !(p.kept[i] && p.request.Moves) {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+// keeperOf is an upstream in reach that keeps a part, other than one; nil where none is
+// known. The least busy one is taken, whichever lane it is in.
+func (f *Fleet) keeperOf(now time.Duration, part Part, other *member) *member {
+	var best *member
+	for _, x := range f.kept.keepers[PartKey(part.ID)] {
+		m := x.member
+		if m == other || m.out || m.health.rests(now) || now-x.heard >= keptFor {
+			continue
+		}
+		if best == nil || m.open() < best.open() {
+			best = m
+		}
+	}
+	return best
+}
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -40,6 +40,9 @@
 type Config struct {
 	Domain string // failure domain of this box
 	Tuning Tuning
+	// FirstStart says that no box ran before: what nobody is known to have sent to an
+	// upstream has been sent to none.
+	FirstStart bool
 }
 
 // Fleet is all upstreams that a box knows. It is not safe for several goroutines.
@@ -50,8 +53,9 @@
 	byKey     map[uint32]*member
 	loaded    []*member         // those on which others have work
 	lanes     map[string]*lanes // by service
-	rate      float64           // prompt tokens that an upstream reads in a ms
-	listed    time.Duration     // when the first upstream was
+	kept      kept
+	rate      float64       // prompt tokens that an upstream reads in a ms
+	listed    time.Duration // when the first upstream was
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
@@ -64,7 +68,7 @@
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
 	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member),
-		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), rate: cfg.Tuning.ReadRate}
+		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), kept: kept{keepers: make(map[uint32][]keeper)}, rate: cfg.Tuning.ReadRate}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
@@ -99,6 +103,7 @@
 	delete(f.byID, id)
 	delete(f.byKey, m.key)
 	f.lanesOf(m.Service).stale = true
+	f.kept.forget(m)
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 }
--- a/balance/home.go
+++ b/balance/home.go
@@ -5,16 +5,20 @@
 // invariant: two boxes with the same list choose the same home, and an upstream that
 // goes moves only the prompts that were at home there.
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
 
-// home is where a prompt's shared part is kept: the first choice by rendezvous
-// among the upstreams that take new requests.
-func (f *Fleet) home(r Request) *member {
+	"github.com/cespare/xxhash/v2"
+)
+
+// home is where a prompt's shared part is kept as long as nothing else is known: the
+// first choice by rendezvous among the upstreams of its lane that take new requests.
+func (f *Fleet) home(now time.Duration, r Request) *member {
 	key := sharedKey(r)
 	var best *member
 	var bestWeight uint64
 	for _, m := range f.byService[r.Service] {
-		if m.Leaving {
+		if m.Leaving || !f.inLane(now, m, r.Tight) {
 			continue
 		}
 		if w := weight(m.ID, key); best == nil || w > bestWeight {
@@ -24,6 +28,12 @@
 	return best
 }
 
+// unread is how many tokens an upstream has to read for a request that is placed there.
+func (f *Fleet) unread(now time.Duration, m *member, r Request) int {
+	cost := f.promptCostOf(now, r, f.home(now, r))
+	return cost.unread(m)
+}
+
 // sharedKey identifies what a request shares with others, its last shared part; 0
 // where it shares nothing.
 func sharedKey(r Request) uint64 {
--- a/balance/place.go
+++ b/balance/place.go
@@ -64,11 +64,32 @@
 	return best
 }
 
-// placePrompt chooses the home of the prompt's shared part, or the next choice if
-// that has much less left to read.
+// placePrompt chooses the upstream at which the prompt costs least, of its first two
+// choices by rendezvous and those that are known to keep its last shared part.
 func (f *Fleet) placePrompt(now time.Duration, r Request, list []*member) Choice {
-	key := sharedKey(r)
-	var first, second *member
+	first, second := firstTwo(list, sharedKey(r))
+	cost := f.promptCostOf(now, r, first)
+	chosen, least := first, cost.at(first)
+	consider := func(m *member) {
+		if c := cost.at(m); c < least {
+			chosen, least = m, c
+		}
+	}
+	if second != nil {
+		consider(second)
+	}
+	last := cost.shared[len(cost.shared)-1]
+	for _, x := range f.kept.keepers[PartKey(last.ID)] {
+		if slices.Contains(list, x.member) {
+			consider(x.member)
+		}
+	}
+	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
+}
+
+// firstTwo returns the first two choices of a list by rendezvous; the second is nil
+// where there is one only.
+func firstTwo(list []*member, key uint64) (first, second *member) {
 	var firstWeight, secondWeight uint64
 	for _, m := range list {
 		w := weight(m.ID, key)
@@ -80,9 +101,5 @@
 			second, secondWeight = m, w
 		}
 	}
-	chosen := first
-	if second != nil && first.ahead(r.level()) > second.ahead(r.level())+f.cfg.Tuning.SpillTokens {
-		chosen = second
-	}
-	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
+	return first, second
 }
--- a/balance/request.go
+++ b/balance/request.go
@@ -21,3 +21,11 @@
 
 // level is the urgency as the work on upstreams is counted by.
 func (r Request) level() int { return min(max(r.Urgency, 0), Levels-1) }
+
+// shared is the parts that other prompts may begin with too.
+func (r Request) shared() []Part {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-1]
+}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -11,7 +11,9 @@
 	member  *member
 	urgency int
 	tight   int // 1 where it is a tight stream
-	unread  int // tokens of its prompt that are counted as not yet read
+	request Request
+	read    bool // its first event came
+	unread  int  // tokens of its prompt that are counted as not yet read
 	opened  time.Duration
 	alone   bool // nothing was before it
 	closed  bool
@@ -23,26 +25,15 @@
 	if m == nil {
 		return &Ticket{closed: true}
 	}
-	t := &Ticket{fleet: f, member: m, urgency: r.level(), unread: f.missing(m, r), opened: now, alone: m.open() == 0}
+	t := &Ticket{fleet: f, member: m, request: r, urgency: r.level(), unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
 	if r.Tight {
 		t.tight = 1
 	}
 	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1, Tight: t.tight})
+	f.sent(now, m, r)
 	return t
 }
 
-// missing is how many tokens an upstream has to read for a request that is placed
-// there: all that no other request shares, and the rest where it is not at home.
-func (f *Fleet) missing(m *member, r Request) int {
-	if len(r.Parts) < 2 {
-		return r.Tokens
-	}
-	if home := f.home(r); home != nil && home.ID == m.ID {
-		return r.Parts[len(r.Parts)-1].Tokens
-	}
-	return r.Tokens
-}
-
 // First notes that the first event came: the prompt has been read.
 func (t *Ticket) First(now time.Duration) {
 	if t.closed {
@@ -51,6 +42,7 @@
 	if t.alone {
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
+	t.read = true
 	t.clear()
 }
 
@@ -69,6 +61,9 @@
 	t.closed = true
 	t.member.work.add(t.urgency, Load{Open: -1, Tight: -t.tight})
 	t.member.health.note(now, outcome)
+	if !t.read && (outcome == Full || outcome == Unreachable) {
+		t.fleet.unsent(t.member, t.request)
+	}
 	switch outcome {
 	case Unreachable:
 		t.fleet.unreached(now, t.member)
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -7,9 +7,9 @@
 // Tuning holds the figures of placement. They come from measured days; the runs
 // stand in docs/design/8-platform.md.
 type Tuning struct {
-	// SpillTokens is by how many unread prompt tokens the home of a prompt may be
-	// ahead of the next choice before a request goes there instead.
-	SpillTokens int
+	// AgainWeight is how many prompt tokens before a request each token weighs that would
+	// be read or moved once more, since another upstream keeps it.
+	AgainWeight float64
 	// NewFor is how long after its listing an upstream fetches prompts from the one
 	// that was their home before.
 	NewFor time.Duration
@@ -41,7 +41,7 @@
 
 // DefaultTuning is used where a configuration names none.
 var DefaultTuning = Tuning{
-	SpillTokens: 50000,
+	AgainWeight: 3,
 	NewFor:      15 * time.Second,
 	TightShare:  20,
 	TightLeast:  0.17,
--- a/group/hear.go
+++ b/group/hear.go
@@ -15,6 +15,12 @@
 	if m.Sender == nil || m.Sender.Name == "" || m.Sender.Name == n.cfg.Self.Name {
 		return
 	}
+	if len(m.Kept) > 0 {
+		if p := n.peers[m.Sender.Name]; p != nil && p.box.Boot == m.Sender.Boot {
+			n.takeKept(p, m)
+		}
+		return
+	}
 	p := n.noteSender(now, m.Sender)
 	if p == nil {
 		return // an earlier life of the box
--- a/group/node.go
+++ b/group/node.go
@@ -93,6 +93,7 @@
 	told      bool              // it was told loads
 	toldLoads []*wire.GroupLoad // the last ones
 	toldAt    time.Duration
+	lastKept  []balance.Kept // of the last message that told such
 }
 
 // Node is one box's part of the group. It is not safe for several goroutines.
@@ -117,6 +118,8 @@
 	lanes      balance.LaneSizes  // as the lead it follows does
 	lanesAt    time.Duration      // when that was heard last
 	lists      map[string]boxList // of the beat under way, by domain
+	keptNews   []keptNews         // to be told
+	keptHeard  []balance.Kept     // told by others, and not yet taken over
 	out        []Outgoing
 	pull       string // address to pull everything from
 }
--- a/group/talk.go
+++ b/group/talk.go
@@ -26,6 +26,7 @@
 func (n *Node) Tick(now time.Duration) {
 	n.watchLead(now)
 	n.tellLoads(now)
+	n.tellKept(now)
 	if now-n.lastBeat < n.cfg.Timing.Beat {
 		return
 	}
--- a/relay/members.go
+++ b/relay/members.go
@@ -102,6 +102,8 @@
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
 	m.sizeLanes()
+	m.node.TellKept(m.relay.fleet.KeptNews())
+	m.relay.fleet.NoteKept(m.relay.now(), m.node.DrainKept())
 }
 
 // sizeLanes divides services by what is under way, or as the group's strongest lead
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,7 +93,7 @@
 		runs:       make(map[*exchange]*conn),
 		stats:      newStats(),
 	}
-	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning})
+	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning, FirstStart: cfg.FirstStart})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
 	r.front = newFront(r)
