A box that cannot read the store tries less often; its lead keeps trying

Now the pause after a failed reading doubles, to 0.5 s for a lead and a box that knows nothing yet, to 2 s for the others, which only read since the lead cannot. Ruled out: to let boxes behind the fifth place wait longer (a box that can reach the store behind six that cannot would know changes too late).

--- a/group/lead.go
+++ b/group/lead.go
@@ -1,13 +1,9 @@
 package group
 
-// This file defines which box leads a failure domain, and who reads the publisher.
+// This file defines which box leads a failure domain.
 // The invariant: boxes that know the same boxes choose the same lead.
 
-import (
-	"time"
-
-	"github.com/doormast/doormast/wire"
-)
+import "github.com/doormast/doormast/wire"
 
 // Lead is the name of the box that leads the domain.
 func (n *Node) Lead() string { return n.lead().Name }
@@ -48,32 +44,3 @@
 	}
 	return place
 }
-
-// Reads reports whether this box should read what is published itself.
-func (n *Node) Reads(now time.Duration) bool {
-	t := n.cfg.Timing
-	if !n.cfg.FirstStart && n.cfg.Mirror.Revision() == 0 {
-		return true
-	}
-	if n.Leads() {
-		return now-n.started >= t.Settle || n.alone()
-	}
-	if n.leadIsBlind() && now-n.readOK < t.Readback {
-		return true
-	}
-	// After a start, the lead is given its own time to settle and as much to read.
-	known := max(n.confirmed, n.started-t.Stale+2*t.Settle)
-	return now-known > t.Stale+time.Duration(min(n.place(), maxStagger))*t.Stagger
-}
-
-// alone reports whether there is nobody to wait for.
-func (n *Node) alone() bool { return len(n.cfg.Seeds) == 0 }
-
-// leadIsBlind reports whether the lead says that it cannot read.
-func (n *Node) leadIsBlind() bool {
-	p := n.peers[n.Lead()]
-	return p != nil && p.leads && !p.reads
-}
-
-// maxStagger bounds the places that delay a box's own reading.
-const maxStagger = 5
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -12,11 +12,6 @@
 	"github.com/doormast/doormast/mirror"
 )
 
-const (
-	// retryWait is the pause after a call that failed.
-	retryWait = 250 * time.Millisecond
-)
-
 // readResult is what came of a reading of the publisher.
 type readResult struct {
 	known    time.Duration // a moment at which what was read was the newest
@@ -25,6 +20,7 @@
 	whole    bool
 	err      error
 	taken    chan<- struct{} // closed when it was taken in
+	pause    time.Duration   // set by then: how long to wait before the next reading
 }
 
 // readDuty reads while the group wants this box to.
@@ -37,14 +33,15 @@
 			}
 			continue
 		}
-		if err := m.readOnce(ctx); err != nil {
-			sleep(ctx, retryWait)
+		if pause := m.readOnce(ctx); pause > 0 {
+			sleep(ctx, pause)
 		}
 	}
 }
 
-// readOnce reads once, hands in what came of it, and waits until that is taken in.
-func (m *members) readOnce(ctx context.Context) error {
+// readOnce reads once, hands in what came of it, and waits until that is taken in. It
+// returns how long to wait before the next reading.
+func (m *members) readOnce(ctx context.Context) time.Duration {
 	r := m.callPublisher(ctx)
 	m.relay.stats.count("publisher_calls")
 	taken := make(chan struct{})
@@ -52,14 +49,15 @@
 	for !m.events.TryPush(memberEvent{read: r}) {
 		sleep(ctx, memberTick)
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return 0
 		}
 	}
 	select {
 	case <-taken:
+		return r.pause
 	case <-ctx.Done():
+		return 0
 	}
-	return r.err
 }
 
 // callPublisher asks for the changes behind the mirror's revision, or for everything
@@ -84,10 +82,13 @@
 func (m *members) takeRead(now time.Duration, r *readResult) {
 	defer close(r.taken)
 	if r.err != nil {
+		m.failures++
+		r.pause = m.node.ReadPause(m.failures)
 		m.node.ReadFailed()
 		m.relay.belief.lose(m.relay, r.err)
 		return
 	}
+	m.failures = 0
 	m.node.Read(now, r.known, r.items, r.revision, r.whole)
 	m.relay.belief.regain(m.relay)
 }
