--- a/group/load.go
+++ b/group/load.go
@@ -42,43 +42,36 @@
 	}
 }
 
-// packLoads makes the wire's form, in a fixed order: an entry for each upstream.
+// packLoads makes the wire's form, in a fixed order.
 func packLoads(l Loads) []*wire.GroupLoad {
-	keys := make([]balance.LoadKey, 0, len(l))
+	out := make([]*wire.GroupLoad, 0, len(l))
 	for key, load := range l {
 		if load.Unread > 0 || load.Open > 0 {
-			keys = append(keys, key)
+			out = append(out, packLoad(key, load))
 		}
 	}
-	slices.SortFunc(keys, func(a, b balance.LoadKey) int {
+	slices.SortFunc(out, func(a, b *wire.GroupLoad) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Urgency, b.Urgency))
 	})
-	var out []*wire.GroupLoad
-	for _, key := range keys {
-		if len(out) == 0 || out[len(out)-1].Upstream != key.Upstream {
-			out = append(out, &wire.GroupLoad{Upstream: key.Upstream})
-		}
-		last := out[len(out)-1]
-		last.Work = appendWork(last.Work, key.Urgency, l[key])
-	}
 	return out
 }
 
-// workWords is how many words tell the work at one urgency.
-const workWords = 4
-
-func appendWork(words []uint32, urgency int, l balance.Load) []uint32 {
-	return append(words, uint32(urgency), uint32(max(0, l.Unread)/unreadUnit), uint32(max(0, l.Open)), uint32(max(0, l.Tight)))
+func packLoad(key balance.LoadKey, load balance.Load) *wire.GroupLoad {
+	return &wire.GroupLoad{
+		Upstream: key.Upstream,
+		Urgency:  uint32(key.Urgency),
+		Unread:   uint32(max(0, load.Unread) / unreadUnit),
+		Open:     uint32(max(0, load.Open)),
+		Tight:    uint32(max(0, load.Tight)),
+	}
 }
 
-// unpackLoads reads the wire's form; words that are no whole entry are left out.
+// unpackLoads reads the wire's form.
 func unpackLoads(list []*wire.GroupLoad) Loads {
 	l := make(Loads, len(list))
 	for _, w := range list {
-		for words := w.Work; len(words) >= workWords; words = words[workWords:] {
-			key := balance.LoadKey{Upstream: w.Upstream, Urgency: int(words[0])}
-			l[key] = balance.Load{Unread: int(words[1]) * unreadUnit, Open: int(words[2]), Tight: int(words[3])}
-		}
+		key := balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}
+		l[key] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open), Tight: int(w.Tight)}
 	}
 	return l
 }
@@ -86,7 +79,7 @@
 // sameLoads compares two packed lists.
 func sameLoads(a, b []*wire.GroupLoad) bool {
 	return slices.EqualFunc(a, b, func(x, y *wire.GroupLoad) bool {
-		return x.Upstream == y.Upstream && slices.Equal(x.Work, y.Work)
+		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open && x.Tight == y.Tight
 	})
 }
 
