At most half of a service's upstreams rest; a probe's 504 says nothing; heads are bounded

Where most upstreams failed at once, all but the few that had just answered rested, and these got everything. A 504 of an upstream for a caller that waits 400 ms of a route's 12 s counted as the upstream's failure. The document's bound on heads was not enforced. Now half may rest, those that fail most; one out of reach comes after one that rests; such a 504 is neutral; a longer head than the document allows gets 431.

--- a/balance/health.go
+++ b/balance/health.go
@@ -25,6 +25,9 @@
 	restMax = 2 * time.Second
 	// restDoublings bounds how often restMin is doubled, beyond what restMax allows.
 	restDoublings = 8
+	// mostResting is the share of a service's upstreams, in 100, that may rest at once:
+	// where more fail, the cause is not theirs, and what is left would be overrun.
+	mostResting = 50
 	// fullRest is how long an upstream that had no room is passed over.
 	fullRest = 100 * time.Millisecond
 )
--- a/balance/place.go
+++ b/balance/place.go
@@ -2,9 +2,10 @@
 
 // This file defines placement. The invariant: an upstream that is leaving, or that
 // the request was already sent to, is never chosen; one that rests is chosen only
-// where all others rest as well.
+// where more than the allowed share rests.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -29,22 +30,39 @@
 	return f.placePrompt(now, r, f.lane(now, r, list)), true
 }
 
-// usable lists the upstreams a request may go to.
+// usable lists the upstreams a request may go to. Where too many rest, those that fail
+// least are taken all the same.
 func (f *Fleet) usable(now time.Duration, service string, tried []string) []*member {
-	var awake, resting []*member
+	var awake, resting, out []*member
 	for _, m := range f.byService[service] {
 		switch {
 		case m.Leaving || slices.Contains(tried, m.ID):
-		case m.out || m.health.rests(now):
+		case m.out:
+			out = append(out, m)
+		case m.health.rests(now):
 			resting = append(resting, m)
 		default:
 			awake = append(awake, m)
 		}
 	}
+	awake = append(awake, tooMany(resting, len(awake))...)
 	if len(awake) > 0 {
 		return awake
 	}
-	return resting
+	return append(resting, out...)
+}
+
+// tooMany returns those of the resting upstreams that may not rest beside so many that
+// are awake: the ones that fail least.
+func tooMany(resting []*member, awake int) []*member {
+	allowed := (awake + len(resting)) * mostResting / percent
+	if len(resting) <= allowed {
+		return nil
+	}
+	slices.SortStableFunc(resting, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.health.failing, a.health.failing), cmp.Compare(a.ID, b.ID))
+	})
+	return resting[allowed:]
 }
 
 // leastBusy returns the upstream with the fewest requests for its slots; those
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -52,6 +52,9 @@
 	if rt == nil {
 		return nil, &refusal{status: fasthttp.StatusNotFound, reason: "no route"}
 	}
+	if doc.Limits.HeaderBytes > 0 && q.head > doc.Limits.HeaderBytes {
+		return nil, &refusal{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "headers too large"}
+	}
 	if doc.Limits.BodyBytes > 0 && len(q.body) > doc.Limits.BodyBytes {
 		return nil, &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -39,7 +39,7 @@
 		return runUnknown, nil, errors.New(fasthttp.StatusMessage(status))
 	}
 	x.answer = a
-	x.settle(outcomeOf(status))
+	x.settle(x.outcomeOf(status))
 	return runAnswered, body, nil
 }
 
@@ -62,12 +62,20 @@
 // errNoStream says that a stream was not taken up where it was to go on.
 var errNoStream = errors.New("the answer is no stream")
 
+// shortTime is the share of its route's time below which a caller's own time is so short
+// that running out of it says nothing about the upstream.
+const shortTime = 0.5
+
 // outcomeOf says what a status tells about the upstream that gave it.
-func outcomeOf(status int) balance.Outcome {
-	if status >= fasthttp.StatusInternalServerError {
-		return balance.Failed
+func (x *exchange) outcomeOf(status int) balance.Outcome {
+	short := float64(x.end.Sub(x.arrived)) < shortTime*float64(x.route.Timeout)
+	switch {
+	case status < fasthttp.StatusInternalServerError:
+		return balance.Answered
+	case status == fasthttp.StatusGatewayTimeout && short:
+		return balance.Neutral
 	}
-	return balance.Answered
+	return balance.Failed
 }
 
 // failed notes a run that brought nothing.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,6 +70,9 @@
 		{"no key", "/safe/", "h.example", "", "", 401},
 		{"public", "/open/", "h.example", "", "", 200},
 		{"too large", "/once/", "h.example", "secret", strings.Repeat("x", 2<<20), 413},
+		// The stub puts the path into a header as well.
+		{"headers that fit", "/open/?" + strings.Repeat("x", 3<<10), "h.example", "", "", 200},
+		{"headers too large", "/open/?" + strings.Repeat("x", 5<<10), "h.example", "", "", 431},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,6 +25,7 @@
 	key      string        // the caller's secret
 	prompt   Prompt
 	body     []byte
+	head     int    // bytes of its request line and headers
 	passed   []byte // the headers that go on, as lines
 	lastSeen string // the caller's last event, as it was sent
 }
@@ -54,6 +55,7 @@
 		q.prompt = p.Prompt(get)
 	}
 	q.passed = r.passOn(h)
+	q.head = len(h.RawHeaders()) + len(q.method) + len(q.uri) + len("  HTTP/1.1\r\n")
 	return q
 }
 
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -241,7 +241,7 @@
 		},
 		Services:  []route.Service{{Name: "s", MaxConnections: 100}},
 		Customers: []route.Customer{{Name: "customer", Keys: []string{"secret"}}},
-		Limits:    route.Limits{BodyBytes: 1 << 20},
+		Limits:    route.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20},
 	}
 }
 
