--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -54,6 +54,7 @@
 	loaded    []*member         // those on which others have work
 	lanes     map[string]*lanes // by service
 	kept      kept
+	newlyOut  []Upstream    // out of reach, and not told yet
 	rate      float64       // prompt tokens that an upstream reads in a ms
 	listed    time.Duration // when the first upstream was
 }
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -20,7 +20,7 @@
 // unreached notes that no connection to the upstream came up, or that one went
 // silent. Where others of its domain have failed alike, all of them are out.
 func (f *Fleet) unreached(now time.Duration, m *member) {
-	m.out, m.outSince = true, now
+	f.markOut(now, m)
 	if m.Domain == f.cfg.Domain {
 		return
 	}
@@ -35,11 +35,26 @@
 	}
 	for _, o := range f.byID {
 		if o.Domain == m.Domain && !o.out {
-			o.out, o.outSince = true, now
+			f.markOut(now, o)
 		}
 	}
 }
 
+// markOut notes that an upstream gets no requests until it can be reached.
+func (f *Fleet) markOut(now time.Duration, m *member) {
+	if !m.out {
+		f.newlyOut = append(f.newlyOut, m.Upstream)
+	}
+	m.out, m.outSince = true, now
+}
+
+// NewlyOut returns, once, the upstreams that have come to count as out of reach.
+func (f *Fleet) NewlyOut() []Upstream {
+	list := f.newlyOut
+	f.newlyOut = nil
+	return list
+}
+
 // Reached notes that an upstream can be reached. Others of its domain stay out until
 // they were tried themselves.
 func (f *Fleet) Reached(id string) {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -90,6 +90,7 @@
 	x.settle(outcome)
 	if outcome == balance.Unreachable {
 		x.relay.conns.forget(x.upstream.ID)
+		x.relay.noteUnreached(x.upstream.ID)
 		x.relay.tryLater()
 	}
 	x.logFailed(state, err)
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -38,6 +38,18 @@
 	}
 }
 
+// noteUnreached logs the upstreams that have come to count as out of reach; cause is the
+// one that just could not be reached. Where a failure domain is left as a whole, its
+// others follow in lines of their own.
+func (r *Relay) noteUnreached(cause string) {
+	r.mu.Lock()
+	list := r.fleet.NewlyOut()
+	r.mu.Unlock()
+	for _, u := range list {
+		r.cfg.Log.Event("upstream", "out of reach", Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service, "cause": cause})
+	}
+}
+
 // unreached lists the upstreams that cannot be reached.
 func (r *Relay) unreached() []balance.Upstream {
 	r.mu.Lock()
