A failure domain is left only while none of its engines answers, and taken again as a whole

Cause: two engines out of reach within 2 s made a box leave their whole domain, though the others of it went on answering (a quarter of them had crashed); each of the thirty was then tried by itself, eight a second. Now they must have failed in a row, none of the domain answering in between; the first that answers brings back those that were left along with the domain.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -28,8 +28,8 @@
 	work     work // of this box
 	others   work // of all other boxes
 	health   health
-	out      bool // it cannot be reached
-	outSince time.Duration
+	out      bool          // it cannot be reached
+	byDomain bool          // it is out since its domain seems to be cut off
 	since    time.Duration // when it was first listed
 	key      uint32        // Key of its id
 	tight    bool          // it is in the lane for tight streams
@@ -54,7 +54,8 @@
 	loaded    []*member         // those on which others have work
 	lanes     map[string]*lanes // by service
 	kept      kept
-	newlyOut  []Upstream    // out of reach, and not told yet
+	lost      []Lost // out of reach, and not told yet
+	domains   map[string]*domainReach
 	rate      float64       // prompt tokens that an upstream reads in a ms
 	listed    time.Duration // when the first upstream was
 }
@@ -69,7 +70,7 @@
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
 	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member),
-		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), kept: kept{keepers: make(map[uint32][]keeper)}, rate: cfg.Tuning.ReadRate}
+		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), domains: make(map[string]*domainReach), kept: kept{keepers: make(map[uint32][]keeper)}, rate: cfg.Tuning.ReadRate}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -245,8 +245,8 @@
 	is.Equal(len(f.Unreached()), 1) // one alone may have died
 	f.Open(0, "u4", prompt(1)).Close(time.Second, Unreachable)
 	is.Equal(len(f.Unreached()), 3) // both are of the domain d1
-	is.Equal(len(f.NewlyOut()), 3)
-	is.Equal(len(f.NewlyOut()), 0) // each is told once
+	is.Equal(len(f.NewlyLost()), 3)
+	is.Equal(len(f.NewlyLost()), 0) // each is told once
 	for shared := range uint64(50) {
 		c, _ := f.Place(time.Second, prompt(shared), nil)
 		is.True(c.Upstream.Domain != "d1")
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -1,8 +1,9 @@
 package balance
 
-// This file defines which upstreams cannot be reached. The invariant: one that could
-// not be reached gets no request while another can be had, until a trial connection
-// or an answer shows that it can be reached again.
+// This file defines which upstreams cannot be reached. The invariants: one that could
+// not be reached gets no request while another can be had, until a trial connection or
+// an answer shows that it can be reached again; and a failure domain is only left as a
+// whole while none of its upstreams answers.
 
 import (
 	"slices"
@@ -10,59 +11,100 @@
 	"time"
 )
 
-// domainFrom is how many upstreams of a failure domain must have become out of reach
-// for the domain itself to count as cut off.
+// domainFrom is how many upstreams of a failure domain must have become out of reach in
+// a row, none of the domain answering in between, for the domain itself to count as cut
+// off.
 const domainFrom = 2
 
 // domainWithin is the span in which they must have.
 const domainWithin = 2 * time.Second
 
-// unreached notes that no connection to the upstream came up, or that one went
-// silent. Where others of its domain have failed alike, all of them are out.
+// domainReach is what is known of the way to a failure domain.
+type domainReach struct {
+	inRow  int           // upstreams that became out of reach since one answered
+	failed time.Duration // when the last of them did
+	cut    bool          // the domain is left as a whole
+}
+
+// Lost is an upstream that has come to count as out of reach.
+type Lost struct {
+	Upstream
+	ByDomain bool // only because its domain seems to be cut off
+}
+
+// domain returns what is known of the way to a failure domain.
+func (f *Fleet) domain(name string) *domainReach {
+	d := f.domains[name]
+	if d == nil {
+		d = new(domainReach)
+		f.domains[name] = d
+	}
+	return d
+}
+
+// unreached notes that no connection to the upstream came up, or that one went silent.
+// Where others of its domain have failed alike, all of them are out; within its own
+// domain a box believes what it sees only.
 func (f *Fleet) unreached(now time.Duration, m *member) {
-	f.markOut(now, m)
-	if m.Domain == f.cfg.Domain {
-		return
+	d := f.domain(m.Domain)
+	if now-d.failed > domainWithin {
+		d.inRow = 0
 	}
-	failed := 0
-	for _, o := range f.byID {
-		if o.Domain == m.Domain && o.out && now-o.outSince < domainWithin {
-			failed++
-		}
+	if !m.out {
+		d.inRow++
 	}
-	if failed < domainFrom {
+	d.failed = now
+	f.markOut(m, false)
+	if m.Domain == f.cfg.Domain || d.inRow < domainFrom || d.cut {
 		return
 	}
+	d.cut = true
 	for _, o := range f.byID {
 		if o.Domain == m.Domain && !o.out {
-			f.markOut(now, o)
+			f.markOut(o, true)
 		}
 	}
 }
 
 // markOut notes that an upstream gets no requests until it can be reached.
-func (f *Fleet) markOut(now time.Duration, m *member) {
+func (f *Fleet) markOut(m *member, byDomain bool) {
 	if !m.out {
-		f.newlyOut = append(f.newlyOut, m.Upstream)
+		f.lost = append(f.lost, Lost{m.Upstream, byDomain})
 	}
-	m.out, m.outSince = true, now
+	m.out, m.byDomain = true, byDomain
 }
 
-// NewlyOut returns, once, the upstreams that have come to count as out of reach.
-func (f *Fleet) NewlyOut() []Upstream {
-	list := f.newlyOut
-	f.newlyOut = nil
-	return list
+// reached notes that an upstream can be reached. Those of its domain that were only
+// left along with it are taken again; those that failed themselves are tried first.
+func (f *Fleet) reached(m *member) {
+	m.out = false
+	d := f.domain(m.Domain)
+	d.inRow = 0
+	if !d.cut {
+		return
+	}
+	d.cut = false
+	for _, o := range f.byID {
+		if o.Domain == m.Domain && o.byDomain {
+			o.out = false
+		}
+	}
 }
 
-// Reached notes that an upstream can be reached. Others of its domain stay out until
-// they were tried themselves.
+// Reached notes that a trial has shown that an upstream can be reached.
 func (f *Fleet) Reached(id string) {
 	if m := f.byID[id]; m != nil {
-		m.out = false
+		f.reached(m)
 	}
 }
 
+// NewlyLost returns, once, the upstreams that have come to count as out of reach.
+func (f *Fleet) NewlyLost() []Lost {
+	list := f.lost
+	f.lost = nil
+	return list
+}
+
 // Unreached lists the upstreams that cannot be reached, by id, so that whoever tries
 // them in turn leaves none out.
 func (f *Fleet) Unreached() []Upstream {
--- /dev/null
+++ b/balance/reach_test.go
@@ -0,0 +1,72 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lose lets an upstream be found out of reach.
+func lose(f *Fleet, now time.Duration, id string) { f.Open(now, id, prompt(1)).Close(now, Unreachable) }
+
+// Some upstreams that died do not make their domain count as cut off as long as others
+// of it answer.
+func TestADomainOfWhichOthersAnswerIsNotLeft(t *testing.T) {
+	tests := []struct {
+		name    string
+		between func(f *Fleet)
+		out     int
+	}{
+		{"none answers", func(*Fleet) {}, 4},
+		{"one answers", func(f *Fleet) { f.Open(0, "u7", prompt(1)).Close(0, Answered) }, 2},
+		{"a stream begins", func(f *Fleet) { f.Open(0, "u10", prompt(1)).First(0) }, 2},
+		{"one has no room", func(f *Fleet) { f.Open(0, "u7", prompt(1)).Close(0, Full) }, 2},
+		{"a trial comes up", func(f *Fleet) { f.Reached("u7") }, 2},
+		{"one of another domain answers", func(f *Fleet) { f.Open(0, "u2", prompt(1)).Close(0, Answered) }, 4},
+		{"one fails", func(f *Fleet) { f.Open(0, "u7", prompt(1)).Close(0, Failed) }, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(12) // u1, u4, u7 and u10 are of the domain d1
+			lose(f, 0, "u1")
+			tt.between(f)
+			lose(f, time.Second, "u4")
+			is.Equal(len(f.Unreached()), tt.out)
+		})
+	}
+}
+
+// When one upstream of a domain that was left answers, those that were left along with
+// it are taken again, and those that had failed themselves are not.
+func TestADomainIsTakenAgainAsAWhole(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	lose(f, 0, "u1")
+	lose(f, time.Second, "u4")
+	alone := 0
+	for _, u := range f.NewlyLost() {
+		if !u.ByDomain {
+			alone++
+		}
+	}
+	is.Equal(alone, 2)
+	is.Equal(len(f.Unreached()), 4)
+	f.Reached("u4")
+	left := f.Unreached()
+	is.Equal(len(left), 1)
+	is.Equal(left[0].ID, "u1")
+	lose(f, 2*time.Second, "u10") // and it may be left again
+	lose(f, 2*time.Second, "u7")
+	is.Equal(len(f.Unreached()), 4)
+}
+
+// Failures that lie far apart are no cut.
+func TestFailuresFarApartAreNoCut(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	lose(f, 0, "u1")
+	lose(f, domainWithin+time.Second, "u4")
+	is.Equal(len(f.Unreached()), 2)
+}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -43,6 +43,7 @@
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
 	t.read = true
+	t.fleet.reached(t.member)
 	t.clear()
 }
 
@@ -68,6 +69,6 @@
 	case Unreachable:
 		t.fleet.unreached(now, t.member)
 	case Answered, Full:
-		t.member.out = false
+		t.fleet.reached(t.member)
 	}
 }
--- a/group/kept.go
+++ b/group/kept.go
@@ -76,7 +76,7 @@
 }
 
 // tellKept sends what waits to be told. A lead makes one message for its members and one
-// for the other leads: with a hundred members, making one for each took a third of a box.
+// for the other leads, however many they are.
 func (n *Node) tellKept(now time.Duration) {
 	if len(n.keptNews) == 0 {
 		return
--- a/group/kept_test.go
+++ b/group/kept_test.go
@@ -84,8 +84,7 @@
 	}
 }
 
-// What a lead tells its members is made once, however many there are: made for each, it
-// took a third of a box with a hundred members.
+// What a lead tells its members is made once, however many there are.
 func TestALeadMakesOneMessageForAllItsMembers(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 44)
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -39,14 +39,15 @@
 }
 
 // noteUnreached logs the upstreams that have come to count as out of reach; cause is the
-// one that just could not be reached. Where a failure domain is left as a whole, its
-// others follow in lines of their own.
+// one that just could not be reached. What runs on them is only moved once a trial has
+// failed as well: engines that are overrun let connections wait too.
 func (r *Relay) noteUnreached(cause string) {
 	r.mu.Lock()
-	list := r.fleet.NewlyOut()
+	list := r.fleet.NewlyLost()
 	r.mu.Unlock()
 	for _, u := range list {
-		r.cfg.Log.Event("upstream", "out of reach", Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service, "cause": cause})
+		r.cfg.Log.Event("upstream", "out of reach", Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service,
+			"cause": cause, "by_domain": u.ByDomain})
 	}
 }
 
