A lead tells all its members the same loads, and looks for the lead only when something changed

Now the lead is kept until a box comes, goes, falls silent or resigns; a lead's members get one message, packed once, from which each takes off what it told itself.

--- a/group/hear.go
+++ b/group/hear.go
@@ -25,6 +25,9 @@
 	if p == nil {
 		return // an earlier life of the box
 	}
+	if p.silent || p.leaving != m.Leaving {
+		n.chosen = nil
+	}
 	p.heard, p.silent, p.leaving = now, false, m.Leaving
 	p.leads, p.reads = m.Leads, m.Reads
 	if m.Leads {
@@ -58,11 +61,12 @@
 	switch {
 	case p == nil:
 		p = &peer{box: b, heard: never}
-		n.peers[b.Name] = p
+		n.peers[b.Name], n.chosen = p, nil
 	case b.Boot < p.box.Boot:
 		return nil
 	case b.Boot > p.box.Boot:
 		p.box, p.silent, p.leaving = b, false, false
+		n.chosen = nil
 	}
 	return p
 }
@@ -78,7 +82,7 @@
 		return nil
 	}
 	p := &peer{box: b, heard: never}
-	n.peers[b.Name] = p
+	n.peers[b.Name], n.chosen = p, nil
 	return p
 }
 
--- a/group/lead.go
+++ b/group/lead.go
@@ -11,8 +11,16 @@
 // Leads reports whether this box leads its domain.
 func (n *Node) Leads() bool { return n.lead() == n.cfg.Self }
 
-// lead is the best box of the domain that is not known to be silent.
+// lead is the best box of the domain that is not known to be silent. It is looked for
+// anew when what it depends on has changed: each message and each look at who reads asks.
 func (n *Node) lead() *wire.GroupBox {
+	if n.chosen == nil {
+		n.chosen = n.chooseLead()
+	}
+	return n.chosen
+}
+
+func (n *Node) chooseLead() *wire.GroupBox {
 	best := n.cfg.Self
 	for _, p := range n.peers {
 		if p.box.Domain != best.Domain || p.silent || p.leaving {
--- a/group/load.go
+++ b/group/load.go
@@ -4,8 +4,8 @@
 // invariant: what a box is told of the others never contains its own.
 //
 // A member tells its lead, the lead tells the leads of the other domains the sum of
-// its domain, and tells each of its members all but that member's own. Only changes
-// are sent, at most one message a tick to each.
+// its domain, and tells its members the sum of all, of which each takes off its own. Only
+// changes are sent, at most one message a tick to each.
 
 import (
 	"cmp"
@@ -94,20 +94,35 @@
 	}
 	n.loadsPause = time.Duration(n.domainBoxes(now)) * pauseForBox
 	domain, foreign := n.sumLoads(now)
-	n.others = Loads{}
-	addLoads(n.others, foreign)
+	all := Loads{}
+	addLoads(all, domain)
+	addLoads(all, foreign)
+	n.others = without(all, n.loads)
+	n.tellMembers(now, packLoads(all))
 	for _, p := range n.peers {
-		switch {
-		case now-p.heard > n.cfg.Timing.Member:
-		case p.box.Domain != n.cfg.Self.Domain && p.leads:
+		if p.leads && p.box.Domain != n.cfg.Self.Domain && now-p.heard <= n.cfg.Timing.Member {
 			n.tellLoad(now, p, domain)
-		case p.box.Domain == n.cfg.Self.Domain:
-			addLoads(n.others, p.loads)
-			n.tellLoad(now, p, n.allBut(p, domain, foreign))
 		}
 	}
 }
 
+// tellMembers tells all members the same: each takes off what it told itself, which is
+// what this box knows of it. To make one message for each cost a lead more than all else.
+func (n *Node) tellMembers(now time.Duration, packed []*wire.GroupLoad) {
+	var m *wire.GroupMessage
+	for _, p := range n.peers {
+		if p.box.Domain != n.cfg.Self.Domain || now-p.heard > n.cfg.Timing.Member || !n.worthTelling(now, p, packed) {
+			continue
+		}
+		if m == nil {
+			m = n.message(now)
+			m.HasLoads, m.Whole, m.Loads = true, true, packed
+		}
+		p.told, p.toldLoads, p.toldAt = true, packed, now
+		n.send(p.box.Address, m)
+	}
+}
+
 // sumLoads adds up this domain's loads, and those of the others.
 func (n *Node) sumLoads(now time.Duration) (domain, foreign Loads) {
 	domain, foreign = Loads{}, Loads{}
@@ -125,30 +140,39 @@
 	return domain, foreign
 }
 
-// allBut is everybody's load without the peer's own.
-func (n *Node) allBut(p *peer, domain, foreign Loads) Loads {
-	l := Loads{}
-	addLoads(l, domain)
-	addLoads(l, foreign)
-	for key, own := range p.loads {
-		sum := l[key]
-		l[key] = balance.Load{Unread: sum.Unread - own.Unread, Open: sum.Open - own.Open, Tight: sum.Tight - own.Tight}
+// without is the loads less those of one box; none falls below 0.
+func without(all, own Loads) Loads {
+	l := make(Loads, len(all))
+	for key, load := range all {
+		o := own[key]
+		rest := balance.Load{Unread: max(0, load.Unread-o.Unread), Open: max(0, load.Open-o.Open), Tight: max(0, load.Tight-o.Tight)}
+		if rest != (balance.Load{}) {
+			l[key] = rest
+		}
 	}
 	return l
 }
 
-// tellLoad tells a peer of loads, where they changed or a beat has passed since.
-func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
-	if p.told && now-p.toldAt < n.loadsPause {
-		return
+// worthTelling reports whether loads have changed for a peer, or a beat has passed since
+// it was told.
+func (n *Node) worthTelling(now time.Duration, p *peer, packed []*wire.GroupLoad) bool {
+	switch {
+	case !p.told:
+		return true
+	case now-p.toldAt < n.loadsPause:
+		return false
+	case sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat:
+		return false
 	}
+	return len(packed) > 0 || len(p.toldLoads) > 0 // idle: nothing to repeat
+}
+
+// tellLoad tells a peer of loads, where that is worth while.
+func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
 	packed := packLoads(l)
-	if p.told && sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat {
+	if !n.worthTelling(now, p, packed) {
 		return
 	}
-	if p.told && len(packed) == 0 && len(p.toldLoads) == 0 {
-		return // idle: nothing to repeat
-	}
 	p.told, p.toldLoads, p.toldAt = true, packed, now
 	m := n.message(now)
 	m.HasLoads, m.Loads = true, packed
@@ -162,9 +186,13 @@
 	}
 	l := unpackLoads(m.Loads)
 	if m.Leads && p.box.Domain == n.cfg.Self.Domain {
-		if p.box.Name == n.lead().Name {
-			n.others = l
+		if p.box.Name != n.lead().Name {
+			return
+		}
+		if m.Whole && p.told {
+			l = without(l, unpackLoads(p.toldLoads))
 		}
+		n.others = l
 		return
 	}
 	p.loads = l
--- a/group/load_test.go
+++ b/group/load_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
 )
 
 // Each box is told what all others have under way, in all domains, and never its own;
@@ -50,3 +51,35 @@
 		}
 	}
 }
+
+// A lead makes one message of loads for all its members; each takes off its own.
+func TestALeadTellsAllItsMembersTheSame(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 21)
+	w.fleet(2, 6)
+	w.run(5 * time.Second)
+	lead := w.boxes[boxName(0, 0)].node
+	lead.SetLoads(Loads{{Upstream: 7, Urgency: 2}: {Unread: unreadUnit, Open: 1}})
+	lead.Tick(w.now)
+	out, _ := lead.Drain()
+	made := make(map[*wire.GroupMessage]int)
+	for _, o := range out {
+		if o.Message.HasLoads && o.Message.Whole {
+			made[o.Message]++
+		}
+	}
+	is.Equal(len(made), 1)
+	for _, times := range made {
+		is.Equal(times, 5)
+	}
+}
+
+func TestLoadsWithoutABoxsOwn(t *testing.T) {
+	is := is.New(t)
+	a, b := balance.LoadKey{Upstream: 1}, balance.LoadKey{Upstream: 2, Urgency: 3}
+	all := Loads{a: {Unread: 640, Open: 5, Tight: 2}, b: {Unread: 64, Open: 1}}
+	is.Equal(without(all, nil), all)
+	is.Equal(without(all, Loads{a: {Unread: 640, Open: 2, Tight: 2}, b: {Unread: 64, Open: 1}}), Loads{a: {Open: 3}})
+	// What the others know may be older than what the box has now: nothing falls below 0.
+	is.Equal(without(all, Loads{a: {Unread: 9999, Open: 9, Tight: 9}}), Loads{b: {Unread: 64, Open: 1}})
+}
--- a/group/node.go
+++ b/group/node.go
@@ -107,9 +107,10 @@
 	readFails  bool             // this box's last reading failed
 	lastBeat   time.Duration
 	lastAsk    time.Duration
-	waitsFrom  time.Duration // since when the present lead is waited for
-	leadName   string        // the lead that is waited for
-	most       int           // the greatest count of boxes seen
+	chosen     *wire.GroupBox // the lead; nil where it has to be looked for anew
+	waitsFrom  time.Duration  // since when the present lead is waited for
+	leadName   string         // the lead that is waited for
+	most       int            // the greatest count of boxes seen
 	leaving    bool
 	loads      Loads              // this box's own
 	loadsPause time.Duration      // between two tells to the same box
@@ -149,7 +150,7 @@
 
 // Leave tells all that this box is about to end, so that another leads.
 func (n *Node) Leave(now time.Duration) {
-	n.leaving = true
+	n.leaving, n.chosen = true, nil
 	for _, p := range n.peers {
 		n.send(p.box.Address, n.message(now))
 	}
--- a/group/talk.go
+++ b/group/talk.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if now-max(p.heard, n.waitsFrom) > n.cfg.Timing.Silence {
-		p.silent = true
+		p.silent, n.chosen = true, nil
 		n.leadName, n.waitsFrom = n.lead().Name, now
 		if n.Leads() {
 			n.lastBeat = never // the others are to know at once
