A box that was woken believes no ages in messages that waited for it

Now a box that sees a gap of half a second between two ticks leaves ages alone for 100 ms, in messages and in what it pulled; it learns its age from the next message or reads for itself. Ruled out: to add the gap to the ages (the order in which a tick and the messages come after a wake is not known).

--- a/group/node.go
+++ b/group/node.go
@@ -108,9 +108,11 @@
 	lastBeat   time.Duration
 	lastAsk    time.Duration
 	chosen     *wire.GroupBox // the lead; nil where it has to be looked for anew
-	waitsFrom  time.Duration  // since when the present lead is waited for
-	leadName   string         // the lead that is waited for
-	most       int            // the greatest count of boxes seen
+	lastTick   time.Duration
+	wokeAt     time.Duration // when the box last noticed that it had stood still
+	waitsFrom  time.Duration // since when the present lead is waited for
+	leadName   string        // the lead that is waited for
+	most       int           // the greatest count of boxes seen
 	leaving    bool
 	loads      Loads              // this box's own
 	loadsPause time.Duration      // between two tells to the same box
@@ -130,7 +132,7 @@
 
 // NewNode returns the part of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
-	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never, lanesAt: never,
+	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never, lanesAt: never, lastTick: now, wokeAt: never,
 		lastBeat: never, lastAsk: never, waitsFrom: now}
 }
 
--- a/group/talk.go
+++ b/group/talk.go
@@ -24,6 +24,7 @@
 
 // Tick does what is due by time.
 func (n *Node) Tick(now time.Duration) {
+	n.noteTick(now)
 	n.watchLead(now)
 	n.tellLoads(now)
 	n.tellKept(now)
