--- /dev/null
+++ b/cmd/doormast/placing.go
@@ -0,0 +1,30 @@
+package main
+
+// This file defines the command that compares ways of placing prompts.
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/doormast/doormast/experiment/placing"
+)
+
+func relayExperimentCommand() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "experiment FILE",
+		Short: "Compare ways of deciding where prompts go, on a virtual clock",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := placing.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if seeds > 0 {
+				s.Seeds = seeds
+			}
+			return placing.Compare(cmd.OutOrStdout(), s)
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 0, "number of seeds, instead of the file's")
+	return cmd
+}
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -22,7 +22,8 @@
 
 func relayCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "relay", Short: "Operate boxes that relay opaque requests"}
-	cmd.AddCommand(relayStatusCommand(), relayTableCommand(), relayExplainCommand(), relayTimelineCommand(), relayCheckCommand())
+	cmd.AddCommand(relayStatusCommand(), relayTableCommand(), relayExplainCommand(), relayTimelineCommand(), relayCheckCommand(),
+		relayExperimentCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/experiment/placing/run.go
@@ -0,0 +1,204 @@
+package placing
+
+// This file defines a run: arrivals, decisions and steps of engines in the order of
+// their times. The invariant: each request that arrives has one end.
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// happening is something that is due.
+type happening struct {
+	at    time.Duration
+	order int // of two at the same time, the one that was planned first goes first
+	do    func(now time.Duration)
+}
+
+// agenda is what is due, the next first.
+type agenda []happening
+
+var _ heap.Interface = (*agenda)(nil)
+
+// Len implements heap.Interface.
+func (a agenda) Len() int { return len(a) }
+
+// Less implements heap.Interface.
+func (a agenda) Less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].order < a[j].order
+}
+
+// Swap implements heap.Interface.
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { *a = append(*a, x.(happening)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	h := (*a)[last]
+	*a = (*a)[:last]
+	return h
+}
+
+// run is one way with one seed.
+type run struct {
+	spec    *Spec
+	way     Way
+	random  *rand.Rand
+	agenda  agenda
+	planned int
+	engines map[string]*engine
+	list    []*decider
+	ofBox   []*decider
+	result  Result
+}
+
+// Run plays a way with a seed.
+func Run(s *Spec, w Way, seed uint64) Result {
+	const stream = 7 // apart from other uses of the same seed
+	r := &run{spec: s, way: w, random: rand.New(rand.NewPCG(seed, stream)), engines: make(map[string]*engine)}
+	r.result.Classes = make([]Count, len(s.Classes))
+	for i := range s.Engine.Count {
+		r.engines[engineName(i)] = &engine{spec: &s.Engine}
+	}
+	r.list, r.ofBox = w.deciders(s)
+	for i := range s.Classes {
+		r.arrivals(i)
+	}
+	for at := time.Duration(0); at < s.Duration.Std(); at += s.Tell.Std() {
+		r.plan(at, func(now time.Duration) { r.way.tell(now, r.list) })
+	}
+	for len(r.agenda) > 0 {
+		h := heap.Pop(&r.agenda).(happening)
+		h.do(h.at)
+	}
+	for _, e := range r.engines {
+		r.result.ReadAgain += e.readAgain
+		r.result.Fetched += e.fetched
+	}
+	return r.result
+}
+
+func (r *run) plan(at time.Duration, do func(time.Duration)) {
+	r.planned++
+	heap.Push(&r.agenda, happening{at, r.planned, do})
+}
+
+// arrivals plans a class's requests, before anything is decided, so that all ways see
+// the same ones.
+func (r *run) arrivals(class int) {
+	c := &r.spec.Classes[class]
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.random.ExpFloat64() / (c.Rate * r.factor(c.Name, at)) * float64(time.Second))
+		if at >= r.spec.Duration.Std() {
+			return
+		}
+		own := max(1, int(float64(c.Own)*r.random.ExpFloat64()))
+		part := balance.Part{ID: uint64(class)<<32 | uint64(r.random.IntN(c.Parts)+1), Tokens: c.Shared}
+		j := &job{class: c, out: max(1, int(float64(c.Out)*r.random.ExpFloat64())), end: at + c.Patience.Std()}
+		j.request = balance.Request{Service: serviceName, Moves: true, Tight: c.Tight, Urgency: c.Urgency, Tokens: c.Shared + own,
+			Parts: []balance.Part{part, {ID: math.MaxUint64 - uint64(len(r.agenda)), Tokens: own}}}
+		box := r.random.IntN(r.spec.Boxes)
+		arrived := at
+		r.plan(at, func(now time.Duration) { r.decide(now, arrived, j, class, box, false) })
+	}
+}
+
+// factor is how much more a class sends at a time.
+func (r *run) factor(class string, at time.Duration) float64 {
+	f := 1.0
+	for _, b := range r.spec.Bursts {
+		if b.Class == class && at >= b.From.Std() && at < b.To.Std() {
+			f *= b.Factor
+		}
+	}
+	return f
+}
+
+// decide places a request, or refuses it: its caller comes back once, as it was told.
+func (r *run) decide(now, arrived time.Duration, j *job, class, box int, again bool) {
+	count := &r.result.Classes[class]
+	d := r.ofBox[box]
+	choice, ok := d.fleet.Place(now, j.request, nil)
+	after := time.Duration(0)
+	if ok {
+		after, ok = d.fleet.Admit(balance.Admission{Target: j.class.Target.Std(), Again: again}, choice)
+	}
+	switch {
+	case !ok && !again && now+after < j.end:
+		r.plan(now+after, func(now time.Duration) { r.decide(now, arrived, j, class, box, true) })
+		return
+	case !ok:
+		count.Refused++
+		return
+	}
+	r.send(now, arrived, j, count, d, choice)
+}
+
+// send hands a request to its engine and counts what becomes of it.
+func (r *run) send(now, arrived time.Duration, j *job, count *Count, d *decider, choice balance.Choice) {
+	ticket := d.fleet.Open(now, choice.Upstream.ID, j.request)
+	late := false
+	last := time.Duration(0)
+	j.first = func(now time.Duration) {
+		ticket.First(now)
+		late = now-arrived > j.class.Target.Std()
+		last = now
+	}
+	j.event = func(now time.Duration) {
+		late = late || j.class.Gap > 0 && now-last > j.class.Gap.Std()
+		last = now
+	}
+	j.done = func(now time.Duration, whole bool) {
+		ticket.Close(now, balance.Answered)
+		switch {
+		case !whole:
+			count.Failed++
+		case late:
+			count.Late++
+		default:
+			count.InTime++
+		}
+	}
+	e := r.engines[choice.Upstream.ID]
+	j.from, j.elsewhere = r.engines[choice.Fetch], r.keptBesides(e)
+	e.add(j)
+	if !e.stepping {
+		e.stepping = true
+		r.step(now, e)
+	}
+}
+
+// keptBesides reports whether an engine other than e keeps a part.
+func (r *run) keptBesides(e *engine) func(uint64) bool {
+	return func(id uint64) bool {
+		for _, o := range r.engines {
+			if o != e && o.holds(id) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// step begins an engine's next step, as long as it has work.
+func (r *run) step(now time.Duration, e *engine) {
+	took := e.begin(now)
+	if took == 0 {
+		e.stepping = false
+		return
+	}
+	r.plan(now+took, func(now time.Duration) {
+		e.finish(now)
+		r.step(now, e)
+	})
+}
--- /dev/null
+++ b/experiment/placing/spec.go
@@ -0,0 +1,132 @@
+// Package placing compares ways of deciding where prompts go. The fleets of package
+// balance that ship are run for several boxes before modelled engines on a virtual
+// clock, with seeded arrivals; every way sees the same ones.
+//
+// It models no machine, socket or failure: what boxes tell each other takes a set time,
+// and that is all. What it leaves out the users' bench shows.
+package placing
+
+// This file defines an experiment as it is written. The invariant: what Load returns has
+// passed every check.
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/doormast/doormast/internal/jsonc"
+)
+
+// Spec describes an experiment, as written in JSON with comments.
+type Spec struct {
+	Name     string         `json:"name"`
+	Seeds    int            `json:"seeds"`
+	Duration jsonc.Duration `json:"duration"` // of arrivals
+	Domains  int            `json:"domains"`
+	Boxes    int            `json:"boxes"`  // in all
+	Tell     jsonc.Duration `json:"tell"`   // between two tells of a box, and how long one takes
+	Engine   EngineSpec     `json:"engine"` // all are alike
+	Classes  []ClassSpec    `json:"classes"`
+	Bursts   []BurstSpec    `json:"bursts"`
+}
+
+// EngineSpec describes the engines.
+type EngineSpec struct {
+	Count     int            `json:"count"`      // in all
+	Slots     int            `json:"slots"`      // requests it runs at once
+	Step      jsonc.Duration `json:"step"`       // of one token for all that run
+	StepEach  jsonc.Duration `json:"step_each"`  // what each of them adds
+	ReadRate  float64        `json:"read_rate"`  // prompt tokens in a ms
+	ReadChunk int            `json:"read_chunk"` // prompt tokens that are read within a step at most
+	Memory    int            `json:"memory"`     // tokens
+	FetchRate float64        `json:"fetch_rate"` // tokens that are fetched from another engine in a ms
+}
+
+// ClassSpec describes what callers of a class send.
+type ClassSpec struct {
+	Name     string         `json:"name"`
+	Urgency  int            `json:"urgency"` // 0 is the most urgent
+	Rate     float64        `json:"rate"`    // requests a second
+	Parts    int            `json:"parts"`   // different shared parts
+	Shared   int            `json:"shared"`  // tokens of a shared part
+	Own      int            `json:"own"`     // tokens of a prompt besides, a mean
+	Out      int            `json:"out"`     // tokens of an answer, a mean
+	Event    int            `json:"event"`   // tokens of an event
+	Target   jsonc.Duration `json:"target"`  // to the first event
+	Gap      jsonc.Duration `json:"gap"`     // between two events
+	Patience jsonc.Duration `json:"patience"`
+	Tight    bool           `json:"tight"` // its events must follow each other closely
+}
+
+// BurstSpec is a time in which a class sends more.
+type BurstSpec struct {
+	Class  string         `json:"class"`
+	Factor float64        `json:"factor"`
+	From   jsonc.Duration `json:"from"`
+	To     jsonc.Duration `json:"to"`
+}
+
+// Load reads an experiment. The error is of type jsonc.Problems, or says why the file
+// cannot be read.
+func Load(file string) (*Spec, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	s := &Spec{Seeds: 3, Domains: 1}
+	doc, err := jsonc.Parse(file, source, s)
+	if err != nil {
+		return nil, err
+	}
+	if problems := s.check(doc); len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+func (s *Spec) check(doc *jsonc.Document) jsonc.Problems {
+	var problems jsonc.Problems
+	want := func(ok bool, field string, found any, allowed string) {
+		if !ok {
+			problems = append(problems, doc.Problem(field, fmt.Sprint(found), allowed))
+		}
+	}
+	e := s.Engine
+	want(s.Seeds > 0, "seeds", s.Seeds, "want 1 or more")
+	want(s.Duration > 0, "duration", s.Duration.Std(), "want a duration above 0")
+	want(s.Domains > 0 && s.Boxes >= s.Domains, "boxes", s.Boxes, "want at least one for each domain")
+	want(s.Tell > 0, "tell", s.Tell.Std(), "want a duration above 0")
+	want(e.Count >= s.Domains, "engine.count", e.Count, "want at least one for each domain")
+	want(e.Slots > 0, "engine.slots", e.Slots, "want 1 or more")
+	want(e.Step > 0, "engine.step", e.Step.Std(), "want a duration above 0")
+	want(e.ReadRate > 0, "engine.read_rate", e.ReadRate, "want a number above 0")
+	want(e.ReadChunk > 0, "engine.read_chunk", e.ReadChunk, "want 1 or more")
+	want(e.FetchRate > 0, "engine.fetch_rate", e.FetchRate, "want a number above 0")
+	want(len(s.Classes) > 0, "classes", "none", "want at least one")
+	for i, c := range s.Classes {
+		path := fmt.Sprintf("classes[%d]", i)
+		want(c.Rate > 0, path+".rate", c.Rate, "want a number above 0")
+		want(c.Parts > 0, path+".parts", c.Parts, "want 1 or more")
+		want(c.Shared >= 0, path+".shared", c.Shared, "want 0 or more")
+		want(c.Own > 0, path+".own", c.Own, "want 1 or more")
+		want(c.Out > 0, path+".out", c.Out, "want 1 or more")
+		want(c.Event > 0, path+".event", c.Event, "want 1 or more")
+		want(c.Target > 0, path+".target", c.Target.Std(), "want a duration above 0")
+		want(c.Patience > c.Target, path+".patience", c.Patience.Std(), "want more than the target")
+	}
+	for i, b := range s.Bursts {
+		path := fmt.Sprintf("bursts[%d]", i)
+		want(s.class(b.Class) >= 0, path+".class", b.Class, "want the name of a class")
+		want(b.To > b.From, path+".to", b.To.Std(), "want a time after from")
+	}
+	return problems
+}
+
+// class is the number of a class, or -1.
+func (s *Spec) class(name string) int {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
