Where a prompt went can be read off a request's line, and lanes off the status

Cause: the log said neither whether a prompt went where it was thought to lie nor which engines are kept for tight streams.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -124,8 +124,9 @@
 // View is an upstream as the fleet sees it.
 type View struct {
 	Upstream
-	Out  bool // it cannot be reached
-	Load Load // of all boxes
+	Out   bool // it cannot be reached
+	Tight bool // it is in the lane for tight streams
+	Load  Load // of all boxes
 }
 
 // View lists all upstreams, by service and id.
@@ -133,7 +134,7 @@
 	list := make([]View, 0, len(f.byID))
 	for _, m := range f.byID {
 		load := Load{Unread: m.ahead(Levels - 1), Open: m.open()}
-		list = append(list, View{Upstream: m.Upstream, Out: m.out, Load: load})
+		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Load: load})
 	}
 	slices.SortFunc(list, func(a, b View) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
--- a/balance/kept_test.go
+++ b/balance/kept_test.go
@@ -23,6 +23,7 @@
 	f := knowing(9)
 	first, _ := f.Place(0, prompt(7), nil)
 	is.Equal(first.Fetch, "") // nobody has it
+	is.True(!first.Kept)
 	f.Open(0, first.Upstream.ID, Request{Service: "s", Tokens: 500})
 	second, _ := f.Place(0, prompt(7), nil)
 	is.True(second.Upstream.ID != first.Upstream.ID)
@@ -43,6 +44,7 @@
 	for _, f := range []*Fleet{a, b} {
 		c, _ := f.Place(time.Second, prompt(7), nil)
 		is.Equal(c.Upstream.ID, keeper.ID) // though another one is its home
+		is.True(c.Kept)
 		is.Equal(c.Fetch, "")
 		f.Open(time.Second, keeper.ID, Request{Service: "s", Tokens: 100000})
 		c, _ = f.Place(time.Second, prompt(7), nil)
--- a/balance/place.go
+++ b/balance/place.go
@@ -15,6 +15,7 @@
 	Upstream *Upstream
 	Fetch    string // address of an upstream that keeps more of the prompt, or empty
 	Backlog  int    // prompt tokens that are to be read there before
+	Kept     bool   // it is known, or guessed, to keep the prompt's last shared part
 }
 
 // Place chooses an upstream; false means that there is none left to try. Those
@@ -102,7 +103,12 @@
 			consider(x.member)
 		}
 	}
-	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
+	return Choice{
+		Upstream: &chosen.Upstream,
+		Fetch:    f.fetchFrom(now, r, chosen),
+		Backlog:  chosen.ahead(r.level()),
+		Kept:     cost.holds(chosen, last),
+	}
 }
 
 // firstTwo returns the first two choices of a list by rendezvous; the second is nil
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -83,9 +83,9 @@
 		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
 			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft)
 	}
-	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tOPEN\tUNREAD TOKENS")
+	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS")
 	for _, u := range all[0].Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), u.Open, u.Unread)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread)
 	}
 	return tw.Flush()
 }
@@ -100,6 +100,14 @@
 	return "ready"
 }
 
+// laneOf is the kind of requests that an upstream is kept for.
+func laneOf(u *wire.UpstreamRow) string {
+	if u.Tight {
+		return "tight streams"
+	}
+	return "others"
+}
+
 func relayTableCommand() *cobra.Command {
 	var boxes []string
 	cmd := &cobra.Command{
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,6 +40,7 @@
 	ticket        *balance.Ticket
 	upstream      balance.Upstream
 	fetched       bool          // its upstream was told of another that keeps the prompt
+	kept          bool          // its upstream was thought to keep the prompt's shared part
 	ahead         int           // prompt tokens that were to be read before its own
 	late          bool          // it would have been served too late
 	comeBack      time.Duration // when to come back, where that was worked out; 0: not
@@ -121,7 +122,7 @@
 func (x *exchange) fields() Fields {
 	f := Fields{"id": x.request.id, "route": x.route.Name, "upstream": x.upstream.ID, "runs": x.sent, "unreachable": x.unsent,
 		"urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
-		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "fetched": x.fetched, "come_back_ms": x.comeBack.Milliseconds(),
+		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "kept": x.kept, "fetched": x.fetched, "come_back_ms": x.comeBack.Milliseconds(),
 		"ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
 	if x.customer != nil {
 		f["customer"] = x.customer.Name
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -68,7 +68,7 @@
 	}
 	x.ticket = r.fleet.Open(r.now(), choice.Upstream.ID, q)
 	x.upstream = *choice.Upstream
-	x.fetched, x.ahead = choice.Fetch != "", choice.Backlog
+	x.fetched, x.kept, x.ahead = choice.Fetch != "", choice.Kept, choice.Backlog
 	return choice, true
 }
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -34,7 +34,7 @@
 	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
 	for _, u := range r.fleet.View() {
 		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Id: u.ID, Service: u.Service, Address: u.Address, Domain: u.Domain,
-			Leaving: u.Leaving, Out: u.Out, Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
+			Leaving: u.Leaving, Out: u.Out, Tight: u.Tight, Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
 	}
 	return out
 }
