Loads are added and subtracted in one place

The sum and the difference of two loads were written out field by field wherever balance and group needed them: each new field, as that of the tight streams, had to be added to all. Load now has Plus and Minus, and the counts of work, the sums of a lead and the means of the lanes use them. No behaviour changes.

--- a/balance/lane.go
+++ b/balance/lane.go
@@ -144,15 +144,14 @@
 
 // count brings the means of what is under way up to date.
 func (f *Fleet) count(now time.Duration, l *lanes, all []*member) {
-	tight, open := 0, 0
+	var sum Load
 	for _, m := range all {
-		tight += m.openTight()
-		open += m.open()
+		sum = sum.Plus(m.underWay())
 	}
 	past := math.Exp(-float64(now-l.counted) / float64(f.cfg.Tuning.LaneMemory))
 	l.counted = now
-	l.tight = l.tight*past + float64(tight)*(1-past)
-	l.rest = l.rest*past + float64(open-tight)*(1-past)
+	l.tight = l.tight*past + float64(sum.Tight)*(1-past)
+	l.rest = l.rest*past + float64(sum.Open-sum.Tight)*(1-past)
 }
 
 // wanted is how many upstreams tight streams should have; what is within the slack of
--- a/balance/load.go
+++ b/balance/load.go
@@ -15,6 +15,21 @@
 	Tight  int // those of them whose events must follow each other closely
 }
 
+// Plus is the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Unread: l.Unread + o.Unread, Open: l.Open + o.Open, Tight: l.Tight + o.Tight}
+}
+
+// Minus is the load less another one; none of its fields is below 0.
+func (l Load) Minus(o Load) Load {
+	return Load{Unread: l.Unread - o.Unread, Open: l.Open - o.Open, Tight: l.Tight - o.Tight}.floored()
+}
+
+// floored is the load with 0 for each field that is below.
+func (l Load) floored() Load {
+	return Load{Unread: max(0, l.Unread), Open: max(0, l.Open), Tight: max(0, l.Tight)}
+}
+
 // LoadKey says whose load it is, where boxes tell each other.
 type LoadKey struct {
 	Upstream uint32 // Key of its id
@@ -27,20 +42,14 @@
 // work is the load by urgency.
 type work [Levels]Load
 
-func (w *work) add(urgency int, l Load) {
-	at := &w[urgency]
-	at.Unread = max(0, at.Unread+l.Unread)
-	at.Open = max(0, at.Open+l.Open)
-	at.Tight = max(0, at.Tight+l.Tight)
-}
+// add counts a change of the load at an urgency; its fields may be below 0.
+func (w *work) add(urgency int, change Load) { w[urgency] = w[urgency].Plus(change).floored() }
 
 // upTo adds up what is at least as urgent.
 func (w *work) upTo(urgency int) Load {
 	var sum Load
 	for _, l := range w[:urgency+1] {
-		sum.Unread += l.Unread
-		sum.Open += l.Open
-		sum.Tight += l.Tight
+		sum = sum.Plus(l)
 	}
 	return sum
 }
@@ -51,13 +60,11 @@
 	return m.work.upTo(urgency).Unread + m.others.upTo(urgency).Unread
 }
 
-// open is how many requests are under way, for all boxes.
-func (m *member) open() int { return m.work.upTo(Levels-1).Open + m.others.upTo(Levels-1).Open }
+// underWay is the load at all urgencies, for all boxes.
+func (m *member) underWay() Load { return m.work.upTo(Levels - 1).Plus(m.others.upTo(Levels - 1)) }
 
-// openTight is how many of those are tight streams.
-func (m *member) openTight() int {
-	return m.work.upTo(Levels-1).Tight + m.others.upTo(Levels-1).Tight
-}
+// open is how many requests are under way, for all boxes.
+func (m *member) open() int { return m.underWay().Open }
 
 // Loads returns what this box has under way.
 func (f *Fleet) Loads() map[LoadKey]Load {
--- a/group/load.go
+++ b/group/load.go
@@ -37,8 +37,7 @@
 // addLoads adds o to l.
 func addLoads(l, o Loads) {
 	for key, load := range o {
-		sum := l[key]
-		l[key] = balance.Load{Unread: sum.Unread + load.Unread, Open: sum.Open + load.Open, Tight: sum.Tight + load.Tight}
+		l[key] = l[key].Plus(load)
 	}
 }
 
@@ -144,9 +143,7 @@
 func without(all, own Loads) Loads {
 	l := make(Loads, len(all))
 	for key, load := range all {
-		o := own[key]
-		rest := balance.Load{Unread: max(0, load.Unread-o.Unread), Open: max(0, load.Open-o.Open), Tight: max(0, load.Tight-o.Tight)}
-		if rest != (balance.Load{}) {
+		if rest := load.Minus(own[key]); rest != (balance.Load{}) {
 			l[key] = rest
 		}
 	}
