What a box knows of parts and what boxes tell of them have a file each

balance/kept.go held the bounded store of keepers, the fleet's dealings with it and the news for other boxes, while the look-up of a keeper stood in cost.go. The store is kept.go now, with the look-up; what is told and taken in is tell.go. No behaviour changes.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -77,19 +77,3 @@
 	}
 	return tokens
 }
-
-// keeperOf is an upstream in reach that keeps a part, other than one; nil where none is
-// known. The least busy one is taken, whichever lane it is in.
-func (f *Fleet) keeperOf(now time.Duration, part Part, other *member) *member {
-	var best *member
-	for _, x := range f.kept.keepers[PartKey(part.ID)] {
-		m := x.member
-		if m == other || m.out || m.health.rests(now) || now-x.heard >= keptFor {
-			continue
-		}
-		if best == nil || m.open() < best.open() {
-			best = m
-		}
-	}
-	return best
-}
