Placement and fetching name their steps

fetchFrom mixed what boxes told with what the lists let one guess, and went back and forth between the two; now knownKeeper answers first and likelyKeeper guesses where it cannot. placePrompt's closure became a list of candidates. The last shared part of a prompt was looked up by index, and its size compared with keptFrom, in several places; it is Request.lastShared and Part.told now. keeps and tooMany are called by what they return, and the doc of promptCost named another type. No behaviour changes.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -1,23 +1,23 @@
 package balance
 
 // This file defines what it costs to place a prompt at an upstream, in prompt tokens:
-// those to be read there before, and those that the upstream lacks. The invariant: of
+// those to be read there before, and those that the upstream lacks of it. The invariant: of
 // two upstreams with the same work before them, the one that keeps more of the prompt
 // costs less.
 
 import "time"
 
-// prompt is a request with what is known of its shared parts.
+// promptCost is a request with what is known of its shared parts.
 type promptCost struct {
 	fleet   *Fleet
 	now     time.Duration
 	request Request
 	shared  []Part
-	kept    []bool  // by shared part: somebody in reach keeps it
-	home    *member // it is thought to keep what nobody is known to
+	kept    []bool  // by shared part: an upstream in reach keeps it
+	home    *member // it is taken to keep what none is known to; may be nil
 }
 
-// promptCostOf gathers what is known. home is the first choice by rendezvous.
+// promptCostOf gathers what is known. home is the first choice by rendezvous, or nil.
 func (f *Fleet) promptCostOf(now time.Duration, r Request, home *member) promptCost {
 	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), home: home}
 	p.kept = make([]bool, len(p.shared))
@@ -27,16 +27,16 @@
 	return p
 }
 
-// guessed reports whether a part is taken to be kept at home: one that is too small to
-// be told of, or one nobody is known to keep while this box has not heard of all.
+// guessed reports whether a part is taken to be kept at home: one that is too small to be
+// told of, or one that no upstream is known to keep while this box has not heard of all.
 func (p *promptCost) guessed(part Part) bool {
 	if p.home == nil {
 		return false
 	}
-	return part.Tokens < keptFrom || len(p.fleet.kept.keepers[PartKey(part.ID)]) == 0 && !p.fleet.sure(p.now)
+	return !part.told() || len(p.fleet.kept.keepers[PartKey(part.ID)]) == 0 && !p.fleet.sure(p.now)
 }
 
-// holds reports whether an upstream keeps a shared part.
+// holds reports whether an upstream keeps a shared part, as far as is known or guessed.
 func (p *promptCost) holds(m *member, part Part) bool {
 	if p.guessed(part) {
 		return m == p.home
@@ -44,18 +44,18 @@
 	return p.fleet.kept.holds(p.now, PartKey(part.ID), m)
 }
 
-// at is the cost at an upstream. Of the shared parts the last one counts, which is the
-// longest as a rule: once where nobody keeps it, since it has to be read somewhere, and
-// more where it would be read or moved once more. Counting those before it as well drew
-// the prompts that share them to few upstreams and made them late.
+// at is the cost at an upstream, in tokens. Of the shared parts the last one counts: once
+// where no upstream keeps it, since it has to be read somewhere, and AgainWeight times
+// where it would be read or moved once more. Counting those before it as well drew the
+// prompts that share them to few upstreams and made them late.
 func (p *promptCost) at(m *member) int {
 	cost := m.ahead(p.request.level())
-	last := len(p.shared) - 1
-	if p.holds(m, p.shared[last]) {
+	last := p.request.lastShared()
+	if p.holds(m, last) {
 		return cost
 	}
-	tokens := float64(p.shared[last].Tokens)
-	if p.kept[last] {
+	tokens := float64(last.Tokens)
+	if p.kept[len(p.kept)-1] {
 		tokens *= p.fleet.cfg.Tuning.AgainWeight
 	}
 	return cost + int(tokens)
@@ -68,12 +68,19 @@
 		return p.request.Tokens
 	}
 	tokens := p.request.Parts[len(p.request.Parts)-1].Tokens
-	lacks := false
+	lacks := false // a part is of use only with all those before it
 	for i, part := range p.shared {
 		lacks = lacks || !p.holds(m, part)
-		if lacks && !(p.kept[i] && p.request.Moves) {
+		fetched := p.request.Moves && p.kept[i]
+		if lacks && !fetched {
 			tokens += part.Tokens
 		}
 	}
 	return tokens
 }
+
+// unread is how many tokens an upstream has to read for a request that is placed there.
+func (f *Fleet) unread(now time.Duration, m *member, r Request) int {
+	cost := f.promptCostOf(now, r, f.home(now, r))
+	return cost.unread(m)
+}
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -9,67 +9,70 @@
 	"time"
 )
 
-// fetchFrom is the address of the upstream that is more likely to keep the prompt
-// than the chosen one: one that comes before it, or that did so until the chosen one
-// was new to the list or to its lane.
-// Where boxes told of one that keeps it, that one is taken instead.
+// fetchFrom is the address of the upstream to fetch the prompt's shared parts from, or
+// empty where nothing is to be fetched.
 func (f *Fleet) fetchFrom(now time.Duration, r Request, chosen *member) string {
 	if !r.Moves {
 		return ""
 	}
-	if m, known := f.knownKeeper(now, r, chosen); known {
-		if m == nil {
-			return ""
-		}
-		return m.Address
+	from, known := f.knownKeeper(now, r, chosen)
+	if !known {
+		from = f.likelyKeeper(now, r, chosen)
 	}
-	key := sharedKey(r)
-	mine := weight(chosen.ID, key)
-	fresh := f.young(now, chosen) || f.changed(now, chosen)
-	guess := !f.sure(now) && f.tracked(r) // others may have sent it to the next choice
-	var best *member
-	var bestWeight uint64
-	for _, m := range f.byService[r.Service] {
-		if m == chosen || m.out || m.health.rests(now) || !f.keeps(now, m, r.Tight) {
-			continue
-		}
-		w := weight(m.ID, key)
-		likelier := w > mine || fresh || guess
-		if likelier && (best == nil || w > bestWeight) {
-			best, bestWeight = m, w
-		}
-	}
-	if best == nil {
+	if from == nil {
 		return ""
 	}
-	return best.Address
+	return from.Address
 }
 
-// knownKeeper is the upstream to fetch from, nil where nothing is to be fetched; it is
-// not known where no upstream is known to keep the last shared part.
-func (f *Fleet) knownKeeper(now time.Duration, r Request, chosen *member) (m *member, known bool) {
-	if !f.tracked(r) {
+// knownKeeper is the upstream to fetch from by what boxes told, nil where nothing is to be
+// fetched; known is false where they told too little to say.
+func (f *Fleet) knownKeeper(now time.Duration, r Request, chosen *member) (from *member, known bool) {
+	last := r.lastShared()
+	if !last.told() {
 		return nil, false
 	}
-	shared := r.shared()
-	last := shared[len(shared)-1]
 	if f.kept.holds(now, PartKey(last.ID), chosen) {
 		return nil, true
 	}
-	for _, part := range slices.Backward(shared) { // as much of the prompt as can be had
+	for _, part := range slices.Backward(r.shared()) { // as much of the prompt as can be had
 		if f.kept.holds(now, PartKey(part.ID), chosen) {
 			break
 		}
-		if m := f.keeperOf(now, part, chosen); m != nil {
-			return m, true
+		if from := f.keeperOf(now, part, chosen); from != nil {
+			return from, true
 		}
 	}
 	return nil, f.sure(now)
 }
 
-// keeps reports whether an upstream may keep what prompts of a lane share: it has been
+// likelyKeeper is the upstream that is more likely to keep the prompt than the chosen one,
+// or nil: one that comes before it by rendezvous, or that did so until the chosen one was
+// new to the list or to its lane. Where this box has not heard of all that upstreams were
+// sent, others may have sent the prompt to the next choice.
+func (f *Fleet) likelyKeeper(now time.Duration, r Request, chosen *member) *member {
+	key := sharedKey(r)
+	mine := weight(chosen.ID, key)
+	fresh := f.young(now, chosen) || f.changed(now, chosen)
+	unheard := r.lastShared().told() && !f.sure(now)
+	var best *member
+	var bestWeight uint64
+	for _, m := range f.byService[r.Service] {
+		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, r.Tight) {
+			continue
+		}
+		w := weight(m.ID, key)
+		likelier := w > mine || fresh || unheard
+		if likelier && (best == nil || w > bestWeight) {
+			best, bestWeight = m, w
+		}
+	}
+	return best
+}
+
+// mayKeep reports whether an upstream may keep what prompts of a lane share: it has been
 // in the lane for a while, or was until lately.
-func (f *Fleet) keeps(now time.Duration, m *member, tight bool) bool {
+func (f *Fleet) mayKeep(now time.Duration, m *member, tight bool) bool {
 	return !f.young(now, m) && f.inLane(now, m, tight) != f.changed(now, m)
 }
 
--- a/balance/home.go
+++ b/balance/home.go
@@ -28,20 +28,9 @@
 	return best
 }
 
-// unread is how many tokens an upstream has to read for a request that is placed there.
-func (f *Fleet) unread(now time.Duration, m *member, r Request) int {
-	cost := f.promptCostOf(now, r, f.home(now, r))
-	return cost.unread(m)
-}
-
 // sharedKey identifies what a request shares with others, its last shared part; 0
 // where it shares nothing.
-func sharedKey(r Request) uint64 {
-	if len(r.Parts) < 2 {
-		return 0
-	}
-	return r.Parts[len(r.Parts)-2].ID
-}
+func sharedKey(r Request) uint64 { return r.lastShared().ID }
 
 // weight is the rendezvous weight of an upstream for a key.
 func weight(id string, key uint64) uint64 {
--- a/balance/place.go
+++ b/balance/place.go
@@ -2,7 +2,7 @@
 
 // This file defines placement. The invariant: an upstream that is leaving, or that
 // the request was already sent to, is never chosen; one that rests is chosen only
-// where more than the allowed share rests.
+// where more than the allowed share rests, and one out of reach only where no other is left.
 
 import (
 	"cmp"
@@ -45,16 +45,16 @@
 			awake = append(awake, m)
 		}
 	}
-	awake = append(awake, tooMany(resting, len(awake))...)
-	if len(awake) > 0 {
-		return awake
+	taken := append(awake, beyondRest(resting, len(awake))...)
+	if len(taken) > 0 {
+		return taken
 	}
 	return append(resting, out...)
 }
 
-// tooMany returns those of the resting upstreams that may not rest beside so many that
-// are awake: the ones that fail least.
-func tooMany(resting []*member, awake int) []*member {
+// beyondRest returns those of the resting upstreams that are taken all the same, since
+// more rest than may beside so many that are awake: the ones that fail least.
+func beyondRest(resting []*member, awake int) []*member {
 	allowed := (awake + len(resting)) * mostResting / percent
 	if len(resting) <= allowed {
 		return nil
@@ -82,27 +82,34 @@
 	return best
 }
 
-// placePrompt chooses the upstream at which the prompt costs least, of its first two
-// choices by rendezvous and those that are known to keep its last shared part.
+// placePrompt chooses the candidate at which the prompt costs least; of equal ones the
+// first.
 func (f *Fleet) placePrompt(now time.Duration, r Request, list []*member) Choice {
-	first, second := firstTwo(list, sharedKey(r))
-	cost := f.promptCostOf(now, r, first)
-	chosen, least := first, cost.at(first)
-	consider := func(m *member) {
+	candidates := f.candidates(r, list)
+	cost := f.promptCostOf(now, r, candidates[0])
+	chosen, least := candidates[0], cost.at(candidates[0])
+	for _, m := range candidates[1:] {
 		if c := cost.at(m); c < least {
 			chosen, least = m, c
 		}
 	}
+	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
+}
+
+// candidates are a prompt's first two choices by rendezvous, then those of the list that
+// are known to keep its last shared part. There is at least one; one may stand there twice.
+func (f *Fleet) candidates(r Request, list []*member) []*member {
+	first, second := firstTwo(list, sharedKey(r))
+	out := []*member{first}
 	if second != nil {
-		consider(second)
+		out = append(out, second)
 	}
-	last := cost.shared[len(cost.shared)-1]
-	for _, x := range f.kept.keepers[PartKey(last.ID)] {
+	for _, x := range f.kept.keepers[PartKey(r.lastShared().ID)] {
 		if slices.Contains(list, x.member) {
-			consider(x.member)
+			out = append(out, x.member)
 		}
 	}
-	return Choice{Upstream: &chosen.Upstream, Fetch: f.fetchFrom(now, r, chosen), Backlog: chosen.ahead(r.level())}
+	return out
 }
 
 // firstTwo returns the first two choices of a list by rendezvous; the second is nil
--- a/balance/request.go
+++ b/balance/request.go
@@ -29,3 +29,12 @@
 	}
 	return r.Parts[:len(r.Parts)-1]
 }
+
+// lastShared is the last of them, the longest as a rule; the zero Part where there is none.
+func (r Request) lastShared() Part {
+	shared := r.shared()
+	if len(shared) == 0 {
+		return Part{}
+	}
+	return shared[len(shared)-1]
+}
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -30,10 +30,13 @@
 	return uint32(id>>half) ^ uint32(id)
 }
 
+// told reports whether boxes tell each other who keeps the part.
+func (p Part) told() bool { return p.Tokens >= keptFrom }
+
 // sent notes that this box sends an upstream a request, and what others should hear of.
 func (f *Fleet) sent(now time.Duration, m *member, r Request) {
 	for _, p := range r.shared() {
-		if p.Tokens < keptFrom {
+		if !p.told() {
 			continue
 		}
 		part := PartKey(p.ID)
@@ -73,12 +76,6 @@
 	}
 }
 
-// tracked reports whether the last shared part is one that boxes tell each other of.
-func (f *Fleet) tracked(r Request) bool {
-	shared := r.shared()
-	return len(shared) > 0 && shared[len(shared)-1].Tokens >= keptFrom
-}
-
 // sure reports whether this box has heard of all that upstreams were sent: it was there
 // from the beginning, or for so long that all was told again.
 func (f *Fleet) sure(now time.Duration) bool {
