How lanes are divided and how large they are have a file each

The sizes and their figures are in lanesize.go. The long literal of NewFleet stands one field a line, and the doc of Upstream no longer uses a word of the platform. No behaviour changes.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Upstream is a runner as its own entry describes it.
+// Upstream is an engine or a plain service as its own entry describes it.
 type Upstream struct {
 	ID      string // of this start of it; a new start has a new one
 	Service string
@@ -54,10 +54,10 @@
 	loaded    []*member         // those on which others have work
 	lanes     map[string]*lanes // by service
 	kept      kept
-	lost      []Lost // out of reach, and not told yet
-	domains   map[string]*domainReach
-	rate      float64       // prompt tokens that an upstream reads in a ms
-	listed    time.Duration // when the first upstream was
+	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
+	domains   map[string]*domainReach // by name
+	rate      float64                 // prompt tokens that an upstream reads in a ms
+	listed    time.Duration           // when the first upstream was
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
@@ -69,8 +69,16 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, byID: make(map[string]*member), byService: make(map[string][]*member),
-		byKey: make(map[uint32]*member), lanes: make(map[string]*lanes), domains: make(map[string]*domainReach), kept: kept{keepers: make(map[uint32][]keeper)}, rate: cfg.Tuning.ReadRate}
+	return &Fleet{
+		cfg:       cfg,
+		byID:      make(map[string]*member),
+		byService: make(map[string][]*member),
+		byKey:     make(map[uint32]*member),
+		lanes:     make(map[string]*lanes),
+		kept:      kept{keepers: make(map[uint32][]keeper)},
+		domains:   make(map[string]*domainReach),
+		rate:      cfg.Tuning.ReadRate,
+	}
 }
 
 // Put adds an upstream, or renews what is known of it. One that is leaving stays
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -2,8 +2,8 @@
 
 // This file defines lanes: some upstreams of a service are kept for tight streams,
 // those whose events must follow each other closely, since an engine that reads a long
-// prompt holds up the tokens of everything that runs beside it. How many are kept
-// follows what is under way. The invariant: the upstreams are kept in an order that
+// prompt holds up the tokens of everything that runs beside it. How many are kept stands
+// in lanesize.go. The invariant: the upstreams are kept in an order that
 // all boxes know, so that boxes which differ in the number differ in the last ones only.
 
 import (
@@ -87,93 +87,3 @@
 	}
 	l.stale, l.divided = false, true
 }
-
-// LaneSizes is how many upstreams are kept for tight streams, by the Key of the
-// service's name.
-type LaneSizes map[uint32]int
-
-// Lanes is how this box's fleet is divided.
-func (f *Fleet) Lanes() LaneSizes {
-	sizes := make(LaneSizes)
-	for service, l := range f.lanes {
-		if len(f.byService[service]) >= minLanes && l.divided {
-			sizes[Key(service)] = l.places
-		}
-	}
-	return sizes
-}
-
-// LaneChange is a lane that got another size, with what decided it.
-type LaneChange struct {
-	Service   string
-	Places    int // upstreams that are kept for tight streams
-	Upstreams int // of the service
-	Tight     int // tight streams under way, a mean
-	Rest      int // other requests under way, a mean
-	Told      bool
-}
-
-// SizeLanes brings the lanes' sizes up to date: to what was told, where that names a
-// service, or to what all boxes have under way. The tight streams get upstreams by
-// their share of all requests, so that both lanes run about as many on each.
-func (f *Fleet) SizeLanes(now time.Duration, told LaneSizes) []LaneChange {
-	var changes []LaneChange
-	for service, l := range f.lanes {
-		all := f.byService[service]
-		if len(all) < minLanes {
-			continue
-		}
-		if l.stale {
-			f.divide(now, service, l)
-		}
-		f.count(now, l, all)
-		places, isTold := told[Key(service)]
-		if !isTold {
-			places = f.wanted(l, len(all))
-		}
-		places = min(places, len(all))
-		if places == l.places {
-			continue
-		}
-		l.share = float64(places) / float64(len(all))
-		f.divide(now, service, l)
-		changes = append(changes, LaneChange{service, l.places, len(all), int(l.tight), int(l.rest), isTold})
-	}
-	return changes
-}
-
-// count brings the means of what is under way up to date.
-func (f *Fleet) count(now time.Duration, l *lanes, all []*member) {
-	var sum Load
-	for _, m := range all {
-		sum = sum.Plus(m.underWay())
-	}
-	past := math.Exp(-float64(now-l.counted) / float64(f.cfg.Tuning.LaneMemory))
-	l.counted = now
-	l.tight = l.tight*past + float64(sum.Tight)*(1-past)
-	l.rest = l.rest*past + float64(sum.Open-sum.Tight)*(1-past)
-}
-
-// wanted is how many upstreams tight streams should have; what is within the slack of
-// the present number stays.
-func (f *Fleet) wanted(l *lanes, upstreams int) int {
-	if l.tight+l.rest < float64(upstreams)*laneFrom {
-		return l.places // too little to tell
-	}
-	t := &f.cfg.Tuning
-	share := min(max(l.tight/(l.tight+t.RestWeight*l.rest), t.TightLeast), t.TightMost)
-	want := share * float64(upstreams)
-	if math.Abs(want-float64(l.places)) < laneSlack+laneSlackShare*float64(l.places) {
-		return l.places
-	}
-	return int(math.Round(want))
-}
-
-const (
-	// laneFrom is how many requests an upstream must have on the mean for the lanes'
-	// sizes to follow them.
-	laneFrom = 0.5
-	// laneSlack and laneSlackShare, in upstreams and as a share of the lane, are how
-	// far its size may be off: each upstream that changes its lane leaves behind what it keeps.
-	laneSlack, laneSlackShare = 0.75, 0.15
-)
