What becomes of a failure domain, and a ticket's counts, are steps of their own

unreached and reached each held the bookkeeping of a domain and a loop over all its upstreams; leaving a domain and returning to it are named now, and the count of failures in a row is a method of what is known of the domain. domainWithin is between two failures, not over all of them, as its doc said. A ticket kept its urgency beside the request that holds it and wrote out the same call three times. The docs of the lanes' tuning say their units, and that other requests are weighted. No behaviour changes.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -29,7 +29,7 @@
 	others   work // of all other boxes
 	health   health
 	out      bool          // it cannot be reached
-	byDomain bool          // it is out since its domain seems to be cut off
+	byDomain bool          // it was only left along with its domain, when it last came to be out
 	since    time.Duration // when it was first listed
 	key      uint32        // Key of its id
 	tight    bool          // it is in the lane for tight streams
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -92,8 +92,8 @@
 }
 
 // wanted is how many upstreams tight streams should have: by their share of all requests,
-// so that both lanes run about as many on each. A number within the slack of the present
-// one leaves that as it is.
+// of which each other one counts RestWeight times. A number within the slack of the
+// present one leaves that as it is.
 func (f *Fleet) wanted(l *lanes, upstreams int) int {
 	if l.tight+l.rest < float64(upstreams)*laneFrom {
 		return l.places // too little to tell
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -11,18 +11,19 @@
 	"time"
 )
 
-// domainFrom is how many upstreams of a failure domain must have become out of reach in
-// a row, none of the domain answering in between, for the domain itself to count as cut
-// off.
-const domainFrom = 2
-
-// domainWithin is the span in which they must have.
-const domainWithin = 2 * time.Second
+const (
+	// domainFrom is how many upstreams of a failure domain must have become out of reach
+	// in a row, none of the domain answering in between, for the domain itself to count
+	// as cut off: one alone may have died.
+	domainFrom = 2
+	// domainWithin is the longest time between two of them.
+	domainWithin = 2 * time.Second
+)
 
 // domainReach is what is known of the way to a failure domain.
 type domainReach struct {
 	inRow  int           // upstreams that became out of reach since one answered
-	failed time.Duration // when the last of them did
+	failed time.Duration // when one of them was last found out of reach
 	cut    bool          // the domain is left as a whole
 }
 
@@ -42,31 +43,42 @@
 	return d
 }
 
-// unreached notes that no connection to the upstream came up, or that one went silent.
-// Where others of its domain have failed alike, all of them are out; within its own
-// domain a box believes what it sees only.
-func (f *Fleet) unreached(now time.Duration, m *member) {
-	d := f.domain(m.Domain)
+// noteFailure counts an upstream that could not be reached; isNew says that it could be
+// before.
+func (d *domainReach) noteFailure(now time.Duration, isNew bool) {
 	if now-d.failed > domainWithin {
 		d.inRow = 0
 	}
-	if !m.out {
+	if isNew {
 		d.inRow++
 	}
 	d.failed = now
+}
+
+// unreached notes that no connection to the upstream came up, or that one went silent.
+// Where others of its domain have failed alike, all of them are out; within its own
+// domain a box believes what it sees only.
+func (f *Fleet) unreached(now time.Duration, m *member) {
+	d := f.domain(m.Domain)
+	d.noteFailure(now, !m.out)
 	f.markOut(m, false)
-	if m.Domain == f.cfg.Domain || d.inRow < domainFrom || d.cut {
-		return
+	if m.Domain != f.cfg.Domain && d.inRow >= domainFrom && !d.cut {
+		f.leaveDomain(m.Domain)
 	}
-	d.cut = true
-	for _, o := range f.byID {
-		if o.Domain == m.Domain && !o.out {
-			f.markOut(o, true)
+}
+
+// leaveDomain notes that a failure domain seems to be cut off.
+func (f *Fleet) leaveDomain(name string) {
+	f.domain(name).cut = true
+	for _, m := range f.byID {
+		if m.Domain == name && !m.out {
+			f.markOut(m, true)
 		}
 	}
 }
 
-// markOut notes that an upstream gets no requests until it can be reached.
+// markOut notes that an upstream gets no requests until it can be reached; byDomain says
+// that it was not found out itself.
 func (f *Fleet) markOut(m *member, byDomain bool) {
 	if !m.out {
 		f.lost = append(f.lost, Lost{m.Upstream, byDomain})
@@ -74,24 +86,28 @@
 	m.out, m.byDomain = true, byDomain
 }
 
-// reached notes that an upstream can be reached. Those of its domain that were only
-// left along with it are taken again; those that failed themselves are tried first.
+// reached notes that an upstream can be reached, and with it its domain.
 func (f *Fleet) reached(m *member) {
 	m.out = false
 	d := f.domain(m.Domain)
 	d.inRow = 0
-	if !d.cut {
-		return
+	if d.cut {
+		f.returnToDomain(m.Domain)
 	}
-	d.cut = false
-	for _, o := range f.byID {
-		if o.Domain == m.Domain && o.byDomain {
-			o.out = false
+}
+
+// returnToDomain takes those upstreams of a failure domain again that were only left along
+// with it; those that failed themselves are tried first.
+func (f *Fleet) returnToDomain(name string) {
+	f.domain(name).cut = false
+	for _, m := range f.byID {
+		if m.Domain == name && m.byDomain {
+			m.out = false
 		}
 	}
 }
 
-// Reached notes that a trial has shown that an upstream can be reached.
+// Reached notes that a trial connection to an upstream came up.
 func (f *Fleet) Reached(id string) {
 	if m := f.byID[id]; m != nil {
 		f.reached(m)
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -9,11 +9,10 @@
 type Ticket struct {
 	fleet   *Fleet
 	member  *member
-	urgency int
-	tight   int // 1 where it is a tight stream
 	request Request
-	read    bool // its first event came
 	unread  int  // tokens of its prompt that are counted as not yet read
+	tight   int  // tight streams that it counts as, 0 or 1
+	read    bool // its first event came
 	opened  time.Duration
 	alone   bool // nothing was before it
 	closed  bool
@@ -25,11 +24,11 @@
 	if m == nil {
 		return &Ticket{closed: true}
 	}
-	t := &Ticket{fleet: f, member: m, request: r, urgency: r.level(), unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
+	t := &Ticket{fleet: f, member: m, request: r, unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
 	if r.Tight {
 		t.tight = 1
 	}
-	m.work.add(t.urgency, Load{Unread: t.unread, Open: 1, Tight: t.tight})
+	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight})
 	f.sent(now, m, r)
 	return t
 }
@@ -49,10 +48,13 @@
 
 // clear takes the unread tokens of the prompt away.
 func (t *Ticket) clear() {
-	t.member.work.add(t.urgency, Load{Unread: -t.unread})
+	t.count(Load{Unread: -t.unread})
 	t.unread = 0
 }
 
+// count adds a change to the work of the upstream.
+func (t *Ticket) count(change Load) { t.member.work.add(t.request.level(), change) }
+
 // Close ends the count, and tells what became of the request.
 func (t *Ticket) Close(now time.Duration, outcome Outcome) {
 	if t.closed {
@@ -60,10 +62,10 @@
 	}
 	t.clear()
 	t.closed = true
-	t.member.work.add(t.urgency, Load{Open: -1, Tight: -t.tight})
+	t.count(Load{Open: -1, Tight: -t.tight})
 	t.member.health.note(now, outcome)
 	if !t.read && (outcome == Full || outcome == Unreachable) {
-		t.fleet.unsent(t.member, t.request)
+		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
 	}
 	switch outcome {
 	case Unreachable:
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -10,14 +10,15 @@
 	// AgainWeight is how many prompt tokens before a request each token weighs that would
 	// be read or moved once more, since another upstream keeps it.
 	AgainWeight float64
-	// NewFor is how long after its listing an upstream fetches prompts from the one
-	// that was their home before.
+	// NewFor is how long after its listing, or after it came into its lane, an upstream
+	// fetches prompts from the one that was their home before.
 	NewFor time.Duration
 	// TightShare is the share of a service's upstreams, in 100, that is kept for
 	// streams whose events must follow each other closely, until what is under way
 	// tells how many of them there are.
 	TightShare int
-	// TightLeast and TightMost bound the share that is kept for them.
+	// TightLeast and TightMost bound the share that is kept for them from then on, as
+	// parts of 1.
 	TightLeast, TightMost float64
 	// RestWeight is how many tight streams another open request counts for when the
 	// upstreams are divided.
