--- a/group/count.go
+++ b/group/count.go
@@ -15,7 +15,7 @@
 func (n *Node) domainBoxes(now time.Duration) int {
 	count := 1
 	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain && now-p.heard < n.cfg.Timing.Member {
+		if n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member {
 			count++
 		}
 	}
@@ -27,7 +27,7 @@
 func (n *Node) allBoxes(now time.Duration) int {
 	domains := make(map[string]int)
 	for _, p := range n.peers {
-		if p.box.Domain != n.cfg.Self.Domain {
+		if !n.sameDomain(p) {
 			domains[p.box.Domain] = max(domains[p.box.Domain], p.boxes)
 		}
 	}
--- a/group/hear.go
+++ b/group/hear.go
@@ -95,7 +95,7 @@
 		reply := n.message(now)
 		reply.Boxes = n.listFor(p.box.Domain, now)
 		n.send(p.box.Address, reply)
-	case m.Leads && p.box.Domain == n.cfg.Self.Domain && n.Leads():
+	case m.Leads && n.sameDomain(p) && n.Leads():
 		n.send(p.box.Address, n.message(now)) // it does not know of this box yet
 	}
 }
--- a/group/kept.go
+++ b/group/kept.go
@@ -62,7 +62,7 @@
 	if !n.Leads() || n.heardKept(p, list) {
 		return
 	}
-	n.queueKept(p.box.Name, p.box.Domain != n.cfg.Self.Domain, list)
+	n.queueKept(p.box.Name, !n.sameDomain(p), list)
 }
 
 // heardKept reports whether the list repeats the last one of the same box.
@@ -86,7 +86,7 @@
 	own, _ := n.keptMessage(list, false)
 	for _, p := range n.keptPeers(now) {
 		m := all
-		if p.box.Domain != n.cfg.Self.Domain {
+		if !n.sameDomain(p) {
 			m = own
 		}
 		if m != nil && p.box.Name != source {
@@ -109,7 +109,7 @@
 	}
 	var list []*peer
 	for _, p := range n.peers {
-		wants := p.box.Domain == n.cfg.Self.Domain || p.leads
+		wants := n.sameDomain(p) || p.leads
 		if wants && now-p.heard < n.cfg.Timing.Member {
 			list = append(list, p)
 		}
--- a/group/lane.go
+++ b/group/lane.go
@@ -34,7 +34,7 @@
 func (n *Node) strongestLead(now time.Duration) *wire.GroupBox {
 	best := n.lead()
 	for _, p := range n.peers {
-		if p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence && p.box.Domain != n.cfg.Self.Domain && better(p.box, best) {
+		if p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence && !n.sameDomain(p) && better(p.box, best) {
 			best = p.box
 		}
 	}
--- a/group/lead.go
+++ b/group/lead.go
@@ -46,7 +46,7 @@
 func (n *Node) place() int {
 	place := 0
 	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain && better(p.box, n.cfg.Self) {
+		if n.sameDomain(p) && better(p.box, n.cfg.Self) {
 			place++
 		}
 	}
--- a/group/node.go
+++ b/group/node.go
@@ -96,6 +96,9 @@
 	lastKept  []balance.Kept // of the last message that told such
 }
 
+// sameDomain reports whether a peer is of this box's failure domain.
+func (n *Node) sameDomain(p *peer) bool { return p.box.Domain == n.cfg.Self.Domain }
+
 // Node is one box's part of the group. It is not safe for several goroutines.
 type Node struct {
 	cfg        Config
--- a/group/published.go
+++ b/group/published.go
@@ -66,7 +66,7 @@
 		return
 	}
 	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain || p.leads {
+		if n.sameDomain(p) || p.leads {
 			n.sendItems(now, p.box.Address, from, changes)
 		}
 	}
--- a/group/talk.go
+++ b/group/talk.go
@@ -75,10 +75,10 @@
 func (n *Node) beatAll(now time.Duration) {
 	foreign := false
 	for _, p := range n.peers {
-		if p.box.Domain != n.cfg.Self.Domain && !p.leads {
+		if !n.sameDomain(p) && !p.leads {
 			continue
 		}
-		foreign = foreign || p.box.Domain != n.cfg.Self.Domain && now-p.heard < n.cfg.Timing.Member
+		foreign = foreign || !n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member
 		m := n.message(now)
 		m.Boxes = n.listIfNew(p, now)
 		n.send(p.box.Address, m)
