What is told of parts: docs say what the code does

The doc of takeKept said that what is told for the second time goes on as well, while the code drops a list that equals the one before; heardKept looked like a question and stored the list. Both are plain now, the messages of tellKept are called by whom they are for, and two hand-written loops are calls of slices. Handle leaves the sender's check to handleKept. No behaviour changes.

--- a/group/hear.go
+++ b/group/hear.go
@@ -16,9 +16,7 @@
 		return
 	}
 	if len(m.Kept) > 0 {
-		if p := n.peers[m.Sender.Name]; p != nil && p.box.Boot == m.Sender.Boot {
-			n.takeKept(p, m)
-		}
+		n.handleKept(m)
 		return
 	}
 	p := n.noteSender(now, m.Sender)
--- a/group/kept.go
+++ b/group/kept.go
@@ -2,10 +2,11 @@
 
 // This file defines how boxes tell each other which upstreams were sent which parts of
 // prompts. A member tells its lead, the lead its members and the other leads, and those
-// their members. The invariant: each thing is told a bounded number of times, and what
+// their members. The invariant: a box tells each thing a bounded number of times, and what
 // comes from another domain goes to no other one.
 
 import (
+	"slices"
 	"time"
 
 	"github.com/doormast/doormast/balance"
@@ -39,6 +40,7 @@
 	return heard
 }
 
+// queueKept puts what came from a box among what waits to be told.
 func (n *Node) queueKept(from string, foreign bool, list []balance.Kept) {
 	for _, k := range list {
 		if len(n.keptNews) >= maxKeptWaiting {
@@ -48,8 +50,16 @@
 	}
 }
 
-// takeKept takes in what a message tells. What is told for the second time goes on as
-// well: the other way round, one lost datagram on the way would lose it for all behind.
+// handleKept takes in a message that tells parts; such a one is no sign of life.
+func (n *Node) handleKept(m *wire.GroupMessage) {
+	if p := n.peers[m.Sender.Name]; p != nil && p.box.Boot == m.Sender.Boot {
+		n.takeKept(p, m)
+	}
+}
+
+// takeKept takes in what a message tells. A lead passes it on, unless the same list is what
+// the box told last: where things are told for the second time along with others, the first
+// message may have been lost.
 func (n *Node) takeKept(p *peer, m *wire.GroupMessage) {
 	list := unpackKept(m.Kept)
 	if len(list) == 0 {
@@ -59,20 +69,14 @@
 		list = list[:room]
 	}
 	n.keptHeard = append(n.keptHeard, list...)
-	if !n.Leads() || n.heardKept(p, list) {
+	if !n.Leads() {
 		return
 	}
-	n.queueKept(p.box.Name, !n.sameDomain(p), list)
-}
-
-// heardKept reports whether the list repeats the last one of the same box.
-func (n *Node) heardKept(p *peer, list []balance.Kept) bool {
-	same := len(list) == len(p.lastKept)
-	for i := 0; same && i < len(list); i++ {
-		same = list[i] == p.lastKept[i]
-	}
+	repeats := slices.Equal(list, p.lastKept)
 	p.lastKept = list
-	return same
+	if !repeats {
+		n.queueKept(p.box.Name, !n.sameDomain(p), list)
+	}
 }
 
 // tellKept sends what waits to be told. A lead makes one message for its members and one
@@ -82,12 +86,12 @@
 		return
 	}
 	list := n.keptNews[:min(len(n.keptNews), maxKept)]
-	all, source := n.keptMessage(list, true)
-	own, _ := n.keptMessage(list, false)
+	forMembers, source := n.keptMessage(list, true)
+	forLeads, _ := n.keptMessage(list, false)
 	for _, p := range n.keptPeers(now) {
-		m := all
+		m := forMembers
 		if !n.sameDomain(p) {
-			m = own
+			m = forLeads
 		}
 		if m != nil && p.box.Name != source {
 			n.send(p.box.Address, m)
@@ -118,11 +122,12 @@
 }
 
 // keptMessage makes the message that tells a list, with or without what comes from other
-// domains; nil where nothing is left. source is the box all of it came from, if one.
-func (n *Node) keptMessage(list []keptNews, foreign bool) (m *wire.GroupMessage, source string) {
+// domains; nil where nothing is left. source is the box that all of it came from, which
+// needs not be told; empty where it came from several, or from this one.
+func (n *Node) keptMessage(list []keptNews, withForeign bool) (m *wire.GroupMessage, source string) {
 	m = &wire.GroupMessage{Sender: &wire.GroupBox{Name: n.cfg.Self.Name, Boot: n.cfg.Self.Boot}}
 	for _, k := range list {
-		if k.foreign && !foreign {
+		if k.foreign && !withForeign {
 			continue
 		}
 		if len(m.Kept) == 0 {
@@ -139,15 +144,9 @@
 	return m, source
 }
 
-// dropTold leaves out what was told often enough, in place and in order.
+// dropTold leaves out what was told often enough.
 func (n *Node) dropTold() {
-	rest := n.keptNews[:0]
-	for _, k := range n.keptNews {
-		if k.tells > 0 {
-			rest = append(rest, k)
-		}
-	}
-	n.keptNews = rest
+	n.keptNews = slices.DeleteFunc(n.keptNews, func(k keptNews) bool { return k.tells <= 0 })
 }
 
 // unpackKept reads the wire's form: a part and its upstream in turn.
