The group's files say where to look, and its pauses are told apart

The fields of Node stand by what they are for, as those of a peer did, and its header names most of the new files. The condition in strongestLead is split, and whom a box follows has a name. No behaviour changes.

--- a/group/lane.go
+++ b/group/lane.go
@@ -34,24 +34,26 @@
 func (n *Node) strongestLead(now time.Duration) *wire.GroupBox {
 	best := n.lead()
 	for _, p := range n.peers {
-		if p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence && !n.sameDomain(p) && better(p.box, best) {
+		leads := p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence
+		if leads && !n.sameDomain(p) && better(p.box, best) {
 			best = p.box
 		}
 	}
 	return best
 }
 
+// followed is the box whose division this one takes over.
+func (n *Node) followed(now time.Duration) *wire.GroupBox {
+	if n.Leads() {
+		return n.strongestLead(now)
+	}
+	return n.lead()
+}
+
 // takeLanes takes over the division that a message tells, if its sender is the one to
 // be followed.
 func (n *Node) takeLanes(now time.Duration, p *peer, m *wire.GroupMessage) {
-	if !m.Leads {
-		return
-	}
-	followed := n.lead()
-	if n.Leads() {
-		followed = n.strongestLead(now)
-	}
-	if p.box.Name != followed.Name {
+	if !m.Leads || p.box.Name != n.followed(now).Name {
 		return
 	}
 	n.lanes, n.lanesAt = make(balance.LaneSizes, len(m.Lanes)), now
--- a/group/lead.go
+++ b/group/lead.go
@@ -20,6 +20,7 @@
 	return n.chosen
 }
 
+// chooseLead looks for the lead; a box that is leaving leads only where no other can.
 func (n *Node) chooseLead() *wire.GroupBox {
 	best := n.cfg.Self
 	for _, p := range n.peers {
--- a/group/node.go
+++ b/group/node.go
@@ -1,10 +1,11 @@
 package group
 
 // This file defines a box's view of the group: its configuration, the other boxes it
-// knows, and what it has to send. Who leads stands in lead.go, how many boxes there
-// are in count.go, what is said in talk.go and taken in in hear.go, what is published
-// in published.go, and the work under way in load.go. The invariant: messages leave a
-// Node by Drain alone.
+// knows, and what it has to send. Who leads stands in lead.go and who reads in reads.go,
+// how many boxes there are in count.go, what is said in talk.go and taken in in hear.go,
+// what is published in published.go, the work under way in load.go, how services are
+// divided in lane.go, and who was sent which parts in kept.go. The invariant: messages
+// leave a Node by Drain alone.
 
 import (
 	"time"
@@ -101,33 +102,39 @@
 
 // Node is one box's part of the group. It is not safe for several goroutines.
 type Node struct {
-	cfg        Config
-	started    time.Duration
-	peers      map[string]*peer // by name; of this domain, and leads of others
-	confirmed  time.Duration    // when the mirror was the newest
-	doubt      time.Duration    // until when entries that went may come back
-	readOK     time.Duration    // last success of this box's own reading
-	readFails  bool             // this box's last reading failed
-	lastBeat   time.Duration
-	lastAsk    time.Duration
-	chosen     *wire.GroupBox // the lead; nil where it has to be looked for anew
-	lastTick   time.Duration
-	wokeAt     time.Duration // when the box last noticed that it had stood still
-	waitsFrom  time.Duration // since when the present lead is waited for
-	leadName   string        // the lead that is waited for
-	most       int           // the greatest count of boxes seen
-	leaving    bool
-	loads      Loads              // this box's own
-	loadsPause time.Duration      // between two tells to the same box
-	others     Loads              // all other boxes'
-	ownLanes   balance.LaneSizes  // as this box would divide services
-	lanes      balance.LaneSizes  // as the lead it follows does
-	lanesAt    time.Duration      // when that was heard last
-	lists      map[string]boxList // of the beat under way, by domain
-	keptNews   []keptNews         // to be told
-	keptHeard  []balance.Kept     // told by others, and not yet taken over
-	out        []Outgoing
-	pull       string // address to pull everything from
+	cfg     Config
+	started time.Duration
+	peers   map[string]*peer // by name; of this domain, and leads of others
+	most    int              // the greatest count of boxes seen
+	leaving bool
+
+	chosen    *wire.GroupBox // the lead; nil where it has to be looked for anew
+	leadName  string         // the lead that is waited for
+	waitsFrom time.Duration  // since when it is
+
+	confirmed time.Duration // when the mirror was the newest
+	doubt     time.Duration // until when entries that went may come back
+	readOK    time.Duration // last success of this box's own reading
+	readFails bool          // this box's last reading failed
+	pull      string        // address to pull everything from
+
+	lastTick time.Duration
+	wokeAt   time.Duration // when the box last noticed that it had stood still
+	lastBeat time.Duration
+	lastAsk  time.Duration
+	lists    map[string]boxList // of the beat under way, by domain
+	out      []Outgoing
+
+	loads      Loads         // this box's own
+	loadsPause time.Duration // between two tells to the same box
+	others     Loads         // all other boxes'
+
+	ownLanes balance.LaneSizes // as this box would divide services
+	lanes    balance.LaneSizes // as the lead it follows does
+	lanesAt  time.Duration     // when that was heard last
+
+	keptNews  []keptNews     // to be told
+	keptHeard []balance.Kept // told by others, and not yet taken over
 }
 
 // never lies before every moment.
@@ -135,8 +142,20 @@
 
 // NewNode returns the part of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
-	return &Node{cfg: cfg, started: now, peers: make(map[string]*peer), confirmed: never, doubt: never, readOK: never, lanesAt: never, lastTick: now, wokeAt: never,
-		lastBeat: never, lastAsk: never, waitsFrom: now}
+	return &Node{
+		cfg:       cfg,
+		started:   now,
+		peers:     make(map[string]*peer),
+		waitsFrom: now,
+		confirmed: never,
+		doubt:     never,
+		readOK:    never,
+		lastTick:  now,
+		wokeAt:    never,
+		lastBeat:  never,
+		lastAsk:   never,
+		lanesAt:   never,
+	}
 }
 
 // Drain returns the messages to send, and an address to pull everything from or an
--- a/group/published.go
+++ b/group/published.go
@@ -31,7 +31,7 @@
 		ask := n.message(now)
 		ask.Ask = true
 		n.send(m.Sender.Address, ask)
-	case m.Revision <= mine && m.Revision > 0 && n.agesCount(now):
+	case m.Revision <= mine && m.Revision > 0 && n.agesHold(now):
 		n.confirmed = max(n.confirmed, now-fromMicros(m.ConfirmedAge))
 	}
 }
@@ -131,7 +131,7 @@
 	}
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
-	if r.Revision >= from && n.agesCount(now) {
+	if r.Revision >= from && n.agesHold(now) {
 		n.confirmed = max(n.confirmed, now-fromMicros(r.ConfirmedAge))
 	}
 	n.tell(now, changes, from)
--- a/group/reads.go
+++ b/group/reads.go
@@ -6,16 +6,19 @@
 
 import "time"
 
+// maxStagger bounds the places that delay a box's own reading.
+const maxStagger = 5
+
 const (
-	// maxStagger bounds the places that delay a box's own reading.
-	maxStagger = 5
-	// The pauses after a reading that failed, doubled with each failure: of a lead,
-	// whose domain waits for the publisher's return, or a box that knows nothing yet, and
-	// of the others, which only
-	// read because the lead cannot and would add nothing to a publisher that is down.
-	pauseFirst  = 250 * time.Millisecond
-	pauseLead   = 500 * time.Millisecond
-	pauseOthers = 2 * time.Second
+	// firstReadPause is the pause after one reading that failed; each further failure
+	// doubles it, up to one of the two below.
+	firstReadPause = 250 * time.Millisecond
+	// leadReadPause is the longest pause of a lead, whose domain waits for the publisher's
+	// return, and of a box that knows nothing yet.
+	leadReadPause = 500 * time.Millisecond
+	// memberReadPause is the longest pause of the others, which only read because the lead
+	// cannot, and would add nothing but load to a publisher that is down.
+	memberReadPause = 2 * time.Second
 )
 
 // Reads reports whether this box should read what is published itself.
@@ -38,11 +41,11 @@
 // ReadPause is how long this box waits after its reading has failed so many times in
 // a row.
 func (n *Node) ReadPause(failures int) time.Duration {
-	longest := pauseOthers
+	longest := memberReadPause
 	if n.Leads() || n.cfg.Mirror.Revision() == 0 {
-		longest = pauseLead
+		longest = leadReadPause
 	}
-	pause := pauseFirst
+	pause := firstReadPause
 	for ; failures > 1 && pause < longest; failures-- {
 		pause *= 2
 	}
@@ -52,7 +55,7 @@
 // alone reports whether there is nobody to wait for.
 func (n *Node) alone() bool { return len(n.cfg.Seeds) == 0 }
 
-// leadIsBlind reports whether the lead lives and says that it cannot read.
+// leadIsBlind reports whether the lead said last that it cannot read.
 func (n *Node) leadIsBlind() bool {
 	p := n.peers[n.Lead()]
 	return p != nil && p.leads && !p.reads
