What the duty swaps with the fleet is a file of its own

swapLoads had come to size lanes and to pass on what is known of parts as well; it is syncFleet now, in sync.go, with what belongs to it. The fields of members that other duties look at stand apart from those that the duty alone does. noteUnreached only logs and is called so, and what its doc said of moving runs stands at moveRuns. shortTime was a share; the comparison with it has a name. No behaviour changes.

--- a/relay/members.go
+++ b/relay/members.go
@@ -40,15 +40,18 @@
 	events *ring.Ring[memberEvent]
 	socket *datagram.Socket // nil where a box has no peers
 
+	// What other duties look at.
 	revision atomic.Uint64 // of the mirror
 	loadsAt  atomic.Int64  // time.Duration since the start, when the others' loads came
 	boxes    atomic.Int64
+	lead     atomic.Pointer[string]
 	reads    atomic.Bool   // the box is to read the publisher
 	kick     chan struct{} // readable when reads has become true
+
+	// What the duty alone looks at.
 	pulling  bool
-	failures int           // readings that failed, in a row
-	packed   packedMessage // the last one that was sent
-	lead     atomic.Pointer[string]
+	failures int                      // readings that failed, in a row
+	packed   packedMessage            // the last one that was sent
 	missing  map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
 }
 
@@ -83,7 +86,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.swapLoads()
+			m.syncFleet()
 			m.node.Tick(m.relay.now())
 			m.dropMissing()
 		case <-m.events.Ready():
@@ -96,30 +99,6 @@
 	}
 }
 
-// swapLoads hands the node what this box has under way, and the fleet what the
-// others have.
-func (m *members) swapLoads() {
-	m.relay.mu.Lock()
-	defer m.relay.mu.Unlock()
-	m.node.SetLoads(m.relay.fleet.Loads())
-	m.relay.fleet.SetOthers(m.node.Others())
-	m.sizeLanes()
-	m.node.TellKept(m.relay.fleet.KeptNews())
-	m.relay.fleet.NoteKept(m.relay.now(), m.node.DrainKept())
-}
-
-// sizeLanes divides services by what is under way, or as the group's strongest lead
-// does. The caller holds the relay's mu.
-func (m *members) sizeLanes() {
-	now := m.relay.now()
-	changes := m.relay.fleet.SizeLanes(now, m.node.Lanes(now))
-	m.node.SetLanes(m.relay.fleet.Lanes())
-	for _, c := range changes {
-		m.relay.cfg.Log.Event("lanes", "sized", Fields{"service": c.Service, "tight_upstreams": c.Places, "upstreams": c.Upstreams,
-			"tight_open": c.Tight, "other_open": c.Rest, "told": c.Told, "loads_age_ms": m.loadsAge().Milliseconds()})
-	}
-}
-
 // leadName is the box that leads the domain, as far as is known.
 func (m *members) leadName() string {
 	if lead := m.lead.Load(); lead != nil {
@@ -128,9 +107,6 @@
 	return ""
 }
 
-// loadsAge is how old the others' loads are.
-func (m *members) loadsAge() time.Duration { return m.relay.now() - time.Duration(m.loadsAt.Load()) }
-
 // take takes in one event.
 func (m *members) take(ctx context.Context, e memberEvent) {
 	now := m.relay.now()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -62,22 +62,26 @@
 // errNoStream says that a stream was not taken up where it was to go on.
 var errNoStream = errors.New("the answer is no stream")
 
-// shortTime is the share of its route's time below which a caller's own time is so short
+// shortShare is the share of its route's time below which a caller's own time is so short
 // that running out of it says nothing about the upstream.
-const shortTime = 0.5
+const shortShare = 0.5
 
 // outcomeOf says what a status tells about the upstream that gave it.
 func (x *exchange) outcomeOf(status int) balance.Outcome {
-	short := float64(x.end.Sub(x.arrived)) < shortTime*float64(x.route.Timeout)
 	switch {
 	case status < fasthttp.StatusInternalServerError:
 		return balance.Answered
-	case status == fasthttp.StatusGatewayTimeout && short:
+	case status == fasthttp.StatusGatewayTimeout && x.hasShortTime():
 		return balance.Neutral
 	}
 	return balance.Failed
 }
 
+// hasShortTime reports whether the caller gave much less time than the route does.
+func (x *exchange) hasShortTime() bool {
+	return float64(x.end.Sub(x.arrived)) < shortShare*float64(x.route.Timeout)
+}
+
 // failed notes a run that brought nothing.
 func (x *exchange) failed(state runState, err error) {
 	outcome := x.outcomeOfFailure(state, err)
@@ -90,7 +94,7 @@
 	x.settle(outcome)
 	if outcome == balance.Unreachable {
 		x.relay.conns.forget(x.upstream.ID)
-		x.relay.noteUnreached(x.upstream.ID)
+		x.relay.logUnreached(x.upstream.ID)
 		x.relay.tryLater()
 	}
 	x.logFailed(state, err)
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -20,7 +20,7 @@
 	whole    bool
 	err      error
 	taken    chan<- struct{} // closed when it was taken in
-	pause    time.Duration   // set by then: how long to wait before the next reading
+	pause    time.Duration   // to wait before the next reading; set before taken is closed
 }
 
 // readDuty reads while the group wants this box to.
--- /dev/null
+++ b/relay/sync.go
@@ -0,0 +1,34 @@
+package relay
+
+// This file defines what the box's part of the group and its fleet tell each other, ten
+// times a second. The invariant: both are brought up to date under one hold of the relay's
+// mu, so that no request is placed between the two.
+
+import "time"
+
+// syncFleet hands the node what this box has under way and has sent to upstreams, and the
+// fleet what the other boxes have and have sent.
+func (m *members) syncFleet() {
+	m.relay.mu.Lock()
+	defer m.relay.mu.Unlock()
+	m.node.SetLoads(m.relay.fleet.Loads())
+	m.relay.fleet.SetOthers(m.node.Others())
+	m.sizeLanes()
+	m.node.TellKept(m.relay.fleet.KeptNews())
+	m.relay.fleet.NoteKept(m.relay.now(), m.node.DrainKept())
+}
+
+// sizeLanes divides services by what is under way, or as the group's strongest lead
+// does. The caller holds the relay's mu.
+func (m *members) sizeLanes() {
+	now := m.relay.now()
+	changes := m.relay.fleet.SizeLanes(now, m.node.Lanes(now))
+	m.node.SetLanes(m.relay.fleet.Lanes())
+	for _, c := range changes {
+		m.relay.cfg.Log.Event("lanes", "sized", Fields{"service": c.Service, "tight_upstreams": c.Places, "upstreams": c.Upstreams,
+			"tight_open": c.Tight, "other_open": c.Rest, "told": c.Told, "loads_age_ms": m.loadsAge().Milliseconds()})
+	}
+}
+
+// loadsAge is how old the others' loads are.
+func (m *members) loadsAge() time.Duration { return m.relay.now() - time.Duration(m.loadsAt.Load()) }
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -38,10 +38,9 @@
 	}
 }
 
-// noteUnreached logs the upstreams that have come to count as out of reach; cause is the
-// one that just could not be reached. What runs on them is only moved once a trial has
-// failed as well: engines that are overrun let connections wait too.
-func (r *Relay) noteUnreached(cause string) {
+// logUnreached logs the upstreams that have come to count as out of reach; cause is the
+// one that just could not be reached.
+func (r *Relay) logUnreached(cause string) {
 	r.mu.Lock()
 	list := r.fleet.NewlyLost()
 	r.mu.Unlock()
@@ -74,7 +73,8 @@
 
 // moveRuns ends the runs on an upstream that is out of reach, where the request may
 // run again: it goes on elsewhere, instead of waiting until the connection is known
-// to be dead.
+// to be dead. It is only called once a trial has failed as well: engines that are overrun
+// let connections wait too.
 func (r *Relay) moveRuns(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
