--- a/group/hear.go
+++ b/group/hear.go
@@ -16,9 +16,7 @@
 		return
 	}
 	if len(m.Kept) > 0 {
-		if p := n.peers[m.Sender.Name]; p != nil && p.box.Boot == m.Sender.Boot {
-			n.takeKept(p, m)
-		}
+		n.handleKept(m)
 		return
 	}
 	p := n.noteSender(now, m.Sender)
@@ -95,7 +93,7 @@
 		reply := n.message(now)
 		reply.Boxes = n.listFor(p.box.Domain, now)
 		n.send(p.box.Address, reply)
-	case m.Leads && p.box.Domain == n.cfg.Self.Domain && n.Leads():
+	case m.Leads && n.sameDomain(p) && n.Leads():
 		n.send(p.box.Address, n.message(now)) // it does not know of this box yet
 	}
 }
--- a/group/lead.go
+++ b/group/lead.go
@@ -20,6 +20,7 @@
 	return n.chosen
 }
 
+// chooseLead looks for the lead; a box that is leaving leads only where no other can.
 func (n *Node) chooseLead() *wire.GroupBox {
 	best := n.cfg.Self
 	for _, p := range n.peers {
@@ -46,7 +47,7 @@
 func (n *Node) place() int {
 	place := 0
 	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain && better(p.box, n.cfg.Self) {
+		if n.sameDomain(p) && better(p.box, n.cfg.Self) {
 			place++
 		}
 	}
--- a/group/pack.go
+++ b/group/pack.go
@@ -73,9 +73,13 @@
 
 var errLarge = errors.New("group: a value beyond its bound")
 
-func deflate(b []byte) []byte {
+// deflate compresses quickly.
+func deflate(b []byte) []byte { return deflateAt(b, flate.BestSpeed) }
+
+// deflateAt compresses at one of the levels of package flate.
+func deflateAt(b []byte, level int) []byte {
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	w, err := flate.NewWriter(&out, level)
 	if err != nil {
 		return nil // the level is a valid one
 	}
--- a/group/published.go
+++ b/group/published.go
@@ -31,7 +31,7 @@
 		ask := n.message(now)
 		ask.Ask = true
 		n.send(m.Sender.Address, ask)
-	case m.Revision <= mine && m.Revision > 0 && n.agesCount(now):
+	case m.Revision <= mine && m.Revision > 0 && n.agesHold(now):
 		n.confirmed = max(n.confirmed, now-fromMicros(m.ConfirmedAge))
 	}
 }
@@ -66,7 +66,7 @@
 		return
 	}
 	for _, p := range n.peers {
-		if p.box.Domain == n.cfg.Self.Domain || p.leads {
+		if n.sameDomain(p) || p.leads {
 			n.sendItems(now, p.box.Address, from, changes)
 		}
 	}
--- a/group/pulled.go
+++ b/group/pulled.go
@@ -4,6 +4,7 @@
 // read whole is not taken at all.
 
 import (
+	"compress/flate"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil // a key that is no text: the box that pulls reads for itself
 	}
-	return deflate(b)
+	return deflateAt(b, flate.DefaultCompression) // it is done once for many
 }
 
 // unpackAll reads what packAll made; false means that it cannot be read.
@@ -77,7 +78,7 @@
 	}
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
-	if r.Revision >= from && n.agesCount(now) {
+	if r.Revision >= from && n.agesHold(now) {
 		n.confirmed = max(n.confirmed, now-fromMicros(r.ConfirmedAge))
 	}
 	n.tell(now, changes, from)
