Five faults that a reading of the new code found

Cause and mend, each with a test that failed first: a part told again after a minute went no further than the lead, which took it for the repeat of the list before (now only within 0.5 s); a domain that was left stayed so when its upstreams were replaced, and could not be left again; a lead that started again was taken to know what its earlier life had been told; a probe's 504 still counted against its upstream where the route may run again; and with 16,384 parts known each new one looked through all of them (0.4 ms; now once in 5 s). Left as it is, listed: for up to 100 ms after a wake signs of life from messages that waited are believed, and parts that overlap in messages may be told more than twice.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -114,6 +114,7 @@
 	delete(f.byKey, m.key)
 	f.lanesOf(m.Service).stale = true
 	f.kept.forget(m)
+	f.markIn(m) // it counts among those of a domain that is left no more
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 }
--- a/balance/kept.go
+++ b/balance/kept.go
@@ -15,6 +15,8 @@
 	keptParts = 1 << 14
 	// keepersEach bounds the upstreams that are known to keep a part.
 	keepersEach = 8
+	// sweepEvery is the least time between two looks for parts that are old.
+	sweepEvery = 5 * time.Second
 	// keptFor is how long a part is thought to be kept after it was last heard of;
 	// engines give way what was unused the longest.
 	keptFor = 120 * time.Second
@@ -34,6 +36,7 @@
 type kept struct {
 	keepers map[uint32][]keeper // by PartKey; no list is empty
 	news    []Kept              // not told yet
+	swept   time.Duration       // when old ones last made room
 }
 
 // find returns where the upstream stands among the part's keepers, or -1.
@@ -66,9 +69,11 @@
 	return &list[len(list)-1]
 }
 
-// hasRoom reports whether one more part may be known; old ones make room for it.
+// hasRoom reports whether one more part may be known; old ones make room for it, once in
+// a while: to look through all of them for each new part would cost a box more than all else.
 func (k *kept) hasRoom(now time.Duration) bool {
-	if len(k.keepers) >= keptParts {
+	if len(k.keepers) >= keptParts && now-k.swept >= sweepEvery {
+		k.swept = now
 		k.forgetOld(now)
 	}
 	return len(k.keepers) < keptParts
--- a/balance/kept_test.go
+++ b/balance/kept_test.go
@@ -147,6 +147,7 @@
 		f.NoteKept(0, []Kept{{uint32(shared), Key("u1")}})
 	}
 	is.Equal(len(f.kept.keepers), keptParts)
+	is.Equal(f.kept.swept, time.Duration(0))                // all the parts beyond were one look for old ones
 	f.NoteKept(keptFor, []Kept{{keptParts + 1, Key("u1")}}) // the old ones make room
 	is.Equal(len(f.kept.keepers), 1)
 	for shared := range uint64(maxNews + 100) {
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -24,7 +24,7 @@
 type domainReach struct {
 	inRow  int           // upstreams that became out of reach since one answered
 	failed time.Duration // when one of them was last found out of reach
-	cut    bool          // the domain is left as a whole
+	left   int           // upstreams that were only left along with the domain; 0: it is not left
 }
 
 // Lost is an upstream that has come to count as out of reach.
@@ -62,14 +62,13 @@
 	d := f.domain(m.Domain)
 	d.noteFailure(now, !m.out)
 	f.markOut(m, false)
-	if m.Domain != f.cfg.Domain && d.inRow >= domainFrom && !d.cut {
+	if m.Domain != f.cfg.Domain && d.inRow >= domainFrom && d.left == 0 {
 		f.leaveDomain(m.Domain)
 	}
 }
 
 // leaveDomain notes that a failure domain seems to be cut off.
 func (f *Fleet) leaveDomain(name string) {
-	f.domain(name).cut = true
 	for _, m := range f.byID {
 		if m.Domain == name && !m.out {
 			f.markOut(m, true)
@@ -83,15 +82,27 @@
 	if !m.out {
 		f.lost = append(f.lost, Lost{m.Upstream, byDomain})
 	}
+	f.markIn(m)
 	m.out, m.byDomain = true, byDomain
+	if byDomain {
+		f.domain(m.Domain).left++
+	}
+}
+
+// markIn notes that an upstream gets requests, or is not counted any more.
+func (f *Fleet) markIn(m *member) {
+	if m.byDomain {
+		f.domain(m.Domain).left--
+	}
+	m.out, m.byDomain = false, false
 }
 
 // reached notes that an upstream can be reached, and with it its domain.
 func (f *Fleet) reached(m *member) {
-	m.out = false
 	d := f.domain(m.Domain)
 	d.inRow = 0
-	if d.cut {
+	f.markIn(m)
+	if d.left > 0 {
 		f.returnToDomain(m.Domain)
 	}
 }
@@ -99,10 +110,9 @@
 // returnToDomain takes those upstreams of a failure domain again that were only left along
 // with it; those that failed themselves are tried first.
 func (f *Fleet) returnToDomain(name string) {
-	f.domain(name).cut = false
 	for _, m := range f.byID {
 		if m.Domain == name && m.byDomain {
-			m.out = false
+			f.markIn(m)
 		}
 	}
 }
--- a/balance/reach_test.go
+++ b/balance/reach_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -70,3 +71,21 @@
 	lose(f, domainWithin+time.Second, "u4")
 	is.Equal(len(f.Unreached()), 2)
 }
+
+// A domain that was left is no longer once the upstreams that were left along with it are
+// gone: those that come after them are left again when they fail.
+func TestADomainWhoseUpstreamsWereReplacedMayBeLeftAgain(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	lose(f, 0, "u1")
+	lose(f, time.Second, "u4")
+	is.Equal(len(f.Unreached()), 4)
+	for i, id := range []string{"u1", "u4", "u7", "u10"} {
+		f.Remove(id)
+		f.Put(2*time.Second, Upstream{ID: fmt.Sprintf("new%d", i), Service: "s", Domain: "d1", Slots: 8})
+	}
+	is.Equal(len(f.Unreached()), 0)
+	lose(f, 10*time.Second, "new0")
+	lose(f, 10*time.Second, "new1")
+	is.Equal(len(f.Unreached()), 4)
+}
--- a/group/hear.go
+++ b/group/hear.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if len(m.Kept) > 0 {
-		n.handleKept(m)
+		n.handleKept(now, m)
 		return
 	}
 	p := n.noteSender(now, m.Sender)
@@ -64,6 +64,7 @@
 		return nil
 	case b.Boot > p.box.Boot:
 		p.box, p.silent, p.leaving = b, false, false
+		p.told, p.toldLoads = false, nil // what the earlier life was told is lost
 		n.chosen = nil
 	}
 	return p
--- a/group/kept.go
+++ b/group/kept.go
@@ -16,6 +16,9 @@
 const (
 	// keptTells is how many messages in a row tell a thing, since one may be lost.
 	keptTells = 2
+	// keptRepeats is how long after a list the same one is only told for the second
+	// time: a few ticks of 100 ms. Later on it is news: a part is told again after a while.
+	keptRepeats = 500 * time.Millisecond
 	// maxKept bounds the things that a message tells; with its head it stays within 6 KB.
 	maxKept = 600
 	// maxKeptWaiting bounds what waits to be told; what comes beyond is left out.
@@ -51,16 +54,16 @@
 }
 
 // handleKept takes in a message that tells parts; such a one is no sign of life.
-func (n *Node) handleKept(m *wire.GroupMessage) {
+func (n *Node) handleKept(now time.Duration, m *wire.GroupMessage) {
 	if p := n.peers[m.Sender.Name]; p != nil && p.box.Boot == m.Sender.Boot {
-		n.takeKept(p, m)
+		n.takeKept(now, p, m)
 	}
 }
 
-// takeKept takes in what a message tells. A lead passes it on, unless the same list is what
-// the box told last: where things are told for the second time along with others, the first
-// message may have been lost.
-func (n *Node) takeKept(p *peer, m *wire.GroupMessage) {
+// takeKept takes in what a message tells. A lead passes it on, unless it is the list that
+// the box has just told: where things are told for the second time along with others, the
+// first message may have been lost.
+func (n *Node) takeKept(now time.Duration, p *peer, m *wire.GroupMessage) {
 	list := unpackKept(m.Kept)
 	if len(list) == 0 {
 		return
@@ -72,8 +75,8 @@
 	if !n.Leads() {
 		return
 	}
-	repeats := slices.Equal(list, p.lastKept)
-	p.lastKept = list
+	repeats := now-p.lastKeptAt < keptRepeats && slices.Equal(list, p.lastKept)
+	p.lastKept, p.lastKeptAt = list, now
 	if !repeats {
 		n.queueKept(p.box.Name, !n.sameDomain(p), list)
 	}
--- a/group/kept_test.go
+++ b/group/kept_test.go
@@ -120,3 +120,19 @@
 		is.Equal(len(heard[name]) == 0, name == boxName(0, 2))
 	}
 }
+
+// What is told again after a while reaches all boxes again, those too that have started
+// meanwhile.
+func TestWhatIsToldAgainLaterGoesToAll(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 46)
+	w.fleet(3, 4)
+	w.run(4 * time.Second)
+	teller := boxName(1, 2)
+	for range 2 {
+		w.boxes[teller].node.TellKept([]balance.Kept{{Part: 1, Upstream: 2}})
+		for name, heard := range w.hear(3 * time.Second) {
+			is.Equal(len(heard) == 0, name == teller)
+		}
+	}
+}
--- a/group/load_test.go
+++ b/group/load_test.go
@@ -83,3 +83,24 @@
 	// What the others know may be older than what the box has now: nothing falls below 0.
 	is.Equal(without(all, Loads{a: {Unread: 9999, Open: 9, Tight: 9}}), Loads{b: {Unread: 64, Open: 1}})
 }
+
+// A box that tells a lead which has started again does not take off what that one does
+// not know of.
+func TestALeadThatStartsAgainIsToldAnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 22)
+	w.fleet(1, 3)
+	w.run(5 * time.Second)
+	key := balance.LoadKey{Upstream: 7, Urgency: 2}
+	for _, name := range w.names {
+		w.boxes[name].node.SetLoads(Loads{key: {Unread: unreadUnit, Open: 1}})
+	}
+	w.run(time.Second)
+	b := w.boxes[boxName(0, 1)].node
+	is.True(b.peers[boxName(0, 0)].told)
+	w.start(boxName(0, 0), domainName(0), 100, false)
+	b.Handle(w.now, &wire.GroupMessage{Sender: w.boxes[boxName(0, 0)].self, Leads: true})
+	is.True(!b.peers[boxName(0, 0)].told)
+	w.run(3 * time.Second)
+	is.Equal(b.Others()[key].Open, 1) // of the third box; the lead has none any more
+}
--- a/group/node.go
+++ b/group/node.go
@@ -90,11 +90,12 @@
 	beats    int    // that it was sent
 	toldList uint64 // digest of the boxes it was last told
 
-	loads     Loads             // its own, or its domain's where it leads another one
-	told      bool              // it was told loads
-	toldLoads []*wire.GroupLoad // the last ones
-	toldAt    time.Duration
-	lastKept  []balance.Kept // of the last message that told such
+	loads      Loads             // its own, or its domain's where it leads another one
+	told       bool              // it was told loads
+	toldLoads  []*wire.GroupLoad // the last ones
+	toldAt     time.Duration
+	lastKept   []balance.Kept // of the last message that told such
+	lastKeptAt time.Duration  // when that came
 }
 
 // sameDomain reports whether a peer is of this box's failure domain.
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -36,13 +36,21 @@
 	status := a.header.StatusCode()
 	if status >= fasthttp.StatusInternalServerError && x.route.Again() {
 		x.failure = &wholeFailure{a, body}
-		return runUnknown, nil, errors.New(fasthttp.StatusMessage(status))
+		return runUnknown, nil, statusError(status)
 	}
 	x.answer = a
 	x.settle(x.outcomeOf(status))
 	return runAnswered, body, nil
 }
 
+// statusError is the status of an upstream's own failure.
+type statusError int
+
+var _ error = statusError(0)
+
+// Error implements error.
+func (s statusError) Error() string { return fasthttp.StatusMessage(int(s)) }
+
 // wholeFailure is an upstream's own failure, which its caller gets if no other
 // upstream does better.
 type wholeFailure struct {
@@ -102,9 +110,12 @@
 
 // outcomeOfFailure says what a run that brought nothing tells about its upstream.
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
+	var status statusError
 	switch {
 	case x.ctx.Err() != nil:
 		return balance.Neutral
+	case errors.As(err, &status):
+		return x.outcomeOf(int(status))
 	case state == runUnsent && errors.Is(err, errConnections):
 		return balance.Failed
 	case state == runUnsent, errors.Is(err, syscall.ETIMEDOUT):
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -28,5 +29,9 @@
 		x := &exchange{route: &route.Route{Timeout: 12 * time.Second}, arrived: time.Unix(1, 0)}
 		x.end = x.arrived.Add(tt.time)
 		is.Equal(x.outcomeOf(tt.status), tt.want) // as in the table
+		x.ctx = context.Background()
+		if tt.status >= 500 { // where the request may be sent again, it comes as a failure
+			is.Equal(x.outcomeOfFailure(runUnknown, statusError(tt.status)), tt.want)
+		}
 	}
 }
