--- a/relay/members.go
+++ b/relay/members.go
@@ -50,10 +50,12 @@
 	kick     chan struct{} // readable when reads has become true
 
 	// What the duty alone looks at.
-	pulling  bool
-	failures int                      // readings that failed, in a row
-	packed   packedMessage            // the last one that was sent
-	missing  map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
+	pulling   bool
+	goesOn    bool                     // of the reader alone: its last reading of everything failed
+	wholeFrom time.Duration            // and when it, or the one it went on from, began
+	failures  int                      // readings that failed, in a row
+	packed    packedMessage            // the last one that was sent
+	missing   map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
 }
 
 func newMembers(r *Relay) (*members, error) {
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -72,12 +72,22 @@
 		}
 	}
 	if r.whole || errors.Is(r.err, mirror.ErrForgotten) {
-		r.known, r.whole = m.relay.now(), true
-		r.items, r.revision, r.err = publisher.Everything(ctx)
+		m.readEverything(ctx, r)
 	}
 	return r
 }
 
+// readEverything reads all that is published. A reading that goes on where one failed
+// tells how it was when the first of them began.
+func (m *members) readEverything(ctx context.Context, r *readResult) {
+	if !m.goesOn {
+		m.wholeFrom = m.relay.now()
+	}
+	r.known, r.whole = m.wholeFrom, true
+	r.items, r.revision, r.err = m.relay.cfg.Publisher.Everything(ctx)
+	m.goesOn = r.err != nil
+}
+
 // takeRead takes in, on the members' duty, what came of a reading.
 func (m *members) takeRead(now time.Duration, r *readResult) {
 	defer close(r.taken)
