--- a/balance/place.go
+++ b/balance/place.go
@@ -46,9 +46,9 @@
 			awake = append(awake, m)
 		}
 	}
-	taken := append(awake, beyondRest(resting, len(awake))...)
-	if len(taken) > 0 {
-		return taken
+	awake = append(awake, beyondRest(resting, len(awake))...)
+	if len(awake) > 0 {
+		return awake
 	}
 	return append(resting, out...)
 }
