--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -1,8 +1,9 @@
 package balance
 
 // This file defines from where an upstream may fetch what it lacks of a prompt.
-// Fetching costs a fourth of reading again. The invariant: an upstream that was listed
-// too recently, or cannot be reached, is never fetched from.
+// Fetching costs a fourth of reading again. The invariant: an upstream that cannot be
+// reached, or rests, is never fetched from; one that was listed lately only where boxes
+// told that it was sent what is lacking.
 
 import (
 	"slices"
--- a/balance/kept.go
+++ b/balance/kept.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// keptParts bounds the parts that are known; at 40 bytes each, some 2 MB.
+	// keptParts bounds the parts that are known: with eight upstreams of 24 bytes each, and
+	// the map's own room, some 4 MB.
 	keptParts = 1 << 14
 	// keepersEach bounds the upstreams that are known to keep a part.
 	keepersEach = 8
