--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,10 +79,28 @@
 	goodKey  = "the-key-that-stays"
 	ratioTop = 0.2
 	slackTop = 40
+	// guardPort is held for as long as a run lasts, so that another one on the same
+	// addresses is refused instead of meeting this one's boxes.
+	guardPort = 17117 // below the ports that the kernel hands out
 )
 
-// Run runs once.
+// holdAddresses makes sure that no other run uses the addresses; closing what it returns
+// lets them go.
+func holdAddresses(cfg Config) (net.Listener, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", cfg.Net, guardPort))
+	if err != nil {
+		return nil, fmt.Errorf("another soak runs on 127.0.%d.x, choose another net: %w", cfg.Net, err)
+	}
+	return l, nil
+}
+
+// Run runs once. Two runs at the same time need addresses of their own.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
+	guard, err := holdAddresses(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = guard.Close() }()
 	w := &world{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), ledger: newLedger(), storeGate: make(map[string]*gate)}
 	defer w.close()
 	if err := w.start(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +36,18 @@
 		is.True(report.Answered > 0)
 	}
 }
+
+// Two runs on the same addresses would take each other's boxes for their own.
+func TestARunOnAddressesInUseIsRefused(t *testing.T) {
+	is := is.New(t)
+	cfg := Config{Net: 90, Dir: t.TempDir()}
+	guard, err := holdAddresses(cfg)
+	is.NoErr(err)
+	_, err = Run(context.Background(), cfg)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "choose another net"))
+	is.NoErr(guard.Close())
+	again, err := holdAddresses(cfg)
+	is.NoErr(err)
+	is.NoErr(again.Close())
+}
