Headers that only a box may set never go on as a caller sent them

Cause: the relay dropped the headers that it sets itself (customer, instance, priority, fetch, last event), but passed on others that an upstream acts on: places set aside, memory pinned, backups, memory to go on from.

--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -20,10 +20,36 @@
 	Fetch      string // set for the upstream: IP:port of another that keeps the prompt
 	Priorities int    // how many values Priority has, from 0
 
+	// Reserved are further headers that only a box may set. An upstream acts on them, so
+	// one that a caller made up takes memory or a place there that serves nobody, or has
+	// its request rejected.
+	Reserved []ReservedHeader
+	// Described are the headers that say what is to be run. They go on even where a caller
+	// names them among those of its connection: without them another request would run.
+	Described []string
+
 	// Prompt reads the description of a prompt; get returns a header's value.
 	Prompt func(get func(name string) string) Prompt
 }
 
+// ReservedHeader is a header that only a box may set.
+type ReservedHeader struct {
+	Name    string
+	Purpose string // what an upstream does with it
+}
+
+// own lists the headers that never go on as the caller sent them.
+func (p *Protocol) own() []string {
+	list := []string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch}
+	for _, h := range p.Reserved {
+		list = append(list, h.Name)
+	}
+	return list
+}
+
+// vital lists the headers that go on whatever the caller says of its connection.
+func (p *Protocol) vital() []string { return append([]string{p.RequestID}, p.Described...) }
+
 // Prompt describes what a request asks of a model.
 type Prompt struct {
 	Parts  []balance.Part
--- a/relay/request.go
+++ b/relay/request.go
@@ -83,23 +83,30 @@
 
 // passOn collects the headers that go to the upstream.
 func (r *Relay) passOn(h *fasthttp.RequestHeader) []byte {
-	p := &r.cfg.Protocol
-	own := []string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch}
-	drop := slices.Concat(own, hopHeaders)
-	for name, value := range h.All() { // it may come more than once
-		if strings.EqualFold(string(name), "Connection") {
-			drop = append(drop, listOf(string(value))...)
-		}
-	}
+	vital := r.cfg.Protocol.vital()
+	drop := slices.Concat(r.cfg.Protocol.own(), hopHeaders)
+	hop := connectionHeaders(h)
 	var out bytes.Buffer
 	for name, value := range h.All() {
-		if !namedIn(drop, name) {
+		ofConnection := namedIn(hop, name) && !namedIn(vital, name)
+		if !ofConnection && !namedIn(drop, name) {
 			writeHeader(&out, string(name), string(value))
 		}
 	}
 	return out.Bytes()
 }
 
+// connectionHeaders lists the headers that the caller says concern its connection only.
+func connectionHeaders(h *fasthttp.RequestHeader) []string {
+	var list []string
+	for name, value := range h.All() { // it may come more than once
+		if strings.EqualFold(string(name), "Connection") {
+			list = append(list, listOf(string(value))...)
+		}
+	}
+	return list
+}
+
 // listOf reads a list whose entries are joined by commas.
 func listOf(value string) []string {
 	list := strings.Split(value, ",")
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -25,6 +25,8 @@
 var testProtocol = Protocol{
 	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", NotRun: "X-Not-Run",
 	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", Fetch: "X-Fetch", Priorities: 10,
+	Reserved:  []ReservedHeader{{Name: "X-Aside", Purpose: "a place is set aside"}},
+	Described: []string{"X-Parts"},
 	Prompt: func(get func(string) string) Prompt {
 		var p Prompt
 		for _, s := range strings.Fields(get("X-Parts")) {
