Who is kept apart follows from what is read beside whom, not from a ratio of pauses

Hypothesis: a stream is held up by the reading of prompts beside it. The fixed ratio of pauses (a third of the longest) was read off two deployments; where pauses are 200 and 300 ms no route counted as tight, a lane stood empty and long reads held up the chats.

Change: boxes learn for each class what is read for a request and know the pause that it bears. The product is its toll; of two classes, how much more one suffers from the other than the other way round is the ratio of their tolls. They are kept apart where that is greatest, if it is 3.2 or more; no class apart, no lane. A prompt leaves its lane where that saves it two prompts of the class that reads most.

--- /dev/null
+++ b/balance/apart.go
@@ -0,0 +1,150 @@
+package balance
+
+// This file defines which classes of request are kept apart. What holds a stream up is the
+// reading of prompts beside it; so a class whose events must follow each other closely, and
+// which reads little, suffers much more from one that reads much than the other way
+// round. The invariant: the classes on either side of the division differ by the factor
+// apartFrom at least; where no two neighbours do, nothing is kept apart.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// apartFrom is from which factor on between two classes' toll they are kept apart. It
+	// lies between the factors of classes that gain nothing by it, up to 2.6 as measured
+	// over routes of four deployments, and of those that do, from 3.7.
+	apartFrom = 3.2
+	// apartSlack is how much greater another division's factor must be for it to replace
+	// the present one, and how far that may fall below apartFrom.
+	apartSlack = 1.2
+	// classShare is the part of the service's requests that a class must have to count. One
+	// request of each is enough to begin with: waiting for three left a box without lanes
+	// for its first 2.6 s.
+	classShare = 0.02
+	// classMemory is the time over which the requests of a class are averaged.
+	classMemory = 10 * time.Second
+	// classTokens is how many requests the mean of what is read for one goes back to.
+	classTokens = 40
+	// maxClasses bounds the classes that are known of a service.
+	maxClasses = 256
+)
+
+// class is what is observed of the requests of a class at a service.
+type class struct {
+	name string
+	gap  time.Duration // the longest pause that its requests bear
+	read float64       // prompt tokens that are read for a request, a mean
+	seen float64       // requests, those of the past ever less
+}
+
+// toll is what a request of the class takes from others, by what it can bear itself: of
+// two classes a and b, b holds a up by its reading for b.read / a.gap of a's patience, and
+// a holds up b for a.read / b.gap; the first is b.toll / a.toll times the second.
+func (c *class) toll() float64 { return max(c.read, 1) * float64(c.gap) }
+
+// classes is what is observed of a service's classes, and how they are divided.
+type classes struct {
+	byName map[string]*class
+	apart  division
+}
+
+// division is where the classes of a service are divided: those whose toll is below limit
+// are kept apart from the others.
+type division struct {
+	limit  float64 // 0: nothing is kept apart
+	factor float64 // between the neighbours on either side
+}
+
+// observe takes in a request that was sent to an upstream which has to read unread tokens.
+func (k *classes) observe(r Request, unread int) {
+	if r.Class == "" || r.Gap == 0 {
+		return
+	}
+	c := k.byName[r.Class]
+	if c == nil {
+		if len(k.byName) >= maxClasses {
+			return
+		}
+		c = &class{name: r.Class, read: float64(unread)}
+		k.byName[r.Class] = c
+	}
+	c.gap = r.Gap
+	c.seen++
+	share := max(1/c.seen, 1.0/classTokens)
+	c.read += (float64(unread) - c.read) * share
+}
+
+// age lets the requests of the past count less.
+func (k *classes) age(past time.Duration) {
+	left := math.Exp(-float64(past) / float64(classMemory))
+	for _, c := range k.byName {
+		c.seen *= left
+	}
+}
+
+// tight reports whether a class is among those that are kept apart from heavy reading.
+func (k *classes) tight(name string) bool {
+	c := k.byName[name]
+	return c != nil && c.toll() < k.apart.limit
+}
+
+// decideApart looks for the division with the greatest factor; the present one stays as
+// long as it is nearly as great.
+func (k *classes) decideApart() {
+	best, present := k.divisions()
+	switch {
+	case present.factor*apartSlack >= max(best.factor, apartFrom):
+		k.apart = present
+	case best.factor >= apartFrom:
+		k.apart = best
+	default:
+		k.apart = division{}
+	}
+}
+
+// divisions returns the division with the greatest factor, and the one that the present
+// limit makes.
+func (k *classes) divisions() (best, present division) {
+	list := k.counted()
+	for i := 1; i < len(list); i++ {
+		below, above := list[i-1].toll(), list[i].toll()
+		d := division{limit: math.Sqrt(below * above), factor: above / below}
+		if d.factor > best.factor {
+			best = d
+		}
+		if below < k.apart.limit && k.apart.limit <= above {
+			present = d
+		}
+	}
+	return best, present
+}
+
+// counted lists the classes that have enough requests to go by, the least toll first.
+func (k *classes) counted() []*class {
+	var all float64
+	for _, c := range k.byName {
+		all += c.seen
+	}
+	var list []*class
+	for _, c := range k.byName {
+		if c.seen >= all*classShare {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.toll(), b.toll()), cmp.Compare(a.name, b.name)) })
+	return list
+}
+
+// leaveCost is what it costs a prompt to be placed beyond its lane, in tokens that are to
+// be read before it: as much as Leave prompts of the class that reads the most.
+func (f *Fleet) leaveCost(service string) int {
+	var most float64
+	for _, c := range f.lanesOf(service).classes.counted() {
+		most = max(most, c.read)
+	}
+	return int(f.cfg.Tuning.Leave * most)
+}
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -56,10 +56,11 @@
 	mine := weight(chosen.ID, key)
 	fresh := f.young(now, chosen) || f.changed(now, chosen)
 	unheard := r.lastShared().told() && !f.sure(now)
+	tight := f.tight(r)
 	var best *member
 	var bestWeight uint64
 	for _, m := range f.byService[r.Service] {
-		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, r.Tight) {
+		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, tight) {
 			continue
 		}
 		w := weight(m.ID, key)
--- a/balance/health.go
+++ b/balance/health.go
@@ -28,6 +28,8 @@
 	// mostResting is the share of a service's upstreams, in 100, that may rest at once:
 	// where more fail, the cause is not theirs, and what is left would be overrun.
 	mostResting = 50
+	// percent is the whole that a share in 100 is taken of.
+	percent = 100
 	// fullRest is how long an upstream that had no room is passed over.
 	fullRest = 100 * time.Millisecond
 )
--- a/balance/home.go
+++ b/balance/home.go
@@ -17,8 +17,9 @@
 	key := sharedKey(r)
 	var best *member
 	var bestWeight uint64
+	tight := f.tight(r)
 	for _, m := range f.byService[r.Service] {
-		if m.Leaving || !f.inLane(now, m, r.Tight) {
+		if m.Leaving || !f.inLane(now, m, tight) {
 			continue
 		}
 		if w := weight(m.ID, key); best == nil || w > bestWeight {
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -20,11 +20,9 @@
 // laneKey is the key by which rendezvous orders the upstreams.
 const laneKey = 1
 
-// percent is the whole that a share in 100 is taken of.
-const percent = 100
-
 // lanes is how the upstreams of one service are divided.
 type lanes struct {
+	classes classes       // of its requests
 	stale   bool          // the list has changed since they were
 	divided bool          // they were once
 	share   float64       // of the upstreams that tight streams should have
@@ -38,37 +36,43 @@
 func (f *Fleet) lanesOf(service string) *lanes {
 	l := f.lanes[service]
 	if l == nil {
-		l = &lanes{stale: true, share: float64(f.cfg.Tuning.TightShare) / percent}
+		l = &lanes{stale: true, classes: classes{byName: make(map[string]*class)}}
 		f.lanes[service] = l
 	}
 	return l
 }
 
-// lane returns the upstreams of the list that are in the request's lane, or all where
-// none is.
-func (f *Fleet) lane(now time.Duration, r Request, list []*member) []*member {
-	var out []*member
+// lane divides a list into the upstreams of the request's lane and those beyond it; all
+// are in the lane where none would be.
+func (f *Fleet) lane(now time.Duration, r Request, list []*member) (within, beyond []*member) {
+	tight := f.tight(r)
 	for _, m := range list {
-		if f.inLane(now, m, r.Tight) {
-			out = append(out, m)
+		if f.inLane(now, m, tight) {
+			within = append(within, m)
+		} else {
+			beyond = append(beyond, m)
 		}
 	}
-	if len(out) == 0 {
-		return list
+	if len(within) == 0 {
+		return list, nil
 	}
-	return out
+	return within, beyond
 }
 
+// tight reports whether a request belongs to the lane for tight streams.
+func (f *Fleet) tight(r Request) bool { return f.lanesOf(r.Service).classes.tight(r.Class) }
+
 // inLane reports whether an upstream is in the lane for tight streams, or in the one
 // for the others.
 func (f *Fleet) inLane(now time.Duration, m *member, tight bool) bool {
 	if len(f.byService[m.Service]) < minLanes {
 		return true
 	}
-	if l := f.lanesOf(m.Service); l.stale {
+	l := f.lanesOf(m.Service)
+	if l.stale {
 		f.divide(now, m.Service, l)
 	}
-	return m.tight == tight
+	return l.places == 0 || m.tight == tight
 }
 
 // divide puts a service's upstreams into their lanes, once after each change of its
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -66,6 +66,7 @@
 	}
 	all := f.byService[service]
 	f.count(now, l, all)
+	l.classes.decideApart()
 	places, isTold := told[Key(service)]
 	if !isTold {
 		places = f.wanted(l, len(all))
@@ -85,24 +86,38 @@
 	for _, m := range all {
 		sum = sum.Plus(m.underWay())
 	}
+	l.classes.age(now - l.counted)
 	past := math.Exp(-float64(now-l.counted) / float64(f.cfg.Tuning.LaneMemory))
 	l.counted = now
 	l.tight = l.tight*past + float64(sum.Tight)*(1-past)
 	l.rest = l.rest*past + float64(sum.Open-sum.Tight)*(1-past)
 }
 
-// wanted is how many upstreams tight streams should have: by their share of all requests,
-// of which each other one counts RestWeight times. A number within the slack of the
-// present one leaves that as it is.
+// wanted is how many upstreams tight streams should have: none where no class is kept
+// apart, else by their share of all requests. A number within the slack of the present one
+// leaves that as it is.
 func (f *Fleet) wanted(l *lanes, upstreams int) int {
-	if l.tight+l.rest < float64(upstreams)*laneFrom {
-		return l.places // too little to tell
+	if l.classes.apart.limit == 0 {
+		return 0
 	}
-	t := &f.cfg.Tuning
-	share := min(max(l.tight/(l.tight+t.RestWeight*l.rest), t.TightLeast), t.TightMost)
-	want := share * float64(upstreams)
-	if math.Abs(want-float64(l.places)) < laneSlack+laneSlackShare*float64(l.places) {
+	want := f.tightShare(l) * float64(upstreams)
+	if l.places == 0 {
+		return max(1, int(math.Round(want)))
+	}
+	tooFew := l.tight+l.rest < float64(upstreams)*laneFrom // to tell
+	if tooFew || math.Abs(want-float64(l.places)) < laneSlack+laneSlackShare*float64(l.places) {
 		return l.places
 	}
 	return int(math.Round(want))
 }
+
+// tightShare is the share of upstreams that tight streams should have, as a part of 1: by
+// their share of all requests, of which each other one counts RestWeight times.
+func (f *Fleet) tightShare(l *lanes) float64 {
+	t := &f.cfg.Tuning
+	all := l.tight + t.RestWeight*l.rest
+	if all == 0 {
+		return t.TightLeast
+	}
+	return min(max(l.tight/all, t.TightLeast), t.TightMost)
+}
--- a/balance/place.go
+++ b/balance/place.go
@@ -28,7 +28,8 @@
 	if sharedKey(r) == 0 {
 		return Choice{Upstream: &f.leastBusy(list).Upstream}, true
 	}
-	return f.placePrompt(now, r, f.lane(now, r, list)), true
+	within, beyond := f.lane(now, r, list)
+	return f.placePrompt(now, r, within, beyond), true
 }
 
 // usable lists the upstreams a request may go to. Where too many rest, those that fail
@@ -84,9 +85,9 @@
 }
 
 // placePrompt chooses the candidate at which the prompt costs least; of equal ones the
-// first.
-func (f *Fleet) placePrompt(now time.Duration, r Request, list []*member) Choice {
-	candidates := f.candidates(r, list)
+// first. Those beyond the prompt's lane cost what leaving it does besides.
+func (f *Fleet) placePrompt(now time.Duration, r Request, within, beyond []*member) Choice {
+	candidates := f.candidates(r, within)
 	cost := f.promptCostOf(now, r, candidates[0])
 	chosen, least := candidates[0], cost.at(candidates[0])
 	for _, m := range candidates[1:] {
@@ -94,6 +95,14 @@
 			chosen, least = m, c
 		}
 	}
+	if len(beyond) > 0 {
+		leaving := f.leaveCost(r.Service)
+		for _, m := range f.candidates(r, beyond) {
+			if c := cost.at(m) + leaving; c < least {
+				chosen, least = m, c
+			}
+		}
+	}
 	return Choice{
 		Upstream: &chosen.Upstream,
 		Fetch:    f.fetchFrom(now, r, chosen),
--- a/balance/request.go
+++ b/balance/request.go
@@ -3,14 +3,17 @@
 // This file defines what the decisions look at of a request. The invariant: the parts
 // of a prompt stand in its order, and the last belongs to the request alone.
 
+import "time"
+
 // Request is what placement looks at.
 type Request struct {
 	Service string
-	Parts   []Part // of the prompt, in order; the last belongs to this request alone
-	Tokens  int    // of the prompt
-	Moves   bool   // its upstreams can fetch prompts from each other
-	Tight   bool   // its events must follow each other closely
-	Urgency int    // 0 is the most urgent
+	Parts   []Part        // of the prompt, in order; the last belongs to this request alone
+	Tokens  int           // of the prompt
+	Moves   bool          // its upstreams can fetch prompts from each other
+	Class   string        // those of a class are alike; empty: none
+	Gap     time.Duration // the longest pause between its events that is in time; 0: none is stated
+	Urgency int           // 0 is the most urgent
 }
 
 // Part is a part of a prompt that other prompts may begin with too.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -25,7 +25,9 @@
 		return &Ticket{closed: true}
 	}
 	t := &Ticket{fleet: f, member: m, request: r, unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
-	if r.Tight {
+	c := &f.lanesOf(r.Service).classes
+	c.observe(r, t.unread)
+	if c.tight(r.Class) {
 		t.tight = 1
 	}
 	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight})
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -13,18 +13,17 @@
 	// NewFor is how long after its listing, or after it came into its lane, an upstream
 	// fetches prompts from the one that was their home before.
 	NewFor time.Duration
-	// TightShare is the share of a service's upstreams, in 100, that is kept for
-	// streams whose events must follow each other closely, until what is under way
-	// tells how many of them there are.
-	TightShare int
-	// TightLeast and TightMost bound the share that is kept for them from then on, as
-	// parts of 1.
+	// TightLeast and TightMost bound the share of a service's upstreams that is kept for
+	// tight streams, as parts of 1.
 	TightLeast, TightMost float64
 	// RestWeight is how many tight streams another open request counts for when the
 	// upstreams are divided.
 	RestWeight float64
 	// LaneMemory is the time over which the requests under way are averaged for that.
 	LaneMemory time.Duration
+	// Leave is how many prompts of the kind that is read the most a place in the other lane
+	// must save a prompt of reading before its own, for it to leave its lane.
+	Leave float64
 	// Away is how many open requests for each slot an upstream of another failure
 	// domain counts as having more, for requests without a prompt.
 	Away float64
@@ -44,11 +43,11 @@
 var DefaultTuning = Tuning{
 	AgainWeight: 3,
 	NewFor:      15 * time.Second,
-	TightShare:  20,
 	TightLeast:  0.17,
 	TightMost:   0.36,
 	RestWeight:  2.2,
 	LaneMemory:  time.Second,
+	Leave:       2,
 	Away:        0.3,
 	FailWeight:  6,
 	Admit:       0.5,
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -80,7 +80,8 @@
 		Parts:   p.Parts,
 		Tokens:  p.Tokens,
 		Moves:   x.moves(),
-		Tight:   x.doc.Tight(x.route),
+		Class:   x.route.Name,
+		Gap:     x.route.EventGap,
 		Urgency: x.urgency,
 	}
 }
--- a/route/document.go
+++ b/route/document.go
@@ -48,7 +48,6 @@
 	byKey     map[string]*Customer
 	byService map[string]*Service
 	ranks     ranks
-	widest    time.Duration // the longest pause between events that a route allows
 }
 
 // New indexes a document; the caller does not touch it afterwards.
@@ -61,7 +60,6 @@
 		if err := r.check(); err != nil {
 			return nil, &Error{Op: fmt.Sprintf("routes[%d]", i), Kind: KindInvalid, Err: err}
 		}
-		d.widest = max(d.widest, r.EventGap)
 		d.byHost[r.Host] = append(d.byHost[r.Host], r)
 	}
 	for _, list := range d.byHost {
@@ -93,15 +91,6 @@
 	return nil
 }
 
-// tightPart is the part of the longest pause below which a route's events must follow
-// each other closely. Measured deployments allow 300 to 400 ms on such routes, beside
-// 1,200 to 1,500 ms on those that long prompts come in on.
-const tightPart = 3
-
-// Tight reports whether the route's events must follow each other much more closely
-// than those of other routes.
-func (d *Document) Tight(r *Route) bool { return r.EventGap > 0 && r.EventGap*tightPart <= d.widest }
-
 // Customer returns who holds the key, or nil.
 func (d *Document) Customer(key string) *Customer { return d.byKey[key] }
 
