A lane's size follows what is read for each side's requests

Hypothesis: the weight of other requests beside tight streams (2.2, found on two deployments) can be what is observed: the tokens that are read for each.

--- a/balance/apart.go
+++ b/balance/apart.go
@@ -139,6 +139,36 @@
 	return list
 }
 
+// meanReads is what is read for a request of the classes that are kept apart, and for one
+// of the others, in tokens.
+func (k *classes) meanReads() (tight, rest float64) {
+	var sumTight, sumRest mean
+	for _, c := range k.counted() {
+		if c.toll() < k.apart.limit {
+			sumTight.add(c.read, c.seen)
+		} else {
+			sumRest.add(c.read, c.seen)
+		}
+	}
+	return sumTight.value(), sumRest.value()
+}
+
+// mean is a weighted mean.
+type mean struct{ sum, weight float64 }
+
+func (m *mean) add(value, weight float64) {
+	m.sum += value * weight
+	m.weight += weight
+}
+
+// value is the mean, 0 of nothing.
+func (m *mean) value() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
+
 // leaveCost is what it costs a tight stream to be placed beyond its lane, in tokens that are to
 // be read before it: as much as Leave prompts of the class that reads the most.
 func (f *Fleet) leaveCost(service string) int {
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -112,12 +112,13 @@
 }
 
 // tightShare is the share of upstreams that tight streams should have, as a part of 1: by
-// their share of all requests, of which each other one counts RestWeight times.
+// their share of all requests under way, each counted by what is read for its side.
 func (f *Fleet) tightShare(l *lanes) float64 {
 	t := &f.cfg.Tuning
-	all := l.tight + t.RestWeight*l.rest
-	if all == 0 {
+	readTight, readRest := l.classes.meanReads()
+	tight, rest := readTight*l.tight, readRest*l.rest
+	if tight+rest == 0 {
 		return t.TightLeast
 	}
-	return min(max(l.tight/all, t.TightLeast), t.TightMost)
+	return min(max(tight/(tight+rest), t.TightLeast), t.TightMost)
 }
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -16,9 +16,6 @@
 	// TightLeast and TightMost bound the share of a service's upstreams that is kept for
 	// tight streams, as parts of 1.
 	TightLeast, TightMost float64
-	// RestWeight is how many tight streams another open request counts for when the
-	// upstreams are divided.
-	RestWeight float64
 	// LaneMemory is the time over which the requests under way are averaged for that.
 	LaneMemory time.Duration
 	// Leave is how many prompts of the class that reads the most a place beyond its lane
@@ -45,7 +42,6 @@
 	NewFor:      15 * time.Second,
 	TightLeast:  0.17,
 	TightMost:   0.36,
-	RestWeight:  2.2,
 	LaneMemory:  time.Second,
 	Leave:       1,
 	Away:        0.3,
