relay account: how requests ended, by class and by span of time; lanes outlive a lead's restart

Lines of streams tell late pauses and the longest one; lines of requests their target and whether they came back.

A service in which a box keeps nothing apart is left out of what it tells; each then goes by its own.

--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -23,11 +23,13 @@
 // service's name.
 type LaneSizes map[uint32]int
 
-// Lanes is how this box's fleet is divided.
+// Lanes is how this box's fleet is divided, as far as it is. A service in which this box
+// keeps nothing apart is left out: a lead that has just started, and has not seen all classes
+// yet, would dissolve the lanes of all (for 7 s on a day on which all boxes were restarted).
 func (f *Fleet) Lanes() LaneSizes {
 	sizes := make(LaneSizes)
 	for service, l := range f.lanes {
-		if len(f.byService[service]) >= minLanes && l.divided {
+		if len(f.byService[service]) >= minLanes && l.places > 0 {
 			sizes[Key(service)] = l.places
 		}
 	}
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -22,7 +22,7 @@
 
 func relayCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "relay", Short: "Operate boxes that relay opaque requests"}
-	cmd.AddCommand(relayStatusCommand(), relayTableCommand(), relayExplainCommand(), relayTimelineCommand(), relayCheckCommand(),
+	cmd.AddCommand(relayStatusCommand(), relayTableCommand(), relayExplainCommand(), relayTimelineCommand(), relayAccountCommand(), relayCheckCommand(),
 		relayExperimentCommand())
 	return cmd
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -43,6 +43,7 @@
 	kept          bool          // its upstream was thought to keep the prompt's shared part
 	ahead         int           // prompt tokens that were to be read before its own
 	late          bool          // it would have been served too late
+	again         bool          // it has come back after a refusal, as far as its time left shows
 	comeBack      time.Duration // when to come back, where that was worked out; 0: not
 
 	answer  *answer       // of the last run that brought one
@@ -50,6 +51,7 @@
 	events  *events       // of a stream; nil until one was answered
 	pending []byte        // events on their way to the caller
 	first   time.Duration // from its arrival to the first events
+	pace    pace          // of its events
 	outcome string        // how it ended, as the log says; empty while it is under way
 }
 
@@ -124,6 +126,15 @@
 		"urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
 		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "kept": x.kept, "fetched": x.fetched, "come_back_ms": x.comeBack.Milliseconds(),
 		"ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
+	if x.route.Target > 0 {
+		f["target_ms"] = x.route.Target.Milliseconds()
+	}
+	if x.events != nil {
+		f["late_pauses"], f["longest_pause_ms"] = x.pace.late, x.pace.longest.Milliseconds()
+	}
+	if x.again {
+		f["came_back"] = true
+	}
 	if x.customer != nil {
 		f["customer"] = x.customer.Name
 	}
--- /dev/null
+++ b/relay/pace.go
@@ -0,0 +1,27 @@
+package relay
+
+// This file defines how closely a stream's events followed each other, as the box passed
+// them on. The invariant: only pauses between events of one answer count, not the wait for
+// the first.
+
+import "time"
+
+// pace measures the pauses between events.
+type pace struct {
+	last    time.Time // when events last came; zero before the first
+	longest time.Duration
+	late    int // pauses that were longer than the route allows
+}
+
+// events takes in that events came; allowed is the longest pause that is in time, 0 where
+// none is stated.
+func (p *pace) events(now time.Time, allowed time.Duration) {
+	if !p.last.IsZero() {
+		pause := now.Sub(p.last)
+		p.longest = max(p.longest, pause)
+		if allowed > 0 && pause > allowed {
+			p.late++
+		}
+	}
+	p.last = now
+}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -98,8 +98,8 @@
 
 // admission is what the fleet looks at to decide whether the request would come late.
 func (x *exchange) admission() balance.Admission {
-	again := float64(time.Until(x.end)) < cameBack*float64(x.route.Timeout)
-	return balance.Admission{Target: x.route.Target, Again: again}
+	x.again = float64(time.Until(x.end)) < cameBack*float64(x.route.Timeout)
+	return balance.Admission{Target: x.route.Target, Again: x.again}
 }
 
 // runOn runs the request on an upstream. With runAnswered, either the whole body
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -44,6 +44,7 @@
 	if x.first == 0 {
 		x.first = time.Since(x.arrived)
 	}
+	x.pace.events(time.Now(), x.route.EventGap)
 	x.relay.mu.Lock()
 	x.ticket.First(x.relay.now())
 	x.relay.mu.Unlock()
@@ -56,6 +57,9 @@
 	for len(x.pending) == 0 {
 		pending, err := x.events.next()
 		x.pending = pending
+		if len(pending) > 0 {
+			x.pace.events(time.Now(), x.route.EventGap)
+		}
 		if errors.Is(err, io.EOF) {
 			x.endRun(true, balance.Answered)
 			x.outcome = "answered"
