--- a/balance/admit.go
+++ b/balance/admit.go
@@ -33,7 +33,7 @@
 // also says when its caller should come back: once half of what may go before it has
 // been read.
 func (f *Fleet) Admit(now time.Duration, r Request, a Admission, c Choice) (after time.Duration, ok bool) {
-	if a.Target == 0 {
+	if a.Target == 0 || f.cfg.Off[AdmissionControl] {
 		return 0, true
 	}
 	own := f.boundOf(a)
@@ -42,7 +42,9 @@
 	if wait <= refused.bound(now, r.level(), own) {
 		return 0, true
 	}
-	refused.note(now, r.level(), time.Duration(f.cfg.Tuning.Admit*float64(a.Target)))
+	if !f.cfg.Off[Order] {
+		refused.note(now, r.level(), time.Duration(f.cfg.Tuning.Admit*float64(a.Target)))
+	}
 	return min(max(wait-own/2, comeBackMin), comeBackMax), false
 }
 
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -71,7 +71,7 @@
 	lacks := false // a part is of use only with all those before it
 	for i, part := range p.shared {
 		lacks = lacks || !p.holds(m, part)
-		fetched := p.request.Moves && p.kept[i]
+		fetched := p.request.Moves && p.kept[i] && !p.fleet.cfg.Off[Fetching]
 		if lacks && !fetched {
 			tokens += part.Tokens
 		}
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -13,7 +13,7 @@
 // fetchFrom is the address of the upstream to fetch the prompt's shared parts from, or
 // empty where nothing is to be fetched.
 func (f *Fleet) fetchFrom(now time.Duration, r Request, chosen *member) string {
-	if !r.Moves {
+	if !r.Moves || f.cfg.Off[Fetching] {
 		return ""
 	}
 	from, known := f.knownKeeper(now, r, chosen)
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -40,6 +40,7 @@
 type Config struct {
 	Domain string // failure domain of this box
 	Tuning Tuning
+	Off    Off // the mechanisms that are switched off
 	// FirstStart says that no box ran before: what nobody is known to have sent to an
 	// upstream has been sent to none.
 	FirstStart bool
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -70,7 +70,7 @@
 	f.count(now, l, all)
 	l.classes.decideApart()
 	places, isTold := told[Key(service)]
-	if !isTold {
+	if !isTold || f.cfg.Off[Lanes] {
 		places = f.wanted(l, len(all))
 	}
 	places = min(places, len(all))
@@ -99,7 +99,7 @@
 // apart, else by their share of all requests. A number within the slack of the present one
 // leaves that as it is.
 func (f *Fleet) wanted(l *lanes, upstreams int) int {
-	if l.classes.apart.limit == 0 {
+	if l.classes.apart.limit == 0 || f.cfg.Off[Lanes] {
 		return 0
 	}
 	want := f.tightShare(l) * float64(upstreams)
--- a/balance/load.go
+++ b/balance/load.go
@@ -86,6 +86,9 @@
 		m.others = work{}
 	}
 	f.loaded = f.loaded[:0]
+	if f.cfg.Off[Loads] {
+		return
+	}
 	for key, load := range loads {
 		m := f.byKey[key.Upstream]
 		if m == nil || key.Urgency < 0 || key.Urgency >= Levels {
--- a/balance/place.go
+++ b/balance/place.go
@@ -41,7 +41,7 @@
 		case m.Leaving || slices.Contains(tried, m.ID):
 		case m.out:
 			out = append(out, m)
-		case m.health.rests(now):
+		case m.health.rests(now) && !f.cfg.Off[Rests]:
 			resting = append(resting, m)
 		default:
 			awake = append(awake, m)
@@ -97,7 +97,7 @@
 			chosen, least = m, c
 		}
 	}
-	if len(beyond) > 0 && f.tight(r) {
+	if len(beyond) > 0 && f.tight(r) && !f.cfg.Off[Leaving] {
 		leaving := f.leaveCost(r.Service)
 		for _, m := range f.candidates(r, beyond) {
 			if c := cost.at(m) + leaving; c < least {
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -62,7 +62,7 @@
 	d := f.domain(m.Domain)
 	d.noteFailure(now, !m.out)
 	f.markOut(m, false)
-	if m.Domain != f.cfg.Domain && d.inRow >= domainFrom && d.left == 0 {
+	if m.Domain != f.cfg.Domain && d.inRow >= domainFrom && d.left == 0 && !f.cfg.Off[Domains] {
 		f.leaveDomain(m.Domain)
 	}
 }
--- a/balance/slots.go
+++ b/balance/slots.go
@@ -18,7 +18,7 @@
 // urgency gets a slot there: slots come free one after the other while all are held.
 func (f *Fleet) queued(m *member, urgency int) int {
 	over := m.work.upTo(urgency).Open + m.others.upTo(urgency).Open + 1 - m.Slots
-	if over <= 0 || m.Slots == 0 {
+	if over <= 0 || m.Slots == 0 || f.cfg.Off[Slots] {
 		return 0
 	}
 	wait := float64(f.lanesOf(m.Service).held.Milliseconds()) * float64(over) / float64(m.Slots)
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -35,6 +35,9 @@
 
 // sent notes that this box sends an upstream a request, and what others should hear of.
 func (f *Fleet) sent(now time.Duration, m *member, r Request) {
+	if f.cfg.Off[Parts] {
+		return
+	}
 	for _, p := range r.shared() {
 		if !p.told() {
 			continue
@@ -65,6 +68,9 @@
 
 // NoteKept takes in what other boxes told.
 func (f *Fleet) NoteKept(now time.Duration, list []Kept) {
+	if f.cfg.Off[Parts] {
+		return
+	}
 	for _, told := range list {
 		m := f.byKey[told.Upstream]
 		if m == nil {
@@ -79,5 +85,10 @@
 // sure reports whether this box has heard of all that upstreams were sent: it was there
 // from the beginning, or for so long that all was told again.
 func (f *Fleet) sure(now time.Duration) bool {
+	return !f.cfg.Off[Parts] && f.knowsAll(now)
+}
+
+// knowsAll reports whether nothing can have been sent that this box has not heard of.
+func (f *Fleet) knowsAll(now time.Duration) bool {
 	return f.cfg.FirstStart || len(f.byID) > 0 && now-f.listed > retellAfter
 }
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -120,6 +120,7 @@
 
 // configOf is what the settings say of a box, without its listeners and its log.
 func configOf(s *settings.Relay) relay.Config {
+	off, _ := balance.ParseOff(s.Off) // the settings have been checked
 	return relay.Config{
 		Box:        s.Box,
 		Domain:     s.Domain,
@@ -131,6 +132,7 @@
 		Decode:     platform.Decode,
 		Budget:     balance.BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Tuning:     balance.DefaultTuning,
+		Off:        off,
 		FirstStart: s.FirstStart,
 		Boxes:      boxesAssumed,
 		Grace:      s.Bounds.Grace(),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,7 @@
 	Log       *Log // the relay never closes it
 	Budget    balance.BudgetConfig
 	Tuning    balance.Tuning
+	Off       balance.Off // the mechanisms that are switched off
 	// FirstStart says that no box ran before, so that nothing is left of an
 	// earlier one's budget.
 	FirstStart bool
@@ -93,7 +94,7 @@
 		runs:       make(map[*exchange]*conn),
 		stats:      newStats(),
 	}
-	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning, FirstStart: cfg.FirstStart})
+	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning, Off: cfg.Off, FirstStart: cfg.FirstStart})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
 	r.front = newFront(r)
@@ -103,7 +104,7 @@
 		return nil, &Error{Op: "listen to other boxes", Kind: KindEdge, Err: err}
 	}
 	r.startDuties(ctx)
-	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain})
+	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain, "off": cfg.Off.Names()})
 	return r, nil
 }
 
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -147,6 +147,9 @@
 	if state == runUnsent {
 		return x.unsent < maxUnsent && (x.sent == 0 || x.sent < x.route.MaxAttempts)
 	}
+	if x.events == nil && x.relay.cfg.Off[balance.Repeating] {
+		return false
+	}
 	if x.sent >= x.route.MaxAttempts || state == runUnknown && !x.route.Again() {
 		return false
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -92,7 +92,7 @@
 	head := x.answer
 	x.endRun(false, balance.Failed)
 	x.failed(runUnknown, cause)
-	for x.route.Resumable && x.events.seen && x.mayRunAgain(runUnknown) {
+	for x.route.Resumable && x.events.seen && !x.relay.cfg.Off[balance.Resuming] && x.mayRunAgain(runUnknown) {
 		choice, ok := x.place()
 		if !ok {
 			return false
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -4,12 +4,15 @@
 // invariant: what LoadRelay returns has passed every check.
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/internal/jsonc"
 )
 
@@ -26,6 +29,9 @@
 	CPUShare   float64     `json:"cpu_share"`  // of a core
 	LinkMbps   float64     `json:"link_mbps"`  // megabits a second
 	Bounds     RelayBounds `json:"bounds"`
+	// Off names the mechanisms that are switched off, to measure what each is worth;
+	// none as a rule.
+	Off []string `json:"off"`
 }
 
 // RelayListen holds the box's addresses, each IP:port, and its IP.
@@ -129,6 +135,10 @@
 	address("platform", s.Platform)
 	want(len(s.PeerPorts) > 0, "peer_ports", "[]", "want a port at least")
 	address("listen.control", s.Listen.Control)
+	for i, name := range s.Off {
+		_, err := balance.ParseOff([]string{name})
+		want(err == nil, fmt.Sprintf("off[%d]", i), strconv.Quote(name), "want one of "+strings.Join(balance.MechanismNames(), ", "))
+	}
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
 	want(s.Bounds.DocumentMillis > 0, "bounds.document_ms", "", "want a number above 0")
 	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
--- a/settings/relay_test.go
+++ b/settings/relay_test.go
@@ -34,6 +34,7 @@
 		{"no ports", `[7340, 7355]`, `[]`, "box.json:7: peer_ports"},
 		{"grace", `"grace_s": 8.0`, `"grace_s": 0`, "box.json:9: bounds.grace_s"},
 		{"no bound", `"document_ms": 2000`, `"document_ms": 0`, "box.json:9: bounds.document_ms"},
+		{"no such mechanism", `"memory_mb"`, `"off": ["lanes", "lane"], "memory_mb"`, "box.json:8: off[1]"},
 		{"no domain", `"d1"`, `""`, "box.json:3: domain"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
