A box's planned stop no longer outlives its grace

Traced by a line after each step of the stop (trial): the box had used its 7.5 s waiting for streams, as it may, and then hung in closing its datagram socket. gnet's Stop looks only each 500 ms whether the loop has ended, which is all that the margin has.

Change: Close waits for the loop itself. Ruled out: the duties (all end at once), connections to upstreams.

--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -96,11 +96,21 @@
 	return err == nil
 }
 
-// Close stops receiving and sending and waits for the receiver to end.
+// Close stops receiving and sending and waits for the receiver to end. It does not wait for
+// gnet's Stop, which only looks each 500 ms whether the receiver has ended: a box whose
+// planned stop used up its grace was killed meanwhile.
 func (s *Socket) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopWait)
-	defer cancel()
-	err := s.engine.Stop(ctx)
-	err = errors.Join(err, <-s.done)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.engine.Stop(ctx) }()
+	var err error
+	select {
+	case err = <-s.done:
+		cancel()
+		<-stopped // it was waiting for what has happened
+	case err = <-stopped:
+		cancel()
+		err = errors.Join(err, <-s.done)
+	}
 	return errors.Join(err, s.out.Close())
 }
