--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -107,7 +107,9 @@
 	select {
 	case err = <-s.done:
 		cancel()
-		<-stopped // it was waiting for what has happened
+		if err := <-stopped; err != nil && !errors.Is(err, context.Canceled) {
+			return errors.Join(err, s.out.Close())
+		}
 	case err = <-stopped:
 		cancel()
 		err = errors.Join(err, <-s.done)
