--- a/balance/lane_test.go
+++ b/balance/lane_test.go
@@ -199,3 +199,17 @@
 		is.Equal(c.Fetch, "") // by then it would have been told
 	}
 }
+
+// A box that has started keeps the lane it was told as long as it has not seen two classes:
+// what it has seen does not speak against it.
+func TestABoxThatHasSeenLittleKeepsTheLaneItWasTold(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(20)
+	f.SizeLanes(0, LaneSizes{Key("s"): 5})
+	f.Open(time.Second, "u0", chat(1))
+	f.SizeLanes(time.Second, nil)
+	is.Equal(len(tightPlaces(f)), 5)
+	f.Open(time.Second, "u0", reads("another", 200*time.Millisecond, 2, 500))
+	f.SizeLanes(2*time.Second, nil)
+	is.Equal(f.Lanes(), LaneSizes{}) // two that are alike do
+}
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -99,7 +99,12 @@
 // apart, else by their share of all requests. A number within the slack of the present one
 // leaves that as it is.
 func (f *Fleet) wanted(l *lanes, upstreams int) int {
-	if l.classes.apart.limit == 0 || f.cfg.Off[Lanes] {
+	switch {
+	case f.cfg.Off[Lanes]:
+		return 0
+	case l.classes.apart.limit == 0 && len(l.classes.counted()) < 2:
+		return l.places // too little has been seen to tell
+	case l.classes.apart.limit == 0:
 		return 0
 	}
 	want := f.tightShare(l) * float64(upstreams)
--- a/oplog/picture/picture.go
+++ b/oplog/picture/picture.go
@@ -23,6 +23,11 @@
 const (
 	width     = 10 * vg.Inch
 	rowHeight = 2.2 * vg.Inch
+	// legendShare is the part of the time axis that is left free for the legend, behind the
+	// last span.
+	legendShare = 0.15
+	// leastShare is the part of all requests that a class must have to get a chart.
+	leastShare = 0.01
 )
 
 // colors are those of the fates: greens and yellows for answers, reds for what got none.
@@ -64,8 +69,15 @@
 		return []*plot.Plot{empty}, nil
 	}
 	last := a.Spans[len(a.Spans)-1].From
+	all := 0
+	for _, class := range a.Classes {
+		all += class.Requests
+	}
 	var list []*plot.Plot
 	for _, class := range a.Classes {
+		if float64(class.Requests) < leastShare*float64(all) {
+			continue
+		}
 		chart, err := chartOf(a, class.Class, last)
 		if err != nil {
 			return nil, err
@@ -82,7 +94,7 @@
 	p.X.Label.Text = "seconds"
 	p.Y.Label.Text = "requests a second"
 	p.Legend.Top = true
-	p.Legend.Left = true
+	p.X.Min, p.X.Max = 0, (last.Sub(a.From)+a.Span).Seconds()/(1-legendShare)
 	sums := make([]float64, int(last.Sub(a.From)/a.Span)+1)
 	var layers []*plotter.Polygon
 	for fate, name := range oplog.FateNames {
