Boxes tell each other what classes of requests are like

With what all know it divides at once.

Change: beats carry for each class what is read for a request and the pause it bears (18 bytes each, 64 at most): members what they see, leads what their domain sees. What was told is where a box's own mean begins, counting for five requests.

--- a/balance/apart.go
+++ b/balance/apart.go
@@ -35,10 +35,11 @@
 
 // class is what is observed of the requests of a class at a service.
 type class struct {
-	name string
+	key  uint32        // Key of its name
 	gap  time.Duration // the longest pause that its requests bear
 	read float64       // prompt tokens that are read for a request, a mean
 	seen float64       // requests, those of the past ever less
+	own  bool          // this box has seen some itself
 }
 
 // toll is what a request of the class takes from others, by what it can bear itself: of
@@ -48,8 +49,8 @@
 
 // classes is what is observed of a service's classes, and how they are divided.
 type classes struct {
-	byName map[string]*class
-	apart  division
+	byKey map[uint32]*class // by Key of its name
+	apart division
 }
 
 // division is where the classes of a service are divided: those whose toll is below limit
@@ -64,13 +65,17 @@
 	if r.Class == "" || r.Gap == 0 {
 		return
 	}
-	c := k.byName[r.Class]
+	key := Key(r.Class)
+	c := k.byKey[key]
 	if c == nil {
-		if len(k.byName) >= maxClasses {
+		if len(k.byKey) >= maxClasses {
 			return
 		}
-		c = &class{name: r.Class, read: float64(unread)}
-		k.byName[r.Class] = c
+		c = &class{key: key, own: true}
+		k.byKey[key] = c
+	}
+	if !c.own { // what was told counts as requests of its own
+		c.own, c.seen = true, toldWeight
 	}
 	c.gap = r.Gap
 	c.seen++
@@ -81,14 +86,14 @@
 // age lets the requests of the past count less.
 func (k *classes) age(past time.Duration) {
 	left := math.Exp(-float64(past) / float64(classMemory))
-	for _, c := range k.byName {
+	for _, c := range k.byKey {
 		c.seen *= left
 	}
 }
 
 // tight reports whether a class is among those that are kept apart from heavy reading.
 func (k *classes) tight(name string) bool {
-	c := k.byName[name]
+	c := k.byKey[Key(name)]
 	return c != nil && c.toll() < k.apart.limit
 }
 
@@ -126,16 +131,16 @@
 // counted lists the classes that have enough requests to go by, the least toll first.
 func (k *classes) counted() []*class {
 	var all float64
-	for _, c := range k.byName {
+	for _, c := range k.byKey {
 		all += c.seen
 	}
 	var list []*class
-	for _, c := range k.byName {
+	for _, c := range k.byKey {
 		if c.seen >= all*classShare {
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.toll(), b.toll()), cmp.Compare(a.name, b.name)) })
+	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.toll(), b.toll()), cmp.Compare(a.key, b.key)) })
 	return list
 }
 
--- a/balance/apart_test.go
+++ b/balance/apart_test.go
@@ -36,7 +36,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			k := classes{byName: make(map[string]*class)}
+			k := classes{byKey: make(map[uint32]*class)}
 			for _, s := range tt.seen {
 				for range s.times {
 					k.observe(reads(s.class, time.Duration(s.gapMS)*time.Millisecond, 1, s.read), s.read)
@@ -58,7 +58,7 @@
 // their lanes to and fro, and goes when the classes have become alike.
 func TestADivisionStaysWhileItIsNearlyTheBest(t *testing.T) {
 	is := is.New(t)
-	k := classes{byName: make(map[string]*class)}
+	k := classes{byKey: make(map[uint32]*class)}
 	see := func(class string, read int) {
 		for range 10 * classTokens {
 			k.observe(reads(class, 200*time.Millisecond, 1, read), read)
@@ -123,7 +123,7 @@
 // has the smaller toll, by apartFrom with the slack at least.
 func TestADivisionSeparatesByTheToll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := classes{byName: make(map[string]*class)}
+		k := classes{byKey: make(map[uint32]*class)}
 		for step := range rapid.IntRange(1, 60).Draw(t, "requests") {
 			name := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "class"))
 			read := rapid.IntRange(0, 40000).Draw(t, "read")
@@ -133,7 +133,7 @@
 			var most, least float64
 			for _, c := range k.counted() {
 				switch toll := c.toll(); {
-				case k.tight(c.name):
+				case toll < k.apart.limit:
 					most = max(most, toll)
 				case least == 0 || toll < least:
 					least = toll
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -38,7 +38,7 @@
 func (f *Fleet) lanesOf(service string) *lanes {
 	l := f.lanes[service]
 	if l == nil {
-		l = &lanes{stale: true, classes: classes{byName: make(map[string]*class)}}
+		l = &lanes{stale: true, classes: classes{byKey: make(map[uint32]*class)}}
 		f.lanes[service] = l
 	}
 	return l
--- a/group/hear.go
+++ b/group/hear.go
@@ -37,6 +37,7 @@
 	n.most = max(n.most, int(m.AllBoxes))
 	n.takeLoads(p, m)
 	n.takeLanes(now, p, m)
+	n.takeClasses(now, p, m)
 	n.answer(now, m, p)
 	n.learn(now, m)
 }
@@ -93,6 +94,7 @@
 	case m.Hello:
 		reply := n.message(now)
 		reply.Boxes = n.listFor(p.box.Domain, now)
+		reply.Classes = n.packClasses(now, p)
 		n.send(p.box.Address, reply)
 	case m.Leads && n.sameDomain(p) && n.Leads():
 		n.send(p.box.Address, n.message(now)) // it does not know of this box yet
--- a/group/node.go
+++ b/group/node.go
@@ -136,6 +136,9 @@
 	lanes    balance.LaneSizes // as the lead it follows does
 	lanesAt  time.Duration     // when that was heard last
 
+	ownClasses []balance.ClassSeen             // that this box sees
+	classes    map[balance.ClassKey]heardClass // that other boxes told
+
 	keptNews  []keptNews     // to be told
 	keptHeard []balance.Kept // told by others, and not yet taken over
 }
@@ -149,6 +152,7 @@
 		cfg:       cfg,
 		started:   now,
 		peers:     make(map[string]*peer),
+		classes:   make(map[balance.ClassKey]heardClass),
 		waitsFrom: now,
 		confirmed: never,
 		doubt:     never,
--- a/group/talk.go
+++ b/group/talk.go
@@ -37,7 +37,7 @@
 		n.beatAll(now)
 		return
 	}
-	n.send(n.lead().Address, n.message(now))
+	n.beatLead(now)
 	if now-n.heardLead() > n.cfg.Timing.Silence {
 		n.hail(now)
 	}
@@ -70,6 +70,15 @@
 	return never
 }
 
+// beatLead sends a member's beat to its lead.
+func (n *Node) beatLead(now time.Duration) {
+	m := n.message(now)
+	if p := n.peers[n.lead().Name]; p != nil {
+		m.Classes = n.packClasses(now, p)
+	}
+	n.send(n.lead().Address, m)
+}
+
 // beatAll sends a lead's beat to its domain, to the other leads, and, as long as it
 // knows nobody, to the seeds.
 func (n *Node) beatAll(now time.Duration) {
@@ -81,6 +90,7 @@
 		foreign = foreign || !n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member
 		m := n.message(now)
 		m.Boxes = n.listIfNew(p, now)
+		m.Classes = n.packClasses(now, p)
 		n.send(p.box.Address, m)
 	}
 	n.lists = nil
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -13,6 +13,8 @@
 	defer m.relay.mu.Unlock()
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
+	m.node.SetClasses(m.relay.fleet.Classes())
+	m.relay.fleet.NoteClasses(m.node.Classes(m.relay.now()))
 	m.sizeLanes()
 	m.node.TellKept(m.relay.fleet.KeptNews())
 	m.relay.fleet.NoteKept(m.relay.now(), m.node.DrainKept())
