How long slots are held is told by the requests that go on as well

Traced: a chat went to an engine whose slots were all held and was not run for 2.4 s, until its caller left. The wait for a slot was reckoned from the requests that had ended: none at the start, and of long streams the short ones end first.

Change: the time that a slot is held is the time that all have held one, those that go on included, by how many have ended, of the last 10 s.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -49,7 +49,7 @@
 // where it would be read or moved once more. Counting those before it as well drew the
 // prompts that share them to few upstreams and made them late.
 func (p *promptCost) at(m *member) int {
-	cost := p.fleet.backlog(m, p.request.level())
+	cost := p.fleet.backlog(p.now, m, p.request.level())
 	last := p.request.lastShared()
 	if p.holds(m, last) {
 		return cost
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -24,7 +24,7 @@
 type lanes struct {
 	classes  classes       // of its requests
 	refusals refusals      // of its requests
-	held     time.Duration // for which a request holds a slot, a mean
+	holding  holding       // of its slots
 	stale    bool          // the list has changed since they were
 	divided  bool          // they were once
 	share    float64       // of the upstreams that tight streams should have
--- a/balance/place.go
+++ b/balance/place.go
@@ -108,7 +108,7 @@
 	return Choice{
 		Upstream: &chosen.Upstream,
 		Fetch:    f.fetchFrom(now, r, chosen),
-		Backlog:  f.backlog(chosen, r.level()),
+		Backlog:  f.backlog(now, chosen, r.level()),
 		Kept:     cost.holds(chosen, r.lastShared()),
 	}
 }
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -10,10 +10,9 @@
 	fleet   *Fleet
 	member  *member
 	request Request
-	unread  int           // tokens of its prompt that are counted as not yet read
-	tight   int           // tight streams that it counts as, 0 or 1
-	read    bool          // its first event came
-	first   time.Duration // when it did
+	unread  int  // tokens of its prompt that are counted as not yet read
+	tight   int  // tight streams that it counts as, 0 or 1
+	read    bool // its first event came
 	opened  time.Duration
 	alone   bool // nothing was before it
 	closed  bool
@@ -38,13 +37,14 @@
 
 // First notes that the first event came: the prompt has been read.
 func (t *Ticket) First(now time.Duration) {
-	if t.closed {
+	if t.closed || t.read {
 		return
 	}
 	if t.alone {
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
-	t.read, t.first = true, now
+	t.read = true
+	t.fleet.lanesOf(t.request.Service).holding.begin(now)
 	t.fleet.reached(t.member)
 	t.clear()
 }
@@ -67,8 +67,8 @@
 	t.closed = true
 	t.count(Load{Open: -1, Tight: -t.tight})
 	t.member.health.note(now, outcome)
-	if t.read && outcome == Answered {
-		t.fleet.lanesOf(t.request.Service).learnHeld(now - t.first)
+	if t.read {
+		t.fleet.lanesOf(t.request.Service).holding.end(now)
 	}
 	if !t.read && (outcome == Full || outcome == Unreachable) {
 		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
