--- a/balance/admit.go
+++ b/balance/admit.go
@@ -37,7 +37,7 @@
 		return 0, true
 	}
 	own := f.boundOf(a)
-	refused := &f.lanesOf(r.Service).refusals
+	refused := &f.serviceOf(r.Service).refusals
 	wait := f.readTime(c.Backlog)
 	if wait <= refused.bound(now, r.level(), own) {
 		return 0, true
--- a/balance/apart.go
+++ b/balance/apart.go
@@ -178,7 +178,7 @@
 // be read before it: as much as Leave prompts of the class that reads the most.
 func (f *Fleet) leaveCost(service string) int {
 	var most float64
-	for _, c := range f.lanesOf(service).classes.counted() {
+	for _, c := range f.serviceOf(service).classes.counted() {
 		most = max(most, c.read)
 	}
 	return int(f.cfg.Tuning.Leave * most)
--- a/balance/classnews.go
+++ b/balance/classnews.go
@@ -31,10 +31,10 @@
 // Classes lists what this box sees of classes, in no order.
 func (f *Fleet) Classes() []ClassSeen {
 	var list []ClassSeen
-	for service, l := range f.lanes {
-		for key, c := range l.classes.byKey {
+	for name, s := range f.services {
+		for key, c := range s.classes.byKey {
 			if c.own && c.seen >= toldFrom {
-				list = append(list, ClassSeen{ClassKey{Key(service), key}, int(c.read), c.gap})
+				list = append(list, ClassSeen{ClassKey{Key(name), key}, int(c.read), c.gap})
 			}
 		}
 	}
@@ -43,11 +43,11 @@
 
 // NoteClasses takes in what other boxes see.
 func (f *Fleet) NoteClasses(list []ClassSeen) {
-	for service, l := range f.lanes {
-		key := Key(service)
+	for name, s := range f.services {
+		key := Key(name)
 		for _, told := range list {
 			if told.Service == key {
-				l.classes.noteTold(told)
+				s.classes.noteTold(told)
 			}
 		}
 	}
--- a/balance/classnews_test.go
+++ b/balance/classnews_test.go
@@ -27,7 +27,7 @@
 	f := newTestFleet(20)
 	told := []ClassSeen{{ClassKey: ClassKey{Service: Key("s"), Class: Key("chat")}, Read: 1000, Pause: time.Second}}
 	f.NoteClasses(told)
-	k := &f.lanesOf("s").classes
+	k := &f.serviceOf("s").classes
 	k.observe(chat(1), 400)
 	f.NoteClasses(told)
 	own := f.Classes()
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -52,8 +52,8 @@
 	byID      map[string]*member
 	byService map[string][]*member
 	byKey     map[uint32]*member
-	loaded    []*member         // those on which others have work
-	lanes     map[string]*lanes // by service
+	loaded    []*member           // those on which others have work
+	services  map[string]*service // by name
 	kept      kept
 	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
 	domains   map[string]*domainReach // by name
@@ -75,7 +75,7 @@
 		byID:      make(map[string]*member),
 		byService: make(map[string][]*member),
 		byKey:     make(map[uint32]*member),
-		lanes:     make(map[string]*lanes),
+		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
 		domains:   make(map[string]*domainReach),
 		rate:      cfg.Tuning.ReadRate,
@@ -101,7 +101,7 @@
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
 	}
 	f.byID[u.ID], f.byKey[m.key] = m, m
-	f.lanesOf(u.Service).stale = true
+	f.serviceOf(u.Service).stale = true
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 }
 
@@ -113,7 +113,7 @@
 	}
 	delete(f.byID, id)
 	delete(f.byKey, m.key)
-	f.lanesOf(m.Service).stale = true
+	f.serviceOf(m.Service).stale = true
 	f.kept.forget(m)
 	f.markIn(m) // it counts among those of a domain that is left no more
 	isIt := func(other *member) bool { return other == m }
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -22,26 +22,13 @@
 
 // lanes is how the upstreams of one service are divided.
 type lanes struct {
-	classes  classes       // of its requests
-	refusals refusals      // of its requests
-	holding  holding       // of its slots
-	stale    bool          // the list has changed since they were
-	divided  bool          // they were once
-	share    float64       // of the upstreams that tight streams should have
-	places   int           // upstreams that are kept for them
-	tight    float64       // mean of the tight streams under way
-	rest     float64       // mean of the other requests
-	counted  time.Duration // when the means were last brought up to date
-}
-
-// lanesOf returns the division of a service.
-func (f *Fleet) lanesOf(service string) *lanes {
-	l := f.lanes[service]
-	if l == nil {
-		l = &lanes{stale: true, classes: classes{byKey: make(map[uint32]*class)}}
-		f.lanes[service] = l
-	}
-	return l
+	stale   bool          // the list has changed since they were
+	divided bool          // they were once
+	share   float64       // of the upstreams that tight streams should have
+	places  int           // upstreams that are kept for them
+	tight   float64       // mean of the tight streams under way
+	rest    float64       // mean of the other requests
+	counted time.Duration // when the means were last brought up to date
 }
 
 // lane divides a list into the upstreams of the request's lane and those beyond it; all
@@ -62,7 +49,7 @@
 }
 
 // tight reports whether a request belongs to the lane for tight streams.
-func (f *Fleet) tight(r Request) bool { return f.lanesOf(r.Service).classes.tight(r.Class) }
+func (f *Fleet) tight(r Request) bool { return f.serviceOf(r.Service).classes.tight(r.Class) }
 
 // inLane reports whether an upstream is in the lane for tight streams, or in the one
 // for the others.
@@ -70,26 +57,26 @@
 	if len(f.byService[m.Service]) < minLanes {
 		return true
 	}
-	l := f.lanesOf(m.Service)
-	if l.stale {
-		f.divide(now, m.Service, l)
+	s := f.serviceOf(m.Service)
+	if s.stale {
+		f.divide(now, s)
 	}
-	return l.places == 0 || m.tight == tight
+	return s.places == 0 || m.tight == tight
 }
 
 // divide puts a service's upstreams into their lanes, once after each change of its
 // list or of the number kept: doing so for each request would cost the square of the list.
-func (f *Fleet) divide(now time.Duration, service string, l *lanes) {
-	all := slices.Clone(f.byService[service])
+func (f *Fleet) divide(now time.Duration, s *service) {
+	all := slices.Clone(f.byService[s.name])
 	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(weight(b.ID, laneKey), weight(a.ID, laneKey)) })
-	l.places = int(math.Round(l.share * float64(len(all))))
+	s.places = int(math.Round(s.share * float64(len(all))))
 	for i, m := range all {
-		if tight := i < l.places; tight != m.tight {
+		if tight := i < s.places; tight != m.tight {
 			m.tight = tight
-			if l.divided && !f.young(now, m) {
+			if s.divided && !f.young(now, m) {
 				m.moved = now
 			}
 		}
 	}
-	l.stale, l.divided = false, true
+	s.stale, s.divided = false, true
 }
--- a/balance/lane_test.go
+++ b/balance/lane_test.go
@@ -25,9 +25,9 @@
 func newDividedFleet(n int) *Fleet {
 	f := newTestFleet(n)
 	for _, r := range []Request{chat(1), letter(1)} {
-		f.lanesOf("s").classes.observe(r, r.Parts[1].Tokens)
+		f.serviceOf("s").classes.observe(r, r.Parts[1].Tokens)
 	}
-	f.lanesOf("s").classes.decideApart()
+	f.serviceOf("s").classes.decideApart()
 	return f
 }
 
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -28,9 +28,9 @@
 // yet, would dissolve the lanes of all (for 7 s on a day on which all boxes were restarted).
 func (f *Fleet) Lanes() LaneSizes {
 	sizes := make(LaneSizes)
-	for service, l := range f.lanes {
-		if len(f.byService[service]) >= minLanes && l.places > 0 {
-			sizes[Key(service)] = l.places
+	for _, s := range f.services {
+		if len(f.byService[s.name]) >= minLanes && s.places > 0 {
+			sizes[Key(s.name)] = s.places
 		}
 	}
 	return sizes
@@ -50,11 +50,11 @@
 // service, or to what all boxes have under way. It returns the lanes that changed.
 func (f *Fleet) SizeLanes(now time.Duration, told LaneSizes) []LaneChange {
 	var changes []LaneChange
-	for service, l := range f.lanes {
-		if len(f.byService[service]) < minLanes {
+	for _, s := range f.services {
+		if len(f.byService[s.name]) < minLanes {
 			continue
 		}
-		if change, changed := f.sizeLane(now, service, l, told); changed {
+		if change, changed := f.sizeLane(now, s, told); changed {
 			changes = append(changes, change)
 		}
 	}
@@ -62,68 +62,68 @@
 }
 
 // sizeLane brings the size of one service's lane up to date.
-func (f *Fleet) sizeLane(now time.Duration, service string, l *lanes, told LaneSizes) (change LaneChange, changed bool) {
-	if l.stale {
-		f.divide(now, service, l)
+func (f *Fleet) sizeLane(now time.Duration, s *service, told LaneSizes) (change LaneChange, changed bool) {
+	if s.stale {
+		f.divide(now, s)
 	}
-	all := f.byService[service]
-	f.count(now, l, all)
-	l.classes.decideApart()
-	places, isTold := told[Key(service)]
+	all := f.byService[s.name]
+	f.count(now, s, all)
+	s.classes.decideApart()
+	places, isTold := told[Key(s.name)]
 	if !isTold || f.cfg.Off[Lanes] {
-		places = f.wanted(l, len(all))
+		places = f.wanted(s, len(all))
 	}
 	places = min(places, len(all))
-	if places == l.places {
+	if places == s.places {
 		return LaneChange{}, false
 	}
-	l.share = float64(places) / float64(len(all))
-	f.divide(now, service, l)
-	return LaneChange{service, l.places, len(all), int(l.tight), int(l.rest), isTold}, true
+	s.share = float64(places) / float64(len(all))
+	f.divide(now, s)
+	return LaneChange{s.name, s.places, len(all), int(s.tight), int(s.rest), isTold}, true
 }
 
 // count brings the means of what is under way up to date.
-func (f *Fleet) count(now time.Duration, l *lanes, all []*member) {
+func (f *Fleet) count(now time.Duration, s *service, all []*member) {
 	var sum Load
 	for _, m := range all {
 		sum = sum.Plus(m.underWay())
 	}
-	l.classes.age(now - l.counted)
-	past := math.Exp(-float64(now-l.counted) / float64(f.cfg.Tuning.LaneMemory))
-	l.counted = now
-	l.tight = l.tight*past + float64(sum.Tight)*(1-past)
-	l.rest = l.rest*past + float64(sum.Open-sum.Tight)*(1-past)
+	s.classes.age(now - s.counted)
+	past := math.Exp(-float64(now-s.counted) / float64(f.cfg.Tuning.LaneMemory))
+	s.counted = now
+	s.tight = s.tight*past + float64(sum.Tight)*(1-past)
+	s.rest = s.rest*past + float64(sum.Open-sum.Tight)*(1-past)
 }
 
 // wanted is how many upstreams tight streams should have: none where no class is kept
 // apart, else by their share of all requests. A number within the slack of the present one
 // leaves that as it is.
-func (f *Fleet) wanted(l *lanes, upstreams int) int {
+func (f *Fleet) wanted(s *service, upstreams int) int {
 	switch {
 	case f.cfg.Off[Lanes]:
 		return 0
-	case l.classes.apart.limit == 0 && len(l.classes.counted()) < 2:
-		return l.places // too little has been seen to tell
-	case l.classes.apart.limit == 0:
+	case s.classes.apart.limit == 0 && len(s.classes.counted()) < 2:
+		return s.places // too little has been seen to tell
+	case s.classes.apart.limit == 0:
 		return 0
 	}
-	want := f.tightShare(l) * float64(upstreams)
-	if l.places == 0 {
+	want := f.tightShare(s) * float64(upstreams)
+	if s.places == 0 {
 		return max(1, int(math.Round(want)))
 	}
-	tooFew := l.tight+l.rest < float64(upstreams)*laneFrom // to tell
-	if tooFew || math.Abs(want-float64(l.places)) < laneSlack+laneSlackShare*float64(l.places) {
-		return l.places
+	tooFew := s.tight+s.rest < float64(upstreams)*laneFrom // to tell
+	if tooFew || math.Abs(want-float64(s.places)) < laneSlack+laneSlackShare*float64(s.places) {
+		return s.places
 	}
 	return int(math.Round(want))
 }
 
 // tightShare is the share of upstreams that tight streams should have, as a part of 1: by
 // their share of all requests under way, each counted by what is read for its side.
-func (f *Fleet) tightShare(l *lanes) float64 {
+func (f *Fleet) tightShare(s *service) float64 {
 	t := &f.cfg.Tuning
-	readTight, readRest := l.classes.meanReads()
-	tight, rest := readTight*l.tight, readRest*l.rest
+	readTight, readRest := s.classes.meanReads()
+	tight, rest := readTight*s.tight, readRest*s.rest
 	if tight+rest == 0 {
 		return t.TightLeast
 	}
--- /dev/null
+++ b/balance/service.go
@@ -0,0 +1,23 @@
+package balance
+
+// This file defines what a fleet knows of a service, beside its upstreams. The invariant:
+// it begins empty, and all of it is learned from requests or told by other boxes.
+
+// service is what is known of a service and its requests.
+type service struct {
+	lanes
+	name     string
+	classes  classes  // of its requests
+	refusals refusals // of its requests
+	holding  holding  // of its slots
+}
+
+// serviceOf returns what is known of a service.
+func (f *Fleet) serviceOf(name string) *service {
+	s := f.services[name]
+	if s == nil {
+		s = &service{name: name, classes: classes{byKey: make(map[uint32]*class)}, lanes: lanes{stale: true}}
+		f.services[name] = s
+	}
+	return s
+}
--- a/balance/slots.go
+++ b/balance/slots.go
@@ -64,7 +64,7 @@
 	if over <= 0 || m.Slots == 0 || f.cfg.Off[Slots] {
 		return 0
 	}
-	held := f.lanesOf(m.Service).holding.mean(now)
+	held := f.serviceOf(m.Service).holding.mean(now)
 	wait := float64(held) / float64(time.Millisecond) * float64(over) / float64(m.Slots)
 	return int(wait * f.rate)
 }
--- a/balance/slots_test.go
+++ b/balance/slots_test.go
@@ -9,7 +9,7 @@
 
 // holdSlots makes the fleet believe that a slot is held for so long.
 func holdSlots(f *Fleet, held time.Duration) {
-	f.lanesOf("s").holding = holding{slots: float64(held), ended: 1}
+	f.serviceOf("s").holding = holding{slots: float64(held), ended: 1}
 }
 
 func TestHowLongSlotsAreHeldIsLearned(t *testing.T) {
@@ -22,7 +22,7 @@
 		now += 4 * time.Second
 		ticket.Close(now, Answered)
 	}
-	held := f.lanesOf("s").holding.mean(now)
+	held := f.serviceOf("s").holding.mean(now)
 	is.True(held > 2*time.Second && held < 4*time.Second)
 }
 
@@ -33,11 +33,11 @@
 	for range 8 {
 		f.Open(0, "u0", prompt(1)).First(0)
 	}
-	is.Equal(f.lanesOf("s").holding.mean(0), time.Duration(0))
-	is.Equal(f.lanesOf("s").holding.mean(time.Second), 8*time.Second) // none of 8 ended in a second
+	is.Equal(f.serviceOf("s").holding.mean(0), time.Duration(0))
+	is.Equal(f.serviceOf("s").holding.mean(time.Second), 8*time.Second) // none of 8 ended in a second
 	c, _ := f.Place(time.Second, prompt(1), nil)
 	is.True(f.readTime(c.Backlog) >= time.Second) // one of 8 slots comes free in so long
 	_, ok := f.Admit(time.Second, prompt(1), Admission{Target: time.Second}, c)
 	is.True(!ok)
-	is.True(f.lanesOf("s").holding.mean(time.Hour) <= heldMost)
+	is.True(f.serviceOf("s").holding.mean(time.Hour) <= heldMost)
 }
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -25,7 +25,7 @@
 		return &Ticket{closed: true}
 	}
 	t := &Ticket{fleet: f, member: m, request: r, unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
-	c := &f.lanesOf(r.Service).classes
+	c := &f.serviceOf(r.Service).classes
 	c.observe(r, t.unread)
 	if c.tight(r.Class) {
 		t.tight = 1
@@ -44,7 +44,7 @@
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
 	t.read = true
-	t.fleet.lanesOf(t.request.Service).holding.begin(now)
+	t.fleet.serviceOf(t.request.Service).holding.begin(now)
 	t.fleet.reached(t.member)
 	t.clear()
 }
@@ -68,7 +68,7 @@
 	t.count(Load{Open: -1, Tight: -t.tight})
 	t.member.health.note(now, outcome)
 	if t.read {
-		t.fleet.lanesOf(t.request.Service).holding.end(now)
+		t.fleet.serviceOf(t.request.Service).holding.end(now)
 	}
 	if !t.read && (outcome == Full || outcome == Unreachable) {
 		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
--- a/experiment/placing/way.go
+++ b/experiment/placing/way.go
@@ -104,8 +104,7 @@
 
 func addLoads(to, from map[balance.LoadKey]balance.Load) {
 	for key, l := range from {
-		sum := to[key]
-		to[key] = balance.Load{Unread: sum.Unread + l.Unread, Open: sum.Open + l.Open, Tight: sum.Tight + l.Tight}
+		to[key] = to[key].Plus(l)
 	}
 }
 
--- /dev/null
+++ b/relay/runs_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// What upstreams may do to a request, and what becomes of it: how often it reaches
+// an upstream in all, and what its caller is told.
+func TestRunsThatFail(t *testing.T) {
+	reset := func(net.Conn, stubRequest) bool { return false }
+	cut := func(c net.Conn, r stubRequest) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nContent-Length: 10\n\nhalf")
+		return false
+	}
+	cutChunk := func(c net.Conn, r stubRequest) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nTransfer-Encoding: chunked\n\n5\nhello\n")
+		return false
+	}
+	garbage := func(c net.Conn, _ stubRequest) bool {
+		say(c, "\x01\x02 what is this, surely no answer\n\n")
+		return false
+	}
+	foreign := func(c net.Conn, _ stubRequest) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: another\nX-Sign: s\nContent-Length: 2\n\nno")
+		return false
+	}
+	failing := func(c net.Conn, r stubRequest) bool {
+		say(c, "HTTP/1.1 500 Broken\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nContent-Length: 2\n\nno")
+		return true
+	}
+	for _, c := range []struct {
+		name   string
+		path   string
+		script func(net.Conn, stubRequest) bool
+		runs   int
+		status int
+		ran    string
+	}{
+		{"full, once", "/once/x", refuseRun(503), 2, 503, "no"},
+		{"full, repeatable", "/safe/x", refuseRun(503), 2, 503, "no"},
+		{"another start of it", "/once/x", refuseRun(421), 2, 503, "no"},
+		{"reset, once", "/once/x", reset, 1, 502, "unknown"},
+		{"reset, repeatable", "/safe/x", reset, 2, 502, "unknown"},
+		{"reset, stream", "/fixed/x", reset, 1, 502, "unknown"},
+		{"reset, stream that resumes", "/flow/x", reset, 2, 502, "unknown"},
+		{"cut, once", "/once/x", cut, 1, 502, "unknown"},
+		{"cut, repeatable", "/safe/x", cut, 2, 502, "unknown"},
+		{"cut chunks", "/once/x", cutChunk, 1, 502, "unknown"},
+		{"garbage, once", "/once/x", garbage, 1, 502, "unknown"},
+		{"foreign answer, once", "/once/x", foreign, 1, 502, "unknown"},
+		{"failing, once", "/once/x", failing, 1, 500, ""},
+		{"failing, repeatable", "/safe/x", failing, 2, 500, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u1, u2, u3 := newStub(t, "u1", c.script), newStub(t, "u2", c.script), newStub(t, "u3", c.script)
+			b := newBench(t, u1, u2, u3)
+			a := b.do(b.request("GET", c.path, ""))
+			is.NoErr(a.err)
+			is.Equal(a.status, c.status)
+			is.Equal(len(u1.requests())+len(u2.requests())+len(u3.requests()), c.runs)
+			if c.ran != "" {
+				is.True(strings.Contains(a.body, `"ran":"`+c.ran+`"`))
+				is.Equal(a.header.Get("X-Sign"), "")
+			}
+		})
+	}
+}
+
+func TestARequestThatWasRefusedIsServedElsewhere(t *testing.T) {
+	is := is.New(t)
+	full, free := newStub(t, "full", refuseRun(503)), newStub(t, "free", answerOK("ok"))
+	b := newBench(t, full, free)
+	for range 4 {
+		a := b.do(b.request("POST", "/once/x", "body"))
+		is.Equal(a.status, 200)
+	}
+}
+
+func TestAnUpstreamThatCannotBeReachedCostsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	dead, alive := newStub(t, "dead", answerOK("")), newStub(t, "alive", answerOK("ok"))
+	is.NoErr(dead.listener.Close())
+	b := newBench(t, dead, alive)
+	for range 4 {
+		is.Equal(b.do(b.request("POST", "/once/x", "body")).status, 200)
+	}
+}
+
+func TestALateAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: earlier\nX-Sign: old\nContent-Length: 3\n\nold")
+		return answerOK("mine")(c, r)
+	})
+	b := newBench(t, u)
+	a := b.do(b.request("POST", "/once/x", ""))
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "mine")
+	is.Equal(a.header.Get("X-Sign"), "s")
+}
+
+func TestBytesBehindAnAnswerBelongToNobody(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		id := r.Header.Get("X-Id")
+		say(c, "HTTP/1.1 200 OK\nX-Id: "+id+"\nX-Sign: s\nContent-Length: 2\n\nokHTTP/1.1 200 OK\nX-Id: "+id+"\nX-Sign: s\nContent-Length: 5\n\nextra")
+		return true
+	})
+	b := newBench(t, u)
+	for range 3 {
+		a := b.do(b.request("POST", "/once/x", ""))
+		is.Equal(a.body, "ok")
+	}
+}
+
+func TestAnAnswerWithoutALengthEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		say(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\n\nall of it")
+		return false
+	})
+	b := newBench(t, u)
+	a := b.do(b.request("POST", "/once/x", ""))
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "all of it")
+}
+
+func TestAnEarlyAnswerIsPassedOnAndItsConnectionDropped(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 1024)) // the rest of the body is never read
+		say(c, "HTTP/1.1 400 Early\nX-Id: id-/once/x\nX-Sign: s\nContent-Length: 2\n\nno")
+		time.Sleep(50 * time.Millisecond)
+	}()
+	u := &stub{id: "u1", listener: l}
+	b := newBench(t, u)
+	a := b.do(b.request("POST", "/once/x", strings.Repeat("x", 900<<10)))
+	is.Equal(a.status, 400)
+	is.Equal(a.body, "no")
+	<-done
+}
+
+func TestNoMoreConnectionsThanTheShare(t *testing.T) {
+	is := is.New(t)
+	p := newConns(func(string) int { return 2 })
+	is.True(p.reserve("u", 2))
+	is.True(p.reserve("u", 2))
+	is.True(!p.reserve("u", 2))
+	p.release("u")
+	is.True(p.reserve("u", 2))
+}
+
+// failFirst fails the first request it gets and answers the others.
+func failFirst() func(net.Conn, stubRequest) bool {
+	first := true
+	return func(c net.Conn, r stubRequest) bool {
+		if first {
+			first = false
+			say(c, "HTTP/1.1 500 Broken\nx-id: "+r.Header.Get("X-Id")+"\nX-Sign: bad\nContent-Length: 2\n\nno")
+			return true
+		}
+		return answerOK("ok")(c, r)
+	}
+}
+
+func TestARequestSentAgainIsTakenFromTheBudgetOnce(t *testing.T) {
+	is := is.New(t)
+	u1, u2 := newStub(t, "u1", failFirst()), newStub(t, "u2", failFirst())
+	b := newBench(t, u1, u2)
+	left := func() int {
+		b.relay.mu.Lock()
+		defer b.relay.mu.Unlock()
+		return b.relay.budget.Left(b.relay.now(), b.relay.boxes())
+	}
+	before := left()
+	first := b.do(b.request("GET", "/safe/x", "")) // both fail their first one
+	is.Equal(first.status, 500)
+	is.Equal(before-left(), 1)
+}
+
+func TestWhereNobodyElseIsLeftTheFailureIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", failFirst())
+	b := newBench(t, u)
+	a := b.do(b.request("GET", "/safe/x", ""))
+	is.Equal(a.status, 500)
+	is.Equal(a.body, "no")
+	is.Equal(a.header.Get("X-Sign"), "bad")
+}
--- /dev/null
+++ b/relay/stop_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{})
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		close(started)
+		<-release
+		return answerOK("whole")(c, r)
+	})
+	b := newBench(t, u)
+	result := make(chan answered, 1)
+	go func() { result <- b.do(b.request("POST", "/once/x", "")) }()
+	<-started
+	stopped := make(chan struct{})
+	go func() { b.relay.Stop(); close(stopped) }()
+	b.until(func() bool { return !b.relay.Ready() })
+	close(release)
+	a := <-result
+	is.Equal(a.body, "whole")
+	is.Equal(a.header.Get("Connection"), "") // net/http takes the close of the connection off
+	<-stopped
+}
+
+// After the grace of a planned stop, a connection that was busy until then may bring
+// another request: it is told that it has not run, instead of being taken and lost.
+func TestNothingIsTakenAfterTheGrace(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBench(t, u)
+	b.relay.ended.Store(true)
+	a := b.do(b.request("POST", "/once/x", ""))
+	is.Equal(a.status, 503)
+	is.True(strings.Contains(a.body, `"ran":"no"`))
+	is.Equal(len(u.requests()), 0)
+}
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestStreamsArePassedOnEventByEvent(t *testing.T) {
+	is := is.New(t)
+	next := make(chan struct{})
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		for i := 1; i <= 3; i++ {
+			chunk(c, event(i))
+			<-next
+		}
+		chunk(c, "")
+		return true
+	})
+	b := newBench(t, u)
+	resp, err := http.DefaultClient.Do(b.request("POST", "/flow/x", ""))
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 1024)
+	for i := 1; i <= 3; i++ {
+		n, err := resp.Body.Read(buf)
+		is.NoErr(err)
+		is.Equal(string(buf[:n]), event(i)) // before the next one was made
+		next <- struct{}{}
+	}
+	_, err = resp.Body.Read(buf)
+	is.Equal(err, io.EOF)
+}
+
+// A stream breaks off in several ways; the caller sees each event once, or no end.
+func TestABrokenStreamGoesOnElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tail string // what the first upstream sends behind two events
+		path string
+		want string
+		fail bool
+	}{
+		{"between events", "", "/flow/x", event(1) + event(2) + event(3) + event(4), false},
+		{"within an event", "id: 3\nda", "/flow/x", event(1) + event(2) + event(3) + event(4), false},
+		{"a stream that may not go on", "id: 3\nda", "/fixed/x", event(1) + event(2), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			script := func(conn net.Conn, r stubRequest) bool {
+				startStream(conn, r)
+				if last := r.Header.Get("X-Last"); last != "" {
+					from, _ := strconv.Atoi(last)
+					chunk(conn, event(from)) // once more: it must not come twice
+					for i := from + 1; i <= 4; i++ {
+						chunk(conn, event(i))
+					}
+					chunk(conn, "")
+					return true
+				}
+				chunk(conn, event(1))
+				chunk(conn, event(2)+c.tail)
+				return false
+			}
+			u1, u2 := newStub(t, "u1", script), newStub(t, "u2", script)
+			b := newBench(t, u1, u2)
+			a := b.do(b.request("POST", c.path, "body"))
+			is.Equal(a.status, 200)
+			is.Equal(a.body, c.want)
+			is.Equal(a.err != nil, c.fail)
+			if !c.fail {
+				got := append(u1.requests(), u2.requests()...)
+				is.Equal(len(got), 2)
+				is.Equal(got[1].body, "body")
+			}
+		})
+	}
+}
+
+func TestAStreamLeavesAnUpstreamThatIsOutOfReach(t *testing.T) {
+	is := is.New(t)
+	silent := make(chan struct{})
+	defer close(silent)
+	script := func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		if r.Header.Get("X-Last") == "" {
+			chunk(c, event(1))
+			<-silent // cut off: neither an event nor an end
+			return false
+		}
+		chunk(c, event(2))
+		chunk(c, "")
+		return true
+	}
+	u1, u2 := newStub(t, "u1", script), newStub(t, "u2", script)
+	b := newBench(t, u1, u2)
+	resp, err := http.DefaultClient.Do(b.request("POST", "/flow/x", ""))
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 1024)
+	n, err := resp.Body.Read(buf)
+	is.NoErr(err)
+	is.Equal(string(buf[:n]), event(1))
+	first := u1
+	if len(u1.requests()) == 0 {
+		first = u2
+	}
+	is.NoErr(first.listener.Close())
+	b.relay.try(context.Background(), first.id, first.listener.Addr().String()) // a trial that fails
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(rest), event(2))
+}
