--- a/balance/apart.go
+++ b/balance/apart.go
@@ -3,8 +3,9 @@
 // This file defines which classes of request are kept apart. What holds a stream up is the
 // reading of prompts beside it; so a class whose events must follow each other closely, and
 // which reads little, suffers much more from one that reads much than the other way
-// round. The invariant: the classes on either side of the division differ by the factor
-// apartFrom at least; where no two neighbours do, nothing is kept apart.
+// round. The invariant: the classes on either side of the division differ in their
+// interference by the factor apartFrom at least, less the slack for a division that there
+// is; where no two neighbours do, nothing is kept apart.
 
 import (
 	"cmp"
@@ -14,7 +15,7 @@
 )
 
 const (
-	// apartFrom is from which factor on between two classes' toll they are kept apart. It
+	// apartFrom is from which factor on between two classes' interference they are kept apart. It
 	// lies below what three deployments showed at the division that pays: medians over two
 	// days each, every box and 4 s, of 5.8 to 9.1; lowest moments of 2.2 to 5.1.
 	apartFrom = 3.2
@@ -42,10 +43,11 @@
 	own  bool          // this box has seen some itself
 }
 
-// toll is what a request of the class takes from others, by what it can bear itself: of
-// two classes a and b, b holds a up by its reading for b.read / a.gap of a's patience, and
-// a holds up b for a.read / b.gap; the first is b.toll / a.toll times the second.
-func (c *class) toll() float64 { return max(c.read, 1) * float64(c.gap) }
+// interference is how much a request of the class holds others up, by what it bears
+// itself. Of two classes, b holds up a for b.read / a.gap of the pause that a bears, and a
+// holds up b for a.read / b.gap; the first is b.interference() / a.interference() times the
+// second.
+func (c *class) interference() float64 { return max(c.read, 1) * float64(c.gap) }
 
 // classes is what is observed of a service's classes, and how they are divided.
 type classes struct {
@@ -53,7 +55,7 @@
 	apart division
 }
 
-// division is where the classes of a service are divided: those whose toll is below limit
+// division is where the classes of a service are divided: those whose interference is below limit
 // are kept apart from the others.
 type division struct {
 	limit  float64 // 0: nothing is kept apart
@@ -94,7 +96,7 @@
 // tight reports whether a class is among those that are kept apart from heavy reading.
 func (k *classes) tight(name string) bool {
 	c := k.byKey[Key(name)]
-	return c != nil && c.toll() < k.apart.limit
+	return c != nil && c.interference() < k.apart.limit
 }
 
 // decideApart looks for the division with the greatest factor; the present one stays as
@@ -116,7 +118,7 @@
 func (k *classes) divisions() (best, present division) {
 	list := k.counted()
 	for i := 1; i < len(list); i++ {
-		below, above := list[i-1].toll(), list[i].toll()
+		below, above := list[i-1].interference(), list[i].interference()
 		d := division{limit: math.Sqrt(below * above), factor: above / below}
 		if d.factor > best.factor {
 			best = d
@@ -128,7 +130,7 @@
 	return best, present
 }
 
-// counted lists the classes that have enough requests to go by, the least toll first.
+// counted lists the classes that have enough requests to go by, the least interference first.
 func (k *classes) counted() []*class {
 	var all float64
 	for _, c := range k.byKey {
@@ -140,7 +142,7 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.toll(), b.toll()), cmp.Compare(a.key, b.key)) })
+	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.interference(), b.interference()), cmp.Compare(a.key, b.key)) })
 	return list
 }
 
@@ -149,7 +151,7 @@
 func (k *classes) meanReads() (tight, rest float64) {
 	var sumTight, sumRest mean
 	for _, c := range k.counted() {
-		if c.toll() < k.apart.limit {
+		if c.interference() < k.apart.limit {
 			sumTight.add(c.read, c.seen)
 		} else {
 			sumRest.add(c.read, c.seen)
--- a/balance/apart_test.go
+++ b/balance/apart_test.go
@@ -120,8 +120,8 @@
 }
 
 // However many classes come, and whatever they read, what is kept apart from the others
-// has the smaller toll, by apartFrom with the slack at least.
-func TestADivisionSeparatesByTheToll(t *testing.T) {
+// interferes less, by apartFrom with the slack at least.
+func TestADivisionSeparatesByInterference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := classes{byKey: make(map[uint32]*class)}
 		for step := range rapid.IntRange(1, 60).Draw(t, "requests") {
@@ -132,15 +132,15 @@
 			k.decideApart()
 			var most, least float64
 			for _, c := range k.counted() {
-				switch toll := c.toll(); {
-				case toll < k.apart.limit:
-					most = max(most, toll)
-				case least == 0 || toll < least:
-					least = toll
+				switch i := c.interference(); {
+				case i < k.apart.limit:
+					most = max(most, i)
+				case least == 0 || i < least:
+					least = i
 				}
 			}
 			if k.apart.limit > 0 && least*apartSlack*1.0001 < most*apartFrom {
-				t.Fatalf("tolls of %.0f and %.0f are kept apart", most, least)
+				t.Fatalf("classes with an interference of %.0f and %.0f are kept apart", most, least)
 			}
 		}
 	})
