--- a/balance/apart.go
+++ b/balance/apart.go
@@ -142,7 +142,9 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(a, b *class) int { return cmp.Or(cmp.Compare(a.interference(), b.interference()), cmp.Compare(a.key, b.key)) })
+	slices.SortFunc(list, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(a.interference(), b.interference()), cmp.Compare(a.key, b.key))
+	})
 	return list
 }
 
