--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -5,7 +5,7 @@
 import "time"
 
 // Tuning holds the figures of placement. They come from measured days; the runs
-// stand in docs/design/8-platform.md.
+// stand in docs/design/8-platform.md and 9-deciding.md.
 type Tuning struct {
 	// AgainWeight is how many prompt tokens before a request each token weighs that would
 	// be read or moved once more, since another upstream keeps it.
