One box reads what is published for all, and boxes that restart ask the others

Change: the strongest lead that can read does so for all domains; the other leads hear changes and their age from it. Its watch is shorter by a beat, so that what members know is no older than before. After a reading that brought changes it waits 100 ms for more. A box that restarts hails the seeds at once, pulls from its lead, and reads only where nobody has answered within 300 ms or the pull failed.

Ruled out: longer watches (the age of beliefs would grow); one reader without the shorter watch (members would be 1.8 s behind, and read for themselves).

--- a/group/lane.go
+++ b/group/lane.go
@@ -32,14 +32,7 @@
 
 // strongestLead is the strongest of the leads of all domains that are heard.
 func (n *Node) strongestLead(now time.Duration) *wire.GroupBox {
-	best := n.lead()
-	for _, p := range n.peers {
-		leads := p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence
-		if leads && !n.sameDomain(p) && better(p.box, best) {
-			best = p.box
-		}
-	}
-	return best
+	return n.bestLead(now, func(*peer) bool { return true })
 }
 
 // followed is the box whose division this one takes over.
--- a/group/node.go
+++ b/group/node.go
@@ -26,6 +26,8 @@
 	Stagger  time.Duration // added to Stale for each place behind the lead, five at most
 	Watch    time.Duration // how long a call waits for a change
 	Readback time.Duration // how long a box that reads for a lead that cannot goes on
+	Gather   time.Duration // after a reading that brought changes, in which more may come
+	Others   time.Duration // after a restart, in which other boxes may answer before the publisher is read
 }
 
 // DefaultTiming is used where a configuration names none.
@@ -38,6 +40,8 @@
 	Stagger:  60 * time.Millisecond,
 	Watch:    time.Second,
 	Readback: 3 * time.Second,
+	Gather:   100 * time.Millisecond,
+	Others:   300 * time.Millisecond,
 }
 
 // defaultBound is the time within which DefaultTiming brings a change everywhere.
@@ -52,7 +56,7 @@
 func TimingFor(bound time.Duration) Timing {
 	part := max(min(float64(bound)/float64(defaultBound), 1), least)
 	t := DefaultTiming
-	for _, d := range []*time.Duration{&t.Beat, &t.Silence, &t.Stale, &t.Stagger, &t.Watch} {
+	for _, d := range []*time.Duration{&t.Beat, &t.Silence, &t.Stale, &t.Stagger, &t.Watch, &t.Gather} {
 		*d = time.Duration(part * float64(*d))
 	}
 	return t
@@ -118,6 +122,7 @@
 	readOK    time.Duration // last success of this box's own reading
 	readFails bool          // this box's last reading failed
 	pull      string        // address to pull everything from
+	pullFails bool          // its last pull failed
 
 	everything packedItems // what was packed last
 
@@ -148,7 +153,7 @@
 
 // NewNode returns the part of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
-	return &Node{
+	n := &Node{
 		cfg:       cfg,
 		started:   now,
 		peers:     make(map[string]*peer),
@@ -163,6 +168,10 @@
 		lastAsk:   never,
 		lanesAt:   never,
 	}
+	if !cfg.FirstStart {
+		n.hail(now) // callers wait: those who are there are to answer at once
+	}
+	return n
 }
 
 // Drain returns the messages to send, and an address to pull everything from or an
--- a/group/node_test.go
+++ b/group/node_test.go
@@ -145,7 +145,7 @@
 	w.down = true
 	w.run(2 * time.Second) // a call that was waiting may have confirmed until now
 	for _, name := range w.names {
-		is.True(w.boxes[name].node.Confirmed() <= w.now-2*time.Second+watch)
+		is.True(w.boxes[name].node.Confirmed() <= w.now-2*time.Second+DefaultTiming.Watch)
 	}
 	w.run(4 * time.Second)
 	for _, name := range w.names {
--- a/group/published.go
+++ b/group/published.go
@@ -24,8 +24,8 @@
 	n.doubtFor(now, m.DoubtLeft)
 	n.takeItems(now, m)
 	switch mine := n.cfg.Mirror.Revision(); {
-	case m.Revision > mine && m.Pull:
-		n.pull = m.Sender.Pulls
+	case m.Revision > mine && (m.Pull || mine == 0):
+		n.pull = n.pullFrom(m.Sender)
 	case m.Revision > mine && now-n.lastAsk >= askPause:
 		n.lastAsk = now
 		ask := n.message(now)
@@ -36,6 +36,18 @@
 	}
 }
 
+// pullFrom is where to pull everything from: the box's lead, once it is known, since its
+// link bears that many boxes do so at once; else the one that told of it.
+func (n *Node) pullFrom(sender *wire.GroupBox) string {
+	if lead := n.lead(); n.cfg.Mirror.Revision() == 0 && lead != n.cfg.Self && !n.pullFails {
+		return lead.Pulls
+	}
+	return sender.Pulls
+}
+
+// PullFailed notes that a pull brought nothing.
+func (n *Node) PullFailed() { n.pullFails = true }
+
 // takeItems takes in the changes that a message holds, unless some before them are
 // missing here.
 func (n *Node) takeItems(now time.Duration, m *wire.GroupMessage) {
--- a/group/pulled.go
+++ b/group/pulled.go
@@ -76,6 +76,7 @@
 	if !ok || len(items) == 0 {
 		return // the next beat shows what is missing still
 	}
+	n.pullFails = false
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
 	if r.Revision >= from && n.agesHold(now) {
--- a/group/reads.go
+++ b/group/reads.go
@@ -1,10 +1,18 @@
 package group
 
 // This file defines who reads the publisher, and how often one tries that cannot. The
-// invariant: a box that hears neither a lead nor another reader reads for itself once
-// its knowledge is stale, however many boxes go before it.
+// invariant: a box that hears of no recent reading reads for itself once its knowledge is
+// stale, however many boxes go before it.
+//
+// One box reads for all: the strongest lead that can. The other leads hear the changes and
+// their age from it, and pass them on in their domains. A domain that is cut off hears no
+// other lead, so that its own reads.
 
-import "time"
+import (
+	"time"
+
+	"github.com/doormast/doormast/wire"
+)
 
 // maxStagger bounds the places that delay a box's own reading.
 const maxStagger = 5
@@ -25,19 +33,62 @@
 func (n *Node) Reads(now time.Duration) bool {
 	t := n.cfg.Timing
 	if !n.cfg.FirstStart && n.cfg.Mirror.Revision() == 0 {
-		return true
+		return n.readsAfterRestart(now)
 	}
-	if n.Leads() {
+	if n.readsForAll(now) {
 		return now-n.started >= t.Settle || n.alone()
 	}
 	if n.leadIsBlind() && now-n.readOK < t.Readback {
 		return true
 	}
-	// After a start, the lead is given its own time to settle and as much to read.
+	// After a start, the reader is given its own time to settle and as much to read.
 	known := max(n.confirmed, n.started-t.Stale+2*t.Settle)
 	return now-known > t.Stale+time.Duration(min(n.place(), maxStagger))*t.Stagger
 }
 
+// readsAfterRestart reports whether a box that knows nothing yet, and has callers waiting,
+// reads: not before the others had time to answer. A page of the publisher's for each of a
+// hundred boxes that restart together cost more than all other calls of the day.
+func (n *Node) readsAfterRestart(now time.Duration) bool {
+	return n.alone() || n.pullFails || now-n.started >= n.cfg.Timing.Others
+}
+
+// readsForAll reports whether this box is the strongest of the leads that can read.
+func (n *Node) readsForAll(now time.Duration) bool {
+	canRead := func(p *peer) bool { return p.reads }
+	return n.Leads() && n.bestLead(now, canRead) == n.cfg.Self
+}
+
+// bestLead is the strongest of this domain's lead and those leads of other domains that are
+// heard and fit.
+func (n *Node) bestLead(now time.Duration, fits func(*peer) bool) *wire.GroupBox {
+	best := n.lead()
+	for _, p := range n.peers {
+		if !n.sameDomain(p) && n.leadIsHeard(now, p) && fits(p) && better(p.box, best) {
+			best = p.box
+		}
+	}
+	return best
+}
+
+// leadIsHeard reports whether a peer leads a domain and was heard lately.
+func (n *Node) leadIsHeard(now time.Duration, p *peer) bool {
+	return p.leads && !p.leaving && now-p.heard < n.cfg.Timing.Silence
+}
+
+// WatchFor is how long this box's reading may wait for a change. Where other leads hear from
+// it, that is a beat less, so that the members of their domains, who hear of it a beat later,
+// know as much as they would from a reader of their own.
+func (n *Node) WatchFor(now time.Duration) time.Duration {
+	t := n.cfg.Timing
+	for _, p := range n.peers {
+		if !n.sameDomain(p) && n.leadIsHeard(now, p) {
+			return t.Watch - t.Beat
+		}
+	}
+	return t.Watch
+}
+
 // ReadPause is how long this box waits after its reading has failed so many times in
 // a row.
 func (n *Node) ReadPause(failures int) time.Duration {
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -46,6 +46,8 @@
 	dead    bool
 	frozen  bool
 	reading time.Duration // when the call under way ends; 0: none
+	waits   time.Duration // for a change, of the call under way
+	next    time.Duration // when the next call may begin
 	asked   uint64        // revision behind which it asks
 	whole   bool
 	began   time.Duration
@@ -90,7 +92,6 @@
 const (
 	step     = 5 * time.Millisecond
 	tickStep = 20 // steps between two ticks of a node
-	watch    = time.Second
 )
 
 // run lets time pass.
@@ -174,12 +175,13 @@
 // read makes the calls to the publisher that a node wants made.
 func (w *world) read(b *testBox) {
 	if b.reading == 0 {
-		if !b.node.Reads(w.now) {
+		if w.now < b.next || !b.node.Reads(w.now) {
 			return
 		}
 		w.calls++
 		b.asked, b.whole, b.began = b.copy.Revision(), b.copy.Revision() == 0, w.now
-		b.reading = w.now + watch
+		b.waits = b.node.WatchFor(w.now)
+		b.reading = w.now + b.waits
 		if b.whole {
 			b.reading = w.now + step
 		}
@@ -196,8 +198,9 @@
 	case b.whole || !known:
 		b.node.Read(w.now, b.began, w.published.Items(), w.published.Revision(), true)
 	case !news:
-		b.node.Read(w.now, b.began+watch, nil, b.asked, false)
+		b.node.Read(w.now, b.began+b.waits, nil, b.asked, false)
 	default:
+		b.next = w.now + DefaultTiming.Gather
 		b.node.Read(w.now, b.began, items, w.published.Revision(), false)
 	}
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -47,6 +47,7 @@
 	boxes    atomic.Int64
 	lead     atomic.Pointer[string]
 	reads    atomic.Bool   // the box is to read the publisher
+	watch    atomic.Int64  // time.Duration for which a reading waits for a change
 	kick     chan struct{} // readable when reads has become true
 
 	// What the duty alone looks at.
@@ -158,7 +159,9 @@
 
 // showReads tells the reader whether this box is to read, and wakes it.
 func (m *members) showReads() {
-	reads := m.node.Reads(m.relay.now())
+	now := m.relay.now()
+	m.watch.Store(int64(m.node.WatchFor(now)))
+	reads := m.node.Reads(now)
 	if before := m.reads.Swap(reads); before || !reads {
 		return
 	}
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -42,6 +42,7 @@
 func (m *members) takePulled(now time.Duration, p *pullResult) {
 	m.pulling = false
 	if p.err != nil {
+		m.node.PullFailed()
 		m.relay.cfg.Log.Event("group", "pull failed", Fields{"error": p.err.Error()})
 		return
 	}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -66,8 +66,9 @@
 	r := &readResult{known: m.relay.now(), whole: m.revision.Load() == 0}
 	publisher := m.relay.cfg.Publisher
 	if !r.whole {
-		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), m.relay.cfg.Timing.Watch)
-		if waited := r.known + m.relay.cfg.Timing.Watch; len(r.items) == 0 && m.relay.now() >= waited {
+		watch := time.Duration(m.watch.Load())
+		r.items, r.revision, r.err = publisher.Changes(ctx, m.revision.Load(), watch)
+		if waited := r.known + watch; len(r.items) == 0 && m.relay.now() >= waited {
 			r.known = waited // the publisher has waited that long before it answered
 		}
 	}
@@ -99,6 +100,11 @@
 		return
 	}
 	m.failures = 0
+	if len(r.items) > 0 {
+		// A hundred entries that change one after the other, as when upstreams start, are
+		// some ten readings with this, and a hundred without.
+		r.pause = m.relay.cfg.Timing.Gather
+	}
 	m.node.Read(now, r.known, r.items, r.revision, r.whole)
 	m.relay.belief.regain(m.relay)
 }
