Which classes are kept apart is decided once for all boxes, by means over all of them

Cause: each of 295 boxes sees some three requests a second and divided the classes by its own few.

Change: boxes tell how many requests a mean rests on; a lead adds the means up over its domain, and tells its members that over all domains, as it does with loads. The strongest lead's decision names the classes, and the others follow it. A box goes on with what it was told until it has seen two classes.

Tests: the mean of 40 requests is now one of 10 s, as the weights of classes are; the test of a division that stays lets the past be forgotten in that way. What a box is told no longer counts as five requests of its own, and no domain's means go before another's: the two tests of that are replaced by ones that check the weighted means exactly, on every box.

--- a/balance/apart.go
+++ b/balance/apart.go
@@ -28,8 +28,6 @@
 	classShare = 0.02
 	// classMemory is the time over which the requests of a class are averaged.
 	classMemory = 10 * time.Second
-	// classTokens is how many requests the mean of what is read for one goes back to.
-	classTokens = 40
 	// maxClasses bounds the classes that are known of a service.
 	maxClasses = 256
 )
@@ -38,21 +36,33 @@
 type class struct {
 	key  uint32        // Key of its name
 	gap  time.Duration // the longest pause that its requests bear
-	read float64       // prompt tokens that are read for a request, a mean
-	seen float64       // requests, those of the past ever less
-	own  bool          // this box has seen some itself
+	own  mean          // of the prompt tokens that are read for a request, those of the past counting less
+	told mean          // the same of the requests that other boxes see
+}
+
+// seen is how many requests are known of, those of the past counting less.
+func (c *class) seen() float64 { return c.own.weight + c.told.weight }
+
+// read is how many prompt tokens are read for a request, a mean over all boxes: one of some
+// hundreds that share the requests sees a few a second, too few to go by for its first
+// 10 s.
+func (c *class) read() float64 {
+	all := c.own
+	all.add(c.told.value(), c.told.weight)
+	return all.value()
 }
 
 // interference is how much a request of the class holds others up, by what it bears
 // itself. Of two classes, b holds up a for b.read / a.gap of the pause that a bears, and a
 // holds up b for a.read / b.gap; the first is b.interference() / a.interference() times the
 // second.
-func (c *class) interference() float64 { return max(c.read, 1) * float64(c.gap) }
+func (c *class) interference() float64 { return max(c.read(), 1) * float64(c.gap) }
 
 // classes is what is observed of a service's classes, and how they are divided.
 type classes struct {
-	byKey map[uint32]*class // by Key of its name
-	apart division
+	byKey    map[uint32]*class // by Key of its name
+	apart    division          // as this box would divide them
+	followed []uint32          // Keys of those that are kept apart, as it was told; empty: this box's own
 }
 
 // division is where the classes of a service are divided: those whose interference is below limit
@@ -73,32 +83,57 @@
 		if len(k.byKey) >= maxClasses {
 			return
 		}
-		c = &class{key: key, own: true}
+		c = &class{key: key}
 		k.byKey[key] = c
 	}
-	if !c.own { // what was told counts as requests of its own
-		c.own, c.seen = true, toldWeight
-	}
 	c.gap = r.Gap
-	c.seen++
-	share := max(1/c.seen, 1.0/classTokens)
-	c.read += (float64(unread) - c.read) * share
+	c.own.add(float64(unread), 1)
 }
 
 // age lets the requests of the past count less.
 func (k *classes) age(past time.Duration) {
 	left := math.Exp(-float64(past) / float64(classMemory))
 	for _, c := range k.byKey {
-		c.seen *= left
+		c.own.sum *= left
+		c.own.weight *= left
 	}
 }
 
 // tight reports whether a class is among those that are kept apart from heavy reading.
 func (k *classes) tight(name string) bool {
+	if len(k.followed) > 0 {
+		return slices.Contains(k.followed, Key(name))
+	}
 	c := k.byKey[Key(name)]
 	return c != nil && c.interference() < k.apart.limit
 }
 
+// tightKeys lists the classes that are kept apart, in order.
+func (k *classes) tightKeys() []uint32 {
+	if len(k.followed) > 0 {
+		return k.followed
+	}
+	var keys []uint32
+	for key, c := range k.byKey {
+		if c.interference() < k.apart.limit {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// follow takes over which classes are kept apart from who decides that for all. Without
+// this, a box among hundreds went by the few requests that it sees: a fifth of the prompts of
+// a class that reads four times as much ran among the tight streams, and 4 of 10 of those
+// had pauses that were too long (a burst after a start of 295 boxes). A box that
+// is told nothing goes on with what it was told, until it has seen two classes.
+func (k *classes) follow(told []uint32) {
+	if len(told) > 0 || len(k.counted()) >= 2 {
+		k.followed = told
+	}
+}
+
 // decideApart looks for the division with the greatest factor; the present one stays as
 // long as it is nearly as great.
 func (k *classes) decideApart() {
@@ -134,11 +169,11 @@
 func (k *classes) counted() []*class {
 	var all float64
 	for _, c := range k.byKey {
-		all += c.seen
+		all += c.seen()
 	}
 	var list []*class
 	for _, c := range k.byKey {
-		if c.seen >= all*classShare {
+		if seen := c.seen(); seen > 0 && seen >= all*classShare {
 			list = append(list, c)
 		}
 	}
@@ -154,9 +189,9 @@
 	var sumTight, sumRest mean
 	for _, c := range k.counted() {
 		if c.interference() < k.apart.limit {
-			sumTight.add(c.read, c.seen)
+			sumTight.add(c.read(), c.seen())
 		} else {
-			sumRest.add(c.read, c.seen)
+			sumRest.add(c.read(), c.seen())
 		}
 	}
 	return sumTight.value(), sumRest.value()
@@ -183,7 +218,7 @@
 func (f *Fleet) leaveCost(service string) int {
 	var most float64
 	for _, c := range f.serviceOf(service).classes.counted() {
-		most = max(most, c.read)
+		most = max(most, c.read())
 	}
 	return int(f.cfg.Tuning.Leave * most)
 }
--- a/balance/apart_test.go
+++ b/balance/apart_test.go
@@ -60,7 +60,10 @@
 	is := is.New(t)
 	k := classes{byKey: make(map[uint32]*class)}
 	see := func(class string, read int) {
-		for range 10 * classTokens {
+		if c := k.byKey[Key(class)]; c != nil {
+			c.own = mean{} // as if that was long ago
+		}
+		for range 100 {
 			k.observe(reads(class, 200*time.Millisecond, 1, read), read)
 		}
 		k.decideApart()
@@ -91,14 +94,14 @@
 		used[serve(f, now, chat(shared)).Upstream.ID] = true
 	}
 	is.Equal(len(used), 9)
-	is.Equal(f.Lanes(), LaneSizes{}) // nor told to be
+	is.Equal(f.Lanes(), LanePlan{}) // nor told to be
 }
 
 // A prompt leaves its lane where a place beyond is cheaper by what leaving costs.
 func TestAPromptLeavesALaneThatIsOverrun(t *testing.T) {
 	is := is.New(t)
 	f := newDividedFleet(9)
-	f.SizeLanes(0, LaneSizes{Key("s"): 3})
+	f.SizeLanes(0, LanePlan{Key("s"): {Places: 3}})
 	tight := tightPlaces(f)
 	load := func(tokens int) {
 		loads := make(map[LoadKey]Load)
@@ -145,3 +148,22 @@
 		}
 	})
 }
+
+// Who is kept apart is decided by one box for all: what another sees by itself makes no
+// difference as long as it is told, nor afterwards until it has seen two classes.
+func TestABoxKeepsThoseApartThatItIsTold(t *testing.T) {
+	is := is.New(t)
+	f := newDividedFleet(20) // by itself it would keep chats apart
+	told := LanePlan{Key("s"): {5, []uint32{Key("letter")}}}
+	f.SizeLanes(0, told)
+	is.True(f.tight(letter(1)) && !f.tight(chat(1)))
+	is.Equal(f.Lanes(), told) // as it passes on
+	f.SizeLanes(time.Second, nil)
+	is.True(!f.tight(letter(1)) && f.tight(chat(1)))
+
+	f = newTestFleet(20)
+	f.SizeLanes(0, told)
+	f.Open(time.Second, "u0", letter(1))
+	f.SizeLanes(time.Second, nil)
+	is.True(f.tight(letter(1)) && !f.tight(chat(1)))
+}
--- a/balance/lane_test.go
+++ b/balance/lane_test.go
@@ -73,7 +73,7 @@
 				f.SizeLanes(now, nil)
 			}
 			is.Equal(len(tightPlaces(f)), tt.want)
-			is.Equal(f.Lanes(), LaneSizes{Key("s"): tt.want})
+			is.Equal(f.Lanes(), LanePlan{Key("s"): {tt.want, []uint32{Key("chat")}}})
 		})
 	}
 }
@@ -99,14 +99,14 @@
 	is := is.New(t)
 	f := newDividedFleet(20)
 	f.SetOthers(underWay(20, 20, 2))
-	changes := f.SizeLanes(time.Second, LaneSizes{Key("s"): 2, Key("unknown"): 3})
+	changes := f.SizeLanes(time.Second, LanePlan{Key("s"): {Places: 2}, Key("unknown"): {Places: 3}})
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].Service, "s")
 	is.Equal(changes[0].Places, 2)
 	is.True(changes[0].Told)
 	is.Equal(len(tightPlaces(f)), 2)
-	is.Equal(len(f.SizeLanes(2*time.Second, LaneSizes{Key("s"): 2})), 0) // nothing new
-	f.SizeLanes(time.Minute, LaneSizes{Key("s"): 99})
+	is.Equal(len(f.SizeLanes(2*time.Second, LanePlan{Key("s"): {Places: 2}})), 0) // nothing new
+	f.SizeLanes(time.Minute, LanePlan{Key("s"): {Places: 99}})
 	is.Equal(len(tightPlaces(f)), 20) // no more than there are
 }
 
@@ -118,8 +118,8 @@
 		small := rapid.IntRange(1, n).Draw(t, "small")
 		great := rapid.IntRange(small, n).Draw(t, "great")
 		a, b := newDividedFleet(n), newDividedFleet(n)
-		a.SizeLanes(0, LaneSizes{Key("s"): small})
-		b.SizeLanes(0, LaneSizes{Key("s"): great})
+		a.SizeLanes(0, LanePlan{Key("s"): {Places: small}})
+		b.SizeLanes(0, LanePlan{Key("s"): {Places: great}})
 		kept := tightPlaces(b)
 		for id := range tightPlaces(a) {
 			if !kept[id] {
@@ -146,14 +146,14 @@
 func TestWhatAnUpstreamKeepsIsFetchedWhenItChangesItsLane(t *testing.T) {
 	is := is.New(t)
 	f := newDividedFleet(20)
-	f.SizeLanes(0, LaneSizes{Key("s"): 2})
+	f.SizeLanes(0, LanePlan{Key("s"): {Places: 2}})
 	before := make(map[uint64]*Upstream)
 	now := time.Minute
 	for shared := uint64(1); shared <= 100; shared++ {
 		before[shared] = serve(f, now, prompt(shared)).Upstream
 	}
 	now += 10 * time.Second
-	f.SizeLanes(now, LaneSizes{Key("s"): 6})
+	f.SizeLanes(now, LanePlan{Key("s"): {Places: 6}})
 	kept := tightPlaces(f)
 	moved := 0
 	for shared, old := range before {
@@ -170,7 +170,7 @@
 		is.Equal(again.Fetch, "") // it has what it needs
 	}
 	is.True(moved > 0)
-	f.SizeLanes(now, LaneSizes{Key("s"): 2}) // and back: either keeps it
+	f.SizeLanes(now, LanePlan{Key("s"): {Places: 2}}) // and back: either keeps it
 	for shared := range before {
 		c := serve(f, now, prompt(shared))
 		is.Equal(c.Fetch, "")
@@ -182,14 +182,14 @@
 func TestABoxThatKnowsNothingFetchesFromTheLaneBefore(t *testing.T) {
 	is := is.New(t)
 	f := newDividedFleet(20)
-	f.SizeLanes(0, LaneSizes{Key("s"): 2})
+	f.SizeLanes(0, LanePlan{Key("s"): {Places: 2}})
 	before := make(map[uint64]*Upstream)
 	now := 16 * time.Second
 	for shared := uint64(1); shared <= 100; shared++ {
 		c, _ := f.Place(now, prompt(shared), nil)
 		before[shared] = c.Upstream
 	}
-	f.SizeLanes(now, LaneSizes{Key("s"): 6})
+	f.SizeLanes(now, LanePlan{Key("s"): {Places: 6}})
 	kept := tightPlaces(f)
 	for shared, old := range before {
 		c, _ := f.Place(now, prompt(shared), nil)
@@ -205,11 +205,11 @@
 func TestABoxThatHasSeenLittleKeepsTheLaneItWasTold(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(20)
-	f.SizeLanes(0, LaneSizes{Key("s"): 5})
+	f.SizeLanes(0, LanePlan{Key("s"): {Places: 5}})
 	f.Open(time.Second, "u0", chat(1))
 	f.SizeLanes(time.Second, nil)
 	is.Equal(len(tightPlaces(f)), 5)
 	f.Open(time.Second, "u0", reads("another", 200*time.Millisecond, 2, 500))
 	f.SizeLanes(2*time.Second, nil)
-	is.Equal(f.Lanes(), LaneSizes{}) // two that are alike do
+	is.Equal(f.Lanes(), LanePlan{}) // two that are alike do
 }
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -19,21 +19,26 @@
 	laneSlack, laneSlackShare = 0.75, 0.15
 )
 
-// LaneSizes is how many upstreams are kept for tight streams, by the Key of the
-// service's name.
-type LaneSizes map[uint32]int
+// Lane is how a service is divided.
+type Lane struct {
+	Places int      // upstreams that are kept for tight streams
+	Tight  []uint32 // Keys of the classes that those are of, in order; none: not known
+}
+
+// LanePlan is how services are divided, by the Key of a service's name.
+type LanePlan map[uint32]Lane
 
 // Lanes is how this box's fleet is divided, as far as it is. A service in which this box
 // keeps nothing apart is left out: a lead that has just started, and has not seen all classes
 // yet, would dissolve the lanes of all (for 7 s on a day on which all boxes were restarted).
-func (f *Fleet) Lanes() LaneSizes {
-	sizes := make(LaneSizes)
+func (f *Fleet) Lanes() LanePlan {
+	plan := make(LanePlan)
 	for _, s := range f.services {
 		if len(f.byService[s.name]) >= minLanes && s.places > 0 {
-			sizes[Key(s.name)] = s.places
+			plan[Key(s.name)] = Lane{s.places, s.classes.tightKeys()}
 		}
 	}
-	return sizes
+	return plan
 }
 
 // LaneChange is a lane that got another size, with what decided it.
@@ -48,7 +53,7 @@
 
 // SizeLanes brings the lanes' sizes up to date: to what was told, where that names a
 // service, or to what all boxes have under way. It returns the lanes that changed.
-func (f *Fleet) SizeLanes(now time.Duration, told LaneSizes) []LaneChange {
+func (f *Fleet) SizeLanes(now time.Duration, told LanePlan) []LaneChange {
 	var changes []LaneChange
 	for _, s := range f.services {
 		if len(f.byService[s.name]) < minLanes {
@@ -62,14 +67,16 @@
 }
 
 // sizeLane brings the size of one service's lane up to date.
-func (f *Fleet) sizeLane(now time.Duration, s *service, told LaneSizes) (change LaneChange, changed bool) {
+func (f *Fleet) sizeLane(now time.Duration, s *service, told LanePlan) (change LaneChange, changed bool) {
 	if s.stale {
 		f.divide(now, s)
 	}
 	all := f.byService[s.name]
 	f.count(now, s, all)
 	s.classes.decideApart()
-	places, isTold := told[Key(s.name)]
+	lane, isTold := told[Key(s.name)]
+	s.classes.follow(lane.Tight)
+	places := lane.Places
 	if !isTold || f.cfg.Off[Lanes] {
 		places = f.wanted(s, len(all))
 	}
--- a/group/class_test.go
+++ b/group/class_test.go
@@ -9,15 +9,15 @@
 	"github.com/doormast/doormast/balance"
 )
 
-func seen(class uint32, read int) balance.ClassSeen {
-	return balance.ClassSeen{ClassKey: balance.ClassKey{Service: 7, Class: class}, Read: read, Pause: 200 * time.Millisecond}
+func seen(class uint32, read, requests float64) balance.ClassSeen {
+	return balance.ClassSeen{ClassKey: balance.ClassKey{Service: 7, Class: class}, Read: read, Seen: requests, Pause: 200 * time.Millisecond}
 }
 
 // knows lists which classes a box has heard of, with what is read for each.
 func (w *world) knows(name string) map[uint32]int {
 	reads := make(map[uint32]int)
 	for _, c := range w.boxes[name].node.Classes(w.now) {
-		reads[c.Class] = c.Read
+		reads[c.Class] = int(c.Read)
 	}
 	return reads
 }
@@ -31,7 +31,7 @@
 			w := newWorld(t, 51)
 			w.fleet(3, 4)
 			w.run(4 * time.Second)
-			w.boxes[teller].node.SetClasses([]balance.ClassSeen{seen(1, 600), seen(2, 3500)})
+			w.boxes[teller].node.SetClasses([]balance.ClassSeen{seen(1, 600, 3), seen(2, 3500, 1)})
 			w.run(3*DefaultTiming.Beat + 500*time.Millisecond)
 			for _, name := range w.names {
 				if name == teller {
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	w := newWorld(t, 52)
 	w.fleet(3, 4)
-	w.boxes[boxName(2, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 600)})
+	w.boxes[boxName(2, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 600, 3)})
 	w.run(4 * time.Second)
 	name := boxName(0, 3)
 	w.start(name, domainName(0), w.boxes[name].self.Strength, false)
@@ -61,17 +61,23 @@
 	is.Equal(w.knows(name), map[uint32]int{1: 600})
 }
 
-// What the own domain sees goes before what another one does.
-func TestTheOwnDomainsClassesGoFirst(t *testing.T) {
+// Every box hears the same mean over what all boxes see, each of their requests counted once.
+func TestBoxesHearTheMeanOverAllBoxes(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 53)
-	w.fleet(2, 3)
+	w.fleet(3, 3)
 	w.run(4 * time.Second)
-	w.boxes[boxName(0, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 600)})
-	w.boxes[boxName(1, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 900)})
+	w.boxes[boxName(0, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 600, 3)})
+	w.boxes[boxName(1, 0)].node.SetClasses([]balance.ClassSeen{seen(1, 1000, 4)})
+	w.boxes[boxName(1, 1)].node.SetClasses([]balance.ClassSeen{seen(1, 2000, 1)})
 	w.run(3 * time.Second)
-	is.Equal(w.knows(boxName(0, 2)), map[uint32]int{1: 600})
-	is.Equal(w.knows(boxName(1, 2)), map[uint32]int{1: 900})
+	for _, name := range w.names {
+		if name == boxName(1, 0) { // a lead: its own is not told to it
+			is.Equal(w.knows(name), map[uint32]int{1: (3*600 + 2000) / 4})
+			continue
+		}
+		is.Equal(w.knows(name), map[uint32]int{1: (3*600 + 4*1000 + 2000) / 8})
+	}
 }
 
 // However many classes there are, a message and a box's memory hold a bounded number.
@@ -83,7 +89,7 @@
 	for box := range 3 {
 		var many []balance.ClassSeen
 		for i := range 5 * maxClasses {
-			many = append(many, seen(uint32(box*1000+i), 1))
+			many = append(many, seen(uint32(box*1000+i), 1, 1))
 		}
 		w.boxes[boxName(0, box)].node.SetClasses(many)
 	}
--- a/group/hear.go
+++ b/group/hear.go
@@ -59,7 +59,7 @@
 	p := n.peers[b.Name]
 	switch {
 	case p == nil:
-		p = &peer{box: b, heard: never}
+		p = &peer{box: b, heard: never, classesAt: never}
 		n.peers[b.Name], n.chosen = p, nil
 	case b.Boot < p.box.Boot:
 		return nil
@@ -81,7 +81,7 @@
 	if now-n.peers[b.Name].heard < n.cfg.Timing.Member {
 		return nil
 	}
-	p := &peer{box: b, heard: never}
+	p := &peer{box: b, heard: never, classesAt: never}
 	n.peers[b.Name], n.chosen = p, nil
 	return p
 }
@@ -94,7 +94,7 @@
 	case m.Hello:
 		reply := n.message(now)
 		reply.Boxes = n.listFor(p.box.Domain, now)
-		reply.Classes = n.packClasses(now, p)
+		reply.Classes = n.classesFor(p, n.packClasses(now))
 		n.send(p.box.Address, reply)
 	case m.Leads && n.sameDomain(p) && n.Leads():
 		n.send(p.box.Address, n.message(now)) // it does not know of this box yet
--- a/group/lane.go
+++ b/group/lane.go
@@ -15,10 +15,10 @@
 )
 
 // SetLanes notes how this box would divide services.
-func (n *Node) SetLanes(own balance.LaneSizes) { n.ownLanes = own }
+func (n *Node) SetLanes(own balance.LanePlan) { n.ownLanes = own }
 
 // Lanes is the division to go by; nil means this box's own.
-func (n *Node) Lanes(now time.Duration) balance.LaneSizes {
+func (n *Node) Lanes(now time.Duration) balance.LanePlan {
 	if now-n.lanesAt > n.cfg.Timing.Silence || n.decidesLanes(now) {
 		return nil
 	}
@@ -49,9 +49,9 @@
 	if !m.Leads || p.box.Name != n.followed(now).Name {
 		return
 	}
-	n.lanes, n.lanesAt = make(balance.LaneSizes, len(m.Lanes)), now
+	n.lanes, n.lanesAt = make(balance.LanePlan, len(m.Lanes)), now
 	for _, l := range m.Lanes {
-		n.lanes[l.Service] = int(l.Places)
+		n.lanes[l.Service] = balance.Lane{Places: int(l.Places), Tight: l.Tight[:min(len(l.Tight), maxClasses)]}
 	}
 }
 
@@ -62,8 +62,9 @@
 		lanes = n.ownLanes
 	}
 	out := make([]*wire.GroupLane, 0, len(lanes))
-	for service, places := range lanes {
-		out = append(out, &wire.GroupLane{Service: service, Places: uint32(max(places, 0))})
+	for service, lane := range lanes {
+		tight := lane.Tight[:min(len(lane.Tight), maxClasses)]
+		out = append(out, &wire.GroupLane{Service: service, Places: uint32(max(lane.Places, 0)), Tight: tight})
 	}
 	slices.SortFunc(out, func(a, b *wire.GroupLane) int { return cmp.Compare(a.Service, b.Service) })
 	return out
--- a/group/lane_test.go
+++ b/group/lane_test.go
@@ -12,7 +12,7 @@
 // divides sets what each box would do by itself: as many places as its number says.
 func (w *world) divides() {
 	for i, name := range w.names {
-		w.boxes[name].node.SetLanes(balance.LaneSizes{7: i + 1})
+		w.boxes[name].node.SetLanes(balance.LanePlan{7: {Places: i + 1, Tight: []uint32{uint32(i)}}})
 	}
 }
 
@@ -20,9 +20,9 @@
 func (w *world) division(name string) int {
 	n := w.boxes[name].node
 	if told := n.Lanes(w.now); told != nil {
-		return told[7]
+		return told[7].Places
 	}
-	return n.ownLanes[7]
+	return n.ownLanes[7].Places
 }
 
 // agreed checks that all living boxes of the domains go by the same division.
--- a/group/node.go
+++ b/group/node.go
@@ -98,8 +98,10 @@
 	told       bool              // it was told loads
 	toldLoads  []*wire.GroupLoad // the last ones
 	toldAt     time.Duration
-	lastKept   []balance.Kept // of the last message that told such
-	lastKeptAt time.Duration  // when that came
+	classes    []balance.ClassSeen // what it told last of classes
+	classesAt  time.Duration       // when that came
+	lastKept   []balance.Kept      // of the last message that told such
+	lastKeptAt time.Duration       // when that came
 }
 
 // sameDomain reports whether a peer is of this box's failure domain.
@@ -137,12 +139,11 @@
 	loadsPause time.Duration // between two tells to the same box
 	others     Loads         // all other boxes'
 
-	ownLanes balance.LaneSizes // as this box would divide services
-	lanes    balance.LaneSizes // as the lead it follows does
-	lanesAt  time.Duration     // when that was heard last
+	ownLanes balance.LanePlan // as this box would divide services
+	lanes    balance.LanePlan // as the lead it follows does
+	lanesAt  time.Duration    // when that was heard last
 
-	ownClasses []balance.ClassSeen             // that this box sees
-	classes    map[balance.ClassKey]heardClass // that other boxes told
+	ownClasses []balance.ClassSeen // that this box sees
 
 	keptNews  []keptNews     // to be told
 	keptHeard []balance.Kept // told by others, and not yet taken over
@@ -157,7 +158,6 @@
 		cfg:       cfg,
 		started:   now,
 		peers:     make(map[string]*peer),
-		classes:   make(map[balance.ClassKey]heardClass),
 		waitsFrom: now,
 		confirmed: never,
 		doubt:     never,
--- a/group/talk.go
+++ b/group/talk.go
@@ -74,7 +74,7 @@
 func (n *Node) beatLead(now time.Duration) {
 	m := n.message(now)
 	if p := n.peers[n.lead().Name]; p != nil {
-		m.Classes = n.packClasses(now, p)
+		m.Classes = n.classesFor(p, n.packClasses(now))
 	}
 	n.send(n.lead().Address, m)
 }
@@ -83,6 +83,7 @@
 // knows nobody, to the seeds.
 func (n *Node) beatAll(now time.Duration) {
 	foreign := false
+	classes := n.packClasses(now)
 	for _, p := range n.peers {
 		if !n.sameDomain(p) && !p.leads {
 			continue
@@ -90,7 +91,7 @@
 		foreign = foreign || !n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member
 		m := n.message(now)
 		m.Boxes = n.listIfNew(p, now)
-		m.Classes = n.packClasses(now, p)
+		m.Classes = n.classesFor(p, classes)
 		n.send(p.box.Address, m)
 	}
 	n.lists = nil
