Under load, what is read for a request itself counts against its wait, for those that come back too

Change: the mean of what upstreams have to read is a measure of load. With none the bounds are as before; from a fifth of the target on, 0.4 of it may go into the reading of what is before a request and of its own, 0.1 in any case, and it is the same for who comes back.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -2,8 +2,8 @@
 
 // This file defines which requests are refused because they would come too late. The
 // invariant: of two requests at the same upstream, the less urgent one is not taken
-// where the more urgent one was refused within orderMemory, since all that goes before
-// the latter goes before the former.
+// where the more urgent one was refused within orderMemory, unless less is read for it: all
+// that goes before the latter goes before the former.
 
 import "time"
 
@@ -22,11 +22,11 @@
 	Again  bool          // it has come back after a refusal
 }
 
-// refusals is when requests of a service were last refused, and the wait that would have
-// been too long, by urgency.
+// refusals is when requests of a service were last refused, and their latency target, by
+// urgency.
 type refusals [Levels]struct {
-	at    time.Duration
-	bound time.Duration // 0: none was refused
+	at     time.Duration
+	target time.Duration // 0: none was refused
 }
 
 // Admit decides whether a request that was placed will be served in time. If not, it
@@ -36,39 +36,51 @@
 	if a.Target == 0 || f.cfg.Off[AdmissionControl] {
 		return 0, true
 	}
-	own := f.boundOf(a)
-	refused := &f.serviceOf(r.Service).refusals
+	s := f.serviceOf(r.Service)
 	wait := f.readTime(c.Backlog)
-	if wait <= refused.bound(now, r.level(), own) {
+	own := f.boundOf(s, a, c)
+	if wait <= min(own, f.boundOf(s, s.refusals.hold(now, r.level(), a), c)) {
 		return 0, true
 	}
 	if !f.cfg.Off[Order] {
-		refused.note(now, r.level(), time.Duration(f.cfg.Tuning.Admit*float64(a.Target)))
+		s.refusals.note(now, r.level(), a.Target)
 	}
 	return min(max(wait-own/2, comeBackMin), comeBackMax), false
 }
 
-// boundOf is how long a request may wait for what is before it.
-func (f *Fleet) boundOf(a Admission) time.Duration {
-	share := f.cfg.Tuning.Admit
+// boundOf is how long a request may wait for what is before it. As long as upstreams have
+// little to read on the mean, that is a share of its target. The more they have, the
+// narrower it becomes, and the more counts how long the request is read itself: then those
+// are taken first whose prompt lies there already and who hold others up the least.
+// However long that is, it may wait for a little, so that long prompts are served as well.
+// What the narrower bound gains: 0.510 to 0.562 of worth (the first 12 s of a
+// burst on 320 engines).
+func (f *Fleet) boundOf(s *service, a Admission, c Choice) time.Duration {
+	t := &f.cfg.Tuning
+	calm := part(a.Target, t.Admit)
 	if a.Again {
-		share = f.cfg.Tuning.AdmitAgain
+		calm = part(a.Target, t.AdmitAgain)
 	}
-	return time.Duration(share * float64(a.Target))
+	loaded := max(part(a.Target, t.AdmitLoaded)-f.readTime(c.Unread), part(a.Target, t.AdmitLeast))
+	load := min(float64(f.readTime(int(s.unread)))/float64(part(a.Target, t.Loaded)), 1)
+	return calm + part(loaded-calm, load)
 }
 
-// bound is how long a request may wait that may wait for own by itself: no longer than
-// the more urgent ones that were refused lately.
-func (r *refusals) bound(now time.Duration, level int, own time.Duration) time.Duration {
+// part is a share of a time.
+func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
+// hold is what a request is admitted by while more urgent ones are refused: by their
+// target, as if it came for the first time.
+func (r *refusals) hold(now time.Duration, level int, a Admission) Admission {
 	for _, x := range r[:level] {
-		if x.bound > 0 && now-x.at < orderMemory {
-			own = min(own, x.bound)
+		if x.target > 0 && now-x.at < orderMemory {
+			a = Admission{Target: min(a.Target, x.target)}
 		}
 	}
-	return own
+	return a
 }
 
 // note takes in a refusal.
-func (r *refusals) note(now time.Duration, level int, bound time.Duration) {
-	r[level].at, r[level].bound = now, bound
+func (r *refusals) note(now time.Duration, level int, target time.Duration) {
+	r[level].at, r[level].target = now, target
 }
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -89,12 +89,13 @@
 	return LaneChange{s.name, s.places, len(all), int(s.tight), int(s.rest), isTold}, true
 }
 
-// count brings the means of what is under way up to date.
+// count brings the means of what is under way and to be read up to date.
 func (f *Fleet) count(now time.Duration, s *service, all []*member) {
 	var sum Load
 	for _, m := range all {
 		sum = sum.Plus(m.underWay())
 	}
+	s.unread = float64(sum.Unread) / float64(len(all))
 	s.classes.age(now - s.counted)
 	past := math.Exp(-float64(now-s.counted) / float64(f.cfg.Tuning.LaneMemory))
 	s.counted = now
--- a/balance/place.go
+++ b/balance/place.go
@@ -15,6 +15,7 @@
 	Upstream *Upstream
 	Fetch    string // address of an upstream that keeps more of the prompt, or empty
 	Backlog  int    // prompt tokens that are to be read there before
+	Unread   int    // prompt tokens that are to be read there of its own
 	Kept     bool   // it is known, or guessed, to keep the prompt's last shared part
 }
 
@@ -109,6 +110,7 @@
 		Upstream: &chosen.Upstream,
 		Fetch:    f.fetchFrom(now, r, chosen),
 		Backlog:  f.backlog(now, chosen, r.level()),
+		Unread:   cost.unread(chosen),
 		Kept:     cost.holds(chosen, r.lastShared()),
 	}
 }
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -32,6 +32,12 @@
 	// AdmitAgain is the same for one that has come back: at 1 it is still in time as a rule.
 	// At 2 it was late, and made those behind it late (0.002 and 0.003 of worth on two fleets).
 	Admit, AdmitAgain float64
+	// AdmitLoaded is the share that may go into the reading of those and of its own, where
+	// all upstreams have much to read, and AdmitLeast what it may wait in any case.
+	AdmitLoaded, AdmitLeast float64
+	// Loaded is the share of its target that upstreams have to read on the mean, from
+	// which on AdmitLoaded holds.
+	Loaded float64
 	// ReadRate is how many prompt tokens an upstream reads in a ms, until that has
 	// been seen.
 	ReadRate float64
@@ -49,5 +55,8 @@
 	FailWeight:  6,
 	Admit:       0.5,
 	AdmitAgain:  1,
+	AdmitLoaded: 0.4,
+	AdmitLeast:  0.1,
+	Loaded:      0.2,
 	ReadRate:    36,
 }
