--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -14,7 +14,9 @@
 	// fetches prompts from the one that was their home before.
 	NewFor time.Duration
 	// TightLeast and TightMost bound the share of a service's upstreams that is kept for
-	// tight streams, as parts of 1.
+	// tight streams, as parts of 1. With 0.17 at the least they were read one after the
+	// other in a burst on 320 engines (0.562 and 0.572 of worth in its first 12 s); on two
+	// small fleets it made no difference.
 	TightLeast, TightMost float64
 	// LaneMemory is the time over which the requests under way are averaged for that.
 	LaneMemory time.Duration
@@ -47,7 +49,7 @@
 var DefaultTuning = Tuning{
 	AgainWeight: 3,
 	NewFor:      15 * time.Second,
-	TightLeast:  0.17,
+	TightLeast:  0.22,
 	TightMost:   0.36,
 	LaneMemory:  time.Second,
 	Leave:       1,
