A line for each request that the end of a planned stop cuts

Change: when the grace is over the box writes `request: cut by the stop` with id, route, customer, upstream, how long it was held and what time was left; `relay explain` and `relay account` know the line. The test fails without it.

--- a/oplog/account.go
+++ b/oplog/account.go
@@ -122,7 +122,7 @@
 	switch l.Event {
 	case "answered":
 		return fateOfAnswer(l)
-	case "broken off":
+	case "broken off", "cut by the stop":
 		return Cut
 	case "caller left":
 		return Left
--- a/oplog/account_test.go
+++ b/oplog/account_test.go
@@ -29,6 +29,7 @@
 		{"refused", "too much before it", ``, Refused},
 		{"nowhere to go", "no upstream", ``, Refused},
 		{"cut", "broken off", `,"status":200,"late_pauses":2`, Cut},
+		{"cut by a stop", "cut by the stop", `,"held_ms":7000`, Cut},
 		{"no answer", "no answer", ``, Failed},
 		{"out of time", "out of time", ``, Failed},
 		{"left", "caller left", ``, Left},
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -96,6 +96,7 @@
 	"request: no answer":          "A run may have happened and brought no answer, and the route, the attempts or the budget allowed no other.",
 	"request: out of time":        "The caller's or the route's time was over while an upstream was at work.",
 	"request: broken off":         "The stream's run ended before its end and could not go on elsewhere; the caller's connection was closed.",
+	"request: cut by the stop":    "The box's planned stop came to the end of its grace while an upstream was at work; the process's end cut the answer.",
 	"request: caller left":        "The caller closed its connection; the run was ended.",
 	"run: failed":                 "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -31,6 +31,7 @@
 	context.AfterFunc(ctx, func() { r.ended.Store(true) })
 	if err := r.front.close(ctx); err != nil {
 		r.cfg.Log.Event("box", "stopped with requests under way", Fields{"open": r.stats.open.Load(), "error": err.Error()})
+		r.logCut()
 	}
 	r.cancel()
 	r.conns.close()
@@ -43,3 +44,18 @@
 	}
 	r.cfg.Log.Event("box", "stopped", nil)
 }
+
+// logCut writes a line for each request that still runs at an upstream when the grace is
+// over: its caller sees it cut, and no other line tells of it, since the process ends first.
+func (r *Relay) logCut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for x := range r.runs {
+		f := Fields{"id": x.request.id, "route": x.route.Name, "upstream": x.upstream.ID, "urgency": x.urgency,
+			"held_ms": time.Since(x.arrived).Milliseconds(), "left_ms": time.Until(x.end).Milliseconds()}
+		if x.customer != nil {
+			f["customer"] = x.customer.Name
+		}
+		r.cfg.Log.Event("request", "cut by the stop", f)
+	}
+}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -43,3 +43,25 @@
 	is.True(strings.Contains(a.body, `"ran":"no"`))
 	is.Equal(len(u.requests()), 0)
 }
+
+// What is still under way when the grace is over is cut by the process's end: a line tells
+// of each such request.
+func TestALineTellsOfEachRequestThatTheStopCuts(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	started := make(chan struct{})
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		close(started)
+		<-release
+		return answerOK("late")(c, r)
+	})
+	b := newBench(t, u)
+	result := make(chan answered, 1)
+	go func() { result <- b.do(b.request("POST", "/once/x", "")) }()
+	<-started
+	b.relay.Stop()
+	b.until(func() bool { return b.log.contains(`"msg":"request: cut by the stop"`) })
+	is.True(b.log.contains(`"upstream":"u1"`))
+	close(release)
+	<-result
+}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -228,6 +228,28 @@
 	board *board
 	url   string
 	ready string
+	log   lockedText // what the relay wrote to its log
+}
+
+// lockedText is text that one goroutine writes and another reads.
+type lockedText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+var _ io.Writer = (*lockedText)(nil)
+
+// Write implements io.Writer.
+func (l *lockedText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedText) contains(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), s)
 }
 
 func testDocument(version uint64) route.Document {
@@ -259,7 +281,7 @@
 		b.list(s, false)
 	}
 	callers, ready := listen(t), listen(t)
-	log := NewLog("box", io.Discard)
+	log := NewLog("box", &b.log)
 	var err error
 	b.relay, err = Start(Config{Box: "box", Domain: "d", Callers: callers, Ready: ready, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1},
 		Timing: group.DefaultTiming, Protocol: testProtocol, Publisher: b.board, Decode: decode, Log: log,
