--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -26,21 +26,25 @@
 
 // noteChanges notes where two lists differ.
 func (n *Node) noteChanges(before, after Loads, inDomain bool) {
-	if !n.Leads() {
-		return
-	}
 	for key, load := range after {
 		if before[key] != load {
-			n.changed[key] = n.changed[key] || inDomain
+			n.noteChange(key, inDomain)
 		}
 	}
 	for key := range before {
 		if _, still := after[key]; !still {
-			n.changed[key] = n.changed[key] || inDomain
+			n.noteChange(key, inDomain)
 		}
 	}
 }
 
+// noteChange notes that a load has changed, in this box's domain or in another one.
+func (n *Node) noteChange(key balance.LoadKey, inDomain bool) {
+	if n.Leads() {
+		n.changed[key] = n.changed[key] || inDomain
+	}
+}
+
 // FlushLoads tells what has changed, unless that was done a moment ago.
 func (n *Node) FlushLoads(now time.Duration) {
 	if now-n.flushed < flushPause {
@@ -139,9 +143,7 @@
 			continue
 		}
 		setLoad(p.loads, key, load)
-		if n.Leads() {
-			n.changed[key] = n.changed[key] // for the members; not for the other leads on this account
-		}
+		n.noteChange(key, false)
 	}
 }
 
