A box that restarts waits 150 ms for the others, and for a pull that it has asked for

Cause: where all boxes are killed at once nobody has anything to tell, and each read 300 ms after its start instead of at once; where a hundred restart beside others, a pull over a shared link may take longer than that, and all would read as well.

Change: 150 ms from the start, 400 ms from the moment at which the first pull was asked for. A test of the state machine fails without it.

--- a/group/node.go
+++ b/group/node.go
@@ -28,6 +28,7 @@
 	Readback time.Duration // how long a box that reads for a lead that cannot goes on
 	Gather   time.Duration // after a reading that brought changes, in which more may come
 	Others   time.Duration // after a restart, in which other boxes may answer before the publisher is read
+	Pull     time.Duration // the same for the first pull, from when it was asked for
 }
 
 // DefaultTiming is used where a configuration names none.
@@ -41,7 +42,8 @@
 	Watch:    time.Second,
 	Readback: 3 * time.Second,
 	Gather:   100 * time.Millisecond,
-	Others:   300 * time.Millisecond,
+	Others:   150 * time.Millisecond,
+	Pull:     400 * time.Millisecond,
 }
 
 // defaultBound is the time within which DefaultTiming brings a change everywhere.
@@ -125,6 +127,7 @@
 	readFails bool          // this box's last reading failed
 	pull      string        // address to pull everything from
 	pullFails bool          // its last pull failed
+	pullsFrom time.Duration // when its first pull was asked for; below 0: it was not
 
 	everything packedItems // what was packed last
 
@@ -170,6 +173,7 @@
 		lastBeat:  never,
 		lastAsk:   never,
 		lanesAt:   never,
+		pullsFrom: never,
 		flushed:   never,
 		changed:   make(changedLoads),
 		others:    make(Loads),
--- a/group/published.go
+++ b/group/published.go
@@ -25,7 +25,7 @@
 	n.takeItems(now, m)
 	switch mine := n.cfg.Mirror.Revision(); {
 	case m.Revision > mine && (m.Pull || mine == 0):
-		n.pull = n.pullFrom(m.Sender)
+		n.pull = n.pullFrom(now, m.Sender)
 	case m.Revision > mine && now-n.lastAsk >= askPause:
 		n.lastAsk = now
 		ask := n.message(now)
@@ -38,7 +38,10 @@
 
 // pullFrom is where to pull everything from: the box's lead, once it is known, since its
 // link bears that many boxes do so at once; else the one that told of it.
-func (n *Node) pullFrom(sender *wire.GroupBox) string {
+func (n *Node) pullFrom(now time.Duration, sender *wire.GroupBox) string {
+	if n.cfg.Mirror.Revision() == 0 && n.pullsFrom < 0 {
+		n.pullsFrom = now
+	}
 	if lead := n.lead(); n.cfg.Mirror.Revision() == 0 && lead != n.cfg.Self && !n.pullFails {
 		return lead.Pulls
 	}
--- a/group/reads.go
+++ b/group/reads.go
@@ -50,7 +50,9 @@
 // reads: not before the others had time to answer. A page of the publisher's for each of a
 // hundred boxes that restart together cost more than all other calls of the day.
 func (n *Node) readsAfterRestart(now time.Duration) bool {
-	return n.alone() || n.pullFails || now-n.started >= n.cfg.Timing.Others
+	t := n.cfg.Timing
+	until := max(n.started+t.Others, n.pullsFrom+t.Pull)
+	return n.alone() || n.pullFails || now >= until
 }
 
 // readsForAll reports whether this box is the strongest of the leads that can read.
--- a/group/reads_test.go
+++ b/group/reads_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/wire"
 )
 
 func TestABoxThatCannotReadTriesLessOften(t *testing.T) {
@@ -134,3 +136,22 @@
 	w.run(DefaultTiming.Others + 200*time.Millisecond)
 	is.Equal(w.behind(), nil)
 }
+
+// A box that pulls what another has does not read as well, unless the pull fails or takes
+// long.
+func TestABoxThatPullsDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 57)
+	b := w.start("a", "domain0", 1, false)
+	b.node.cfg.Seeds = []string{"b"}
+	is.True(!b.node.Reads(w.now))
+	other := &wire.GroupBox{Name: "b", Domain: "domain0", Address: "b", Pulls: "pulls of b", Boot: 1, Strength: 9}
+	w.now += 100 * time.Millisecond
+	b.node.Handle(w.now, &wire.GroupMessage{Sender: other, Leads: true, Revision: 5})
+	_, pull := b.node.Drain()
+	is.Equal(pull, "pulls of b")
+	is.True(!b.node.Reads(w.now + DefaultTiming.Others))
+	is.True(b.node.Reads(w.now + DefaultTiming.Pull))
+	b.node.PullFailed()
+	is.True(b.node.Reads(w.now))
+}
