--- a/group/reads.go
+++ b/group/reads.go
@@ -47,8 +47,8 @@
 }
 
 // readsAfterRestart reports whether a box that knows nothing yet, and has callers waiting,
-// reads: not before the others had time to answer. A page of the publisher's for each of a
-// hundred boxes that restart together cost more than all other calls of the day.
+// reads: not before the others had time to answer, so that boxes which restart together do
+// not each call the publisher for every page of the list.
 func (n *Node) readsAfterRestart(now time.Duration) bool {
 	t := n.cfg.Timing
 	until := max(n.started+t.Others, n.pullsFrom+t.Pull)
