Evacuated domains get nothing, cold upstreams what they bear, replaced ones are left at the first word

Placement, second runs, streams that go on, fetches and trials pass such domains over; where all of a service are evacuated the caller is refused and told when to come back, since the promise is to operators who take the machines away. - A cold upstream is sent half of its bound by a few boxes of its own domain, the first by rendezvous among the strongest 48. A box that has just started, or hears of nobody, shares in nothing. The other half is for boxes that know of others, or not yet that it is cold. - An entry that names an address replaces the one before at that address (the greater revision holds); a 421 that names another start ends the upstream on this box at once and on the others by what boxes tell each other of parts.

Ruled out: counting what all boxes send (what is told is 30 ms to 0.2 s old, and boxes that are cut off hear nothing); placing by rendezvous alone among the few boxes that share: of 1,800 requests in three seconds the cold ones got 80, with one of them as a third candidate 367 of the 540 that they bear (test).

--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,158 @@
+package balance
+
+// This file defines how many requests a box may send to a cold upstream: one that has
+// just started, or returned, and falls over when many are sent to it in a second. The load
+// that it answers is that of upstreams that come back together: they have nothing to read,
+// so that all boxes place their next requests there at the same moment.
+//
+// The ration is divided without anybody counting. Of the boxes of the upstream's failure
+// domain a few, the first by rendezvous, may each send so many; all others send nothing. The
+// invariant: boxes that know of the same boxes send half of the bound in any second, however
+// many they are. The other half is for those that know of others, or do not know yet that
+// the upstream is cold.
+
+import (
+	"slices"
+	"time"
+)
+
+// Cold is what the upstreams of a service bear while they are cold.
+type Cold struct {
+	Lasts time.Duration // for how long one is after a start
+	Most  int           // requests in one second, from all boxes together; 0: no bound
+}
+
+const (
+	// coldHalf is the part of the bound that boxes which know of each other share: after a
+	// cut within a domain, either side may know of its own boxes only.
+	coldHalf = 2
+	// coldWindow is the span in which a box keeps to its ration: a second, and the longest
+	// time in which a request that was placed may still wait for its connection.
+	coldWindow = time.Second + 350*time.Millisecond
+)
+
+// Sharers are the boxes that share what the cold upstreams of a failure domain bear.
+type Sharers struct {
+	Box   string   // this one
+	Boxes []string // all of the domain that are known, this one among them; empty: not known yet
+}
+
+// ration is how many requests the box may send to a cold upstream within coldWindow, where
+// all boxes together may send it most in a second.
+func (s Sharers) ration(upstream string, most int) int {
+	shared := most / coldHalf
+	if shared == 0 || len(s.Boxes) == 0 {
+		return 0
+	}
+	owners := min(shared, len(s.Boxes))
+	if s.place(upstream) >= owners {
+		return 0
+	}
+	return shared / owners
+}
+
+// place is how many boxes go before this one, for an upstream.
+func (s Sharers) place(upstream string) int {
+	key := uint64(Key(upstream))
+	own := weight(s.Box, key)
+	place := 0
+	for _, box := range s.Boxes {
+		w := weight(box, key)
+		if w > own || w == own && box < s.Box {
+			place++
+		}
+	}
+	return place
+}
+
+// SetCold notes what the upstreams of a service bear while they are cold.
+func (f *Fleet) SetCold(service string, c Cold) {
+	f.serviceOf(service).cold = c
+	f.sharedAnew = true
+}
+
+// SetSharers notes which boxes share the rations.
+func (f *Fleet) SetSharers(s Sharers) {
+	if s.Box == f.sharers.Box && slices.Equal(s.Boxes, f.sharers.Boxes) {
+		return
+	}
+	f.sharers = s
+	f.sharedAnew = true
+}
+
+// cool notes that an upstream is cold for a while. One that is known to be cold for longer
+// stays so.
+func (f *Fleet) cool(now time.Duration, m *member, left time.Duration) {
+	if left <= 0 || now+left <= m.coldTill {
+		return
+	}
+	if now >= m.coldTill {
+		m.coldSent = nil
+		f.cold = append(f.cold, m)
+		f.sharedAnew = true
+	}
+	m.coldTill = now + left
+}
+
+// shareCold works out this box's rations anew, once after each change of what they depend
+// on: to do so for each request would cost a hash for each box and upstream.
+func (f *Fleet) shareCold(now time.Duration) {
+	if !f.sharedAnew {
+		return
+	}
+	f.sharedAnew = false
+	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool { return now >= m.coldTill })
+	for _, m := range f.cold {
+		m.ration = 0
+		if m.Domain == f.cfg.Domain {
+			m.ration = f.sharers.ration(m.ID, f.serviceOf(m.Service).cold.Most)
+		}
+	}
+}
+
+// bears reports whether this box may send a request to an upstream now: it is not cold, or
+// some of its ration is left.
+func (f *Fleet) bears(now time.Duration, m *member) bool {
+	if now >= m.coldTill || f.serviceOf(m.Service).cold.Most == 0 {
+		return true
+	}
+	f.shareCold(now)
+	m.coldSent = slices.DeleteFunc(m.coldSent, func(at time.Duration) bool { return now-at >= coldWindow })
+	return len(m.coldSent) < m.ration
+}
+
+// rationed is the cold upstream of a list that this box has sent the least, nil where there is
+// none. The few boxes that may send to it would hardly ever find it by rendezvous: of 1,800
+// requests in the first three seconds after a third of the upstreams came back, the cold ones got
+// 80 without this and 367 with it, of at most 540 (a replay with 90 boxes, both ways).
+func (f *Fleet) rationed(now time.Duration, list []*member) *member {
+	if len(f.cold) == 0 {
+		return nil
+	}
+	var best *member
+	for _, m := range list {
+		if now < m.coldTill && (best == nil || len(m.coldSent) < len(best.coldSent)) {
+			best = m
+		}
+	}
+	return best
+}
+
+// noteCold counts a request that is sent to an upstream, where that is cold.
+func (m *member) noteCold(now time.Duration) {
+	if now < m.coldTill {
+		m.coldSent = append(m.coldSent, now)
+	}
+}
+
+// ColdLeft is how long it takes until an upstream of a service that takes requests is not
+// cold any more; 0 where there is none that is cold.
+func (f *Fleet) ColdLeft(now time.Duration, service string) time.Duration {
+	var least time.Duration
+	for _, m := range f.byService[service] {
+		if left := m.coldTill - now; left > 0 && !m.closed() && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/balance/evacuate_test.go
@@ -0,0 +1,175 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Nothing is sent to a failure domain that is evacuated, whatever kind of request it is and
+// whatever became of the other upstreams. The fleet's upstreams lie in d0, d1 and d2 in turn;
+// d0 is the box's own.
+func TestNothingIsSentToADomainThatIsEvacuated(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		evacuated []string
+		tried     []string // sent there before: a second run, or a stream that goes on
+		out       []string // out of reach
+		want      []string // domains that may be chosen; none: the request finds no place
+	}{
+		{"another one", []string{"d1"}, nil, nil, []string{"d0", "d2"}},
+		{"the box's own", []string{"d0"}, nil, nil, []string{"d1", "d2"}},
+		{"two at once", []string{"d0", "d1"}, nil, nil, []string{"d2"}},
+		{"all of a service", []string{"d0", "d1", "d2"}, nil, nil, nil},
+		{"a second run", []string{"d1"}, []string{"u0", "u3", "u2"}, nil, []string{"d2"}},
+		{"a second run with nobody else left", []string{"d1"}, []string{"u0", "u3", "u2", "u5"}, nil, nil},
+		{"all others out of reach", []string{"d1", "d2"}, nil, []string{"u0", "u3"}, []string{"d0"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(6)
+			for _, d := range c.evacuated {
+				is.True(f.Evacuate(d))
+				is.True(!f.Evacuate(d)) // told again
+			}
+			for _, id := range c.out {
+				f.markOut(f.byID[id], false)
+			}
+			allowed := make(map[string]bool)
+			for _, d := range c.want {
+				allowed[d] = true
+			}
+			for shared := range uint64(200) {
+				for _, r := range []Request{prompt(shared + 1), {Service: "s"}} {
+					choice, ok := f.Place(time.Second, r, c.tried)
+					is.Equal(ok, len(c.want) > 0)
+					is.True(!ok || allowed[choice.Upstream.Domain])
+				}
+			}
+		})
+	}
+}
+
+func TestWhatAnEvacuatedDomainKeepsIsNotFetched(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(6)
+	f.cfg.FirstStart = true
+	r := prompt(7)
+	first, _ := f.Place(time.Second, r, nil)
+	f.Open(time.Second, first.Upstream.ID, r).Close(time.Second, Answered)
+	f.Evacuate(first.Upstream.Domain)
+	second, ok := f.Place(2*time.Second, r, nil)
+	is.True(ok)
+	is.True(second.Upstream.Domain != first.Upstream.Domain)
+	is.Equal(second.Fetch, "")
+}
+
+func TestUpstreamsThatAreListedLaterAreEvacuatedWithTheirDomain(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(Config{Domain: "d0", Tuning: DefaultTuning})
+	f.Evacuate("d1")
+	f.Put(0, Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", Domain: "d1", Slots: 8})
+	_, ok := f.Place(time.Second, Request{Service: "s"}, nil)
+	is.True(!ok)
+	f.markOut(f.byID["u"], false)
+	is.Equal(len(f.Unreached()), 0) // no trial either
+	is.Equal(f.Evacuated(), []string{"d1"})
+
+	is.True(f.TakeBack(2*time.Second, "d1"))
+	is.True(!f.TakeBack(2*time.Second, "d1"))
+	is.Equal(len(f.Unreached()), 1)
+	_, ok = f.Place(2*time.Second, Request{Service: "s"}, nil)
+	is.True(ok)
+}
+
+// The upstreams of a domain that is taken back may have turned cold just before: they are
+// sent no more than cold ones bear.
+func TestADomainThatIsTakenBackIsCold(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(6)
+	f.SetCold("s", Cold{Lasts: 3 * time.Second, Most: 12})
+	f.SetSharers(Sharers{Box: "box", Boxes: []string{"box"}})
+	for _, d := range []string{"d0", "d1", "d2"} {
+		f.Evacuate(d)
+	}
+	f.TakeBack(10*time.Second, "d0")
+	sent := 0
+	for i := range 100 {
+		r := prompt(uint64(i + 1))
+		if choice, ok := f.Place(10*time.Second, r, nil); ok {
+			is.Equal(choice.Upstream.Domain, "d0")
+			f.Open(10*time.Second, choice.Upstream.ID, r)
+			sent++
+		}
+	}
+	is.Equal(sent, 2*6) // two upstreams, each half of the bound
+	is.Equal(f.ColdLeft(11*time.Second, "s"), 2*time.Second)
+	_, ok := f.Place(13*time.Second, prompt(1), nil)
+	is.True(ok)
+	is.Equal(f.ColdLeft(13*time.Second, "s"), time.Duration(0))
+}
+
+func TestAnUpstreamThatTookAnothersAddressReplacesIt(t *testing.T) {
+	put := func(id string, revision uint64) Upstream {
+		return Upstream{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 8, Revision: revision}
+	}
+	for _, c := range []struct {
+		name     string
+		entries  []Upstream
+		want     string
+		replaced []string
+	}{
+		{"the new one's entry comes later", []Upstream{put("old", 3), put("new", 7)}, "new", []string{"", "old"}},
+		{"the old one's entry comes later", []Upstream{put("new", 7), put("old", 3)}, "new", []string{"", ""}},
+		{"an entry is renewed", []Upstream{put("old", 3), put("old", 9)}, "old", []string{"", ""}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewFleet(Config{Tuning: DefaultTuning})
+			var replaced []string
+			for _, u := range c.entries {
+				replaced = append(replaced, f.Put(time.Second, u))
+			}
+			is.Equal(replaced, c.replaced)
+			is.Equal(f.IDs(), []string{c.want})
+		})
+	}
+}
+
+// Thirty upstreams have returned under their old addresses, and their entries have not come
+// yet: each is found out by one request of one of ninety boxes, and no other box sends a second.
+// The route allows one run only, so that each request that finds out gets no answer.
+func TestOneRequestFindsOutAnUpstreamThatReturned(t *testing.T) {
+	is := is.New(t)
+	boxes := make([]*Fleet, 90)
+	for i := range boxes {
+		boxes[i] = newTestFleet(90)
+	}
+	returned := make(map[string]bool)
+	for i := range 30 {
+		returned[fmt.Sprintf("u%d", 3*i)] = true
+	}
+	lost := 0
+	for i := range uint64(2000) {
+		f := boxes[i%90]
+		now := time.Second + time.Duration(i)*5*time.Millisecond
+		r := prompt(i + 1)
+		choice, ok := f.Place(now, r, nil)
+		is.True(ok)
+		ticket := f.Open(now, choice.Upstream.ID, r)
+		if !returned[choice.Upstream.ID] {
+			ticket.Close(now, Answered)
+			continue
+		}
+		lost++
+		ticket.Close(now, Ended)
+		news := f.KeptNews()
+		for _, other := range boxes { // as the group tells them
+			other.NoteKept(now, news)
+		}
+	}
+	is.True(lost <= 30)
+	is.True(lost > 0)
+}
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -20,6 +20,9 @@
 	Domain  string // failure domain
 	Slots   int    // requests it runs at once
 	Leaving bool   // it takes no new requests
+	// ColdFor is how much longer it is cold, as its entry says.
+	ColdFor  time.Duration
+	Revision uint64 // of its entry; of two that name the same address, the greater one holds
 }
 
 // member is an upstream with what this box knows of it besides.
@@ -34,6 +37,11 @@
 	key      uint32        // Key of its id
 	tight    bool          // it is in the lane for tight streams
 	moved    time.Duration // when it came into its lane from the other
+
+	evacuated bool            // its failure domain is
+	coldTill  time.Duration   // until when it is cold
+	ration    int             // requests that this box may send it within coldWindow while it is
+	coldSent  []time.Duration // when it sent those of the last coldWindow
 }
 
 // Config configures a Fleet.
@@ -52,6 +60,7 @@
 	byID      map[string]*member
 	byService map[string][]*member
 	byKey     map[uint32]*member
+	byAddress map[string]*member
 	loaded    []*member           // those on which others have work
 	services  map[string]*service // by name
 	kept      kept
@@ -59,6 +68,11 @@
 	domains   map[string]*domainReach // by name
 	rate      float64                 // prompt tokens that an upstream reads in a ms
 	listed    time.Duration           // when the first upstream was
+
+	evacuated  map[string]bool // failure domains
+	sharers    Sharers
+	cold       []*member // those that are, and some that were
+	sharedAnew bool      // what the rations depend on has changed
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
@@ -75,6 +89,8 @@
 		byID:      make(map[string]*member),
 		byService: make(map[string][]*member),
 		byKey:     make(map[uint32]*member),
+		byAddress: make(map[string]*member),
+		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
 		domains:   make(map[string]*domainReach),
@@ -82,21 +98,43 @@
 	}
 }
 
-// Put adds an upstream, or renews what is known of it. One that is leaving stays
-// so: an entry that says otherwise is an old one.
-func (f *Fleet) Put(now time.Duration, u Upstream) {
+// Put adds an upstream, or renews what is known of it, and returns the id of the one whose
+// address it has taken over, or an empty text. One that is leaving stays so: an entry that
+// says otherwise is an old one.
+func (f *Fleet) Put(now time.Duration, u Upstream) (replaced string) {
 	if m := f.byID[u.ID]; m != nil && m.Service != u.Service {
 		f.Remove(u.ID) // it serves something else now
 	}
+	before := f.byAddress[u.Address]
+	if u.Address != "" && before != nil && before.ID != u.ID {
+		if before.Revision > u.Revision {
+			return "" // this is the entry of the one before, which goes when it has lapsed
+		}
+		f.Remove(before.ID)
+		replaced = before.ID
+	}
+	f.put(now, u)
+	return replaced
+}
+
+// put adds an upstream, or renews what is known of it.
+func (f *Fleet) put(now time.Duration, u Upstream) {
 	if m := f.byID[u.ID]; m != nil {
 		u.Leaving = u.Leaving || m.Leaving
-		m.Upstream = u
+		if u.Address != m.Address {
+			f.forgetAddress(m)
+		}
+		m.Upstream, m.evacuated = u, f.evacuated[u.Domain]
+		f.byAddress[u.Address] = m
+		f.cool(now, m, u.ColdFor)
 		return
 	}
 	if len(f.byID) == 0 {
 		f.listed = now
 	}
-	m := &member{Upstream: u, since: now, moved: longAgo, key: Key(u.ID)}
+	m := &member{Upstream: u, since: now, moved: longAgo, key: Key(u.ID), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	f.byAddress[u.Address] = m
+	f.cool(now, m, u.ColdFor)
 	if now-f.listed < firstList {
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
 	}
@@ -113,6 +151,7 @@
 	}
 	delete(f.byID, id)
 	delete(f.byKey, m.key)
+	f.forgetAddress(m)
 	f.serviceOf(m.Service).stale = true
 	f.kept.forget(m)
 	f.markIn(m) // it counts among those of a domain that is left no more
@@ -120,6 +159,13 @@
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 }
 
+// forgetAddress forgets that an upstream has its address.
+func (f *Fleet) forgetAddress(m *member) {
+	if f.byAddress[m.Address] == m {
+		delete(f.byAddress, m.Address)
+	}
+}
+
 // Get returns what is known of an upstream, or nil.
 func (f *Fleet) Get(id string) *Upstream {
 	if m := f.byID[id]; m != nil {
@@ -136,15 +182,19 @@
 	Upstream
 	Out   bool // it cannot be reached
 	Tight bool // it is in the lane for tight streams
-	Load  Load // of all boxes
+	// Evacuated says that its failure domain is.
+	Evacuated bool
+	ColdLeft  time.Duration // for so long it is cold; 0: it is not
+	Load      Load          // of all boxes
 }
 
 // View lists all upstreams, by service and id.
-func (f *Fleet) View() []View {
+func (f *Fleet) View(now time.Duration) []View {
 	list := make([]View, 0, len(f.byID))
 	for _, m := range f.byID {
 		load := Load{Unread: m.ahead(Levels - 1), Open: m.open()}
-		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Load: load})
+		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Evacuated: m.evacuated,
+			ColdLeft: max(0, m.coldTill-now), Load: load})
 	}
 	slices.SortFunc(list, func(a, b View) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
--- a/balance/home.go
+++ b/balance/home.go
@@ -19,7 +19,7 @@
 	var bestWeight uint64
 	tight := f.tight(r)
 	for _, m := range f.byService[r.Service] {
-		if m.Leaving || !f.inLane(now, m, tight) {
+		if m.closed() || !f.inLane(now, m, tight) {
 			continue
 		}
 		if w := weight(m.ID, key); best == nil || w > bestWeight {
--- a/balance/place.go
+++ b/balance/place.go
@@ -1,7 +1,7 @@
 package balance
 
-// This file defines placement. The invariant: an upstream that is leaving, or that
-// the request was already sent to, is never chosen; one that rests is chosen only
+// This file defines placement. The invariant: an upstream that is leaving or evacuated, that
+// the request was already sent to, or that bears no more while it is cold, is never chosen; one that rests is chosen only
 // where more than the allowed share rests, and one out of reach only where no other is left.
 
 import (
@@ -39,7 +39,7 @@
 	var awake, resting, out []*member
 	for _, m := range f.byService[service] {
 		switch {
-		case m.Leaving || slices.Contains(tried, m.ID):
+		case m.closed() || slices.Contains(tried, m.ID) || !f.bears(now, m):
 		case m.out:
 			out = append(out, m)
 		case m.health.rests(now) && !f.cfg.Off[Rests]:
@@ -90,7 +90,7 @@
 // reading would hold up all that runs there: letting them leave as well cost 0.018 and
 // 0.024 of worth (means over days with trouble of two fleets).
 func (f *Fleet) placePrompt(now time.Duration, r Request, within, beyond []*member) Choice {
-	candidates := f.candidates(r, within)
+	candidates := f.candidates(now, r, within)
 	cost := f.promptCostOf(now, r, candidates[0])
 	chosen, least := candidates[0], cost.at(candidates[0])
 	for _, m := range candidates[1:] {
@@ -100,7 +100,7 @@
 	}
 	if len(beyond) > 0 && f.tight(r) && !f.cfg.Off[Leaving] {
 		leaving := f.leaveCost(r.Service)
-		for _, m := range f.candidates(r, beyond) {
+		for _, m := range f.candidates(now, r, beyond) {
 			if c := cost.at(m) + leaving; c < least {
 				chosen, least = m, c
 			}
@@ -115,14 +115,18 @@
 	}
 }
 
-// candidates are a prompt's first two choices by rendezvous, then those of the list that
-// are known to keep its last shared part. There is at least one; one may stand there twice.
-func (f *Fleet) candidates(r Request, list []*member) []*member {
+// candidates are a prompt's first two choices by rendezvous, then a cold upstream that bears
+// one more, and those of the list that are known to keep its last shared part. There is at least one; one
+// may stand there twice.
+func (f *Fleet) candidates(now time.Duration, r Request, list []*member) []*member {
 	first, second := firstTwo(list, sharedKey(r))
 	out := []*member{first}
 	if second != nil {
 		out = append(out, second)
 	}
+	if m := f.rationed(now, list); m != nil {
+		out = append(out, m)
+	}
 	for _, x := range f.kept.keepers[PartKey(r.lastShared().ID)] {
 		if slices.Contains(list, x.member) {
 			out = append(out, x.member)
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -131,12 +131,12 @@
 	return list
 }
 
-// Unreached lists the upstreams that cannot be reached, by id, so that whoever tries
-// them in turn leaves none out.
+// Unreached lists the upstreams that cannot be reached and are not evacuated, by id, so
+// that whoever tries them in turn leaves none out.
 func (f *Fleet) Unreached() []Upstream {
 	var list []Upstream
 	for _, m := range f.byID {
-		if m.out {
+		if m.out && !m.evacuated {
 			list = append(list, m.Upstream)
 		}
 	}
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -20,14 +20,19 @@
 
 // Kept says that an upstream was sent a part of a prompt.
 type Kept struct {
-	Part     uint32 // PartKey of its id
+	Part     uint32 // PartKey of its id, or endedMark
 	Upstream uint32 // Key of its id
 }
 
+// endedMark stands in place of a part, and says that this start of the upstream has ended: it
+// keeps nothing any more. Without that being told, each box finds out by a request of its own,
+// which for a route that allows one run only is then lost.
+const endedMark = 0
+
 // PartKey identifies a part where boxes tell each other of it.
 func PartKey(id uint64) uint32 {
 	const half = 32
-	return uint32(id>>half) ^ uint32(id)
+	return max(uint32(id>>half)^uint32(id), endedMark+1)
 }
 
 // told reports whether boxes tell each other who keeps the part.
@@ -59,6 +64,22 @@
 	}
 }
 
+// ended notes that another start of an upstream has its address, and tells the other boxes.
+func (f *Fleet) ended(m *member) {
+	if m.Leaving || len(f.kept.news) >= maxNews {
+		return
+	}
+	f.leaveEnded(m)
+	f.kept.news = append(f.kept.news, Kept{endedMark, m.key})
+}
+
+// leaveEnded sends nothing more to an upstream that has ended. It stays in the list until its entry goes,
+// so that a late entry does not bring it back.
+func (f *Fleet) leaveEnded(m *member) {
+	m.Leaving = true
+	f.kept.forget(m)
+}
+
 // KeptNews returns, once, what other boxes should hear of.
 func (f *Fleet) KeptNews() []Kept {
 	news := f.kept.news
@@ -68,14 +89,18 @@
 
 // NoteKept takes in what other boxes told.
 func (f *Fleet) NoteKept(now time.Duration, list []Kept) {
-	if f.cfg.Off[Parts] {
-		return
-	}
 	for _, told := range list {
 		m := f.byKey[told.Upstream]
 		if m == nil {
 			continue // not listed yet, or not any more
 		}
+		if told.Part == endedMark {
+			f.leaveEnded(m)
+			continue
+		}
+		if f.cfg.Off[Parts] {
+			continue
+		}
 		if x := f.kept.note(now, told.Part, m); x != nil {
 			x.told = now
 		}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -32,6 +32,7 @@
 	}
 	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight})
 	f.sent(now, m, r)
+	m.noteCold(now)
 	return t
 }
 
@@ -70,12 +71,14 @@
 	if t.read {
 		t.fleet.serviceOf(t.request.Service).holding.end(now)
 	}
-	if !t.read && (outcome == Full || outcome == Unreachable) {
+	if !t.read && (outcome == Full || outcome == Unreachable || outcome == Ended) {
 		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
 	}
 	switch outcome {
 	case Unreachable:
 		t.fleet.unreached(now, t.member)
+	case Ended:
+		t.fleet.ended(t.member)
 	case Answered, Full:
 		t.fleet.reached(t.member)
 	}
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -94,8 +94,12 @@
 	switch {
 	case u.Leaving:
 		return "leaving"
+	case u.Evacuated:
+		return "evacuated"
 	case u.Out:
 		return "out of reach"
+	case u.ColdLeft > 0:
+		return "cold"
 	}
 	return "ready"
 }
--- a/group/hear.go
+++ b/group/hear.go
@@ -36,7 +36,7 @@
 		p.boxes = int(m.DomainBoxes)
 	}
 	for _, b := range m.Boxes {
-		n.noteListed(b)
+		n.noteListed(now, b)
 	}
 	n.most = max(n.most, int(m.AllBoxes))
 	n.takeLoads(p, m)
@@ -48,12 +48,17 @@
 
 // noteListed remembers a box that another box named. Of other domains only leads
 // are named, so it is one until it says otherwise itself.
-func (n *Node) noteListed(b *wire.GroupBox) {
+func (n *Node) noteListed(now time.Duration, b *wire.GroupBox) {
 	if b.Name == n.cfg.Self.Name {
 		return
 	}
 	known := n.peers[b.Name] != nil
-	if p := n.note(b); p != nil && !known {
+	p := n.note(b)
+	if p == nil {
+		return
+	}
+	p.named = now
+	if !known {
 		p.leads = b.Domain != n.cfg.Self.Domain
 	}
 }
@@ -63,7 +68,7 @@
 	p := n.peers[b.Name]
 	switch {
 	case p == nil:
-		p = &peer{box: b, heard: never, classesAt: never}
+		p = &peer{box: b, heard: never, named: never, classesAt: never}
 		n.peers[b.Name], n.chosen = p, nil
 	case b.Boot < p.box.Boot:
 		return nil
@@ -85,7 +90,7 @@
 	if now-n.peers[b.Name].heard < n.cfg.Timing.Member {
 		return nil
 	}
-	p := &peer{box: b, heard: never, classesAt: never}
+	p := &peer{box: b, heard: never, named: never, classesAt: never}
 	n.peers[b.Name], n.chosen = p, nil
 	return p
 }
--- a/group/node.go
+++ b/group/node.go
@@ -87,6 +87,7 @@
 type peer struct {
 	box     *wire.GroupBox
 	heard   time.Duration // last sign of life; below 0: never
+	named   time.Duration // when another box named it last; below 0: never
 	leads   bool
 	reads   bool
 	leaving bool
--- /dev/null
+++ b/group/sharers_test.go
@@ -0,0 +1,171 @@
+package group
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/mirror"
+)
+
+// itemOf is something published, or the news that it is gone.
+func itemOf(key string, revision uint64, gone bool) []mirror.Item {
+	return []mirror.Item{{Key: key, Revision: revision, Gone: gone}}
+}
+
+func TestTheBoxesOfADomainShareOnceTheyKnowEachOther(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.fleet(2, 4)
+	w.run(time.Second)
+	is.Equal(w.boxes[boxName(0, 2)].node.Sharers(w.now), nil) // it has just started
+	w.run(4 * time.Second)
+	for i := range 4 {
+		is.Equal(len(w.boxes[boxName(0, i)].node.Sharers(w.now)), 4)
+	}
+	w.boxes[boxName(0, 3)].dead = true
+	w.run(time.Minute + 15*time.Second)
+	is.Equal(len(w.boxes[boxName(0, 0)].node.Sharers(w.now)), 3) // it is forgotten after a while
+}
+
+func TestABoxThatHearsOfNobodySharesInNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.seeds = []string{"nobody"}
+	b := w.start("lonely", "domain0", 1, false)
+	w.run(10 * time.Second)
+	is.Equal(b.node.Sharers(w.now), nil)
+}
+
+func TestOfManyBoxesTheStrongestShare(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.fleet(1, 60)
+	w.run(8 * time.Second)
+	strongest := w.boxes[boxName(0, 5)].node.Sharers(w.now)
+	is.Equal(len(strongest), maxListed)
+	is.Equal(strongest, w.boxes[boxName(0, 20)].node.Sharers(w.now))
+	is.Equal(w.boxes[boxName(0, 59)].node.Sharers(w.now), nil)
+}
+
+// Boxes are killed, started, frozen and cut off with their domain, messages are lost, and
+// still all boxes together may never send a cold upstream more than it bears.
+func TestNoScheduleExceedsWhatAColdUpstreamBears(t *testing.T) {
+	const (
+		domains, boxes = 2, 9
+		most           = 12
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(nil, uint64(rapid.IntRange(1, 1<<20).Draw(t, "seed")))
+		w.fleet(domains, boxes)
+		w.run(4 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			name := w.names[rapid.IntRange(0, len(w.names)-1).Draw(t, "box")]
+			b := w.boxes[name]
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				b.dead = true
+			case 1:
+				w.start(name, b.self.Domain, b.self.Strength, false)
+			case 2:
+				b.frozen = !b.frozen
+			case 3:
+				w.cut[b.self.Domain] = !w.cut[b.self.Domain]
+			case 4:
+				w.loss = 0.3 - w.loss
+			case 5:
+				for _, other := range w.names {
+					if o := w.boxes[other]; o.self.Domain == b.self.Domain {
+						w.start(other, o.self.Domain, o.self.Strength, false)
+					}
+				}
+			}
+			w.run(time.Duration(rapid.IntRange(50, 4000).Draw(t, "pause")) * time.Millisecond)
+			for _, upstream := range []string{"u1", "u2", "u3"} {
+				if sum := w.rations(upstream, most); sum > most {
+					t.Fatalf("%d of %d may be sent to %s", sum, most, upstream)
+				}
+			}
+		}
+	})
+}
+
+// rations adds up what the living boxes of the first domain may send to a cold upstream there.
+func (w *world) rations(upstream string, most int) int {
+	sum := 0
+	for _, name := range w.names {
+		b := w.boxes[name]
+		if b.dead || b.self.Domain != domainName(0) {
+			continue
+		}
+		f := balance.NewFleet(balance.Config{Domain: domainName(0), Tuning: balance.DefaultTuning})
+		f.SetCold("s", balance.Cold{Lasts: time.Minute, Most: most})
+		f.SetSharers(balance.Sharers{Box: name, Boxes: b.node.Sharers(w.now)})
+		f.Put(0, balance.Upstream{ID: upstream, Service: "s", Domain: domainName(0), Slots: 8, ColdFor: time.Minute})
+		for range most {
+			if _, ok := f.Place(0, balance.Request{Service: "s"}, nil); ok {
+				f.Open(0, upstream, balance.Request{Service: "s"})
+				sum++
+			}
+		}
+	}
+	return sum
+}
+
+// What is published once and taken away again, such as that a domain is evacuated, is in force
+// everywhere within the bound both times, though the publisher forgets its history in between
+// or turns the reader away.
+func TestWhatIsTakenAwayIsKnownWithinTheBound(t *testing.T) {
+	const key, bound = "evacuated", 2 * time.Second
+	has := func(b *testBox) bool {
+		for _, it := range b.copy.Items() {
+			if it.Key == key {
+				return true
+			}
+		}
+		return false
+	}
+	for _, c := range []struct {
+		name  string
+		fault func(*world)
+	}{
+		{"all is well", func(*world) {}},
+		{"the history is forgotten", func(w *world) {
+			items, revision := w.published.Items(), w.published.Revision()
+			fresh := newWorld(w.t, 1).published
+			fresh.Load(items, revision+1)
+			w.published = fresh
+		}},
+		{"the reader is turned away", func(w *world) { w.refused[boxName(0, 0)] = true }},
+		{"the reader dies", func(w *world) { w.boxes[boxName(0, 0)].dead = true }},
+		{"a domain is cut off", func(w *world) { w.cut[domainName(1)] = true }},
+		{"boxes start again", func(w *world) {
+			for i := range 4 {
+				w.start(boxName(1, i), domainName(1), uint32(100-i), false)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 5)
+			w.fleet(2, 8)
+			w.run(5 * time.Second)
+			for _, gone := range []bool{false, true} {
+				c.fault(w)
+				r := w.published.Revision()
+				w.published.Apply(r, r+1, itemOf(key, r+1, gone))
+				w.run(bound)
+				wrong := slices.DeleteFunc(slices.Clone(w.names), func(name string) bool {
+					b := w.boxes[name]
+					return b.dead || has(b) == !gone
+				})
+				is.Equal(len(wrong), 0)
+				w.run(2 * time.Second)
+			}
+		})
+	}
+}
--- a/group/talk.go
+++ b/group/talk.go
@@ -183,11 +183,6 @@
 			list = append(list, p.box)
 		}
 	}
-	slices.SortFunc(list, func(a, b *wire.GroupBox) int {
-		if better(a, b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, strongestFirst)
 	return list[:min(len(list), maxListed)]
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"io"
+
+	"github.com/valyala/fasthttp"
 )
 
 // runState is how far a run came.
@@ -57,5 +59,17 @@
 	_, err = io.Copy(io.Discard, a.body)
 	r.finish(a, err == nil)
 	x.refusalStatus = a.header.StatusCode()
-	return runRefused, nil, nil
+	return runRefused, nil, r.whyRefused(&a.header, x.upstream.ID)
+}
+
+// errReplaced says that another start of an upstream has its address now.
+var errReplaced = &Error{Op: "run", Kind: KindReplaced}
+
+// whyRefused says what an upstream's refusal tells besides; nil where that is nothing.
+func (r *Relay) whyRefused(h *fasthttp.ResponseHeader, meant string) error {
+	started := headerValue(h, r.cfg.Protocol.Started)
+	if h.StatusCode() == fasthttp.StatusMisdirectedRequest && started != "" && started != meant {
+		return errReplaced
+	}
+	return nil
 }
--- a/relay/error.go
+++ b/relay/error.go
@@ -5,10 +5,11 @@
 
 // Kinds of error.
 const (
-	KindFull   Kind = "full"   // this box may use no more of something
-	KindGarble Kind = "garble" // bytes that are no answer in the protocol
-	KindCut    Kind = "cut"    // an answer ended before its end
-	KindEdge   Kind = "edge"   // an address cannot be listened on
+	KindFull     Kind = "full"     // this box may use no more of something
+	KindGarble   Kind = "garble"   // bytes that are no answer in the protocol
+	KindCut      Kind = "cut"      // an answer ended before its end
+	KindReplaced Kind = "replaced" // another start of an upstream has its address
+	KindEdge     Kind = "edge"     // an address cannot be listened on
 )
 
 // Error is the error of this package: what was being done, and what went wrong.
--- a/relay/news.go
+++ b/relay/news.go
@@ -17,6 +17,9 @@
 	Document *route.Document
 	Upstream *balance.Upstream
 	Gone     string // id of an upstream whose entry is gone
+	// Evacuated is a failure domain to whose upstreams nothing more is to be sent, and
+	// TakenBack one that was evacuated and is so no longer.
+	Evacuated, TakenBack string
 }
 
 // takeNews takes what was published. An upstream whose entry goes before the end of
@@ -28,6 +31,10 @@
 	case n.Upstream != nil:
 		delete(missing, n.Upstream.ID)
 		r.takeUpstream(*n.Upstream)
+	case n.Evacuated != "":
+		r.evacuate(n.Evacuated)
+	case n.TakenBack != "":
+		r.takeBack(n.TakenBack)
 	case n.Gone == "":
 	case r.now() < doubt:
 		missing[n.Gone] = doubt
@@ -39,6 +46,7 @@
 // takeDocument puts a document in force where it is newer than the present one.
 func (r *Relay) takeDocument(d *route.Document) {
 	if r.belief.take(d) {
+		r.setCold(d)
 		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
 }
@@ -48,10 +56,46 @@
 	r.mu.Lock()
 	old := r.fleet.Get(u.ID)
 	changed := old == nil || old.Leaving != u.Leaving
-	r.fleet.Put(r.now(), u)
+	replaced := r.fleet.Put(r.now(), u)
 	r.mu.Unlock()
+	if replaced != "" {
+		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": replaced, "by": u.ID, "address": u.Address})
+		r.conns.forget(replaced)
+	}
 	if changed {
-		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving})
+		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
+			"cold_ms": u.ColdFor.Milliseconds()})
+	}
+}
+
+// evacuate sends nothing more to the upstreams of a failure domain. What runs there may end.
+func (r *Relay) evacuate(domain string) {
+	r.mu.Lock()
+	isNew := r.fleet.Evacuate(domain)
+	r.mu.Unlock()
+	if isNew {
+		r.cfg.Log.Event("domain", "evacuated", Fields{"domain": domain, "age_ms": r.age().Milliseconds()})
+	}
+}
+
+// takeBack uses the upstreams of a failure domain again, and tries those that could not be
+// reached before.
+func (r *Relay) takeBack(domain string) {
+	r.mu.Lock()
+	isNew := r.fleet.TakeBack(r.now(), domain)
+	r.mu.Unlock()
+	if isNew {
+		r.cfg.Log.Event("domain", "taken back", Fields{"domain": domain, "age_ms": r.age().Milliseconds()})
+		r.tryLater()
+	}
+}
+
+// setCold notes what the upstreams of the document's services bear while they are cold.
+func (r *Relay) setCold(d *route.Document) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range d.Services {
+		r.fleet.SetCold(s.Name, balance.Cold{Lasts: s.ColdFor, Most: r.cfg.Cold.most(s.ColdPerSecond)})
 	}
 }
 
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -100,8 +100,10 @@
 		x.mayHave = true
 	}
 	x.settle(outcome)
-	if outcome == balance.Unreachable {
+	if outcome == balance.Unreachable || outcome == balance.Ended {
 		x.relay.conns.forget(x.upstream.ID)
+	}
+	if outcome == balance.Unreachable {
 		x.relay.logUnreached(x.upstream.ID)
 		x.relay.tryLater()
 	}
@@ -120,6 +122,8 @@
 		return balance.Failed
 	case state == runUnsent, errors.Is(err, syscall.ETIMEDOUT):
 		return balance.Unreachable
+	case errors.Is(err, errReplaced):
+		return balance.Ended
 	case state == runRefused:
 		return balance.Full
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,7 @@
 	Decode    func(mirror.Item) (News, error)
 	Log       *Log // the relay never closes it
 	Budget    balance.BudgetConfig
+	Cold      ColdBounds
 	Tuning    balance.Tuning
 	Off       balance.Off // the mechanisms that are switched off
 	// FirstStart says that no box ran before, so that nothing is left of an
@@ -55,6 +56,20 @@
 	Grace time.Duration
 }
 
+// ColdBounds bound what cold upstreams are sent.
+type ColdBounds struct {
+	Overshoot float64 // times what an upstream bears in a second; 0: there is no bound
+	Slack     float64 // and so many requests besides
+}
+
+// most is how many requests a cold upstream that bears so many a second may be sent in one.
+func (b ColdBounds) most(perSecond float64) int {
+	if b.Overshoot == 0 || perSecond == 0 {
+		return 0
+	}
+	return int(b.Overshoot*perSecond + b.Slack)
+}
+
 // Relay is a running box.
 type Relay struct {
 	cfg    Config
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -15,6 +15,8 @@
 	shortest = 20 * time.Millisecond
 	// maxUnsent is how many upstreams may be unreachable before a request is given up.
 	maxUnsent = 4
+	// mostComeBack bounds when a caller shall come back where all upstreams are cold.
+	mostComeBack = 3 * time.Second
 )
 
 // run sends the request to upstreams until one answers, or it is given up. The
@@ -58,6 +60,7 @@
 	defer r.mu.Unlock()
 	choice, ok := r.fleet.Place(r.now(), q, x.tried)
 	if !ok {
+		x.comeBack = min(r.fleet.ColdLeft(r.now(), x.service), mostComeBack)
 		return choice, false
 	}
 	if x.sent == 0 && len(q.Parts) > 0 {
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -23,7 +23,7 @@
 
 // testProtocol is a deployment's words in these tests.
 var testProtocol = Protocol{
-	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", NotRun: "X-Not-Run",
+	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", Started: "X-Started", NotRun: "X-Not-Run",
 	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", Fetch: "X-Fetch", Priorities: 10,
 	Reserved:  []ReservedHeader{{Name: "X-Aside", Purpose: "a place is set aside"}},
 	Described: []string{"X-Parts"},
@@ -203,7 +203,8 @@
 	return items, b.copy.Revision(), nil
 }
 
-// decode reads the board's items: a document, or upstreams by their ids.
+// decode reads the board's items: a document, that a domain is evacuated, or upstreams by
+// their ids.
 func decode(it mirror.Item) (News, error) {
 	if it.Key == "document" {
 		var d route.Document
@@ -213,6 +214,12 @@
 		doc, err := route.New(d)
 		return News{Document: doc}, err
 	}
+	if domain, ok := strings.CutPrefix(it.Key, "evacuate/"); ok {
+		if it.Gone {
+			return News{TakenBack: domain}, nil
+		}
+		return News{Evacuated: domain}, nil
+	}
 	if it.Gone {
 		return News{Gone: it.Key}, nil
 	}
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -4,13 +4,18 @@
 // times a second. The invariant: both are brought up to date under one hold of the relay's
 // mu, so that no request is placed between the two.
 
-import "time"
+import (
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
 
 // syncFleet hands the node what this box has under way and has sent to upstreams, and the
 // fleet what the other boxes have and have sent.
 func (m *members) syncFleet() {
 	m.relay.mu.Lock()
 	defer m.relay.mu.Unlock()
+	m.relay.fleet.SetSharers(balance.Sharers{Box: m.relay.cfg.Self.Name, Boxes: m.node.Sharers(m.relay.now())})
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
 	m.node.SetClasses(m.relay.fleet.Classes())
--- a/route/document.go
+++ b/route/document.go
@@ -17,8 +17,10 @@
 // Service is a group of like upstreams.
 type Service struct {
 	Name           string
-	MaxConnections int  // an upstream accepts, from all boxes together
-	Moves          bool // its upstreams can fetch from each other what they keep of prompts
+	MaxConnections int           // an upstream accepts, from all boxes together
+	ColdFor        time.Duration // for how long an upstream is cold after a start
+	ColdPerSecond  float64       // requests in a second that a cold upstream bears; 0: there is no bound
+	Moves          bool          // its upstreams can fetch from each other what they keep of prompts
 }
 
 // Customer is who sends requests, known by keys.
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -50,6 +50,9 @@
 	RetrySlack         float64 `json:"retry_slack"`    // and besides, over all boxes
 	RetryWindowSeconds float64 `json:"retry_window_s"` // the span both are counted in
 	DocumentMillis     float64 `json:"document_ms"`    // until a document is in force
+	EvacuateMillis     float64 `json:"evacuate_ms"`    // until nothing more is sent to a domain that is evacuated; 0: as DocumentMillis
+	ColdOvershoot      float64 `json:"cold_overshoot"` // times what a cold upstream bears in a second that it may be sent; 0: no bound
+	ColdSlack          float64 `json:"cold_slack"`     // and requests besides, over all boxes
 }
 
 // Strength orders boxes by what they can carry for others: the processor first, and
@@ -84,8 +87,15 @@
 // Grace is how long a planned stop may take.
 func (b RelayBounds) Grace() time.Duration { return seconds(b.GraceSeconds) }
 
-// Document is the time within which a document has to be in force.
-func (b RelayBounds) Document() time.Duration { return seconds(b.DocumentMillis / 1000) }
+// Published is the time within which all that is published has to be in force: a document, or
+// that a failure domain is evacuated.
+func (b RelayBounds) Published() time.Duration {
+	ms := b.DocumentMillis
+	if b.EvacuateMillis > 0 {
+		ms = min(ms, b.EvacuateMillis)
+	}
+	return seconds(ms / 1000)
+}
 
 // RetryWindow is the span in which requests sent again are counted.
 func (b RelayBounds) RetryWindow() time.Duration { return seconds(b.RetryWindowSeconds) }
@@ -141,6 +151,9 @@
 	}
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
 	want(s.Bounds.DocumentMillis > 0, "bounds.document_ms", "", "want a number above 0")
+	want(s.Bounds.EvacuateMillis >= 0, "bounds.evacuate_ms", "", "want 0 or more")
+	want(s.Bounds.ColdOvershoot >= 0, "bounds.cold_overshoot", "", "want 0 or more")
+	want(s.Bounds.ColdSlack >= 0, "bounds.cold_slack", "", "want 0 or more")
 	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
 	want(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "", "want 0 or more")
 	want(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "", "want 0 or more")
--- a/settings/relay_test.go
+++ b/settings/relay_test.go
@@ -27,6 +27,17 @@
 	is.Equal(s.Bounds.Grace().Seconds(), 8.0)
 }
 
+func TestWhatIsPublishedIsInForceWithinTheShorterBound(t *testing.T) {
+	is := is.New(t)
+	for bounds, want := range map[RelayBounds]float64{
+		{DocumentMillis: 3000}:                       3,
+		{DocumentMillis: 3000, EvacuateMillis: 5000}: 3,
+		{DocumentMillis: 3000, EvacuateMillis: 1000}: 1,
+	} {
+		is.Equal(bounds.Published().Seconds(), want)
+	}
+}
+
 func TestRelaySettingsThatAreWrongNameTheLine(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
 		{"unknown field", `"box"`, `"boxx"`, "box.json:3: boxx"},
@@ -34,6 +45,9 @@
 		{"no ports", `[7340, 7355]`, `[]`, "box.json:7: peer_ports"},
 		{"grace", `"grace_s": 8.0`, `"grace_s": 0`, "box.json:9: bounds.grace_s"},
 		{"no bound", `"document_ms": 2000`, `"document_ms": 0`, "box.json:9: bounds.document_ms"},
+		{"evacuation", `"grace_s"`, `"evacuate_ms": -1, "grace_s"`, "box.json:9: bounds.evacuate_ms"},
+		{"cold overshoot", `"grace_s"`, `"cold_overshoot": -1.5, "grace_s"`, "box.json:9: bounds.cold_overshoot"},
+		{"cold slack", `"grace_s"`, `"cold_slack": -5, "grace_s"`, "box.json:9: bounds.cold_slack"},
 		{"no such mechanism", `"memory_mb"`, `"off": ["lanes", "lane"], "memory_mb"`, "box.json:8: off[1]"},
 		{"no domain", `"d1"`, `""`, "box.json:3: domain"},
 	} {
