Each failure domain has a part of what cold upstreams bear

Only the boxes of an upstream's own domain could send to it, a third of the requests, while the others read elsewhere what it could have read.

Change: all domains with upstreams of the service have the same part of the bound, and their boxes divide it as before.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -5,11 +5,11 @@
 // that it answers is that of upstreams that come back together: they have nothing to read,
 // so that all boxes place their next requests there at the same moment.
 //
-// The ration is divided without anybody counting. Of the boxes of the upstream's failure
-// domain a few, the first by rendezvous, may each send so many; all others send nothing. The
-// invariant: boxes that know of the same boxes send half of the bound in any second, however
-// many they are. The other half is for those that know of others, or do not know yet that
-// the upstream is cold.
+// The ration is divided without anybody counting. Of the boxes of each failure domain a few,
+// the first by rendezvous, may each send so many; all others send nothing. The invariant:
+// boxes that know of the same boxes send half of the bound in any second, however many they
+// are. The other half is for those that know of others, or do not know yet that the upstream
+// is cold.
 
 import (
 	"slices"
@@ -38,9 +38,8 @@
 }
 
 // ration is how many requests the box may send to a cold upstream within coldWindow, where
-// all boxes together may send it most in a second.
-func (s Sharers) ration(upstream string, most int) int {
-	shared := most / coldHalf
+// the boxes of its domain share so many.
+func (s Sharers) ration(upstream string, shared int) int {
 	if shared == 0 || len(s.Boxes) == 0 {
 		return 0
 	}
@@ -103,11 +102,31 @@
 	f.sharedAnew = false
 	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool { return now >= m.coldTill })
 	for _, m := range f.cold {
-		m.ration = 0
-		if m.Domain == f.cfg.Domain {
-			m.ration = f.sharers.ration(m.ID, f.serviceOf(m.Service).cold.Most)
-		}
+		m.ration = f.sharers.ration(m.ID, f.domainsPart(m))
+	}
+}
+
+// domainsPart is what the boxes of this box's domain share of the bound of a cold upstream:
+// all domains that have upstreams of the service have the same part, since each takes a part
+// of the requests. With all of it given to the upstream's own domain, the other boxes had to read
+// elsewhere what it could: 0.773 of worth in place of 0.791 on a day on which three domains
+// came back cold one after the other (one play each, without processor time). Where that is
+// less than one request, the upstream's own domain has all of it.
+func (f *Fleet) domainsPart(m *member) int {
+	shared := f.serviceOf(m.Service).cold.Most / coldHalf
+	domains := make(map[string]bool)
+	for _, other := range f.byService[m.Service] {
+		domains[other.Domain] = true
+	}
+	switch {
+	case !domains[f.cfg.Domain]:
+		return 0
+	case len(domains) <= shared:
+		return shared / len(domains)
+	case m.Domain == f.cfg.Domain:
+		return shared
 	}
+	return 0
 }
 
 // bears reports whether this box may send a request to an upstream now: it is not cold, or
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -141,6 +141,7 @@
 	f.byID[u.ID], f.byKey[m.key] = m, m
 	f.serviceOf(u.Service).stale = true
 	f.byService[u.Service] = append(f.byService[u.Service], m)
+	f.sharedAnew = true
 }
 
 // Remove forgets an upstream. Tickets that are open on it may still be closed.
