--- a/balance/kept.go
+++ b/balance/kept.go
@@ -128,7 +128,7 @@
 	var best *member
 	for _, x := range f.kept.keepers[PartKey(part.ID)] {
 		m := x.member
-		if m == leftOut || m.out || m.evacuated || m.health.rests(now) || !x.recent(now) {
+		if m == leftOut || m.out || m.health.rests(now) || !x.recent(now) {
 			continue
 		}
 		if best == nil || m.open() < best.open() {
