Soak: upstreams start cold, and failure domains are evacuated

Cause: the stand-ins knew neither, so that no run of real processes met them. A replaced upstream is cold for a second and bears 12 requests in one, which the ledger checks whatever happened to the boxes; domains are evacuated and taken back as a fault. That nothing reaches an evacuated domain late is not checked here: frozen boxes and a silent store may come together for longer than the bound.

--- a/soak/box.go
+++ b/soak/box.go
@@ -48,9 +48,10 @@
 	text := fmt.Sprintf(`{"box": %q, "domain": %q, "first_start": %v,
   "listen": {"callers": %q, "ready": %q, "control": %q, "metrics": %q, "ip": %q},
   "platform": %q, "seeds": [%s], "peer_ports": [%d], "memory_mb": 256, "cpu_share": 0.5, "link_mbps": 100,
-  "bounds": {"grace_s": 8, "retry_ratio": %v, "retry_slack": %d, "retry_window_s": 10, "document_ms": 2000}}`,
+  "bounds": {"grace_s": 8, "retry_ratio": %v, "retry_slack": %d, "retry_window_s": 10, "document_ms": 2000,
+    "cold_overshoot": %v, "cold_slack": %d}}`,
 		b.name, b.domain, first, b.at(portCallers), b.at(portReady), b.at(portControl), b.at(portMetrics), b.ip,
-		b.world.storeGate[b.name].address(), seeds, portPeers, ratioTop, slackTop)
+		b.world.storeGate[b.name].address(), seeds, portPeers, ratioTop, slackTop, coldOvershoot, coldSlack)
 	b.settings = filepath.Join(b.world.cfg.Dir, b.name+".json")
 	b.callers = b.at(portCallers)
 	return os.WriteFile(b.settings, []byte(text), 0o644)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,10 +77,15 @@
 		}
 		return nil
 	}},
+	{"evacuate a domain", func(w *world) func() {
+		d := domain(w.random.IntN(2))
+		w.store.Put(platform.EvacuationItem(d, false))
+		return func() { w.store.Put(platform.EvacuationItem(d, true)) }
+	}},
 	{"replace an upstream", func(w *world) func() {
 		i := w.random.IntN(len(w.upstreams))
 		old := w.upstreams[i]
-		if err := w.startUpstream(i); err != nil {
+		if err := w.startUpstream(i, coldFor); err != nil {
 			w.ledger.violate("start an upstream: %v", err)
 			return nil
 		}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
+	"time"
 )
 
 // entry is one request.
@@ -24,9 +26,12 @@
 	answered   int
 	refused    int
 	violations []string
+	cold       map[*upstream][]time.Time // requests that reached those that were cold, of the last second
 }
 
-func newLedger() *ledger { return &ledger{entries: make(map[string]*entry)} }
+func newLedger() *ledger {
+	return &ledger{entries: make(map[string]*entry), cold: make(map[*upstream][]time.Time)}
+}
 
 func (l *ledger) violate(format string, args ...any) {
 	l.mu.Lock()
@@ -64,6 +69,22 @@
 	e.arrivals++
 }
 
+// sentTo checks that an upstream which is cold is sent no more than it bears.
+func (l *ledger) sentTo(u *upstream) {
+	now := time.Now()
+	if now.After(u.coldTill) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := slices.DeleteFunc(l.cold[u], func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	list = append(list, now)
+	l.cold[u] = list
+	if float64(len(list)) > coldOvershoot*coldPerSecond+coldSlack {
+		l.breach("%s: it is cold and was sent %d requests in one second", u.id, len(list))
+	}
+}
+
 // ran notes that an upstream runs a request.
 func (l *ledger) ran(id string) {
 	l.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,6 +79,11 @@
 	goodKey  = "the-key-that-stays"
 	ratioTop = 0.2
 	slackTop = 40
+	// What an upstream bears while it is cold.
+	coldFor       = time.Second
+	coldPerSecond = 5
+	coldOvershoot = 1.5
+	coldSlack     = 5
 	// guardPort is held for as long as a run lasts, so that another one on the same
 	// addresses is refused instead of meeting this one's boxes.
 	guardPort = 17117 // below the ports that the kernel hands out
@@ -148,7 +153,7 @@
 		return err
 	}
 	for i := range w.cfg.Upstreams {
-		if err := w.startUpstream(i); err != nil {
+		if err := w.startUpstream(i, 0); err != nil {
 			return err
 		}
 	}
@@ -181,7 +186,7 @@
 			{Name: "flow", Host: host, Prefix: "/flow/", Repeat: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 			{Name: "fixed", Host: host, Prefix: "/fixed/", Repeat: route.Stream, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 		},
-		Services:  []route.Service{{Name: service, MaxConnections: 400}},
+		Services:  []route.Service{{Name: service, MaxConnections: 400, ColdFor: coldFor, ColdPerSecond: coldPerSecond}},
 		Customers: []route.Customer{{Name: "customer", Keys: []string{goodKey}}},
 		Limits:    route.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderWait: 3 * time.Second, IdleWait: 15 * time.Second},
 	}
@@ -198,7 +203,8 @@
 
 // list publishes an upstream's entry.
 func (w *world) list(u *upstream, leaving bool) {
-	it, err := platform.UpstreamItem(balance.Upstream{ID: u.id, Service: service, Address: u.gate.address(), Domain: u.domain, Slots: 32, Leaving: leaving})
+	it, err := platform.UpstreamItem(balance.Upstream{ID: u.id, Service: service, Address: u.gate.address(), Domain: u.domain, Slots: 32, Leaving: leaving,
+		ColdFor: max(0, time.Until(u.coldTill))})
 	if err != nil {
 		w.ledger.violate("an entry cannot be written: %v", err)
 		return
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -21,12 +21,14 @@
 	world      *world
 	gate       *gate
 	server     *http.Server
+	coldTill   time.Time
 }
 
 // words are the deployment's, the same as the boxes use.
 var words = platform.Protocol()
 
-func (w *world) startUpstream(i int) error {
+// startUpstream starts an upstream that is cold for a while.
+func (w *world) startUpstream(i int, cold time.Duration) error {
 	l, err := w.listen(100)
 	if err != nil {
 		return err
@@ -35,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g}
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g, coldTill: time.Now().Add(cold)}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
 	go func() { _ = u.server.Serve(l) }()
 	w.upstreams = append(w.upstreams, u)
@@ -74,14 +76,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case luck < 4:
+		u.world.ledger.sentTo(u)
 		w.Header().Set(words.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case luck < 7:
+		u.world.ledger.sentTo(u)
 		u.world.ledger.ran(id)
 		hangUp(w) // its answer is lost
 		return
 	}
+	u.world.ledger.sentTo(u)
 	u.world.ledger.ran(id)
 	w.Header().Set(words.Signature, u.id+" "+id)
 	if isStream(r.URL.Path) {
