Long answers that would not end in time move to an upstream that reads little

An upstream makes a token between two pieces that it reads, some 15 a second, 100 and more where nothing is read. What best tells the time between events is for how much of the last second the upstream had prompts to read (correlation 0.41; runs there 0.15; a regression on both and the tokens before explains a fifth of it).

Ruled out: placing by the expected end.

A move is the same run, so it is done on any route; it draws on the retry budget.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -38,6 +38,7 @@
 	tight    bool          // it is in the lane for tight streams
 	moved    time.Duration // when it came into its lane from the other
 
+	reading   float64         // the share of the time that it has prompts to read
 	evacuated bool            // its failure domain is
 	coldTill  time.Duration   // until when it is cold
 	ration    int             // requests that this box may send it within coldWindow while it is
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -93,7 +93,9 @@
 func (f *Fleet) count(now time.Duration, s *service, all []*member) {
 	var sum Load
 	for _, m := range all {
-		sum = sum.Plus(m.underWay())
+		l := m.underWay()
+		sum = sum.Plus(l)
+		m.noteReading(now-s.counted, l.Unread)
 	}
 	s.unread = float64(sum.Unread) / float64(len(all))
 	s.classes.age(now - s.counted)
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -25,6 +25,7 @@
 	Parts            Mechanism = "parts"     // who was sent which part of a prompt decides
 	Fetching         Mechanism = "fetching"  // upstreams fetch what others keep
 	Domains          Mechanism = "domains"   // a failure domain is left as a whole
+	Moving           Mechanism = "moving"    // an answer that would end late goes on elsewhere
 	Rests            Mechanism = "rests"     // an upstream that fails is passed over for a while
 	Resuming         Mechanism = "resuming"  // a stream goes on at another upstream
 	Repeating        Mechanism = "repeating" // a request whose run failed is run elsewhere
@@ -41,6 +42,7 @@
 	Parts:            "sends prompts to where their shared parts lie",
 	Fetching:         "spares reading what another upstream keeps",
 	Domains:          "finds out about a cut once, not upstream by upstream",
+	Moving:           "ends long answers whose upstream has come to read all the time",
 	Rests:            "spares requests the upstreams that fail",
 	Resuming:         "ends streams whose upstream is lost",
 	Repeating:        "answers requests whose first run failed",
--- a/balance/request.go
+++ b/balance/request.go
@@ -7,13 +7,14 @@
 
 // Request is what placement looks at.
 type Request struct {
-	Service string
-	Parts   []Part        // of the prompt, in order; the last belongs to this request alone
-	Tokens  int           // of the prompt
-	Moves   bool          // its upstreams can fetch prompts from each other
-	Class   string        // those of a class are alike; empty: none
-	Gap     time.Duration // the longest pause between its events that is in time; 0: none is stated
-	Urgency int           // 0 is the most urgent
+	Service  string
+	Parts    []Part        // of the prompt, in order; the last belongs to this request alone
+	Tokens   int           // of the prompt
+	Moves    bool          // its upstreams can fetch prompts from each other
+	Class    string        // those of a class are alike; empty: none
+	Gap      time.Duration // the longest pause between its events that is in time; 0: none is stated
+	Expected int           // tokens of its answer, as its caller expects; 0: not said
+	Urgency  int           // 0 is the most urgent
 }
 
 // Part is a part of a prompt that other prompts may begin with too.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -14,7 +14,10 @@
 	tight   int  // tight streams that it counts as, 0 or 1
 	read    bool // its first event came
 	opened  time.Duration
-	alone   bool // nothing was before it
+	begun   time.Duration // when its first event came
+	calm    bool          // its upstream read little when it was opened
+	moved   bool          // it ran elsewhere before
+	alone   bool          // nothing was before it
 	closed  bool
 }
 
@@ -24,16 +27,20 @@
 	if m == nil {
 		return &Ticket{closed: true}
 	}
-	t := &Ticket{fleet: f, member: m, request: r, unread: f.unread(now, m, r), opened: now, alone: m.open() == 0}
-	c := &f.serviceOf(r.Service).classes
-	c.observe(r, t.unread)
-	if c.tight(r.Class) {
+	t := &Ticket{fleet: f, member: m, request: r, unread: f.unread(now, m, r), opened: now, calm: m.calmStep() == 0, alone: m.open() == 0}
+	f.serviceOf(r.Service).classes.observe(r, t.unread)
+	t.begin(now)
+	return t
+}
+
+// begin adds the request to the work of its upstream.
+func (t *Ticket) begin(now time.Duration) {
+	if t.fleet.tight(t.request) {
 		t.tight = 1
 	}
 	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight})
-	f.sent(now, m, r)
-	m.noteCold(now)
-	return t
+	t.fleet.sent(now, t.member, t.request)
+	t.member.noteCold(now)
 }
 
 // First notes that the first event came: the prompt has been read.
@@ -44,7 +51,7 @@
 	if t.alone {
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
-	t.read = true
+	t.read, t.begun = true, now
 	t.fleet.serviceOf(t.request.Service).holding.begin(now)
 	t.fleet.reached(t.member)
 	t.clear()
@@ -59,6 +66,26 @@
 // count adds a change to the work of the upstream.
 func (t *Ticket) count(change Load) { t.member.work.add(t.request.level(), change) }
 
+// Events notes how many events came since the first, how many the answer had until now, with
+// those of its runs before, and whether it has ended whole.
+func (t *Ticket) Events(now time.Duration, events, all int, whole bool) {
+	if t.closed || !t.read {
+		return
+	}
+	a := &t.fleet.serviceOf(t.request.Service).answers
+	switch {
+	case t.moved:
+		notePace(&a.moved, events, now-t.begun)
+	case t.calm:
+		notePace(&a.calm, events, now-t.begun)
+	default:
+		notePace(&a.busy, events, now-t.begun)
+	}
+	if whole {
+		a.noteLength(t.request.Expected, all)
+	}
+}
+
 // Close ends the count, and tells what became of the request.
 func (t *Ticket) Close(now time.Duration, outcome Outcome) {
 	if t.closed {
--- a/relay/events.go
+++ b/relay/events.go
@@ -15,10 +15,12 @@
 
 // events takes events from a body.
 type events struct {
-	src  io.Reader
-	buf  []byte
-	last int64 // the highest id that came out
-	seen bool  // an event has come out
+	src   io.Reader
+	buf   []byte
+	last  int64 // the highest id that came out
+	seen  bool  // an event has come out
+	total int   // events that came out
+	came  int   // events of the present body that came out
 }
 
 var errLongEvent = &Error{Op: "read event", Kind: KindGarble, Err: errors.New("longer than a megabyte")}
@@ -98,6 +100,8 @@
 			e.last = id
 		}
 		e.seen = true
+		e.came++
+		e.total++
 		out = append(out, event...)
 	}
 	return out
@@ -132,4 +136,5 @@
 func (e *events) from(src io.Reader) {
 	e.src = src
 	e.buf = nil
+	e.came = 0
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -46,6 +46,10 @@
 	again         bool          // it has come back after a refusal, as far as its time left shows
 	comeBack      time.Duration // when to come back, where that was worked out; 0: not
 
+	move     *move     // under way
+	moved    bool      // it has gone on elsewhere
+	lookedAt time.Time // when it was last looked at whether it should
+
 	answer  *answer       // of the last run that brought one
 	failure *wholeFailure // the last one of an upstream
 	events  *events       // of a stream; nil until one was answered
--- /dev/null
+++ b/relay/move.go
@@ -0,0 +1,162 @@
+package relay
+
+// This file defines how an answer that runs moves to another upstream: its upstream copies
+// the run's memory there and breaks the stream off, and the same request, sent to the other
+// with the name of the copy, goes on behind the last event. The invariants: the first
+// upstream has stopped before the other begins; and a copy that is not used is given up.
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
+)
+
+const (
+	// moveCheck is the least time between two looks at whether an answer should move.
+	moveCheck = 200 * time.Millisecond
+	// moveWait is the longest that a copy is waited for: 20,000 tokens take 20 ms, and
+	// those that wait for the same link as long each.
+	moveWait = 1500 * time.Millisecond
+)
+
+// Copy names what is left of a run in an upstream's memory.
+type Copy struct {
+	Name string // as upstreams know it; empty: there is none
+	Done bool   // it lies at the other upstream; else it lies where the run was
+}
+
+// move is an answer on its way to another upstream.
+type move struct {
+	from, to balance.Upstream
+	copied   chan Copy // gets one entry
+}
+
+// considerMove begins to move the answer where it would end too late. It is called with
+// each of its events.
+func (x *exchange) considerMove() {
+	r := x.relay
+	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || time.Since(x.lookedAt) < moveCheck {
+		return
+	}
+	x.lookedAt = time.Now()
+	p := balance.Progress{Events: x.events.total, Between: x.pace.recent, Left: time.Until(x.end)}
+	q := x.placement()
+	r.mu.Lock()
+	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
+	ok = ok && r.budget.Spend(r.now(), r.boxes())
+	r.mu.Unlock()
+	if !ok {
+		return
+	}
+	r.cfg.Log.Event("run", "moves", Fields{"id": x.request.id, "upstream": x.upstream.ID, "to": m.To.ID, "events": p.Events,
+		"here_ms": m.Here.Milliseconds(), "there_ms": m.There.Milliseconds(), "left_ms": p.Left.Milliseconds()})
+	x.move = &move{from: x.upstream, to: m.To, copied: make(chan Copy, 1)}
+	go r.copyRun(x.move, x.request.id, x.service)
+}
+
+// copyRun has a run's memory copied, and the run stopped.
+func (r *Relay) copyRun(m *move, id, service string) {
+	ctx, cancel := context.WithTimeout(context.Background(), moveWait)
+	defer cancel()
+	status, body, err := r.call(ctx, m.from, service, r.cfg.Protocol.MoveCall(id, m.to.Address))
+	if err != nil {
+		r.cfg.Log.Event("run", "not moved", Fields{"id": id, "upstream": m.from.ID, "error": err.Error()})
+		m.copied <- Copy{}
+		return
+	}
+	m.copied <- r.cfg.Protocol.Moved(status, body)
+}
+
+// call makes a call to an upstream that is no request of a caller.
+func (r *Relay) call(ctx context.Context, u balance.Upstream, service string, call UpstreamCall) (status int, body []byte, err error) {
+	c, err := r.conns.get(ctx, u.ID, u.Address, service)
+	if err != nil {
+		return 0, nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	a, err := r.roundTrip(c, r.outgoingCall(u, call))
+	if err != nil {
+		r.conns.drop(c)
+		return 0, nil, err
+	}
+	body, err = io.ReadAll(io.LimitReader(a.body, wholeAnswer))
+	r.finish(a, err == nil && stop())
+	return a.header.StatusCode(), body, err
+}
+
+// goOnMoved takes the stream up where it has moved to, after its first run broke off. False
+// means that it has not moved, and that the break is one like any other.
+func (x *exchange) goOnMoved() bool {
+	m := x.move
+	if m == nil {
+		return false
+	}
+	var c Copy
+	select {
+	case c = <-m.copied:
+	case <-x.ctx.Done():
+		return false // what was copied is given up when the exchange is closed
+	}
+	x.move = nil
+	if c.Name == "" {
+		return false
+	}
+	x.endRun(false, balance.Neutral)
+	x.upstream = m.from
+	if c.Done {
+		x.upstream = m.to
+	}
+	x.openMoved()
+	n := x.nextRun("")
+	n.memory = m.from.Address + "/" + c.Name
+	if state, _ := x.send(n); state != runAnswered {
+		return false
+	}
+	x.moved = true
+	x.relay.stats.count("streams_moved")
+	return true
+}
+
+// openMoved counts the request where it goes on.
+func (x *exchange) openMoved() {
+	q := x.placement()
+	r := x.relay
+	r.mu.Lock()
+	x.ticket = r.fleet.OpenMoved(r.now(), x.upstream.ID, q)
+	r.mu.Unlock()
+	wake(r.members.loaded)
+}
+
+// giveUpCopy frees what a move has taken that is not used.
+func (r *Relay) giveUpCopy(m *move, id, service string) {
+	go func() {
+		c := <-m.copied
+		if c.Name == "" {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), moveWait)
+		defer cancel()
+		if _, _, err := r.call(ctx, m.from, service, r.cfg.Protocol.DropCall(c.Name)); err != nil {
+			r.cfg.Log.Event("run", "copy not freed", Fields{"id": id, "upstream": m.from.ID, "error": err.Error()})
+		}
+	}()
+}
+
+// outgoingCall writes a call as it goes to an upstream.
+func (r *Relay) outgoingCall(u balance.Upstream, call UpstreamCall) outgoing {
+	var req fasthttp.Request
+	req.Header.SetMethod(call.Method)
+	req.SetRequestURI(call.Path)
+	req.Header.SetHost(u.Address)
+	req.Header.SetNoDefaultContentType(true)
+	if len(call.Body) > 0 {
+		req.Header.SetContentType("application/json")
+	}
+	req.Header.SetContentLength(len(call.Body))
+	return outgoing{head: req.Header.Header(), body: call.Body}
+}
--- /dev/null
+++ b/relay/move_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// movingProtocol is testProtocol of a deployment whose upstreams copy runs.
+func movingProtocol() Protocol {
+	p := testProtocol
+	p.MoveCall = func(request, to string) UpstreamCall {
+		return UpstreamCall{Method: http.MethodPost, Path: "/copy", Body: []byte(`"` + request + " " + to + `"`)}
+	}
+	p.Moved = func(status int, body []byte) Copy { return Copy{Name: string(body), Done: status == http.StatusOK} }
+	p.DropCall = func(name string) UpstreamCall { return UpstreamCall{Method: http.MethodDelete, Path: "/copy/" + name} }
+	return p
+}
+
+// reply answers a call to an upstream.
+func reply(c net.Conn, status int, body string) {
+	say(c, fmt.Sprintf("HTTP/1.1 %d X\nContent-Length: %d\n\n%s", status, len(body), body))
+}
+
+// movingBench is a relay before two upstreams: a stream begins at the slow one, which is the only one
+// listed at first and gives an event each 60 ms, of 100 that are expected.
+type movingBench struct {
+	*bench
+	slow, fast *stub
+	stopped    chan struct{} // closed: the slow one's stream breaks off
+}
+
+// newMovingBench makes the two; copied answers the call to copy the run.
+func newMovingBench(t *testing.T, copied func(c net.Conn, stop func())) *movingBench {
+	m := &movingBench{stopped: make(chan struct{})}
+	m.slow = newStub(t, "slow", func(c net.Conn, r stubRequest) bool {
+		switch {
+		case r.URL.Path == "/copy":
+			copied(c, func() { close(m.stopped) })
+			return true
+		case r.Method == http.MethodDelete:
+			reply(c, 200, "")
+			return true
+		case r.Header.Get("X-Memory") != "":
+			return m.rest(c, r)
+		}
+		startStream(c, r)
+		for i := 1; i <= 100; i++ {
+			chunk(c, event(i))
+			select {
+			case <-m.stopped:
+				return false
+			case <-time.After(60 * time.Millisecond):
+			}
+		}
+		return false
+	})
+	m.fast = newStub(t, "fast", m.rest)
+	m.bench = newBenchOf(t, movingProtocol(), m.slow)
+	document := testDocument(2)
+	document.Services[0].Moves = true
+	m.board.set("document", document, false)
+	m.until(func() bool { return m.relay.version() == 2 })
+	m.learn()
+	return m
+}
+
+// rest answers with the events behind the last that was seen, and the end.
+func (m *movingBench) rest(c net.Conn, r stubRequest) bool {
+	startStream(c, r)
+	var last int
+	_, _ = fmt.Sscan(r.Header.Get("X-Last"), &last)
+	for i := last + 1; i <= 100; i++ {
+		chunk(c, event(i))
+	}
+	chunk(c, "")
+	return true
+}
+
+// learn lets the relay know how long answers are, and how fast those that moved went on.
+func (m *movingBench) learn() {
+	r := m.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range 5 {
+		q := balance.Request{Service: "s", Expected: 100, Parts: []balance.Part{{ID: 1, Tokens: 10}, {ID: 2, Tokens: 10}}}
+		for _, ticket := range []*balance.Ticket{r.fleet.Open(r.now(), "slow", q), r.fleet.OpenMoved(r.now(), "slow", q)} {
+			ticket.First(r.now())
+			ticket.Events(r.now()+100*time.Millisecond, 101, 100, true)
+			ticket.Close(r.now(), balance.Answered)
+		}
+	}
+}
+
+// stream asks for a long answer, and lists the fast upstream once the slow one runs it.
+func (m *movingBench) stream(path string) <-chan answered {
+	done := make(chan answered, 1)
+	go func() {
+		done <- m.do(m.request("POST", path, "body", "X-Parts", "1:2000 2:100", "X-Expected", "100", "X-Left", "1500"))
+	}()
+	m.until(func() bool { return len(m.slow.requests()) == 1 })
+	m.list(m.fast, false)
+	return done
+}
+
+// wholeStream is all events, each once.
+func wholeStream() string {
+	var b strings.Builder
+	for i := 1; i <= 100; i++ {
+		b.WriteString(event(i))
+	}
+	return b.String()
+}
+
+func TestALongAnswerMovesAndEndsInTime(t *testing.T) {
+	for _, path := range []string{"/flow/x", "/fixed/x", "/single/x"} { // whatever may be run again
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			m := newMovingBench(t, func(c net.Conn, stop func()) {
+				stop()
+				reply(c, 200, "h7")
+			})
+			is.Equal((<-m.stream(path)).body, wholeStream())
+			calls := m.slow.requests()
+			is.Equal(len(calls), 2) // the request, and the call to copy it
+			var call string
+			is.NoErr(json.Unmarshal([]byte(calls[1].body), &call))
+			is.Equal(call, "id-"+path+" "+m.fast.listener.Addr().String())
+			at := m.fast.requests()[0]
+			is.Equal(at.Header.Get("X-Memory"), m.slow.listener.Addr().String()+"/h7")
+			is.Equal(at.Header.Get("X-Id"), "id-"+path)
+			is.True(at.Header.Get("X-Last") != "")
+			is.Equal(at.body, "body")
+			is.True(m.log.contains("run: moves"))
+		})
+	}
+}
+
+// An upstream that has stopped a run, and found no room for it at the other, goes on with it.
+func TestAnAnswerThatFindsNoRoomGoesOnWhereItWas(t *testing.T) {
+	is := is.New(t)
+	m := newMovingBench(t, func(c net.Conn, stop func()) {
+		stop()
+		reply(c, 503, "h7")
+	})
+	is.Equal((<-m.stream("/single/x")).body, wholeStream())
+	calls := m.slow.requests()
+	is.Equal(len(calls), 3)
+	is.Equal(calls[2].Header.Get("X-Memory"), m.slow.listener.Addr().String()+"/h7")
+	is.Equal(len(m.fast.requests()), 0)
+}
+
+// A run that is not copied goes on, and is not asked for again.
+func TestAnAnswerThatIsNotCopiedGoesOn(t *testing.T) {
+	is := is.New(t)
+	m := newMovingBench(t, func(c net.Conn, _ func()) { reply(c, 404, "") })
+	a := <-m.stream("/single/x")
+	is.True(a.err != nil) // its caller's time was over
+	is.Equal(len(m.slow.requests()), 2)
+	is.Equal(len(m.fast.requests()), 0)
+}
+
+// A copy that nobody goes on with is freed.
+func TestACopyThatIsNotUsedIsFreed(t *testing.T) {
+	is := is.New(t)
+	m := newMovingBench(t, func(c net.Conn, _ func()) { reply(c, 200, "h7") }) // its stream does not stop
+	a := <-m.stream("/single/x")
+	is.True(a.err != nil)
+	m.until(func() bool {
+		calls := m.slow.requests()
+		return calls[len(calls)-1].Method == http.MethodDelete && calls[len(calls)-1].URL.Path == "/copy/h7"
+	})
+	is.Equal(len(m.fast.requests()), 0)
+}
--- a/relay/outgoing.go
+++ b/relay/outgoing.go
@@ -22,6 +22,7 @@
 	urgency  int
 	customer *route.Customer
 	fetch    string // IP:port of an upstream that keeps the prompt, or empty
+	memory   string // the copy that the run goes on from, or empty
 	lastSeen string // id of the last event that the caller has, or empty
 }
 
@@ -40,6 +41,7 @@
 	if len(q.prompt.Parts) > 0 {
 		writeHeader(&b, p.Priority, strconv.Itoa(n.urgency))
 		writeHeader(&b, p.Fetch, n.fetch)
+		writeHeader(&b, p.Memory, n.memory)
 	}
 	writeHeader(&b, p.LastEvent, n.lastSeen)
 	if len(q.body) > 0 || q.method != fasthttp.MethodGet && q.method != fasthttp.MethodHead {
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -6,11 +6,15 @@
 
 import "time"
 
+// recentShare is the share of the newest pause in the mean of those of late.
+const recentShare = 0.25
+
 // pace measures the pauses between events.
 type pace struct {
 	last    time.Time // when events last came; zero before the first
 	longest time.Duration
-	late    int // pauses that were longer than the route allows
+	recent  time.Duration // of late, from one event to the next
+	late    int           // pauses that were longer than the route allows
 }
 
 // events takes in that events came; allowed is the longest pause that is in time, 0 where
@@ -19,6 +23,7 @@
 	if !p.last.IsZero() {
 		pause := now.Sub(p.last)
 		p.longest = max(p.longest, pause)
+		p.recent += time.Duration(recentShare * float64(pause-p.recent))
 		if allowed > 0 && pause > allowed {
 			p.late++
 		}
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -18,6 +18,7 @@
 	Signature  string // in an upstream's answer: who gave it; the relay only passes it on
 	Priority   string // set for the upstream, 0 first
 	LastEvent  string // the last event of a stream that was seen
+	Memory     string // set for the upstream: the copy that a run goes on from
 	Fetch      string // set for the upstream: IP:port of another that keeps the prompt
 	Priorities int    // how many values Priority has, from 0
 
@@ -29,10 +30,22 @@
 	// names them among those of its connection: without them another request would run.
 	Described []string
 
+	// MoveCall has an upstream copy the memory of a request's run to another one's address, IP:port,
+	// and stop the run; Moved reads its answer. DropCall frees a copy. Nil where runs cannot move.
+	MoveCall func(request, to string) UpstreamCall
+	Moved    func(status int, body []byte) Copy
+	DropCall func(name string) UpstreamCall
+
 	// Prompt reads the description of a prompt; get returns a header's value.
 	Prompt func(get func(name string) string) Prompt
 }
 
+// UpstreamCall is a call to an upstream that is no request of a caller.
+type UpstreamCall struct {
+	Method, Path string
+	Body         []byte // JSON
+}
+
 // ReservedHeader is a header that only a box may set.
 type ReservedHeader struct {
 	Name    string
@@ -41,7 +54,7 @@
 
 // own lists the headers that never go on as the caller sent them.
 func (p *Protocol) own() []string {
-	list := []string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch}
+	list := []string{p.TimeLeft, p.Key, p.Customer, p.Instance, p.Priority, p.LastEvent, p.Fetch, p.Memory}
 	for _, h := range p.Reserved {
 		list = append(list, h.Name)
 	}
@@ -53,6 +66,7 @@
 
 // Prompt describes what a request asks of a model.
 type Prompt struct {
-	Parts  []balance.Part
-	Tokens int // of the prompt
+	Parts    []balance.Part
+	Tokens   int // of the prompt
+	Expected int // of the answer, as the caller guesses; 0: not said
 }
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -80,13 +80,14 @@
 func (x *exchange) placement() balance.Request {
 	p := &x.request.prompt
 	return balance.Request{
-		Service: x.service,
-		Parts:   p.Parts,
-		Tokens:  p.Tokens,
-		Moves:   x.moves(),
-		Class:   x.route.Name,
-		Gap:     x.route.EventGap,
-		Urgency: x.urgency,
+		Service:  x.service,
+		Parts:    p.Parts,
+		Tokens:   p.Tokens,
+		Moves:    x.moves(),
+		Class:    x.route.Name,
+		Gap:      x.route.EventGap,
+		Expected: p.Expected,
+		Urgency:  x.urgency,
 	}
 }
 
@@ -106,12 +107,16 @@
 	return balance.Admission{Target: x.route.Target, Again: x.again}
 }
 
-// runOn runs the request on an upstream. With runAnswered, either the whole body
-// has been read or the stream's first events are pending.
+// runOn runs the request on the upstream that was chosen.
 func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
+	return x.send(x.nextRun(choice.Fetch))
+}
+
+// send sends the request for a run. With runAnswered, either the whole body has been read
+// or the stream's first events are pending.
+func (x *exchange) send(n run) (runState, []byte) {
 	x.tried = append(x.tried, x.upstream.ID)
-	o := x.relay.outgoing(x.request, x.nextRun(choice.Fetch))
-	state, a, err := x.attempt(o)
+	state, a, err := x.attempt(x.relay.outgoing(x.request, n))
 	if state != runUnsent {
 		x.sent++
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -60,13 +60,14 @@
 		x.pending = pending
 		if len(pending) > 0 {
 			x.pace.events(time.Now(), x.route.EventGap)
+			x.considerMove()
 		}
 		if errors.Is(err, io.EOF) {
 			x.endRun(true, balance.Answered)
 			x.outcome = "answered"
 			return 0, io.EOF
 		}
-		if err != nil && !x.goOn(err) {
+		if err != nil && !x.goOnMoved() && !x.goOn(err) {
 			return 0, err
 		}
 	}
@@ -85,6 +86,7 @@
 	}
 	x.relay.finish(x.answer, whole)
 	x.answer.conn = nil
+	x.measure(o == balance.Answered)
 	x.settle(o)
 }
 
@@ -115,6 +117,19 @@
 		}
 	}
 	x.endRun(false, balance.Neutral)
+	if x.move != nil {
+		x.relay.giveUpCopy(x.move, x.request.id, x.service)
+	}
 	x.close()
 	return nil
 }
+
+// measure tells the fleet how fast the events of the current run came.
+func (x *exchange) measure(whole bool) {
+	if x.events == nil || x.ticket == nil {
+		return
+	}
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.ticket.Events(x.relay.now(), x.events.came, x.events.total, whole)
+}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -24,7 +24,7 @@
 // testProtocol is a deployment's words in these tests.
 var testProtocol = Protocol{
 	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", Started: "X-Started", NotRun: "X-Not-Run",
-	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", Fetch: "X-Fetch", Priorities: 10,
+	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", Fetch: "X-Fetch", Memory: "X-Memory", Priorities: 10,
 	Reserved:  []ReservedHeader{{Name: "X-Aside", Purpose: "a place is set aside"}},
 	Described: []string{"X-Parts"},
 	Prompt: func(get func(string) string) Prompt {
@@ -37,6 +37,7 @@
 			p.Parts = append(p.Parts, part)
 			p.Tokens += part.Tokens
 		}
+		_, _ = fmt.Sscan(get("X-Expected"), &p.Expected)
 		return p
 	},
 }
@@ -268,6 +269,7 @@
 			{Name: "brief", Host: "h.example", Prefix: "/brief/", Repeat: route.Once, MaxAttempts: 1, Timeout: 200 * time.Millisecond, Targets: service},
 			{Name: "flow", Host: "h.example", Prefix: "/flow/", Repeat: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Targets: service},
 			{Name: "fixed", Host: "h.example", Prefix: "/fixed/", Repeat: route.Stream, MaxAttempts: 2, Timeout: 5 * time.Second, Targets: service},
+			{Name: "single", Host: "h.example", Prefix: "/single/", Repeat: route.Stream, MaxAttempts: 1, Timeout: 5 * time.Second, Targets: service},
 			{Name: "open", Host: "h.example", Prefix: "/open/", Public: true, MaxAttempts: 1, Timeout: 5 * time.Second, Targets: service},
 		},
 		Services:  []route.Service{{Name: "s", MaxConnections: 100}},
@@ -279,6 +281,12 @@
 // newBench starts a relay before the stubs; none of them listed and no document
 // published where stubs is nil.
 func newBench(t *testing.T, stubs ...*stub) *bench {
+	t.Helper()
+	return newBenchOf(t, testProtocol, stubs...)
+}
+
+// newBenchOf is the same with a deployment's words.
+func newBenchOf(t *testing.T, words Protocol, stubs ...*stub) *bench {
 	t.Helper()
 	b := &bench{t: t, board: newBoard()}
 	if stubs != nil {
@@ -291,7 +299,7 @@
 	log := NewLog("box", &b.log)
 	var err error
 	b.relay, err = Start(Config{Box: "box", Domain: "d", Callers: callers, Ready: ready, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1},
-		Timing: group.DefaultTiming, Protocol: testProtocol, Publisher: b.board, Decode: decode, Log: log,
+		Timing: group.DefaultTiming, Protocol: words, Publisher: b.board, Decode: decode, Log: log,
 		Budget: balance.BudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Tuning: balance.DefaultTuning,
 		FirstStart: true, Boxes: 1, Grace: time.Second})
 	if err != nil {
