Requests run in the regions that their route and customer name

No deployment has regions yet, so this is decoding, a map of regions from the settings, and a condition where upstreams are listed for placement, which second runs, streams that go on and moves share. Where route and customer both have homes both bind; where they have none in common, the request finds no upstream and is refused.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -48,8 +48,10 @@
 // Config configures a Fleet.
 type Config struct {
 	Domain string // failure domain of this box
-	Tuning Tuning
-	Off    Off // the mechanisms that are switched off
+	// Regions holds the region of each failure domain, as far as they are divided into such.
+	Regions map[string]string
+	Tuning  Tuning
+	Off     Off // the mechanisms that are switched off
 	// FirstStart says that no box ran before: what nobody is known to have sent to an
 	// upstream has been sent to none.
 	FirstStart bool
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -21,14 +21,14 @@
 				}
 			}
 			usable := make(map[string]bool)
-			for _, m := range f.usable(0, "s", nil) {
+			for _, m := range f.usable(0, Request{Service: "s"}, nil) {
 				usable[m.ID] = true
 			}
 			is.Equal(len(usable), 10-min(failing, 5))
 			for i := range failing {
 				is.Equal(usable[fmt.Sprintf("u%d", i)], i < failing-5)
 			}
-			is.Equal(len(f.usable(restMax, "s", nil)), 10) // and each is tried again
+			is.Equal(len(f.usable(restMax, Request{Service: "s"}, nil)), 10) // and each is tried again
 		})
 	}
 }
--- /dev/null
+++ b/balance/homes_test.go
@@ -0,0 +1,54 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/route"
+)
+
+// A request that has homes runs there only, the first time and again, and moves nowhere else.
+func TestARequestRunsAtHomeOnly(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		homes route.Homes
+		want  []string // domains
+	}{
+		{"none", route.Homes{}, []string{"d0", "d1", "d2"}},
+		{"one", route.Homes{Bound: true, Regions: []string{"r1"}}, []string{"d0", "d1"}},
+		{"one that is not known", route.Homes{Bound: true, Regions: []string{"r9"}}, nil},
+		{"nowhere", route.Homes{Bound: true}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := seenFleet(6)
+			f.cfg.Regions = map[string]string{"d0": "r1", "d1": "r1", "d2": "r2"}
+			seen := make(map[string]bool)
+			for shared := range uint64(100) {
+				r := long(shared+1, 360)
+				r.Homes = c.homes
+				var tried []string
+				for range 3 {
+					choice, ok := f.Place(time.Second, r, tried)
+					is.Equal(ok, len(c.want) > 0)
+					if !ok {
+						break
+					}
+					seen[choice.Upstream.Domain] = true
+					tried = append(tried, choice.Upstream.ID)
+				}
+				m, ok := f.MoveTo(time.Second, r, "u0", Progress{Events: 10, Between: 400 * time.Millisecond, Left: 1500 * time.Millisecond})
+				is.Equal(ok, len(c.want) > 0)
+				if ok {
+					seen[m.To.Domain] = true
+				}
+			}
+			is.Equal(len(seen), len(c.want))
+			for _, d := range c.want {
+				is.True(seen[d])
+			}
+		})
+	}
+}
--- a/balance/move.go
+++ b/balance/move.go
@@ -80,7 +80,7 @@
 func (f *Fleet) calmest(now time.Duration, r Request, from string) *member {
 	key := r.Parts[len(r.Parts)-1].ID
 	var best *member
-	for _, m := range f.usable(now, r.Service, []string{from}) {
+	for _, m := range f.usable(now, r, []string{from}) {
 		if !f.takesOver(now, m, r) {
 			continue
 		}
--- a/balance/place.go
+++ b/balance/place.go
@@ -1,7 +1,7 @@
 package balance
 
 // This file defines placement. The invariant: an upstream that is leaving or evacuated, that
-// the request was already sent to, or that bears no more while it is cold, is never chosen; one that rests is chosen only
+// the request was already sent to, that lies outside of its homes, or that bears no more while it is cold, is never chosen; one that rests is chosen only
 // where more than the allowed share rests, and one out of reach only where no other is left.
 
 import (
@@ -22,7 +22,7 @@
 // Place chooses an upstream; false means that there is none left to try. Those
 // the request was sent to before are named in tried.
 func (f *Fleet) Place(now time.Duration, r Request, tried []string) (Choice, bool) {
-	list := f.usable(now, r.Service, tried)
+	list := f.usable(now, r, tried)
 	if len(list) == 0 {
 		return Choice{}, false
 	}
@@ -35,11 +35,11 @@
 
 // usable lists the upstreams a request may go to. Where too many rest, those that fail
 // least are taken all the same.
-func (f *Fleet) usable(now time.Duration, service string, tried []string) []*member {
+func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	var awake, resting, out []*member
-	for _, m := range f.byService[service] {
+	for _, m := range f.byService[r.Service] {
 		switch {
-		case m.closed() || slices.Contains(tried, m.ID) || !f.bears(now, m):
+		case m.closed() || slices.Contains(tried, m.ID) || !f.mayRunIn(m.Domain, r) || !f.bears(now, m):
 		case m.out:
 			out = append(out, m)
 		case m.health.rests(now) && !f.cfg.Off[Rests]:
--- a/balance/request.go
+++ b/balance/request.go
@@ -3,7 +3,12 @@
 // This file defines what the decisions look at of a request. The invariant: the parts
 // of a prompt stand in its order, and the last belongs to the request alone.
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/route"
+)
 
 // Request is what placement looks at.
 type Request struct {
@@ -15,6 +20,7 @@
 	Gap      time.Duration // the longest pause between its events that is in time; 0: none is stated
 	Expected int           // tokens of its answer, as its caller expects; 0: not said
 	Urgency  int           // 0 is the most urgent
+	Homes    route.Homes   // where it may run
 }
 
 // Part is a part of a prompt that other prompts may begin with too.
@@ -42,3 +48,8 @@
 	}
 	return shared[len(shared)-1]
 }
+
+// mayRunIn reports whether a request may run in a failure domain.
+func (f *Fleet) mayRunIn(domain string, r Request) bool {
+	return !r.Homes.Bound || slices.Contains(r.Homes.Regions, f.cfg.Regions[domain])
+}
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -124,6 +124,7 @@
 	return relay.Config{
 		Box:        s.Box,
 		Domain:     s.Domain,
+		Regions:    s.Regions,
 		Self:       self(s),
 		Seeds:      s.SeedAddresses(),
 		Timing:     group.TimingFor(s.Bounds.Published()),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,13 +29,14 @@
 
 // Config configures a Relay.
 type Config struct {
-	Box      string         // its name, as logs and operators see it
-	Domain   string         // its failure domain
-	Callers  net.Listener   // for requests
-	Ready    net.Listener   // for readiness checks
-	Control  net.Listener   // for other boxes' calls; nil where a box has no peers
-	Self     *wire.GroupBox // the box as the others know it; without an address it has no peers
-	Seeds    []string       // IP:port of boxes that may be there
+	Box      string            // its name, as logs and operators see it
+	Domain   string            // its failure domain
+	Regions  map[string]string // of each failure domain, where they are divided into such
+	Callers  net.Listener      // for requests
+	Ready    net.Listener      // for readiness checks
+	Control  net.Listener      // for other boxes' calls; nil where a box has no peers
+	Self     *wire.GroupBox    // the box as the others know it; without an address it has no peers
+	Seeds    []string          // IP:port of boxes that may be there
 	Timing   group.Timing
 	Protocol Protocol
 	// Publisher is read for the document and the list of upstreams, which Decode
@@ -109,7 +110,7 @@
 		runs:       make(map[*exchange]*conn),
 		stats:      newStats(),
 	}
-	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Tuning: cfg.Tuning, Off: cfg.Off, FirstStart: cfg.FirstStart})
+	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, Off: cfg.Off, FirstStart: cfg.FirstStart})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
 	r.front = newFront(r)
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
 )
 
 const (
@@ -87,6 +88,7 @@
 		Class:    x.route.Name,
 		Gap:      x.route.EventGap,
 		Expected: p.Expected,
+		Homes:    route.HomesOf(x.route, x.customer),
 		Urgency:  x.urgency,
 	}
 }
--- a/route/document.go
+++ b/route/document.go
@@ -28,6 +28,8 @@
 	Name string
 	Keys []string
 	Rank *int // goes before the rank of the route where given
+	// Homes are the regions whose upstreams may run its requests; none: all.
+	Homes []string
 }
 
 // Limits bound what a caller may send.
--- a/route/route.go
+++ b/route/route.go
@@ -34,6 +34,7 @@
 	Public        bool          // needs no key
 	PromptCaching bool          // requests describe their prompts, and upstreams keep prompts in memory
 	Targets       []Target      // the services that share the route's requests
+	Homes         []string      // the regions whose upstreams may run its requests; none: all
 }
 
 // Target is a service with its share of a route's requests.
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -18,17 +18,18 @@
 
 // Relay is what a relaying box is told at its start.
 type Relay struct {
-	Box        string      `json:"box"`         // its name
-	Domain     string      `json:"domain"`      // its failure domain
-	FirstStart bool        `json:"first_start"` // no box ran before
-	Listen     RelayListen `json:"listen"`
-	Platform   string      `json:"platform"`   // IP:port of the store
-	Seeds      []string    `json:"seeds"`      // IP:port of some boxes' control addresses
-	PeerPorts  []int       `json:"peer_ports"` // for datagrams; the first is used
-	MemoryMB   int         `json:"memory_mb"`  // of the box, in megabytes; 0: not said
-	CPUShare   float64     `json:"cpu_share"`  // of a core
-	LinkMbps   float64     `json:"link_mbps"`  // megabits a second
-	Bounds     RelayBounds `json:"bounds"`
+	Box        string            `json:"box"`         // its name
+	Domain     string            `json:"domain"`      // its failure domain
+	FirstStart bool              `json:"first_start"` // no box ran before
+	Regions    map[string]string `json:"regions"`     // of each failure domain, where they are divided into such
+	Listen     RelayListen       `json:"listen"`
+	Platform   string            `json:"platform"`   // IP:port of the store
+	Seeds      []string          `json:"seeds"`      // IP:port of some boxes' control addresses
+	PeerPorts  []int             `json:"peer_ports"` // for datagrams; the first is used
+	MemoryMB   int               `json:"memory_mb"`  // of the box, in megabytes; 0: not said
+	CPUShare   float64           `json:"cpu_share"`  // of a core
+	LinkMbps   float64           `json:"link_mbps"`  // megabits a second
+	Bounds     RelayBounds       `json:"bounds"`
 	// Off names the mechanisms that are switched off, to measure what each is worth;
 	// none as a rule.
 	Off []string `json:"off"`
