The account tells answers that ran out of time, and where their time went

Change: a fate of its own for them (left_ms of the request's line, below 150 ms), the answers that moved, and the mean time until the first event and from there to the end. A request's line tells events and expected tokens; explain knows the lines of moves and of evacuated domains.

--- a/oplog/account.go
+++ b/oplog/account.go
@@ -15,30 +15,35 @@
 
 // The fates, the best first.
 const (
-	InTime    Fate = iota
-	LateFirst      // its answer, or the first of it, came after its target
-	LatePause      // a pause between its events was too long
-	Refused        // it has not run, and its caller was told when to come back
-	Cut            // its stream broke off midway
-	Failed         // it ended without a whole answer, or with a failure
-	Left           // its caller left
+	InTime     Fate = iota
+	LateFirst       // its answer, or the first of it, came after its target
+	LatePause       // a pause between its events was too long
+	Refused         // it has not run, and its caller was told when to come back
+	Unfinished      // its time was over while its answer went on
+	Cut             // its stream broke off midway
+	Failed          // it ended without a whole answer, or with a failure
+	Left            // its caller left
 	fates
 )
 
 // FateNames are the fates as tables and pictures show them.
 var FateNames = [...]string{
-	InTime: "in time", LateFirst: "late", LatePause: "late pause", Refused: "refused", Cut: "cut", Failed: "failed", Left: "left",
+	InTime: "in time", LateFirst: "late", LatePause: "late pause", Refused: "refused", Unfinished: "unfinished", Cut: "cut", Failed: "failed", Left: "left",
 }
 
 // Tally is what is told of some requests. Means are over those that it names.
 type Tally struct {
 	Requests int
 	Fates    [fates]int
-	CameBack int // after a refusal, as far as their time left showed
-	Again    int // sent to more than one upstream
-	Unkept   int // their upstream was not thought to keep their prompt
-	Fetched  int // their upstream was told of another that keeps the prompt
-	Ahead    int // prompt tokens before them, in sum
+	CameBack int           // after a refusal, as far as their time left showed
+	Again    int           // sent to more than one upstream
+	Unkept   int           // their upstream was not thought to keep their prompt
+	Fetched  int           // their upstream was told of another that keeps the prompt
+	Moved    int           // their answer went on at another upstream
+	Ahead    int           // prompt tokens before them, in sum
+	Begun    int           // those whose answer began
+	First    time.Duration // until it did, in sum: waiting, and the reading of their prompts
+	Rest     time.Duration // from then to the end, in sum
 }
 
 // Group is a tally of a class, or of a class in a span of time.
@@ -112,6 +117,13 @@
 	t.Again += oneIf(numberOf(l.Fields["runs"]) > 1)
 	t.Unkept += oneIf(l.Fields["kept"] == false)
 	t.Fetched += oneIf(l.Fields["fetched"] == true)
+	t.Moved += oneIf(l.Fields["moved"] == true)
+	first, total := millisOf(l.Fields["first_ms"]), millisOf(l.Fields["total_ms"])
+	if first > 0 {
+		t.Begun++
+		t.First += first
+		t.Rest += max(0, total-first)
+	}
 }
 
 // failures is the status from which on an answer is a failure.
@@ -122,16 +134,33 @@
 	switch l.Event {
 	case "answered":
 		return fateOfAnswer(l)
-	case "broken off", "cut by the stop":
+	case "cut by the stop":
 		return Cut
-	case "caller left":
-		return Left
+	case "broken off", "caller left":
+		return fateOfBreak(l)
 	case "refused", "too much before it", "no upstream":
 		return Refused
 	}
 	return Failed
 }
 
+// nearEnd is how near to the end of its time, in ms, an answer that breaks off is taken to have
+// run out of it: a caller's clock and the box's differ by what is on its way.
+const nearEnd = 150
+
+// fateOfBreak tells answers that broke off apart by whether any time was left.
+func fateOfBreak(l Line) Fate {
+	left, known := l.Fields["left_ms"].(float64)
+	_, began := l.Fields["late_pauses"]
+	switch {
+	case known && began && left < nearEnd:
+		return Unfinished
+	case l.Event == "caller left":
+		return Left
+	}
+	return Cut
+}
+
 // fateOfAnswer tells answers apart by their status and when they came.
 func fateOfAnswer(l Line) Fate {
 	took := numberOf(l.Fields["total_ms"])
@@ -156,6 +185,9 @@
 	return int(f)
 }
 
+// millisOf is a field's time.
+func millisOf(v any) time.Duration { return time.Duration(numberOf(v)) * time.Millisecond }
+
 func oneIf(ok bool) int {
 	if ok {
 		return 1
--- a/oplog/account_test.go
+++ b/oplog/account_test.go
@@ -29,6 +29,11 @@
 		{"refused", "too much before it", ``, Refused},
 		{"nowhere to go", "no upstream", ``, Refused},
 		{"cut", "broken off", `,"status":200,"late_pauses":2`, Cut},
+		{"its time ran out, and its caller left", "caller left", `,"status":200,"late_pauses":2,"left_ms":3`, Unfinished},
+		{"its time ran out", "broken off", `,"status":200,"late_pauses":2,"left_ms":-1`, Unfinished},
+		{"left before its end", "caller left", `,"status":200,"late_pauses":2,"left_ms":4000`, Left},
+		{"left before its answer began", "caller left", `,"left_ms":3`, Left},
+		{"cut with time left", "broken off", `,"status":200,"late_pauses":2,"left_ms":4000`, Cut},
 		{"cut by a stop", "cut by the stop", `,"held_ms":7000`, Cut},
 		{"no answer", "no answer", ``, Failed},
 		{"out of time", "out of time", ``, Failed},
@@ -79,3 +84,20 @@
 	is.NoErr(Tell(nil, time.Second).Write(&out))
 	is.True(strings.Contains(out.String(), "class"))
 }
+
+func TestWhereTheTimeOfAnswersWent(t *testing.T) {
+	is := is.New(t)
+	log := requestLine(0, "a", "answered", `,"status":200,"first_ms":100,"total_ms":900,"late_pauses":0,"moved":true`) +
+		requestLine(0, "a", "caller left", `,"status":200,"first_ms":300,"total_ms":1500,"late_pauses":0,"left_ms":0`) +
+		requestLine(0, "a", "too much before it", `,"first_ms":0,"total_ms":1`)
+	lines, _ := read(t, log)
+	a := Tell(lines, time.Second).Classes[0]
+	is.Equal(a.Moved, 1)
+	is.Equal(a.Begun, 2)
+	is.Equal(a.First, 400*time.Millisecond)
+	is.Equal(a.Rest, 2*time.Second)
+	var text strings.Builder
+	is.NoErr(Tell(lines, time.Second).Write(&text))
+	row := strings.Fields(strings.Split(text.String(), "\n")[1])
+	is.Equal(row[len(row)-2:], []string{"200", "1000"}) // means of those that began
+}
--- a/oplog/accounttext.go
+++ b/oplog/accounttext.go
@@ -38,14 +38,17 @@
 	for _, name := range FateNames {
 		fmt.Fprintf(w, "%s\t", name)
 	}
-	fmt.Fprintln(w, "came back\tsent again\tnot kept\tfetched\ttokens before\t")
+	fmt.Fprintln(w, "came back\tsent again\tnot kept\tfetched\tmoved\ttokens before\tfirst ms\trest ms\t")
 }
 
-// writeRow prints one group; tokens before it are the mean of a request.
+// writeRow prints one group; tokens before it are the mean of a request, its times those of an
+// answer that began.
 func writeRow(w io.Writer, name string, g Group) {
 	fmt.Fprintf(w, "%s\t%d\t", name, g.Requests)
 	for _, n := range g.Fates {
 		fmt.Fprintf(w, "%d\t", n)
 	}
-	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t\n", g.CameBack, g.Again, g.Unkept, g.Fetched, g.Ahead/g.Requests)
+	begun := time.Duration(max(g.Begun, 1))
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", g.CameBack, g.Again, g.Unkept, g.Fetched, g.Moved, g.Ahead/g.Requests,
+		(g.First / begun).Milliseconds(), (g.Rest / begun).Milliseconds())
 }
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -79,7 +79,7 @@
 // to the upstreams.
 func bears(l Line, upstreams map[string]bool) bool {
 	switch l.Part {
-	case "document", "publisher", "box", "group", "settings", "published":
+	case "document", "domain", "publisher", "box", "group", "settings", "published":
 		return true
 	case "upstream":
 		return upstreams[textOf(l.Fields["upstream"])]
@@ -98,6 +98,8 @@
 	"request: broken off":         "The stream's run ended before its end and could not go on elsewhere; the caller's connection was closed.",
 	"request: cut by the stop":    "The box's planned stop came to the end of its grace while an upstream was at work; the process's end cut the answer.",
 	"request: caller left":        "The caller closed its connection; the run was ended.",
+	"run: moves":                  "The answer would not end in its caller's time where it runs (here_ms), and would elsewhere (there_ms): its memory is copied and it goes on there.",
+	"run: not moved":              "Its upstream did not answer the call to copy it; the answer goes on where it is, or breaks off.",
 	"run: failed":                 "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
 
--- a/oplog/picture/picture.go
+++ b/oplog/picture/picture.go
@@ -32,13 +32,14 @@
 
 // colors are those of the fates: greens and yellows for answers, reds for what got none.
 var colors = [...]color.Color{
-	oplog.InTime:    color.RGBA{R: 90, G: 170, B: 95, A: 255},
-	oplog.LateFirst: color.RGBA{R: 230, G: 200, B: 80, A: 255},
-	oplog.LatePause: color.RGBA{R: 240, G: 160, B: 60, A: 255},
-	oplog.Refused:   color.RGBA{R: 120, G: 150, B: 210, A: 255},
-	oplog.Cut:       color.RGBA{R: 200, G: 60, B: 60, A: 255},
-	oplog.Failed:    color.RGBA{R: 140, G: 30, B: 70, A: 255},
-	oplog.Left:      color.RGBA{R: 170, G: 170, B: 170, A: 255},
+	oplog.InTime:     color.RGBA{R: 90, G: 170, B: 95, A: 255},
+	oplog.LateFirst:  color.RGBA{R: 230, G: 200, B: 80, A: 255},
+	oplog.LatePause:  color.RGBA{R: 240, G: 160, B: 60, A: 255},
+	oplog.Refused:    color.RGBA{R: 120, G: 150, B: 210, A: 255},
+	oplog.Unfinished: color.RGBA{R: 225, G: 115, B: 90, A: 255},
+	oplog.Cut:        color.RGBA{R: 200, G: 60, B: 60, A: 255},
+	oplog.Failed:     color.RGBA{R: 140, G: 30, B: 70, A: 255},
+	oplog.Left:       color.RGBA{R: 170, G: 170, B: 170, A: 255},
 }
 
 // Account draws an account as a PNG.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -127,7 +127,7 @@
 // fields are what the line about the request tells.
 func (x *exchange) fields() Fields {
 	f := Fields{"id": x.request.id, "route": x.route.Name, "upstream": x.upstream.ID, "runs": x.sent, "unreachable": x.unsent,
-		"urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
+		"left_ms": time.Until(x.end).Milliseconds(), "urgency": x.urgency, "first_ms": x.first.Milliseconds(), "total_ms": time.Since(x.arrived).Milliseconds(),
 		"version": x.doc.Version, "age_ms": x.relay.age().Milliseconds(), "kept": x.kept, "fetched": x.fetched, "come_back_ms": x.comeBack.Milliseconds(),
 		"ahead": x.ahead, "loads_age_ms": x.relay.members.loadsAge().Milliseconds()}
 	if x.route.Target > 0 {
@@ -135,6 +135,10 @@
 	}
 	if x.events != nil {
 		f["late_pauses"], f["longest_pause_ms"] = x.pace.late, x.pace.longest.Milliseconds()
+		f["events"], f["expected_tokens"] = x.events.total, x.request.prompt.Expected
+	}
+	if x.moved {
+		f["moved"] = true
 	}
 	if x.again {
 		f["came_back"] = true
