--- a/relay/evacuate_test.go
+++ b/relay/evacuate_test.go
@@ -137,3 +137,35 @@
 		is.New(t).Equal(c.bounds.most(c.perSecond), c.want)
 	}
 }
+
+// A box that says it is ready takes new connections, whatever it is busy with: here streams that
+// hang, at upstreams of which none may be sent anything more.
+func TestABoxThatIsReadyTakesNewConnections(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	hangs := func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		chunk(c, event(1))
+		<-ended
+		return false
+	}
+	u := newStub(t, "u1", hangs)
+	b := newBench(t, u)
+	b.listIn(u, "d1")
+	const streams, callers = 40, 7
+	done := make(chan answered, streams)
+	for i := range streams {
+		go func() { done <- b.do(b.request("POST", fmt.Sprintf("/fixed/%d", i), "")) }()
+	}
+	b.until(func() bool { return len(u.requests()) == streams })
+	b.board.set("evacuate/d1", "", false)
+	b.evacuated("d1")
+	is.True(b.relay.Ready())
+	for i := range callers { // each on a connection of its own
+		is.Equal(b.do(b.request("POST", fmt.Sprintf("/once/%d", i), "")).status, 503)
+	}
+	close(ended)
+	for range streams {
+		<-done
+	}
+}
