--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,11 +1,10 @@
 package standin
 
-// This file defines the stand-in engine: batching slots with a queue by
-// priority, a token stream, pause and resume, cancel, a prefix cache of limited
-// size with numbered events, lagging reports, fenced orders, and faults.
+// This file defines the stand-in engine: a token stream, pause and resume, cancel, a prefix
+// cache of limited size with numbered events, and faults. Its slots stand in engineslots.go,
+// reports and orders in enginereport.go. The invariant: a run that ends gives its slot back.
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -83,31 +82,6 @@
 	waiting int
 }
 
-// slotWaiter waits for a batching slot.
-type slotWaiter struct {
-	priority int
-	order    uint64
-	ready    chan struct{}
-}
-
-type slotQueue []*slotWaiter
-
-func (q slotQueue) Len() int { return len(q) }
-func (q slotQueue) Less(i, j int) bool {
-	if q[i].priority != q[j].priority {
-		return q[i].priority < q[j].priority
-	}
-	return q[i].order < q[j].order
-}
-func (q slotQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *slotQueue) Push(x any)   { *q = append(*q, x.(*slotWaiter)) }
-func (q *slotQueue) Pop() any {
-	old := *q
-	w := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return w
-}
-
 // NewEngine starts an engine.
 func NewEngine(cfg EngineConfig) (*Engine, error) {
 	if cfg.CacheSize == 0 {
@@ -267,50 +241,6 @@
 	}
 }
 
-// acquire waits for a slot of the batch, by priority.
-func (e *Engine) acquire(r *http.Request, run *engineRun, priority int) bool {
-	e.mu.Lock()
-	if e.running < e.cfg.Slots {
-		e.running++
-		e.mu.Unlock()
-		return true
-	}
-	e.sequence++ // also serves as the order of arrival
-	me := &slotWaiter{priority, e.sequence, make(chan struct{})}
-	heap.Push(&e.queue, me)
-	e.mu.Unlock()
-	select {
-	case <-me.ready:
-		return true
-	case <-r.Context().Done():
-	case <-run.stop:
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for i, other := range e.queue {
-		if other == me {
-			heap.Remove(&e.queue, i)
-			return false
-		}
-	}
-	e.handOn() // the slot came just now
-	return false
-}
-
-func (e *Engine) release() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.handOn()
-}
-
-func (e *Engine) handOn() {
-	if len(e.queue) > 0 {
-		close(heap.Pop(&e.queue).(*slotWaiter).ready)
-		return
-	}
-	e.running--
-}
-
 // prefill is how long the prompt takes: a tenth if its prefix is cached or the
 // run is resumed.
 func (e *Engine) prefill(id string, prefix uint64) time.Duration {
@@ -434,75 +364,3 @@
 		_, _ = io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"paused\"}]}\n\n")
 	}
 }
-
-type engineReport struct {
-	AgeMillis int64         `json:"age_ms"`
-	Running   int           `json:"running"`
-	Waiting   int           `json:"waiting"`
-	Leaving   bool          `json:"leaving"`
-	Loaded    string        `json:"loaded"`
-	Loading   bool          `json:"loading"`
-	Fence     uint64        `json:"fence"`
-	First     uint64        `json:"first_event"`
-	Last      uint64        `json:"last_event"`
-	Events    []engineEvent `json:"events"`
-}
-
-// report tells the load as it was a while ago, and the cache events since.
-func (e *Engine) report(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
-	e.mu.Lock()
-	now := time.Now()
-	e.samples = append(e.samples, engineSample{now, e.running, len(e.queue)})
-	for len(e.samples) > 1 && now.Sub(e.samples[1].at) >= e.cfg.ReportLag {
-		e.samples = e.samples[1:]
-	}
-	s := e.samples[0]
-	out := engineReport{AgeMillis: now.Sub(s.at).Milliseconds(), Running: s.running, Waiting: s.waiting, Leaving: e.faults.Leaving, First: 1,
-		Loaded: e.model, Loading: now.Before(e.loadedAt), Fence: e.fence}
-	if n := len(e.events); n > 0 {
-		out.First, out.Last = e.events[0].Sequence, e.events[n-1].Sequence
-	}
-	for _, ev := range e.events {
-		if ev.Sequence > after && !e.faults.Gap {
-			out.Events = append(out.Events, ev)
-		}
-	}
-	e.mu.Unlock()
-	reply(w, out)
-}
-
-type engineOrder struct {
-	Fence uint64 `json:"fence"`
-	Load  string `json:"load"`
-	Role  string `json:"role"`
-}
-
-// order takes a fenced order: one with an older fence than seen is not carried
-// out. An engine that does not check carries out everything.
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o engineOrder
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	accepted := (!e.cfg.ChecksFence || o.Fence > e.fence) && o.Fence > 0
-	if accepted {
-		e.fence = max(e.fence, o.Fence)
-		if o.Load != "" {
-			e.loaded = append(e.loaded, o.Load)
-			e.model, e.loadedAt = o.Load, time.Now().Add(e.cfg.LoadTime)
-		}
-	}
-	fence := e.fence
-	e.mu.Unlock()
-	reply(w, map[string]any{"accepted": accepted, "fence": fence})
-}
-
-// Loaded lists the loads carried out, in order.
-func (e *Engine) Loaded() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string(nil), e.loaded...)
-}
