--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -31,6 +31,7 @@
 	Decision []DecisionCost            `json:"decision"` // by how many wait
 	Table    TableCost                 `json:"table"`
 	Edge     EdgeCost                  `json:"edge"`
+	Sweeps   []Sweep                   `json:"sweeps"` // entered by hand, and kept when the rest is measured
 }
 
 // DecisionCost is what a grant and its release cost an owner.
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -126,6 +126,7 @@
 	f.decisions(&b)
 	f.failures(&b)
 	f.growth(&b)
+	f.sweeps(&b)
 	f.limits(&b)
 	f.slopes(&b)
 	_, err := io.WriteString(w, b.String())
--- a/cmd/doormast/capacity.go
+++ b/cmd/doormast/capacity.go
@@ -20,6 +20,9 @@
 			if err != nil {
 				return err
 			}
+			if before, err := capacity.Load(args[0]); err == nil {
+				s.Sweeps = before.Sweeps
+			}
 			b, err := json.MarshalIndent(s, "", "  ")
 			if err != nil {
 				return err
