--- a/relay/peers.go
+++ b/relay/peers.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/internal/datagram"
 	"github.com/doormast/doormast/wire"
@@ -22,7 +23,7 @@
 	if address == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialWait)
+	ctx, cancel := context.WithTimeout(context.Background(), balance.DialWait)
 	defer cancel()
 	var err error
 	m.socket, err = datagram.Listen(ctx, datagram.Config{Address: address, Handler: m.received})
