A copy that nobody goes on with is freed also where it comes as its request ends

Where the copy had come and the request's time was over, which of the two was taken was left to chance: with the copy taken, it was sent for, in vain, and not freed, so that its upstreams held memory and a slot for seconds. Change: the end of the request goes first, and the copy stays where whoever gives it up finds it; one whose run is not taken up is freed as well. No decision changes.

--- a/relay/move.go
+++ b/relay/move.go
@@ -98,10 +98,8 @@
 	if m == nil {
 		return false
 	}
-	var c Copy
-	select {
-	case c = <-m.copied:
-	case <-x.ctx.Done():
+	c, ok := m.await(x.ctx)
+	if !ok {
 		return false // what was copied is given up when the exchange is closed
 	}
 	x.move = nil
@@ -117,6 +115,8 @@
 	n := x.nextRun("")
 	n.memory = m.from.Address + "/" + c.Name
 	if state, _ := x.send(n); state != runAnswered {
+		m.copied <- c
+		x.relay.giveUpCopy(m, x.request.id, x.service)
 		return false
 	}
 	x.moved = true
@@ -124,6 +124,21 @@
 	return true
 }
 
+// await waits for the copy; false means that ctx ended first, or has ended by now. The copy
+// stays where it is then, for whoever gives it up.
+func (m *move) await(ctx context.Context) (Copy, bool) {
+	select {
+	case c := <-m.copied:
+		if ctx.Err() != nil {
+			m.copied <- c
+			return Copy{}, false
+		}
+		return c, true
+	case <-ctx.Done():
+		return Copy{}, false
+	}
+}
+
 // openMoved counts the request where it goes on.
 func (x *exchange) openMoved() {
 	q := x.placement()
--- a/relay/move_test.go
+++ b/relay/move_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -182,3 +183,23 @@
 	})
 	is.Equal(len(m.fast.requests()), 0)
 }
+
+// Of a copy and the end of its request that come together the end goes first, whichever is
+// seen: the copy stays for whoever gives it up.
+func TestACopyStaysWhenItsRequestHasEnded(t *testing.T) {
+	is := is.New(t)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		m := &move{copied: make(chan Copy, 1)}
+		m.copied <- Copy{Name: "h7"}
+		_, ok := m.await(ended)
+		is.True(!ok)
+		is.Equal((<-m.copied).Name, "h7")
+	}
+	m := &move{copied: make(chan Copy, 1)}
+	m.copied <- Copy{Name: "h7"}
+	c, ok := m.await(context.Background())
+	is.True(ok)
+	is.Equal(c.Name, "h7")
+}
