How a copy is named in a request is the platform's matter

The relay joined an upstream's address and a copy's name by a slash, which is the users' platform's way of writing it; package platform does that now, as it does all their words. No decision changes.

--- a/relay/move.go
+++ b/relay/move.go
@@ -25,8 +25,9 @@
 
 // Copy names what is left of a run in an upstream's memory.
 type Copy struct {
-	Name string // as upstreams know it; empty: there is none
-	Done bool   // it lies at the other upstream; else it lies where the run was
+	Name   string // as its upstream knows it; empty: there is none
+	Memory string // as the run that goes on from it names it
+	Done   bool   // it lies at the other upstream; else it lies where the run was
 }
 
 // move is an answer on its way to another upstream.
@@ -68,7 +69,7 @@
 		m.copied <- Copy{}
 		return
 	}
-	m.copied <- r.cfg.Protocol.Moved(status, body)
+	m.copied <- r.cfg.Protocol.Moved(m.from.Address, status, body)
 }
 
 // call makes a call to an upstream that is no request of a caller.
@@ -113,7 +114,7 @@
 	}
 	x.openMoved()
 	n := x.nextRun("")
-	n.memory = m.from.Address + "/" + c.Name
+	n.memory = c.Memory
 	if state, _ := x.send(n); state != runAnswered {
 		m.copied <- c
 		x.relay.giveUpCopy(m, x.request.id, x.service)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -31,9 +31,9 @@
 	Described []string
 
 	// MoveCall has an upstream copy the memory of a request's run to another one's address, IP:port,
-	// and stop the run; Moved reads its answer. DropCall frees a copy. Nil where runs cannot move.
+	// and stop the run; Moved reads its answer, which came from IP:port. DropCall frees a copy. Nil where runs cannot move.
 	MoveCall func(request, to string) UpstreamCall
-	Moved    func(status int, body []byte) Copy
+	Moved    func(from string, status int, body []byte) Copy
 	DropCall func(name string) UpstreamCall
 
 	// Prompt reads the description of a prompt; get returns a header's value.
