What new customers need, in parts; fields that the parts have in common

Nothing decides by them yet. Tests of balance and group pass; the unit of tokens on the wire has the name of both uses.

--- a/balance/load.go
+++ b/balance/load.go
@@ -13,21 +13,22 @@
 	Unread int // prompt tokens that are not yet read
 	Open   int // requests
 	Tight  int // those of them whose events must follow each other closely
+	Held   int // tokens of its memory that they take, or will
 }
 
 // Plus is the sum of two loads.
 func (l Load) Plus(o Load) Load {
-	return Load{Unread: l.Unread + o.Unread, Open: l.Open + o.Open, Tight: l.Tight + o.Tight}
+	return Load{Unread: l.Unread + o.Unread, Open: l.Open + o.Open, Tight: l.Tight + o.Tight, Held: l.Held + o.Held}
 }
 
 // Minus is the load less another one; none of its fields is below 0.
 func (l Load) Minus(o Load) Load {
-	return Load{Unread: l.Unread - o.Unread, Open: l.Open - o.Open, Tight: l.Tight - o.Tight}.floored()
+	return Load{Unread: l.Unread - o.Unread, Open: l.Open - o.Open, Tight: l.Tight - o.Tight, Held: l.Held - o.Held}.floored()
 }
 
 // floored is the load with 0 for each field that is below.
 func (l Load) floored() Load {
-	return Load{Unread: max(0, l.Unread), Open: max(0, l.Open), Tight: max(0, l.Tight)}
+	return Load{Unread: max(0, l.Unread), Open: max(0, l.Open), Tight: max(0, l.Tight), Held: max(0, l.Held)}
 }
 
 // LoadKey says whose load it is, where boxes tell each other.
--- a/group/load_test.go
+++ b/group/load_test.go
@@ -20,14 +20,14 @@
 	key := balance.LoadKey{Upstream: 7, Urgency: 2}
 	sum := 0
 	for i, name := range w.names {
-		tokens := unreadUnit * (i + 1)
+		tokens := tokenUnit * (i + 1)
 		sum += tokens
 		w.boxes[name].node.SetLoads(Loads{key: {Unread: tokens, Open: 1}})
 	}
 	w.run(time.Second)
 	for i, name := range w.names {
 		others := w.boxes[name].node.Others()[key]
-		is.Equal(others.Unread, sum-unreadUnit*(i+1))
+		is.Equal(others.Unread, sum-tokenUnit*(i+1))
 		is.Equal(others.Open, len(w.names)-1)
 	}
 	gone := w.boxes[boxName(1, 2)]
@@ -39,7 +39,7 @@
 		}
 		others := w.boxes[name].node.Others()[key]
 		is.Equal(others.Open, len(w.names)-2)
-		is.Equal(others.Unread, sum-unreadUnit*(i+1)-unreadUnit*7)
+		is.Equal(others.Unread, sum-tokenUnit*(i+1)-tokenUnit*7)
 	}
 	for _, name := range w.names {
 		w.boxes[name].node.SetLoads(nil)
@@ -59,7 +59,7 @@
 	w.fleet(2, 6)
 	w.run(5 * time.Second)
 	lead := w.boxes[boxName(0, 0)].node
-	lead.SetLoads(Loads{{Upstream: 7, Urgency: 2}: {Unread: unreadUnit, Open: 1}})
+	lead.SetLoads(Loads{{Upstream: 7, Urgency: 2}: {Unread: tokenUnit, Open: 1}})
 	lead.Tick(w.now)
 	out, _ := lead.Drain()
 	made := make(map[*wire.GroupMessage]int)
@@ -93,7 +93,7 @@
 	w.run(5 * time.Second)
 	key := balance.LoadKey{Upstream: 7, Urgency: 2}
 	for _, name := range w.names {
-		w.boxes[name].node.SetLoads(Loads{key: {Unread: unreadUnit, Open: 1}})
+		w.boxes[name].node.SetLoads(Loads{key: {Unread: tokenUnit, Open: 1}})
 	}
 	w.run(time.Second)
 	b := w.boxes[boxName(0, 1)].node
@@ -115,14 +115,14 @@
 	for i, name := range w.names {
 		loads := make(Loads)
 		for u := range uint32(10) {
-			loads[balance.LoadKey{Upstream: 1000*uint32(i) + u}] = balance.Load{Unread: unreadUnit, Open: 1}
+			loads[balance.LoadKey{Upstream: 1000*uint32(i) + u}] = balance.Load{Unread: tokenUnit, Open: 1}
 		}
 		w.boxes[name].node.SetLoads(loads)
 	}
 	w.run(5 * time.Second)
 	key := balance.LoadKey{Upstream: 7, Urgency: 2}
 	teller := w.boxes[boxName(1, 13)].node
-	for _, load := range []balance.Load{{Unread: 4 * unreadUnit, Open: 2}, {Open: 1}, {}} {
+	for _, load := range []balance.Load{{Unread: 4 * tokenUnit, Open: 2}, {Open: 1}, {}} {
 		loads := make(Loads)
 		addLoads(loads, teller.loads)
 		setLoad(loads, key, load)
--- a/group/loadpack.go
+++ b/group/loadpack.go
@@ -14,9 +14,9 @@
 // Loads are those of several upstreams, by their keys and urgency.
 type Loads = map[balance.LoadKey]balance.Load
 
-// unreadUnit is how many tokens one unit on the wire stands for: less than what an
+// tokenUnit is how many tokens one unit on the wire stands for: less than what an
 // upstream reads in 2 ms.
-const unreadUnit = 64
+const tokenUnit = 64
 
 // addLoads adds o to l.
 func addLoads(l, o Loads) {
@@ -54,9 +54,10 @@
 	return &wire.GroupLoad{
 		Upstream: key.Upstream,
 		Urgency:  uint32(key.Urgency),
-		Unread:   uint32(max(0, load.Unread) / unreadUnit),
+		Unread:   uint32(max(0, load.Unread) / tokenUnit),
 		Open:     uint32(max(0, load.Open)),
 		Tight:    uint32(max(0, load.Tight)),
+		Held:     uint32(max(0, load.Held) / tokenUnit),
 	}
 }
 
@@ -65,7 +66,7 @@
 	l := make(Loads, len(list))
 	for _, w := range list {
 		key := balance.LoadKey{Upstream: w.Upstream, Urgency: int(w.Urgency)}
-		l[key] = balance.Load{Unread: int(w.Unread) * unreadUnit, Open: int(w.Open), Tight: int(w.Tight)}
+		l[key] = balance.Load{Unread: int(w.Unread) * tokenUnit, Open: int(w.Open), Tight: int(w.Tight), Held: int(w.Held) * tokenUnit}
 	}
 	return l
 }
@@ -73,6 +74,6 @@
 // sameLoads compares two packed lists.
 func sameLoads(a, b []*wire.GroupLoad) bool {
 	return slices.EqualFunc(a, b, func(x, y *wire.GroupLoad) bool {
-		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open && x.Tight == y.Tight
+		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open && x.Tight == y.Tight && x.Held == y.Held
 	})
 }
