Reading and checking a document is one step, in one place

Cause: five packages (two kinds of settings, two kinds of experiments, the operators' table) each read a file, parsed it, gathered problems in a closure of their own and returned them: the same 12 lines five times.

Ruled out: a check method behind an interface, since it would have to be exported by each document type.

--- a/experiment/placing/spec.go
+++ b/experiment/placing/spec.go
@@ -11,7 +11,6 @@
 
 import (
 	"fmt"
-	"os"
 
 	"github.com/doormast/doormast/internal/jsonc"
 )
@@ -67,28 +66,15 @@
 // Load reads an experiment. The error is of type jsonc.Problems, or says why the file
 // cannot be read.
 func Load(file string) (*Spec, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
 	s := &Spec{Seeds: 3, Domains: 1}
-	doc, err := jsonc.Parse(file, source, s)
-	if err != nil {
+	if err := jsonc.LoadChecked(file, s, s.check); err != nil {
 		return nil, err
 	}
-	if problems := s.check(doc); len(problems) > 0 {
-		return nil, problems
-	}
 	return s, nil
 }
 
-func (s *Spec) check(doc *jsonc.Document) jsonc.Problems {
-	var problems jsonc.Problems
-	want := func(ok bool, field string, found any, allowed string) {
-		if !ok {
-			problems = append(problems, doc.Problem(field, fmt.Sprint(found), allowed))
-		}
-	}
+func (s *Spec) check(c *jsonc.Checker) {
+	want := c.Want
 	e := s.Engine
 	want(s.Seeds > 0, "seeds", s.Seeds, "want 1 or more")
 	want(s.Duration > 0, "duration", s.Duration.Std(), "want a duration above 0")
@@ -117,7 +103,6 @@
 		want(s.class(b.Class) >= 0, path+".class", b.Class, "want the name of a class")
 		want(b.To > b.From, path+".to", b.To.Std(), "want a time after from")
 	}
-	return problems
 }
 
 // class is the number of a class, or -1.
--- a/experiment/spec.go
+++ b/experiment/spec.go
@@ -9,7 +9,6 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/doormast/doormast/internal/jsonc"
@@ -88,28 +87,15 @@
 // Load reads an experiment. The error is of type jsonc.Problems, or says why the
 // file cannot be read.
 func Load(file string) (*Spec, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
 	s := &Spec{Seeds: 5, Domains: 1, Customers: 10, Queue: 2000, Cache: 32, Policies: AllPolicies, Load: 0.7}
-	doc, err := jsonc.Parse(file, source, s)
-	if err != nil {
+	if err := jsonc.LoadChecked(file, s, s.check); err != nil {
 		return nil, err
 	}
-	if problems := s.check(doc); len(problems) > 0 {
-		return nil, problems
-	}
 	return s, nil
 }
 
-func (s *Spec) check(doc *jsonc.Document) jsonc.Problems {
-	var problems jsonc.Problems
-	want := func(ok bool, field string, found any, allowed string) {
-		if !ok {
-			problems = append(problems, doc.Problem(field, fmt.Sprint(found), allowed))
-		}
-	}
+func (s *Spec) check(c *jsonc.Checker) {
+	want := c.Want
 	want(s.Seeds > 0, "seeds", s.Seeds, "want 1 or more")
 	want(s.Duration > 0, "duration", s.Duration.Std(), "want a duration above 0")
 	want(s.Domains > 0 && s.Boxes >= s.Domains, "boxes", s.Boxes, "want at least one for each domain")
@@ -132,7 +118,6 @@
 		}
 		want(known, fmt.Sprintf("policies[%d]", i), name, fmt.Sprintf("want one of %v", AllPolicies))
 	}
-	return problems
 }
 
 // capacity is how many tokens a second all engines generate.
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -107,33 +106,24 @@
 // LoadRelay reads and checks the file. The error is of type jsonc.Problems, or says
 // why the file cannot be read.
 func LoadRelay(file string) (*Relay, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
+	s := new(Relay)
+	if err := jsonc.LoadChecked(file, s, s.check); err != nil {
 		return nil, err
 	}
-	return ParseRelay(file, source)
+	return s, nil
 }
 
 // ParseRelay reads and checks settings; file is the name that errors give.
 func ParseRelay(file string, source []byte) (*Relay, error) {
 	s := new(Relay)
-	doc, err := jsonc.Parse(file, source, s)
-	if err != nil {
+	if err := jsonc.ParseChecked(file, source, s, s.check); err != nil {
 		return nil, err
 	}
-	if problems := s.check(doc); len(problems) > 0 {
-		return nil, problems
-	}
 	return s, nil
 }
 
-func (s *Relay) check(doc *jsonc.Document) jsonc.Problems {
-	var problems jsonc.Problems
-	want := func(ok bool, field, found, allowed string) {
-		if !ok {
-			problems = append(problems, doc.Problem(field, found, allowed))
-		}
-	}
+func (s *Relay) check(c *jsonc.Checker) {
+	want := c.Want
 	address := func(field, value string) {
 		_, err := netip.ParseAddrPort(value)
 		want(err == nil, field, value, "want IP:port")
@@ -158,5 +148,4 @@
 	want(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_s", "", "want a number above 0")
 	want(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio", "", "want 0 or more")
 	want(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", "", "want 0 or more")
-	return problems
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/doormast/doormast/internal/jsonc"
@@ -88,35 +87,26 @@
 // Load reads and checks the file. The error is of type jsonc.Problems, or says
 // why the file cannot be read.
 func Load(file string) (*Settings, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
+	s := Defaults()
+	if err := jsonc.LoadChecked(file, &s, s.check); err != nil {
 		return nil, err
 	}
-	return Parse(file, source)
+	return &s, nil
 }
 
 // Parse reads and checks settings.
 func Parse(file string, source []byte) (*Settings, error) {
 	s := Defaults()
-	doc, err := jsonc.Parse(file, source, &s)
-	if err != nil {
+	if err := jsonc.ParseChecked(file, source, &s, s.check); err != nil {
 		return nil, err
 	}
-	if problems := s.check(doc); len(problems) > 0 {
-		return nil, problems
-	}
 	return &s, nil
 }
 
 const minKey = 16
 
-func (s *Settings) check(doc *jsonc.Document) jsonc.Problems {
-	var problems jsonc.Problems
-	want := func(ok bool, field string, found any, allowed string) {
-		if !ok {
-			problems = append(problems, doc.Problem(field, fmt.Sprint(found), allowed))
-		}
-	}
+func (s *Settings) check(c *jsonc.Checker) {
+	want := c.Want
 	address := func(field, value string) {
 		_, err := netip.ParseAddrPort(value)
 		want(err == nil, field, fmt.Sprintf("%q", value), "want IP:port")
@@ -157,7 +147,6 @@
 	want(s.Stop.Notice >= 0, "stop.notice", s.Stop.Notice.Std(), "want 0 or more")
 	want(oneOf(s.Log.Level, "debug", "info", "warn", "error"), "log.level", s.Log.Level, "want debug, info, warn or error")
 	want(oneOf(s.Log.Format, "text", "json"), "log.format", s.Log.Format, "want text or json")
-	return problems
 }
 
 func oneOf(s string, allowed ...string) bool {
--- a/table/check.go
+++ b/table/check.go
@@ -18,20 +18,8 @@
 	maxFloors = 0.5
 )
 
-type checker struct {
-	doc      *jsonc.Document
-	problems jsonc.Problems
-}
-
-func (c *checker) want(ok bool, path string, found any, allowed string) {
-	if !ok {
-		c.problems = append(c.problems, c.doc.Problem(path, fmt.Sprint(found), allowed))
-	}
-}
-
-func (t *Table) check(doc *jsonc.Document) jsonc.Problems {
-	c := &checker{doc: doc}
-	c.want(len(t.Classes) > 0, "classes", "none", "want at least one class")
+func (t *Table) check(c *jsonc.Checker) {
+	c.Want(len(t.Classes) > 0, "classes", "none", "want at least one class")
 	sets := make(map[string]int)
 	for _, u := range t.Upstreams {
 		sets[u.Set] += u.Slots
@@ -43,29 +31,28 @@
 	t.checkFloors(c)
 	t.checkCustomers(c, names)
 	t.checkUpstreams(c)
-	return c.problems
 }
 
-func (t *Table) checkClass(c *checker, i int, sets map[string]int, names map[string]bool) {
+func (t *Table) checkClass(c *jsonc.Checker, i int, sets map[string]int, names map[string]bool) {
 	row, path := t.Classes[i], fmt.Sprintf("classes[%d]", i)
-	c.want(row.Name != "", path+".name", `""`, "want a name")
-	c.want(!names[row.Name], path+".name", row.Name, "want a name that no other class has")
+	c.Want(row.Name != "", path+".name", `""`, "want a name")
+	c.Want(!names[row.Name], path+".name", row.Name, "want a name that no other class has")
 	names[row.Name] = true
-	c.want(row.Tier >= 1 && row.Tier <= maxTier, path+".tier", row.Tier, "want 1 to 8, 1 is sacrificed last")
-	c.want(row.FirstToken > 0, path+".first_token", row.FirstToken.Std(), "want a duration above 0")
-	c.want(row.Whole == 0 || row.Whole >= row.FirstToken, path+".whole", row.Whole.Std(), "want 0 or at least first_token")
-	c.want(row.Weight > 0, path+".weight", row.Weight, "want a number above 0")
-	c.want(row.Floor > 0 && row.Floor <= maxFloors, path+".floor", row.Floor,
+	c.Want(row.Tier >= 1 && row.Tier <= maxTier, path+".tier", row.Tier, "want 1 to 8, 1 is sacrificed last")
+	c.Want(row.FirstToken > 0, path+".first_token", row.FirstToken.Std(), "want a duration above 0")
+	c.Want(row.Whole == 0 || row.Whole >= row.FirstToken, path+".whole", row.Whole.Std(), "want 0 or at least first_token")
+	c.Want(row.Weight > 0, path+".weight", row.Weight, "want a number above 0")
+	c.Want(row.Floor > 0 && row.Floor <= maxFloors, path+".floor", row.Floor,
 		"want a share above 0 and up to 0.5, so that the class cannot starve")
-	c.want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
-	c.want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
-	c.want(row.Queue >= 0, path+".queue", row.Queue, "want 0 or more")
-	c.want(row.MaxTokens >= 0, path+".max_tokens", row.MaxTokens, "want 0 or more")
-	c.want(row.OnLate == Wait || row.OnLate == Refuse, path+".on_late", row.OnLate, `want "wait" or "refuse"`)
-	c.want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
+	c.Want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
+	c.Want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
+	c.Want(row.Queue >= 0, path+".queue", row.Queue, "want 0 or more")
+	c.Want(row.MaxTokens >= 0, path+".max_tokens", row.MaxTokens, "want 0 or more")
+	c.Want(row.OnLate == Wait || row.OnLate == Refuse, path+".on_late", row.OnLate, `want "wait" or "refuse"`)
+	c.Want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
 	slots, ok := sets[row.Set]
-	c.want(ok, path+".set", row.Set, "want a set that some upstream belongs to")
-	c.want(!ok || row.Concurrency == 0 || float64(row.Concurrency) >= row.Floor*float64(slots)/float64(max(1, t.domains(row.Set))),
+	c.Want(ok, path+".set", row.Set, "want a set that some upstream belongs to")
+	c.Want(!ok || row.Concurrency == 0 || float64(row.Concurrency) >= row.Floor*float64(slots)/float64(max(1, t.domains(row.Set))),
 		path+".concurrency", row.Concurrency, "want at least the class's floor of the set's slots, or the floor cannot be met")
 }
 
@@ -81,52 +68,52 @@
 }
 
 // checkFloors refuses floors that cannot be met together.
-func (t *Table) checkFloors(c *checker) {
+func (t *Table) checkFloors(c *jsonc.Checker) {
 	sums := make(map[string]float64)
 	for i, row := range t.Classes {
 		sums[row.Set] += row.Floor
-		c.want(sums[row.Set] <= maxFloors+1e-9, fmt.Sprintf("classes[%d].floor", i), row.Floor,
+		c.Want(sums[row.Set] <= maxFloors+1e-9, fmt.Sprintf("classes[%d].floor", i), row.Floor,
 			fmt.Sprintf("floors of set %q add up to %.3g, want at most %.3g together", row.Set, sums[row.Set], maxFloors))
 	}
 }
 
-func (t *Table) checkCustomers(c *checker, classes map[string]bool) {
+func (t *Table) checkCustomers(c *jsonc.Checker, classes map[string]bool) {
 	names, keys := make(map[string]bool), make(map[string]bool)
 	for i, row := range t.Customers {
 		path := fmt.Sprintf("customers[%d]", i)
-		c.want(row.Name != "", path+".name", `""`, "want a name")
-		c.want(!names[row.Name], path+".name", row.Name, "want a name that no other customer has")
+		c.Want(row.Name != "", path+".name", `""`, "want a name")
+		c.Want(!names[row.Name], path+".name", row.Name, "want a name that no other customer has")
 		names[row.Name] = true
-		c.want(classes[row.DefaultClass], path+".default_class", row.DefaultClass, "want a class of this table")
-		c.want(row.MayUse(row.DefaultClass), path+".default_class", row.DefaultClass, "want one of the customer's own classes")
-		c.want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
-		c.want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
-		c.want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
+		c.Want(classes[row.DefaultClass], path+".default_class", row.DefaultClass, "want a class of this table")
+		c.Want(row.MayUse(row.DefaultClass), path+".default_class", row.DefaultClass, "want one of the customer's own classes")
+		c.Want(row.Rate >= 0, path+".rate", row.Rate, "want 0 or more")
+		c.Want(row.Concurrency >= 0, path+".concurrency", row.Concurrency, "want 0 or more")
+		c.Want(row.Scope == ScopeDomain || row.Scope == ScopeAll, path+".scope", row.Scope, `want "domain" or "all"`)
 		for j, name := range row.Classes {
-			c.want(classes[name], fmt.Sprintf("%s.classes[%d]", path, j), name, "want a class of this table")
+			c.Want(classes[name], fmt.Sprintf("%s.classes[%d]", path, j), name, "want a class of this table")
 		}
 		for j, hash := range row.KeyHashes {
 			at := fmt.Sprintf("%s.key_hashes[%d]", path, j)
 			raw, err := hex.DecodeString(hash)
-			c.want(err == nil && len(raw) == 32, at, hash, "want a SHA-256 in hex, as doormast table key prints it")
-			c.want(!keys[hash], at, hash, "want a key that no other customer has")
+			c.Want(err == nil && len(raw) == 32, at, hash, "want a SHA-256 in hex, as doormast table key prints it")
+			c.Want(!keys[hash], at, hash, "want a key that no other customer has")
 			keys[hash] = true
 		}
 	}
 }
 
-func (t *Table) checkUpstreams(c *checker) {
+func (t *Table) checkUpstreams(c *jsonc.Checker) {
 	names := make(map[string]bool)
 	for i, row := range t.Upstreams {
 		path := fmt.Sprintf("upstreams[%d]", i)
-		c.want(row.Name != "", path+".name", `""`, "want a name")
-		c.want(!names[row.Name], path+".name", row.Name, "want a name that no other upstream has")
+		c.Want(row.Name != "", path+".name", `""`, "want a name")
+		c.Want(!names[row.Name], path+".name", row.Name, "want a name that no other upstream has")
 		names[row.Name] = true
-		c.want(row.Domain != "", path+".domain", `""`, "want a failure domain")
-		c.want(row.Set != "", path+".set", `""`, "want a set")
-		c.want(row.Slots > 0, path+".slots", row.Slots, "want 1 or more")
-		c.want(row.Kind == Engine || row.Kind == Plain, path+".kind", row.Kind, `want "engine" or "plain"`)
+		c.Want(row.Domain != "", path+".domain", `""`, "want a failure domain")
+		c.Want(row.Set != "", path+".set", `""`, "want a set")
+		c.Want(row.Slots > 0, path+".slots", row.Slots, "want 1 or more")
+		c.Want(row.Kind == Engine || row.Kind == Plain, path+".kind", row.Kind, `want "engine" or "plain"`)
 		_, err := netip.ParseAddrPort(row.Address)
-		c.want(err == nil, path+".address", row.Address, "want IP:port")
+		c.Want(err == nil, path+".address", row.Address, "want IP:port")
 	}
 }
--- a/table/table.go
+++ b/table/table.go
@@ -118,13 +118,12 @@
 			Found: fmt.Sprintf("%d bytes", len(source)), Allowed: "at most 1048576 bytes"}}
 	}
 	t := new(Table)
-	doc, err := jsonc.Parse(file, source, t)
-	if err != nil {
-		return nil, err
+	check := func(c *jsonc.Checker) {
+		t.setDefaults()
+		t.check(c)
 	}
-	t.setDefaults()
-	if problems := t.check(doc); len(problems) > 0 {
-		return nil, problems
+	if err := jsonc.ParseChecked(file, source, t, check); err != nil {
+		return nil, err
 	}
 	t.index()
 	return t, nil
