--- a/experiment/loop.go
+++ b/experiment/loop.go
@@ -85,40 +85,6 @@
 	platform *table.Table // a newer table that the platform has published
 }
 
-type timer struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type timers []timer
-
-func (q timers) Len() int { return len(q) }
-
-func (q timers) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-
-func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *timers) Push(x any) { *q = append(*q, x.(timer)) }
-
-func (q *timers) Pop() any {
-	old := *q
-	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*q = old[:len(old)-1]
-	return t
-}
-
-func (l *loop) after(d time.Duration, do func()) {
-	l.order++
-	heap.Push(&l.queue, timer{l.now + d, l.order, do})
-}
-
 // run runs one policy on one trace.
 func run(s *Spec, sc *Scenario, policy string, trace []arrival, seed uint64) *loop {
 	l := newLoop(s, sc, policy, seed)
@@ -141,13 +107,6 @@
 	}
 }
 
-func (l *loop) every(d time.Duration, do func()) {
-	l.after(d, func() {
-		do()
-		l.every(d, do)
-	})
-}
-
 func (l *loop) tick(b *box) {
 	if b.frozen {
 		return
@@ -271,121 +230,6 @@
 	l.sendAll(b)
 }
 
-// dispatch brings a request to an engine.
-func (l *loop) dispatch(b *box, a cell.Action) {
-	r, e := l.requests[a.Request], l.byEngine[a.Upstream]
-	b.node.Sending(l.now, a.Request)
-	l.send(r, e, a.Tokens)
-}
-
-// send starts a run of a request on an engine.
-func (l *loop) send(r *request, e *engine, from int) {
-	r.engine = e
-	r.job = &job{req: r, tier: l.spec.Classes[r.arrival.class].Tier, from: from, total: r.arrival.tokens}
-	if e.broken {
-		l.fail(r)
-		return
-	}
-	if e.accept(l.now, r.job) {
-		l.started(e, r.job)
-	}
-}
-
-// started files the first token and the end of a job that got a slot.
-func (l *loop) started(e *engine, j *job) {
-	r := j.req
-	l.after(j.prefill+e.pace, func() {
-		if j.over {
-			return
-		}
-		if r.first == 0 {
-			r.first = l.now - settle - r.arrival.at
-		}
-		if r.box.node != nil {
-			l.tell(r.box, func(n *cell.Node) { n.FirstToken(l.now, r.id) })
-		}
-	})
-	l.after(j.lasts(e.pace), func() {
-		if !j.over {
-			l.finished(r, e, j)
-		}
-	})
-}
-
-func (l *loop) finished(r *request, e *engine, j *job) {
-	l.replace(e, e.end(l.now, j, false))
-	r.job = nil
-	r.answered, r.ended = true, l.now
-	l.close(r)
-	if r.box.node != nil {
-		l.tell(r.box, func(n *cell.Node) {
-			n.Finished(l.now, r.id, cell.Result{Outcome: decide.Answered, Ran: true, Tokens: j.total, Pace: e.pace, First: j.prefill + e.pace})
-		})
-	}
-}
-
-func (l *loop) replace(e *engine, next *job) {
-	if next != nil {
-		l.started(e, next)
-	}
-}
-
-// stop cancels or pauses a run for a node.
-func (l *loop) stop(b *box, a cell.Action) {
-	r := l.requests[a.Request]
-	if r == nil || r.job == nil {
-		return
-	}
-	outcome := decide.Abandoned
-	if a.Kind == cell.PauseRun {
-		outcome = decide.Paused
-	}
-	tokens := l.endJob(r, outcome == decide.Abandoned)
-	l.after(0, func() {
-		l.tell(b, func(n *cell.Node) {
-			n.Finished(l.now, a.Request, cell.Result{Outcome: outcome, Ran: true, Tokens: tokens})
-		})
-	})
-}
-
-// endJob takes a request off its engine and returns its tokens so far.
-func (l *loop) endJob(r *request, wasted bool) int {
-	e, j := r.engine, r.job
-	r.job = nil
-	tokens := j.tokens(l.now, e.pace)
-	l.replace(e, e.end(l.now, j, wasted))
-	return tokens
-}
-
-// fail tells a node that a run broke.
-func (l *loop) fail(r *request) {
-	tokens := r.job.from
-	if r.job.running {
-		tokens = r.job.tokens(l.now, r.engine.pace)
-	}
-	ran := r.job.running
-	r.job = nil
-	if r.box.node == nil {
-		l.refused(r)
-		return
-	}
-	l.after(0, func() {
-		l.tell(r.box, func(n *cell.Node) {
-			n.Finished(l.now, r.id, cell.Result{Outcome: decide.Failed, Ran: ran, Tokens: tokens})
-		})
-	})
-}
-
-func (l *loop) breakEngine(e *engine) {
-	e.broken = true
-	for _, r := range l.all {
-		if r.engine == e && r.job != nil && !r.job.over {
-			e.end(l.now, r.job, true)
-			l.fail(r)
-		}
-	}
-}
-
 // refused is the final answer to a caller, who may come back at once.
 func (l *loop) refused(r *request) {
 	if r == nil || r.done {
@@ -426,34 +270,3 @@
 		e.news = e.news[:0]
 	}
 }
-
-// sendAtOnce is the baselines without coordination: a request goes to an engine
-// of its domain as it arrives, and waits there.
-func (l *loop) sendAtOnce(r *request) {
-	var best *engine
-	least := 0
-	for i := range l.engines {
-		e := l.engines[(r.box.next+i)%len(l.engines)]
-		if e.domain != r.box.domain || e.broken {
-			continue
-		}
-		load := 0
-		if l.policy == LeastLoad && len(e.samples) > 0 {
-			s := e.reportAt(l.now, l.lag)
-			load = s.running + s.waiting + r.box.sent[e.name]
-		}
-		if best == nil || load < least {
-			best, least = e, load
-		}
-	}
-	r.box.next++
-	if l.policy == FIFO {
-		for i, e := range l.engines {
-			if e == best {
-				r.box.next = i + 1
-			}
-		}
-	}
-	r.box.sent[best.name]++
-	l.send(r, best, 0)
-}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,75 @@
+package upstream
+
+// This file defines the connections to upstreams that rest between two calls. The invariant:
+// a connection that is handed out is known to be open, and carries one call at a time.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+)
+
+// conn is a connection to an upstream.
+type conn struct {
+	net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	reused bool
+}
+
+func (h *HTTP) get(ctx context.Context, address string) (*conn, error) {
+	h.mu.Lock()
+	if list := h.idle[address]; len(list) > 0 {
+		c := list[len(list)-1]
+		h.idle[address] = list[:len(list)-1]
+		h.mu.Unlock()
+		c.reused = true
+		return c, nil
+	}
+	h.mu.Unlock()
+	return h.dial(ctx, address)
+}
+
+func (h *HTTP) dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{Timeout: h.cfg.DialTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer)}, nil
+}
+
+// put keeps a connection whose answer was read to its end.
+func (h *HTTP) put(address string, c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || len(h.idle[address]) >= maxIdle || c.r.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	h.idle[address] = append(h.idle[address], c)
+}
+
+// alive reports whether an idle connection is still open: the upstream has
+// neither closed it nor sent anything that nobody asked for.
+func (c *conn) alive() bool {
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_, err := c.r.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// open returns a connection that is known to be open, so that a failure after
+// this has to do with the request.
+func (h *HTTP) open(ctx context.Context, address string) (*conn, error) {
+	for {
+		c, err := h.get(ctx, address)
+		if err != nil || !c.reused || c.alive() {
+			return c, err
+		}
+		_ = c.Close()
+	}
+}
