--- a/relay/belief.go
+++ b/relay/belief.go
@@ -17,8 +17,8 @@
 	mu        sync.Mutex // orders the writers
 	current   atomic.Pointer[route.Document]
 	known     chan struct{} // closed when there is a document
-	confirmed atomic.Int64 // time.Duration since the start
-	lost      bool         // the publisher could not be read; of the members' duty
+	confirmed atomic.Int64  // time.Duration since the start
+	lost      bool          // the publisher could not be read; of the members' duty
 }
 
 func newBelief() belief { return belief{known: make(chan struct{})} }
