--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -14,7 +14,8 @@
 
 // Upstream is an engine or a plain service as its own entry describes it.
 type Upstream struct {
-	ID      string // of this start of it; a new start has a new one
+	ID      string // a new start has a new one, or the same and a later Born
+	Born    int64  // when it started, Unix ms; 0: not known
 	Service string
 	Address string // IP:port
 	Domain  string // failure domain
@@ -22,7 +23,10 @@
 	Leaving bool   // it takes no new requests
 	// ColdFor is how much longer it is cold, as its entry says.
 	ColdFor  time.Duration
-	Revision uint64 // of its entry; of two that name the same address, the greater one holds
+	Revision uint64 // of its entry; of two that name the same address and no start, the greater one holds
+	// Orders is how many orders it has taken since its start; Counts says that its entry tells.
+	Orders uint64
+	Counts bool
 }
 
 // member is an upstream with what this box knows of it besides.
@@ -34,7 +38,7 @@
 	out      bool          // it cannot be reached
 	byDomain bool          // it was only left along with its domain, when it last came to be out
 	since    time.Duration // when it was first listed
-	key      uint32        // Key of its id
+	key      uint32        // of its life
 	tight    bool          // it is in the lane for tight streams
 	moved    time.Duration // when it came into its lane from the other
 
@@ -43,6 +47,11 @@
 	coldTill  time.Duration   // until when it is cold
 	ration    int             // requests that this box may send it within coldWindow while it is
 	coldSent  []time.Duration // when it sent those of the last coldWindow
+
+	brokeAt   time.Duration // when the connection of a run was last broken
+	breaks    int           // how many were at about that moment
+	doubted   bool          // there was a sign that it may have ended
+	doubtTill time.Duration // until then what others tell that it keeps may be of before that
 }
 
 // Config configures a Fleet.
@@ -64,8 +73,12 @@
 	byService map[string][]*member
 	byKey     map[uint32]*member
 	byAddress map[string]*member
-	loaded    []*member           // those on which others have work
-	services  map[string]*service // by name
+	waiting   map[string]*Upstream // by id: entries whose address another upstream has
+	lives     map[string]lastLife  // by id: the last that is known
+	named     map[string]bool      // services of the document in force; nil: none is known yet
+	latest    time.Duration        // when the list was last told of an entry
+	loaded    []*member            // those on which others have work
+	services  map[string]*service  // by name
 	kept      kept
 	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
 	domains   map[string]*domainReach // by name
@@ -93,6 +106,8 @@
 		byService: make(map[string][]*member),
 		byKey:     make(map[uint32]*member),
 		byAddress: make(map[string]*member),
+		waiting:   make(map[string]*Upstream),
+		lives:     make(map[string]lastLife),
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
@@ -141,5 +156,6 @@
 func (f *Fleet) Leave(id string) {
 	if m := f.byID[id]; m != nil {
 		m.Leaving = true
+		f.remember(m.Upstream)
 	}
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -16,6 +16,8 @@
 	Unreachable         // no connection came up, or it went silent
 	Ended               // another start of the upstream has its address now
 	Neutral             // ended for reasons that say nothing about the upstream
+	Closed              // nobody listens at its address
+	Broken              // the connection was reset or closed under a run
 )
 
 const (
@@ -47,7 +49,7 @@
 	case Answered:
 		h.failing *= failShare
 		h.inRow = 0
-	case Failed:
+	case Failed, Broken:
 		h.failing = h.failing*failShare + (1 - failShare)
 		h.inRow++
 		if h.inRow > 1 {
--- /dev/null
+++ b/balance/life.go
@@ -0,0 +1,152 @@
+package balance
+
+// This file defines the lives of an upstream. One that starts again under the id that it had
+// holds and knows nothing of before. The invariants: what was learned or told of an earlier
+// life says nothing of the present one; and once a life is known, no earlier one comes back,
+// whatever its entry's revision.
+
+import (
+	"cmp"
+	"strconv"
+	"time"
+)
+
+// Life is an upstream from one of its starts to its end.
+type Life struct {
+	ID   string
+	Born int64 // when it started, Unix ms as its own entry says; 0: not known
+}
+
+// Life is the life that an entry tells of.
+func (u Upstream) Life() Life { return Life{u.ID, u.Born} }
+
+// Key identifies a life where boxes tell each other of it. So what they tell of an earlier
+// life names nobody at a box that knows a later one, and the other way round.
+func (l Life) Key() uint32 {
+	if l.Born == 0 {
+		return Key(l.ID)
+	}
+	return Key(l.ID + "\x00" + strconv.FormatInt(l.Born, 10))
+}
+
+// After reports whether this is a later life of the same upstream than another. One that names
+// its start is later than one that does not: writers begin to name it with a start.
+func (l Life) After(o Life) bool { return l.ID == o.ID && l.Born > o.Born }
+
+// lastLife is what is remembered of the last known life of an upstream, for as long as the box
+// runs, also after its entry went.
+type lastLife struct {
+	born    int64
+	leaving bool // it took no new requests when it was last heard of
+}
+
+// maxLives bounds the lives that are remembered beside those of listed upstreams.
+const maxLives = 1 << 13
+
+// isPast reports whether an entry tells of a life before the last one that is known.
+func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
+
+// remember notes a life.
+func (f *Fleet) remember(u Upstream) {
+	if u.Born == 0 || u.Born < f.lives[u.ID].born {
+		return
+	}
+	leaving := u.Leaving || f.hasLeft(u.Life())
+	f.lives[u.ID] = lastLife{u.Born, leaving}
+	if len(f.lives) > len(f.byID)+len(f.waiting)+maxLives {
+		f.forgetLives()
+	}
+}
+
+// forgetLives forgets the lives of upstreams that are not listed.
+func (f *Fleet) forgetLives() {
+	for id := range f.lives {
+		if f.present(id) == nil {
+			delete(f.lives, id)
+		}
+	}
+}
+
+// hasLeft reports whether a life is known to take no new requests.
+func (f *Fleet) hasLeft(l Life) bool {
+	last := f.lives[l.ID]
+	return l.Born != 0 && last.born == l.Born && last.leaving
+}
+
+// present is what the entry in force of an upstream says, nil where there is none.
+func (f *Fleet) present(id string) *Upstream {
+	if m := f.byID[id]; m != nil {
+		return &m.Upstream
+	}
+	return f.waiting[id]
+}
+
+// isAnother reports whether an entry tells of another life than the one before. Where no start
+// is named, only a count that falls shows it: one that is leaving and then ready may also be an
+// entry that came late.
+func isAnother(before, u Upstream) bool {
+	if u.Life().After(before.Life()) {
+		return true
+	}
+	unnamed := u.Born == 0 && before.Born == 0
+	return unnamed && u.Counts && before.Counts && u.Revision > before.Revision && u.Orders < before.Orders
+}
+
+// lists reports whether a member is one of the present list, and not an earlier life whose
+// tickets are still open.
+func (f *Fleet) lists(m *member) bool { return f.byID[m.ID] == m }
+
+const (
+	// breakWithin is the span within which connections that one cause broke end.
+	breakWithin = 100 * time.Millisecond
+	// breaksFrom is how many of them, none being left, are a sign: one or two an upstream
+	// resets for its own reasons, such as too many connections.
+	breaksFrom = 3
+	// newsLag is how old what boxes tell each other may be: three steps of 100 ms, each told
+	// twice, and room for a slow box.
+	newsLag = 2 * time.Second
+)
+
+// broke notes that the connection of a run was reset or closed under it. Where all runs of this
+// box on an upstream end so at the same moment, it may have started again.
+func (f *Fleet) broke(now time.Duration, m *member) {
+	if now-m.brokeAt > breakWithin {
+		m.breaks = 0
+	}
+	m.brokeAt = now
+	m.breaks++
+	if m.breaks >= breaksFrom && m.work.upTo(Levels-1).Open == 0 {
+		f.doubt(now, m)
+	}
+}
+
+// doubt notes a sign that an upstream may have ended, before any entry says so. What it kept is
+// not believed any more, nor what others told of that before; its entry alone shows whether it
+// lives on, and what is sent to it from then on counts anew. Where it has not ended, its
+// prompts are read once more.
+func (f *Fleet) doubt(now time.Duration, m *member) {
+	if !f.lists(m) {
+		return
+	}
+	f.kept.forget(m)
+	m.since = now
+	m.doubted, m.doubtTill = true, now+newsLag
+}
+
+// believes reports whether what another box tells of the parts that an upstream keeps is
+// believed. While it cannot be reached after a sign, others may send to it in vain and tell so.
+func (m *member) believes(now time.Duration) bool {
+	if m.doubted && m.out {
+		m.doubtTill = now + newsLag
+	}
+	return !m.doubted || now >= m.doubtTill
+}
+
+// later compares two entries that name the same address, by their starts and then by their
+// revisions; 0 where neither says more than the other.
+func later(a, b Upstream) int {
+	if a.Born != 0 || b.Born != 0 {
+		return cmp.Compare(a.Born, b.Born)
+	}
+	return cmp.Compare(a.Revision, b.Revision)
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -1,33 +1,73 @@
 package balance
 
-// This file defines how the list of upstreams changes. The invariants: one that is leaving
-// stays so; and no two of them have the same address, since of those that name it the entry
-// with the greater revision is the newer start.
+// This file defines how the list of upstreams changes. The invariants: a life that is leaving
+// stays so; no two upstreams have the same address, since of those that name it the later start
+// has it; and an entry of a service that the document does not name takes nothing from others.
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
 // Put adds an upstream, or renews what is known of it, and returns the id of the one whose
-// address it has taken over, or an empty text. One that is leaving stays so: an entry that
-// says otherwise is an old one.
+// address it has taken over, or an empty text. An entry of an earlier life changes nothing; one
+// of a later life begins anew, and what was known goes with the life before. A life that is
+// leaving stays so: an entry that says otherwise is an old one.
 func (f *Fleet) Put(now time.Duration, u Upstream) (replaced string) {
-	if m := f.byID[u.ID]; m != nil && m.Service != u.Service {
-		f.Remove(u.ID) // it serves something else now
+	f.latest = max(f.latest, now)
+	if f.isPast(u) {
+		return ""
 	}
-	before := f.byAddress[u.Address]
-	if u.Address != "" && before != nil && before.ID != u.ID {
-		if before.Revision > u.Revision {
-			return "" // this is the entry of the one before, which goes when it has lapsed
+	u = f.renew(u)
+	if f.serves(u.Service) {
+		holder := f.byAddress[u.Address]
+		if contested := u.Address != "" && holder != nil && holder.ID != u.ID; contested {
+			if !f.takes(u, holder) {
+				f.wait(u)
+				return ""
+			}
+			f.wait(holder.Upstream)
+			replaced = holder.ID
 		}
-		f.Remove(before.ID)
-		replaced = before.ID
 	}
+	delete(f.waiting, u.ID)
 	f.put(now, u)
 	return replaced
 }
 
+// renew joins an entry with what is known of its upstream, which goes where the entry tells of
+// another life or serves something else.
+func (f *Fleet) renew(u Upstream) Upstream {
+	before := f.present(u.ID)
+	switch {
+	case before == nil:
+	case isAnother(*before, u), before.Service != u.Service:
+		f.remove(u.ID)
+	case u.Born == 0:
+		u.Born = before.Born // an entry that names no start tells of the life that is known
+	}
+	u.Leaving = u.Leaving || f.hasLeft(u.Life())
+	f.remember(u)
+	return u
+}
+
+// takes reports whether an entry takes its address from who has it: it is of a later start. One
+// that is known to have ended takes nothing, nor does one that says no more than the other.
+func (f *Fleet) takes(u Upstream, holder *member) bool {
+	if f.hasLeft(u.Life()) && !holder.Leaving {
+		return false
+	}
+	order := later(u, holder.Upstream)
+	return order > 0 || order == 0 && u.Born == 0
+}
+
+// wait puts an upstream aside whose address another one has, until that one goes.
+func (f *Fleet) wait(u Upstream) {
+	f.remove(u.ID)
+	f.waiting[u.ID] = &u
+}
+
 // put adds an upstream, or renews what is known of it.
 func (f *Fleet) put(now time.Duration, u Upstream) {
 	if m := f.byID[u.ID]; m != nil {
@@ -36,15 +76,15 @@
 			f.forgetAddress(m)
 		}
 		m.Upstream, m.evacuated = u, f.evacuated[u.Domain]
-		f.byAddress[u.Address] = m
+		f.noteAddress(m)
 		f.cool(now, m, u.ColdFor)
 		return
 	}
 	if len(f.byID) == 0 {
 		f.listed = now
 	}
-	m := &member{Upstream: u, since: now, moved: longAgo, key: Key(u.ID), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
-	f.byAddress[u.Address] = m
+	m := &member{Upstream: u, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	f.noteAddress(m)
 	f.cool(now, m, u.ColdFor)
 	if now-f.listed < firstList {
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
@@ -55,20 +95,105 @@
 	f.sharedAnew = true
 }
 
-// Remove forgets an upstream. Tickets that are open on it may still be closed.
+// Remove forgets an upstream; one that waits for its address gets it. Tickets that are open on
+// it may still be closed.
 func (f *Fleet) Remove(id string) {
+	m := f.byID[id]
+	f.remove(id)
+	if m != nil {
+		f.free(f.latest, m.Address)
+	}
+}
+
+// remove forgets an upstream.
+func (f *Fleet) remove(id string) {
+	delete(f.waiting, id)
 	m := f.byID[id]
 	if m == nil {
 		return
 	}
+	f.remember(m.Upstream)
 	delete(f.byID, id)
-	delete(f.byKey, m.key)
+	if f.byKey[m.key] == m {
+		delete(f.byKey, m.key)
+	}
 	f.forgetAddress(m)
 	f.serviceOf(m.Service).stale = true
 	f.kept.forget(m)
 	f.markIn(m) // it counts among those of a domain that is left no more
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
+	f.cold = slices.DeleteFunc(f.cold, isIt)
+}
+
+// free gives an address that nobody has any more to the latest of those that wait for it.
+func (f *Fleet) free(now time.Duration, address string) {
+	if address == "" || f.byAddress[address] != nil {
+		return
+	}
+	var next *Upstream
+	for _, u := range f.waiting {
+		if u.Address == address && (next == nil || later(*u, *next) > 0) {
+			next = u
+		}
+	}
+	if next != nil {
+		f.Put(now, *next)
+	}
+}
+
+// Named notes that an upstream which was meant answered that it is another one: that one has
+// the address, if its entry waits for it.
+func (f *Fleet) Named(now time.Duration, meant Life, said string) {
+	m, waits := f.byID[meant.ID], f.waiting[said]
+	if m == nil || m.Life() != meant || waits == nil || waits.Address != m.Address {
+		return
+	}
+	u := *waits
+	f.ended(m)
+	f.wait(m.Upstream)
+	f.Put(now, u)
+}
+
+// SetServices notes which services the document in force names.
+func (f *Fleet) SetServices(now time.Duration, names []string) {
+	f.named = make(map[string]bool, len(names))
+	for _, name := range names {
+		f.named[name] = true
+	}
+	for _, m := range f.membersInOrder() {
+		if !f.serves(m.Service) {
+			f.forgetAddress(m)
+			f.free(now, m.Address)
+		}
+	}
+	for _, m := range f.membersInOrder() {
+		if m.Address != "" && f.lists(m) && f.serves(m.Service) && f.byAddress[m.Address] != m {
+			u := m.Upstream
+			u.ColdFor = 0 // that was taken in before
+			f.Put(now, u)
+		}
+	}
+}
+
+// serves reports whether there is such a service, as far as is known.
+func (f *Fleet) serves(service string) bool { return f.named == nil || f.named[service] }
+
+// membersInOrder lists the upstreams by id.
+func (f *Fleet) membersInOrder() []*member {
+	list := make([]*member, 0, len(f.byID))
+	for _, m := range f.byID {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// noteAddress notes that an upstream has its address.
+func (f *Fleet) noteAddress(m *member) {
+	if f.serves(m.Service) {
+		f.byAddress[m.Address] = m
+	}
 }
 
 // forgetAddress forgets that an upstream has its address.
--- a/balance/load.go
+++ b/balance/load.go
@@ -33,11 +33,12 @@
 
 // LoadKey says whose load it is, where boxes tell each other.
 type LoadKey struct {
-	Upstream uint32 // Key of its id
+	Upstream uint32 // key of its life
 	Urgency  int
 }
 
-// Key identifies an upstream where boxes tell each other of it.
+// Key identifies an upstream of which no start is known, a service or a class, where boxes
+// tell each other of it.
 func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // work is the load by urgency.
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -59,6 +59,9 @@
 // Where others of its domain have failed alike, all of them are out; within its own
 // domain a box believes what it sees only.
 func (f *Fleet) unreached(now time.Duration, m *member) {
+	if !f.lists(m) {
+		return // an earlier life says nothing of the way there
+	}
 	d := f.domain(m.Domain)
 	d.noteFailure(now, !m.out)
 	f.markOut(m, false)
@@ -99,6 +102,9 @@
 
 // reached notes that an upstream can be reached, and with it its domain.
 func (f *Fleet) reached(m *member) {
+	if !f.lists(m) {
+		return
+	}
 	d := f.domain(m.Domain)
 	d.inRow = 0
 	f.markIn(m)
@@ -117,6 +123,17 @@
 	}
 }
 
+// ReachedLife notes that a trial connection to a life of an upstream came up, and reports
+// whether it is still the one that is listed.
+func (f *Fleet) ReachedLife(l Life) bool {
+	m := f.byID[l.ID]
+	if m == nil || m.Life() != l {
+		return false
+	}
+	f.reached(m)
+	return true
+}
+
 // Reached notes that a trial connection to an upstream came up.
 func (f *Fleet) Reached(id string) {
 	if m := f.byID[id]; m != nil {
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -21,7 +21,7 @@
 // Kept says that an upstream was sent a part of a prompt.
 type Kept struct {
 	Part     uint32 // PartKey of its id, or endedMark
-	Upstream uint32 // Key of its id
+	Upstream uint32 // key of its life
 }
 
 // endedMark stands in place of a part, and says that this start of the upstream has ended: it
@@ -66,7 +66,7 @@
 
 // ended notes that another start of an upstream has its address, and tells the other boxes.
 func (f *Fleet) ended(m *member) {
-	if m.Leaving || len(f.kept.news) >= maxNews {
+	if m.Leaving || !f.lists(m) || len(f.kept.news) >= maxNews {
 		return
 	}
 	f.leaveEnded(m)
@@ -77,6 +77,7 @@
 // entry goes, so that a late entry does not bring it back.
 func (f *Fleet) leaveEnded(m *member) {
 	m.Leaving = true
+	f.remember(m.Upstream)
 	f.kept.forget(m)
 }
 
@@ -98,7 +99,7 @@
 			f.leaveEnded(m)
 			continue
 		}
-		if f.cfg.Off[Parts] {
+		if f.cfg.Off[Parts] || !m.believes(now) {
 			continue
 		}
 		if x := f.kept.note(now, told.Part, m); x != nil {
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -106,12 +106,17 @@
 	if t.read {
 		t.fleet.serviceOf(t.request.Service).holding.end(now)
 	}
-	if !t.read && (outcome == Full || outcome == Unreachable || outcome == Ended) {
+	if !t.read && (outcome == Full || outcome == Unreachable || outcome == Closed || outcome == Ended) {
 		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
 	}
 	switch outcome {
 	case Unreachable:
 		t.fleet.unreached(now, t.member)
+	case Closed:
+		t.fleet.unreached(now, t.member)
+		t.fleet.doubt(now, t.member)
+	case Broken:
+		t.fleet.broke(now, t.member)
 	case Ended:
 		t.fleet.ended(t.member)
 	case Answered, Full:
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,7 +41,7 @@
 // which closes the connection under whoever reads from it.
 func (x *exchange) attempt(o outgoing) (runState, *answer, error) {
 	r := x.relay
-	c, err := r.conns.get(x.ctx, x.upstream.ID, x.upstream.Address, x.service)
+	c, err := r.conns.get(x.ctx, x.upstream, x.service)
 	if err != nil {
 		return runUnsent, nil, err
 	}
@@ -59,17 +59,19 @@
 	_, err = io.Copy(io.Discard, a.body)
 	r.finish(a, err == nil)
 	x.refusalStatus = a.header.StatusCode()
-	return runRefused, nil, r.whyRefused(&a.header, x.upstream.ID)
+	x.instead, err = r.whyRefused(&a.header, x.upstream.ID)
+	return runRefused, nil, err
 }
 
 // errReplaced says that another start of an upstream has its address now.
 var errReplaced = &Error{Op: "run", Kind: KindReplaced}
 
-// whyRefused says what an upstream's refusal tells besides; nil where that is nothing.
-func (r *Relay) whyRefused(h *fasthttp.ResponseHeader, meant string) error {
+// whyRefused says what an upstream's refusal tells besides: the id of the upstream that has the
+// address now; no error where that is the one that was meant, or not told.
+func (r *Relay) whyRefused(h *fasthttp.ResponseHeader, meant string) (id string, err error) {
 	started := headerValue(h, r.cfg.Protocol.Started)
 	if h.StatusCode() == fasthttp.StatusMisdirectedRequest && started != "" && started != meant {
-		return errReplaced
+		return started, errReplaced
 	}
-	return nil
+	return "", nil
 }
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/doormast/doormast/balance"
 )
 
 const (
@@ -29,8 +31,8 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	upstream string    // its id
-	keepTill time.Time // it may be used again up to then
+	life     balance.Life // of its upstream, that was listed when it was opened
+	keepTill time.Time    // it may be used again up to then
 }
 
 // conns keeps connections by upstream.
@@ -40,11 +42,12 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn // by upstream, the newest last
 	open   map[string]int     // connections by upstream, idle ones included
+	over   map[string]int64   // by upstream: lives that began up to then are over
 	closed bool               // none is kept any more
 }
 
 func newConns(limit func(string) int) *conns {
-	return &conns{limit: limit, idle: make(map[string][]*conn), open: make(map[string]int)}
+	return &conns{limit: limit, idle: make(map[string][]*conn), open: make(map[string]int), over: make(map[string]int64)}
 }
 
 // errConnections says that this box's share of an upstream's connections is used up.
@@ -52,9 +55,10 @@
 
 // get returns a connection that is known to be open, so that a failure after this
 // has to do with the request.
-func (p *conns) get(ctx context.Context, id, address, service string) (*conn, error) {
+func (p *conns) get(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
+	id := u.ID
 	for c := p.takeIdle(id); c != nil; c = p.takeIdle(id) {
-		if time.Now().Before(c.keepTill) && c.quiet() {
+		if c.life == u.Life() && time.Now().Before(c.keepTill) && c.quiet() {
 			return c, nil
 		}
 		p.drop(c)
@@ -62,12 +66,12 @@
 	if !p.reserve(id, p.limit(service)) {
 		return nil, errConnections
 	}
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, u.Address)
 	if err != nil {
 		p.release(id)
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), upstream: id}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), life: u.Life()}, nil
 }
 
 // quiet reports whether the upstream has neither closed the connection nor sent
@@ -122,7 +126,7 @@
 // drop closes a connection for good.
 func (p *conns) drop(c *conn) {
 	_ = c.Close()
-	p.release(c.upstream)
+	p.release(c.life.ID)
 }
 
 // keep puts a connection aside whose answer was read to its end; keepFor is the
@@ -134,8 +138,8 @@
 	c.keepTill = time.Now().Add(keepFor - idleMargin)
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
-	if !p.closed && c.reader.Buffered() == 0 {
-		p.idle[c.upstream] = append(p.idle[c.upstream], c)
+	if !p.closed && c.reader.Buffered() == 0 && !p.isOver(c.life) {
+		p.idle[c.life.ID] = append(p.idle[c.life.ID], c)
 		p.mu.Unlock()
 		return
 	}
@@ -143,6 +147,23 @@
 	p.drop(c)
 }
 
+// isOver reports whether a life is known to be over.
+func (p *conns) isOver(l balance.Life) bool {
+	born, ended := p.over[l.ID]
+	return ended && l.Born <= born
+}
+
+// end closes the idle connections of a life that is over; those that are in use are closed
+// when their answers have ended.
+func (p *conns) end(l balance.Life) {
+	if l.Born > 0 {
+		p.mu.Lock()
+		p.over[l.ID] = max(l.Born, p.over[l.ID])
+		p.mu.Unlock()
+	}
+	p.forget(l.ID)
+}
+
 // forget closes the idle connections of an upstream.
 func (p *conns) forget(id string) {
 	p.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -32,11 +32,12 @@
 	watch   *leaveWatch
 	release func() bool // undoes the closing of the current connection by ctx
 
-	tried         []string // upstreams it was sent to, or that could not be reached
-	sent          int      // runs begun
-	unsent        int      // upstreams that could not be reached
-	mayHave       bool     // a run may have happened
-	refusalStatus int      // status of the last refusal by an upstream
+	tried         []balance.Life // upstreams it was sent to, or that could not be reached
+	sent          int            // runs begun
+	unsent        int            // upstreams that could not be reached
+	mayHave       bool           // a run may have happened
+	refusalStatus int            // status of the last refusal by an upstream
+	instead       string         // id of the upstream that gave it, where that is not the one meant
 	ticket        *balance.Ticket
 	upstream      balance.Upstream
 	fetched       bool          // its upstream was told of another that keeps the prompt
--- a/relay/members.go
+++ b/relay/members.go
@@ -58,6 +58,7 @@
 	failures  int                      // readings that failed, in a row
 	packed    packedMessage            // the last one that was sent
 	missing   map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
+	refused   map[string]uint64        // by key: hash of the content that was last named in the log as not taken
 }
 
 func newMembers(r *Relay) (*members, error) {
@@ -68,6 +69,7 @@
 		kick:    make(chan struct{}, 1),
 		loaded:  make(chan struct{}, 1),
 		missing: make(map[string]time.Duration),
+		refused: make(map[string]uint64),
 	}
 	m.boxes.Store(int64(r.cfg.Boxes))
 	m.node = group.NewNode(group.Config{
--- a/relay/move.go
+++ b/relay/move.go
@@ -48,7 +48,7 @@
 	q := x.placement()
 	r.mu.Lock()
 	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	ok = ok && r.budget.Spend(r.now(), r.boxes())
+	ok = ok && r.isPresent(x.upstream) && r.budget.Spend(r.now(), r.boxes())
 	r.mu.Unlock()
 	if !ok {
 		return
@@ -76,7 +76,7 @@
 func (r *Relay) call(
 	ctx context.Context, u balance.Upstream, service string, call UpstreamCall,
 ) (status int, body []byte, err error) {
-	c, err := r.conns.get(ctx, u.ID, u.Address, service)
+	c, err := r.conns.get(ctx, u, service)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -107,6 +107,10 @@
 	if c.Name == "" {
 		return false
 	}
+	if x.relay.isOver(m.liesAt(c)) {
+		x.relay.dropCopy(m, c, x)
+		return false
+	}
 	x.endRun(false, balance.Neutral)
 	x.upstream = m.from
 	if c.Done {
@@ -116,8 +120,7 @@
 	n := x.nextRun("")
 	n.memory = c.Memory
 	if state, _ := x.send(n); state != runAnswered {
-		m.copied <- c
-		x.relay.giveUpCopy(m, x.request.id, x.service)
+		x.relay.dropCopy(m, c, x)
 		return false
 	}
 	x.moved = true
@@ -150,6 +153,12 @@
 	wake(r.members.loaded)
 }
 
+// dropCopy frees a copy that was made and is not used.
+func (r *Relay) dropCopy(m *move, c Copy, x *exchange) {
+	m.copied <- c
+	r.giveUpCopy(m, x.request.id, x.service)
+}
+
 // giveUpCopy frees what a move has taken that is not used.
 func (r *Relay) giveUpCopy(m *move, id, service string) {
 	go func() {
--- a/relay/news.go
+++ b/relay/news.go
@@ -17,6 +17,7 @@
 	Document *route.Document
 	Upstream *balance.Upstream
 	Gone     string // id of an upstream whose entry is gone
+	Unusable string // id of an upstream whose entry names none that can be used
 	// Evacuated is a failure domain to whose upstreams nothing more is to be sent, and
 	// TakenBack one that was evacuated and is so no longer.
 	Evacuated, TakenBack string
@@ -31,6 +32,9 @@
 	case n.Upstream != nil:
 		delete(missing, n.Upstream.ID)
 		r.takeUpstream(*n.Upstream)
+	case n.Unusable != "":
+		delete(missing, n.Unusable)
+		r.dropUpstream(n.Unusable, "entry unusable")
 	case n.Evacuated != "":
 		r.evacuate(n.Evacuated)
 	case n.TakenBack != "":
@@ -39,13 +43,14 @@
 	case r.now() < doubt:
 		missing[n.Gone] = doubt
 	default:
-		r.dropUpstream(n.Gone)
+		r.dropUpstream(n.Gone, "gone from the list")
 	}
 }
 
 // takeDocument puts a document in force where it is newer than the present one.
 func (r *Relay) takeDocument(d *route.Document) {
 	if r.belief.take(d) {
+		r.setServices(d)
 		r.setCold(d)
 		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
@@ -54,16 +59,28 @@
 // takeUpstream lists an upstream, or renews what is known of it.
 func (r *Relay) takeUpstream(u balance.Upstream) {
 	r.mu.Lock()
-	old := r.fleet.Get(u.ID)
-	changed := old == nil || old.Leaving != u.Leaving
+	var before balance.Upstream
+	if old := r.fleet.Get(u.ID); old != nil {
+		before = *old
+	}
 	replaced := r.fleet.Put(r.now(), u)
+	present, listed := r.listed(u.ID)
 	r.mu.Unlock()
+	if !listed {
+		return // its address has another one
+	}
+	u = present
+	isAnother := before.Life() != u.Life()
+	if isAnother && before.ID != "" {
+		r.startedAgain(before, u)
+	}
 	if replaced != "" {
 		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": replaced, "by": u.ID, "address": u.Address})
 		r.conns.forget(replaced)
 	}
-	if changed {
-		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
+	if isAnother || before.Leaving != u.Leaving {
+		r.endEarlierRuns(u)
+		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.Born, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
 			"cold_ms": u.ColdFor.Milliseconds()})
 	}
 }
@@ -99,14 +116,25 @@
 	}
 }
 
-// dropUpstream forgets an upstream and the connections to it that rest.
-func (r *Relay) dropUpstream(id string) {
+// setServices notes which services the document names: entries of others name nobody to use.
+func (r *Relay) setServices(d *route.Document) {
+	names := make([]string, 0, len(d.Services))
+	for _, s := range d.Services {
+		names = append(names, s.Name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.SetServices(r.now(), names)
+}
+
+// dropUpstream forgets an upstream and the connections to it that rest. The event says why.
+func (r *Relay) dropUpstream(id, event string) {
 	r.mu.Lock()
 	known := r.fleet.Get(id) != nil
 	r.fleet.Remove(id)
 	r.mu.Unlock()
 	if known {
-		r.cfg.Log.Event("upstream", "gone from the list", Fields{"upstream": id})
+		r.cfg.Log.Event("upstream", event, Fields{"upstream": id, "age_ms": r.age().Milliseconds()})
 		r.conns.forget(id)
 	}
 }
@@ -116,8 +144,8 @@
 	for _, item := range items {
 		news, err := m.relay.cfg.Decode(item)
 		if err != nil {
-			m.relay.cfg.Log.Event("published", "not taken", Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
-			continue
+			m.logRefused(item, err)
+			news = News{Unusable: news.Unusable}
 		}
 		m.relay.takeNews(news, m.node.Doubt(), m.missing)
 	}
@@ -129,7 +157,7 @@
 	for id, due := range m.missing {
 		if now >= due && now >= m.node.Doubt() {
 			delete(m.missing, id)
-			m.relay.dropUpstream(id)
+			m.relay.dropUpstream(id, "gone from the list")
 		}
 	}
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -100,10 +100,13 @@
 		x.mayHave = true
 	}
 	x.settle(outcome)
-	if outcome == balance.Unreachable || outcome == balance.Ended {
+	if outcome == balance.Ended {
+		x.relay.takeName(x.upstream.Life(), x.instead)
+	}
+	if isUnreached(outcome) || outcome == balance.Ended {
 		x.relay.conns.forget(x.upstream.ID)
 	}
-	if outcome == balance.Unreachable {
+	if isUnreached(outcome) {
 		x.relay.logUnreached(x.upstream.ID)
 		x.relay.tryLater()
 	}
@@ -120,16 +123,28 @@
 		return x.outcomeOf(int(status))
 	case state == runUnsent && errors.Is(err, errConnections):
 		return balance.Failed
+	case state == runUnsent && errors.Is(err, syscall.ECONNREFUSED):
+		return balance.Closed
 	case state == runUnsent, errors.Is(err, syscall.ETIMEDOUT):
 		return balance.Unreachable
 	case errors.Is(err, errReplaced):
 		return balance.Ended
 	case state == runRefused:
 		return balance.Full
+	case isBreak(err):
+		return balance.Broken
 	}
 	return balance.Failed
 }
 
+// isUnreached reports whether no connection came up, or one went silent.
+func isUnreached(o balance.Outcome) bool { return o == balance.Unreachable || o == balance.Closed }
+
+// isBreak reports whether the other side closed or reset a connection under a run.
+func isBreak(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
+}
+
 func (x *exchange) logFailed(state runState, err error) {
 	r := x.relay
 	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusalStatus,
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -59,7 +59,7 @@
 	q := x.placement()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice, ok := r.fleet.Place(r.now(), q, x.tried)
+	choice, ok := r.fleet.Place(r.now(), q, x.triedPresent())
 	if !ok {
 		x.comeBack = min(r.fleet.ColdLeft(r.now(), x.service), mostComeBack)
 		return choice, false
@@ -117,7 +117,7 @@
 // send sends the request for a run. With runAnswered, either the whole body has been read
 // or the stream's first events are pending.
 func (x *exchange) send(n run) (runState, []byte) {
-	x.tried = append(x.tried, x.upstream.ID)
+	x.tried = append(x.tried, x.upstream.Life())
 	state, a, err := x.attempt(x.relay.outgoing(x.request, n))
 	if state != runUnsent {
 		x.sent++
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -93,7 +93,11 @@
 // goOn takes a stream up at another upstream after its run broke off.
 func (x *exchange) goOn(cause error) bool {
 	head := x.answer
-	x.endRun(false, balance.Failed)
+	outcome := balance.Failed
+	if isBreak(cause) {
+		outcome = balance.Broken
+	}
+	x.endRun(false, outcome)
 	x.failed(runUnknown, cause)
 	for x.route.Resumable && x.events.seen && !x.relay.cfg.Off[balance.Resuming] && x.mayRunAgain(runUnknown) {
 		choice, ok := x.place()
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -59,27 +59,30 @@
 
 // try opens a connection and closes it.
 func (r *Relay) try(ctx context.Context, id, address string) {
+	life := r.lifeOf(id)
 	c, err := dial(ctx, address)
 	if err != nil {
-		r.moveRuns(id)
+		r.moveRuns(life)
 		return // it is tried again
 	}
 	_ = c.Close()
 	r.mu.Lock()
-	r.fleet.Reached(id)
+	isListed := r.fleet.ReachedLife(life)
 	r.mu.Unlock()
-	r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id})
+	if isListed {
+		r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id, "born": life.Born})
+	}
 }
 
-// moveRuns ends the runs on an upstream that is out of reach, where the request may
+// moveRuns ends the runs on a life of an upstream that is out of reach or over, where the request may
 // run again: it goes on elsewhere, instead of waiting until the connection is known
 // to be dead. It is only called once a trial has failed as well: engines that are overrun
 // let connections wait too.
-func (r *Relay) moveRuns(id string) {
+func (r *Relay) moveRuns(l balance.Life) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for x, c := range r.runs {
-		if c.upstream == id && x.route.Again() {
+		if c.life == l && x.route.Again() {
 			_ = c.Close()
 		}
 	}
