--- a/balance/life.go
+++ b/balance/life.go
@@ -38,11 +38,22 @@
 type lastLife struct {
 	born    int64
 	leaving bool // it took no new requests when it was last heard of
+	// doubtTill is until when what others tell that it keeps may be of before a sign that it
+	// may have ended; its entry may go and come back meanwhile.
+	doubtTill time.Duration
 }
 
 // maxLives bounds the lives that are remembered beside those of listed upstreams.
 const maxLives = 1 << 13
 
+// recall takes over what is remembered of a life that is listed again.
+func (f *Fleet) recall(m *member) {
+	if last := f.lives[m.ID]; m.Born != 0 && last.born == m.Born {
+		m.doubtTill = last.doubtTill
+		m.doubted = m.doubtTill > 0
+	}
+}
+
 // isPast reports whether an entry tells of a life before the last one that is known.
 func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
 
@@ -51,8 +62,12 @@
 	if u.Born == 0 || u.Born < f.lives[u.ID].born {
 		return
 	}
-	leaving := u.Leaving || f.hasLeft(u.Life())
-	f.lives[u.ID] = lastLife{u.Born, leaving}
+	last := f.lives[u.ID]
+	if last.born != u.Born {
+		last = lastLife{born: u.Born}
+	}
+	last.leaving = last.leaving || u.Leaving
+	f.lives[u.ID] = last
 	if len(f.lives) > len(f.byID)+len(f.waiting)+maxLives {
 		f.forgetLives()
 	}
@@ -131,13 +146,23 @@
 	f.kept.forget(m)
 	m.since = now
 	m.doubted, m.doubtTill = true, now+newsLag
+	f.rememberDoubt(m)
+}
+
+// rememberDoubt notes the doubt about a life for when its entry goes and comes back.
+func (f *Fleet) rememberDoubt(m *member) {
+	if last, known := f.lives[m.ID]; known && last.born == m.Born {
+		last.doubtTill = m.doubtTill
+		f.lives[m.ID] = last
+	}
 }
 
 // believes reports whether what another box tells of the parts that an upstream keeps is
 // believed. While it cannot be reached after a sign, others may send to it in vain and tell so.
-func (m *member) believes(now time.Duration) bool {
+func (f *Fleet) believes(now time.Duration, m *member) bool {
 	if m.doubted && m.out {
 		m.doubtTill = now + newsLag
+		f.rememberDoubt(m)
 	}
 	return !m.doubted || now >= m.doubtTill
 }
--- /dev/null
+++ b/balance/life_test.go
@@ -0,0 +1,315 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// entryOf is an entry of an upstream that names its start.
+func entryOf(id string, born int64, revision uint64) Upstream {
+	return Upstream{ID: id, Born: born, Service: "s", Address: "10.1.0.1:1", Domain: "d1", Slots: 8, Revision: revision}
+}
+
+func leaving(u Upstream) Upstream {
+	u.Leaving = true
+	return u
+}
+
+// counting is an entry that tells how many orders the upstream has taken.
+func counting(u Upstream, orders uint64) Upstream {
+	u.Orders, u.Counts = orders, true
+	return u
+}
+
+func TestWhatAnEntrySaysOfLives(t *testing.T) {
+	unnamed := func(revision uint64) Upstream { return entryOf("u", 0, revision) }
+	for _, c := range []struct {
+		name    string
+		entries []Upstream
+		born    int64
+		leaving bool
+		anew    bool // what was known before the last entry is gone
+	}{
+		{"a later life", []Upstream{entryOf("u", 100, 1), entryOf("u", 200, 2)}, 200, false, true},
+		{"a later life after leaving", []Upstream{leaving(entryOf("u", 100, 1)), entryOf("u", 200, 2)}, 200, false, true},
+		{"a later life whose entry came first", []Upstream{entryOf("u", 200, 2), entryOf("u", 100, 1)}, 200, false, false},
+		{"an earlier life with a greater revision", []Upstream{entryOf("u", 200, 2), leaving(entryOf("u", 100, 9))}, 200, false, false},
+		{"the same life, ready after leaving", []Upstream{leaving(entryOf("u", 100, 1)), entryOf("u", 100, 2)}, 100, true, false},
+		{"the same life", []Upstream{entryOf("u", 100, 1), entryOf("u", 100, 2)}, 100, false, false},
+		{"a life after a writer that names none", []Upstream{leaving(unnamed(1)), entryOf("u", 100, 2)}, 100, false, true},
+		{"a writer that names none after a life", []Upstream{entryOf("u", 100, 1), unnamed(2)}, 100, false, false},
+		{"none named, ready after leaving", []Upstream{leaving(unnamed(1)), unnamed(2)}, 0, true, false},
+		{"none named, the count falls", []Upstream{leaving(counting(unnamed(1), 5)), counting(unnamed(2), 1)}, 0, false, true},
+		{"none named, the count falls in a late entry", []Upstream{leaving(counting(unnamed(3), 5)), counting(unnamed(2), 1)}, 0, true, false},
+		{"none named, the count is not told", []Upstream{leaving(counting(unnamed(1), 5)), unnamed(2)}, 0, true, false},
+		{"none named, the count rises", []Upstream{leaving(counting(unnamed(1), 5)), counting(unnamed(2), 6)}, 0, true, false},
+		{"a count that falls in the same life", []Upstream{leaving(counting(entryOf("u", 100, 1), 5)), counting(entryOf("u", 100, 2), 0)}, 100, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(0)
+			last := len(c.entries) - 1
+			for _, u := range c.entries[:last] {
+				f.Put(0, u)
+			}
+			before := f.byID["u"]
+			f.Put(time.Minute, c.entries[last])
+			u := f.Get("u")
+			is.Equal(u.Born, c.born)
+			is.Equal(u.Leaving, c.leaving)
+			is.Equal(f.byID["u"] != before, c.anew)
+		})
+	}
+}
+
+// All that was known goes with a life, and its open requests end without harm to the next.
+func TestNothingOfALifeIsKnownOfTheNext(t *testing.T) {
+	is := is.New(t)
+	f := knowing(3)
+	f.Put(0, entryOf("u", 100, 1))
+	old := f.byID["u"]
+	var open []*Ticket
+	for range 4 {
+		open = append(open, f.Open(0, "u", prompt(7)))
+	}
+	f.Open(0, "u", prompt(7)).Close(0, Failed)
+	f.Open(0, "u", prompt(7)).Close(0, Failed)
+	f.SetOthers(map[LoadKey]Load{{old.key, 0}: {Open: 3, Unread: 100}})
+	f.cool(0, old, time.Hour)
+	is.True(f.kept.holds(0, PartKey(7), old))
+	news := f.KeptNews()
+
+	f.Put(time.Second, entryOf("u", 200, 2))
+	m := f.byID["u"]
+	is.Equal(m.underWay(), Load{})
+	is.Equal(m.health, health{})
+	is.True(!f.kept.holds(time.Second, PartKey(7), m))
+	is.Equal(m.coldTill, longAgo)
+	is.Equal(f.Loads(), map[LoadKey]Load{})
+	f.NoteKept(time.Second, news) // a box that does not know the new life yet
+	f.NoteOthers(map[LoadKey]Load{{old.key, 0}: {Open: 3}})
+	is.True(!f.kept.holds(time.Second, PartKey(7), m))
+	is.Equal(m.underWay(), Load{})
+	for i, outcome := range []Outcome{Unreachable, Ended, Closed, Broken} {
+		open[i].Close(time.Second, outcome)
+	}
+	is.True(!m.out && !m.Leaving && !m.doubted)
+	is.Equal(m.health, health{})
+	is.Equal(f.domain("d1").inRow, 0) // nothing of it says that the domain is cut off
+	is.Equal(len(f.NewlyLost()), 0)
+	is.Equal(len(f.KeptNews()), 0)
+	f.Open(time.Second, "u", prompt(8)).Close(time.Second, Answered)
+	is.Equal(m.underWay(), Load{})
+}
+
+// Boxes that disagree on which life is the present one tell each other nothing that the other
+// believes, either way round.
+func TestBoxesThatDisagreeBelieveNothingOfEachOther(t *testing.T) {
+	is := is.New(t)
+	behind, ahead := knowing(3), knowing(3)
+	behind.Put(0, entryOf("u", 100, 1))
+	ahead.Put(0, entryOf("u", 200, 2))
+	for _, pair := range [][2]*Fleet{{behind, ahead}, {ahead, behind}} {
+		teller, hearer := pair[0], pair[1]
+		teller.Open(0, "u", prompt(7))
+		hearer.NoteKept(0, teller.KeptNews())
+		hearer.SetOthers(teller.Loads())
+		m := hearer.byID["u"]
+		is.Equal(m.others, work{})
+	}
+	is.Equal(len(behind.kept.keepers[PartKey(7)]), 1) // by its own request
+	behind.Put(0, entryOf("u", 200, 2))
+	is.Equal(len(behind.kept.keepers), 0)
+	behind.SetOthers(ahead.Loads())
+	is.Equal(behind.byID["u"].others.upTo(Levels-1).Open, 1)
+}
+
+func TestAnEndedLifeDoesNotComeBack(t *testing.T) {
+	is := is.New(t)
+	f := knowing(3)
+	f.Put(0, entryOf("u", 100, 1))
+	f.Open(0, "u", prompt(7)).Close(0, Ended)
+	is.True(f.Get("u").Leaving)
+	f.Remove("u") // its entry lapses with the store
+	f.Put(time.Minute, entryOf("u", 100, 5))
+	is.True(f.Get("u").Leaving)
+	f.Remove("u")
+	f.Put(time.Minute, entryOf("u", 90, 9)) // an entry of an earlier life
+	is.Equal(f.Get("u"), nil)
+	f.Put(time.Minute, entryOf("u", 200, 6))
+	is.True(!f.Get("u").Leaving)
+}
+
+func TestTheLivesThatAreRememberedAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("stays", 100, 1))
+	for i := range maxLives + 10 {
+		id := fmt.Sprint("u", i)
+		u := entryOf(id, 100, 1)
+		u.Address = ""
+		f.Put(0, u)
+		f.Remove(id)
+	}
+	is.True(len(f.lives) <= maxLives+1)
+	is.True(f.isPast(entryOf("stays", 99, 2)))
+}
+
+// What may be a sign that an upstream has ended, before its entry says so.
+func TestSignsThatALifeHasEnded(t *testing.T) {
+	ends := func(f *Fleet, open []*Ticket, gap time.Duration, outcomes ...Outcome) time.Duration {
+		now := time.Second
+		for i, o := range outcomes {
+			now += gap
+			open[i].Close(now, o)
+		}
+		return now
+	}
+	for _, c := range []struct {
+		name     string
+		outcomes []Outcome
+		gap      time.Duration
+		keeps    bool
+	}{
+		{"all connections at once", []Outcome{Broken, Broken, Broken, Broken}, 20 * time.Millisecond, false},
+		{"all, one after the other", []Outcome{Broken, Broken, Broken, Broken}, time.Second, true},
+		{"some", []Outcome{Broken, Broken, Broken}, 20 * time.Millisecond, true},
+		{"failures of another kind", []Outcome{Failed, Failed, Failed, Failed}, 0, true},
+		{"nobody listens", []Outcome{Closed}, 0, false},
+		{"no connection comes up", []Outcome{Unreachable}, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(3)
+			f.Put(0, entryOf("u", 100, 1))
+			m := f.byID["u"]
+			var open []*Ticket
+			for range 4 {
+				ticket := f.Open(0, "u", prompt(7))
+				ticket.First(0)
+				open = append(open, ticket)
+			}
+			news := f.KeptNews()
+			now := ends(f, open, c.gap, c.outcomes...)
+			is.Equal(f.kept.holds(now, PartKey(7), m), c.keeps)
+			f.NoteKept(now+newsLag-1, news) // told before the sign
+			is.Equal(f.kept.holds(now+newsLag-1, PartKey(7), m), true == c.keeps)
+			f.reached(m)
+			f.NoteKept(now+2*newsLag, news) // and what is told later
+			is.True(f.kept.holds(now+2*newsLag, PartKey(7), m))
+		})
+	}
+}
+
+// While an upstream is down, boxes that have not noticed go on telling what they sent there.
+func TestWhatIsToldWhileItIsDownIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	f := knowing(3)
+	f.Put(0, entryOf("u", 100, 1))
+	m := f.byID["u"]
+	f.Open(0, "u", prompt(7)).Close(0, Closed)
+	news := []Kept{{PartKey(7), m.key}}
+	f.NoteKept(time.Minute, news)
+	is.True(f.ReachedLife(Life{"u", 100}))
+	f.NoteKept(time.Minute+newsLag/2, news)
+	is.True(!f.kept.holds(time.Minute+newsLag/2, PartKey(7), m))
+	f.NoteKept(time.Minute+newsLag, news)
+	is.True(f.kept.holds(time.Minute+newsLag, PartKey(7), m))
+}
+
+func TestATrialOfAnEarlierLifeSaysNothing(t *testing.T) {
+	is := is.New(t)
+	f := knowing(3)
+	f.Put(0, entryOf("u", 200, 1))
+	f.Open(0, "u", prompt(7)).Close(0, Unreachable)
+	is.True(!f.ReachedLife(Life{"u", 100}))
+	is.True(f.byID["u"].out)
+	is.True(f.ReachedLife(Life{"u", 200}))
+	is.True(!f.byID["u"].out)
+}
+
+func TestWhoHasAnAddress(t *testing.T) {
+	other := func(u Upstream) Upstream {
+		u.Service = "unknown"
+		return u
+	}
+	for _, c := range []struct {
+		name    string
+		entries []Upstream
+		want    []string
+	}{
+		{"the later start", []Upstream{entryOf("a", 100, 9), entryOf("b", 200, 3)}, []string{"b"}},
+		{"the later start, told first", []Upstream{entryOf("b", 200, 3), entryOf("a", 100, 9)}, []string{"b"}},
+		{"a copy of an entry", []Upstream{entryOf("a", 100, 1), entryOf("copy", 100, 9)}, []string{"a"}},
+		{"one that names no start", []Upstream{entryOf("a", 100, 1), entryOf("b", 0, 9)}, []string{"a"}},
+		{"one after a writer that names none", []Upstream{entryOf("a", 0, 9), entryOf("b", 100, 3)}, []string{"b"}},
+		{"one of a service that is not named", []Upstream{entryOf("a", 100, 1), other(entryOf("b", 200, 9))}, []string{"a", "b"}},
+		{"one whose service is not named is taken from", []Upstream{other(entryOf("b", 200, 9)), entryOf("a", 100, 1)}, []string{"a", "b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(0)
+			f.SetServices(0, []string{"s"})
+			for _, u := range c.entries {
+				f.Put(0, u)
+			}
+			ids := f.IDs()
+			slices.Sort(ids)
+			is.Equal(ids, c.want)
+		})
+	}
+}
+
+// One that has lost its address to an entry of another writer gets it back: as soon as the
+// upstream itself says who it is, or when that entry goes.
+func TestAnAddressGoesBackToWhoHasIt(t *testing.T) {
+	for name, end := range map[string]func(f *Fleet){
+		"the upstream says who it is": func(f *Fleet) {
+			f.Open(time.Second, "false", prompt(1)).Close(time.Second, Ended)
+			f.Named(time.Second, Life{"false", 900}, "true")
+		},
+		"the entry goes": func(f *Fleet) { f.Remove("false") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(0)
+			f.Put(0, entryOf("true", 100, 1))
+			is.Equal(f.Put(0, entryOf("false", 900, 2)), "true")
+			f.Put(0, entryOf("true", 100, 3)) // it renews its entry, and goes on to wait
+			is.Equal(f.IDs(), []string{"false"})
+			end(f)
+			is.Equal(f.IDs(), []string{"true"})
+			is.True(!f.Get("true").Leaving)
+			if name == "the entry goes" {
+				return
+			}
+			f.Put(time.Second, entryOf("false", 900, 5)) // what is known to have ended takes nothing
+			is.Equal(f.IDs(), []string{"true"})
+			f.Remove("true")
+			f.Named(time.Second, Life{"none", 1}, "true")
+		})
+	}
+}
+
+// Which services there are is said by the document in force, which may come later and change.
+func TestAnEntryMayComeBeforeItsService(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("a", 100, 1)) // no document yet
+	late := entryOf("late", 200, 2)
+	late.Service = "new"
+	f.SetServices(0, []string{"s"})
+	f.Put(0, late)
+	is.Equal(len(f.IDs()), 2)
+	f.SetServices(0, []string{"s", "new"}) // it started later, so it has the address
+	is.Equal(f.IDs(), []string{"late"})
+	f.SetServices(0, []string{"s"}) // the service is taken away again
+	ids := f.IDs()
+	slices.Sort(ids)
+	is.Equal(ids, []string{"a", "late"})
+	is.Equal(f.byAddress["10.1.0.1:1"].ID, "a")
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -84,6 +84,7 @@
 		f.listed = now
 	}
 	m := &member{Upstream: u, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	f.recall(m)
 	f.noteAddress(m)
 	f.cool(now, m, u.ColdFor)
 	if now-f.listed < firstList {
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -99,7 +99,7 @@
 			f.leaveEnded(m)
 			continue
 		}
-		if f.cfg.Off[Parts] || !m.believes(now) {
+		if f.cfg.Off[Parts] || !f.believes(now, m) {
 			continue
 		}
 		if x := f.kept.note(now, told.Part, m); x != nil {
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -83,13 +83,21 @@
 		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
 			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft)
 	}
-	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS")
+	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS\tBORN")
 	for _, u := range all[0].Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread, bornAt(u))
 	}
 	return tw.Flush()
 }
 
+// bornAt is when the life began that an upstream is in, as its own entry says.
+func bornAt(u *wire.UpstreamRow) string {
+	if u.Born == 0 {
+		return "not known"
+	}
+	return time.UnixMilli(u.Born).UTC().Format(time.RFC3339Nano)
+}
+
 func upstreamState(u *wire.UpstreamRow) string {
 	switch {
 	case u.Leaving:
--- a/relay/state.go
+++ b/relay/state.go
@@ -33,7 +33,7 @@
 	defer r.mu.Unlock()
 	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
 	for _, u := range r.fleet.View(r.now()) {
-		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Id: u.ID, Service: u.Service, Address: u.Address, Domain: u.Domain,
+		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Id: u.ID, Born: u.Born, Service: u.Service, Address: u.Address, Domain: u.Domain,
 			Leaving: u.Leaving, Out: u.Out, Tight: u.Tight, Evacuated: u.Evacuated, ColdLeft: uint64(u.ColdLeft.Microseconds()),
 			Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -82,6 +82,15 @@
 		w.store.Put(platform.EvacuationItem(d, false))
 		return func() { w.store.Put(platform.EvacuationItem(d, true)) }
 	}},
+	{"start an upstream again under its id", func(w *world) func() {
+		u := pick(w, w.upstreams)
+		u.crash()
+		return func() {
+			if err := w.startAgain(u); err != nil {
+				w.ledger.violate("start an upstream again: %v", err)
+			}
+		}
+	}},
 	{"replace an upstream", func(w *world) func() {
 		i := w.random.IntN(len(w.upstreams))
 		old := w.upstreams[i]
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,9 +17,10 @@
 	"github.com/doormast/doormast/platform"
 )
 
-// upstream is one start of an upstream.
+// upstream is one life of an upstream.
 type upstream struct {
 	id, domain string
+	born       int64 // Unix ms
 	world      *world
 	gate       *gate
 	server     *http.Server
@@ -37,17 +40,42 @@
 	if err != nil {
 		return err
 	}
-	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g, coldTill: time.Now().Add(cold)}
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
-	go func() { _ = u.server.Serve(l) }()
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), born: time.Now().UnixMilli(), world: w, gate: g, coldTill: time.Now().Add(cold)}
+	u.serve(l)
 	w.upstreams = append(w.upstreams, u)
 	w.list(u, false)
 	return nil
 }
 
+func (u *upstream) serve(l net.Listener) {
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
+	go func() { _ = u.server.Serve(l) }()
+}
+
 func (u *upstream) close() {
 	u.gate.close()
-	_ = u.server.Close()
+	u.crash()
+}
+
+// crash ends an upstream and all its connections at once; it says nothing of that.
+func (u *upstream) crash() { _ = u.server.Close() }
+
+// startAgain begins another life of an upstream that has crashed, under its id and address. It
+// does nothing where the upstream was replaced meanwhile, or has started again.
+func (w *world) startAgain(before *upstream) error {
+	i := slices.Index(w.upstreams, before)
+	if i < 0 {
+		return nil
+	}
+	l, err := net.Listen("tcp", before.gate.target)
+	if err != nil {
+		return err
+	}
+	u := &upstream{id: before.id, domain: before.domain, born: max(time.Now().UnixMilli(), before.born+1), world: w, gate: before.gate}
+	u.serve(l)
+	w.upstreams[i] = u
+	w.list(u, false)
+	return nil
 }
 
 const (
