--- /dev/null
+++ b/relay/lives_test.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/mirror"
+)
+
+// listBorn lists an upstream in a life.
+func (b *bench) listBorn(s *stub, born int64, leaving bool) {
+	b.board.set(s.id, balance.Upstream{ID: s.id, Born: born, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Leaving: leaving}, false)
+}
+
+// bornOf is the life that the relay has an upstream listed in; -1 where it is not listed.
+func (b *bench) bornOf(id string) int64 {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	if u := b.relay.fleet.Get(id); u != nil {
+		return u.Born
+	}
+	return -1
+}
+
+// await waits until an upstream is listed in a life.
+func (b *bench) await(id string, born int64) {
+	b.t.Helper()
+	b.until(func() bool { return b.bornOf(id) == born })
+}
+
+// again is another life of a stub, at the same address. Connections to the one before stay open
+// and silent, as those of a machine that lost its power.
+func (s *stub) again(t *testing.T, script func(net.Conn, stubRequest) bool) *stub {
+	t.Helper()
+	address := s.listener.Addr().String()
+	if err := s.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := &stub{id: s.id, listener: l, script: script, ended: make(chan struct{}, 100)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go next.serve(c)
+		}
+	}()
+	return next
+}
+
+// An upstream starts again under its id and address amid streams, and its connections say nothing
+// of that: streams that may be resumed go on at once at its new life, though no other upstream is
+// there; a request that may run once keeps its connection, in case its answer still comes.
+func TestAnUpstreamStartsAgainAmidStreams(t *testing.T) {
+	is := is.New(t)
+	answer := make(chan struct{})
+	first := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+		if strings.HasPrefix(r.URL.Path, "/once/") {
+			<-answer
+			return answerOK("late")(c, r)
+		}
+		startStream(c, r)
+		chunk(c, event(1))
+		<-answer
+		return false
+	})
+	b := newBench(t, first)
+	b.listBorn(first, 100, false)
+	b.await("u", 100)
+	const streams = 5
+	flows, once, fixed := make(chan answered, streams), make(chan answered, 1), make(chan answered, 1)
+	for i := range streams {
+		go func() { flows <- b.do(b.request("POST", fmt.Sprintf("/flow/%d", i), "")) }()
+	}
+	go func() { once <- b.do(b.request("POST", "/once/x", "")) }()
+	go func() { fixed <- b.do(b.request("POST", "/fixed/x", "")) }()
+	b.until(func() bool { return len(first.requests()) == streams+2 })
+
+	next := first.again(t, func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		for id := 1; id <= 2; id++ {
+			if fmt.Sprint(id) != r.Header.Get("X-Last") {
+				chunk(c, event(id))
+			}
+		}
+		chunk(c, "")
+		return true
+	})
+	b.listBorn(next, 200, false)
+	for range streams {
+		a := <-flows
+		is.NoErr(a.err)
+		is.Equal(a.body, event(1)+event(2))
+	}
+	is.True(b.log.contains("upstream: started again"))
+	is.Equal(len(next.requests()), streams)
+	close(answer)
+	is.Equal((<-once).body, "late")
+	is.True((<-fixed).err != nil) // it broke off in its own life, and may not run again
+	is.Equal(len(next.requests()), streams)
+}
+
+// What an upstream's entry says, in turn, and whether it gets requests then.
+func TestAnUpstreamThatDrainedComesBack(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerOK("u"))
+	b := newBench(t, u)
+	gets := func() bool { return b.do(b.request("GET", "/safe/x", "")).status == 200 }
+	b.listBorn(u, 100, true)
+	b.await("u", 100)
+	is.True(!gets())
+	b.listBorn(u, 100, false) // an entry that came late: one that is leaving stays so
+	b.board.set("mark", balance.Upstream{ID: "mark", Service: "x", Born: 1}, false)
+	b.await("mark", 1)
+	is.True(!gets())
+	b.listBorn(u, 200, false)
+	b.await("u", 200)
+	is.True(gets())
+	b.listBorn(u, 100, true) // of the earlier life, whatever its revision
+	b.board.set("mark", balance.Upstream{ID: "mark", Service: "x", Born: 2}, false)
+	b.await("mark", 2)
+	is.Equal(b.bornOf("u"), int64(200))
+	is.True(gets())
+}
+
+// A connection that rests is not used for another life, though it is open.
+func TestNoConnectionOfAnEarlierLifeIsUsed(t *testing.T) {
+	is := is.New(t)
+	first := newStub(t, "u", answerOK("first"))
+	b := newBench(t, first)
+	b.listBorn(first, 100, false)
+	b.await("u", 100)
+	is.Equal(b.do(b.request("GET", "/safe/a", "")).body, "first")
+	next := first.again(t, answerOK("next"))
+	b.listBorn(next, 200, false)
+	b.await("u", 200)
+	is.Equal(b.do(b.request("POST", "/once/b", "")).body, "next")
+	<-first.ended // the box has closed it
+}
+
+// A connection that is given back after its life was over is not kept.
+func TestAConnectionIsNotKeptBeyondItsLife(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerOK("ok"))
+	p := newConns(func(string) int { return 9 })
+	life := balance.Upstream{ID: "u", Born: 100, Address: u.listener.Addr().String()}
+	c, err := p.get(context.Background(), life, "s")
+	is.NoErr(err)
+	p.end(life.Life())
+	p.keep(c, time.Minute)
+	is.Equal(len(p.idle["u"]), 0)
+	is.Equal(p.open["u"], 0)
+	life.Born = 200
+	c, err = p.get(context.Background(), life, "s")
+	is.NoErr(err)
+	p.keep(c, time.Minute)
+	is.Equal(len(p.idle["u"]), 1)
+}
+
+// An entry that names no upstream to use: the one that was sound at its key is used no more, all
+// others are; the log names it once, with its key.
+func TestAnEntryOfAnotherWriter(t *testing.T) {
+	is := is.New(t)
+	u1, u2 := newStub(t, "u1", answerOK("1")), newStub(t, "u2", answerOK("2"))
+	b := newBench(t, u1, u2)
+	for range 3 {
+		b.board.set("u1", "what is this", false)
+	}
+	b.until(func() bool { return b.known() == 1 })
+	for i := range 10 {
+		is.Equal(b.do(b.request("GET", fmt.Sprintf("/safe/%d", i), "")).body, "2")
+	}
+	b.list(u1, false) // its writer writes it again
+	b.until(func() bool { return b.known() == 2 })
+	b.list(u2, true)
+	b.until(func() bool { return b.do(b.request("GET", "/safe/x", "")).body == "1" })
+	is.True(b.log.contains("entry unusable"))
+	b.until(func() bool { return b.log.contains("published: not taken") })
+	is.Equal(b.log.count("published: not taken"), 1)
+}
+
+// count is how often a text was written.
+func (l *lockedText) count(s string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), s)
+}
+
+// wrongField is an error that names the field that is wrong.
+type wrongField struct{ error }
+
+func (wrongField) BadField() string { return "slots" }
+
+func TestWhatIsNotTakenIsNamedOnceForEachContent(t *testing.T) {
+	is := is.New(t)
+	var text lockedText
+	log := NewLog("box", &text)
+	m := &members{relay: &Relay{cfg: Config{Log: log}, stats: newStats()}, refused: make(map[string]uint64)}
+	err := wrongField{errors.New("no")}
+	for _, it := range []mirror.Item{{Key: "a", Value: []byte("1")}, {Key: "a", Value: []byte("1"), Revision: 2}, {Key: "b", Value: []byte("1")}, {Key: "a", Value: []byte("2")}} {
+		m.logRefused(it, err)
+	}
+	is.NoErr(log.Close())
+	is.Equal(text.count("published: not taken"), 3)
+	is.Equal(text.count(`"field":"slots"`), 3)
+	for i := range maxRefused + 5 {
+		m.refused[fmt.Sprint(i)] = 1
+	}
+	m.logRefused(mirror.Item{Key: "c"}, err)
+	is.True(len(m.refused) <= maxRefused)
+}
+
+// The entry of a life went while entries may come back, and a new life's came: that stays.
+func TestANewLifeIsNotDroppedWithTheOneThatIsMissing(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{start: time.Now(), fleet: newEmptyFleet(), cfg: Config{Log: NewLog("box", io.Discard)}, conns: newConns(nil), stats: newStats()}
+	missing := make(map[string]time.Duration)
+	u := upstreamOf("u")
+	u.Born = 100
+	r.takeNews(News{Upstream: u}, 0, missing)
+	r.takeNews(News{Gone: "u"}, r.now()+time.Hour, missing)
+	later := *u
+	later.Born = 200
+	r.takeNews(News{Upstream: &later}, 0, missing)
+	is.Equal(len(missing), 0)
+	is.Equal(r.fleet.Get("u").Born, int64(200))
+	r.takeNews(News{Upstream: u}, 0, missing)
+	is.Equal(r.fleet.Get("u").Born, int64(200))
+	r.takeNews(News{Unusable: "u"}, r.now()+time.Hour, missing)
+	is.Equal(r.fleet.Get("u"), nil)
+	is.NoErr(r.cfg.Log.Close())
+}
+
+// A copy that lies where another life has begun is not used, and freed at its source.
+func TestACopyAtAnEarlierLifeIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	var m *movingBench
+	m = newMovingBench(t, func(c net.Conn, stop func()) {
+		m.listBorn(m.fast, 200, false)
+		m.await("fast", 200)
+		stop()
+		reply(c, 200, "h7")
+	})
+	is.Equal((<-m.stream("/flow/x")).body, wholeStream()) // resumed there, and read anew
+	at := m.fast.requests()
+	is.Equal(len(at), 1)
+	is.Equal(at[0].Header.Get("X-Memory"), "")
+	is.True(at[0].Header.Get("X-Last") != "")
+	m.until(func() bool {
+		calls := m.slow.requests()
+		return calls[len(calls)-1].URL.Path == "/copy/h7"
+	})
+}
+
+// One that answers that it is another has the address, if its entry was passed over for it.
+func TestAnUpstreamSaysItselfWhoHasItsAddress(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "true", func(c net.Conn, r stubRequest) bool {
+		if r.Header.Get("X-Instance") != "true" {
+			say(c, fmt.Sprintf("HTTP/1.1 421 No\nX-Id: %s\nX-Started: true\nX-Not-Run: 1\nContent-Length: 0\n\n", r.Header.Get("X-Id")))
+			return true
+		}
+		return answerOK("ok")(c, r)
+	})
+	b := newBench(t, u)
+	b.listBorn(u, 100, false)
+	b.await("true", 100)
+	b.board.set("false", balance.Upstream{ID: "false", Born: 900, Service: "s", Address: u.listener.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.await("false", 900)
+	is.Equal(b.bornOf("true"), int64(-1))
+	is.Equal(b.do(b.request("GET", "/safe/x", "")).body, "ok") // one refusal, and the second run is answered
+	is.Equal(b.bornOf("true"), int64(100))
+	is.True(b.log.contains("upstream: is another"))
+}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -225,8 +225,10 @@
 		return News{Gone: it.Key}, nil
 	}
 	u := new(balance.Upstream)
-	err := json.Unmarshal(it.Value, u)
-	return News{Upstream: u}, err
+	if err := json.Unmarshal(it.Value, u); err != nil {
+		return News{Unusable: it.Key}, err
+	}
+	return News{Upstream: u}, nil
 }
 
 // bench is a relay with what surrounds it.
