--- a/relay/news.go
+++ b/relay/news.go
@@ -66,8 +66,10 @@
 	replaced := r.fleet.Put(r.now(), u)
 	present, listed := r.listed(u.ID)
 	r.mu.Unlock()
-	if !listed {
-		return // its address has another one
+	if !listed || u.Born != 0 && u.Born < present.Born {
+		r.cfg.Log.Event("upstream", "entry passed over", Fields{"upstream": u.ID, "born": u.Born, "address": u.Address, "revision": u.Revision,
+			"listed": listed, "present": present.Born})
+		return // its address has another one, or it is of an earlier life
 	}
 	u = present
 	isAnother := before.Life() != u.Life()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -147,7 +147,7 @@
 
 func (x *exchange) logFailed(state runState, err error) {
 	r := x.relay
-	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "state": runNames[state], "runs": x.sent, "status": x.refusalStatus,
+	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "born": x.upstream.Born, "state": runNames[state], "runs": x.sent, "status": x.refusalStatus,
 		"budget_left": x.budgetLeft(), "loads_age_ms": r.members.loadsAge().Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
