--- a/relay/lives_test.go
+++ b/relay/lives_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/route"
 )
 
 // listBorn lists an upstream in a life.
@@ -108,6 +109,7 @@
 		is.Equal(a.body, event(1)+event(2))
 	}
 	is.True(b.log.contains("upstream: started again"))
+	is.True(b.log.contains("use of closed network connection")) // as operators are told
 	is.Equal(len(next.requests()), streams)
 	close(answer)
 	is.Equal((<-once).body, "late")
@@ -170,6 +172,12 @@
 	is.NoErr(err)
 	p.keep(c, time.Minute)
 	is.Equal(len(p.idle["u"]), 1)
+	life.Born = 300 // one that was kept is not handed out for another life either
+	other, err := p.get(context.Background(), life, "s")
+	is.NoErr(err)
+	is.True(other != c)
+	is.Equal(p.open["u"], 1)
+	p.drop(other)
 }
 
 // An entry that names no upstream to use: the one that was sound at its key is used no more, all
@@ -287,3 +295,21 @@
 	is.Equal(b.bornOf("true"), int64(100))
 	is.True(b.log.contains("upstream: is another"))
 }
+
+// An entry of a service that no document names takes no address, until one does.
+func TestAnEntryOfAServiceThatNobodyNames(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerOK("ok"))
+	b := newBench(t, u)
+	b.listBorn(u, 100, false)
+	b.await("u", 100)
+	b.board.set("x", balance.Upstream{ID: "x", Born: 900, Service: "x", Address: u.listener.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.await("x", 900)
+	is.Equal(b.bornOf("u"), int64(100))
+	is.Equal(b.do(b.request("POST", "/once/x", "")).body, "ok")
+	document := testDocument(2)
+	document.Services = append(document.Services, route.Service{Name: "x"})
+	b.board.set("document", document, false)
+	b.await("u", -1) // the later start has the address now
+	is.Equal(b.bornOf("x"), int64(900))
+}
