--- a/balance/cold.go
+++ b/balance/cold.go
@@ -86,7 +86,11 @@
 // cool notes that an upstream is cold for a while. One that is known to be cold for longer
 // stays so.
 func (f *Fleet) cool(now time.Duration, m *member, left time.Duration) {
-	if left <= 0 || now+left <= m.coldTill {
+	if left <= 0 {
+		return
+	}
+	m.unsure = false // its entry says so
+	if now+left <= m.coldTill {
 		return
 	}
 	if now >= m.coldTill {
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -50,6 +50,8 @@
 
 	brokeAt   time.Duration // when the connection of a run was last broken
 	breaks    int           // how many were at about that moment
+	back      time.Duration // when it could last be reached again
+	unsure    bool          // it is taken for cold, since nothing published tells of the time since
 	doubted   bool          // there was a sign that it may have ended
 	doubtTill time.Duration // until then what others tell that it keeps may be of before that
 }
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -198,7 +198,7 @@
 			is.Equal(f.kept.holds(now, PartKey(7), m), c.keeps)
 			f.NoteKept(now+newsLag-1, news) // told before the sign
 			is.Equal(f.kept.holds(now+newsLag-1, PartKey(7), m), true == c.keeps)
-			f.reached(m)
+			f.reached(now, m)
 			f.NoteKept(now+2*newsLag, news) // and what is told later
 			is.True(f.kept.holds(now+2*newsLag, PartKey(7), m))
 		})
@@ -214,7 +214,7 @@
 	f.Open(0, "u", prompt(7)).Close(0, Closed)
 	news := []Kept{{PartKey(7), m.key}}
 	f.NoteKept(time.Minute, news)
-	is.True(f.ReachedLife(Life{"u", 100}))
+	is.True(f.ReachedLife(time.Minute, Life{"u", 100}))
 	f.NoteKept(time.Minute+newsLag/2, news)
 	is.True(!f.kept.holds(time.Minute+newsLag/2, PartKey(7), m))
 	f.NoteKept(time.Minute+newsLag, news)
@@ -226,9 +226,9 @@
 	f := knowing(3)
 	f.Put(0, entryOf("u", 200, 1))
 	f.Open(0, "u", prompt(7)).Close(0, Unreachable)
-	is.True(!f.ReachedLife(Life{"u", 100}))
+	is.True(!f.ReachedLife(0, Life{"u", 100}))
 	is.True(f.byID["u"].out)
-	is.True(f.ReachedLife(Life{"u", 200}))
+	is.True(f.ReachedLife(0, Life{"u", 200}))
 	is.True(!f.byID["u"].out)
 }
 
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -101,43 +101,43 @@
 }
 
 // reached notes that an upstream can be reached, and with it its domain.
-func (f *Fleet) reached(m *member) {
+func (f *Fleet) reached(now time.Duration, m *member) {
 	if !f.lists(m) {
 		return
 	}
 	d := f.domain(m.Domain)
 	d.inRow = 0
-	f.markIn(m)
+	f.returns(now, m)
 	if d.left > 0 {
-		f.returnToDomain(m.Domain)
+		f.returnToDomain(now, m.Domain)
 	}
 }
 
 // returnToDomain takes those upstreams of a failure domain again that were only left along
 // with it; those that failed themselves are tried first.
-func (f *Fleet) returnToDomain(name string) {
+func (f *Fleet) returnToDomain(now time.Duration, name string) {
 	for _, m := range f.byID {
 		if m.Domain == name && m.byDomain {
-			f.markIn(m)
+			f.returns(now, m)
 		}
 	}
 }
 
 // ReachedLife notes that a trial connection to a life of an upstream came up, and reports
 // whether it is still the one that is listed.
-func (f *Fleet) ReachedLife(l Life) bool {
+func (f *Fleet) ReachedLife(now time.Duration, l Life) bool {
 	m := f.byID[l.ID]
 	if m == nil || m.Life() != l {
 		return false
 	}
-	f.reached(m)
+	f.reached(now, m)
 	return true
 }
 
 // Reached notes that a trial connection to an upstream came up.
 func (f *Fleet) Reached(id string) {
 	if m := f.byID[id]; m != nil {
-		f.reached(m)
+		f.reached(f.latest, m)
 	}
 }
 
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -61,7 +61,7 @@
 	}
 	t.read, t.begun = true, now
 	t.fleet.serviceOf(t.request.Service).holding.begin(now)
-	t.fleet.reached(t.member)
+	t.fleet.reached(now, t.member)
 	t.clear()
 }
 
@@ -120,6 +120,6 @@
 	case Ended:
 		t.fleet.ended(t.member)
 	case Answered, Full:
-		t.fleet.reached(t.member)
+		t.fleet.reached(now, t.member)
 	}
 }
