--- a/balance/life.go
+++ b/balance/life.go
@@ -57,9 +57,10 @@
 // isPast reports whether an entry tells of a life before the last one that is known.
 func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
 
-// remember notes a life.
+// remember notes a life. What an entry of a service that is not named tells does not count: it
+// may come from another writer.
 func (f *Fleet) remember(u Upstream) {
-	if u.Born == 0 || u.Born < f.lives[u.ID].born {
+	if u.Born == 0 || u.Born < f.lives[u.ID].born || !f.serves(u.Service) {
 		return
 	}
 	last := f.lives[u.ID]
--- a/balance/list.go
+++ b/balance/list.go
@@ -177,6 +177,12 @@
 	}
 }
 
+// Serves reports whether an upstream is listed for a service that the document names.
+func (f *Fleet) Serves(id string) bool {
+	m := f.byID[id]
+	return m != nil && f.serves(m.Service)
+}
+
 // serves reports whether there is such a service, as far as is known.
 func (f *Fleet) serves(service string) bool { return f.named == nil || f.named[service] }
 
--- a/relay/lives_test.go
+++ b/relay/lives_test.go
@@ -307,6 +307,17 @@
 	b.await("x", 900)
 	is.Equal(b.bornOf("u"), int64(100))
 	is.Equal(b.do(b.request("POST", "/once/x", "")).body, "ok")
+	b.board.set("u", balance.Upstream{ID: "u", Born: 900, Service: "x", Address: u.listener.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.await("u", 900) // and at a sound one's key it does no more harm than that this one is not used
+	is.Equal(b.do(b.request("POST", "/once/x", "")).status, 503)
+	b.listBorn(u, 100, false)
+	b.await("u", 100)
+	is.Equal(b.do(b.request("POST", "/once/x", "")).body, "ok")
+	is.Equal(b.log.count("started again"), 1) // when it first named its start
+	b.relay.conns.mu.Lock()
+	is.Equal(len(b.relay.conns.over), 0)
+	b.relay.conns.mu.Unlock()
+
 	document := testDocument(2)
 	document.Services = append(document.Services, route.Service{Name: "x"})
 	b.board.set("document", document, false)
--- a/relay/news.go
+++ b/relay/news.go
@@ -56,35 +56,52 @@
 	}
 }
 
-// takeUpstream lists an upstream, or renews what is known of it.
-func (r *Relay) takeUpstream(u balance.Upstream) {
+// entryChange is what an entry has changed.
+type entryChange struct {
+	before  balance.Upstream // zero where it was not listed
+	present balance.Upstream
+	listed  bool
+	serves  bool   // the document names its service
+	other   string // the one whose address it has taken over
+}
+
+// putUpstream lists an upstream, or renews what is known of it.
+func (r *Relay) putUpstream(u balance.Upstream) entryChange {
 	r.mu.Lock()
-	var before balance.Upstream
-	if old := r.fleet.Get(u.ID); old != nil {
-		before = *old
-	}
-	replaced := r.fleet.Put(r.now(), u)
-	present, listed := r.listed(u.ID)
-	r.mu.Unlock()
-	if !listed || u.Born != 0 && u.Born < present.Born {
+	defer r.mu.Unlock()
+	var c entryChange
+	c.before, _ = r.listed(u.ID)
+	c.other = r.fleet.Put(r.now(), u)
+	c.present, c.listed = r.listed(u.ID)
+	c.serves = r.fleet.Serves(u.ID)
+	return c
+}
+
+// takeUpstream lists an upstream, or renews what is known of it, and ends what is left of a
+// life before.
+func (r *Relay) takeUpstream(u balance.Upstream) {
+	c := r.putUpstream(u)
+	if !c.listed || u.Born != 0 && u.Born < c.present.Born {
 		r.cfg.Log.Event("upstream", "entry passed over", Fields{"upstream": u.ID, "born": u.Born, "address": u.Address, "revision": u.Revision,
-			"listed": listed, "present": present.Born})
+			"listed": c.listed, "present": c.present.Born})
 		return // its address has another one, or it is of an earlier life
 	}
-	u = present
-	isAnother := before.Life() != u.Life()
-	if isAnother && before.ID != "" {
-		r.startedAgain(before, u)
+	u = c.present
+	if c.serves && c.before.ID != "" && u.Life().After(c.before.Life()) {
+		r.startedAgain(c.before, u)
+	}
+	if c.other != "" {
+		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": c.other, "by": u.ID, "address": u.Address})
+		r.conns.forget(c.other)
 	}
-	if replaced != "" {
-		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": replaced, "by": u.ID, "address": u.Address})
-		r.conns.forget(replaced)
+	if c.before.Life() == u.Life() && c.before.Leaving == u.Leaving {
+		return
 	}
-	if isAnother || before.Leaving != u.Leaving {
+	if c.serves {
 		r.endEarlierRuns(u)
-		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.Born, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
-			"cold_ms": u.ColdFor.Milliseconds()})
 	}
+	r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.Born, "service": u.Service, "named": c.serves, "address": u.Address,
+		"leaving": u.Leaving, "cold_ms": u.ColdFor.Milliseconds()})
 }
 
 // evacuate sends nothing more to the upstreams of a failure domain. What runs there may end.
