--- a/balance/back.go
+++ b/balance/back.go
@@ -6,7 +6,10 @@
 // can be reached again gets its ration only, until what is published tells of the time since or
 // it is warm in either case.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // toldWithin is how long after its start an upstream's entry is published at the latest, as far
 // as the store takes it: an upstream writes it at once, and a call takes 4 ms, or some 300 where
@@ -53,4 +56,5 @@
 			f.sharedAnew = true
 		}
 	}
+	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool { return now >= m.coldTill })
 }
--- a/cmd/doormast/relay_test.go
+++ b/cmd/doormast/relay_test.go
@@ -34,3 +34,12 @@
 		}
 	}
 }
+
+func TestStatusShowsTheLifeOfEachUpstream(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(showStates(&out, []*wire.StateResponse{{Box: "b1", Upstreams: []*wire.UpstreamRow{{Id: "u1", Born: 1790000000123}, {Id: "u2"}}}}))
+	is.True(strings.Contains(out.String(), "BORN"))
+	is.True(strings.Contains(out.String(), "2026-09-21T14:13:20.123Z"))
+	is.True(strings.Contains(out.String(), "not known"))
+}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -32,7 +32,8 @@
 	net.Conn
 	reader   *bufio.Reader
 	life     balance.Life // of its upstream, that was listed when it was opened
-	keepTill time.Time    // it may be used again up to then
+	opened   time.Time
+	keepTill time.Time // it may be used again up to then
 }
 
 // conns keeps connections by upstream.
@@ -71,7 +72,7 @@
 		p.release(id)
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), life: u.Life()}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), life: u.Life(), opened: time.Now()}, nil
 }
 
 // quiet reports whether the upstream has neither closed the connection nor sent
--- a/relay/lives.go
+++ b/relay/lives.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,19 +24,19 @@
 	r.conns.end(before.Life())
 }
 
-// endEarlierRuns ends the runs on earlier lives of an upstream. Its address has nobody else
-// any more; at another address the earlier life may still serve to the end what it has begun,
-// unless nobody listens there.
+// endEarlierRuns ends the runs on earlier lives of an upstream that may run again. At its own
+// address nobody answers them any more; at another one the earlier life may still serve to the
+// end what it has begun, unless nobody listens there.
 func (r *Relay) endEarlierRuns(u balance.Upstream) {
-	for life, address := range r.earlierRuns(u) {
+	for address, list := range r.earlierRuns(u) {
 		if address == u.Address {
-			r.moveRuns(life)
+			closeAll(list)
 			continue
 		}
 		go func() {
 			c, err := dial(context.Background(), address)
 			if err != nil {
-				r.moveRuns(life)
+				closeAll(list)
 				return
 			}
 			_ = c.Close()
@@ -43,18 +44,35 @@
 	}
 }
 
-// earlierRuns are the lives of an upstream before the present one on which requests run, with
-// their addresses.
-func (r *Relay) earlierRuns(u balance.Upstream) map[balance.Life]string {
+// earlierRuns are the connections on which requests that may run again run on lives of an
+// upstream before the present one, by address. Those that were opened after it had started lead
+// to the present one already: this box only had not heard of it. Without that, a box that heard
+// late, as while the store is down, would end what runs well.
+func (r *Relay) earlierRuns(u balance.Upstream) map[string][]*conn {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lives := make(map[balance.Life]string)
-	for _, c := range r.runs {
-		if u.Life().After(c.life) {
-			lives[c.life] = c.RemoteAddr().String()
+	runs := make(map[string][]*conn)
+	for x, c := range r.runs {
+		if x.route.Again() && u.Life().After(c.life) && c.openedBefore(now, u.Born) {
+			address := c.RemoteAddr().String()
+			runs[address] = append(runs[address], c)
 		}
 	}
-	return lives
+	return runs
+}
+
+// openedBefore reports whether a connection was opened before a moment, Unix ms by the clock of
+// another machine. Where clocks differ, what was opened about that moment is taken wrongly: it
+// ends too early, or when the kernel finds that nobody answers.
+func (c *conn) openedBefore(now time.Time, moment int64) bool {
+	return now.Add(-now.Sub(c.opened)).UnixMilli() < moment
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		_ = c.Close()
+	}
 }
 
 // listed is what is known of an upstream; false where it is not listed. The caller holds the
