--- a/balance/back_test.go
+++ b/balance/back_test.go
@@ -70,3 +70,63 @@
 		is.True(f.bears(2*time.Second, f.byID[id]))
 	}
 }
+
+// Thirty of ninety upstreams start again under their ids, while the store is slow: boxes find by
+// trials that they can be reached, within half a second of each other, and know a second later
+// that they are cold. No one is sent more than it bears meanwhile.
+func TestUpstreamsThatStartAgainAreSentWhatTheyBear(t *testing.T) {
+	const most = 12
+	const down, back = 10 * time.Second, 11 * time.Second
+	is := is.New(t)
+	boxes := returning(most) // by then all of them are warm
+	for _, f := range boxes {
+		for j := 0; j < 90; j += 3 {
+			f.Open(down, fmt.Sprint("u", j), prompt(1)).Close(down, Closed)
+			for _, other := range []int{j + 1, j + 2} { // which have more to do meanwhile
+				f.Open(down, fmt.Sprint("u", other), Request{Service: "s", Tokens: 200})
+			}
+		}
+	}
+	sent := make(map[string][]time.Duration)
+	reached := make(map[int]bool)
+	var open []*Ticket
+	for i := range 900 { // 600 a second for 1.5 s
+		now := back + time.Duration(i)*time.Second/600
+		if i%60 == 0 {
+			tellLoads(boxes)
+		}
+		n := (i * 37) % 90
+		f := boxes[n]
+		if trial := back + time.Duration(n%5)*100*time.Millisecond; now >= trial && !reached[n] {
+			reached[n] = true
+			for j := 0; j < 90; j += 3 {
+				f.ReachedLife(now, Life{ID: fmt.Sprint("u", j)})
+			}
+		}
+		choice, ok := f.Place(now, prompt(uint64(i)+1), nil)
+		is.True(ok)
+		open = append(open, f.Open(now, choice.Upstream.ID, prompt(uint64(i)+1)))
+		sent[choice.Upstream.ID] = append(sent[choice.Upstream.ID], now)
+		if i >= 600 { // an answer takes a second
+			open[i-600].Close(now, Answered)
+		}
+	}
+	worst := 0
+	for j := 0; j < 90; j += 3 {
+		worst = max(worst, mostInASecond(sent[fmt.Sprint("u", j)]))
+	}
+	t.Logf("at most %d requests in one second", worst)
+	is.True(worst <= most)
+}
+
+// mostInASecond is how many of the moments, in order, lie within one second at most.
+func mostInASecond(list []time.Duration) int {
+	most, first := 0, 0
+	for i := range list {
+		for list[i]-list[first] >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
