--- a/balance/reach.go
+++ b/balance/reach.go
@@ -59,6 +59,9 @@
 // Where others of its domain have failed alike, all of them are out; within its own
 // domain a box believes what it sees only.
 func (f *Fleet) unreached(now time.Duration, m *member) {
+	if !f.lists(m) {
+		return // an earlier life says nothing of the way there
+	}
 	d := f.domain(m.Domain)
 	d.noteFailure(now, !m.out)
 	f.markOut(m, false)
@@ -98,29 +101,43 @@
 }
 
 // reached notes that an upstream can be reached, and with it its domain.
-func (f *Fleet) reached(m *member) {
+func (f *Fleet) reached(now time.Duration, m *member) {
+	if !f.lists(m) {
+		return
+	}
 	d := f.domain(m.Domain)
 	d.inRow = 0
-	f.markIn(m)
+	f.returns(now, m)
 	if d.left > 0 {
-		f.returnToDomain(m.Domain)
+		f.returnToDomain(now, m.Domain)
 	}
 }
 
 // returnToDomain takes those upstreams of a failure domain again that were only left along
 // with it; those that failed themselves are tried first.
-func (f *Fleet) returnToDomain(name string) {
+func (f *Fleet) returnToDomain(now time.Duration, name string) {
 	for _, m := range f.byID {
 		if m.Domain == name && m.byDomain {
-			f.markIn(m)
+			f.returns(now, m)
 		}
 	}
 }
 
+// ReachedLife notes that a trial connection to a life of an upstream came up, and reports
+// whether it is still the one that is listed.
+func (f *Fleet) ReachedLife(now time.Duration, l Life) bool {
+	m := f.byID[l.ID]
+	if m == nil || m.Life() != l {
+		return false
+	}
+	f.reached(now, m)
+	return true
+}
+
 // Reached notes that a trial connection to an upstream came up.
 func (f *Fleet) Reached(id string) {
 	if m := f.byID[id]; m != nil {
-		f.reached(m)
+		f.reached(f.latest, m)
 	}
 }
 
--- a/relay/news.go
+++ b/relay/news.go
@@ -17,6 +17,7 @@
 	Document *route.Document
 	Upstream *balance.Upstream
 	Gone     string // id of an upstream whose entry is gone
+	Unusable string // id of an upstream whose entry names none that can be used
 	// Evacuated is a failure domain to whose upstreams nothing more is to be sent, and
 	// TakenBack one that was evacuated and is so no longer.
 	Evacuated, TakenBack string
@@ -31,6 +32,9 @@
 	case n.Upstream != nil:
 		delete(missing, n.Upstream.ID)
 		r.takeUpstream(*n.Upstream)
+	case n.Unusable != "":
+		delete(missing, n.Unusable)
+		r.dropUpstream(n.Unusable, "entry unusable")
 	case n.Evacuated != "":
 		r.evacuate(n.Evacuated)
 	case n.TakenBack != "":
@@ -39,33 +43,65 @@
 	case r.now() < doubt:
 		missing[n.Gone] = doubt
 	default:
-		r.dropUpstream(n.Gone)
+		r.dropUpstream(n.Gone, "gone from the list")
 	}
 }
 
 // takeDocument puts a document in force where it is newer than the present one.
 func (r *Relay) takeDocument(d *route.Document) {
 	if r.belief.take(d) {
+		r.setServices(d)
 		r.setCold(d)
 		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
 }
 
-// takeUpstream lists an upstream, or renews what is known of it.
-func (r *Relay) takeUpstream(u balance.Upstream) {
+// entryChange is what an entry has changed.
+type entryChange struct {
+	before  balance.Upstream // zero where it was not listed
+	present balance.Upstream
+	listed  bool
+	serves  bool   // the document names its service
+	other   string // the one whose address it has taken over
+}
+
+// putUpstream lists an upstream, or renews what is known of it.
+func (r *Relay) putUpstream(u balance.Upstream) entryChange {
 	r.mu.Lock()
-	old := r.fleet.Get(u.ID)
-	changed := old == nil || old.Leaving != u.Leaving
-	replaced := r.fleet.Put(r.now(), u)
-	r.mu.Unlock()
-	if replaced != "" {
-		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": replaced, "by": u.ID, "address": u.Address})
-		r.conns.forget(replaced)
+	defer r.mu.Unlock()
+	var c entryChange
+	c.before, _ = r.listed(u.ID)
+	c.other = r.fleet.Put(r.now(), u)
+	c.present, c.listed = r.listed(u.ID)
+	c.serves = r.fleet.Serves(u.ID)
+	return c
+}
+
+// takeUpstream lists an upstream, or renews what is known of it, and ends what is left of a
+// life before.
+func (r *Relay) takeUpstream(u balance.Upstream) {
+	c := r.putUpstream(u)
+	if !c.listed || u.Born != 0 && u.Born < c.present.Born {
+		r.cfg.Log.Event("upstream", "entry passed over", Fields{"upstream": u.ID, "born": u.Born, "address": u.Address, "revision": u.Revision,
+			"listed": c.listed, "present": c.present.Born})
+		return // its address has another one, or it is of an earlier life
+	}
+	u = c.present
+	if c.serves && c.before.ID != "" && u.Life().After(c.before.Life()) {
+		r.startedAgain(c.before, u)
 	}
-	if changed {
-		r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
-			"cold_ms": u.ColdFor.Milliseconds()})
+	if c.other != "" {
+		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": c.other, "by": u.ID, "address": u.Address})
+		r.conns.forget(c.other)
 	}
+	if c.before.Life() == u.Life() && c.before.Leaving == u.Leaving {
+		return
+	}
+	if c.serves {
+		r.endEarlierRuns(u)
+	}
+	r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.Born, "service": u.Service, "named": c.serves, "address": u.Address,
+		"leaving": u.Leaving, "cold_ms": u.ColdFor.Milliseconds()})
 }
 
 // evacuate sends nothing more to the upstreams of a failure domain. What runs there may end.
@@ -99,14 +135,25 @@
 	}
 }
 
-// dropUpstream forgets an upstream and the connections to it that rest.
-func (r *Relay) dropUpstream(id string) {
+// setServices notes which services the document names: entries of others name nobody to use.
+func (r *Relay) setServices(d *route.Document) {
+	names := make([]string, 0, len(d.Services))
+	for _, s := range d.Services {
+		names = append(names, s.Name)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.SetServices(r.now(), names)
+}
+
+// dropUpstream forgets an upstream and the connections to it that rest. The event says why.
+func (r *Relay) dropUpstream(id, event string) {
 	r.mu.Lock()
 	known := r.fleet.Get(id) != nil
 	r.fleet.Remove(id)
 	r.mu.Unlock()
 	if known {
-		r.cfg.Log.Event("upstream", "gone from the list", Fields{"upstream": id})
+		r.cfg.Log.Event("upstream", event, Fields{"upstream": id, "age_ms": r.age().Milliseconds()})
 		r.conns.forget(id)
 	}
 }
@@ -116,8 +163,8 @@
 	for _, item := range items {
 		news, err := m.relay.cfg.Decode(item)
 		if err != nil {
-			m.relay.cfg.Log.Event("published", "not taken", Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
-			continue
+			m.logRefused(item, err)
+			news = News{Unusable: news.Unusable}
 		}
 		m.relay.takeNews(news, m.node.Doubt(), m.missing)
 	}
@@ -129,7 +176,7 @@
 	for id, due := range m.missing {
 		if now >= due && now >= m.node.Doubt() {
 			delete(m.missing, id)
-			m.relay.dropUpstream(id)
+			m.relay.dropUpstream(id, "gone from the list")
 		}
 	}
 }
