--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -87,9 +87,21 @@
 	for _, u := range all[0].Upstreams {
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread)
 	}
+	showTraffic(tw, all)
 	return tw.Flush()
 }
 
+// showTraffic prints what the boxes have sent each other since they started, those that sent
+// nothing of a kind so far left out.
+func showTraffic(w io.Writer, all []*wire.StateResponse) {
+	fmt.Fprintln(w, "\nBOX\tHAS SENT\tTO BOXES OF\tMESSAGES\tBYTES")
+	for _, s := range all {
+		for _, t := range s.Traffic {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\n", s.Box, t.Kind, t.Reach, t.Messages, t.Bytes)
+		}
+	}
+}
+
 func upstreamState(u *wire.UpstreamRow) string {
 	switch {
 	case u.Leaving:
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -144,7 +144,7 @@
 // self is the box as the others know it. Its start is told by the time of day,
 // since nothing outlives a process here.
 func self(s *settings.Relay) *wire.GroupBox {
-	return &wire.GroupBox{Name: s.Box, Domain: s.Domain, Address: s.PeerAddress(s.Listen.IP), Pulls: s.Listen.Control,
+	return &wire.GroupBox{Name: s.Box, Domain: s.Domain, Region: s.Regions[s.Domain], Address: s.PeerAddress(s.Listen.IP), Pulls: s.Listen.Control,
 		Strength: s.Strength(), Boot: uint64(time.Now().UnixNano())}
 }
 
--- a/group/hear.go
+++ b/group/hear.go
@@ -66,6 +66,7 @@
 // note remembers a box; nil means that a later life of it is known.
 func (n *Node) note(b *wire.GroupBox) *peer {
 	p := n.peers[b.Name]
+	n.reaches[b.Address] = ReachOf(n.cfg.Self, b)
 	switch {
 	case p == nil:
 		p = &peer{box: b, heard: never, named: never, classesAt: never}
--- a/group/node.go
+++ b/group/node.go
@@ -80,6 +80,7 @@
 // Outgoing is a message and where it goes.
 type Outgoing struct {
 	To      string // IP:port
+	Reach   Reach
 	Message *wire.GroupMessage
 }
 
@@ -137,6 +138,7 @@
 	lastBeat time.Duration
 	lastAsk  time.Duration
 	lists    map[string]boxList // of the beat under way, by domain
+	reaches  map[string]Reach   // by address
 	out      []Outgoing
 
 	loads      Loads         // this box's own
@@ -165,6 +167,7 @@
 		cfg:       cfg,
 		started:   now,
 		peers:     make(map[string]*peer),
+		reaches:   make(map[string]Reach),
 		waitsFrom: now,
 		confirmed: never,
 		doubt:     never,
--- a/group/talk.go
+++ b/group/talk.go
@@ -169,7 +169,7 @@
 }
 
 func (n *Node) send(to string, m *wire.GroupMessage) {
-	n.out = append(n.out, Outgoing{to, m})
+	n.out = append(n.out, Outgoing{to, n.reachOf(to), m})
 }
 
 // listFor names the boxes that a box of the domain should know: those of its own,
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -29,7 +29,19 @@
 	loss      float64
 	calls     int
 	bytes     int
-	sent      map[string]int // bytes, by box
+	sent      map[string]int                 // bytes, by box
+	kinds     map[sentKey]int                // bytes
+	regions   map[string]string              // of domains; empty: they are not divided
+	far       time.Duration                  // the way from one region to another
+	severs    func(a, b *wire.GroupBox) bool // links that are cut besides; nil: none
+	packed    Outgoing                       // whose bytes are in packedAs: one message may go to many
+	packedAs  []byte
+}
+
+// sentKey is what bytes are counted by.
+type sentKey struct {
+	kind  Kind
+	reach Reach
 }
 
 type flight struct {
@@ -58,14 +70,14 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), boxes: make(map[string]*testBox), published: mirror.New(),
-		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int)}
+		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int), kinds: make(map[sentKey]int)}
 	w.published.Load([]mirror.Item{{Key: documentKey, Value: []byte("1"), Revision: 1}}, 1)
 	return w
 }
 
 // start starts a box, or starts it again.
 func (w *world) start(name, domain string, strength uint32, first bool) *testBox {
-	b := &testBox{copy: mirror.New(), self: &wire.GroupBox{Name: name, Domain: domain, Address: name, Pulls: name,
+	b := &testBox{copy: mirror.New(), self: &wire.GroupBox{Name: name, Domain: domain, Region: w.regions[domain], Address: name, Pulls: name,
 		Strength: strength, Boot: uint64(w.now) + 1}}
 	if w.boxes[name] == nil {
 		w.names = append(w.names, name)
@@ -149,6 +161,9 @@
 	if x == nil || y == nil || x.self.Domain == y.self.Domain {
 		return x == nil || y == nil
 	}
+	if w.severs != nil && w.severs(x.self, y.self) {
+		return true
+	}
 	return w.cut[x.self.Domain] || w.cut[y.self.Domain]
 }
 
@@ -156,16 +171,24 @@
 func (w *world) collect(b *testBox) {
 	out, pull := b.node.Drain()
 	for _, o := range out {
-		data, err := proto.Marshal(o.Message)
-		if err != nil {
-			w.t.Fatal(err)
+		if o.Message != w.packed.Message {
+			data, err := proto.Marshal(o.Message)
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			w.packed, w.packedAs = o, data
 		}
+		data := w.packedAs
 		w.bytes += len(data)
 		w.sent[b.self.Name] += len(data)
+		w.kinds[sentKey{KindOf(o.Message), o.Reach}] += len(data)
 		if w.random.Float64() < w.loss {
 			continue
 		}
 		delay := time.Duration(w.random.IntN(4)) * step
+		if o.Reach == ReachFar {
+			delay += w.far
+		}
 		w.flying = append(w.flying, flight{w.now + delay, b.self.Name, o.To, data})
 	}
 	if other := w.boxes[pull]; pull != "" && other != nil && !other.dead && !w.severed(b.self.Name, pull) {
--- a/relay/members.go
+++ b/relay/members.go
@@ -41,6 +41,8 @@
 	events *ring.Ring[memberEvent]
 	socket *datagram.Socket // nil where a box has no peers
 
+	traffic traffic
+
 	// What other duties look at.
 	revision atomic.Uint64 // of the mirror
 	loadsAt  atomic.Int64  // time.Duration since the start, when the others' loads came
@@ -67,6 +69,7 @@
 		events:  ring.New[memberEvent](memberRing),
 		kick:    make(chan struct{}, 1),
 		loaded:  make(chan struct{}, 1),
+		traffic: newTraffic(r.stats),
 		missing: make(map[string]time.Duration),
 	}
 	m.boxes.Store(int64(r.cfg.Boxes))
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -62,5 +62,6 @@
 		}
 		m.packed = packedMessage{o.Message, b}
 	}
+	m.traffic.add(group.KindOf(o.Message), o.Reach, len(m.packed.bytes))
 	m.socket.Send(to, m.packed.bytes)
 }
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/wire"
 )
 
@@ -23,8 +25,9 @@
 func (m *members) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullWait)
 	defer cancel()
+	self := m.relay.cfg.Self
 	client := wire.NewMirrorsClient(m.relay.pullClient, "http://"+address)
-	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true}))
+	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region}))
 	result := &pullResult{err: err}
 	if err == nil {
 		result.response = resp.Msg
@@ -67,6 +70,8 @@
 	}
 	select {
 	case r := <-answer:
+		caller := &wire.GroupBox{Domain: req.Msg.Domain, Region: req.Msg.Region}
+		s.members.traffic.add(group.KindPulled, group.ReachOf(s.members.relay.cfg.Self, caller), proto.Size(r))
 		return connect.NewResponse(r), nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/relay/state.go
+++ b/relay/state.go
@@ -29,6 +29,7 @@
 			out.Routes = append(out.Routes, routeRow(&d.Routes[i]))
 		}
 	}
+	out.Traffic = r.members.traffic.rows()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
