After all boxes were killed the seeds read and the others pull; loads by audience, within budgets

After a mass restart each box read the store for itself: 300 boxes before 345 upstreams asked for more pages than a store of 310 a second hands out, each waited longer than a call may take, and on the virtual network (six domains, three regions, links of 10 Mbit/s) none knew anything after 30 s. Now a box that knows nothing says whether it reads or hears of one that does; seeds read first, the others only when they hear of nobody, spread over a second. A box answers no more pulls than its link carries in 200 ms and names those that it answered before; a reading that has become superfluous ends after its page.

Loads crossed each edge once for each pair of leads, each 30 ms, whatever their size. Now the strongest lead of a region speaks for it: sums of a domain to the leads of the region, of a region to one lead of each other region. Each audience has a budget in bytes, the greatest differences first, in columns. Parts are not told to other regions, beats not to boxes that led for a moment only.

--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -40,6 +40,8 @@
 	// let the heap grow; the rest is for stacks and the kernel's buffers.
 	memoryShare = 0.5
 	megabyte    = 1 << 20
+	// bytesOfMegabit is the bytes of a megabit, as links are counted.
+	bytesOfMegabit = 1e6 / 8
 	// maxSignals is how many signals may wait while one is dealt with.
 	maxSignals = 4
 	// boxesAssumed is how many boxes share limits while the others are not known:
@@ -127,6 +129,7 @@
 		Regions:    s.Regions,
 		Self:       self(s),
 		Seeds:      s.SeedAddresses(),
+		Link:       s.LinkMbps * bytesOfMegabit,
 		Timing:     group.TimingFor(s.Bounds.Published()),
 		Protocol:   platform.Protocol(),
 		Publisher:  platform.NewStore(s.Platform),
--- a/group/across_test.go
+++ b/group/across_test.go
@@ -36,9 +36,10 @@
 // traffic is requests that the boxes of a world carry.
 type traffic struct {
 	*world
+	layout     layout
 	perSecond  float64 // of a box
 	upstreams  int     // in all domains
-	home       float64 // share of the requests that stay in their box's domain
+	home       float64 // share of the requests that stay in their box's domain, and of the rest in its region
 	running    map[string][]*carried
 	parts      map[string][]balance.Kept
 	nextPart   uint32
@@ -102,11 +103,11 @@
 
 // begin starts a request at an upstream, and tells of a new part for some.
 func (t *traffic) begin(i int, name string) *carried {
-	domains := len(t.regions)
 	upstream := t.random.IntN(t.upstreams)
-	if t.random.Float64() < t.home {
-		upstream -= upstream % domains
-		upstream += i % domains
+	if domains := len(t.regions); t.random.Float64() < t.home {
+		upstream += i%domains - upstream%domains
+	} else if regions := t.layout.regions; t.random.Float64() < t.home {
+		upstream += i%regions - upstream%regions
 	}
 	tokens := int(200 + 1800*t.random.ExpFloat64())
 	read := t.now + time.Duration(tokens/tokensPerMilli)*time.Millisecond
@@ -134,8 +135,8 @@
 	return l
 }
 
-func newTraffic(w *world) *traffic {
-	return &traffic{world: w, perSecond: 7, upstreams: len(w.names) * 11 / 10, home: 0.5, partsShare: 0.5,
+func newTraffic(w *world, l layout) *traffic {
+	return &traffic{world: w, layout: l, perSecond: 7, upstreams: len(w.names) * 11 / 10, home: 0.7, partsShare: 0.3,
 		running: make(map[string][]*carried), parts: make(map[string][]balance.Kept)}
 }
 
@@ -185,7 +186,7 @@
 }
 
 func benchAcross(b *testing.B, l layout, boxes int) {
-	t := newTraffic(across(b, 1, l, boxes))
+	t := newTraffic(across(b, 1, l, boxes), l)
 	t.pass(3 * time.Second)
 	clear(t.sent)
 	clear(t.kinds)
--- a/group/hear.go
+++ b/group/hear.go
@@ -31,7 +31,8 @@
 		n.chosen = nil
 	}
 	p.heard, p.silent, p.leaving = now, false, m.Leaving
-	p.leads, p.reads = m.Leads, m.Reads
+	p.leads, p.reads, p.knows = m.Leads, m.Reads, m.Revision > 0
+	n.hearReading(now, m)
 	if m.Leads {
 		p.boxes = int(m.DomainBoxes)
 	}
--- a/group/kept.go
+++ b/group/kept.go
@@ -1,9 +1,10 @@
 package group
 
 // This file defines how boxes tell each other which upstreams were sent which parts of
-// prompts. A member tells its lead, the lead its members and the other leads, and those
-// their members. The invariant: a box tells each thing a bounded number of times, and what
-// comes from another domain goes to no other one.
+// prompts. A member tells its lead, the lead its members and the other leads of its region, and
+// those their members. The invariant: a box tells each thing a bounded number of times, and what
+// comes from another domain goes to no other one. Other regions are told of upstreams that have
+// ended, and of no parts: to read a prompt again takes less than to have it from there.
 
 import (
 	"slices"
@@ -21,6 +22,9 @@
 	keptRepeats = 500 * time.Millisecond
 	// maxKept bounds the things that a message tells; with its head it stays within 6 KB.
 	maxKept = 600
+	// keptOnceFrom is from how many things that wait each is told once only: so many in a
+	// tick of 100 ms take 4 KB/s of each box that hears of them.
+	keptOnceFrom = 50
 	// maxKeptWaiting bounds what waits to be told; what comes beyond is left out.
 	maxKeptWaiting = 8 * maxKept
 )
@@ -89,19 +93,23 @@
 		return
 	}
 	list := n.keptNews[:min(len(n.keptNews), maxKept)]
-	forMembers, source := n.keptMessage(list, true)
-	forLeads, _ := n.keptMessage(list, false)
+	messages := make(map[Reach]*wire.GroupMessage)
+	source := ""
+	messages[ReachDomain], source = n.keptMessage(list, func(keptNews) bool { return true })
+	messages[ReachRegion], _ = n.keptMessage(list, func(k keptNews) bool { return !k.foreign })
+	messages[ReachFar], _ = n.keptMessage(list, func(k keptNews) bool { return !k.foreign && k.kept.Ended() })
 	for _, p := range n.keptPeers(now) {
-		m := forMembers
-		if !n.sameDomain(p) {
-			m = forLeads
-		}
+		m := messages[ReachOf(n.cfg.Self, p.box)]
 		if m != nil && p.box.Name != source {
 			n.send(p.box.Address, m)
 		}
 	}
+	tells := 1
+	if len(n.keptNews) >= keptOnceFrom {
+		tells = keptTells
+	}
 	for i := range list {
-		list[i].tells--
+		list[i].tells -= tells
 	}
 	n.dropTold()
 }
@@ -124,13 +132,13 @@
 	return list
 }
 
-// keptMessage makes the message that tells a list, with or without what comes from other
-// domains; nil where nothing is left. source is the box that all of it came from, which
+// keptMessage makes the message that tells those of a list that fit; nil where nothing is left.
+// source is the box that all of it came from, which
 // needs not be told; empty where it came from several, or from this one.
-func (n *Node) keptMessage(list []keptNews, withForeign bool) (m *wire.GroupMessage, source string) {
+func (n *Node) keptMessage(list []keptNews, fits func(keptNews) bool) (m *wire.GroupMessage, source string) {
 	m = &wire.GroupMessage{Sender: &wire.GroupBox{Name: n.cfg.Self.Name, Boot: n.cfg.Self.Boot}}
 	for _, k := range list {
-		if k.foreign && !withForeign {
+		if !fits(k) {
 			continue
 		}
 		if len(m.Kept) == 0 {
--- a/group/load.go
+++ b/group/load.go
@@ -1,75 +1,57 @@
 package group
 
-// This file defines how boxes tell each other what they have under way. The invariant:
-// what a box knows of the others' does not contain its own, but for what has changed while
-// messages were on their way.
+// This file defines how boxes tell each other what they have under way. The invariants: what a
+// box knows of the others' does not contain its own, but for what has changed while messages
+// were on their way; and no sum counts a box twice.
 //
-// A member tells its lead, the lead tells the leads of the other domains the sum of
-// its domain, and tells its members the sum of all, of which each takes off its own. These
-// lists are whole; what changes between two of them is told as in loadnews.go.
+// A member tells its lead. A lead tells the other leads of its region the sum of its domain;
+// the region's lead, the strongest of them, tells the lead of each other region the sum of its
+// region, and the leads of its own region the sum of all others. A lead tells its members the
+// sum of all, of which each takes off its own. So each sum crosses the edge of a domain once for
+// each domain of the region, and the edge of a region once for each region. What is told when
+// stands in audience.go.
 
 import (
 	"time"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/wire"
 )
 
-// pauseForBox is the least time between two tells of loads to the same box, for each
-// box that a lead tells: with 10 boxes 200 ms, with 93 almost two seconds, so that what a
-// lead sends grows with its domain and not with its square.
-const pauseForBox = 20 * time.Millisecond
+// The values of GroupMessage.scope: whose sum loads are.
+const (
+	scopeDomain = iota // of the sender's domain, or all where it tells its members; of a member its own
+	scopeRegion        // of the sender's region
+	scopeBeyond        // of all other regions
+)
 
 // SetLoads notes what this box itself has under way.
 func (n *Node) SetLoads(l Loads) {
-	n.noteChanges(n.loads, l, true)
+	n.noteChanges(n.loads, l)
 	n.loads = l
 }
 
 // Others is what the other boxes have under way.
 func (n *Node) Others() Loads { return n.others }
 
-// tellLoads sends what has changed since it was last told.
+// tellLoads tells all there is, where that is due.
 func (n *Node) tellLoads(now time.Duration) {
 	if n.Leads() {
 		n.tellLoadsAsLead(now)
 		return
 	}
-	n.loadsPause = 0
-	if p := n.peers[n.lead().Name]; p != nil && p.leads {
-		n.tellLoad(now, p, n.loads)
+	n.forgetAudiences()
+	if p := n.peers[n.lead().Name]; p != nil && p.leads && n.worthTelling(now, p) {
+		n.tellAll(now, p)
 	}
 }
 
-// tellLoadsAsLead tells the members of the domain of all loads, and the other leads of the
-// domain's.
+// tellLoadsAsLead adds up anew what boxes have told, and tells it.
 func (n *Node) tellLoadsAsLead(now time.Duration) {
-	n.loadsPause = time.Duration(n.domainBoxes(now)) * pauseForBox
-	domain, foreign := n.sumLoads(now)
-	all := Loads{}
-	addLoads(all, domain)
-	addLoads(all, foreign)
-	n.others = without(all, n.loads)
-	n.tellMembers(now, packLoads(all))
-	for _, p := range n.peers {
-		if p.leads && !n.sameDomain(p) && !n.gone(now, p) {
-			n.tellLoad(now, p, domain)
-		}
-	}
-}
-
-// tellMembers tells all members the same: each takes off what it told itself, which is
-// what this box knows of it. To make one message for each cost a lead more than all else.
-func (n *Node) tellMembers(now time.Duration, packed []*wire.GroupLoad) {
-	var m *wire.GroupMessage
-	for _, p := range n.peers {
-		if !n.sameDomain(p) || n.gone(now, p) || !n.worthTelling(now, p, packed) {
-			continue
-		}
-		if m == nil {
-			m = n.loadsMessage(now, packed)
-			m.Whole = true
-		}
-		n.sendLoads(now, p, m)
+	n.sums = n.sumLoads(now)
+	n.setOthers(without(n.sums.all(), n.loads))
+	for _, a := range n.listen(now) {
+		a.tellWhole(n, now)
 	}
 }
 
@@ -77,71 +59,140 @@
 // loads count no more.
 func (n *Node) gone(now time.Duration, p *peer) bool { return now-p.heard > n.cfg.Timing.Member }
 
-// sumLoads adds up this domain's loads, and those of the others.
-func (n *Node) sumLoads(now time.Duration) (domain, foreign Loads) {
-	domain, foreign = Loads{}, Loads{}
-	addLoads(domain, n.loads)
+// loadSums are loads by where the boxes are that have them.
+type loadSums struct{ domain, region, beyond Loads } // region: its other domains; beyond: other regions
+
+// all adds up the three.
+func (s loadSums) all() Loads {
+	all := make(Loads, len(s.domain))
+	addLoads(all, s.domain)
+	addLoads(all, s.region)
+	addLoads(all, s.beyond)
+	return all
+}
+
+// sources are those whose loads a lead adds up.
+type sources struct{ domain, region, beyond []Loads }
+
+// loadSources lists what is to be added up: of other domains what their leads told, of other
+// regions what one lead of each told, or the lead of this region.
+func (n *Node) loadSources(now time.Duration) sources {
+	s := sources{domain: []Loads{n.loads}}
 	for _, p := range n.peers {
 		switch {
 		case n.gone(now, p):
-			p.loads = nil
+			p.loads, p.region, p.beyond = nil, nil, nil
 		case n.sameDomain(p):
-			addLoads(domain, p.loads)
-		case p.leads:
-			addLoads(foreign, p.loads)
+			s.domain = append(s.domain, p.loads)
+		case p.leads && n.sameRegion(p.box):
+			s.region = append(s.region, p.loads)
 		}
 	}
-	return domain, foreign
+	if lead := n.regionLead(now); lead != n.cfg.Self {
+		s.beyond = []Loads{n.peers[lead.Name].beyond}
+		return s
+	}
+	for _, p := range n.regionLeads(now, func(p *peer) bool { return p.region != nil }) {
+		s.beyond = append(s.beyond, p.region)
+	}
+	return s
+}
+
+// sumLoads adds up all loads.
+func (n *Node) sumLoads(now time.Duration) loadSums {
+	from := n.loadSources(now)
+	return loadSums{sumOf(from.domain), sumOf(from.region), sumOf(from.beyond)}
+}
+
+func sumOf(lists []Loads) Loads {
+	sum := make(Loads)
+	for _, l := range lists {
+		addLoads(sum, l)
+	}
+	return sum
+}
+
+// renew adds up some loads anew.
+func (s *loadSums) renew(from sources, keys map[balance.LoadKey]struct{}) {
+	for key := range keys {
+		setLoad(s.domain, key, sumAt(from.domain, key))
+		setLoad(s.region, key, sumAt(from.region, key))
+		setLoad(s.beyond, key, sumAt(from.beyond, key))
+	}
+}
+
+func sumAt(lists []Loads, key balance.LoadKey) balance.Load {
+	var sum balance.Load
+	for _, l := range lists {
+		sum = sum.Plus(l[key])
+	}
+	return sum
 }
 
-// worthTelling reports whether loads have changed for a peer, or a beat has passed since
-// it was told.
-func (n *Node) worthTelling(now time.Duration, p *peer, packed []*wire.GroupLoad) bool {
+// worthTelling reports whether a member's lead is to be told all: a beat has passed since
+// it was.
+func (n *Node) worthTelling(now time.Duration, p *peer) bool {
 	switch {
 	case !p.told:
 		return true
-	case now-p.toldAt < n.loadsPause:
-		return false
-	case sameLoads(p.toldLoads, packed) && now-p.toldAt < n.cfg.Timing.Beat:
+	case now-p.toldAt < n.cfg.Timing.Beat:
 		return false
 	}
-	return len(packed) > 0 || len(p.toldLoads) > 0 // idle: nothing to repeat
+	return len(n.loads) > 0 || len(p.toldLoads) > 0 // idle: nothing to repeat
 }
 
-// tellLoad tells a peer of loads, where that is worth while.
-func (n *Node) tellLoad(now time.Duration, p *peer, l Loads) {
-	if packed := packLoads(l); n.worthTelling(now, p, packed) {
-		n.sendLoads(now, p, n.loadsMessage(now, packed))
-	}
+// tellAll tells a member's lead all that the member has under way.
+func (n *Node) tellAll(now time.Duration, p *peer) {
+	p.told, p.toldLoads, p.toldAt, p.changesAt = true, rounded(n.loads), now, now
+	n.send(p.box.Address, n.loadsMessage(now, n.loads))
 }
 
-// loadsMessage makes a message that tells loads.
-func (n *Node) loadsMessage(now time.Duration, packed []*wire.GroupLoad) *wire.GroupMessage {
+// loadsMessage makes a message that tells all loads of a list.
+func (n *Node) loadsMessage(now time.Duration, l Loads) *wire.GroupMessage {
 	m := n.message(now)
-	m.HasLoads, m.Loads = true, packed
+	m.HasLoads, m.Columns = true, packColumns(l)
 	return m
 }
 
-// sendLoads sends a message that tells loads, and notes what the peer was told.
-func (n *Node) sendLoads(now time.Duration, p *peer, m *wire.GroupMessage) {
-	p.told, p.toldLoads, p.toldAt = true, m.Loads, now
-	n.send(p.box.Address, m)
-}
-
 // takeLoads takes in what a peer tells.
 func (n *Node) takeLoads(p *peer, m *wire.GroupMessage) {
 	if !m.HasLoads {
 		return
 	}
-	l := unpackLoads(m.Loads)
+	l := loadsOf(m)
 	switch {
+	case m.Scope == scopeRegion:
+		n.replaceLoads(&p.region, l)
+	case m.Scope == scopeBeyond:
+		n.replaceLoads(&p.beyond, l)
 	case !m.Leads || !n.sameDomain(p):
-		n.noteChanges(p.loads, l, n.sameDomain(p))
-		p.loads = l
+		n.replaceLoads(&p.loads, l)
 	case p.box.Name != n.lead().Name: // only the lead's count
 	case m.Whole && p.told:
-		n.others = without(l, unpackLoads(p.toldLoads))
+		n.setOthers(without(l, p.toldLoads))
 	default:
-		n.others = l
+		n.setOthers(l)
+	}
+}
+
+// setOthers notes what all other boxes have under way, and as news where it differs from what
+// was known.
+func (n *Node) setOthers(l Loads) {
+	for key, load := range l {
+		if n.others[key] != load {
+			n.news[key] = load
+		}
 	}
+	for key := range n.others {
+		if _, still := l[key]; !still {
+			n.news[key] = balance.Load{}
+		}
+	}
+	n.others = l
+}
+
+// replaceLoads takes over a list in place of the one before.
+func (n *Node) replaceLoads(old *Loads, l Loads) {
+	n.noteChanges(*old, l)
+	*old = l
 }
--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -1,10 +1,8 @@
 package group
 
-// This file defines how boxes tell each other of changes in what they have under way,
-// between two whole lists. A member tells its lead at once, and a lead its members and the
-// other leads, all that has changed within a flush in one message. The invariant: what is
-// told is the load itself and not its difference, so that a message that is lost leaves an
-// error in what it told only, until the next whole list.
+// This file defines how boxes tell each other of changes in what they have under way, between
+// two whole lists: a member its lead at once, a lead its audiences as audience.go says. The
+// invariant: a lead itself goes by what it was told last, whatever its audiences were told.
 //
 // An engine reads a long prompt in some 0.5 s, and boxes that know of each other's with a
 // delay of 0.75 s all choose the engine that was idle then: the true number of tokens before
@@ -21,129 +19,145 @@
 // flushPause is the least time between two messages with changes to the same box.
 const flushPause = 30 * time.Millisecond
 
-// changedLoads is whose loads have changed, and whether they did so in this box's domain.
-type changedLoads map[balance.LoadKey]bool
-
 // noteChanges notes where two lists differ.
-func (n *Node) noteChanges(before, after Loads, inDomain bool) {
+func (n *Node) noteChanges(before, after Loads) {
+	if !n.Leads() {
+		return
+	}
 	for key, load := range after {
 		if before[key] != load {
-			n.noteChange(key, inDomain)
+			n.changed[key] = struct{}{}
 		}
 	}
 	for key := range before {
 		if _, still := after[key]; !still {
-			n.noteChange(key, inDomain)
+			n.changed[key] = struct{}{}
 		}
 	}
 }
 
-// noteChange notes that a load has changed, in this box's domain or in another one.
-func (n *Node) noteChange(key balance.LoadKey, inDomain bool) {
-	if n.Leads() {
-		n.changed[key] = n.changed[key] || inDomain
-	}
-}
-
 // FlushLoads tells what has changed, unless that was done a moment ago.
 func (n *Node) FlushLoads(now time.Duration) {
+	if !n.Leads() {
+		clear(n.changed)
+		n.flushAsMember(now)
+		return
+	}
 	if now-n.flushed < flushPause {
 		return
 	}
-	if !n.Leads() {
-		clear(n.changed)
-		if p := n.peers[n.lead().Name]; p != nil && p.leads && now-p.toldAt >= flushPause {
-			n.tellLoad(now, p, n.loads)
+	if len(n.changed) > 0 {
+		n.flushed, n.looked = now, now
+		n.flushAsLead(now)
+		return
+	}
+	if now-n.looked >= flushPause && n.audiences.wait(now) {
+		n.looked = now
+		n.flushAsLead(now)
+	}
+}
+
+// wait reports whether an audience has something to be told that it may be told now.
+func (a *audiences) wait(now time.Duration) bool {
+	for _, x := range []*audience{a.members, a.near, a.far, a.inland} {
+		if x != nil && len(x.changed) > 0 && now >= x.due {
+			return true
 		}
+	}
+	return false
+}
+
+// flushAsMember tells the lead what has changed since it was told.
+func (n *Node) flushAsMember(now time.Duration) {
+	p := n.peers[n.lead().Name]
+	if p == nil || !p.leads || !p.told || now-p.changesAt < flushPause {
 		return
 	}
-	if len(n.changed) == 0 {
+	changes := make(Loads)
+	for key, load := range n.loads {
+		if load = roundedLoad(load); p.toldLoads[key] != load {
+			changes[key] = load
+		}
+	}
+	for key := range p.toldLoads {
+		if _, still := n.loads[key]; !still {
+			changes[key] = balance.Load{}
+		}
+	}
+	if len(changes) == 0 {
 		return
 	}
-	n.flushed = now
-	n.flushAsLead(now)
-	clear(n.changed)
+	for key, load := range changes {
+		setLoad(p.toldLoads, key, load)
+	}
+	p.changesAt = now
+	n.send(p.box.Address, n.changesMessage(changes))
 }
 
-// flushAsLead tells the members the loads of all boxes, and the other leads those of the
-// domain, where they have changed.
+// flushAsLead takes what has changed into the sums, and tells it.
 func (n *Node) flushAsLead(now time.Duration) {
-	var forMembers, forLeads []*wire.GroupLoad
-	for key, inDomain := range n.changed {
-		domain, foreign := n.sumLoad(now, key)
-		all := domain.Plus(foreign)
+	if n.sums.domain == nil {
+		n.sums = n.sumLoads(now)
+	}
+	n.sums.renew(n.loadSources(now), n.changed)
+	list := n.listen(now)
+	for key := range n.changed {
+		all := n.sums.domain[key].Plus(n.sums.region[key]).Plus(n.sums.beyond[key])
 		n.setOther(key, all.Minus(n.loads[key]))
-		forMembers = append(forMembers, packLoad(key, all))
-		if inDomain {
-			forLeads = append(forLeads, packLoad(key, domain))
+		for _, a := range list {
+			a.changed[key] = struct{}{}
 		}
 	}
-	toMembers, toLeads := n.changesMessage(forMembers), n.changesMessage(forLeads)
-	for _, p := range n.peers {
-		switch {
-		case n.gone(now, p):
-		case n.sameDomain(p):
-			n.send(p.box.Address, toMembers)
-		case p.leads && len(forLeads) > 0:
-			n.send(p.box.Address, toLeads)
-		}
+	clear(n.changed)
+	for _, a := range list {
+		a.tellChanges(n, now)
 	}
 }
 
 // changesMessage makes a message that tells changes.
-func (n *Node) changesMessage(list []*wire.GroupLoad) *wire.GroupMessage {
+func (n *Node) changesMessage(l Loads) *wire.GroupMessage {
 	return &wire.GroupMessage{
 		Sender:   &wire.GroupBox{Name: n.cfg.Self.Name, Boot: n.cfg.Self.Boot},
 		HasLoads: true,
 		Partial:  true,
-		Loads:    list,
+		Columns:  packColumns(l),
 	}
 }
 
-// sumLoad adds up one load over this domain, and over the others.
-func (n *Node) sumLoad(now time.Duration, key balance.LoadKey) (domain, foreign balance.Load) {
-	domain = n.loads[key]
-	for _, p := range n.peers {
-		switch {
-		case n.gone(now, p):
-		case n.sameDomain(p):
-			domain = domain.Plus(p.loads[key])
-		case p.leads:
-			foreign = foreign.Plus(p.loads[key])
-		}
-	}
-	return domain, foreign
-}
-
 // handleChangedLoads takes in a message that tells changes; such a one is no sign of life.
 func (n *Node) handleChangedLoads(m *wire.GroupMessage) {
 	p := n.peers[m.Sender.Name]
-	if p == nil || p.box.Boot != m.Sender.Boot || !p.leads {
+	if p == nil || p.box.Boot != m.Sender.Boot {
 		return
 	}
-	changes := unpackLoads(m.Loads)
+	changes := loadsOf(m)
 	switch {
-	case !n.sameDomain(p):
-		n.mergeLoads(p, changes)
+	case m.Scope == scopeRegion:
+		n.mergeLoads(&p.region, changes)
+	case m.Scope == scopeBeyond:
+		n.mergeLoads(&p.beyond, changes)
+	case !n.sameDomain(p) || n.Leads():
+		n.mergeLoads(&p.loads, changes)
 	case p.box.Name == n.lead().Name:
-		own := unpackLoads(p.toldLoads)
 		for key, load := range changes {
-			n.setOther(key, load.Minus(own[key]))
+			n.setOther(key, load.Minus(p.toldLoads[key]))
 		}
 	}
 }
 
-// mergeLoads takes over what has changed in another domain.
-func (n *Node) mergeLoads(p *peer, changes Loads) {
-	if p.loads == nil {
-		p.loads = make(Loads)
+// mergeLoads takes over what has changed in a list.
+func (n *Node) mergeLoads(list *Loads, changes Loads) {
+	if *list == nil {
+		*list = make(Loads)
 	}
 	for key, load := range changes {
-		if p.loads[key] == load {
+		if (*list)[key] == load {
 			continue
 		}
-		setLoad(p.loads, key, load)
-		n.noteChange(key, false)
+		setLoad(*list, key, load)
+		if n.Leads() {
+			n.changed[key] = struct{}{}
+		}
 	}
 }
 
--- a/group/loadpack.go
+++ b/group/loadpack.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/doormast/doormast/balance"
@@ -36,29 +37,84 @@
 	return l
 }
 
-// packLoads makes the wire's form, in a fixed order.
-func packLoads(l Loads) []*wire.GroupLoad {
-	out := make([]*wire.GroupLoad, 0, len(l))
+// rounded is a list as those know it who were told it.
+func rounded(l Loads) Loads {
+	out := make(Loads, len(l))
 	for key, load := range l {
-		if load.Unread > 0 || load.Open > 0 {
-			out = append(out, packLoad(key, load))
+		if load = roundedLoad(load); load != (balance.Load{}) {
+			out[key] = load
 		}
 	}
-	slices.SortFunc(out, func(a, b *wire.GroupLoad) int {
+	return out
+}
+
+func roundedLoad(l balance.Load) balance.Load {
+	l = l.Minus(balance.Load{}) // no field is below 0
+	l.Unread -= l.Unread % tokenUnit
+	l.Held -= l.Held % tokenUnit
+	if l.Unread == 0 && l.Open == 0 {
+		return balance.Load{}
+	}
+	return l
+}
+
+// packColumns makes the wire's form, in a fixed order. A load that is empty is told as such.
+func packColumns(l Loads) *wire.GroupColumns {
+	keys := slices.SortedFunc(maps.Keys(l), func(a, b balance.LoadKey) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Urgency, b.Urgency))
 	})
-	return out
+	c := new(wire.GroupColumns)
+	for i, key := range keys {
+		if key.Urgency < 0 || key.Urgency >= balance.Levels {
+			continue
+		}
+		if i == 0 || len(c.Upstream) == 0 || c.Upstream[len(c.Upstream)-1] != key.Upstream {
+			c.Upstream, c.Levels = append(c.Upstream, key.Upstream), append(c.Levels, 0)
+		}
+		c.Levels[len(c.Levels)-1] |= 1 << key.Urgency
+		load := roundedLoad(l[key])
+		c.Unread = append(c.Unread, uint32(load.Unread/tokenUnit))
+		c.Open = append(c.Open, uint32(load.Open))
+		c.Tight = append(c.Tight, uint32(load.Tight))
+		c.Held = append(c.Held, uint32(load.Held/tokenUnit))
+	}
+	for _, column := range []*[]uint32{&c.Unread, &c.Open, &c.Tight, &c.Held} {
+		if !slices.ContainsFunc(*column, func(v uint32) bool { return v > 0 }) {
+			*column = nil
+		}
+	}
+	return c
 }
 
-func packLoad(key balance.LoadKey, load balance.Load) *wire.GroupLoad {
-	return &wire.GroupLoad{
-		Upstream: key.Upstream,
-		Urgency:  uint32(key.Urgency),
-		Unread:   uint32(max(0, load.Unread) / tokenUnit),
-		Open:     uint32(max(0, load.Open)),
-		Tight:    uint32(max(0, load.Tight)),
-		Held:     uint32(max(0, load.Held) / tokenUnit),
+// unpackColumns reads the wire's form; what a list is too short for counts as 0.
+func unpackColumns(c *wire.GroupColumns) Loads {
+	l := make(Loads, len(c.Upstream))
+	row := 0
+	at := func(column []uint32, row int) int {
+		if row < len(column) {
+			return int(column[row])
+		}
+		return 0
+	}
+	for i, upstream := range c.Upstream[:min(len(c.Upstream), len(c.Levels))] {
+		for urgency := range balance.Levels {
+			if c.Levels[i]&(1<<urgency) == 0 {
+				continue
+			}
+			l[balance.LoadKey{Upstream: upstream, Urgency: urgency}] = balance.Load{Unread: at(c.Unread, row) * tokenUnit,
+				Open: at(c.Open, row), Tight: at(c.Tight, row), Held: at(c.Held, row) * tokenUnit}
+			row++
+		}
 	}
+	return l
+}
+
+// loadsOf is what a message tells of loads, in the present form or that of boxes before it.
+func loadsOf(m *wire.GroupMessage) Loads {
+	if m.Columns != nil {
+		return unpackColumns(m.Columns)
+	}
+	return unpackLoads(m.Loads)
 }
 
 // unpackLoads reads the wire's form.
@@ -70,10 +126,3 @@
 	}
 	return l
 }
-
-// sameLoads compares two packed lists.
-func sameLoads(a, b []*wire.GroupLoad) bool {
-	return slices.EqualFunc(a, b, func(x, y *wire.GroupLoad) bool {
-		return x.Upstream == y.Upstream && x.Urgency == y.Urgency && x.Unread == y.Unread && x.Open == y.Open && x.Tight == y.Tight && x.Held == y.Held
-	})
-}
--- a/group/node.go
+++ b/group/node.go
@@ -73,6 +73,8 @@
 	// FirstStart says that no box ran before: there is time to find the others
 	// before anything is read. A box that starts later has callers waiting.
 	FirstStart bool
+	// Link is what the box's link carries, in bytes a second; 0: not known.
+	Link float64
 	// Changed is told what is new in the mirror.
 	Changed func([]mirror.Item)
 }
@@ -91,6 +93,7 @@
 	named   time.Duration // when another box named it last; below 0: never
 	leads   bool
 	reads   bool
+	knows   bool // it knows what is published
 	leaving bool
 	silent  bool // it was expected to lead and was not heard
 	boxes   int  // alive in its domain, as it said when it led
@@ -98,10 +101,13 @@
 	beats    int    // that it was sent
 	toldList uint64 // digest of the boxes it was last told
 
-	loads      Loads             // its own, or its domain's where it leads another one
-	told       bool              // it was told loads
-	toldLoads  []*wire.GroupLoad // the last ones
-	toldAt     time.Duration
+	loads      Loads               // its own, or its domain's where it leads another one
+	region     Loads               // the sum of its region, where it leads another one
+	beyond     Loads               // the sum of all other regions, where it leads this box's
+	told       bool                // as this box's lead, it was told all loads of this box
+	toldLoads  Loads               // and knows these
+	toldAt     time.Duration       // when it was told all
+	changesAt  time.Duration       // when it was told any
 	classes    []balance.ClassSeen // what it told last of classes
 	classesAt  time.Duration       // when that came
 	lastKept   []balance.Kept      // of the last message that told such
@@ -131,22 +137,33 @@
 	pullFails bool          // its last pull failed
 	pullsFrom time.Duration // when its first pull was asked for; below 0: it was not
 
+	pulledFrom   string        // the address that was pulled from last
+	wanted       wanted        // the pull that waits
+	answers      answers       // to other boxes' pulls
+	readsAll     bool          // after a restart it has begun to read everything
+	hearsReading time.Duration // when a box was heard that reads everything, or that has heard such a one
+	directly     time.Duration // when the box itself was
+	lastHail     time.Duration // while nobody has answered
+
 	everything packedItems // what was packed last
 
 	lastTick time.Duration
 	wokeAt   time.Duration // when the box last noticed that it had stood still
 	lastBeat time.Duration
+	beats    int // that it has sent as a lead
 	lastAsk  time.Duration
 	lists    map[string]boxList // of the beat under way, by domain
 	reaches  map[string]Reach   // by address
 	out      []Outgoing
 
-	loads      Loads         // this box's own
-	loadsPause time.Duration // between two tells to the same box
-	others     Loads         // all other boxes'
-	changed    changedLoads  // of a lead: what its members and the other leads are to be told
-	flushed    time.Duration // when it last told them what had changed
-	news       Loads         // what has changed in others and was not drained yet
+	loads     Loads                        // this box's own
+	others    Loads                        // all other boxes'
+	sums      loadSums                     // of a lead: what boxes have told it
+	changed   map[balance.LoadKey]struct{} // of a lead: what has changed since they were told
+	audiences audiences                    // of a lead
+	flushed   time.Duration                // when changes were last told
+	looked    time.Duration                // when what waits to be told was last looked at
+	news      Loads                        // what has changed in others and was not drained yet
 
 	ownLanes balance.LanePlan // as this box would divide services
 	lanes    balance.LanePlan // as the lead it follows does
@@ -178,10 +195,15 @@
 		lastAsk:   never,
 		lanesAt:   never,
 		pullsFrom: never,
-		flushed:   never,
-		changed:   make(changedLoads),
-		others:    make(Loads),
-		news:      make(Loads),
+
+		hearsReading: never,
+		directly:     never,
+		lastHail:     now,
+		flushed:      never,
+		looked:       never,
+		changed:      make(map[balance.LoadKey]struct{}),
+		others:       make(Loads),
+		news:         make(Loads),
 	}
 	if !cfg.FirstStart {
 		n.hail(now) // callers wait: those who are there are to answer at once
--- a/group/published.go
+++ b/group/published.go
@@ -25,7 +25,10 @@
 	n.takeItems(now, m)
 	switch mine := n.cfg.Mirror.Revision(); {
 	case m.Revision > mine && (m.Pull || mine == 0):
-		n.pull = n.pullFrom(now, m.Sender)
+		if n.wanted.from == "" {
+			n.pull = n.pullFrom(now, m.Sender)
+			n.pulledFrom = n.pull
+		}
 	case m.Revision > mine && now-n.lastAsk >= askPause:
 		n.lastAsk = now
 		ask := n.message(now)
@@ -36,20 +39,27 @@
 	}
 }
 
-// pullFrom is where to pull everything from: the box's lead, once it is known, since its
-// link bears that many boxes do so at once; else the one that told of it.
+// pullFrom is where to pull everything from: the box's lead, once it knows what is published,
+// since its link bears that many boxes do so at once; else the one that told of it.
 func (n *Node) pullFrom(now time.Duration, sender *wire.GroupBox) string {
 	if n.cfg.Mirror.Revision() == 0 && n.pullsFrom < 0 {
 		n.pullsFrom = now
 	}
-	if lead := n.lead(); n.cfg.Mirror.Revision() == 0 && lead != n.cfg.Self && !n.pullFails {
-		return lead.Pulls
+	if lead := n.peers[n.lead().Name]; n.cfg.Mirror.Revision() == 0 && lead != nil && lead.knows && !n.pullFails {
+		return lead.box.Pulls
 	}
 	return sender.Pulls
 }
 
-// PullFailed notes that a pull brought nothing.
-func (n *Node) PullFailed() { n.pullFails = true }
+// PullFailed notes that a pull brought nothing. Where another box had named the one that was
+// asked, the next message of a box that knows tells whom to ask.
+func (n *Node) PullFailed() {
+	if n.wanted.away > 0 && n.wanted.away <= maxTurnedAway {
+		n.wanted.away++
+		return
+	}
+	n.pullFails = true
+}
 
 // takeItems takes in the changes that a message holds, unless some before them are
 // missing here.
@@ -134,5 +144,6 @@
 	}
 }
 
-// ReadFailed notes that this box could not read the publisher.
-func (n *Node) ReadFailed() { n.readFails = true }
+// ReadFailed notes that this box could not read the publisher. One that knows nothing yet leaves
+// the next turn to a box that it hears reading.
+func (n *Node) ReadFailed() { n.readFails, n.readsAll = true, false }
--- a/group/pulled.go
+++ b/group/pulled.go
@@ -68,6 +68,10 @@
 
 // Pulled takes in all that another box has.
 func (n *Node) Pulled(now time.Duration, r *wire.MirrorResponse) {
+	if r.BusyLeft > 0 {
+		n.turnedAway(now, r)
+		return
+	}
 	n.doubtFor(now, r.DoubtLeft)
 	items, ok := unpack(r.Items)
 	if len(r.Packed) > 0 {
@@ -76,7 +80,7 @@
 	if !ok || len(items) == 0 {
 		return // the next beat shows what is missing still
 	}
-	n.pullFails = false
+	n.pullFails, n.wanted = false, wanted{}
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
 	if r.Revision >= from && n.agesHold(now) {
--- a/group/reads.go
+++ b/group/reads.go
@@ -46,15 +46,6 @@
 	return now-known > t.Stale+time.Duration(min(n.place(), maxStagger))*t.Stagger
 }
 
-// readsAfterRestart reports whether a box that knows nothing yet, and has callers waiting,
-// reads: not before the others had time to answer, so that boxes which restart together do
-// not each call the publisher for every page of the list.
-func (n *Node) readsAfterRestart(now time.Duration) bool {
-	t := n.cfg.Timing
-	until := max(n.started+t.Others, n.pullsFrom+t.Pull)
-	return n.alone() || n.pullFails || now >= until
-}
-
 // readsForAll reports whether this box is the strongest of the leads that can read.
 func (n *Node) readsForAll(now time.Duration) bool {
 	canRead := func(p *peer) bool { return p.reads }
--- a/group/talk.go
+++ b/group/talk.go
@@ -28,6 +28,8 @@
 	n.watchLead(now)
 	n.tellLoads(now)
 	n.tellKept(now)
+	n.fetchWanted(now)
+	n.hailAgain(now)
 	if now-n.lastBeat < n.cfg.Timing.Beat {
 		return
 	}
@@ -84,8 +86,10 @@
 func (n *Node) beatAll(now time.Duration) {
 	foreign := false
 	classes := n.packClasses(now)
+	n.beats++
+	heard := n.heardDomains(now)
 	for _, p := range n.peers {
-		if !n.sameDomain(p) && !p.leads {
+		if !n.sameDomain(p) && !n.wantsBeat(now, p, heard) {
 			continue
 		}
 		foreign = foreign || !n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member
@@ -100,6 +104,34 @@
 	}
 }
 
+// silentEvery is each how many beats a lead of a domain that is not heard gets one: a domain
+// that was cut off is found again within 2 s, and not flooded.
+const silentEvery = 5
+
+// heardDomains are the other domains of which a lead was heard lately.
+func (n *Node) heardDomains(now time.Duration) map[string]bool {
+	heard := make(map[string]bool)
+	for _, p := range n.peers {
+		if p.leads && !n.sameDomain(p) && !n.gone(now, p) {
+			heard[p.box.Domain] = true
+		}
+	}
+	return heard
+}
+
+// wantsBeat reports whether a box of another domain gets a beat: those that led one when they
+// were last heard do seldom, or not at all where another one leads it now. After many boxes
+// have started at once, most have led their domain for a moment.
+func (n *Node) wantsBeat(now time.Duration, p *peer, heard map[string]bool) bool {
+	switch {
+	case !p.leads:
+		return false
+	case !n.gone(now, p) || now-p.named < n.cfg.Timing.Member && p.heard < 0:
+		return true
+	}
+	return !heard[p.box.Domain] && n.beats%silentEvery == 0
+}
+
 // listEvery is after how many beats a list that has not changed is told again, since
 // the datagram with the last change may have been lost.
 const listEvery = 10
@@ -112,16 +144,20 @@
 
 // listIfNew is the list for a peer, or nil if it knows it.
 func (n *Node) listIfNew(p *peer, now time.Duration) []*wire.GroupBox {
-	l, ok := n.lists[p.box.Domain]
+	of := p.box.Domain
+	if !n.sameDomain(p) {
+		of = "" // its members know each other: it is told of leads alone
+	}
+	l, ok := n.lists[of]
 	if !ok {
-		l.boxes = n.listFor(p.box.Domain, now)
+		l.boxes = n.listFor(of, now)
 		for _, b := range l.boxes {
 			l.digest += xxhash.Sum64String(b.Name) ^ b.Boot // in no order
 		}
 		if n.lists == nil {
 			n.lists = make(map[string]boxList)
 		}
-		n.lists[p.box.Domain] = l
+		n.lists[of] = l
 	}
 	p.beats++
 	if p.toldList == l.digest && p.beats%listEvery != 0 {
@@ -151,6 +187,7 @@
 		Revision:     n.cfg.Mirror.Revision(),
 		ConfirmedAge: micros(now - n.confirmed),
 		DoubtLeft:    micros(n.doubt - now),
+		Reading:      n.tellsReading(now),
 	}
 	if n.Leads() {
 		m.Leads, m.Reads = true, !n.readFails
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -34,7 +35,10 @@
 	regions   map[string]string              // of domains; empty: they are not divided
 	far       time.Duration                  // the way from one region to another
 	severs    func(a, b *wire.GroupBox) bool // links that are cut besides; nil: none
-	packed    Outgoing                       // whose bytes are in packedAs: one message may go to many
+	link      float64                        // bytes a second that a box can send to those that pull from it; 0: any number
+	store     pagedStore
+	pulls     []pulling
+	packed    Outgoing // whose bytes are in packedAs: one message may go to many
 	packedAs  []byte
 }
 
@@ -51,6 +55,13 @@
 	data []byte
 }
 
+// pulling is everything on its way from one box to another.
+type pulling struct {
+	at   time.Duration // when it is there, or given up on
+	to   *testBox
+	what *wire.MirrorResponse // nil: it took too long
+}
+
 type testBox struct {
 	self    *wire.GroupBox
 	node    *Node
@@ -63,7 +74,14 @@
 	asked   uint64        // revision behind which it asks
 	whole   bool
 	began   time.Duration
-	taken   []uint64 // revisions of the document it took, in order
+	page    int           // the next one of everything; those before it were read
+	asking  bool          // a page is on its way
+	askedAt time.Duration // since when
+	pulls   bool          // a pull is
+	sends   time.Duration // until when its link is busy with pulls
+	fails   int           // readings that failed, in a row
+	known   time.Duration // when it first knew what is published; 0: not yet
+	taken   []uint64      // revisions of the document it took, in order
 }
 
 const documentKey = "document"
@@ -111,6 +129,8 @@
 	for end := w.now + d; w.now < end; {
 		w.now += step
 		w.deliver()
+		w.endPulls()
+		w.servePages()
 		for i, name := range w.names {
 			b := w.boxes[name]
 			if b.dead || b.frozen {
@@ -122,6 +142,9 @@
 			w.read(b)
 			b.node.FlushLoads(w.now)
 			w.collect(b)
+			if b.known == 0 && b.copy.Revision() > 0 {
+				b.known = w.now
+			}
 		}
 	}
 }
@@ -192,12 +215,60 @@
 		w.flying = append(w.flying, flight{w.now + delay, b.self.Name, o.To, data})
 	}
 	if other := w.boxes[pull]; pull != "" && other != nil && !other.dead && !w.severed(b.self.Name, pull) {
-		b.node.Pulled(w.now, other.node.Everything(w.now, true))
+		w.pull(b, other)
 	}
 }
 
+// pullWait is the longest that a pull may take.
+const pullWait = 1500 * time.Millisecond
+
+// pull begins to send everything from one box to another, over the link of the one that has it.
+func (w *world) pull(b, from *testBox) {
+	if w.link == 0 {
+		b.node.Pulled(w.now, from.node.Everything(w.now, true))
+		return
+	}
+	if b.pulls {
+		return
+	}
+	b.pulls = true
+	r := from.node.Answer(w.now, &wire.MirrorRequest{Packed: true, Domain: b.self.Domain, Region: b.self.Region, Pulls: b.self.Pulls})
+	from.sends = max(from.sends, w.now) + time.Duration(float64(proto.Size(r))/w.link*float64(time.Second))
+	p := pulling{at: from.sends + 2*step, to: b, what: r}
+	if b.self.Region != from.self.Region {
+		p.at += 2 * w.far
+	}
+	if p.at > w.now+pullWait {
+		p.at, p.what = w.now+pullWait, nil
+	}
+	w.pulls = append(w.pulls, p)
+}
+
+// endPulls hands in the pulls that have come to their end.
+func (w *world) endPulls() {
+	w.pulls = slices.DeleteFunc(w.pulls, func(p pulling) bool {
+		if p.at > w.now {
+			return false
+		}
+		if b := p.to; w.boxes[b.self.Name] == b && !b.dead {
+			b.pulls = false
+			if p.what == nil {
+				b.node.PullFailed()
+			} else {
+				b.node.Pulled(w.now, p.what)
+			}
+			w.collect(b)
+		}
+		return true
+	})
+}
+
 // read makes the calls to the publisher that a node wants made.
 func (w *world) read(b *testBox) {
+	if b.copy.Revision() == 0 && w.store.perSecond > 0 {
+		w.readPages(b)
+		return
+	}
 	if b.reading == 0 {
 		if w.now < b.next || !b.node.Reads(w.now) {
 			return
--- a/mirror/publisher.go
+++ b/mirror/publisher.go
@@ -21,7 +21,8 @@
 // revision, from which the next call goes on.
 type Publisher interface {
 	// Everything reads all items. It may go on where a call before it failed: what it
-	// returns was then the newest no later than when the first of them began.
+	// returns was then the newest no later than when the first of them began. Where ctx is
+	// ended with the cause ErrNotNeeded, it stops after the page under way.
 	Everything(ctx context.Context) ([]Item, uint64, error)
 	// Changes waits for changes behind a revision. An error that is ErrForgotten
 	// says that they are no longer known, so that everything has to be read.
@@ -30,3 +31,6 @@
 
 // ErrForgotten says that the publisher no longer knows the changes asked for.
 var ErrForgotten = &Error{Op: "changes", Kind: KindForgotten}
+
+// ErrNotNeeded is the cause of the end of a reading whose result is known meanwhile.
+var ErrNotNeeded = &Error{Op: "everything", Kind: KindNotNeeded}
--- a/relay/members.go
+++ b/relay/members.go
@@ -29,7 +29,7 @@
 	read    *readResult
 	pulled  *pullResult
 	ask     chan<- *wire.MirrorResponse // another box wants everything
-	packed  bool                        // in its packed form
+	request *wire.MirrorRequest         // what it said
 	leave   chan<- struct{}             // the box is about to end; closed when the others were told
 }
 
@@ -51,6 +51,7 @@
 	reads    atomic.Bool   // the box is to read the publisher
 	watch    atomic.Int64  // time.Duration for which a reading waits for a change
 	kick     chan struct{} // readable when reads has become true
+	known    chan struct{} // closed when the mirror is no longer empty
 	loaded   chan struct{} // readable when this box's loads have changed
 
 	// What the duty alone looks at.
@@ -68,6 +69,7 @@
 		mirror:  mirror.New(),
 		events:  ring.New[memberEvent](memberRing),
 		kick:    make(chan struct{}, 1),
+		known:   make(chan struct{}),
 		loaded:  make(chan struct{}, 1),
 		traffic: newTraffic(r.stats),
 		missing: make(map[string]time.Duration),
@@ -80,6 +82,7 @@
 		Mirror:     m.mirror,
 		Changed:    m.changed,
 		FirstStart: r.cfg.FirstStart,
+		Link:       r.cfg.Link,
 	}, r.now())
 	return m, m.listen()
 }
@@ -132,7 +135,7 @@
 	case e.pulled != nil:
 		m.takePulled(now, e.pulled)
 	case e.ask != nil:
-		e.ask <- m.node.Everything(now, e.packed)
+		e.ask <- m.node.Answer(now, e.request)
 	case e.leave != nil:
 		m.node.Leave(now)
 		m.after(ctx)
@@ -144,7 +147,7 @@
 func (m *members) after(ctx context.Context) {
 	m.tellLoads()
 	m.sendOut(ctx)
-	m.revision.Store(m.mirror.Revision())
+	m.showRevision()
 	m.relay.belief.confirmed.Store(int64(m.node.Confirmed()))
 	if m.node.Known() {
 		m.boxes.Store(int64(m.node.Boxes()))
@@ -165,6 +168,14 @@
 	}
 }
 
+// showRevision shows what the mirror holds. A reading of everything ends with the first time
+// that it holds something: another box was faster.
+func (m *members) showRevision() {
+	if before := m.revision.Swap(m.mirror.Revision()); before == 0 && m.mirror.Revision() > 0 {
+		close(m.known)
+	}
+}
+
 // showReads tells the reader whether this box is to read, and wakes it.
 func (m *members) showReads() {
 	now := m.relay.now()
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -27,7 +27,7 @@
 	defer cancel()
 	self := m.relay.cfg.Self
 	client := wire.NewMirrorsClient(m.relay.pullClient, "http://"+address)
-	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region}))
+	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region, Pulls: self.Pulls}))
 	result := &pullResult{err: err}
 	if err == nil {
 		result.response = resp.Msg
@@ -65,7 +65,7 @@
 	ctx context.Context, req *connect.Request[wire.MirrorRequest],
 ) (*connect.Response[wire.MirrorResponse], error) {
 	answer := make(chan *wire.MirrorResponse, 1)
-	if !s.members.events.TryPush(memberEvent{ask: answer, packed: req.Msg.Packed}) {
+	if !s.members.events.TryPush(memberEvent{ask: answer, request: req.Msg}) {
 		return nil, connect.NewError(connect.CodeUnavailable, errBusy)
 	}
 	select {
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -85,13 +85,35 @@
 		m.wholeFrom = m.relay.now()
 	}
 	r.known, r.whole = m.wholeFrom, true
+	if m.revision.Load() == 0 {
+		var end context.CancelCauseFunc
+		ctx, end = m.untilKnown(ctx)
+		defer end(nil)
+	}
 	r.items, r.revision, r.err = m.relay.cfg.Publisher.Everything(ctx)
 	m.goesOn = r.err != nil
 }
 
+// untilKnown ends with ctx, or when another box has told this one what is published: after all
+// boxes were killed at once, pages that nobody needs any more would keep others from theirs.
+func (m *members) untilKnown(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, end := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-m.known:
+			end(mirror.ErrNotNeeded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, end
+}
+
 // takeRead takes in, on the members' duty, what came of a reading.
 func (m *members) takeRead(now time.Duration, r *readResult) {
 	defer close(r.taken)
+	if errors.Is(r.err, mirror.ErrNotNeeded) {
+		return // another box was faster
+	}
 	if r.err != nil {
 		m.failures++
 		r.pause = m.node.ReadPause(m.failures)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,7 @@
 	Control  net.Listener      // for other boxes' calls; nil where a box has no peers
 	Self     *wire.GroupBox    // the box as the others know it; without an address it has no peers
 	Seeds    []string          // IP:port of boxes that may be there
+	Link     float64           // what the box's link carries, in bytes a second; 0: not known
 	Timing   group.Timing
 	Protocol Protocol
 	// Publisher is read for the document and the list of upstreams, which Decode
