--- a/balance/tell.go
+++ b/balance/tell.go
@@ -29,9 +29,6 @@
 // which for a route that allows one run only is then lost.
 const endedMark = 0
 
-// Ended reports whether the news is that a start of the upstream has ended, and not of a part.
-func (k Kept) Ended() bool { return k.Part == endedMark }
-
 // PartKey identifies a part where boxes tell each other of it.
 func PartKey(id uint64) uint32 {
 	const half = 32
--- a/cmd/doormast/relay_test.go
+++ b/cmd/doormast/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 
@@ -34,3 +35,18 @@
 		}
 	}
 }
+
+func TestStatusShowsWhatBoxesHaveSent(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(showStates(&out, []*wire.StateResponse{
+		{Box: "b1", Traffic: []*wire.TrafficRow{{Kind: "beat", Reach: "other region", Messages: 3, Bytes: 412}}},
+		{Box: "b2", Traffic: []*wire.TrafficRow{{Kind: "changed loads", Reach: "domain", Messages: 70, Bytes: 9000}}},
+	}))
+	var rows []string
+	for _, l := range strings.Split(out.String(), "\n") {
+		rows = append(rows, strings.Join(strings.Fields(l), " "))
+	}
+	is.True(slices.Contains(rows, "b1 beat other region 3 412"))
+	is.True(slices.Contains(rows, "b2 changed loads domain 70 9000"))
+}
--- a/group/kept.go
+++ b/group/kept.go
@@ -1,10 +1,11 @@
 package group
 
 // This file defines how boxes tell each other which upstreams were sent which parts of
-// prompts. A member tells its lead, the lead its members and the other leads of its region, and
-// those their members. The invariant: a box tells each thing a bounded number of times, and what
-// comes from another domain goes to no other one. Other regions are told of upstreams that have
-// ended, and of no parts: to read a prompt again takes less than to have it from there.
+// prompts. A member tells its lead; the lead its members, and the other leads of its region;
+// the region's lead one lead of each other region, and the leads of its own what it hears from
+// there. The invariant: a box tells each thing a bounded number of times, what comes from
+// another domain of the region goes to no other one, and what comes from another region to no
+// other region.
 
 import (
 	"slices"
@@ -31,14 +32,21 @@
 
 // keptNews is something to tell.
 type keptNews struct {
-	kept    balance.Kept
-	from    string // the box it came from; empty: this one
-	foreign bool   // that box is of another domain
-	tells   int    // messages that are to tell it still
+	kept  balance.Kept
+	from  string // the box it came from; empty: this one
+	reach Reach  // how far away that box, or the one it heard it from, is
+	final bool   // it has crossed the edge of this region already: only members are told
+	tells int    // messages that are to tell it still
+}
+
+// heardKept is what a box told last, of one scope.
+type heardKept struct {
+	list []balance.Kept
+	at   time.Duration
 }
 
 // TellKept notes what this box sent to upstreams, to be told.
-func (n *Node) TellKept(list []balance.Kept) { n.queueKept("", false, list) }
+func (n *Node) TellKept(list []balance.Kept) { n.queueKept(keptNews{reach: ReachDomain}, list) }
 
 // DrainKept returns, once, what other boxes told.
 func (n *Node) DrainKept() []balance.Kept {
@@ -47,13 +55,15 @@
 	return heard
 }
 
-// queueKept puts what came from a box among what waits to be told.
-func (n *Node) queueKept(from string, foreign bool, list []balance.Kept) {
+// queueKept puts a list among what waits to be told; as says where it came from.
+func (n *Node) queueKept(as keptNews, list []balance.Kept) {
+	as.tells = keptTells
 	for _, k := range list {
 		if len(n.keptNews) >= maxKeptWaiting {
 			return
 		}
-		n.keptNews = append(n.keptNews, keptNews{k, from, foreign, keptTells})
+		as.kept = k
+		n.keptNews = append(n.keptNews, as)
 	}
 }
 
@@ -79,11 +89,15 @@
 	if !n.Leads() {
 		return
 	}
-	repeats := now-p.lastKeptAt < keptRepeats && slices.Equal(list, p.lastKept)
-	p.lastKept, p.lastKeptAt = list, now
-	if !repeats {
-		n.queueKept(p.box.Name, !n.sameDomain(p), list)
+	if p.lastKept == nil {
+		p.lastKept = make(map[uint32]heardKept)
+	}
+	last := p.lastKept[m.Scope]
+	p.lastKept[m.Scope] = heardKept{list, now}
+	if now-last.at < keptRepeats && slices.Equal(list, last.list) {
+		return
 	}
+	n.queueKept(keptNews{from: p.box.Name, reach: ReachOf(n.cfg.Self, p.box), final: m.Scope == scopeBeyond}, list)
 }
 
 // tellKept sends what waits to be told. A lead makes one message for its members and one
@@ -93,16 +107,10 @@
 		return
 	}
 	list := n.keptNews[:min(len(n.keptNews), maxKept)]
-	messages := make(map[Reach]*wire.GroupMessage)
-	source := ""
-	messages[ReachDomain], source = n.keptMessage(list, func(keptNews) bool { return true })
-	messages[ReachRegion], _ = n.keptMessage(list, func(k keptNews) bool { return !k.foreign })
-	messages[ReachFar], _ = n.keptMessage(list, func(k keptNews) bool { return !k.foreign && k.kept.Ended() })
-	for _, p := range n.keptPeers(now) {
-		m := messages[ReachOf(n.cfg.Self, p.box)]
-		if m != nil && p.box.Name != source {
-			n.send(p.box.Address, m)
-		}
+	if n.Leads() {
+		n.tellKeptAsLead(now, list)
+	} else if p := n.peers[n.lead().Name]; p != nil && p.leads {
+		n.sendKept([]*peer{p}, list, scopeDomain, func(keptNews) bool { return true })
 	}
 	tells := 1
 	if len(n.keptNews) >= keptOnceFrom {
@@ -114,22 +122,30 @@
 	n.dropTold()
 }
 
-// keptPeers are the boxes that this one tells.
-func (n *Node) keptPeers(now time.Duration) []*peer {
-	if !n.Leads() {
-		if p := n.peers[n.lead().Name]; p != nil && p.leads {
-			return []*peer{p}
-		}
-		return nil
+// tellKeptAsLead tells a lead's members and the other leads.
+func (n *Node) tellKeptAsLead(now time.Duration, list []keptNews) {
+	near := n.nearLeads(now)
+	n.sendKept(n.members(now), list, scopeDomain, func(keptNews) bool { return true })
+	n.sendKept(near, list, scopeDomain, func(k keptNews) bool { return k.reach == ReachDomain })
+	if n.regionLead(now) != n.cfg.Self {
+		return
 	}
-	var list []*peer
-	for _, p := range n.peers {
-		wants := n.sameDomain(p) || p.leads
-		if wants && now-p.heard < n.cfg.Timing.Member {
-			list = append(list, p)
+	n.sendKept(n.regionLeads(now, anyPeer), list, scopeRegion, func(k keptNews) bool { return k.reach != ReachFar && !k.final })
+	n.sendKept(near, list, scopeBeyond, func(k keptNews) bool { return k.reach == ReachFar })
+}
+
+// sendKept sends those of a list that fit to some boxes, but for the one that all came from.
+func (n *Node) sendKept(to []*peer, list []keptNews, scope uint32, fits func(keptNews) bool) {
+	m, source := n.keptMessage(list, fits)
+	if m == nil {
+		return
+	}
+	m.Scope = scope
+	for _, p := range to {
+		if p.box.Name != source {
+			n.send(p.box.Address, m)
 		}
 	}
-	return list
 }
 
 // keptMessage makes the message that tells those of a list that fit; nil where nothing is left.
--- a/group/load.go
+++ b/group/load.go
@@ -23,6 +23,7 @@
 	scopeDomain = iota // of the sender's domain, or all where it tells its members; of a member its own
 	scopeRegion        // of the sender's region
 	scopeBeyond        // of all other regions
+	scopeOwn           // of the sender alone, in changes that a member tells
 )
 
 // SetLoads notes what this box itself has under way.
@@ -84,10 +85,11 @@
 			p.loads, p.region, p.beyond = nil, nil, nil
 		case n.sameDomain(p):
 			s.domain = append(s.domain, p.loads)
-		case p.leads && n.sameRegion(p.box):
-			s.region = append(s.region, p.loads)
 		}
 	}
+	for _, p := range n.domainLeads(now) {
+		s.region = append(s.region, p.loads)
+	}
 	if lead := n.regionLead(now); lead != n.cfg.Self {
 		s.beyond = []Loads{n.peers[lead.Name].beyond}
 		return s
--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -91,7 +91,9 @@
 		setLoad(p.toldLoads, key, load)
 	}
 	p.changesAt = now
-	n.send(p.box.Address, n.changesMessage(changes))
+	m := n.changesMessage(changes)
+	m.Scope = scopeOwn
+	n.send(p.box.Address, m)
 }
 
 // flushAsLead takes what has changed into the sums, and tells it.
@@ -136,9 +138,9 @@
 		n.mergeLoads(&p.region, changes)
 	case m.Scope == scopeBeyond:
 		n.mergeLoads(&p.beyond, changes)
-	case !n.sameDomain(p) || n.Leads():
+	case !n.sameDomain(p) || m.Scope == scopeOwn:
 		n.mergeLoads(&p.loads, changes)
-	case p.box.Name == n.lead().Name:
+	case p.box.Name == n.lead().Name && !n.Leads():
 		for key, load := range changes {
 			n.setOther(key, load.Minus(p.toldLoads[key]))
 		}
--- a/group/node.go
+++ b/group/node.go
@@ -101,17 +101,16 @@
 	beats    int    // that it was sent
 	toldList uint64 // digest of the boxes it was last told
 
-	loads      Loads               // its own, or its domain's where it leads another one
-	region     Loads               // the sum of its region, where it leads another one
-	beyond     Loads               // the sum of all other regions, where it leads this box's
-	told       bool                // as this box's lead, it was told all loads of this box
-	toldLoads  Loads               // and knows these
-	toldAt     time.Duration       // when it was told all
-	changesAt  time.Duration       // when it was told any
-	classes    []balance.ClassSeen // what it told last of classes
-	classesAt  time.Duration       // when that came
-	lastKept   []balance.Kept      // of the last message that told such
-	lastKeptAt time.Duration       // when that came
+	loads     Loads                // its own, or its domain's where it leads another one
+	region    Loads                // the sum of its region, where it leads another one
+	beyond    Loads                // the sum of all other regions, where it leads this box's
+	told      bool                 // as this box's lead, it was told all loads of this box
+	toldLoads Loads                // and knows these
+	toldAt    time.Duration        // when it was told all
+	changesAt time.Duration        // when it was told any
+	classes   []balance.ClassSeen  // what it told last of classes
+	classesAt time.Duration        // when that came
+	lastKept  map[uint32]heardKept // the last message of each scope that told parts
 }
 
 // sameDomain reports whether a peer is of this box's failure domain.
--- a/group/region.go
+++ b/group/region.go
@@ -5,6 +5,7 @@
 // passes once. Where two take themselves for it, the others go by the stronger.
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,19 +22,35 @@
 
 // regionLeads are the strongest leads that are heard and fit, one of each other region.
 func (n *Node) regionLeads(now time.Duration, fits func(*peer) bool) []*peer {
+	return n.onePer(now, func(p *peer) string { return p.box.Region },
+		func(p *peer) bool { return !n.sameRegion(p.box) && n.leadIsHeard(now, p) && fits(p) })
+}
+
+// domainLeads are the leads of the other domains of this box's region, one of each: where one
+// has taken over from another that was heard a moment ago, both still tell the domain's sum.
+func (n *Node) domainLeads(now time.Duration) []*peer {
+	return n.onePer(now, func(p *peer) string { return p.box.Domain },
+		func(p *peer) bool { return !n.sameDomain(p) && n.sameRegion(p.box) && p.leads && !n.gone(now, p) })
+}
+
+// onePer picks of each group the strongest that is heard, or where none is, was heard lately.
+func (n *Node) onePer(now time.Duration, group func(*peer) string, fits func(*peer) bool) []*peer {
 	best := make(map[string]*peer)
+	goesFirst := func(a, b *peer) bool {
+		if heard := n.leadIsHeard(now, a); heard != n.leadIsHeard(now, b) {
+			return heard
+		}
+		return better(a.box, b.box)
+	}
 	for _, p := range n.peers {
-		if n.sameRegion(p.box) || !n.leadIsHeard(now, p) || !fits(p) {
+		if !fits(p) {
 			continue
 		}
-		if b := best[p.box.Region]; b == nil || better(p.box, b.box) {
-			best[p.box.Region] = p
+		if b := best[group(p)]; b == nil || goesFirst(p, b) {
+			best[group(p)] = p
 		}
 	}
-	list := make([]*peer, 0, len(best))
-	for _, p := range best {
-		list = append(list, p)
-	}
+	list := slices.Collect(maps.Values(best))
 	slices.SortFunc(list, func(a, b *peer) int { return strongestFirst(a.box, b.box) })
 	return list
 }
