--- a/group/pulled.go
+++ b/group/pulled.go
@@ -66,8 +66,9 @@
 	return unpack(all.Items)
 }
 
-// Pulled takes in all that another box has.
-func (n *Node) Pulled(now time.Duration, r *wire.MirrorResponse) {
+// Pulled takes in all that another box has, which was asked for it at a moment. The ages in the
+// answer count from then on: it may have been on its way for long.
+func (n *Node) Pulled(now, asked time.Duration, r *wire.MirrorResponse) {
 	if r.BusyLeft > 0 {
 		n.turnedAway(now, r)
 		return
@@ -84,7 +85,7 @@
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
 	if r.Revision >= from && n.agesHold(now) {
-		n.confirmed = max(n.confirmed, now-fromMicros(r.ConfirmedAge))
+		n.confirmed = max(n.confirmed, asked-fromMicros(r.ConfirmedAge))
 	}
 	n.tell(now, changes, from)
 }
--- a/group/pulled_test.go
+++ b/group/pulled_test.go
@@ -41,12 +41,22 @@
 	for _, packed := range []bool{true, false} {
 		is := is.New(t)
 		from, to := nodeWith(1000), nodeWith(0)
-		to.Pulled(time.Second, from.Everything(time.Second, packed))
+		to.Pulled(time.Second, time.Second, from.Everything(time.Second, packed))
 		is.Equal(to.cfg.Mirror.Items(), from.cfg.Mirror.Items())
 		is.Equal(to.cfg.Mirror.Revision(), uint64(1000))
 	}
 }
 
+// An answer that was long on its way makes nobody believe that it is younger than it is.
+func TestTheAgeOfWhatIsPulledCountsFromTheQuestion(t *testing.T) {
+	is := is.New(t)
+	from, to := nodeWith(10), nodeWith(0)
+	from.confirmed = 2 * time.Second
+	to.lastTick = 4 * time.Second
+	to.Pulled(4*time.Second, 2500*time.Millisecond, from.Everything(3500*time.Millisecond, true))
+	is.Equal(to.Confirmed(), time.Second) // 1.5 s old when it was packed, and asked for at 2.5 s
+}
+
 // What cannot be read, or says nothing, leaves what the box has.
 func TestWhatCannotBeReadIsNotTaken(t *testing.T) {
 	whole := nodeWith(1000).Everything(time.Second, true)
@@ -64,7 +74,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			n := nodeWith(3)
-			n.Pulled(time.Second, tt.response)
+			n.Pulled(time.Second, time.Second, tt.response)
 			is.Equal(len(n.cfg.Mirror.Items()), 3)
 			is.Equal(n.cfg.Mirror.Revision(), uint64(3))
 		})
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -57,9 +57,10 @@
 
 // pulling is everything on its way from one box to another.
 type pulling struct {
-	at   time.Duration // when it is there, or given up on
-	to   *testBox
-	what *wire.MirrorResponse // nil: it took too long
+	asked time.Duration
+	at    time.Duration // when it is there, or given up on
+	to    *testBox
+	what  *wire.MirrorResponse // nil: it took too long
 }
 
 type testBox struct {
@@ -225,7 +226,7 @@
 // pull begins to send everything from one box to another, over the link of the one that has it.
 func (w *world) pull(b, from *testBox) {
 	if w.link == 0 {
-		b.node.Pulled(w.now, from.node.Everything(w.now, true))
+		b.node.Pulled(w.now, w.now, from.node.Everything(w.now, true))
 		return
 	}
 	if b.pulls {
@@ -234,7 +235,7 @@
 	b.pulls = true
 	r := from.node.Answer(w.now, &wire.MirrorRequest{Packed: true, Domain: b.self.Domain, Region: b.self.Region, Pulls: b.self.Pulls})
 	from.sends = max(from.sends, w.now) + time.Duration(float64(proto.Size(r))/w.link*float64(time.Second))
-	p := pulling{at: from.sends + 2*step, to: b, what: r}
+	p := pulling{asked: w.now, at: from.sends + 2*step, to: b, what: r}
 	if b.self.Region != from.self.Region {
 		p.at += 2 * w.far
 	}
@@ -255,7 +256,7 @@
 			if p.what == nil {
 				b.node.PullFailed()
 			} else {
-				b.node.Pulled(w.now, p.what)
+				b.node.Pulled(w.now, p.asked, p.what)
 			}
 			w.collect(b)
 		}
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -21,14 +21,18 @@
 // slowest links, of 10 Mbit/s and shared.
 const pullWait = 1500 * time.Millisecond
 
+// microsOfMilli is the unit of times in messages, in that of logs.
+const microsOfMilli = 1000
+
 // pull fetches what another box has and hands it to the duty.
 func (m *members) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullWait)
 	defer cancel()
 	self := m.relay.cfg.Self
 	client := wire.NewMirrorsClient(m.relay.pullClient, "http://"+address)
+	asked := m.relay.now()
 	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region, Pulls: self.Pulls}))
-	result := &pullResult{err: err}
+	result := &pullResult{from: address, asked: asked, err: err}
 	if err == nil {
 		result.response = resp.Msg
 	}
@@ -49,7 +53,10 @@
 		m.relay.cfg.Log.Event("group", "pull failed", Fields{"error": p.err.Error()})
 		return
 	}
-	m.node.Pulled(now, p.response)
+	if left := p.response.BusyLeft; left > 0 {
+		m.relay.cfg.Log.Event("group", "pull turned away", Fields{"from": p.from, "busy_ms": left / microsOfMilli, "elsewhere": p.response.Elsewhere})
+	}
+	m.node.Pulled(now, p.asked, p.response)
 }
 
 // mirrors answers other boxes' pulls.
@@ -94,6 +101,8 @@
 
 // pullResult is what another box has.
 type pullResult struct {
+	from     string
+	asked    time.Duration
 	response *wire.MirrorResponse
 	err      error
 }
