--- a/group/fetch.go
+++ b/group/fetch.go
@@ -79,22 +79,15 @@
 	}
 }
 
-// elsewhere lists boxes that should have everything by now: of the asking box's domain, or
-// where there are none, of others. Each box that asks is told of others than the one before.
+// elsewhere lists boxes of the asking box's domain that should have everything by now. Each box
+// that asks is told of others than the one before.
 func (n *Node) elsewhere(now time.Duration, req *wire.MirrorRequest) []string {
-	var near, far []string
+	var near []string
 	for _, b := range n.answers.boxes {
-		switch {
-		case b.at > now || b.pulls == req.Pulls:
-		case b.domain == req.Domain:
+		if b.at <= now && b.pulls != req.Pulls && b.domain == req.Domain {
 			near = append(near, b.pulls)
-		default:
-			far = append(far, b.pulls)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
 	if len(near) <= maxElsewhere {
 		return near
 	}
--- a/group/published.go
+++ b/group/published.go
@@ -39,14 +39,28 @@
 	}
 }
 
-// pullFrom is where to pull everything from: the box's lead, once it knows what is published,
-// since its link bears that many boxes do so at once; else the one that told of it.
+// crossWait is how long a box that does not lead its domain waits for one of its own domain to
+// know what is published before it pulls from another one, whose links are dear and few: at a
+// start, everything would else cross them once for each box.
+const crossWait = 800 * time.Millisecond
+
+// pullFrom is where to pull everything from: the box's lead, where it knows what is published,
+// since its link bears that many boxes do so at once, or where the one that told of it is of another
+// domain; else the one that told of it.
 func (n *Node) pullFrom(now time.Duration, sender *wire.GroupBox) string {
-	if n.cfg.Mirror.Revision() == 0 && n.pullsFrom < 0 {
+	if n.cfg.Mirror.Revision() > 0 {
+		return sender.Pulls
+	}
+	if n.pullsFrom < 0 {
 		n.pullsFrom = now
 	}
-	if lead := n.peers[n.lead().Name]; n.cfg.Mirror.Revision() == 0 && lead != nil && lead.knows && !n.pullFails {
-		return lead.box.Pulls
+	lead := n.lead()
+	if lead == n.cfg.Self || n.pullFails {
+		return sender.Pulls
+	}
+	waits := sender.Domain != n.cfg.Self.Domain && now-n.pullsFrom < crossWait+n.share(crossWait)
+	if p := n.peers[lead.Name]; p.knows || waits {
+		return lead.Pulls
 	}
 	return sender.Pulls
 }
--- a/group/restart_test.go
+++ b/group/restart_test.go
@@ -166,3 +166,17 @@
 	is.True(slices.Contains(r.Elsewhere, "a"))
 	is.True(!slices.Contains(r.Elsewhere, "c")) // of another domain
 }
+
+// At a start, and after all boxes were killed, everything crosses the edge of a domain a few
+// times and not once for each box.
+func TestPullsStayWithinADomain(t *testing.T) {
+	is := is.New(t)
+	w := across(t, 8, layout{3, 1}, 60)
+	w.listUpstreams(1000)
+	w.killAll()
+	w.crossed = 0
+	w.run(4 * time.Second)
+	is.Equal(w.behind(), nil)
+	t.Logf("%d pulls crossed, %d pages, all after %v", w.crossed, w.store.calls, w.knownAfter(0)[59])
+	is.True(w.crossed <= 8)
+}
--- a/group/talk.go
+++ b/group/talk.go
@@ -134,7 +134,7 @@
 
 // listEvery is after how many beats a list that has not changed is told again, since
 // the datagram with the last change may have been lost.
-const listEvery = 10
+const listEvery = 30
 
 // boxList is the boxes that a domain should know, with a digest of them.
 type boxList struct {
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -38,6 +38,7 @@
 	link      float64                        // bytes a second that a box can send to those that pull from it; 0: any number
 	store     pagedStore
 	pulls     []pulling
+	crossed   int      // pulls answered across the edge of a domain
 	packed    Outgoing // whose bytes are in packedAs: one message may go to many
 	packedAs  []byte
 }
@@ -234,6 +235,9 @@
 	}
 	b.pulls = true
 	r := from.node.Answer(w.now, &wire.MirrorRequest{Packed: true, Domain: b.self.Domain, Region: b.self.Region, Pulls: b.self.Pulls})
+	if r.BusyLeft == 0 && r.Revision > 0 && b.self.Domain != from.self.Domain {
+		w.crossed++
+	}
 	from.sends = max(from.sends, w.now) + time.Duration(float64(proto.Size(r))/w.link*float64(time.Second))
 	p := pulling{asked: w.now, at: from.sends + 2*step, to: b, what: r}
 	if b.self.Region != from.self.Region {
