--- a/group/node.go
+++ b/group/node.go
@@ -224,10 +224,15 @@
 // Doubt is until when entries that went may come back.
 func (n *Node) Doubt() time.Duration { return n.doubt }
 
-// Leave tells all that this box is about to end, so that another leads.
+// Leave tells the boxes of the domain that this box is about to end, so that another leads,
+// and those that lead others, if it led.
 func (n *Node) Leave(now time.Duration) {
+	led := n.Leads()
 	n.leaving, n.chosen = true, nil
+	m := n.message(now)
 	for _, p := range n.peers {
-		n.send(p.box.Address, n.message(now))
+		if n.sameDomain(p) || led && n.leadsNow(now, p) {
+			n.send(p.box.Address, m)
+		}
 	}
 }
--- a/group/published.go
+++ b/group/published.go
@@ -105,12 +105,19 @@
 		return
 	}
 	for _, p := range n.peers {
-		if n.sameDomain(p) || p.leads {
+		if n.sameDomain(p) || n.leadsNow(now, p) {
 			n.sendItems(now, p.box.Address, from, changes)
 		}
 	}
 }
 
+// leadsNow reports whether a box leads another domain and was heard lately. Those that led one
+// for a moment at their start, as all do that start at once, hear of changes from their leads:
+// with 85 boxes in three domains, changes sent to them were half of all bytes between domains.
+func (n *Node) leadsNow(now time.Duration, p *peer) bool {
+	return p.leads && !n.sameDomain(p) && !n.gone(now, p)
+}
+
 // sendChanges sends what is behind a revision, or says that it has to be pulled.
 func (n *Node) sendChanges(now time.Duration, to string, after uint64) {
 	changes, ok := n.cfg.Mirror.Since(after)
--- a/group/region_test.go
+++ b/group/region_test.go
@@ -253,3 +253,32 @@
 	got := unpackColumns(&wire.GroupColumns{Upstream: []uint32{1, 2, 3}, Levels: []uint32{3, 1 << 31}, Unread: []uint32{5}, Open: []uint32{1, 2}})
 	is.Equal(got, Loads{{Upstream: 1}: {Unread: 5 * tokenUnit, Open: 1}, {Upstream: 1, Urgency: 1}: {Open: 2}})
 }
+
+// After many boxes have started at once, what is published goes to the leads of other domains
+// alone, though each of their boxes led its domain for a moment; so does what a lead says when
+// it ends, and a member tells its own domain only.
+func TestOtherDomainsAreToldThroughTheirLeads(t *testing.T) {
+	is := is.New(t)
+	w := across(t, 9, layout{3, 1}, 60)
+	w.killAll()
+	w.run(8 * time.Second)
+	count := func(do func()) map[Reach]int {
+		w.run(DefaultTiming.Beat)
+		reaches := make(map[Reach]int)
+		do()
+		for _, name := range w.names {
+			out, _ := w.boxes[name].node.Drain()
+			for _, o := range out {
+				if k := KindOf(o.Message); k == KindPublished || o.Message.Leaving {
+					reaches[o.Reach]++
+				}
+			}
+		}
+		return reaches
+	}
+	lead := w.boxes[boxName(0, 0)].node
+	changes := []mirror.Item{{Key: documentKey, Value: []byte("2"), Revision: 2}}
+	is.Equal(count(func() { lead.Read(w.now, w.now, changes, 2, false) })[ReachRegion], 2)
+	is.Equal(count(func() { w.boxes[boxName(1, 5)].node.Leave(w.now) })[ReachRegion], 0)
+	is.Equal(count(func() { lead.Leave(w.now) })[ReachRegion], 2)
+}
