A box keeps within its memory whatever callers and upstreams leave unread

Now one account charges connections, requests, bodies and answers; what does not fit is turned away before it is read, the most urgent last; a caller that takes nothing for 2 s is cut off, without harm to its upstream; the kernel's buffers are bounded.

--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -78,10 +78,11 @@
 // showStates prints the boxes, and the upstreams as the first of them sees them.
 func showStates(w io.Writer, all []*wire.StateResponse) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tw, "BOX\tDOMAIN\tREADY\tOPEN\tVERSION\tAGE\tLEAD\tBOXES\tRETRIES LEFT")
+	fmt.Fprintln(tw, "BOX\tDOMAIN\tREADY\tOPEN\tVERSION\tAGE\tLEAD\tBOXES\tRETRIES LEFT\tMEMORY\tTURNED AWAY\tCUT OFF")
 	for _, s := range all {
-		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
-			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft)
+		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
+			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft,
+			memoryOf(s.Memory), s.Memory.GetTurnedAway(), s.Memory.GetCutOff())
 	}
 	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS")
 	for _, u := range all[0].Upstreams {
@@ -90,6 +91,15 @@
 	return tw.Flush()
 }
 
+// memoryOf is what a box keeps on behalf of callers and upstreams, and the most that it may.
+func memoryOf(m *wire.MemoryRow) string {
+	const kilobyte = 1 << 10
+	if m.GetBound() == 0 {
+		return fmt.Sprintf("%d KB", m.GetUsed()/kilobyte)
+	}
+	return fmt.Sprintf("%d of %d KB", m.GetUsed()/kilobyte, m.GetBound()/kilobyte)
+}
+
 func upstreamState(u *wire.UpstreamRow) string {
 	switch {
 	case u.Leaving:
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -40,6 +40,13 @@
 	// let the heap grow; the rest is for stacks and the kernel's buffers.
 	memoryShare = 0.5
 	megabyte    = 1 << 20
+	// ownMemoryMB is kept for the process itself: its code, what it believes, its log.
+	ownMemoryMB = 48
+	// keptShare is the share of the rest that may be kept on behalf of callers and
+	// upstreams: the collector lets as much again build up before it runs.
+	keptShare = 0.5
+	// leastKeptMB is what may be kept however small the box is.
+	leastKeptMB = 8
 	// maxSignals is how many signals may wait while one is dealt with.
 	maxSignals = 4
 	// boxesAssumed is how many boxes share limits while the others are not known:
@@ -138,9 +145,19 @@
 		FirstStart: s.FirstStart,
 		Boxes:      boxesAssumed,
 		Grace:      s.Bounds.Grace(),
+		Memory:     keptMemory(s.MemoryMB),
 	}
 }
 
+// keptMemory is how many bytes a box may keep on behalf of callers and upstreams; 0,
+// without a bound, where its memory is not known.
+func keptMemory(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return 0
+	}
+	return megabyte * int64(max(keptShare*float64(memoryMB-ownMemoryMB), leastKeptMB))
+}
+
 // self is the box as the others know it. Its start is told by the time of day,
 // since nothing outlives a process here.
 func self(s *settings.Relay) *wire.GroupBox {
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -24,6 +24,10 @@
 		ctx.SetConnectionClose()
 	}
 	x, no := r.admit(q)
+	c := callerOf(ctx)
+	if no == nil && c != nil {
+		no = x.charge(c)
+	}
 	if no != nil {
 		r.logRefused(q, *no)
 		r.answerSelf(ctx, q, *no)
@@ -32,6 +36,19 @@
 	x.serve(ctx)
 }
 
+// charge takes what a request under way needs besides what was read of it.
+func (x *exchange) charge(c *caller) *refusal {
+	r := x.relay
+	c.share, c.request = shareFor(x.urgency, x.doc.Urgencies(r.cfg.Protocol.Priorities)), x.request.id
+	if !c.lease.Grow(requestBytes, c.share) {
+		r.turnedAway(x.request.id, "request")
+		return &refusal{fasthttp.StatusServiceUnavailable, shortReason, comeBackUsual}
+	}
+	c.until = x.end.Add(lateWait)
+	x.caller = c
+	return nil
+}
+
 // logRefused writes the line about a request that was not admitted, and counts it.
 func (r *Relay) logRefused(q *request, no refusal) {
 	r.cfg.Log.Event("request", "refused", Fields{"id": q.id, "status": no.status, "reason": no.reason, "host": q.host,
--- /dev/null
+++ b/relay/caller.go
@@ -0,0 +1,333 @@
+package relay
+
+// This file defines a caller's connection. The invariants: a request is handed on when
+// its head, and a small body, have come whole, so that a caller that sends slowly holds
+// what it has sent and little more; what the caller's requests and answers take is
+// charged, and given back when the next request is due or the connection ends; and a
+// caller that takes nothing of an answer is cut off.
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/internal/account"
+)
+
+const (
+	// unreadWait is how long a caller may take no byte of an answer that waits for it.
+	// Callers give a stream up after a gap of 2 s at the least, and upstreams cut off
+	// what is left unread for some seconds.
+	unreadWait = 2 * time.Second
+	// unreadLook is how often it is looked whether the caller has taken something.
+	unreadLook = 250 * time.Millisecond
+	// lateWait is how long after a request's end its caller may still be taking the
+	// answer, however slowly.
+	lateWait = 10 * time.Second
+	// shortWait is how long a head waits for memory; callers give up what has not been
+	// read after a second.
+	shortWait = 300 * time.Millisecond
+	// refusedLinger is how long, and refusedBytes how much, a box goes on reading of a
+	// body that it has turned away, since closing at once would take the answer along.
+	refusedLinger = 500 * time.Millisecond
+	refusedBytes  = 1 << 20
+	// collectStep is the first size of the buffer for a request, in bytes.
+	collectStep = 1 << 10
+	// collectBytes is the largest body that is collected with its head.
+	collectBytes = 32 << 10
+)
+
+// callers accepts callers' connections.
+type callers struct {
+	net.Listener
+	relay *Relay
+}
+
+var _ net.Listener = callers{}
+
+// Accept implements net.Listener. A connection that there is no memory for is closed
+// before anything is read of it.
+func (l callers) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newCaller(l.relay, conn)
+		if c.lease.Grow(callerBytes, wholeShare) {
+			return c, nil
+		}
+		l.relay.turnedAway("", "connection")
+		_ = c.Close()
+	}
+}
+
+// caller is a caller's connection.
+type caller struct {
+	net.Conn
+	relay *Relay
+	raw   syscall.RawConn // nil where the connection has none
+	lease *account.Lease
+
+	pending []byte    // read of a request, and not handed on yet
+	broken  error     // comes behind pending: why no more is read
+	share   float64   // of the bound, that the request may fill
+	request string    // id of the request under way, as far as it is known
+	until   time.Time // when its answer has to be gone; zero: not said
+	cut     atomic.Bool
+}
+
+var (
+	_ net.Conn     = (*caller)(nil)
+	_ syscall.Conn = (*caller)(nil)
+)
+
+func newCaller(r *Relay, conn net.Conn) *caller {
+	c := &caller{Conn: conn, relay: r, lease: r.account.Lease()}
+	if sc, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn() // nil with an error
+	}
+	return c
+}
+
+// callerOf is the caller of a request; nil where its connection is another's.
+func callerOf(ctx *fasthttp.RequestCtx) *caller {
+	c, _ := ctx.Conn().(*caller)
+	return c
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *caller) SyscallConn() (syscall.RawConn, error) {
+	if c.raw == nil {
+		return nil, errors.ErrUnsupported
+	}
+	return c.raw, nil
+}
+
+// Read implements net.Conn. fasthttp reads the first byte of a request alone where
+// nothing of it has been read with the one before.
+func (c *caller) Read(p []byte) (int, error) {
+	switch {
+	case len(c.pending) > 0:
+		n := copy(p, c.pending)
+		c.pending = c.pending[n:]
+		if len(c.pending) == 0 {
+			c.pending = nil
+		}
+		return n, nil
+	case c.broken != nil:
+		return 0, c.broken
+	case len(p) == 1:
+		return c.readRequest(p)
+	}
+	return c.readBody(p)
+}
+
+// readRequest waits for a request, collects it, and returns its first byte.
+func (c *caller) readRequest(first []byte) (int, error) {
+	c.next()
+	n, err := c.Conn.Read(first)
+	if err != nil {
+		return n, err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(readWait))
+	c.collect(first[0])
+	return n, nil
+}
+
+// next gives back what the last request has taken.
+func (c *caller) next() {
+	c.lease.Shrink(callerBytes)
+	c.share, c.request, c.until = leastShare, "", time.Time{}
+}
+
+// collect reads a request until it can be handed on.
+func (c *caller) collect(first byte) {
+	b := collected{buf: []byte{first}}
+	for !b.whole() {
+		if !c.makeRoom(&b) {
+			c.broken = errShort
+			break
+		}
+		n, err := c.Conn.Read(b.buf[len(b.buf):cap(b.buf)])
+		b.buf = b.buf[:len(b.buf)+n]
+		if err != nil {
+			c.broken = err
+			break
+		}
+	}
+	c.pending = b.buf[1:]
+	if b.head > 0 && b.more {
+		c.announce(b.buf[:b.head], b.length)
+	}
+}
+
+// makeRoom lets a request grow. It waits a little where memory is short: before the
+// head is read, nobody knows how urgent it is.
+func (c *caller) makeRoom(b *collected) bool {
+	if len(b.buf) < cap(b.buf) {
+		return true
+	}
+	size := max(collectStep, 2*cap(b.buf))
+	if !c.lease.Grow(int64(size), wholeShare) {
+		ctx, cancel := context.WithTimeout(context.Background(), shortWait)
+		defer cancel()
+		if !c.lease.Await(ctx, int64(size), wholeShare) {
+			return false
+		}
+	}
+	b.buf = append(make([]byte, 0, size), b.buf...)
+	return true
+}
+
+// announce looks at the head of a request whose body is still to come. What does not
+// fit is not read.
+func (c *caller) announce(head []byte, length int) {
+	var h fasthttp.RequestHeader
+	h.DisableNormalizing()
+	if h.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head))) != nil {
+		return // the server says so
+	}
+	c.share = c.relay.shareOf(&h)
+	c.request = headerValue(&h, c.relay.cfg.Protocol.RequestID)
+	body := int64(min(max(length, 0), bodyBytes)) // a longer one is refused by the server
+	if !c.lease.Grow(headerBytes, c.share) || !c.lease.Fits(bodyCost*body, c.share) {
+		c.broken = errShort
+	}
+}
+
+// readBody reads more of a body that was not collected.
+func (c *caller) readBody(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.lease.Grow(bodyCost*int64(n), c.share) {
+		c.broken = errShort
+		return 0, errShort
+	}
+	return n, err
+}
+
+// errUnread says that a caller takes nothing of its answer.
+var errUnread = &Error{Op: "answer", Kind: KindUnread}
+
+// Write implements net.Conn.
+func (c *caller) Write(p []byte) (int, error) {
+	sent, err := c.writeNow(p)
+	if err != nil || sent == len(p) {
+		return sent, err
+	}
+	n, err := c.writeSlowly(p[sent:])
+	return sent + n, err
+}
+
+// writeNow writes what the kernel takes at once. It asks the kernel itself: the poller
+// tells of room only when a third of the buffer is free.
+func (c *caller) writeNow(p []byte) (n int, err error) {
+	if c.raw == nil {
+		return 0, nil
+	}
+	controlled := c.raw.Write(func(fd uintptr) bool {
+		n, err = syscall.Write(int(fd), p)
+		return true
+	})
+	switch {
+	case controlled != nil:
+		return 0, controlled
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return 0, nil
+	}
+	return max(n, 0), err
+}
+
+// writeSlowly writes to a caller that does not take all at once, for as long as it
+// takes something.
+func (c *caller) writeSlowly(p []byte) (int, error) {
+	held := c.lease.Held()
+	if !c.lease.Grow(unreadBytes, wholeShare) {
+		return 0, c.cutOff(len(p), shortReason)
+	}
+	defer c.lease.Shrink(held)
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+	sent, taken := 0, time.Now()
+	for {
+		n, err := c.writeOnce(p[sent:])
+		sent += n
+		now := time.Now()
+		if n > 0 {
+			taken = now
+		}
+		switch {
+		case sent == len(p) || err != nil:
+			return sent, err
+		case now.Sub(taken) >= unreadWait:
+			return sent, c.cutOff(len(p)-sent, "takes nothing")
+		case !c.until.IsZero() && now.After(c.until):
+			return sent, c.cutOff(len(p)-sent, "too slow")
+		}
+	}
+}
+
+// writeOnce writes for a short while; running out of it is no error.
+func (c *caller) writeOnce(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(unreadLook)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	// The kernel may have room that the poller has not told of.
+	if err := c.SetWriteDeadline(time.Time{}); err != nil {
+		return n, err
+	}
+	more, err := c.writeNow(p[n:])
+	return n + more, err
+}
+
+// cutOff ends the connection of a caller that does not read. The close resets it: what
+// waits in the kernel would stay there otherwise.
+func (c *caller) cutOff(left int, reason string) error {
+	c.cut.Store(true)
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	r := c.relay
+	r.stats.count(callersCutOff)
+	r.cfg.Log.Event("caller", "cut off", Fields{"id": c.request, "reason": reason, "unsent_bytes": left,
+		"memory_used": r.account.Used(), "memory_bound": r.account.Bound()})
+	return errUnread
+}
+
+// Close implements net.Conn. All that was charged is given back.
+func (c *caller) Close() error {
+	c.lease.Close()
+	if errors.Is(c.broken, errShort) {
+		c.drain()
+	}
+	return c.Conn.Close()
+}
+
+// drain reads on for a moment, so that the caller gets to read why it was refused.
+func (c *caller) drain() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(refusedLinger))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, refusedBytes))
+}
+
+// turnedAway notes that something was not taken since memory is short.
+func (r *Relay) turnedAway(id, what string) {
+	r.stats.count(callersTurnedAway)
+	r.cfg.Log.Event("caller", "turned away", Fields{"id": id, "what": what, "memory_used": r.account.Used(),
+		"memory_bound": r.account.Bound()})
+}
--- /dev/null
+++ b/relay/caller_test.go
@@ -0,0 +1,390 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// bounded gives a box a bound of memory.
+func bounded(bytes int64) func(*Config) { return func(c *Config) { c.Memory = bytes } }
+
+// dialBox connects to the box as a caller whose kernel keeps little.
+func (b *bench) dialBox() *net.TCPConn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = conn.Close() })
+	c := conn.(*net.TCPConn)
+	_ = c.SetReadBuffer(16 << 10)
+	return c
+}
+
+// lines writes a request as it goes over the wire.
+func lines(path, body string, header ...string) string {
+	head := []string{"POST " + path + " HTTP/1.1", "Host: h.example", "X-Id: id-" + path, "X-Key: secret", "X-Left: 4000"}
+	if body != "" {
+		header = append(header, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	return strings.Join(append(head, header...), "\r\n") + "\r\n\r\n" + body
+}
+
+// atRest reports whether the box keeps nothing but its callers' connections.
+func (b *bench) atRest(connections int64) bool {
+	return b.relay.stats.open.Load() == 0 && b.relay.account.Used() == connections*callerBytes
+}
+
+// flood sends events without end, 1,000 bytes each.
+func flood(c net.Conn, r stubRequest) bool {
+	startStream(c, r)
+	text := strings.Repeat("x", 1000)
+	for i := 1; ; i++ {
+		if _, err := fmt.Fprintf(c, "%x\r\nid: %d\ndata: %s\n\n\r\n", len(fmt.Sprintf("id: %d\ndata: %s\n\n", i, text)), i, text); err != nil {
+			return true // the next read finds the connection's end
+		}
+	}
+}
+
+// serving is how many goroutines serve a caller's connection; others rest in their pool.
+func serving() int {
+	stacks := make([]byte, 4<<20)
+	return bytes.Count(stacks[:runtime.Stack(stacks, true)], []byte("fasthttp.(*Server).serveConnCounted("))
+}
+
+func TestCallersThatReadNothingAreCutOff(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", flood)
+	b := newBenchWith(t, bounded(64<<20), u)
+	const callers = 20
+	for i := range callers {
+		_, err := io.WriteString(b.dialBox(), lines(fmt.Sprintf("/flow/%d", i), ""))
+		is.NoErr(err)
+	}
+	b.until(func() bool { return serving() == callers })
+	for range callers {
+		<-u.ended // the upstream's connection is closed, well before the route's time
+	}
+	b.until(func() bool { return b.atRest(0) })
+	b.until(func() bool { return serving() == 0 })
+	is.Equal(b.relay.stats.counted(callersCutOff), uint64(callers))
+	b.until(func() bool { return b.log.contains(`"msg":"request: caller does not read"`) })
+	is.True(!b.log.contains(`"msg":"run: failed"`)) // nothing is said against the upstream
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	for _, row := range b.relay.fleet.View(b.relay.now()) {
+		is.True(!row.Out)
+	}
+}
+
+// A plain answer whose caller does not read ends its connection as well.
+func TestAPlainAnswerThatNobodyReadsIsCutOff(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK(strings.Repeat("x", 2<<20)))
+	b := newBenchWith(t, bounded(64<<20), u)
+	_, err := io.WriteString(b.dialBox(), lines("/once/x", ""))
+	is.NoErr(err)
+	b.until(func() bool { return b.relay.stats.counted(callersCutOff) == 1 && b.atRest(0) })
+	b.until(func() bool { return b.log.contains("takes nothing") })
+}
+
+// A caller that takes little at a time gets all of its answer, however long that lasts.
+func TestACallerThatReadsSlowlyIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	whole := strings.Repeat("x", 700<<10)
+	u := newStub(t, "u1", answerOK(whole))
+	b := newBenchWith(t, bounded(64<<20), u)
+	c := b.dialBox()
+	_, err := io.WriteString(c, lines("/once/x", ""))
+	is.NoErr(err)
+	read := 0
+	buf := make([]byte, 64<<10)
+	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 1<<10), nil)
+	is.NoErr(err)
+	for range 8 { // 4 s, twice what a caller may take nothing for
+		n, err := io.ReadFull(resp.Body, buf)
+		is.NoErr(err)
+		read += n
+		time.Sleep(500 * time.Millisecond)
+	}
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(read+len(rest), len(whole))
+	is.Equal(b.relay.stats.counted(callersCutOff), uint64(0))
+}
+
+func TestRequestsThatComeInPiecesAreServed(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBenchWith(t, bounded(1<<20), u)
+	c := b.dialBox()
+	in := bufio.NewReader(c)
+	send := func(text string) {
+		_, err := io.WriteString(c, text)
+		is.NoErr(err)
+	}
+	answer := func() {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+	}
+	for _, piece := range strings.SplitAfter(lines("/once/a", "b o d y"), " ") {
+		send(piece)
+		time.Sleep(time.Millisecond)
+	}
+	answer()
+	// Several at once, and a part of the next; small bodies and large ones.
+	large := strings.Repeat("l", 2*collectBytes)
+	all := lines("/once/b", "one") + lines("/once/c", large) + lines("/once/d", "") + lines("/once/e", "last")
+	cut := len(all) - len("HTTP/1.1\r\n") - 40
+	send(all[:cut])
+	answer()
+	answer()
+	send(all[cut:])
+	answer()
+	answer()
+	bodies := make([]string, 0, 5)
+	for _, r := range u.requests() {
+		bodies = append(bodies, r.body)
+	}
+	is.Equal(bodies, []string{"b o d y", "one", large, "", "last"})
+	is.NoErr(c.Close())
+	b.until(func() bool { return b.atRest(0) })
+}
+
+// What does not fit is refused before it is read, and has not run.
+func TestABodyThatDoesNotFitIsTurnedAway(t *testing.T) {
+	body := strings.Repeat("x", 900<<10)
+	for _, c := range []struct {
+		name   string
+		change func(r *http.Request)
+	}{
+		{"of a known length", func(*http.Request) {}},
+		{"in chunks", func(r *http.Request) { r.ContentLength, r.Body = -1, io.NopCloser(strings.NewReader(body)) }},
+		{"sent when it is asked for", func(r *http.Request) { r.Header.Set("Expect", "100-continue") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newStub(t, "u1", answerOK("ok"))
+			b := newBenchWith(t, bounded(1<<20), u)
+			r := b.request("POST", "/once/x", body)
+			c.change(r)
+			a := b.do(r)
+			is.NoErr(a.err)
+			is.Equal(a.status, 503)
+			is.True(a.header.Get("Retry-After") != "")
+			is.Equal(a.header.Get("X-Id"), "id-/once/x")
+			is.True(strings.Contains(a.body, `"ran":"no"`))
+			is.Equal(len(u.requests()), 0)
+			is.Equal(b.relay.stats.counted(callersTurnedAway), uint64(1))
+			is.True(b.relay.account.Peak() <= 1<<20)
+			b.until(func() bool { return b.atRest(0) })
+			is.Equal(b.do(b.request("POST", "/once/x", "small")).status, 200)
+		})
+	}
+}
+
+// Where little is left, the most urgent are still served.
+func TestTheMostUrgentAreTurnedAwayLast(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBenchWith(t, bounded(1<<20), u)
+	doc := testDocument(2)
+	for i := range doc.Routes {
+		if doc.Routes[i].Name == "once" {
+			doc.Routes[i].Rank = 9
+		}
+	}
+	b.board.set("document", doc, false)
+	b.until(func() bool { return b.relay.belief.document().Version == 2 })
+	others := b.relay.account.Lease()
+	is.True(others.Grow(600<<10, 1))
+	is.Equal(b.do(b.request("POST", "/once/x", "")).status, 503)
+	is.Equal(b.do(b.request("POST", "/safe/x", "")).status, 200)
+	others.Close()
+	is.Equal(b.do(b.request("POST", "/once/x", "")).status, 200)
+}
+
+// An upstream that does not read a body holds it no longer than the request's time.
+func TestAnUpstreamThatReadsABodySlowly(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		buf := make([]byte, 16)
+		for err == nil { // until the box resets it
+			_, err = c.Read(buf)
+			time.Sleep(time.Millisecond)
+		}
+		_ = c.Close()
+	})
+	b := newBenchWith(t, bounded(64<<20), newStub(t, "other", answerOK("ok")))
+	b.board.set("other", nil, true)
+	b.board.set("u1", balance.Upstream{ID: "u1", Service: "s", Address: l.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.until(func() bool { return b.knows("u1") && !b.knows("other") })
+	a := b.do(b.request("POST", "/brief/x", strings.Repeat("x", 1<<20)))
+	is.Equal(a.status, 504) // it may have run
+	b.until(func() bool { return b.atRest(0) })
+	ended.Wait()
+}
+
+// knows reports whether the box has an upstream on its list.
+func (b *bench) knows(id string) bool {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	for _, u := range b.relay.fleet.View(b.relay.now()) {
+		if u.ID == id && !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// crowd are callers that read and send at a few bytes a second, or not at all.
+func (b *bench) crowd(readers, senders int) {
+	b.t.Helper()
+	for i := range readers {
+		if _, err := io.WriteString(b.dialBox(), lines(fmt.Sprintf("/flow/%d", i), "")); err != nil {
+			b.t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	b.t.Cleanup(func() { cancel(); done.Wait() })
+	for i := range senders {
+		c := b.dialBox()
+		text := lines(fmt.Sprintf("/once/%d", i), strings.Repeat("x", 30<<10))
+		done.Go(func() {
+			for ctx.Err() == nil && len(text) > 0 {
+				if _, err := io.WriteString(c, text[:8]); err != nil {
+					return
+				}
+				text = text[8:]
+				sleep(ctx, time.Second)
+			}
+		})
+	}
+}
+
+// drip sends an event of 1,000 bytes each 2 ms.
+func drip(c net.Conn, r stubRequest) bool {
+	if !strings.HasPrefix(r.URL.Path, "/flow") {
+		return answerOK("ok")(c, r)
+	}
+	startStream(c, r)
+	text := strings.Repeat("x", 1000)
+	for i := 1; i < 2000; i++ {
+		e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, text)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+			return false
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return false
+}
+
+// Sound callers are served beside hundreds that read and send at a few bytes a second.
+func TestSoundCallersBesideSlowOnes(t *testing.T) {
+	is := is.New(t)
+	const bound = 40 << 20
+	u := newStub(t, "u1", drip)
+	b := newBenchWith(t, bounded(bound), u)
+	b.crowd(80, 200) // 80 of the 100 connections that the service allows
+	var failed atomic.Int64
+	var sound sync.WaitGroup
+	for i := range 10 {
+		sound.Go(func() {
+			for j := range 30 {
+				if b.do(b.request("POST", fmt.Sprintf("/once/s%d-%d", i, j), "body")).status != 200 {
+					failed.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	sound.Wait()
+	is.Equal(failed.Load(), int64(0))
+	is.True(b.relay.account.Peak() <= bound)
+	is.Equal(b.relay.stats.counted(callersTurnedAway), uint64(0))
+}
+
+// Operators see what is kept, turned away and cut off.
+func TestTheStateTellsOfMemory(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBenchWith(t, bounded(1<<20), u)
+	c := b.dialBox()
+	b.until(func() bool { return b.atRest(1) })
+	is.Equal(b.do(b.request("POST", "/once/x", strings.Repeat("x", 900<<10))).status, 503)
+	b.until(func() bool { return b.atRest(1) })
+	m := b.relay.state().Memory
+	is.Equal([]uint64{m.Bound, m.Used, m.TurnedAway, m.CutOff}, []uint64{1 << 20, callerBytes, 1, 0})
+	b.until(func() bool { return b.log.contains(`"msg":"caller: turned away"`) })
+	var text bytes.Buffer
+	b.relay.WriteMetrics(&text)
+	is.True(strings.Contains(text.String(), "memory_bound_bytes 1048576\n"))
+	is.True(strings.Contains(text.String(), "callers_turned_away 1\n"))
+	is.NoErr(c.Close())
+}
+
+// BenchmarkSlowCallers names what callers that rest, or that read nothing of a stream,
+// take of the heap and of stacks, at their peak.
+func BenchmarkSlowCallers(b *testing.B) {
+	for _, c := range []struct {
+		name             string
+		resting, readers int
+	}{{"resting", 500, 0}, {"reading nothing", 0, 90}} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				u := newStub(b, "u1", drip)
+				x := newBenchWith(b, bounded(64<<20), u)
+				before := heapAndStacks()
+				for range c.resting {
+					conn := x.dialBox()
+					_, _ = io.WriteString(conn, lines("/once/x", ""))
+					_, _ = conn.Read(make([]byte, 1<<10))
+				}
+				x.crowd(c.readers, 0)
+				peak := uint64(0)
+				for range 20 {
+					time.Sleep(50 * time.Millisecond)
+					peak = max(peak, heapAndStacks())
+				}
+				b.ReportMetric(float64(peak-before)/float64(c.resting+c.readers), "peak-bytes/caller")
+				b.ReportMetric(float64(peak), "peak-bytes")
+				b.ReportMetric(float64(x.relay.account.Peak()), "peak-charged-bytes")
+			}
+		})
+	}
+}
+
+// heapAndStacks is what lives on the heap and what stacks take.
+func heapAndStacks() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/relay/dial.go
+++ b/relay/dial.go
@@ -14,7 +14,7 @@
 )
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: balance.DialWait, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := net.Dialer{Timeout: balance.DialWait, KeepAliveConfig: keepAlive, Control: setOptions}
 	return d.DialContext(ctx, "tcp", address)
 }
 
@@ -25,7 +25,13 @@
 // userTimeout is how long sent bytes may stay unacknowledged, in ms.
 const userTimeout = 1200
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setOptions sets what a connection to an upstream has from its start on.
+func setOptions(_, _ string, raw syscall.RawConn) error {
+	setBuffers(raw, upstreamReceive, upstreamSend)
+	return setUserTimeout(raw)
+}
+
+func setUserTimeout(raw syscall.RawConn) error {
 	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
 	var set error
 	err := raw.Control(func(fd uintptr) {
--- a/relay/error.go
+++ b/relay/error.go
@@ -9,6 +9,7 @@
 	KindGarble   Kind = "garble"   // bytes that are no answer in the protocol
 	KindCut      Kind = "cut"      // an answer ended before its end
 	KindReplaced Kind = "replaced" // another start of an upstream has its address
+	KindUnread   Kind = "unread"   // a caller does not take its answer
 	KindEdge     Kind = "edge"     // an address cannot be listened on
 )
 
--- a/relay/events.go
+++ b/relay/events.go
@@ -21,6 +21,9 @@
 	seen  bool  // an event has come out
 	total int   // events that came out
 	came  int   // events of the present body that came out
+
+	keep func(n int64) error // charges what is kept beyond what is free; nil: nobody asks
+	kept int64               // the largest buffer that was charged
 }
 
 var errLongEvent = &Error{Op: "read event", Kind: KindGarble, Err: errors.New("longer than a megabyte")}
@@ -60,13 +63,27 @@
 func (e *events) fill() (int, error) {
 	at := len(e.buf)
 	if cap(e.buf)-at < fillStep {
-		e.buf = append(make([]byte, 0, at+2*fillStep), e.buf...)
+		size := at + max(at, 2*fillStep)
+		if err := e.charge(int64(size)); err != nil {
+			return 0, err
+		}
+		e.buf = append(make([]byte, 0, size), e.buf...)
 	}
 	n, err := e.src.Read(e.buf[at:cap(e.buf)])
 	e.buf = e.buf[:at+n]
 	return n, err
 }
 
+// charge charges a buffer of a size, where it is larger than any before.
+func (e *events) charge(size int64) error {
+	if e.keep == nil || size <= max(e.kept, freeAnswer) {
+		return nil
+	}
+	n := size - e.kept
+	e.kept = size
+	return e.keep(n)
+}
+
 // An empty line ends an event, with either end of a line.
 var (
 	endLF   = []byte("\n\n")
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,7 +5,6 @@
 // everything it holds is given back in close.
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -30,6 +29,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	watch   *leaveWatch
+	caller  *caller     // nil where its connection is none of the box's callers'
 	release func() bool // undoes the closing of the current connection by ctx
 
 	tried         []string // upstreams it was sent to, or that could not be reached
@@ -70,7 +70,7 @@
 	x.watch = watchLeave(ctx.Conn(), x.cancel)
 	if x.route.Repeat == route.Stream {
 		// A stream may be sent again when the handler has returned.
-		x.request.body = bytes.Clone(x.request.body)
+		x.request.body = ctx.Request.SwapBody(nil)
 	}
 	body, no := x.run()
 	switch {
--- a/relay/front.go
+++ b/relay/front.go
@@ -2,7 +2,8 @@
 
 // This file defines the callers' side: the servers that take requests and readiness
 // checks, and what becomes of bytes that are no request. The invariant: nothing that
-// a caller sends takes more memory or time than the bounds below.
+// a caller sends takes more memory or time than the bounds below, nor all of it
+// together more than the account allows.
 
 import (
 	"context"
@@ -36,6 +37,7 @@
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
 		ErrorHandler:                  f.malformed,
+		ExpectHandler:                 f.expected,
 		ReadBufferSize:                headerBytes,
 		WriteBufferSize:               readBuffer,
 		MaxRequestBodySize:            bodyBytes,
@@ -62,7 +64,10 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
-func (f *front) serve(l net.Listener) { _ = f.server.Serve(l) }
+func (f *front) serve(l net.Listener) {
+	boundCallers(l)
+	_ = f.server.Serve(callers{l, f.relay})
+}
 
 func (f *front) serveReady(l net.Listener) { _ = f.ready.Serve(l) }
 
@@ -82,8 +87,28 @@
 	}
 }
 
+// expected decides whether a body is asked for that its caller holds back until then.
+func (f *front) expected(ctx *fasthttp.RequestCtx) int {
+	if c := callerOf(ctx); c != nil && c.broken != nil {
+		f.turnAway(ctx, c)
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusContinue
+}
+
+// turnAway answers a request that there is no memory for, and ends its connection.
+func (f *front) turnAway(ctx *fasthttp.RequestCtx, c *caller) {
+	f.relay.turnedAway(c.request, "request")
+	ctx.SetConnectionClose()
+	f.relay.answerSelf(ctx, &request{id: c.request}, refusal{fasthttp.StatusServiceUnavailable, shortReason, comeBackUsual})
+}
+
 // malformed answers what could not be read as a request.
 func (f *front) malformed(ctx *fasthttp.RequestCtx, err error) {
+	if c := callerOf(ctx); c != nil && errors.Is(c.broken, errShort) {
+		f.turnAway(ctx, c)
+		return
+	}
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
 	status := fasthttp.StatusBadRequest
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -23,7 +23,7 @@
 	if x.isStream(a) {
 		return x.acceptStream(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.body, wholeAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(&keptReader{exchange: x, answer: a}, wholeAnswer+1))
 	x.release()
 	whole := err == nil && len(body) <= wholeAnswer
 	x.relay.finish(a, whole)
--- a/relay/outgoing.go
+++ b/relay/outgoing.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -81,14 +82,14 @@
 // send writes the request; a large one goes on being written in the background.
 func (c *conn) send(o outgoing) *sending {
 	s := &sending{done: make(chan error, 1)}
-	whole := slices.Concat(o.head, o.body)
-	if len(whole) <= largeBody {
-		_, err := c.Write(whole)
+	if len(o.head)+len(o.body) <= largeBody {
+		_, err := c.Write(slices.Concat(o.head, o.body))
 		s.done <- err
 		return s
 	}
 	go func() {
-		_, err := c.Write(whole)
+		parts := net.Buffers{o.head, o.body} // a large body is not copied
+		_, err := parts.WriteTo(c.Conn)
 		s.done <- err
 	}()
 	return s
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/mirror"
 	"github.com/doormast/doormast/wire"
 )
@@ -53,6 +54,9 @@
 	FirstStart bool
 	// Boxes is how many boxes share limits while nothing is known of the others.
 	Boxes int
+	// Memory is how many bytes may be kept on behalf of callers and upstreams; 0: there
+	// is no bound.
+	Memory int64
 	// Grace is how long a planned stop may take, graceMargin included.
 	Grace time.Duration
 }
@@ -73,12 +77,13 @@
 
 // Relay is a running box.
 type Relay struct {
-	cfg    Config
-	start  time.Time
-	belief belief
-	conns  *conns
-	stats  stats
-	front  *front
+	cfg     Config
+	start   time.Time
+	belief  belief
+	account *account.Account // of what is kept for callers and upstreams
+	conns   *conns
+	stats   stats
+	front   *front
 
 	members    *members
 	pullClient *http.Client
@@ -103,6 +108,7 @@
 	r := &Relay{
 		cfg:        cfg,
 		start:      time.Now(),
+		account:    account.New(cfg.Memory),
 		cancel:     cancel,
 		ends:       make(chan string, maxDuties),
 		pullClient: &http.Client{Timeout: pullWait},
--- a/relay/state.go
+++ b/relay/state.go
@@ -29,6 +29,8 @@
 			out.Routes = append(out.Routes, routeRow(&d.Routes[i]))
 		}
 	}
+	out.Memory = &wire.MemoryRow{Bound: uint64(r.account.Bound()), Used: uint64(r.account.Used()),
+		TurnedAway: r.stats.counted(callersTurnedAway), CutOff: r.stats.counted(callersCutOff)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -58,5 +58,19 @@
 	fmt.Fprintf(w, "open_requests %d\n%s", s.open.Load(), strings.Join(lines, ""))
 }
 
+// Counters of what memory made the box do.
+const (
+	callersTurnedAway = "callers_turned_away"
+	callersCutOff     = "callers_cut_off"
+)
+
+// counted is how often something was counted.
+func (s *stats) counted(name string) uint64 {
+	return uint64(metrics.GetOrRegisterCounter(name, s.registry).Count())
+}
+
 // WriteMetrics writes the box's figures as text.
-func (r *Relay) WriteMetrics(w io.Writer) { r.stats.write(w) }
+func (r *Relay) WriteMetrics(w io.Writer) {
+	fmt.Fprintf(w, "memory_bound_bytes %d\nmemory_used_bytes %d\nmemory_peak_bytes %d\n", r.account.Bound(), r.account.Used(), r.account.Peak())
+	r.stats.write(w)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,7 +30,7 @@
 // acceptStream waits for the first events of a stream, so that a run that fails
 // before them can still be answered otherwise.
 func (x *exchange) acceptStream(a *answer) (runState, []byte, error) {
-	e := &events{src: a.body}
+	e := &events{src: a.body, keep: x.keep}
 	if x.events != nil {
 		e = x.events
 		e.from(a.body)
@@ -115,6 +115,9 @@
 		if x.watch.gone.Load() {
 			x.outcome = "caller left"
 		}
+		if x.caller != nil && x.caller.cut.Load() {
+			x.outcome = "caller does not read"
+		}
 	}
 	x.endRun(false, balance.Neutral)
 	if x.move != nil {
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -59,7 +59,7 @@
 	ended chan struct{} // gets an entry for each connection that its other side closed
 }
 
-func newStub(t *testing.T, id string, script func(net.Conn, stubRequest) bool) *stub {
+func newStub(t testing.TB, id string, script func(net.Conn, stubRequest) bool) *stub {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -231,7 +231,7 @@
 
 // bench is a relay with what surrounds it.
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	relay *Relay
 	board *board
 	url   string
@@ -287,6 +287,12 @@
 
 // newBenchOf is the same with a deployment's words.
 func newBenchOf(t *testing.T, words Protocol, stubs ...*stub) *bench {
+	t.Helper()
+	return newBenchWith(t, func(c *Config) { c.Protocol = words }, stubs...)
+}
+
+// newBenchWith is the same with a configuration that differs.
+func newBenchWith(t testing.TB, change func(*Config), stubs ...*stub) *bench {
 	t.Helper()
 	b := &bench{t: t, board: newBoard()}
 	if stubs != nil {
@@ -298,10 +304,12 @@
 	callers, ready := listen(t), listen(t)
 	log := NewLog("box", &b.log)
 	var err error
-	b.relay, err = Start(Config{Box: "box", Domain: "d", Callers: callers, Ready: ready, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1},
-		Timing: group.DefaultTiming, Protocol: words, Publisher: b.board, Decode: decode, Log: log,
+	cfg := Config{Box: "box", Domain: "d", Callers: callers, Ready: ready, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1},
+		Timing: group.DefaultTiming, Protocol: testProtocol, Publisher: b.board, Decode: decode, Log: log,
 		Budget: balance.BudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Tuning: balance.DefaultTuning,
-		FirstStart: true, Boxes: 1, Grace: time.Second})
+		FirstStart: true, Boxes: 1, Grace: time.Second}
+	change(&cfg)
+	b.relay, err = Start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -313,7 +321,7 @@
 	return b
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/route/rank.go
+++ b/route/rank.go
@@ -57,3 +57,8 @@
 	}
 	return place * levels / all
 }
+
+// Urgencies is how many urgencies the document tells apart, given so many levels.
+func (d *Document) Urgencies(levels int) int {
+	return min(len(d.ranks.customers)*len(d.ranks.routes), levels)
+}
