--- a/oplog/account.go
+++ b/oplog/account.go
@@ -136,7 +136,7 @@
 		return fateOfAnswer(l)
 	case "cut by the stop":
 		return Cut
-	case "broken off", "caller left":
+	case "broken off", "caller left", "caller does not read":
 		return fateOfBreak(l)
 	case "refused", "too much before it", "no upstream":
 		return Refused
@@ -155,7 +155,7 @@
 	switch {
 	case known && began && left < nearEnd:
 		return Unfinished
-	case l.Event == "caller left":
+	case l.Event == "caller left", l.Event == "caller does not read":
 		return Left
 	}
 	return Cut
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -89,18 +89,21 @@
 
 // meanings tell what a kind of line says, in a sentence.
 var meanings = map[string]string{
-	"request: answered":           "The upstream's answer went to the caller.",
-	"request: refused":            "The box answered by itself; no upstream was asked. The reason, the document's version and its age are given.",
-	"request: no upstream":        "No upstream could be asked any more: all were leaving, out of reach, or had been tried.",
-	"request: too much before it": "The upstream had so many prompt tokens to read before this one (ahead) that it would have been late; the caller was told when to come back.",
-	"request: no answer":          "A run may have happened and brought no answer, and the route, the attempts or the budget allowed no other.",
-	"request: out of time":        "The caller's or the route's time was over while an upstream was at work.",
-	"request: broken off":         "The stream's run ended before its end and could not go on elsewhere; the caller's connection was closed.",
-	"request: cut by the stop":    "The box's planned stop came to the end of its grace while an upstream was at work; the process's end cut the answer.",
-	"request: caller left":        "The caller closed its connection; the run was ended.",
-	"run: moves":                  "The answer would not end in its caller's time where it runs (here_ms), and would elsewhere (there_ms): its memory is copied and it goes on there.",
-	"run: not moved":              "Its upstream did not answer the call to copy it; the answer goes on where it is, or breaks off.",
-	"run: failed":                 "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
+	"request: answered":             "The upstream's answer went to the caller.",
+	"request: refused":              "The box answered by itself; no upstream was asked. The reason, the document's version and its age are given.",
+	"request: no upstream":          "No upstream could be asked any more: all were leaving, out of reach, or had been tried.",
+	"request: too much before it":   "The upstream had so many prompt tokens to read before this one (ahead) that it would have been late; the caller was told when to come back.",
+	"request: no answer":            "A run may have happened and brought no answer, and the route, the attempts or the budget allowed no other.",
+	"request: out of time":          "The caller's or the route's time was over while an upstream was at work.",
+	"request: broken off":           "The stream's run ended before its end and could not go on elsewhere; the caller's connection was closed.",
+	"request: cut by the stop":      "The box's planned stop came to the end of its grace while an upstream was at work; the process's end cut the answer.",
+	"request: caller left":          "The caller closed its connection; the run was ended.",
+	"request: caller does not read": "The caller took nothing of its answer for seconds and was cut off; nothing is held against the upstream.",
+	"caller: cut off":               "The caller took nothing of its answer for two seconds, or went on taking it long after its time (reason); its connection was reset.",
+	"caller: turned away":           "The box keeps as much for others as its memory allows (memory_used of memory_bound); the request has not run, and was told when to come back.",
+	"run: moves":                    "The answer would not end in its caller's time where it runs (here_ms), and would elsewhere (there_ms): its memory is copied and it goes on there.",
+	"run: not moved":                "Its upstream did not answer the call to copy it; the answer goes on where it is, or breaks off.",
+	"run: failed":                   "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
 
 // meaning is what a line tells, in a sentence.
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -388,3 +388,31 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc + m.StackInuse
 }
+
+// BenchmarkUnreadStream names how much of a stream that nobody reads is taken from its
+// upstream, and for how long the upstream is held.
+func BenchmarkUnreadStream(b *testing.B) {
+	var taken atomic.Int64
+	count := func(c net.Conn, r stubRequest) bool {
+		_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10) // what waits there is not the box's
+		startStream(c, r)
+		text := strings.Repeat("x", 1000)
+		for i := 1; ; i++ {
+			e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, text)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+				return true
+			}
+			taken.Add(int64(len(e)))
+		}
+	}
+	for range b.N {
+		taken.Store(0)
+		u := newStub(b, "u1", count)
+		x := newBenchWith(b, bounded(64<<20), u)
+		begun := time.Now()
+		_, _ = io.WriteString(x.dialBox(), lines("/flow/x", ""))
+		<-u.ended
+		b.ReportMetric(float64(taken.Load()), "taken-bytes")
+		b.ReportMetric(time.Since(begun).Seconds(), "held-s")
+	}
+}
