A run on a connection that fell silent is found out by asking its upstream

Cause: a connection that carries nothing more was noticed by the kernel's time-outs alone (3 s within a stream, callers leave after 2 s), and a pull could begin on one.

A run that waits long is asked about on a fresh connection; it is ended only where its upstream says twice that events were made which never came, or that it knows nothing of the run.

Ruled out: a fresh connection that comes up as the sign (overrun engines accept too).

--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -101,6 +101,7 @@
 	"request: caller does not read": "The caller took nothing of its answer for seconds and was cut off; nothing is held against the upstream.",
 	"caller: cut off":               "The caller took nothing of its answer for two seconds, or went on taking it long after its time (reason); its connection was reset.",
 	"caller: turned away":           "The box keeps as much for others as its memory allows (memory_used of memory_bound); the request has not run, and was told when to come back.",
+	"run: silent":                   "The connection carried nothing more while its upstream, asked twice on a fresh one, had made more events than came (made, events), or knew nothing of the run: it was ended, and goes on elsewhere where it may.",
 	"run: moves":                    "The answer would not end in its caller's time where it runs (here_ms), and would elsewhere (there_ms): its memory is copied and it goes on there.",
 	"run: not moved":                "Its upstream did not answer the call to copy it; the answer goes on where it is, or breaks off.",
 	"run: failed":                   "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -24,6 +24,7 @@
 // hold notes the connection on which the request runs; release undoes it.
 func (x *exchange) hold(c *conn) {
 	r := x.relay
+	x.silent.Store(false)
 	r.mu.Lock()
 	r.runs[x] = c
 	r.mu.Unlock()
@@ -46,7 +47,9 @@
 		return runUnsent, nil, err
 	}
 	x.hold(c)
+	x.listen()
 	a, err := r.roundTrip(c, o)
+	x.heard()
 	if err != nil {
 		x.release()
 		r.conns.drop(c)
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -59,6 +59,11 @@
 		}
 		p.drop(c)
 	}
+	return p.connect(ctx, id, address, service)
+}
+
+// connect opens a connection.
+func (p *conns) connect(ctx context.Context, id, address, service string) (*conn, error) {
 	if !p.reserve(id, p.limit(service)) {
 		return nil, errConnections
 	}
--- a/relay/error.go
+++ b/relay/error.go
@@ -10,6 +10,7 @@
 	KindCut      Kind = "cut"      // an answer ended before its end
 	KindReplaced Kind = "replaced" // another start of an upstream has its address
 	KindUnread   Kind = "unread"   // a caller does not take its answer
+	KindSilent   Kind = "silent"   // a connection carries nothing more
 	KindEdge     Kind = "edge"     // an address cannot be listened on
 )
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -50,6 +51,9 @@
 	moved    bool      // it has gone on elsewhere
 	lookedAt time.Time // when it was last looked at whether it should
 
+	waits  atomic.Pointer[wait] // for the upstream's next bytes; nil: it waits for none
+	silent atomic.Bool          // its connection was ended as a silent one
+
 	answer  *answer       // of the last run that brought one
 	failure *wholeFailure // the last one of an upstream
 	events  *events       // of a stream; nil until one was answered
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -19,6 +19,12 @@
 // slowest links, of 10 Mbit/s and shared.
 const pullWait = 1500 * time.Millisecond
 
+// newPullClient returns the client of pulls. Each has a connection of its own: one that rests
+// may have fallen silent, and a pull would be lost on it.
+func newPullClient() *http.Client {
+	return &http.Client{Timeout: pullWait, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // pull fetches what another box has and hands it to the duty.
 func (m *members) pull(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullWait)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -111,7 +111,7 @@
 		account:    account.New(cfg.Memory),
 		cancel:     cancel,
 		ends:       make(chan string, maxDuties),
-		pullClient: &http.Client{Timeout: pullWait},
+		pullClient: newPullClient(),
 		trials:     make(chan struct{}, 1),
 		runs:       make(map[*exchange]*conn),
 		stats:      newStats(),
@@ -135,6 +135,9 @@
 	r.run("members", func() { r.members.duty(ctx) })
 	r.run("reader", func() { r.members.readDuty(ctx) })
 	r.run("trials", func() { r.trialDuty(ctx) })
+	if r.cfg.Protocol.ReportCall != nil {
+		r.run("silence", func() { r.silenceDuty(ctx) })
+	}
 	if r.cfg.Control != nil {
 		r.run("control", r.serveControl)
 	}
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,217 @@
+package relay
+
+// This file defines how a connection that carries nothing more is found out while its
+// upstream works on. The invariant: silence alone ends no run. One is ended where its
+// upstream, asked twice on a fresh connection, says that it has made more of the answer
+// than came, or that it knows nothing of the run and has nothing waiting.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
+
+const (
+	// silenceLook is how often the duty looks at what is waited for.
+	silenceLook = 250 * time.Millisecond
+	// silentAfter is the least silence after which an upstream is asked. Callers give a
+	// stream up after a gap of 2 s at the least.
+	silentAfter = 500 * time.Millisecond
+	// silentGaps and silentTargets are the silence, in times of the longest pause that
+	// is in time and of the route's target for the first events, after which it is asked.
+	silentGaps    = 2
+	silentTargets = 2
+	// strangeAfter is how long ago a run must have been sent so that its upstream has to
+	// know it: what upstreams tell is some hundred ms old.
+	strangeAfter = time.Second
+	// askWait is the longest that an upstream may take to tell.
+	askWait = 500 * time.Millisecond
+	// asksPerSecond and asksAtOnce bound the calls of a box, since engines that are overrun
+	// are silent too, and each call is priced.
+	asksPerSecond = 1
+	asksAtOnce    = 16
+	// proofs is how often an upstream has to say that something is missing: what a link
+	// lost may still come.
+	proofs = 2
+)
+
+// Report is what an upstream tells of one run.
+type Report struct {
+	Known   bool // the run is there
+	Events  int  // of the answer, that it has made
+	Waiting int  // requests that have not begun there
+}
+
+// wait is a run's wait for the next bytes of its upstream.
+type wait struct {
+	since time.Time
+	came  int           // events of the answer that came
+	limit time.Duration // of the silence, before the upstream is asked
+
+	asked  time.Duration // after how long it was asked last
+	proofs int           // how often it said that something is missing
+}
+
+// listen notes that the exchange waits for its upstream's next bytes, until heard.
+func (x *exchange) listen() {
+	if x.relay.cfg.Protocol.ReportCall == nil || x.events == nil && len(x.request.prompt.Parts) == 0 {
+		return
+	}
+	w := &wait{since: time.Now(), limit: max(silentAfter, silentTargets*x.route.Target)}
+	if x.events != nil && x.events.came > 0 {
+		w.came = max(x.events.total, int(x.events.last))
+		w.limit = max(silentAfter, silentGaps*x.route.EventGap)
+	}
+	x.waits.Store(w)
+}
+
+// heard ends the wait.
+func (x *exchange) heard() { x.waits.Store(nil) }
+
+// due reports whether the upstream is to be asked: after the limit, and then ever more
+// seldom where it says that all is well.
+func (w *wait) due(now time.Time) bool {
+	silence := now.Sub(w.since)
+	if w.proofs > 0 {
+		return true
+	}
+	return silence >= w.limit && silence >= 2*w.asked
+}
+
+// missing reports whether what an upstream tells shows that the connection is silent.
+func (w *wait) missing(now time.Time, r Report) bool {
+	if r.Known {
+		return r.Events > w.came+1
+	}
+	return r.Waiting == 0 && now.Sub(w.since) >= strangeAfter
+}
+
+// suspect is a run that may be on a silent connection.
+type suspect struct {
+	exchange *exchange
+	conn     *conn
+	wait     *wait
+	upstream balance.Upstream
+	service  string
+}
+
+// silenceDuty asks upstreams about runs that are silent for long, until ctx ends.
+func (r *Relay) silenceDuty(ctx context.Context) {
+	left := float64(asksAtOnce)
+	for ctx.Err() == nil {
+		sleep(ctx, silenceLook)
+		left = min(left+asksPerSecond*silenceLook.Seconds(), asksAtOnce)
+		list := r.suspects(time.Now())
+		list = list[:min(len(list), int(left))]
+		left -= float64(len(list))
+		left += float64(r.askAll(ctx, list)) // those were worth it
+	}
+}
+
+// askAll asks about all the suspects at once, and returns how many have shown that
+// something is missing.
+func (r *Relay) askAll(ctx context.Context, list []suspect) int {
+	var missing atomic.Int64
+	var all sync.WaitGroup
+	for _, s := range list {
+		s.wait.asked = time.Since(s.wait.since)
+		all.Go(func() {
+			if r.proveSilent(ctx, s) {
+				missing.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return int(missing.Load())
+}
+
+// suspects lists the runs whose upstreams are to be asked, one of each upstream at most.
+func (r *Relay) suspects(now time.Time) []suspect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []suspect
+	asked := make(map[string]bool)
+	for x, c := range r.runs {
+		w := x.waits.Load()
+		if w == nil || asked[c.upstream] || !w.due(now) {
+			continue
+		}
+		asked[c.upstream] = true
+		if u := r.fleet.Get(c.upstream); u != nil {
+			list = append(list, suspect{x, c, w, *u, x.service})
+		}
+	}
+	return list
+}
+
+// proveSilent asks an upstream about a run, and ends the run where its connection has
+// shown to be silent. It returns whether something was missing.
+func (r *Relay) proveSilent(ctx context.Context, s suspect) bool {
+	report, err := r.ask(ctx, s)
+	missing := err == nil && s.wait.missing(time.Now(), report)
+	if !missing {
+		s.wait.proofs = 0
+		return false
+	}
+	if s.wait.proofs++; s.wait.proofs >= proofs {
+		r.endSilent(s, report)
+	}
+	return true
+}
+
+// ask asks an upstream about a run, on a connection that is opened for that.
+func (r *Relay) ask(ctx context.Context, s suspect) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	c, err := r.conns.connect(ctx, s.upstream.ID, s.upstream.Address, s.service)
+	if err != nil {
+		return Report{}, err
+	}
+	r.stats.count("upstreams_asked")
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	a, err := r.roundTrip(c, r.outgoingCall(s.upstream, r.cfg.Protocol.ReportCall()))
+	if err != nil {
+		stop()
+		r.conns.drop(c)
+		return Report{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(a.body, wholeAnswer))
+	r.finish(a, stop() && err == nil)
+	if err != nil {
+		return Report{}, err
+	}
+	report, ok := r.cfg.Protocol.Reported(a.header.StatusCode(), body, s.exchange.request.id)
+	if !ok {
+		return Report{}, errNoReport
+	}
+	return report, nil
+}
+
+var (
+	errNoReport = errors.New("the upstream tells nothing of its runs")
+	errSilent   = &Error{Op: "read answer", Kind: KindSilent}
+)
+
+// endSilent ends a run whose connection is silent, unless something came meanwhile. The
+// connections that rest are dropped as well, so that no other request finds out by itself.
+func (r *Relay) endSilent(s suspect, report Report) {
+	r.mu.Lock()
+	ended := r.runs[s.exchange] == s.conn && s.exchange.waits.Load() == s.wait
+	if ended {
+		s.exchange.silent.Store(true)
+		_ = s.conn.Close()
+	}
+	r.mu.Unlock()
+	if !ended {
+		return
+	}
+	r.conns.forget(s.upstream.ID)
+	r.stats.count("connections_silent")
+	r.cfg.Log.Event("run", "silent", Fields{"id": s.exchange.request.id, "upstream": s.upstream.ID,
+		"silent_ms": time.Since(s.wait.since).Milliseconds(), "events": s.wait.came, "made": report.Events, "known": report.Known})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,7 +35,9 @@
 		e = x.events
 		e.from(a.body)
 	}
+	x.listen()
 	pending, err := e.next()
+	x.heard()
 	if err != nil && !errors.Is(err, io.EOF) {
 		x.release()
 		x.relay.conns.drop(a.conn)
@@ -56,7 +58,9 @@
 // Read gives the caller's side what comes next of the stream.
 func (x *exchange) Read(p []byte) (int, error) {
 	for len(x.pending) == 0 {
+		x.listen()
 		pending, err := x.events.next()
+		x.heard()
 		x.pending = pending
 		if len(pending) > 0 {
 			x.pace.events(time.Now(), x.route.EventGap)
@@ -93,7 +97,11 @@
 // goOn takes a stream up at another upstream after its run broke off.
 func (x *exchange) goOn(cause error) bool {
 	head := x.answer
-	x.endRun(false, balance.Failed)
+	outcome := balance.Failed
+	if x.silent.Load() {
+		outcome, cause = balance.Neutral, errSilent
+	}
+	x.endRun(false, outcome)
 	x.failed(runUnknown, cause)
 	for x.route.Resumable && x.events.seen && !x.relay.cfg.Off[balance.Resuming] && x.mayRunAgain(runUnknown) {
 		choice, ok := x.place()
