--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -39,6 +39,10 @@
 // charge takes what a request under way needs besides what was read of it.
 func (x *exchange) charge(c *caller) *refusal {
 	r := x.relay
+	if c.served {
+		c.next() // this one came together with the request before
+	}
+	c.served = true
 	c.share, c.request = shareFor(x.urgency, x.doc.Urgencies(r.cfg.Protocol.Priorities)), x.request.id
 	if !c.lease.Grow(requestBytes, c.share) {
 		r.turnedAway(x.request.id, "request")
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -83,6 +83,7 @@
 	share   float64   // of the bound, that the request may fill
 	request string    // id of the request under way, as far as it is known
 	until   time.Time // when its answer has to be gone; zero: not said
+	served  bool      // a request of it is under way, or was since the lease was last shrunk
 	cut     atomic.Bool
 }
 
@@ -147,13 +148,14 @@
 // next gives back what the last request has taken.
 func (c *caller) next() {
 	c.lease.Shrink(callerBytes)
-	c.share, c.request, c.until = leastShare, "", time.Time{}
+	c.share, c.request, c.until, c.served = leastShare, "", time.Time{}, false
 }
 
 // collect reads a request until it can be handed on.
 func (c *caller) collect(first byte) {
 	b := collected{buf: []byte{first}}
-	for !b.whole() {
+	// While the box stops, the server closes connections that it thinks are at rest.
+	for !b.whole() && !c.relay.stopping.Load() {
 		if !c.makeRoom(&b) {
 			c.broken = errShort
 			break
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,6 +58,14 @@
 		pick(w, w.upstreams).gate.resetAll()
 		return nil
 	}},
+	{"mute an upstream's connections for good", func(w *world) func() {
+		pick(w, w.upstreams).gate.mute()
+		return nil
+	}},
+	{"mute a box's connections to the store for good", func(w *world) func() {
+		w.storeGate[pick(w, w.boxes).name].mute()
+		return nil
+	}},
 	{"disturb a box's way to the store", func(w *world) func() { return w.disturb(w.storeGate[pick(w, w.boxes).name]) }},
 	{"silence the store for all", func(w *world) func() {
 		for _, g := range w.storeGate {
--- a/soak/gate.go
+++ b/soak/gate.go
@@ -1,7 +1,8 @@
 package soak
 
 // This file defines the loopback proxy between two parts, which delays, resets, cuts
-// one way or silences what passes. The invariant: bytes pass in order or not at all.
+// one way or silences what passes, or mutes connections for good while new ones work.
+// The invariant: bytes pass in order or not at all.
 
 import (
 	"net"
@@ -28,6 +29,8 @@
 	listener net.Listener
 	target   string
 	mood     atomic.Int32
+	joined   atomic.Int64 // connections so far
+	muted    atomic.Int64 // those up to this one carry nothing more, not even their end
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -76,9 +79,14 @@
 	g.conns[a], g.conns[b] = true, true
 	g.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go g.pass(a, b, false, done)
-	go g.pass(b, a, true, done)
+	number := g.joined.Add(1)
+	go g.pass(a, b, number, false, done)
+	go g.pass(b, a, number, true, done)
 	<-done
+	if g.isMuted(number) {
+		<-done
+		done <- struct{}{}
+	}
 	_, _ = a.Close(), b.Close()
 	<-done
 	g.mu.Lock()
@@ -87,7 +95,12 @@
 	g.mu.Unlock()
 }
 
-func (g *gate) pass(from, to net.Conn, answers bool, done chan<- struct{}) {
+func (g *gate) isMuted(number int64) bool { return number <= g.muted.Load() }
+
+// mute lets the connections that are open carry nothing more.
+func (g *gate) mute() { g.muted.Store(g.joined.Load()) }
+
+func (g *gate) pass(from, to net.Conn, number int64, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 4<<10)
 	for {
@@ -98,7 +111,7 @@
 		if mood(g.mood.Load()) == delayed {
 			time.Sleep(gateDelay)
 		}
-		if n > 0 {
+		if n > 0 && !g.isMuted(number) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/doormast/doormast/platform"
@@ -22,6 +23,9 @@
 	gate       *gate
 	server     *http.Server
 	coldTill   time.Time
+
+	mu   sync.Mutex
+	runs map[string]int // events made, by request
 }
 
 // words are the deployment's, the same as the boxes use.
@@ -37,7 +41,8 @@
 	if err != nil {
 		return err
 	}
-	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g, coldTill: time.Now().Add(cold)}
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), world: w, gate: g, coldTill: time.Now().Add(cold),
+		runs: make(map[string]int)}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
 	go func() { _ = u.server.Serve(l) }()
 	w.upstreams = append(w.upstreams, u)
@@ -63,6 +68,10 @@
 
 // ServeHTTP runs a request as its id says: some are refused, cut or lost.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if call := words.ReportCall(); r.Method == call.Method && r.URL.Path == call.Path {
+		u.report(w)
+		return
+	}
 	id := r.Header.Get(words.RequestID)
 	w.Header().Set(words.RequestID, id)
 	body, err := io.ReadAll(r.Body)
@@ -88,6 +97,8 @@
 	}
 	u.world.ledger.sentTo(u)
 	u.world.ledger.ran(id)
+	u.note(id, 0)
+	defer u.ended(id)
 	w.Header().Set(words.Signature, u.id+" "+id)
 	if isStream(r.URL.Path) {
 		u.stream(w, r, id)
@@ -121,6 +132,7 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		u.note(id, n)
 		if n == cut {
 			hangUp(w)
 			return
@@ -129,6 +141,31 @@
 	}
 }
 
+// note notes how many events of a request were made.
+func (u *upstream) note(id string, events int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[id] = events
+}
+
+func (u *upstream) ended(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.runs, id)
+}
+
+// report tells what runs.
+func (u *upstream) report(w http.ResponseWriter) {
+	u.mu.Lock()
+	body, err := platform.ReportOf(u.runs)
+	u.mu.Unlock()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
 // hangUp closes the connection under an answer.
 func hangUp(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
