--- a/relay/caller.go
+++ b/relay/caller.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/internal/account"
+	"github.com/doormast/doormast/route"
 )
 
 const (
@@ -83,6 +84,7 @@
 	share   float64   // of the bound, that the request may fill
 	request string    // id of the request under way, as far as it is known
 	until   time.Time // when its answer has to be gone; zero: not said
+	rested  bool      // it has waited for a request before
 	served  bool      // a request of it is under way, or was since the lease was last shrunk
 	cut     atomic.Bool
 }
@@ -136,15 +138,32 @@
 // readRequest waits for a request, collects it, and returns its first byte.
 func (c *caller) readRequest(first []byte) (int, error) {
 	c.next()
+	limits := c.limits()
+	if c.rested && limits.IdleWait > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(limits.IdleWait))
+	}
+	c.rested = true
 	n, err := c.Conn.Read(first)
 	if err != nil {
 		return n, err
 	}
-	_ = c.SetReadDeadline(time.Now().Add(readWait))
+	headWait := limits.HeaderWait
+	if headWait == 0 {
+		headWait = readWait
+	}
+	_ = c.SetReadDeadline(time.Now().Add(headWait))
 	c.collect(first[0])
 	return n, nil
 }
 
+// limits are those of the document in force.
+func (c *caller) limits() route.Limits {
+	if doc := c.relay.belief.document(); doc != nil {
+		return doc.Limits
+	}
+	return route.Limits{}
+}
+
 // next gives back what the last request has taken.
 func (c *caller) next() {
 	c.lease.Shrink(callerBytes)
@@ -154,8 +173,13 @@
 // collect reads a request until it can be handed on.
 func (c *caller) collect(first byte) {
 	b := collected{buf: []byte{first}}
+	headOnly := true // so far
 	// While the box stops, the server closes connections that it thinks are at rest.
 	for !b.whole() && !c.relay.stopping.Load() {
+		if headOnly && b.head > 0 {
+			headOnly = false
+			_ = c.SetReadDeadline(time.Now().Add(readWait))
+		}
 		if !c.makeRoom(&b) {
 			c.broken = errShort
 			break
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -331,6 +331,52 @@
 	is.Equal(b.relay.stats.counted(callersTurnedAway), uint64(0))
 }
 
+// A connection rests, and a head arrives, no longer than the document allows.
+func TestTheDocumentBoundsHeadsAndRests(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", answerOK("ok"))
+	b := newBenchWith(t, bounded(1<<20), u)
+	doc := testDocument(2)
+	doc.Limits.HeaderWait, doc.Limits.IdleWait = 150*time.Millisecond, 100*time.Millisecond
+	b.board.set("document", doc, false)
+	b.until(func() bool { return b.relay.belief.document().Version == 2 })
+	for _, c := range []struct {
+		name string
+		sent string
+		want []int // statuses, before the connection is closed
+	}{
+		{"it rests", lines("/once/x", "body"), []int{200}},
+		{"its head does not come whole", "POST /once/x HTTP/1.1\r\nHost: h", []int{408}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			conn := b.dialBox()
+			_, err := io.WriteString(conn, c.sent)
+			is.NoErr(err)
+			in := bufio.NewReader(conn)
+			for _, status := range c.want {
+				resp, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, status)
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+			_, err = in.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+	// The body of a request has more time than its head.
+	conn := b.dialBox()
+	whole := lines("/once/y", "a body that is late")
+	_, err := io.WriteString(conn, whole[:len(whole)-4])
+	is.NoErr(err)
+	time.Sleep(300 * time.Millisecond)
+	_, err = io.WriteString(conn, whole[len(whole)-4:])
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+}
+
 // Operators see what is kept, turned away and cut off.
 func TestTheStateTellsOfMemory(t *testing.T) {
 	is := is.New(t)
--- a/relay/front.go
+++ b/relay/front.go
@@ -19,9 +19,10 @@
 	// document bounds bodies more narrowly, admit refuses what is longer.
 	headerBytes = 64 << 10
 	bodyBytes   = 16 << 20
-	// readWait is the longest a caller may take over one request.
+	// readWait is the longest a caller may take over a request's body, and over its head
+	// where the document says nothing.
 	readWait = 10 * time.Second
-	// idleWait is how long a caller's connection may rest; documents allow 15 s.
+	// idleWait is how long a caller's connection may rest where the document says nothing.
 	idleWait = 75 * time.Second
 )
 
