--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -251,6 +251,55 @@
 	ended.Wait()
 }
 
+// A large body that is still being sent when its answer has come is not mixed with the
+// next one that the server reads.
+func TestAnEarlyAnswerMixesNoBodies(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	var mixed atomic.Int64
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			done.Go(func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				mine := []byte(r.Header.Get("X-Body"))
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("X-Id"))
+				body, _ := io.ReadAll(r.Body) // up to where the box drops the connection
+				if len(bytes.Trim(body, string(mine))) > 0 {
+					mixed.Add(1)
+				}
+			})
+		}
+	})
+	b := newBenchWith(t, bounded(64<<20), newStub(t, "other", answerOK("ok")))
+	b.board.set("other", nil, true)
+	b.board.set("u1", balance.Upstream{ID: "u1", Service: "s", Address: l.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.until(func() bool { return b.knows("u1") && !b.knows("other") })
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			letter := string(rune('a' + i))
+			for range 10 {
+				_ = b.do(b.request("POST", "/safe/"+letter, strings.Repeat(letter, 900<<10), "X-Body", letter))
+			}
+		})
+	}
+	callers.Wait()
+	_ = l.Close()
+	b.until(func() bool { return b.atRest(0) })
+	done.Wait()
+	is.Equal(mixed.Load(), int64(0))
+}
+
 // knows reports whether the box has an upstream on its list.
 func (b *bench) knows(id string) bool {
 	b.relay.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -72,8 +72,9 @@
 	r.mu.Unlock()
 	x.ctx, x.cancel = context.WithDeadline(context.Background(), x.end)
 	x.watch = watchLeave(ctx.Conn(), x.cancel)
-	if x.route.Repeat == route.Stream {
-		// A stream may be sent again when the handler has returned.
+	if x.route.Repeat == route.Stream || len(x.request.body) > largeBody {
+		// It may still be sent when the handler has returned, and with it the server's
+		// buffer: a stream goes on, an answer comes before a large body has gone out.
 		x.request.body = ctx.Request.SwapBody(nil)
 	}
 	body, no := x.run()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -114,7 +114,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil, x.silent.Load() && state == runUnknown:
+	case x.ctx.Err() != nil, errors.Is(err, errShort), x.silent.Load() && state == runUnknown:
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
 )
 
 // tellingProtocol is that of a deployment whose upstreams tell what runs on them.
@@ -209,6 +211,28 @@
 	is.Equal(b.relay.stats.counted("connections_silent"), uint64(0))
 }
 
+// What is not an upstream's fault is not held against it.
+func TestWhatABrokenStreamTellsAboutItsUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		gone  bool
+		cause error
+		want  balance.Outcome
+	}{
+		{"it broke off", false, io.ErrUnexpectedEOF, balance.Failed},
+		{"its caller left", true, net.ErrClosed, balance.Neutral},
+		{"its connection fell silent", false, errSilent, balance.Neutral},
+		{"this box was short of memory", false, errShort, balance.Neutral},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			x := &exchange{watch: &leaveWatch{}}
+			x.watch.gone.Store(c.gone)
+			is.Equal(x.outcomeOfBreak(c.cause), c.want)
+		})
+	}
+}
+
 // A pull after one whose connection fell silent has a connection of its own.
 func TestEachPullHasItsOwnConnection(t *testing.T) {
 	is := is.New(t)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -94,14 +94,22 @@
 	x.settle(o)
 }
 
+// outcomeOfBreak says what a stream that broke off tells about its upstream: nothing where
+// its caller left, this box was short of memory, or the connection fell silent.
+func (x *exchange) outcomeOfBreak(cause error) balance.Outcome {
+	if x.watch.gone.Load() || errors.Is(cause, errShort) || errors.Is(cause, errSilent) {
+		return balance.Neutral
+	}
+	return balance.Failed
+}
+
 // goOn takes a stream up at another upstream after its run broke off.
 func (x *exchange) goOn(cause error) bool {
 	head := x.answer
-	outcome := balance.Failed
 	if x.silent.Load() {
-		outcome, cause = balance.Neutral, errSilent
+		cause = errSilent
 	}
-	x.endRun(false, outcome)
+	x.endRun(false, x.outcomeOfBreak(cause))
 	x.failed(runUnknown, cause)
 	for x.route.Resumable && x.events.seen && !x.relay.cfg.Off[balance.Resuming] && x.mayRunAgain(runUnknown) {
 		choice, ok := x.place()
