--- a/relay/conns.go
+++ b/relay/conns.go
@@ -64,12 +64,17 @@
 		}
 		p.drop(c)
 	}
-	if !p.reserve(id, p.limit(service)) {
+	return p.connect(ctx, u, service)
+}
+
+// connect opens a connection.
+func (p *conns) connect(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
+	if !p.reserve(u.ID, p.limit(service)) {
 		return nil, errConnections
 	}
 	c, err := dial(ctx, u.Address)
 	if err != nil {
-		p.release(id)
+		p.release(u.ID)
 		return nil, err
 	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), life: u.Life(), opened: time.Now()}, nil
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,8 +5,8 @@
 // everything it holds is given back in close.
 
 import (
-	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +30,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	watch   *leaveWatch
+	caller  *caller     // nil where its connection is none of the box's callers'
 	release func() bool // undoes the closing of the current connection by ctx
 
 	tried         []balance.Life // upstreams it was sent to, or that could not be reached
@@ -51,6 +52,9 @@
 	moved    bool      // it has gone on elsewhere
 	lookedAt time.Time // when it was last looked at whether it should
 
+	waits  atomic.Pointer[wait] // for the upstream's next bytes; nil: it waits for none
+	silent atomic.Bool          // its connection was ended as a silent one
+
 	answer  *answer       // of the last run that brought one
 	failure *wholeFailure // the last one of an upstream
 	events  *events       // of a stream; nil until one was answered
@@ -69,9 +73,10 @@
 	r.mu.Unlock()
 	x.ctx, x.cancel = context.WithDeadline(context.Background(), x.end)
 	x.watch = watchLeave(ctx.Conn(), x.cancel)
-	if x.route.Repeat == route.Stream {
-		// A stream may be sent again when the handler has returned.
-		x.request.body = bytes.Clone(x.request.body)
+	if x.route.Repeat == route.Stream || len(x.request.body) > largeBody {
+		// It may still be sent when the handler has returned, and with it the server's
+		// buffer: a stream goes on, an answer comes before a large body has gone out.
+		x.request.body = ctx.Request.SwapBody(nil)
 	}
 	body, no := x.run()
 	switch {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -23,7 +23,7 @@
 	if x.isStream(a) {
 		return x.acceptStream(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.body, wholeAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(&keptReader{exchange: x, answer: a}, wholeAnswer+1))
 	x.release()
 	whole := err == nil && len(body) <= wholeAnswer
 	x.relay.finish(a, whole)
@@ -117,7 +117,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil:
+	case x.ctx.Err() != nil, errors.Is(err, errShort), x.silent.Load() && state == runUnknown:
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/mirror"
 	"github.com/doormast/doormast/wire"
 )
@@ -54,6 +55,9 @@
 	FirstStart bool
 	// Boxes is how many boxes share limits while nothing is known of the others.
 	Boxes int
+	// Memory is how many bytes may be kept on behalf of callers and upstreams; 0: there
+	// is no bound.
+	Memory int64
 	// Grace is how long a planned stop may take, graceMargin included.
 	Grace time.Duration
 }
@@ -74,12 +78,13 @@
 
 // Relay is a running box.
 type Relay struct {
-	cfg    Config
-	start  time.Time
-	belief belief
-	conns  *conns
-	stats  stats
-	front  *front
+	cfg     Config
+	start   time.Time
+	belief  belief
+	account *account.Account // of what is kept for callers and upstreams
+	conns   *conns
+	stats   stats
+	front   *front
 
 	members    *members
 	pullClient *http.Client
@@ -105,9 +110,10 @@
 		cfg:        cfg,
 		start:      time.Now(),
 		belief:     newBelief(),
+		account:    account.New(cfg.Memory),
 		cancel:     cancel,
 		ends:       make(chan string, maxDuties),
-		pullClient: &http.Client{Timeout: pullWait},
+		pullClient: newPullClient(),
 		trials:     make(chan struct{}, 1),
 		runs:       make(map[*exchange]*conn),
 		stats:      newStats(),
@@ -131,6 +137,9 @@
 	r.run("members", func() { r.members.duty(ctx) })
 	r.run("reader", func() { r.members.readDuty(ctx) })
 	r.run("trials", func() { r.trialDuty(ctx) })
+	if r.cfg.Protocol.ReportCall != nil {
+		r.run("silence", func() { r.silenceDuty(ctx) })
+	}
 	if r.cfg.Control != nil {
 		r.run("control", r.serveControl)
 	}
--- a/relay/starting_test.go
+++ b/relay/starting_test.go
@@ -8,7 +8,7 @@
 )
 
 // held is how many requests waited for a document.
-func (b *bench) held() int64 { return b.relay.stats.counted("held_starting") }
+func (b *bench) held() uint64 { return b.relay.stats.counted("held_starting") }
 
 // A request that comes before a box knows the document is served as soon as it does.
 func TestARequestWaitsForTheDocument(t *testing.T) {
@@ -37,6 +37,6 @@
 	is.Equal(a.status, 503)
 	is.True(strings.Contains(a.body, `"ran":"no"`))
 	is.Equal(a.header.Get("Retry-After"), "1.00")
-	is.Equal(b.held(), int64(1))
+	is.Equal(b.held(), uint64(1))
 	is.Equal(len(s.requests()), 0)
 }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -31,11 +31,6 @@
 // count adds 1 to a counter.
 func (s *stats) count(name string) { metrics.GetOrRegisterCounter(name, s.registry).Inc(1) }
 
-// counted is a counter's value.
-func (s *stats) counted(name string) int64 {
-	return metrics.GetOrRegisterCounter(name, s.registry).Count()
-}
-
 // latency adds a time to a histogram, in ms.
 func (s *stats) latency(name string, d time.Duration) {
 	h := s.registry.GetOrRegister(name, func() metrics.Histogram {
@@ -63,5 +58,19 @@
 	fmt.Fprintf(w, "open_requests %d\n%s", s.open.Load(), strings.Join(lines, ""))
 }
 
+// Counters of what memory made the box do.
+const (
+	callersTurnedAway = "callers_turned_away"
+	callersCutOff     = "callers_cut_off"
+)
+
+// counted is how often something was counted.
+func (s *stats) counted(name string) uint64 {
+	return uint64(metrics.GetOrRegisterCounter(name, s.registry).Count())
+}
+
 // WriteMetrics writes the box's figures as text.
-func (r *Relay) WriteMetrics(w io.Writer) { r.stats.write(w) }
+func (r *Relay) WriteMetrics(w io.Writer) {
+	fmt.Fprintf(w, "memory_bound_bytes %d\nmemory_used_bytes %d\nmemory_peak_bytes %d\n", r.account.Bound(), r.account.Used(), r.account.Peak())
+	r.stats.write(w)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,12 +30,14 @@
 // acceptStream waits for the first events of a stream, so that a run that fails
 // before them can still be answered otherwise.
 func (x *exchange) acceptStream(a *answer) (runState, []byte, error) {
-	e := &events{src: a.body}
+	e := &events{src: a.body, keep: x.keep}
 	if x.events != nil {
 		e = x.events
 		e.from(a.body)
 	}
+	x.listen()
 	pending, err := e.next()
+	x.heard()
 	if err != nil && !errors.Is(err, io.EOF) {
 		x.release()
 		x.relay.conns.drop(a.conn)
@@ -56,7 +58,9 @@
 // Read gives the caller's side what comes next of the stream.
 func (x *exchange) Read(p []byte) (int, error) {
 	for len(x.pending) == 0 {
+		x.listen()
 		pending, err := x.events.next()
+		x.heard()
 		x.pending = pending
 		if len(pending) > 0 {
 			x.pace.events(time.Now(), x.route.EventGap)
@@ -90,14 +94,25 @@
 	x.settle(o)
 }
 
+// outcomeOfBreak says what a stream that broke off tells about its upstream: nothing where
+// its caller left, this box was short of memory, or the connection fell silent.
+func (x *exchange) outcomeOfBreak(cause error) balance.Outcome {
+	if x.watch.gone.Load() || errors.Is(cause, errShort) || errors.Is(cause, errSilent) {
+		return balance.Neutral
+	}
+	if isBreak(cause) {
+		return balance.Broken
+	}
+	return balance.Failed
+}
+
 // goOn takes a stream up at another upstream after its run broke off.
 func (x *exchange) goOn(cause error) bool {
 	head := x.answer
-	outcome := balance.Failed
-	if isBreak(cause) {
-		outcome = balance.Broken
+	if x.silent.Load() {
+		cause = errSilent
 	}
-	x.endRun(false, outcome)
+	x.endRun(false, x.outcomeOfBreak(cause))
 	x.failed(runUnknown, cause)
 	for x.route.Resumable && x.events.seen && !x.relay.cfg.Off[balance.Resuming] && x.mayRunAgain(runUnknown) {
 		choice, ok := x.place()
@@ -119,6 +134,9 @@
 		if x.watch.gone.Load() {
 			x.outcome = "caller left"
 		}
+		if x.caller != nil && x.caller.cut.Load() {
+			x.outcome = "caller does not read"
+		}
 	}
 	x.endRun(false, balance.Neutral)
 	if x.move != nil {
