An upstream gets no more requests than its memory holds

Nothing counted the tokens that an upstream's memory holds: placement looked at tokens to be read and at slots, so that a burst of the longest prompts could be sent to one upstream beyond what it holds. It puts requests back then, or falls over with all of them.

Each ticket now counts its whole prompt and the answer that it may get, a copy from the moment at which it is ordered, and an answer that becomes longer than its caller expects anew. Boxes tell each other (Load.Held). A box that does not know what the others have under way, since it has just started or hears of nobody, keeps to its part. What fits nowhere is refused and told when to come back; what is larger than any upstream's memory is refused at once with 413.

Ruled out: to count a shared part once where several requests use it (a box would have to know which parts the others' requests have), and to hold requests until there is room (admission decides at once, for all causes).

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -73,6 +73,7 @@
 	listed    time.Duration           // when the first upstream was
 
 	evacuated  map[string]bool // failure domains
+	part       float64         // of an upstream's memory that this box may fill: 1 where it knows of the others
 	sharers    Sharers
 	cold       []*member // those that are, and some that were
 	sharedAnew bool      // what the rations depend on has changed
@@ -98,6 +99,7 @@
 		kept:      kept{keepers: make(map[uint32][]keeper)},
 		domains:   make(map[string]*domainReach),
 		rate:      cfg.Tuning.ReadRate,
+		part:      1,
 	}
 }
 
@@ -121,15 +123,16 @@
 	Evacuated bool
 	ColdLeft  time.Duration // for so long it is cold; 0: it is not
 	Load      Load          // of all boxes
+	Memory    int           // tokens that its memory holds; 0: not known
 }
 
 // View lists all upstreams, by service and id.
 func (f *Fleet) View(now time.Duration) []View {
 	list := make([]View, 0, len(f.byID))
 	for _, m := range f.byID {
-		load := Load{Unread: m.ahead(Levels - 1), Open: m.open()}
+		load := Load{Unread: m.ahead(Levels - 1), Open: m.open(), Held: m.held()}
 		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Evacuated: m.evacuated,
-			ColdLeft: max(0, m.coldTill-now), Load: load})
+			ColdLeft: max(0, m.coldTill-now), Load: load, Memory: f.serviceOf(m.Service).memory})
 	}
 	slices.SortFunc(list, func(a, b View) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -24,6 +24,7 @@
 	Loads            Mechanism = "loads"     // work of other boxes counts
 	Parts            Mechanism = "parts"     // who was sent which part of a prompt decides
 	Fetching         Mechanism = "fetching"  // upstreams fetch what others keep
+	Memory           Mechanism = "memory"    // an upstream gets no more than its memory holds
 	Domains          Mechanism = "domains"   // a failure domain is left as a whole
 	Moving           Mechanism = "moving"    // an answer that would end late goes on elsewhere
 	Rests            Mechanism = "rests"     // an upstream that fails is passed over for a while
@@ -41,6 +42,7 @@
 	Loads:            "avoids upstreams that other boxes keep busy",
 	Parts:            "sends prompts to where their shared parts lie",
 	Fetching:         "spares reading what another upstream keeps",
+	Memory:           "keeps upstreams from falling over, or putting requests back, under the longest requests",
 	Domains:          "finds out about a cut once, not upstream by upstream",
 	Moving:           "ends long answers whose upstream has come to read all the time",
 	Rests:            "spares requests the upstreams that fail",
--- /dev/null
+++ b/balance/memory.go
@@ -0,0 +1,187 @@
+package balance
+
+// This file defines how much of an upstream's memory requests take, and where they fit. The
+// load that it answers: a burst of the longest prompts. An engine whose requests outgrow its
+// memory puts some of them back, or falls over with all of them.
+//
+// Counted is what cannot give way: of each request its whole prompt, though others that run
+// may share a part of it, and the answer that it may get; what engines keep beside that gives
+// way. The invariant: a box never places a request where what it knows of, its own requests and
+// those that others told, would leave less than the spare room of the memory; so that all boxes
+// together exceed the memory by no more than what the others place there before they have told
+// it, less that spare room. A box that does not know of the others keeps to its part.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// memorySpare is the part of an upstream's memory that is left free, for small requests that
+	// boxes place at the same moment and for answers that are longer than thought.
+	memorySpare = 0.1
+	// answerSpread is how many times the tokens that its caller expects an answer is counted
+	// with: guesses are right in the median, and half of that again is the usual error.
+	answerSpread = 2
+	// answerUnknown is the tokens of an answer of which nothing is expected.
+	answerUnknown = 512
+	// memoryWaitLeast and memoryWaitMost bound when a caller shall come back that found no memory.
+	memoryWaitLeast, memoryWaitMost = 300 * time.Millisecond, 3 * time.Second
+)
+
+// SetMemory notes how many tokens the memory of each upstream of a service holds; 0: not known.
+func (f *Fleet) SetMemory(service string, tokens int) { f.serviceOf(service).memory = tokens }
+
+// SetBoxes notes how many boxes there are, and whether this one knows what the others have
+// under way.
+func (f *Fleet) SetBoxes(boxes int, informed bool) {
+	f.part = 1
+	if !informed {
+		f.part = 1 / float64(max(boxes, 1))
+	}
+}
+
+// memoryOf is how many tokens of memory an upstream has; 0 where that is not known, or
+// does not matter.
+func (f *Fleet) memoryOf(service string) int {
+	if f.cfg.Off[Memory] {
+		return 0
+	}
+	return f.serviceOf(service).memory
+}
+
+// needs is how many tokens of an upstream's memory a request may take: a part of a prompt that others
+// use counts for each of them.
+func (r Request) needs() int {
+	switch {
+	case r.Tokens == 0:
+		return 0
+	case r.Expected == 0:
+		return r.Tokens + answerUnknown
+	}
+	return r.Tokens + answerSpread*r.Expected
+}
+
+// held is how many tokens an upstream's memory holds for all boxes' requests.
+func (m *member) held() int {
+	sum := 0
+	for i := range m.work {
+		sum += m.work[i].Held + m.others[i].Held
+	}
+	return sum
+}
+
+// ownHeld is the same for this box's requests.
+func (m *member) ownHeld() int {
+	sum := 0
+	for i := range m.work {
+		sum += m.work[i].Held
+	}
+	return sum
+}
+
+// fits reports whether an upstream has memory for a request. Whatever it needs, it fits where
+// nothing else is held, as long as it is not too large for any.
+func (f *Fleet) fits(m *member, r Request) bool {
+	memory := f.memoryOf(m.Service)
+	if memory == 0 || r.Tokens == 0 {
+		return true
+	}
+	if f.TooLarge(r) {
+		return false
+	}
+	held := m.held()
+	if held == 0 {
+		return true
+	}
+	room := roomFor(memory, r)
+	if held+r.needs() > room {
+		return false
+	}
+	own := m.ownHeld()
+	return own == 0 || float64(own+r.needs()) <= f.part*float64(room)
+}
+
+// roomFor is how much of a memory may be held after a request is placed: with spare room for
+// one more that is as large, which another box may be placing at this moment.
+func roomFor(memory int, r Request) int {
+	return memory - r.needs() - int(memorySpare*float64(memory))
+}
+
+// TooLarge reports whether a request is larger than the whole memory of an upstream.
+func (f *Fleet) TooLarge(r Request) bool {
+	memory := f.memoryOf(r.Service)
+	return memory > 0 && r.Tokens+r.Expected > memory
+}
+
+// MemoryLeft is how long it takes, as far as can be told, until an upstream that takes requests
+// has memory for the request; 0 where one has, or where nothing is known of how long requests
+// run.
+func (f *Fleet) MemoryLeft(now time.Duration, r Request) time.Duration {
+	if f.memoryOf(r.Service) == 0 {
+		return 0
+	}
+	least := time.Duration(math.MaxInt64)
+	runs := f.serviceOf(r.Service).holding.mean(now)
+	for _, m := range f.byService[r.Service] {
+		switch {
+		case m.closed() || m.out:
+			continue
+		case f.fits(m, r):
+			return 0
+		}
+		least = min(least, f.freeIn(m, r, runs))
+	}
+	if least == math.MaxInt64 {
+		return 0
+	}
+	return min(max(least, memoryWaitLeast), memoryWaitMost)
+}
+
+// freeIn is how long it takes until an upstream has memory for a request, where those that it
+// runs take so long: they end one after the other.
+func (f *Fleet) freeIn(m *member, r Request, runs time.Duration) time.Duration {
+	held := m.held()
+	over := held + r.needs() - roomFor(f.memoryOf(m.Service), r)
+	return part(runs, float64(min(max(over, 0), held))/float64(max(held, 1)))
+}
+
+// Made notes how many events an answer has by now. One that has become longer than was thought
+// takes more memory: half as much again as what it has, so that it is counted anew
+// seldom.
+func (t *Ticket) Made(events int) {
+	perToken := t.fleet.eventsPerToken(t.request.Service)
+	if t.closed || t.held == 0 || perToken == 0 {
+		return
+	}
+	made := int(float64(events) / perToken)
+	if t.request.Tokens+made <= t.held {
+		return
+	}
+	held := t.request.Tokens + made + made/2
+	t.count(Load{Held: held - t.held})
+	t.held = held
+}
+
+// eventsPerToken is how many events an answer has for each token that its caller expects, 0
+// where nothing is known. Callers' guesses are right in the median, so that its inverse is about the
+// tokens of an event.
+func (f *Fleet) eventsPerToken(service string) float64 {
+	events := f.serviceOf(service).answers.events
+	if events.weight == 0 {
+		return 0
+	}
+	return events.value()
+}
+
+// SetAside counts a slot and the memory that the copy of a run takes at an upstream, until it is
+// used or given up.
+func (f *Fleet) SetAside(id string, r Request) *Ticket {
+	m := f.byID[id]
+	if m == nil {
+		return &Ticket{closed: true}
+	}
+	t := &Ticket{fleet: f, member: m, request: r, held: r.needs()}
+	t.count(Load{Open: 1, Held: t.held})
+	return t
+}
--- a/balance/service.go
+++ b/balance/service.go
@@ -12,6 +12,7 @@
 	holding  holding  // of its slots
 	answers  answers  // of its upstreams
 	cold     Cold     // what its upstreams bear while they are
+	memory   int      // tokens that the memory of each of its upstreams holds; 0: not known
 	unread   float64  // prompt tokens that its upstreams have to read, a mean over them
 }
 
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -12,6 +12,7 @@
 	request Request
 	unread  int  // tokens of its prompt that are counted as not yet read
 	tight   int  // tight streams that it counts as, 0 or 1
+	held    int  // tokens of its upstream's memory that it is counted with
 	read    bool // its first event came
 	opened  time.Duration
 	begun   time.Duration // when its first event came
@@ -46,7 +47,8 @@
 	if t.fleet.tight(t.request) {
 		t.tight = 1
 	}
-	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight})
+	t.held = t.request.needs()
+	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight, Held: t.held})
 	t.fleet.sent(now, t.member, t.request)
 	t.member.noteCold(now)
 }
@@ -101,7 +103,7 @@
 	}
 	t.clear()
 	t.closed = true
-	t.count(Load{Open: -1, Tight: -t.tight})
+	t.count(Load{Open: -1, Tight: -t.tight, Held: -t.held})
 	t.member.health.note(now, outcome)
 	if t.read {
 		t.fleet.serviceOf(t.request.Service).holding.end(now)
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -83,9 +84,9 @@
 		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
 			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft)
 	}
-	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS")
+	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS\tHELD\tMEMORY")
 	for _, u := range all[0].Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread, u.Held, memoryOf(u))
 	}
 	return tw.Flush()
 }
@@ -104,6 +105,14 @@
 	return "ready"
 }
 
+// memoryOf is the tokens that an upstream's memory holds.
+func memoryOf(u *wire.UpstreamRow) string {
+	if u.Memory == 0 {
+		return "not known"
+	}
+	return strconv.FormatUint(u.Memory, 10)
+}
+
 // laneOf is the kind of requests that an upstream is kept for.
 func laneOf(u *wire.UpstreamRow) string {
 	if u.Tight {
--- a/group/count.go
+++ b/group/count.go
@@ -11,6 +11,23 @@
 // Known reports whether the box has heard of the group's size.
 func (n *Node) Known() bool { return n.most > 0 }
 
+// Informed reports whether this box knows what the others have under way: there are none, or it has
+// run for long enough to be told and hears of one who tells it.
+func (n *Node) Informed(now time.Duration) bool {
+	if n.most <= 1 && n.alone() {
+		return true
+	}
+	if now-n.started < n.cfg.Timing.Settle {
+		return false
+	}
+	for _, p := range n.peers {
+		if tells := n.Leads() || p.box.Name == n.lead().Name; tells && !n.gone(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // domainBoxes counts the boxes of this domain that live, this one included.
 func (n *Node) domainBoxes(now time.Duration) int {
 	count := 1
--- a/relay/move.go
+++ b/relay/move.go
@@ -33,7 +33,8 @@
 // move is an answer on its way to another upstream.
 type move struct {
 	from, to balance.Upstream
-	copied   chan Copy // gets one entry
+	copied   chan Copy       // gets one entry
+	aside    *balance.Ticket // what the copy takes, until it is used or given up
 }
 
 // considerMove begins to move the answer where it would end too late. It is called with
@@ -46,19 +47,39 @@
 	x.lookedAt = time.Now()
 	p := balance.Progress{Events: x.events.total, Between: x.pace.recent, Left: time.Until(x.end)}
 	q := x.placement()
-	r.mu.Lock()
-	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	ok = ok && r.budget.Spend(r.now(), r.boxes())
-	r.mu.Unlock()
-	if !ok {
+	m, aside := x.moveTo(q, p)
+	if aside == nil {
 		return
 	}
 	r.cfg.Log.Event("run", "moves", Fields{"id": x.request.id, "upstream": x.upstream.ID, "to": m.To.ID, "events": p.Events,
 		"here_ms": m.Here.Milliseconds(), "there_ms": m.There.Milliseconds(), "left_ms": p.Left.Milliseconds()})
-	x.move = &move{from: x.upstream, to: m.To, copied: make(chan Copy, 1)}
+	x.move = &move{from: x.upstream, to: m.To, copied: make(chan Copy, 1), aside: aside}
 	go r.copyRun(x.move, x.request.id, x.service)
 }
 
+// moveTo decides whether the answer moves, and counts its copy; without a ticket it stays.
+func (x *exchange) moveTo(q balance.Request, p balance.Progress) (balance.Move, *balance.Ticket) {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x.ticket != nil {
+		x.ticket.Made(p.Events)
+	}
+	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
+	if !ok || !r.budget.Spend(r.now(), r.boxes()) {
+		return m, nil
+	}
+	return m, r.fleet.SetAside(m.To.ID, q)
+}
+
+// closeAside ends the count of what the copy takes.
+func (r *Relay) closeAside(m *move) {
+	r.mu.Lock()
+	m.aside.Close(r.now(), balance.Neutral)
+	r.mu.Unlock()
+	wake(r.members.loaded)
+}
+
 // copyRun has a run's memory copied, and the run stopped.
 func (r *Relay) copyRun(m *move, id, service string) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveWait)
@@ -104,6 +125,7 @@
 		return false // what was copied is given up when the exchange is closed
 	}
 	x.move = nil
+	x.relay.closeAside(m)
 	if c.Name == "" {
 		return false
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -46,7 +46,7 @@
 // takeDocument puts a document in force where it is newer than the present one.
 func (r *Relay) takeDocument(d *route.Document) {
 	if r.belief.take(d) {
-		r.setCold(d)
+		r.setServices(d)
 		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
 }
@@ -90,12 +90,14 @@
 	}
 }
 
-// setCold notes what the upstreams of the document's services bear while they are cold.
-func (r *Relay) setCold(d *route.Document) {
+// setServices notes what the upstreams of the document's services bear while they are cold, and what
+// their memory holds.
+func (r *Relay) setServices(d *route.Document) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range d.Services {
 		r.fleet.SetCold(s.Name, balance.Cold{Lasts: s.ColdFor, Most: r.cfg.Cold.most(s.ColdPerSecond)})
+		r.fleet.SetMemory(s.Name, s.Memory)
 	}
 }
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -41,6 +41,8 @@
 		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
 	case x.mayHave:
 		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
+	case x.tooLarge:
+		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "larger than an upstream's memory"}
 	}
 	return &refusal{fasthttp.StatusServiceUnavailable, reason, max(comeBackUsual, x.comeBack)}
 }
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -61,7 +61,8 @@
 	defer r.mu.Unlock()
 	choice, ok := r.fleet.Place(r.now(), q, x.tried)
 	if !ok {
-		x.comeBack = min(r.fleet.ColdLeft(r.now(), x.service), mostComeBack)
+		x.tooLarge = r.fleet.TooLarge(q)
+		x.comeBack = min(max(r.fleet.ColdLeft(r.now(), x.service), r.fleet.MemoryLeft(r.now(), q)), mostComeBack)
 		return choice, false
 	}
 	if x.sent == 0 && len(q.Parts) > 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -118,6 +118,7 @@
 	}
 	x.endRun(false, balance.Neutral)
 	if x.move != nil {
+		x.relay.closeAside(x.move)
 		x.relay.giveUpCopy(x.move, x.request.id, x.service)
 	}
 	x.close()
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -16,6 +16,7 @@
 	m.relay.mu.Lock()
 	defer m.relay.mu.Unlock()
 	m.relay.fleet.SetSharers(balance.Sharers{Box: m.relay.cfg.Self.Name, Boxes: m.node.Sharers(m.relay.now())})
+	m.relay.fleet.SetBoxes(m.node.Boxes(), m.node.Informed(m.relay.now()))
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
 	m.node.SetClasses(m.relay.fleet.Classes())
--- a/route/document.go
+++ b/route/document.go
@@ -20,6 +20,7 @@
 	MaxConnections int           // an upstream accepts, from all boxes together
 	ColdFor        time.Duration // for how long an upstream is cold after a start
 	ColdPerSecond  float64       // requests in a second that a cold upstream bears; 0: there is no bound
+	Memory         int           // tokens that the memory of an upstream holds; 0: not known
 	Moves          bool          // its upstreams can fetch from each other what they keep of prompts
 }
 
