Lanes follow what either side needs: slots held, and time to read

A lane's size followed what is read for each side, between 15 and 36 in 100 of the upstreams. Tight streams read little and hold their slots for long: in a burst they filled all slots of their lane (1,282 of 1,280) beside upstreams with 93 of 2,560 in use, and half of them were refused or put back.

Each side's need is now the greater of its share of all slots and, weighed, its share of upstreams that read; the lane is the tight streams' part of both, at least 15 in 100 and at most 85. A rise counts at once, a fall within 0.5 s. An earlier lane by slots counted those of the tight streams alone, and took upstreams away from long prompts that read all the time and hold few slots.

--- a/balance/apart.go
+++ b/balance/apart.go
@@ -183,20 +183,6 @@
 	return list
 }
 
-// meanReads is what is read for a request of the classes that are kept apart, and for one
-// of the others, in tokens.
-func (k *classes) meanReads() (tight, rest float64) {
-	var sumTight, sumRest mean
-	for _, c := range k.counted() {
-		if c.interference() < k.apart.limit {
-			sumTight.add(c.read(), c.seen())
-		} else {
-			sumRest.add(c.read(), c.seen())
-		}
-	}
-	return sumTight.value(), sumRest.value()
-}
-
 // mean is a weighted mean.
 type mean struct{ sum, weight float64 }
 
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -26,9 +26,10 @@
 	divided bool          // they were once
 	share   float64       // of the upstreams that tight streams should have
 	places  int           // upstreams that are kept for them
-	tight   float64       // mean of the tight streams under way
-	rest    float64       // mean of the other requests
-	counted time.Duration // when the means were last brought up to date
+	open    Need          // requests under way on each side, lately
+	slots   int           // of all its upstreams
+	reading Need          // upstreams of each lane that read, as a share of all, lately
+	counted time.Duration // when these were last brought up to date
 }
 
 // lane divides a list into the upstreams of the request's lane and those beyond it; all
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -1,9 +1,9 @@
 package balance
 
 // This file defines how many upstreams of a service are kept for tight streams, by what
-// all boxes have under way or by what another box told. The invariant: as long as the
-// service's list stays the same, a lane keeps its size until another one is told, or until
-// the one wanted is off by more than the slack.
+// all boxes have under way or by what another box told; what each side needs stands in
+// laneneed.go. The invariant: as long as the service's list stays the same, a lane keeps its
+// size until another one is told, or until the one wanted is off by more than the slack.
 
 import (
 	"math"
@@ -46,8 +46,9 @@
 	Service   string
 	Places    int  // upstreams that are kept for tight streams
 	Upstreams int  // of the service
-	Tight     int  // tight streams under way, a mean
-	Rest      int  // other requests under way, a mean
+	Tight     int  // tight streams under way, lately
+	Rest      int  // other requests under way, lately
+	Need      Need // upstreams that each side needs, as a share of all
 	Told      bool // the size is what was told, not what this box would choose
 }
 
@@ -86,27 +87,31 @@
 	}
 	s.share = float64(places) / float64(len(all))
 	f.divide(now, s)
-	return LaneChange{s.name, s.places, len(all), int(s.tight), int(s.rest), isTold}, true
+	return LaneChange{s.name, s.places, len(all), int(s.open.Tight), int(s.open.Rest), f.needOf(s), isTold}, true
 }
 
-// count brings the means of what is under way and to be read up to date.
+// count brings what is under way and to be read up to date.
 func (f *Fleet) count(now time.Duration, s *service, all []*member) {
 	var sum Load
+	var reading Need
+	slots := 0
 	for _, m := range all {
 		l := m.underWay()
 		sum = sum.Plus(l)
+		slots += m.Slots
 		m.noteReading(now-s.counted, l.Unread)
+		reading.add(m.tight, f.readingShare(l.Unread))
 	}
 	s.unread = float64(sum.Unread) / float64(len(all))
 	s.classes.age(now - s.counted)
-	past := math.Exp(-float64(now-s.counted) / float64(f.cfg.Tuning.LaneMemory))
-	s.counted = now
-	s.tight = s.tight*past + float64(sum.Tight)*(1-past)
-	s.rest = s.rest*past + float64(sum.Open-sum.Tight)*(1-past)
+	left := math.Exp(-float64(now-s.counted) / float64(f.cfg.Tuning.LaneMemory))
+	s.counted, s.slots = now, slots
+	s.open = s.open.follow(Need{float64(sum.Tight), float64(sum.Open - sum.Tight)}, left)
+	s.reading = s.reading.follow(reading.times(1/float64(len(all))), left)
 }
 
 // wanted is how many upstreams tight streams should have: none where no class is kept
-// apart, else by their share of all requests. A number within the slack of the present one
+// apart, else by what both sides need. A number within the slack of the present one
 // leaves that as it is.
 func (f *Fleet) wanted(s *service, upstreams int) int {
 	switch {
@@ -117,25 +122,13 @@
 	case s.classes.apart.limit == 0:
 		return 0
 	}
-	want := f.tightShare(s) * float64(upstreams)
+	want := f.needOf(s).share(f.cfg.Tuning.LaneLeast) * float64(upstreams)
 	if s.places == 0 {
 		return max(1, int(math.Round(want)))
 	}
-	tooFew := s.tight+s.rest < float64(upstreams)*laneFrom // to tell
+	tooFew := s.open.sum() < float64(upstreams)*laneFrom // to tell
 	if tooFew || math.Abs(want-float64(s.places)) < laneSlack+laneSlackShare*float64(s.places) {
 		return s.places
 	}
 	return int(math.Round(want))
 }
-
-// tightShare is the share of upstreams that tight streams should have, as a part of 1: by
-// their share of all requests under way, each counted by what is read for its side.
-func (f *Fleet) tightShare(s *service) float64 {
-	t := &f.cfg.Tuning
-	readTight, readRest := s.classes.meanReads()
-	tight, rest := readTight*s.tight, readRest*s.rest
-	if tight+rest == 0 {
-		return t.TightLeast
-	}
-	return min(max(tight/(tight+rest), t.TightLeast), t.TightMost)
-}
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -13,13 +13,17 @@
 	// NewFor is how long after its listing, or after it came into its lane, an upstream
 	// fetches prompts from the one that was their home before.
 	NewFor time.Duration
-	// TightLeast and TightMost bound the share of a service's upstreams that is kept for
-	// tight streams, as parts of 1. In a burst of long prompts what is kept reads little: with
-	// 0.15 at the least in place of 0.22 two days of high load had 0.832 and 0.801 of worth,
-	// 0.815 and 0.791 before, and a small fleet 0.827 in place of 0.814 over three days; with
-	// 0.10 the former had 0.814 and 0.772.
-	TightLeast, TightMost float64
-	// LaneMemory is the time over which the requests under way are averaged for that.
+	// LaneLeast is the least share of a service's upstreams that is left to tight streams, and
+	// to the others, as a part of 1. In a burst of long prompts what is kept reads little: with
+	// 0.15 in place of 0.22 two days of high load had 0.832 and 0.801 of worth, 0.815 and 0.791
+	// before, and a small fleet 0.827 in place of 0.814 over three days; with 0.10 the former
+	// had 0.814 and 0.772.
+	LaneLeast float64
+	// LaneReading is how many upstreams whose slots are all held count as much as one that
+	// reads all the time, where the two sides' needs are compared.
+	LaneReading float64
+	// LaneMemory is the time in which what is under way and to be read counts for less once it
+	// has fallen.
 	LaneMemory time.Duration
 	// Leave is how many prompts of the class that reads the most a place beyond its lane
 	// must save a tight stream of reading before its own, for it to leave its lane.
@@ -50,9 +54,9 @@
 var DefaultTuning = Tuning{
 	AgainWeight: 3,
 	NewFor:      15 * time.Second,
-	TightLeast:  0.15,
-	TightMost:   0.36,
-	LaneMemory:  time.Second,
+	LaneLeast:   0.15,
+	LaneReading: 1.43,
+	LaneMemory:  500 * time.Millisecond,
 	Leave:       1,
 	Away:        0.3,
 	FailWeight:  6,
--- a/relay/move.go
+++ b/relay/move.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// moveCheck is the least time between two looks at whether an answer should move.
-	moveCheck = 200 * time.Millisecond
+	// answerCheck is the least time between two looks at a running answer.
+	answerCheck = 200 * time.Millisecond
 	// moveWait is the longest that a copy is waited for: 20,000 tokens take 20 ms, and
 	// those that wait for the same link as long each.
 	moveWait = 1500 * time.Millisecond
@@ -37,14 +37,33 @@
 	aside    *balance.Ticket // what the copy takes, until it is used or given up
 }
 
-// considerMove begins to move the answer where it would end too late. It is called with
-// each of its events.
+// lookAtAnswer looks, now and then, how far the answer has come: how much memory it takes, and
+// whether it should move. It is called with each of its events.
+func (x *exchange) lookAtAnswer() {
+	if time.Since(x.lookedAt) < answerCheck {
+		return
+	}
+	x.lookedAt = time.Now()
+	x.noteMade()
+	x.considerMove()
+}
+
+// noteMade tells the fleet how long the answer is by now.
+func (x *exchange) noteMade() {
+	if x.ticket == nil {
+		return
+	}
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.ticket.Made(x.events.total)
+}
+
+// considerMove begins to move the answer where it would end too late.
 func (x *exchange) considerMove() {
 	r := x.relay
-	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || time.Since(x.lookedAt) < moveCheck {
+	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved {
 		return
 	}
-	x.lookedAt = time.Now()
 	p := balance.Progress{Events: x.events.total, Between: x.pace.recent, Left: time.Until(x.end)}
 	q := x.placement()
 	m, aside := x.moveTo(q, p)
@@ -62,9 +81,6 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if x.ticket != nil {
-		x.ticket.Made(p.Events)
-	}
 	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
 	if !ok || !r.budget.Spend(r.now(), r.boxes()) {
 		return m, nil
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -60,7 +60,7 @@
 		x.pending = pending
 		if len(pending) > 0 {
 			x.pace.events(time.Now(), x.route.EventGap)
-			x.considerMove()
+			x.lookAtAnswer()
 		}
 		if errors.Is(err, io.EOF) {
 			x.endRun(true, balance.Answered)
