What a request needs of memory is worked out once, not for each upstream

With 320 upstreams, placing looked up the service and its memory 320 times for each request. What decides whether it fits is a value now, made before the list is walked.

--- a/balance/memory.go
+++ b/balance/memory.go
@@ -80,26 +80,42 @@
 	return sum
 }
 
-// fits reports whether an upstream has memory for a request. Whatever it needs, it fits where
-// nothing else is held, as long as it is not too large for any.
-func (f *Fleet) fits(m *member, r Request) bool {
-	memory := f.memoryOf(m.Service)
+// memoryBound is what decides whether an upstream of a service has memory for a request.
+type memoryBound struct {
+	bound bool    // else nothing is known of the memory, or of the request
+	never bool    // no upstream can hold it
+	needs int     // tokens
+	room  int     // that may be held once it is placed
+	part  float64 // of the room that this box may fill
+}
+
+// memoryBoundOf works out once for a request what it needs: to do so for each of hundreds of
+// upstreams would cost more than the rest of placing it.
+func (f *Fleet) memoryBoundOf(r Request) memoryBound {
+	memory := f.memoryOf(r.Service)
 	if memory == 0 || r.Tokens == 0 {
-		return true
+		return memoryBound{}
 	}
-	if f.TooLarge(r) {
-		return false
+	return memoryBound{bound: true, never: f.TooLarge(r), needs: r.needs(), room: roomFor(memory, r), part: f.part}
+}
+
+// fits reports whether an upstream has memory for the request. Whatever it needs, it fits where
+// nothing else is held, as long as it is not too large for any.
+func (b memoryBound) fits(m *member) bool {
+	if !b.bound {
+		return true
 	}
 	held := m.held()
-	if held == 0 {
+	switch {
+	case b.never:
+		return false
+	case held == 0:
 		return true
-	}
-	room := roomFor(memory, r)
-	if held+r.needs() > room {
+	case held+b.needs > b.room:
 		return false
 	}
 	own := m.ownHeld()
-	return own == 0 || float64(own+r.needs()) <= f.part*float64(room)
+	return own == 0 || float64(own+b.needs) <= b.part*float64(b.room)
 }
 
 // roomFor is how much of a memory may be held after a request is placed: with spare room for
@@ -118,7 +134,8 @@
 // has memory for the request; 0 where one has, or where nothing is known of how long requests
 // run.
 func (f *Fleet) MemoryLeft(now time.Duration, r Request) time.Duration {
-	if f.memoryOf(r.Service) == 0 {
+	bound := f.memoryBoundOf(r)
+	if !bound.bound || bound.never {
 		return 0
 	}
 	least := time.Duration(math.MaxInt64)
@@ -127,10 +144,10 @@
 		switch {
 		case m.closed() || m.out:
 			continue
-		case f.fits(m, r):
+		case bound.fits(m):
 			return 0
 		}
-		least = min(least, f.freeIn(m, r, runs))
+		least = min(least, bound.freeIn(m, runs))
 	}
 	if least == math.MaxInt64 {
 		return 0
@@ -138,12 +155,12 @@
 	return min(max(least, memoryWaitLeast), memoryWaitMost)
 }
 
-// freeIn is how long it takes until an upstream has memory for a request, where those that it
+// freeIn is how long it takes until an upstream has memory for the request, where those that it
 // runs take so long: they end one after the other.
-func (f *Fleet) freeIn(m *member, r Request, runs time.Duration) time.Duration {
+func (b memoryBound) freeIn(m *member, runs time.Duration) time.Duration {
 	held := m.held()
-	over := held + r.needs() - roomFor(f.memoryOf(m.Service), r)
-	return part(runs, float64(min(max(over, 0), held))/float64(max(held, 1)))
+	over := min(max(held+b.needs-b.room, 0), held)
+	return part(runs, float64(over)/float64(max(held, 1)))
 }
 
 // Made notes how many events an answer has by now. One that has become longer than was thought
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -55,11 +55,11 @@
 			f.SetBoxes(4, tt.informed)
 			m := f.byID["u0"]
 			m.work[3].Held, m.others[5].Held = tt.own, tt.others
-			is.Equal(f.fits(m, tt.request), tt.want)
+			is.Equal(f.memoryBoundOf(tt.request).fits(m), tt.want)
 			_, ok := f.Place(0, tt.request, nil)
 			is.Equal(ok, tt.want)
 			f.cfg.Off = Off{Memory: true}
-			is.True(f.fits(m, tt.request))
+			is.True(f.memoryBoundOf(tt.request).fits(m))
 		})
 	}
 }
--- a/balance/place.go
+++ b/balance/place.go
@@ -2,8 +2,8 @@
 
 // This file defines placement. The invariant: an upstream that is leaving or evacuated, that
 // the request was already sent to, that lies outside of its homes, that bears no more while it
-// is cold, or that has no memory for it, is never chosen; one that rests is chosen only where more than the allowed share
-// rests, and one out of reach only where no other is left.
+// is cold, or that has no memory for it, is never chosen; one that rests is chosen only where
+// more than the allowed share rests, and one out of reach only where no other is left.
 
 import (
 	"cmp"
@@ -38,9 +38,10 @@
 // least are taken all the same.
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	var awake, resting, out []*member
+	memory := f.memoryBoundOf(r)
 	for _, m := range f.byService[r.Service] {
 		switch {
-		case m.closed() || slices.Contains(tried, m.ID) || !f.mayRunIn(m.Domain, r) || !f.bears(now, m) || !f.fits(m, r):
+		case m.closed() || slices.Contains(tried, m.ID) || !f.mayRunIn(m.Domain, r) || !f.bears(now, m) || !memory.fits(m):
 		case m.out:
 			out = append(out, m)
 		case m.health.rests(now) && !f.cfg.Off[Rests]:
