--- /dev/null
+++ b/cmd/doormast/status.go
@@ -0,0 +1,148 @@
+package main
+
+// This file defines how `relay status` prints boxes, the upstreams as one of them sees them,
+// and what boxes have sent each other. The invariant: what is not known is said to be so.
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/doormast/doormast/wire"
+)
+
+// column is a column of a table of rows of type T.
+type column[T any] struct {
+	title string
+	value func(T) string
+}
+
+// boxColumns are those of the boxes.
+var boxColumns = []column[*wire.StateResponse]{
+	{"BOX", func(s *wire.StateResponse) string { return s.Box }},
+	{"DOMAIN", func(s *wire.StateResponse) string { return s.Domain }},
+	{"READY", func(s *wire.StateResponse) string { return strconv.FormatBool(s.Ready) }},
+	{"OPEN", func(s *wire.StateResponse) string { return count(s.Open) }},
+	{"VERSION", func(s *wire.StateResponse) string { return count(s.Version) }},
+	{"AGE", func(s *wire.StateResponse) string { return micros(s.ConfirmedAge).Round(time.Millisecond).String() }},
+	{"LEAD", func(s *wire.StateResponse) string { return s.Lead }},
+	{"BOXES", func(s *wire.StateResponse) string { return count(s.Boxes) }},
+	{"RETRIES LEFT", func(s *wire.StateResponse) string { return count(s.BudgetLeft) }},
+	{"MEMORY", func(s *wire.StateResponse) string { return boxMemory(s.Memory) }},
+	{"TURNED AWAY", func(s *wire.StateResponse) string { return count(s.Memory.GetTurnedAway()) }},
+	{"CUT OFF", func(s *wire.StateResponse) string { return count(s.Memory.GetCutOff()) }},
+}
+
+// upstreamColumns are those of the upstreams.
+var upstreamColumns = []column[*wire.UpstreamRow]{
+	{"UPSTREAM", func(u *wire.UpstreamRow) string { return u.Id }},
+	{"SERVICE", func(u *wire.UpstreamRow) string { return u.Service }},
+	{"ADDRESS", func(u *wire.UpstreamRow) string { return u.Address }},
+	{"DOMAIN", func(u *wire.UpstreamRow) string { return u.Domain }},
+	{"STATE", upstreamState},
+	{"LANE", laneOf},
+	{"OPEN", func(u *wire.UpstreamRow) string { return count(u.Open) }},
+	{"UNREAD TOKENS", func(u *wire.UpstreamRow) string { return count(u.Unread) }},
+	{"HELD", func(u *wire.UpstreamRow) string { return count(u.Held) }},
+	{"MEMORY", func(u *wire.UpstreamRow) string { return orNotKnown(u.Memory, count) }},
+	{"WAY", func(u *wire.UpstreamRow) string { return orNotKnown(u.Way, wayOf) }},
+	{"BORN", func(u *wire.UpstreamRow) string { return orNotKnown(u.Born, bornAt) }},
+}
+
+// trafficColumns are those of what a box has sent, after its name.
+var trafficColumns = []column[*wire.TrafficRow]{
+	{"HAS SENT", func(t *wire.TrafficRow) string { return t.Kind }},
+	{"TO BOXES OF", func(t *wire.TrafficRow) string { return t.Reach }},
+	{"MESSAGES", func(t *wire.TrafficRow) string { return count(t.Messages) }},
+	{"BYTES", func(t *wire.TrafficRow) string { return count(t.Bytes) }},
+}
+
+// showStates prints the boxes, the upstreams as the first of them sees them, and what the boxes
+// have sent each other since they started, those that sent nothing of a kind so far left out.
+func showStates(w io.Writer, all []*wire.StateResponse) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	showTable(tw, boxColumns, all)
+	fmt.Fprintln(tw)
+	showTable(tw, upstreamColumns, all[0].Upstreams)
+	fmt.Fprintln(tw, "\nBOX\t"+titles(trafficColumns))
+	for _, s := range all {
+		for _, t := range s.Traffic {
+			fmt.Fprintln(tw, s.Box+"\t"+cells(trafficColumns, t))
+		}
+	}
+	return tw.Flush()
+}
+
+// showTable prints the titles and a line for each row.
+func showTable[T any](w io.Writer, columns []column[T], rows []T) {
+	fmt.Fprintln(w, titles(columns))
+	for _, row := range rows {
+		fmt.Fprintln(w, cells(columns, row))
+	}
+}
+
+func titles[T any](columns []column[T]) string {
+	list := make([]string, len(columns))
+	for i, c := range columns {
+		list[i] = c.title
+	}
+	return strings.Join(list, "\t")
+}
+
+func cells[T any](columns []column[T], row T) string {
+	list := make([]string, len(columns))
+	for i, c := range columns {
+		list[i] = c.value(row)
+	}
+	return strings.Join(list, "\t")
+}
+
+func count[N uint32 | uint64](n N) string { return strconv.FormatUint(uint64(n), 10) }
+
+// orNotKnown prints a value, of which 0 stands for one that is not known.
+func orNotKnown[N int64 | uint64](n N, text func(N) string) string {
+	if n == 0 {
+		return "not known"
+	}
+	return text(n)
+}
+
+// bornAt is a moment in Unix ms.
+func bornAt(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339Nano) }
+
+// wayOf is a time in microseconds.
+func wayOf(us uint64) string { return micros(us).Round(10 * time.Microsecond).String() }
+
+// boxMemory is what a box keeps on behalf of callers and upstreams, and the most that it may.
+func boxMemory(m *wire.MemoryRow) string {
+	const kilobyte = 1 << 10
+	if m.GetBound() == 0 {
+		return fmt.Sprintf("%d KB", m.GetUsed()/kilobyte)
+	}
+	return fmt.Sprintf("%d of %d KB", m.GetUsed()/kilobyte, m.GetBound()/kilobyte)
+}
+
+func upstreamState(u *wire.UpstreamRow) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case u.Evacuated:
+		return "evacuated"
+	case u.Out:
+		return "out of reach"
+	case u.ColdLeft > 0:
+		return "cold"
+	}
+	return "ready"
+}
+
+// laneOf is the kind of requests that an upstream is kept for.
+func laneOf(u *wire.UpstreamRow) string {
+	if u.Tight {
+		return "tight streams"
+	}
+	return "others"
+}
--- a/relay/move.go
+++ b/relay/move.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// moveCheck is the least time between two looks at whether an answer should move.
-	moveCheck = 200 * time.Millisecond
+	// answerCheck is the least time between two looks at a running answer.
+	answerCheck = 200 * time.Millisecond
 	// moveWait is the longest that a copy is waited for: 20,000 tokens take 20 ms, and
 	// those that wait for the same link as long each.
 	moveWait = 1500 * time.Millisecond
@@ -33,32 +33,69 @@
 // move is an answer on its way to another upstream.
 type move struct {
 	from, to balance.Upstream
-	copied   chan Copy // gets one entry
+	copied   chan Copy       // gets one entry
+	aside    *balance.Ticket // what the copy takes, until it is used or given up
 }
 
-// considerMove begins to move the answer where it would end too late. It is called with
-// each of its events.
+// lookAtAnswer looks, now and then, how far the answer has come: how much memory it takes, and
+// whether it should move. It is called with each of its events.
+func (x *exchange) lookAtAnswer() {
+	if time.Since(x.lookedAt) < answerCheck {
+		return
+	}
+	x.lookedAt = time.Now()
+	x.noteMade()
+	x.considerMove()
+}
+
+// noteMade tells the fleet how long the answer is by now.
+func (x *exchange) noteMade() {
+	if x.ticket == nil {
+		return
+	}
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.ticket.Made(x.events.total)
+}
+
+// considerMove begins to move the answer where it would end too late.
 func (x *exchange) considerMove() {
 	r := x.relay
-	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || time.Since(x.lookedAt) < moveCheck {
+	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved {
 		return
 	}
-	x.lookedAt = time.Now()
 	p := balance.Progress{Events: x.events.total, Between: x.pace.recent, Left: time.Until(x.end)}
 	q := x.placement()
-	r.mu.Lock()
-	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	ok = ok && r.isPresent(x.upstream) && r.budget.Spend(r.now(), r.boxes())
-	r.mu.Unlock()
-	if !ok {
+	m, aside := x.moveTo(q, p)
+	if aside == nil {
 		return
 	}
 	r.cfg.Log.Event("run", "moves", Fields{"id": x.request.id, "upstream": x.upstream.ID, "to": m.To.ID, "events": p.Events,
 		"here_ms": m.Here.Milliseconds(), "there_ms": m.There.Milliseconds(), "left_ms": p.Left.Milliseconds()})
-	x.move = &move{from: x.upstream, to: m.To, copied: make(chan Copy, 1)}
+	x.move = &move{from: x.upstream, to: m.To, copied: make(chan Copy, 1), aside: aside}
 	go r.copyRun(x.move, x.request.id, x.service)
 }
 
+// moveTo decides whether the answer moves, and counts its copy; without a ticket it stays.
+func (x *exchange) moveTo(q balance.Request, p balance.Progress) (balance.Move, *balance.Ticket) {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
+	if !ok || !r.isPresent(x.upstream) || !r.budget.Spend(r.now(), r.boxes()) {
+		return m, nil
+	}
+	return m, r.fleet.SetAside(m.To.ID, q)
+}
+
+// closeAside ends the count of what the copy takes.
+func (r *Relay) closeAside(m *move) {
+	r.mu.Lock()
+	m.aside.Close(r.now(), balance.Neutral)
+	r.mu.Unlock()
+	wake(r.members.loaded)
+}
+
 // copyRun has a run's memory copied, and the run stopped.
 func (r *Relay) copyRun(m *move, id, service string) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveWait)
@@ -104,6 +141,7 @@
 		return false // what was copied is given up when the exchange is closed
 	}
 	x.move = nil
+	x.relay.closeAside(m)
 	if c.Name == "" {
 		return false
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -51,7 +51,6 @@
 func (r *Relay) takeDocument(d *route.Document) {
 	if r.belief.take(d) {
 		r.setServices(d)
-		r.setCold(d)
 		r.cfg.Log.Event("document", "in force", Fields{"version": d.Version, "routes": len(d.Routes), "customers": len(d.Customers)})
 	}
 }
@@ -126,16 +125,8 @@
 	}
 }
 
-// setCold notes what the upstreams of the document's services bear while they are cold.
-func (r *Relay) setCold(d *route.Document) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range d.Services {
-		r.fleet.SetCold(s.Name, balance.Cold{Lasts: s.ColdFor, Most: r.cfg.Cold.most(s.ColdPerSecond)})
-	}
-}
-
-// setServices notes which services the document names: entries of others name nobody to use.
+// setServices notes which services the document names, since entries of others name nobody to
+// use, what their upstreams bear while they are cold, and what their memory holds.
 func (r *Relay) setServices(d *route.Document) {
 	names := make([]string, 0, len(d.Services))
 	for _, s := range d.Services {
@@ -144,6 +135,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fleet.SetServices(r.now(), names)
+	for _, s := range d.Services {
+		r.fleet.SetCold(s.Name, balance.Cold{Lasts: s.ColdFor, Most: r.cfg.Cold.most(s.ColdPerSecond)})
+		r.fleet.SetMemory(s.Name, s.Memory)
+	}
 }
 
 // dropUpstream forgets an upstream and the connections to it that rest. The event says why.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -64,7 +64,7 @@
 		x.pending = pending
 		if len(pending) > 0 {
 			x.pace.events(time.Now(), x.route.EventGap)
-			x.considerMove()
+			x.lookAtAnswer()
 		}
 		if errors.Is(err, io.EOF) {
 			x.endRun(true, balance.Answered)
@@ -140,6 +140,7 @@
 	}
 	x.endRun(false, balance.Neutral)
 	if x.move != nil {
+		x.relay.closeAside(x.move)
 		x.relay.giveUpCopy(x.move, x.request.id, x.service)
 	}
 	x.close()
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -17,6 +17,7 @@
 	defer m.relay.mu.Unlock()
 	m.relay.fleet.SetSharers(balance.Sharers{Box: m.relay.cfg.Self.Name, Boxes: m.node.Sharers(m.relay.now())})
 	m.relay.fleet.Told(m.relay.now(), m.node.Confirmed())
+	m.relay.fleet.SetBoxes(m.node.Boxes(), m.node.Informed(m.relay.now()))
 	m.node.SetLoads(m.relay.fleet.Loads())
 	m.relay.fleet.SetOthers(m.node.Others())
 	m.node.SetClasses(m.relay.fleet.Classes())
@@ -53,7 +54,7 @@
 	m.node.SetLanes(m.relay.fleet.Lanes())
 	for _, c := range changes {
 		m.relay.cfg.Log.Event("lanes", "sized", Fields{"service": c.Service, "tight_upstreams": c.Places, "upstreams": c.Upstreams,
-			"tight_open": c.Tight, "other_open": c.Rest, "told": c.Told, "loads_age_ms": m.loadsAge().Milliseconds()})
+			"tight_open": c.Tight, "other_open": c.Rest, "tight_need": c.Need.Tight, "other_need": c.Need.Rest, "told": c.Told, "loads_age_ms": m.loadsAge().Milliseconds()})
 	}
 }
 
