Distance counts wherever an upstream is chosen, and homes bind fetches and moves

A prompt's cost at an upstream counts what could be read while it is on its way and what its bytes count for; its candidates include the first two of the box's domain and region; a small part is at home nearby where the way to its home costs more than reading it again. Plain requests count the way in units of how long they hold a slot. Fetches come from the nearest keeper, moves stay in a region while there is room. What is fetched, moved and taken as kept lies within the request's homes.

The mechanism is called distance and can be switched off. relay status shows the way.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -13,16 +13,16 @@
 	now     time.Duration
 	request Request
 	shared  []Part
-	kept    []bool  // by shared part: an upstream in reach keeps it
-	home    *member // it is taken to keep what none is known to; may be nil
+	kept    []bool // by shared part: an upstream in reach keeps it
+	homes   homes  // they are taken to keep what none is known to
 }
 
-// promptCostOf gathers what is known. home is the first choice by rendezvous, or nil.
-func (f *Fleet) promptCostOf(now time.Duration, r Request, home *member) promptCost {
-	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), home: home}
+// promptCostOf gathers what is known.
+func (f *Fleet) promptCostOf(now time.Duration, r Request, h homes) promptCost {
+	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), homes: h}
 	p.kept = make([]bool, len(p.shared))
 	for i, part := range p.shared {
-		p.kept[i] = p.guessed(part) || f.keeperOf(now, part, nil) != nil
+		p.kept[i] = p.guessed(part) || f.keeperOf(now, r, part, nil) != nil
 	}
 	return p
 }
@@ -30,35 +30,42 @@
 // guessed reports whether a part is taken to be kept at home: one that is too small to be
 // told of, or one that no upstream is known to keep while this box has not heard of all.
 func (p *promptCost) guessed(part Part) bool {
-	if p.home == nil {
+	if p.homes.first == nil {
 		return false
 	}
-	return !part.told() || len(p.fleet.kept.keepers[PartKey(part.ID)]) == 0 && !p.fleet.sure(p.now)
+	return !part.told() || !p.fleet.keptWithin(p.request, part) && !p.fleet.sure(p.now)
 }
 
 // holds reports whether an upstream keeps a shared part, as far as is known or guessed.
 func (p *promptCost) holds(m *member, part Part) bool {
 	if p.guessed(part) {
-		return m == p.home
+		return p.homes.has(m)
 	}
 	return p.fleet.kept.holds(p.now, PartKey(part.ID), m)
 }
 
-// at is the cost at an upstream, in tokens. Of the shared parts the last one counts: once
-// where no upstream keeps it, since it has to be read somewhere, and AgainWeight times
-// where it would be read or moved once more. Counting those before it as well drew the
-// prompts that share them to few upstreams and made them late.
+// at is the cost at an upstream, in tokens: what goes before it, the way there, and the last of
+// the shared parts. Counting those before it as well drew the prompts that share them to few
+// upstreams and made them late.
 func (p *promptCost) at(m *member) int {
 	cost := p.fleet.backlog(p.now, m, p.request.level())
 	last := p.request.lastShared()
-	if p.holds(m, last) {
-		return cost
+	kept := p.kept[len(p.kept)-1]
+	if kept || m != p.homes.near {
+		cost += p.fleet.distance(m.Domain, p.request)
 	}
-	tokens := float64(last.Tokens)
-	if p.kept[len(p.kept)-1] {
-		tokens *= p.fleet.cfg.Tuning.AgainWeight
+	switch {
+	case p.holds(m, last):
+		return cost
+	case kept:
+		return cost + p.again(m, last)
 	}
-	return cost + int(tokens)
+	return cost + last.Tokens // it has to be read somewhere, and at the near home it is of use to most
+}
+
+// again is what it costs that an upstream reads or moves a part which another one keeps.
+func (p *promptCost) again(m *member, part Part) int {
+	return int(p.fleet.cfg.Tuning.AgainWeight * float64(part.Tokens))
 }
 
 // unread is how many tokens an upstream has to read of the prompt: the request's own
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -5,10 +5,11 @@
 // fetched from as long as it is there: its domain gets nothing by that, and what it keeps is
 // about to go (0.807 to 0.841 of worth on a day on which three domains were evacuated one after
 // the other, one play each). The invariant: an upstream that cannot be reached, or rests, is
-// never fetched from; one that was listed lately only where boxes told that it was sent what
+// never fetched from, nor is one outside of the request's homes; one that was listed lately only where boxes told that it was sent what
 // is lacking.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -43,7 +44,7 @@
 		if f.kept.holds(now, PartKey(part.ID), chosen) {
 			break
 		}
-		if from := f.keeperOf(now, part, chosen); from != nil {
+		if from := f.keeperOf(now, r, part, chosen); from != nil {
 			return from, true
 		}
 	}
@@ -53,26 +54,36 @@
 // likelyKeeper is the upstream that is more likely to keep the prompt than the chosen one,
 // or nil: one that comes before it by rendezvous, or that did so until the chosen one was
 // new to the list or to its lane. Where this box has not heard of all that upstreams were
-// sent, others may have sent the prompt to the next choice.
+// sent, others may have sent the prompt to their next choice, which is a near one.
 func (f *Fleet) likelyKeeper(now time.Duration, r Request, chosen *member) *member {
 	key := sharedKey(r)
 	mine := weight(chosen.ID, key)
 	fresh := f.young(now, chosen) || f.changed(now, chosen)
-	unheard := r.lastShared().told() && !f.sure(now)
 	tight := f.tight(r)
-	var best *member
-	var bestWeight uint64
+	var before, next *member
 	for _, m := range f.byService[r.Service] {
-		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, tight) {
+		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, tight) || !f.mayRunIn(m.Domain, r) {
 			continue
 		}
 		w := weight(m.ID, key)
-		likelier := w > mine || fresh || unheard
-		if likelier && (best == nil || w > bestWeight) {
-			best, bestWeight = m, w
+		if (w > mine || fresh) && (before == nil || w > weight(before.ID, key)) {
+			before = m
 		}
+		if next == nil || f.nearer(r, m, next) {
+			next = m
+		}
+	}
+	if before == nil && r.lastShared().told() && !f.sure(now) {
+		return next
 	}
-	return best
+	return before
+}
+
+// nearer reports whether a request costs less on its way to an upstream than to another one,
+// or as much and goes there before by rendezvous.
+func (f *Fleet) nearer(r Request, a, b *member) bool {
+	byWeight := cmp.Compare(weight(b.ID, sharedKey(r)), weight(a.ID, sharedKey(r)))
+	return cmp.Or(cmp.Compare(f.distance(a.Domain, r), f.distance(b.Domain, r)), byWeight) < 0
 }
 
 // mayKeep reports whether an upstream may keep what prompts of a lane share: it has been
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -69,6 +69,7 @@
 	kept      kept
 	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
 	domains   map[string]*domainReach // by name
+	ways      map[string]*way         // by failure domain
 	rate      float64                 // prompt tokens that an upstream reads in a ms
 	listed    time.Duration           // when the first upstream was
 
@@ -97,6 +98,7 @@
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
 		domains:   make(map[string]*domainReach),
+		ways:      make(map[string]*way),
 		rate:      cfg.Tuning.ReadRate,
 	}
 }
@@ -120,6 +122,7 @@
 	// Evacuated says that its failure domain is.
 	Evacuated bool
 	ColdLeft  time.Duration // for so long it is cold; 0: it is not
+	Way       time.Duration // there and back
 	Load      Load          // of all boxes
 }
 
@@ -129,7 +132,7 @@
 	for _, m := range f.byID {
 		load := Load{Unread: m.ahead(Levels - 1), Open: m.open()}
 		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Evacuated: m.evacuated,
-			ColdLeft: max(0, m.coldTill-now), Load: load})
+			ColdLeft: max(0, m.coldTill-now), Way: f.Way(m.Domain), Load: load})
 	}
 	slices.SortFunc(list, func(a, b View) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
--- a/balance/home.go
+++ b/balance/home.go
@@ -11,22 +11,90 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// home is where a prompt's shared part is kept as long as nothing else is known: the
-// first choice by rendezvous among the upstreams of its lane that take new requests.
-func (f *Fleet) home(now time.Duration, r Request) *member {
-	key := sharedKey(r)
-	var best *member
-	var bestWeight uint64
+// homes is where what a prompt shares is taken to be kept as long as nothing else is known: the
+// first choice by rendezvous, and the first of those that are near to this box where the way to
+// the former costs more than reading the part once more: all boxes that are as near send it there.
+type homes struct{ first, near *member }
+
+// has reports whether an upstream is one of them.
+func (h homes) has(m *member) bool { return m != nil && (m == h.first || m == h.near) }
+
+// home is where a prompt's shared part is kept as long as nothing else is known, among the
+// upstreams of its lane that take new requests and lie within its homes.
+func (f *Fleet) home(now time.Duration, r Request) homes {
 	tight := f.tight(r)
+	var list []*member
 	for _, m := range f.byService[r.Service] {
-		if m.closed() || !f.inLane(now, m, tight) {
+		if !m.closed() && f.mayRunIn(m.Domain, r) && f.inLane(now, m, tight) {
+			list = append(list, m)
+		}
+	}
+	return f.homesOf(r, f.rank(list, sharedKey(r)))
+}
+
+// homesOf are the homes in a ranking.
+func (f *Fleet) homesOf(r Request, c ranking) homes {
+	h := homes{first: c.all.first, near: c.all.first}
+	again := int(f.cfg.Tuning.AgainWeight * float64(r.lastShared().Tokens))
+	for _, nearer := range []*member{c.region.first, c.domain.first} {
+		if nearer != nil && f.distance(h.near.Domain, r) > f.distance(nearer.Domain, r)+again {
+			h.near = nearer
+		}
+	}
+	return h
+}
+
+// ranking is the first two choices by rendezvous, over all and among those that are near.
+type ranking struct{ all, region, domain firstTwo }
+
+// rank finds the first two choices of a list for a key.
+func (f *Fleet) rank(list []*member, key uint64) ranking {
+	var c ranking
+	for _, m := range list {
+		w := weight(m.ID, key)
+		c.all.add(m, w)
+		if f.cfg.Off[Distance] {
 			continue
 		}
-		if w := weight(m.ID, key); best == nil || w > bestWeight {
-			best, bestWeight = m, w
+		switch f.apart(f.cfg.Domain, m.Domain) {
+		case sameDomain:
+			c.domain.add(m, w)
+			c.region.add(m, w)
+		case otherDomain:
+			c.region.add(m, w)
+		}
+	}
+	return c
+}
+
+// list names the upstreams of a ranking, the first over all first.
+func (c *ranking) list() []*member {
+	var out []*member
+	for _, two := range []firstTwo{c.all, c.region, c.domain} {
+		for _, m := range []*member{two.first, two.second} {
+			if m != nil {
+				out = append(out, m)
+			}
 		}
 	}
-	return best
+	return out
+}
+
+// firstTwo is the first two choices by rendezvous; nil where there are fewer.
+type firstTwo struct {
+	first, second             *member
+	firstWeight, secondWeight uint64
+}
+
+// add takes an upstream in, by its weight.
+func (t *firstTwo) add(m *member, w uint64) {
+	switch {
+	case t.first == nil || w > t.firstWeight:
+		t.second, t.secondWeight = t.first, t.firstWeight
+		t.first, t.firstWeight = m, w
+	case t.second == nil || w > t.secondWeight:
+		t.second, t.secondWeight = m, w
+	}
 }
 
 // sharedKey identifies what a request shares with others, its last shared part; 0
--- a/balance/kept.go
+++ b/balance/kept.go
@@ -6,6 +6,7 @@
 // takes a bounded amount of memory.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -122,18 +123,37 @@
 	k.keepers[part] = list
 }
 
-// keeperOf is the least busy upstream in reach that keeps a part, whichever lane it is in;
-// nil where none is known. One upstream may be left out.
-func (f *Fleet) keeperOf(now time.Duration, part Part, leftOut *member) *member {
+// keeperOf is the upstream in reach and within the request's homes that keeps a part, whichever
+// lane it is in: of those the nearest to the one that asks for it (nil: to this box), and of
+// equally near ones the least busy; nil where none is known.
+func (f *Fleet) keeperOf(now time.Duration, r Request, part Part, to *member) *member {
+	domain := f.cfg.Domain
+	if to != nil {
+		domain = to.Domain
+	}
 	var best *member
 	for _, x := range f.kept.keepers[PartKey(part.ID)] {
 		m := x.member
-		if m == leftOut || m.out || m.health.rests(now) || !x.recent(now) {
+		if m == to || m.out || m.health.rests(now) || !x.recent(now) || !f.mayRunIn(m.Domain, r) {
 			continue
 		}
-		if best == nil || m.open() < best.open() {
+		if best == nil || f.fetchOrder(domain, m, best) < 0 {
 			best = m
 		}
 	}
 	return best
 }
+
+// fetchOrder compares two upstreams that one in the domain may fetch from.
+func (f *Fleet) fetchOrder(domain string, a, b *member) int {
+	byDistance := 0
+	if !f.cfg.Off[Distance] {
+		byDistance = cmp.Compare(f.apart(domain, a.Domain), f.apart(domain, b.Domain))
+	}
+	return cmp.Or(byDistance, cmp.Compare(a.open(), b.open()))
+}
+
+// keptWithin reports whether an upstream within the request's homes was sent a part.
+func (f *Fleet) keptWithin(r Request, part Part) bool {
+	return slices.ContainsFunc(f.kept.keepers[PartKey(part.ID)], func(x keeper) bool { return f.mayRunIn(x.member.Domain, r) })
+}
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -29,6 +29,7 @@
 	Rests            Mechanism = "rests"     // an upstream that fails is passed over for a while
 	Resuming         Mechanism = "resuming"  // a stream goes on at another upstream
 	Repeating        Mechanism = "repeating" // a request whose run failed is run elsewhere
+	Distance         Mechanism = "distance"  // how far upstreams are counts
 )
 
 // purposes says what each mechanism is for.
@@ -46,6 +47,7 @@
 	Rests:            "spares requests the upstreams that fail",
 	Resuming:         "ends streams whose upstream is lost",
 	Repeating:        "answers requests whose first run failed",
+	Distance:         "saves the time that requests spend on the way, and bytes over dear links",
 }
 
 // Off is the mechanisms that are switched off.
--- a/balance/move.go
+++ b/balance/move.go
@@ -53,7 +53,7 @@
 // where it runs. False means that it stays, as far as can be said now.
 func (f *Fleet) MoveTo(now time.Duration, r Request, from string, p Progress) (Move, bool) {
 	source := f.byID[from]
-	if source == nil || source.evacuated || !r.Moves || len(r.Parts) == 0 || f.cfg.Off[Moving] {
+	if source == nil || source.evacuated || !f.mayRunIn(source.Domain, r) || !r.Moves || len(r.Parts) == 0 || f.cfg.Off[Moving] {
 		return Move{}, false
 	}
 	a := &f.serviceOf(r.Service).answers
@@ -68,7 +68,7 @@
 	if early || there > p.Left || here < moveGain*there {
 		return Move{}, false
 	}
-	to := f.calmest(now, r, from)
+	to := f.calmest(now, r, source)
 	if to == nil {
 		return Move{}, false
 	}
@@ -76,27 +76,37 @@
 }
 
 // calmest is the upstream that takes an answer from another one, nil where none has room: of
-// those that read the least the first by rendezvous, so that boxes which see the same spread
-// what they move. Its lane does not matter, since nothing is read for the answer.
-func (f *Fleet) calmest(now time.Duration, r Request, from string) *member {
+// those in its region, over whose links the copy goes, the ones that read the least, and of these
+// the first by rendezvous, so that boxes which see the same spread what they move. Its lane does not matter, since nothing is read for the answer.
+func (f *Fleet) calmest(now time.Duration, r Request, from *member) *member {
 	key := r.Parts[len(r.Parts)-1].ID
 	var best *member
-	for _, m := range f.usable(now, r, []string{from}) {
+	for _, m := range f.usable(now, r, []string{from.ID}) {
 		if !f.takesOver(now, m, r) {
 			continue
 		}
-		if best == nil || calmer(m, best, key) {
+		if best == nil || f.calmer(from, m, best, key) {
 			best = m
 		}
 	}
 	return best
 }
 
-// calmer reports whether one upstream reads less than another, or as little and goes before it
-// for the key by rendezvous.
-func calmer(a, b *member, key uint64) bool {
+// calmer reports whether one upstream takes an answer before another: one in the region it
+// moves from before those beyond, then one that reads less, or as little and goes before it for
+// the key by rendezvous.
+func (f *Fleet) calmer(from *member, a, b *member, key uint64) bool {
+	byRegion := cmp.Compare(f.beyondRegion(from, a), f.beyondRegion(from, b))
 	byWeight := cmp.Compare(weight(b.ID, key), weight(a.ID, key))
-	return cmp.Or(cmp.Compare(a.calmStep(), b.calmStep()), byWeight) < 0
+	return cmp.Or(byRegion, cmp.Compare(a.calmStep(), b.calmStep()), byWeight) < 0
+}
+
+// beyondRegion is 1 where an upstream lies in another region, and 0 where it does not.
+func (f *Fleet) beyondRegion(from, m *member) int {
+	if !f.cfg.Off[Distance] && f.apart(from.Domain, m.Domain) == otherRegion {
+		return 1
+	}
+	return 0
 }
 
 // takesOver reports whether an upstream has room for an answer that moves, and nothing to read.
--- a/balance/place.go
+++ b/balance/place.go
@@ -70,15 +70,14 @@
 }
 
 // leastBusy returns the upstream with the fewest requests for its slots; those
-// that fail count as busier, and this box's failure domain goes first.
+// that fail count as busier, and so do those that lie further away.
 func (f *Fleet) leastBusy(list []*member) *member {
+	held := f.workTime(list[0].Service)
 	var best *member
 	var bestScore float64
 	for _, m := range list {
 		score := (float64(m.open()) + f.cfg.Tuning.FailWeight*m.health.failing) / float64(max(m.Slots, 1))
-		if m.Domain != f.cfg.Domain {
-			score += f.cfg.Tuning.Away
-		}
+		score += f.awayOf(m.Domain, held)
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
 		}
@@ -91,8 +90,9 @@
 // reading would hold up all that runs there: letting them leave as well cost 0.018 and
 // 0.024 of worth (means over days with trouble of two fleets).
 func (f *Fleet) placePrompt(now time.Duration, r Request, within, beyond []*member) Choice {
-	candidates := f.candidates(now, r, within)
-	cost := f.promptCostOf(now, r, candidates[0])
+	ranked := f.rank(within, sharedKey(r))
+	candidates := f.candidates(now, r, within, ranked)
+	cost := f.promptCostOf(now, r, f.homesOf(r, ranked))
 	chosen, least := candidates[0], cost.at(candidates[0])
 	for _, m := range candidates[1:] {
 		if c := cost.at(m); c < least {
@@ -101,7 +101,7 @@
 	}
 	if len(beyond) > 0 && f.tight(r) && !f.cfg.Off[Leaving] {
 		leaving := f.leaveCost(r.Service)
-		for _, m := range f.candidates(now, r, beyond) {
+		for _, m := range f.candidates(now, r, beyond, f.rank(beyond, sharedKey(r))) {
 			if c := cost.at(m) + leaving; c < least {
 				chosen, least = m, c
 			}
@@ -116,15 +116,11 @@
 	}
 }
 
-// candidates are a prompt's first two choices by rendezvous, a cold upstream that bears one
-// more, and those of the list that are known to keep its last shared part. There is at least
-// one; one may stand there twice.
-func (f *Fleet) candidates(now time.Duration, r Request, list []*member) []*member {
-	first, second := firstTwo(list, sharedKey(r))
-	out := []*member{first}
-	if second != nil {
-		out = append(out, second)
-	}
+// candidates are a prompt's first two choices by rendezvous, those of this box's region and of
+// its domain, a cold upstream that bears one more, and those of the list that are known to keep
+// its last shared part. There is at least one; one may stand there more than once.
+func (f *Fleet) candidates(now time.Duration, r Request, list []*member, ranked ranking) []*member {
+	out := ranked.list()
 	if m := f.rationed(now, list); m != nil {
 		out = append(out, m)
 	}
@@ -135,20 +131,3 @@
 	}
 	return out
 }
-
-// firstTwo returns the first two choices of a list by rendezvous; the second is nil
-// where there is one only.
-func firstTwo(list []*member, key uint64) (first, second *member) {
-	var firstWeight, secondWeight uint64
-	for _, m := range list {
-		w := weight(m.ID, key)
-		switch {
-		case first == nil || w > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = m, w
-		case second == nil || w > secondWeight:
-			second, secondWeight = m, w
-		}
-	}
-	return first, second
-}
--- a/balance/rate.go
+++ b/balance/rate.go
@@ -1,8 +1,8 @@
 package balance
 
 // This file defines how fast upstreams read prompts, learned from those that had
-// nothing before them. The invariant: the rate stays within its bounds, whatever one
-// prompt seems to tell.
+// nothing before them, and how long requests without a prompt run. The invariant: the rate
+// stays within its bounds, whatever one prompt seems to tell.
 
 import "time"
 
@@ -13,6 +13,8 @@
 	rateFrom = 2000
 	// The bounds within which a rate is believed, in tokens a ms.
 	rateMin, rateMax = 5, 500
+	// workShare is the share of the past in the mean time that requests run for, a request.
+	workShare = 0.98
 )
 
 // readTime is how long an upstream reads a prompt.
@@ -28,3 +30,17 @@
 	rate := float64(tokens) / float64(took.Milliseconds()+1)
 	f.rate = f.rate*rateShare + min(max(rate, rateMin), rateMax)*(1-rateShare)
 }
+
+// learnWork takes how long a request without a prompt took that found a slot free; what it
+// spent on the way is not its upstream's.
+func (f *Fleet) learnWork(m *member, took time.Duration) {
+	w := &f.serviceOf(m.Service).work
+	w.sum *= workShare
+	w.weight *= workShare
+	w.add(float64(max(took-f.Way(m.Domain), time.Millisecond))/float64(time.Millisecond), 1)
+}
+
+// workTime is how long requests without a prompt hold a slot of a service; 0 until some have.
+func (f *Fleet) workTime(service string) time.Duration {
+	return time.Duration(f.serviceOf(service).work.value() * float64(time.Millisecond))
+}
--- a/balance/service.go
+++ b/balance/service.go
@@ -10,6 +10,7 @@
 	classes  classes  // of its requests
 	refusals refusals // of its requests
 	holding  holding  // of its slots
+	work     mean     // ms that a request without a prompt runs for, where slots are free
 	answers  answers  // of its upstreams
 	cold     Cold     // what its upstreams bear while they are
 	unread   float64  // prompt tokens that its upstreams have to read, a mean over them
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -18,6 +18,7 @@
 	calm    bool          // its upstream read little when it was opened
 	moved   bool          // it ran elsewhere before
 	alone   bool          // nothing was before it
+	free    bool          // a slot was free
 	closed  bool
 }
 
@@ -35,6 +36,7 @@
 		opened:  now,
 		calm:    m.calmStep() == 0,
 		alone:   m.open() == 0,
+		free:    m.open() < m.Slots,
 	}
 	f.serviceOf(r.Service).classes.observe(r, t.unread)
 	t.begin(now)
@@ -109,6 +111,9 @@
 	if !t.read && (outcome == Full || outcome == Unreachable || outcome == Ended) {
 		t.fleet.unsent(t.member, t.request) // it keeps nothing of the prompt
 	}
+	if t.free && outcome == Answered && len(t.request.Parts) == 0 {
+		t.fleet.learnWork(t.member, now-t.opened)
+	}
 	switch outcome {
 	case Unreachable:
 		t.fleet.unreached(now, t.member)
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -25,8 +25,11 @@
 	// must save a tight stream of reading before its own, for it to leave its lane.
 	Leave float64
 	// Away is how many open requests for each slot an upstream of another failure
-	// domain counts as having more, for requests without a prompt.
+	// domain counts as having more at the least, for requests without a prompt.
 	Away float64
+	// DomainKB and RegionKB are how many prompt tokens before a request a kilobyte of it counts
+	// for that goes to another failure domain, and to another region.
+	DomainKB, RegionKB float64
 	// FailWeight is how many open requests a certain failure counts for when the
 	// less busy upstream of a service without prompts is looked for.
 	FailWeight float64
@@ -55,6 +58,8 @@
 	LaneMemory:  time.Second,
 	Leave:       1,
 	Away:        0.3,
+	DomainKB:    40,
+	RegionKB:    40,
 	FailWeight:  6,
 	Admit:       0.5,
 	AdmitAgain:  1,
--- /dev/null
+++ b/balance/way_test.go
@@ -0,0 +1,227 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/doormast/doormast/route"
+)
+
+// threeRegions is a fleet of n upstreams in six failure domains of three regions, as a box in the
+// first domain sees it, the other regions 60 ms away there and back.
+func threeRegions(n int) *Fleet {
+	f := NewFleet(Config{Domain: "a0", Tuning: DefaultTuning, FirstStart: true, Regions: map[string]string{
+		"a0": "a", "a1": "a", "b0": "b", "b1": "b", "c0": "c", "c1": "c"}})
+	domains := []string{"a0", "a1", "b0", "b1", "c0", "c1"}
+	for i := range n {
+		f.Put(0, Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: domains[i%len(domains)], Slots: 8})
+	}
+	for _, d := range domains {
+		took := 60 * time.Millisecond
+		switch f.apart("a0", d) {
+		case sameDomain:
+			took = time.Millisecond
+		case otherDomain:
+			took = 2 * time.Millisecond
+		}
+		for range wayFrom {
+			f.NoteWay(0, d, took)
+		}
+	}
+	return f
+}
+
+func TestTheWayIsTheLeastOfWhatConnectionsShowed(t *testing.T) {
+	ms := func(list ...int) []int { return list }
+	for _, c := range []struct {
+		name string
+		took []int // ms, a second apart
+		gap  time.Duration
+		want time.Duration
+	}{
+		{"nothing seen: the layout", nil, time.Second, guessRegion},
+		{"one that was held up", ms(300), time.Second, guessRegion},
+		{"two that were held up", ms(300, 200), time.Second, guessRegion},
+		{"one, nearer than the layout lets one expect", ms(4), time.Second, 4 * time.Millisecond},
+		{"three", ms(300, 61, 200), time.Second, 61 * time.Millisecond},
+		{"a burst in which all are held up", ms(60, 60, 60, 250, 300, 280, 350), time.Second, 60 * time.Millisecond},
+		{"one that is held up after a pause", ms(60, 60, 60, 340), waySpan, 60 * time.Millisecond},
+		{"a way that has become longer", ms(60, 60, 60, 95, 95, 95), waySpan, 95 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewFleet(Config{Domain: "a0", Tuning: DefaultTuning, Regions: map[string]string{"a0": "a", "b0": "b"}})
+			for i, took := range c.took {
+				f.NoteWay(time.Duration(i)*c.gap, "b0", time.Duration(took)*time.Millisecond)
+			}
+			is.Equal(f.Way("b0"), c.want)
+		})
+	}
+}
+
+func TestTheWayIsNeverLongerThanTheLeastOfTheLastSpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := NewFleet(Config{Domain: "a0", Tuning: DefaultTuning})
+		now, least := time.Duration(0), time.Hour
+		for range rapid.IntRange(wayFrom, 40).Draw(t, "samples") {
+			took := time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			f.NoteWay(now, "b0", took)
+			least = min(least, took)
+		}
+		if f.Way("b0") != least {
+			t.Fatalf("way %v, least %v within a span", f.Way("b0"), least)
+		}
+	})
+}
+
+// small is a prompt whose shared part is read in less time than a far way takes.
+func small(shared uint64) Request {
+	return Request{Service: "s", Moves: true, Tokens: 600, Bytes: 2000, Parts: []Part{{ID: shared, Tokens: 200}, {ID: shared + 1e6, Tokens: 400}}}
+}
+
+// large is one whose shared part takes longer to read than the way.
+func large(shared uint64) Request {
+	return Request{Service: "s", Moves: true, Tokens: 7000, Bytes: 2000, Parts: []Part{{ID: shared, Tokens: 6000}, {ID: shared + 1e6, Tokens: 1000}}}
+}
+
+// A small prompt stays in its region, and boxes of it agree where; one whose part lies far away is
+// sent there while that costs less than reading it again; and without the mechanism all go far.
+func TestWhatIsCheapToReadStaysNear(t *testing.T) {
+	is := is.New(t)
+	f, g, off := threeRegions(30), threeRegions(30), threeRegions(30)
+	g.cfg.Domain = "a1"
+	off.cfg.Off = Off{Distance: true}
+	far := 0
+	for shared := range uint64(60) {
+		a, ok := f.Place(time.Second, small(shared+1), nil)
+		is.True(ok)
+		is.Equal(f.cfg.Regions[a.Upstream.Domain], "a")
+		b, _ := g.Place(time.Second, small(shared+1), nil)
+		is.Equal(a.Upstream.ID, b.Upstream.ID)
+		c, _ := off.Place(time.Second, small(shared+1), nil)
+		if off.cfg.Regions[c.Upstream.Domain] != "a" {
+			far++
+		}
+	}
+	is.True(far > 30)
+	f.NoteKept(time.Second, []Kept{{PartKey(7), Key("u2")}}) // in another region
+	c, _ := f.Place(time.Second, large(7), nil)
+	is.Equal(c.Upstream.ID, "u2")
+}
+
+// A burst that fills what is near spills over to other regions instead of queueing for longer than
+// the way there takes, and comes back once it is over.
+func TestABurstSpillsOverToOtherRegions(t *testing.T) {
+	is := is.New(t)
+	f := threeRegions(30)
+	near := make(map[LoadKey]Load)
+	for _, m := range f.byID {
+		if f.apart("a0", m.Domain) != otherRegion {
+			near[LoadKey{m.key, 0}] = Load{Unread: 20000, Open: 8}
+		}
+	}
+	f.SetOthers(near)
+	c, _ := f.Place(time.Second, small(1), nil)
+	is.Equal(f.apart("a0", c.Upstream.Domain), otherRegion)
+	f.SetOthers(nil)
+	c, _ = f.Place(time.Second, small(1), nil)
+	is.True(f.apart("a0", c.Upstream.Domain) != otherRegion)
+}
+
+// A plain service is used nearby as long as the wait there is shorter than the way to another
+// region: 15 ms of work, two slots, 60 ms of way.
+func TestPlainRequestsGoFarOnlyWhereTheWaitIsLonger(t *testing.T) {
+	for _, c := range []struct {
+		open int // requests at the near upstream
+		far  bool
+	}{{0, false}, {4, false}, {7, false}, {9, true}} {
+		is := is.New(t)
+		f := threeRegions(0)
+		f.Put(0, Upstream{ID: "near", Service: "p", Address: "1:1", Domain: "a0", Slots: 2})
+		f.Put(0, Upstream{ID: "far", Service: "p", Address: "2:1", Domain: "b0", Slots: 2})
+		r := Request{Service: "p"}
+		for range 100 {
+			f.Open(0, "far", r).Close(75*time.Millisecond, Answered)
+		}
+		is.Equal(f.workTime("p").Round(time.Millisecond), 15*time.Millisecond)
+		f.SetOthers(map[LoadKey]Load{{Key("near"), 0}: {Open: c.open}})
+		got, _ := f.Place(time.Second, r, nil)
+		is.Equal(got.Upstream.ID == "far", c.far)
+		got, _ = f.Place(time.Second, r, []string{"near"}) // a second try
+		is.Equal(got.Upstream.ID, "far")
+	}
+}
+
+// What is lacking is fetched from the nearest that keeps it, and an answer moves within its region
+// as long as there is room.
+func TestCopiesComeFromNearby(t *testing.T) {
+	is := is.New(t)
+	f := threeRegions(30)
+	f.NoteKept(time.Second, []Kept{{PartKey(7), Key("u2")}, {PartKey(7), Key("u7")}}) // u7 lies in a1
+	f.SetOthers(map[LoadKey]Load{{Key("u7"), 0}: {Open: 5}})
+	is.Equal(f.fetchFrom(time.Second, large(7), f.byID["u0"]), "10.0.0.7:1")
+	is.Equal(f.fetchFrom(time.Second, large(7), f.byID["u8"]), "10.0.0.2:1")
+	f.cfg.Off = Off{Distance: true}
+	is.Equal(f.fetchFrom(time.Second, large(7), f.byID["u0"]), "10.0.0.2:1") // the least busy
+	f.cfg.Off = nil
+	for part := range uint64(50) {
+		r := large(part + 1)
+		is.Equal(f.apart("b0", f.calmest(time.Second, r, f.byID["u2"]).Domain) == otherRegion, false)
+	}
+}
+
+// Whatever is placed, fetched from and moved to lies within the homes, whatever was told to be kept
+// where, what is out of reach and busy, and where the request ran before.
+func TestNothingOfARequestLeavesItsHomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := threeRegions(24)
+		f.cfg.FirstStart = rapid.Bool().Draw(t, "first start")
+		regions := []string{"a", "b", "c", "none"}
+		r := large(uint64(rapid.IntRange(1, 3).Draw(t, "part")))
+		r.Class, r.Gap, r.Expected = "c", 300*time.Millisecond, 100
+		r.Homes = route.Homes{Bound: true, Regions: rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 3, rapid.ID).Draw(t, "homes")}
+		now := time.Duration(rapid.IntRange(0, 200).Draw(t, "s")) * time.Second
+		loads := make(map[LoadKey]Load)
+		for i := range 24 {
+			id := fmt.Sprintf("u%d", i)
+			if rapid.Bool().Draw(t, "keeps") {
+				f.NoteKept(now, []Kept{{PartKey(uint64(rapid.IntRange(1, 3).Draw(t, "kept"))), Key(id)}})
+			}
+			if rapid.IntRange(0, 4).Draw(t, "out") == 0 {
+				f.unreached(now, f.byID[id])
+			}
+			loads[LoadKey{Key(id), 0}] = Load{Unread: rapid.IntRange(0, 30000).Draw(t, "unread"), Open: rapid.IntRange(0, 9).Draw(t, "open")}
+		}
+		f.SetOthers(loads)
+		within := func(what, address string) {
+			if m := f.byAddress[address]; !f.mayRunIn(m.Domain, r) {
+				t.Fatalf("%s in %s, homes %v", what, m.Domain, r.Homes.Regions)
+			}
+		}
+		var tried []string
+		for c, ok := f.Place(now, r, tried); ok; c, ok = f.Place(now, r, tried) {
+			within("placed", c.Upstream.Address)
+			if c.Fetch != "" {
+				within("fetched", c.Fetch)
+			}
+			if m := f.calmest(now, r, f.byID[c.Upstream.ID]); m != nil {
+				within("moved", m.Address)
+			}
+			tried = append(tried, c.Upstream.ID)
+		}
+		from := fmt.Sprintf("u%d", rapid.IntRange(0, 23).Draw(t, "from"))
+		a := &f.serviceOf("s").answers
+		a.events.add(1, 1)
+		a.calm.add(15, 1) // ms
+		m, ok := f.MoveTo(now, r, from, Progress{Events: 5, Between: 400 * time.Millisecond, Left: time.Second})
+		if ok {
+			within("moved from", f.byID[from].Address)
+			within("moved to", m.To.Address)
+		}
+	})
+}
--- a/cmd/doormast/relay.go
+++ b/cmd/doormast/relay.go
@@ -83,13 +83,17 @@
 		fmt.Fprintf(tw, "%s\t%s\t%v\t%d\t%d\t%v\t%s\t%d\t%d\n", s.Box, s.Domain, s.Ready, s.Open, s.Version,
 			micros(s.ConfirmedAge).Round(time.Millisecond), s.Lead, s.Boxes, s.BudgetLeft)
 	}
-	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tOPEN\tUNREAD TOKENS")
+	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tLANE\tWAY\tOPEN\tUNREAD TOKENS")
 	for _, u := range all[0].Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u), u.Open, u.Unread)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%v\t%d\t%d\n", u.Id, u.Service, u.Address, u.Domain, upstreamState(u), laneOf(u),
+			micros(u.Way).Round(wayShown), u.Open, u.Unread)
 	}
 	return tw.Flush()
 }
 
+// wayShown is to what the way to an upstream is rounded for operators.
+const wayShown = 100 * time.Microsecond
+
 func upstreamState(u *wire.UpstreamRow) string {
 	switch {
 	case u.Leaving:
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -35,7 +35,8 @@
 
 // conns keeps connections by upstream.
 type conns struct {
-	limit func(service string) int // connections to an upstream of the service, from this box
+	limit  func(service string) int                  // connections to an upstream of the service, from this box
+	cameUp func(upstream string, took time.Duration) // told of each connection that came up; may be nil
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by upstream, the newest last
@@ -62,11 +63,15 @@
 	if !p.reserve(id, p.limit(service)) {
 		return nil, errConnections
 	}
+	began := time.Now()
 	c, err := dial(ctx, address)
 	if err != nil {
 		p.release(id)
 		return nil, err
 	}
+	if p.cameUp != nil {
+		p.cameUp(id, time.Since(began))
+	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), upstream: id}, nil
 }
 
--- a/relay/dial.go
+++ b/relay/dial.go
@@ -18,6 +18,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// noteWay tells the fleet how long a connection to an upstream took to come up.
+func (r *Relay) noteWay(upstream string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u := r.fleet.Get(upstream); u != nil {
+		r.fleet.NoteWay(r.now(), u.Domain, took)
+	}
+}
+
 // keepAlive makes the kernel notice within 3 s that an upstream is gone without a
 // word.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -113,6 +113,7 @@
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, Off: cfg.Off, FirstStart: cfg.FirstStart})
 	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
+	r.conns.cameUp = r.noteWay
 	r.front = newFront(r)
 	var err error
 	if r.members, err = newMembers(r); err != nil {
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -84,6 +84,7 @@
 		Service:  x.service,
 		Parts:    p.Parts,
 		Tokens:   p.Tokens,
+		Bytes:    x.request.head + len(x.request.body),
 		Moves:    x.moves(),
 		Class:    x.route.Name,
 		Gap:      x.route.EventGap,
--- a/relay/state.go
+++ b/relay/state.go
@@ -35,7 +35,7 @@
 	for _, u := range r.fleet.View(r.now()) {
 		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Id: u.ID, Service: u.Service, Address: u.Address, Domain: u.Domain,
 			Leaving: u.Leaving, Out: u.Out, Tight: u.Tight, Evacuated: u.Evacuated, ColdLeft: uint64(u.ColdLeft.Microseconds()),
-			Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
+			Way: uint64(u.Way.Microseconds()), Open: uint32(u.Load.Open), Unread: uint32(u.Load.Unread)})
 	}
 	return out
 }
