Copies of what many nearby want; what a kilobyte over a link counts for is a setting

A part that another region or domain keeps was prompts' destination for as long as it was kept. Now its cost nearby is less by what a copy saves those that are to ask for it there while it is kept, as many as this box's own requests for it and the number of boxes of its domain let one expect.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -13,8 +13,9 @@
 	now     time.Duration
 	request Request
 	shared  []Part
-	kept    []bool // by shared part: an upstream in reach keeps it
-	homes   homes  // they are taken to keep what none is known to
+	kept    []bool  // by shared part: an upstream in reach keeps it
+	keeper  *member // the nearest that is known to keep the last of them; may be nil
+	homes   homes   // they are taken to keep what none is known to
 }
 
 // promptCostOf gathers what is known.
@@ -22,7 +23,8 @@
 	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), homes: h}
 	p.kept = make([]bool, len(p.shared))
 	for i, part := range p.shared {
-		p.kept[i] = p.guessed(part) || f.keeperOf(now, r, part, nil) != nil
+		p.keeper = f.keeperOf(now, r, part, nil)
+		p.kept[i] = p.guessed(part) || p.keeper != nil
 	}
 	return p
 }
@@ -63,9 +65,18 @@
 	return cost + last.Tokens // it has to be read somewhere, and at the near home it is of use to most
 }
 
-// again is what it costs that an upstream reads or moves a part which another one keeps.
+// again is what it costs that an upstream reads or moves a part which another one keeps, less
+// what the copy saves those that are to ask for it nearby while it is kept.
 func (p *promptCost) again(m *member, part Part) int {
-	return int(p.fleet.cfg.Tuning.AgainWeight * float64(part.Tokens))
+	cost := p.fleet.cfg.Tuning.AgainWeight * float64(part.Tokens)
+	if p.keeper == nil || p.fleet.cfg.Off[Copies] {
+		return int(cost)
+	}
+	saved := p.fleet.distance(p.keeper.Domain, p.request) - p.fleet.distance(m.Domain, p.request)
+	if saved <= 0 {
+		return int(cost)
+	}
+	return int(max(0, cost-float64(saved)*p.fleet.expectedNearby(p.now, part)))
 }
 
 // unread is how many tokens an upstream has to read of the prompt: the request's own
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -29,6 +29,7 @@
 	MemoryMB   int               `json:"memory_mb"`  // of the box, in megabytes; 0: not said
 	CPUShare   float64           `json:"cpu_share"`  // of a core
 	LinkMbps   float64           `json:"link_mbps"`  // megabits a second
+	Links      RelayLinks        `json:"links"`
 	Bounds     RelayBounds       `json:"bounds"`
 	// Off names the mechanisms that are switched off, to measure what each is worth;
 	// none as a rule.
@@ -44,6 +45,25 @@
 	IP      string `json:"ip"` // at which other boxes reach this one
 }
 
+// RelayLinks says what a kilobyte of a request counts for that is sent over a link, in prompt tokens
+// that could be read for as much; the defaults hold where nothing is said.
+type RelayLinks struct {
+	Domain *float64 `json:"domain_tokens_per_kb"` // to another failure domain
+	Region *float64 `json:"region_tokens_per_kb"` // to another region
+}
+
+// Tuning is the figures of placement with what the settings say of links.
+func (l RelayLinks) Tuning() balance.Tuning {
+	t := balance.DefaultTuning
+	if l.Domain != nil {
+		t.DomainKB = *l.Domain
+	}
+	if l.Region != nil {
+		t.RegionKB = *l.Region
+	}
+	return t
+}
+
 // RelayBounds holds the figures that all boxes keep to.
 type RelayBounds struct {
 	GraceSeconds       float64 `json:"grace_s"`        // of a planned stop
@@ -150,6 +170,8 @@
 		_, err := balance.ParseOff([]string{name})
 		want(err == nil, fmt.Sprintf("off[%d]", i), strconv.Quote(name), "want one of "+strings.Join(balance.MechanismNames(), ", "))
 	}
+	want(s.Links.Domain == nil || *s.Links.Domain >= 0, "links.domain_tokens_per_kb", "", "want 0 or more")
+	want(s.Links.Region == nil || *s.Links.Region >= 0, "links.region_tokens_per_kb", "", "want 0 or more")
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
 	want(s.Bounds.DocumentMillis > 0, "bounds.document_ms", "", "want a number above 0")
 	want(s.Bounds.EvacuateMillis >= 0, "bounds.evacuate_ms", "", "want 0 or more")
