--- a/experiment/placing/engine.go
+++ b/experiment/placing/engine.go
@@ -22,6 +22,7 @@
 	first   func(now time.Duration)
 	event   func(now time.Duration)
 
+	fetchWay  time.Duration          // to the engine that follows
 	from      *engine                // that its shared part may be fetched from, or nil
 	elsewhere func(part uint64) bool // another engine keeps it
 	admitted  bool
@@ -38,6 +39,7 @@
 // engine is one modelled engine.
 type engine struct {
 	spec     *EngineSpec
+	domain   int
 	waiting  []*job // by urgency, then in the order of their arrival
 	running  []*job
 	kept     []keptPart // the one unused the longest first
@@ -71,7 +73,7 @@
 		j.unread -= shared.Tokens
 		e.fetched += shared.Tokens
 		e.keep(keptPart{shared.ID, shared.Tokens})
-		return time.Duration(float64(shared.Tokens) / e.spec.FetchRate * float64(time.Millisecond))
+		return j.fetchWay + time.Duration(float64(shared.Tokens)/e.spec.FetchRate*float64(time.Millisecond))
 	case j.elsewhere(shared.ID):
 		e.readAgain += shared.Tokens
 	}
--- a/experiment/placing/placing_test.go
+++ b/experiment/placing/placing_test.go
@@ -58,6 +58,32 @@
 	is.True(told.Classes[0].InTime >= alone.Classes[0].InTime)
 }
 
+// regional is a small spec of two regions that lie far apart, with parts that are soon read.
+func regional() *Spec {
+	s := small()
+	s.Regions, s.Engine.Count, s.Ways.Region = 2, 8, jsonc.Duration(60*time.Millisecond)
+	for i := range s.Classes {
+		s.Classes[i].Bytes = 1000
+	}
+	return s
+}
+
+// A home for each region sends nothing between them; the cost of distance sends less than a home
+// over all; and all see the same requests.
+func TestDistanceSavesBytesBetweenRegions(t *testing.T) {
+	is := is.New(t)
+	var bytes []int
+	for _, w := range WaysBetweenRegions {
+		r := Run(regional(), w, 1)
+		bytes = append(bytes, r.BytesRegions)
+		is.Equal(Run(regional(), w, 1), r)
+	}
+	overAll, forEach, cost, copies := bytes[0], bytes[1], bytes[2], bytes[3]
+	is.Equal(forEach, 0)
+	is.True(cost < overAll)
+	is.True(copies <= cost)
+}
+
 // engineJob is a job whose ends are noted.
 func engineJob(urgency int, part uint64, shared, own, out int, log *[]string, name string) *job {
 	j := &job{class: &ClassSpec{Event: 1}, out: out, end: time.Hour, elsewhere: func(uint64) bool { return false }}
@@ -152,7 +178,7 @@
 }
 
 func TestExperimentsAreChecked(t *testing.T) {
-	for _, name := range []string{"placing-zlatna.json", "placing-saltbush.json"} {
+	for _, name := range []string{"placing-zlatna.json", "placing-saltbush.json", "placing-regions-78.json", "placing-regions-300.json"} {
 		is := is.New(t)
 		_, err := Load(filepath.Join("..", "..", "experiments", name))
 		is.NoErr(err)
--- a/experiment/placing/report.go
+++ b/experiment/placing/report.go
@@ -21,6 +21,9 @@
 	Classes   []Count // in the order of the spec
 	ReadAgain int     // tokens of shared parts read though another engine kept them
 	Fetched   int     // tokens moved between engines
+	// BytesDomains and BytesRegions are what requests and answers put on the links between
+	// domains of a region, and between regions.
+	BytesDomains, BytesRegions int
 }
 
 // percent is the whole that a share in 100 is taken of.
@@ -48,19 +51,26 @@
 	}
 	r.ReadAgain += o.ReadAgain
 	r.Fetched += o.Fetched
+	r.BytesDomains += o.BytesDomains
+	r.BytesRegions += o.BytesRegions
 }
 
 // Compare runs all ways with all seeds and writes a table: by class the share in time,
 // late, and not served, in 100, then the shared tokens read again and moved, in
-// thousands a seed.
+// thousands a seed, and where there are several regions the kilobytes between domains of one
+// and between regions.
 func Compare(w io.Writer, s *Spec) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprint(t, s.Name)
 	for _, c := range s.Classes {
 		fmt.Fprintf(t, "\t%s: in time\tlate\tnot served", c.Name)
 	}
-	fmt.Fprint(t, "\tread again\tmoved\n")
-	for _, way := range Ways {
+	fmt.Fprint(t, "\tread again\tmoved")
+	if s.Regions > 1 {
+		fmt.Fprint(t, "\tkB between domains\tbetween regions")
+	}
+	fmt.Fprintln(t)
+	for _, way := range waysOf(s) {
 		var sum Result
 		for seed := range s.Seeds {
 			sum.add(Run(s, way, uint64(seed)+1))
@@ -70,7 +80,11 @@
 			fmt.Fprintf(t, "\t%.1f\t%.1f\t%.1f", c.share(c.InTime), c.share(c.Late), c.share(c.Failed+c.Refused))
 		}
 		const thousand = 1000
-		fmt.Fprintf(t, "\t%d\t%d\n", sum.ReadAgain/s.Seeds/thousand, sum.Fetched/s.Seeds/thousand)
+		fmt.Fprintf(t, "\t%d\t%d", sum.ReadAgain/s.Seeds/thousand, sum.Fetched/s.Seeds/thousand)
+		if s.Regions > 1 {
+			fmt.Fprintf(t, "\t%d\t%d", sum.BytesDomains/s.Seeds/thousand, sum.BytesRegions/s.Seeds/thousand)
+		}
+		fmt.Fprintln(t)
 	}
 	return t.Flush()
 }
--- a/experiment/placing/run.go
+++ b/experiment/placing/run.go
@@ -68,7 +68,7 @@
 	r := &run{spec: s, way: w, random: rand.New(rand.NewPCG(seed, stream)), engines: make(map[string]*engine)}
 	r.result.Classes = make([]Count, len(s.Classes))
 	for i := range s.Engine.Count {
-		r.engines[engineName(i)] = &engine{spec: &s.Engine}
+		r.engines[engineName(i)] = &engine{spec: &s.Engine, domain: i % s.Domains}
 	}
 	r.list, r.ofBox = w.deciders(s)
 	for i := range s.Classes {
@@ -105,7 +105,7 @@
 		own := max(1, int(float64(c.Own)*r.random.ExpFloat64()))
 		part := balance.Part{ID: uint64(class)<<32 | uint64(r.random.IntN(c.Parts)+1), Tokens: c.Shared}
 		j := &job{class: c, out: max(1, int(float64(c.Out)*r.random.ExpFloat64())), end: at + c.Patience.Std()}
-		j.request = balance.Request{Service: serviceName, Moves: true, Class: c.Name, Gap: c.Gap.Std(), Urgency: c.Urgency, Tokens: c.Shared + own,
+		j.request = balance.Request{Service: serviceName, Moves: true, Class: c.Name, Gap: c.Gap.Std(), Urgency: c.Urgency, Tokens: c.Shared + own, Bytes: c.Bytes,
 			Parts: []balance.Part{part, {ID: math.MaxUint64 - uint64(len(r.agenda)), Tokens: own}}}
 		box := r.random.IntN(r.spec.Boxes)
 		arrived := at
@@ -141,17 +141,20 @@
 		count.Refused++
 		return
 	}
-	r.send(now, arrived, j, count, d, choice)
+	r.send(now, arrived, j, count, d, box%r.spec.Domains, choice)
 }
 
 // send hands a request to its engine and counts what becomes of it.
-func (r *run) send(now, arrived time.Duration, j *job, count *Count, d *decider, choice balance.Choice) {
+func (r *run) send(now, arrived time.Duration, j *job, count *Count, d *decider, domain int, choice balance.Choice) {
+	e := r.engines[choice.Upstream.ID]
+	way := r.spec.way(domain, e.domain)
+	r.countBytes(j, domain, e.domain)
 	ticket := d.fleet.Open(now, choice.Upstream.ID, j.request)
 	late := false
 	last := time.Duration(0)
 	j.first = func(now time.Duration) {
 		ticket.First(now)
-		late = now-arrived > j.class.Target.Std()
+		late = now+way-arrived > j.class.Target.Std()
 		last = now
 	}
 	j.event = func(now time.Duration) {
@@ -169,8 +172,10 @@
 			count.InTime++
 		}
 	}
-	e := r.engines[choice.Upstream.ID]
 	j.from, j.elsewhere = r.engines[choice.Fetch], r.keptBesides(e)
+	if j.from != nil {
+		j.fetchWay = r.spec.way(j.from.domain, e.domain)
+	}
 	e.add(j)
 	if !e.stepping {
 		e.stepping = true
@@ -178,6 +183,17 @@
 	}
 }
 
+// countBytes counts what a request and its answer put on the links between domains.
+func (r *run) countBytes(j *job, from, to int) {
+	switch {
+	case from == to:
+	case r.spec.region(from) == r.spec.region(to):
+		r.result.BytesDomains += j.class.Bytes
+	default:
+		r.result.BytesRegions += j.class.Bytes
+	}
+}
+
 // keptBesides reports whether an engine other than e keeps a part.
 func (r *run) keptBesides(e *engine) func(uint64) bool {
 	return func(id uint64) bool {
--- a/experiment/placing/spec.go
+++ b/experiment/placing/spec.go
@@ -22,6 +22,8 @@
 	Seeds    int            `json:"seeds"`
 	Duration jsonc.Duration `json:"duration"` // of arrivals
 	Domains  int            `json:"domains"`
+	Regions  int            `json:"regions"` // the domains are divided into, in turn
+	Ways     WaySpec        `json:"ways"`
 	Boxes    int            `json:"boxes"`  // in all
 	Tell     jsonc.Duration `json:"tell"`   // between two tells of a box, and how long one takes
 	Engine   EngineSpec     `json:"engine"` // all are alike
@@ -29,6 +31,12 @@
 	Bursts   []BurstSpec    `json:"bursts"`
 }
 
+// WaySpec says how long the ways are, there and back.
+type WaySpec struct {
+	Domain jsonc.Duration `json:"domain"` // to another failure domain
+	Region jsonc.Duration `json:"region"` // to another region
+}
+
 // EngineSpec describes the engines.
 type EngineSpec struct {
 	Count     int            `json:"count"`      // in all
@@ -51,6 +59,7 @@
 	Own      int            `json:"own"`     // tokens of a prompt besides, a mean
 	Out      int            `json:"out"`     // tokens of an answer, a mean
 	Event    int            `json:"event"`   // tokens of an event
+	Bytes    int            `json:"bytes"`   // of a request and its answer
 	Target   jsonc.Duration `json:"target"`  // to the first event
 	Gap      jsonc.Duration `json:"gap"`     // between two events
 	Patience jsonc.Duration `json:"patience"`
@@ -71,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Spec{Seeds: 3, Domains: 1}
+	s := &Spec{Seeds: 3, Domains: 1, Regions: 1}
 	doc, err := jsonc.Parse(file, source, s)
 	if err != nil {
 		return nil, err
@@ -93,6 +102,8 @@
 	want(s.Seeds > 0, "seeds", s.Seeds, "want 1 or more")
 	want(s.Duration > 0, "duration", s.Duration.Std(), "want a duration above 0")
 	want(s.Domains > 0 && s.Boxes >= s.Domains, "boxes", s.Boxes, "want at least one for each domain")
+	want(s.Regions > 0 && s.Regions <= s.Domains, "regions", s.Regions, "want 1 to the number of domains")
+	want(s.Ways.Domain >= 0 && s.Ways.Region >= 0, "ways", "a duration below 0", "want durations of 0 or more")
 	want(s.Tell > 0, "tell", s.Tell.Std(), "want a duration above 0")
 	want(e.Count >= s.Domains, "engine.count", e.Count, "want at least one for each domain")
 	want(e.Slots > 0, "engine.slots", e.Slots, "want 1 or more")
--- a/experiment/placing/way.go
+++ b/experiment/placing/way.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/doormast/doormast/balance"
@@ -16,6 +17,7 @@
 	Owner owner
 	Loads bool // boxes tell each other what they have under way
 	Parts bool // and which engine was sent which part
+	Off   balance.Off
 }
 
 // owner is who decides about a request.
@@ -25,6 +27,7 @@
 	eachBox     owner = iota // the box that took it, over all engines
 	ofTheDomain              // one box of its failure domain, over that domain's engines
 	ofAll                    // one box, over all engines
+	ofTheRegion              // the box that took it, over its region's engines
 )
 
 // Ways are compared in this order.
@@ -36,6 +39,22 @@
 	{Name: "an owner over all", Owner: ofAll},
 }
 
+// WaysBetweenRegions are compared in place of these where there are several regions.
+var WaysBetweenRegions = []Way{
+	{Name: "a home over all", Loads: true, Parts: true, Off: balance.Off{balance.Distance: true}},
+	{Name: "a home for each region", Owner: ofTheRegion, Loads: true, Parts: true},
+	{Name: "the cost of distance", Loads: true, Parts: true, Off: balance.Off{balance.Copies: true}},
+	{Name: "the cost of distance, copies", Loads: true, Parts: true},
+}
+
+// waysOf lists the ways that are compared for a spec.
+func waysOf(s *Spec) []Way {
+	if s.Regions > 1 {
+		return WaysBetweenRegions
+	}
+	return Ways
+}
+
 // decider is a fleet that decides, for one box or for several.
 type decider struct {
 	fleet  *balance.Fleet
@@ -48,11 +67,12 @@
 
 // deciders makes those of a way, and says which one each box asks.
 func (w Way) deciders(s *Spec) (list []*decider, ofBox []*decider) {
-	newDecider := func(domain int, own bool) *decider {
-		d := &decider{domain: domain, fleet: balance.NewFleet(balance.Config{
-			Domain: domainName(domain), Tuning: balance.DefaultTuning, FirstStart: w.Parts || w.Owner != eachBox})}
+	newDecider := func(domain int) *decider {
+		d := &decider{domain: domain, fleet: balance.NewFleet(balance.Config{Domain: domainName(domain), Regions: regions(s),
+			Tuning: balance.DefaultTuning, Off: w.Off, FirstStart: w.Parts || w.Owner != eachBox})}
+		s.showWays(d)
 		for i := range s.Engine.Count {
-			if !own || i%s.Domains == domain {
+			if w.mayUse(s, domain, i%s.Domains) {
 				d.fleet.Put(0, balance.Upstream{ID: engineName(i), Service: serviceName, Address: engineName(i),
 					Domain: domainName(i % s.Domains), Slots: s.Engine.Slots})
 			}
@@ -65,28 +85,89 @@
 		domain := box % s.Domains
 		key := domain
 		switch w.Owner {
-		case eachBox:
-			ofBox = append(ofBox, newDecider(domain, false))
+		case eachBox, ofTheRegion:
+			d := newDecider(domain)
+			d.fleet.SetSharers(s.sharers(box))
+			ofBox = append(ofBox, d)
 			continue
 		case ofAll:
 			key = 0
 		}
 		if shared[key] == nil {
-			shared[key] = newDecider(key, w.Owner == ofTheDomain)
+			shared[key] = newDecider(key)
 		}
 		ofBox = append(ofBox, shared[key])
 	}
 	return list, ofBox
 }
 
+// mayUse reports whether who decides in one domain may use the engines of another.
+func (w Way) mayUse(s *Spec, domain, other int) bool {
+	switch w.Owner {
+	case ofTheDomain:
+		return domain == other
+	case ofTheRegion:
+		return s.region(domain) == s.region(other)
+	}
+	return true
+}
+
+// sharers are the boxes of a box's domain.
+func (s *Spec) sharers(box int) balance.Sharers {
+	sharers := balance.Sharers{Box: boxName(box)}
+	for other := box % s.Domains; other < s.Boxes; other += s.Domains {
+		sharers.Boxes = append(sharers.Boxes, boxName(other))
+	}
+	return sharers
+}
+
+// regions names the region of each domain; none where there is one.
+func regions(s *Spec) map[string]string {
+	if s.Regions <= 1 {
+		return nil
+	}
+	all := make(map[string]string)
+	for d := range s.Domains {
+		all[domainName(d)] = fmt.Sprintf("region-%d", s.region(d))
+	}
+	return all
+}
+
+// region is that of a domain.
+func (s *Spec) region(domain int) int { return domain % max(1, s.Regions) }
+
+// way is how long the way between two domains takes, there and back.
+func (s *Spec) way(a, b int) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case s.region(a) == s.region(b):
+		return s.Ways.Domain.Std()
+	}
+	return s.Ways.Region.Std()
+}
+
+// showWays lets a decider see connections to all domains come up.
+func (s *Spec) showWays(d *decider) {
+	const connections = 3
+	for other := range s.Domains {
+		for range connections {
+			d.fleet.NoteWay(0, domainName(other), s.way(d.domain, other))
+		}
+	}
+}
+
 // tell lets deciders hear what the others said at the last tell, and say anew.
 func (w Way) tell(now time.Duration, list []*decider) {
+	all := make(map[balance.LoadKey]balance.Load)
+	for _, d := range list {
+		addLoads(all, d.loads)
+	}
 	for _, d := range list {
 		others := make(map[balance.LoadKey]balance.Load)
-		for _, o := range list {
-			if o != d && w.Loads {
-				addLoads(others, o.loads)
-			}
+		if w.Loads {
+			others = maps.Clone(all)
+			takeLoads(others, d.loads)
 		}
 		d.fleet.SetOthers(others)
 		d.fleet.SizeLanes(now, nil)
@@ -108,6 +189,15 @@
 	}
 }
 
+// takeLoads takes loads off a sum that they are part of.
+func takeLoads(from, loads map[balance.LoadKey]balance.Load) {
+	for key, l := range loads {
+		from[key] = from[key].Minus(l)
+	}
+}
+
+func boxName(i int) string { return fmt.Sprintf("box-%03d", i) }
+
 func engineName(i int) string { return fmt.Sprintf("engine-%03d", i) }
 
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
