--- a/balance/home.go
+++ b/balance/home.go
@@ -13,7 +13,8 @@
 
 // homes is where what a prompt shares is taken to be kept as long as nothing else is known: the
 // first choice by rendezvous, and the first of those that are near to this box where the way to
-// the former costs more than reading the part once more: all boxes that are as near send it there.
+// the former costs more than reading the part does: all boxes that are as near send it there, so
+// that it is read once more and then lies nearby.
 type homes struct{ first, near *member }
 
 // has reports whether an upstream is one of them.
@@ -35,9 +36,8 @@
 // homesOf are the homes in a ranking.
 func (f *Fleet) homesOf(r Request, c ranking) homes {
 	h := homes{first: c.all.first, near: c.all.first}
-	again := int(f.cfg.Tuning.AgainWeight * float64(r.lastShared().Tokens))
 	for _, nearer := range []*member{c.region.first, c.domain.first} {
-		if nearer != nil && f.distance(h.near.Domain, r) > f.distance(nearer.Domain, r)+again {
+		if nearer != nil && f.distance(h.near.Domain, r) > f.distance(nearer.Domain, r)+r.lastShared().Tokens {
 			h.near = nearer
 		}
 	}
--- a/balance/request.go
+++ b/balance/request.go
@@ -15,7 +15,7 @@
 	Service  string
 	Parts    []Part        // of the prompt, in order; the last belongs to this request alone
 	Tokens   int           // of the prompt
-	Bytes    int           // of the whole request
+	Bytes    int           // of the whole request and, as far as it can be expected, its answer
 	Moves    bool          // its upstreams can fetch prompts from each other
 	Class    string        // those of a class are alike; empty: none
 	Gap      time.Duration // the longest pause between its events that is in time; 0: none is stated
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -18,6 +18,9 @@
 	maxUnsent = 4
 	// mostComeBack bounds when a caller shall come back where all upstreams are cold.
 	mostComeBack = 3 * time.Second
+	// answerBytes is what an answer takes for each of its tokens: some 4 bytes of text, and the
+	// frame of an event around each few tokens.
+	answerBytes = 16
 )
 
 // run sends the request to upstreams until one answers, or it is given up. The
@@ -84,7 +87,7 @@
 		Service:  x.service,
 		Parts:    p.Parts,
 		Tokens:   p.Tokens,
-		Bytes:    x.request.head + len(x.request.body),
+		Bytes:    x.request.head + len(x.request.body) + p.Expected*answerBytes,
 		Moves:    x.moves(),
 		Class:    x.route.Name,
 		Gap:      x.route.EventGap,
