--- /dev/null
+++ b/relay/way_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+)
+
+// A box measures the way by its own connections and tells operators.
+func TestTheWayIsMeasuredByConnections(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", func(c net.Conn, _ stubRequest) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+		return false // each request takes a new connection
+	})
+	b := newBench(t, u)
+	b.listIn(u, "far")
+	b.until(func() bool {
+		b.relay.mu.Lock()
+		defer b.relay.mu.Unlock()
+		return b.relay.fleet.Get("u1").Domain == "far"
+	})
+	for range 3 {
+		is.Equal(b.do(b.request("POST", "/once/x", "body")).status, 200)
+	}
+	rows := b.relay.state().Upstreams
+	is.Equal(len(rows), 1)
+	b.relay.mu.Lock()
+	way := b.relay.fleet.Way("far")
+	b.relay.mu.Unlock()
+	is.Equal(rows[0].Way, uint64(way.Microseconds()))
+	is.True(way > 0)
+	guess := balance.NewFleet(balance.Config{Domain: "d"}).Way("far")
+	is.True(way != guess) // what was measured, no more the layout
+}
--- a/settings/relay_test.go
+++ b/settings/relay_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
 )
 
 const relayFile = `{
@@ -27,6 +29,14 @@
 	is.Equal(s.Bounds.Grace().Seconds(), 8.0)
 }
 
+func TestWhatLinksCountFor(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseRelay("box.json", []byte(strings.Replace(relayFile, `"memory_mb"`, `"links": {"region_tokens_per_kb": 0}, "memory_mb"`, 1)))
+	is.NoErr(err)
+	is.Equal(s.Links.Tuning().DomainKB, balance.DefaultTuning.DomainKB)
+	is.Equal(s.Links.Tuning().RegionKB, 0.0)
+}
+
 func TestWhatIsPublishedIsInForceWithinTheShorterBound(t *testing.T) {
 	is := is.New(t)
 	for bounds, want := range map[RelayBounds]float64{
@@ -49,6 +59,8 @@
 		{"cold overshoot", `"grace_s"`, `"cold_overshoot": -1.5, "grace_s"`, "box.json:9: bounds.cold_overshoot"},
 		{"cold slack", `"grace_s"`, `"cold_slack": -5, "grace_s"`, "box.json:9: bounds.cold_slack"},
 		{"no such mechanism", `"memory_mb"`, `"off": ["lanes", "lane"], "memory_mb"`, "box.json:8: off[1]"},
+		{"bytes to another domain", `"memory_mb"`, `"links": {"domain_tokens_per_kb": -1}, "memory_mb"`, "box.json:8: links.domain_tokens_per_kb"},
+		{"bytes to another region", `"memory_mb"`, `"links": {"region_tokens_per_kb": -1}, "memory_mb"`, "box.json:8: links.region_tokens_per_kb"},
 		{"no domain", `"d1"`, `""`, "box.json:3: domain"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
