--- a/balance/way_test.go
+++ b/balance/way_test.go
@@ -225,3 +225,30 @@
 		}
 	})
 }
+
+// Where bytes over a link are dear, what is small is read once in each failure domain, and all boxes
+// of the domain send it to the same upstream; where they count for little, once for all.
+func TestDearLinksKeepSmallPromptsInTheirDomain(t *testing.T) {
+	for _, c := range []struct {
+		perKB float64
+		homes int // of a prompt, over boxes of three domains of a region
+	}{{0, 1}, {1000, 3}} {
+		is := is.New(t)
+		for shared := range uint64(30) {
+			r := small(shared + 1)
+			r.Bytes = 4000
+			homes := make(map[string]bool)
+			for _, domain := range []string{"d0", "d1", "d2"} {
+				f := newTestFleet(12)
+				f.cfg.Domain, f.cfg.Tuning.DomainKB = domain, c.perKB
+				a, ok := f.Place(0, r, nil)
+				is.True(ok)
+				homes[a.Upstream.ID] = true
+				if c.perKB > 0 {
+					is.Equal(a.Upstream.Domain, domain)
+				}
+			}
+			is.Equal(len(homes), c.homes)
+		}
+	}
+}
