--- a/balance/home.go
+++ b/balance/home.go
@@ -23,14 +23,14 @@
 // home is where a prompt's shared part is kept as long as nothing else is known, among the
 // upstreams of its lane that take new requests and lie within its homes.
 func (f *Fleet) home(now time.Duration, r Request) homes {
-	tight := f.tight(r)
-	var list []*member
+	tight, key := f.tight(r), sharedKey(r)
+	var c ranking
 	for _, m := range f.byService[r.Service] {
 		if !m.closed() && f.mayRunIn(m.Domain, r) && f.inLane(now, m, tight) {
-			list = append(list, m)
+			f.addTo(&c, m, key)
 		}
 	}
-	return f.homesOf(r, f.rank(list, sharedKey(r)))
+	return f.homesOf(r, c)
 }
 
 // homesOf are the homes in a ranking.
@@ -51,22 +51,28 @@
 func (f *Fleet) rank(list []*member, key uint64) ranking {
 	var c ranking
 	for _, m := range list {
-		w := weight(m.ID, key)
-		c.all.add(m, w)
-		if f.cfg.Off[Distance] {
-			continue
-		}
-		switch f.apart(f.cfg.Domain, m.Domain) {
-		case sameDomain:
-			c.domain.add(m, w)
-			c.region.add(m, w)
-		case otherDomain:
-			c.region.add(m, w)
-		}
+		f.addTo(&c, m, key)
 	}
 	return c
 }
 
+// addTo takes an upstream into a ranking. How far it lies is looked up only where it may come
+// in among the near: of many upstreams, few do.
+func (f *Fleet) addTo(c *ranking, m *member, key uint64) {
+	w := weight(m.ID, key)
+	c.all.add(m, w)
+	if f.cfg.Off[Distance] || w < min(c.domain.secondWeight, c.region.secondWeight) {
+		return
+	}
+	switch f.apart(f.cfg.Domain, m.Domain) {
+	case sameDomain:
+		c.domain.add(m, w)
+		c.region.add(m, w)
+	case otherDomain:
+		c.region.add(m, w)
+	}
+}
+
 // list names the upstreams of a ranking, the first over all first.
 func (c *ranking) list() []*member {
 	var out []*member
