--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -59,24 +59,33 @@
 	key := sharedKey(r)
 	mine := weight(chosen.ID, key)
 	fresh := f.young(now, chosen) || f.changed(now, chosen)
+	unheard := r.lastShared().told() && !f.sure(now)
 	tight := f.tight(r)
-	var before, next *member
+	var c ranking
 	for _, m := range f.byService[r.Service] {
-		if m == chosen || m.out || m.health.rests(now) || !f.mayKeep(now, m, tight) || !f.mayRunIn(m.Domain, r) {
-			continue
-		}
-		w := weight(m.ID, key)
-		if (w > mine || fresh) && (before == nil || w > weight(before.ID, key)) {
-			before = m
-		}
-		if next == nil || f.nearer(r, m, next) {
-			next = m
+		if m != chosen && !m.out && !m.health.rests(now) && f.mayKeep(now, m, tight) && f.mayRunIn(m.Domain, r) {
+			f.addTo(&c, m, key)
 		}
 	}
-	if before == nil && r.lastShared().told() && !f.sure(now) {
-		return next
+	before := c.all.first
+	switch {
+	case before != nil && (fresh || weight(before.ID, key) > mine):
+		return before
+	case unheard:
+		return f.nearest(r, c.list())
+	}
+	return nil
+}
+
+// nearest is the upstream of a list to which a request costs the least on its way; nil of none.
+func (f *Fleet) nearest(r Request, list []*member) *member {
+	var best *member
+	for _, m := range list {
+		if best == nil || f.nearer(r, m, best) {
+			best = m
+		}
 	}
-	return before
+	return best
 }
 
 // nearer reports whether a request costs less on its way to an upstream than to another one,
