--- a/balance/cost.go
+++ b/balance/cost.go
@@ -66,17 +66,19 @@
 }
 
 // again is what it costs that an upstream reads or moves a part which another one keeps, less
-// what the copy saves those that are to ask for it nearby while it is kept.
+// the bytes on links that the copy saves those which are to ask for it nearby while it is kept.
+// Their time on the way does not count: it is nobody's work, and with it so much was copied that
+// a fleet in three regions lost by it.
 func (p *promptCost) again(m *member, part Part) int {
 	cost := p.fleet.cfg.Tuning.AgainWeight * float64(part.Tokens)
 	if p.keeper == nil || p.fleet.cfg.Off[Copies] {
 		return int(cost)
 	}
-	saved := p.fleet.distance(p.keeper.Domain, p.request) - p.fleet.distance(m.Domain, p.request)
+	saved := p.fleet.linkCost(p.keeper.Domain, p.request) - p.fleet.linkCost(m.Domain, p.request)
 	if saved <= 0 {
 		return int(cost)
 	}
-	return int(max(0, cost-float64(saved)*p.fleet.expectedNearby(p.now, part)))
+	return int(max(0, cost-saved*p.fleet.expectedNearby(p.now, part)))
 }
 
 // unread is how many tokens an upstream has to read of the prompt: the request's own
--- a/balance/demand_test.go
+++ b/balance/demand_test.go
@@ -21,6 +21,7 @@
 	}
 	f.SetSharers(Sharers{Box: "box0", Boxes: boxes})
 	wanted, rare := large(7), large(8)
+	wanted.Bytes, rare.Bytes = 20000, 20000 // long answers
 	f.NoteKept(0, []Kept{{PartKey(7), Key("u2")}, {PartKey(8), Key("u2")}}) // in another region
 	for part := range uint64(500) {
 		f.NoteKept(0, []Kept{{PartKey(1000 + part), Key("u3")}})
