--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -82,8 +82,10 @@
 	loaded    []*member            // those on which others have work
 	services  map[string]*service  // by name
 	kept      kept
+	demand    demand
 	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
 	domains   map[string]*domainReach // by name
+	ways      map[string]*way         // by failure domain
 	rate      float64                 // prompt tokens that an upstream reads in a ms
 	listed    time.Duration           // when the first upstream was
 
@@ -114,7 +116,9 @@
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
+		demand:    demand{byPart: make(map[uint32]fading)},
 		domains:   make(map[string]*domainReach),
+		ways:      make(map[string]*way),
 		rate:      cfg.Tuning.ReadRate,
 		part:      1,
 	}
@@ -139,6 +143,7 @@
 	// Evacuated says that its failure domain is.
 	Evacuated bool
 	ColdLeft  time.Duration // for so long it is cold; 0: it is not
+	Way       time.Duration // there and back
 	Load      Load          // of all boxes
 	Memory    int           // tokens that its memory holds; 0: not known
 }
@@ -149,7 +154,7 @@
 	for _, m := range f.byID {
 		load := Load{Unread: m.ahead(Levels - 1), Open: m.open(), Held: m.held()}
 		list = append(list, View{Upstream: m.Upstream, Out: m.out, Tight: m.tight, Evacuated: m.evacuated,
-			ColdLeft: max(0, m.coldTill-now), Load: load, Memory: f.serviceOf(m.Service).memory})
+			ColdLeft: max(0, m.coldTill-now), Way: f.Way(m.Domain), Load: load, Memory: f.serviceOf(m.Service).memory})
 	}
 	slices.SortFunc(list, func(a, b View) int {
 		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -38,7 +38,8 @@
 
 // conns keeps connections by upstream.
 type conns struct {
-	limit func(service string) int // connections to an upstream of the service, from this box
+	limit  func(service string) int                  // connections to an upstream of the service, from this box
+	cameUp func(upstream string, took time.Duration) // told of each connection that came up; may be nil
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by upstream, the newest last
@@ -72,11 +73,15 @@
 	if !p.reserve(u.ID, p.limit(service)) {
 		return nil, errConnections
 	}
+	began := time.Now()
 	c, err := dial(ctx, u.Address)
 	if err != nil {
 		p.release(u.ID)
 		return nil, err
 	}
+	if p.cameUp != nil {
+		p.cameUp(u.ID, time.Since(began))
+	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), life: u.Life(), opened: time.Now()}, nil
 }
 
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -35,9 +35,9 @@
 	b.board.set("document", documentWithMemory(2, 2000), false)
 	b.remembers(2000)
 	a := b.do(b.request("POST", "/once/x", "body", "X-Parts", "1:2000 2:100"))
-	is.Equal(a.status, 413)
+	is.Equal(a.status, 503) // as an upstream says it
 	is.Equal(a.body, `{"error":"larger than an upstream's memory","ran":"no"}`)
-	is.Equal(a.header.Get("Retry-After"), "") // it will not fit later either
+	is.Equal(a.header.Get("Retry-After"), "3.00")
 	is.Equal(len(u.requests()), 0)
 	is.Equal(b.do(b.request("POST", "/once/x", "body", "X-Parts", "1:900 2:100")).status, 200)
 }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -219,7 +219,8 @@
 		cause error
 		want  balance.Outcome
 	}{
-		{"it broke off", false, io.ErrUnexpectedEOF, balance.Failed},
+		{"it broke off", false, io.ErrUnexpectedEOF, balance.Broken},
+		{"its bytes are no events", false, errLongEvent, balance.Failed},
 		{"its caller left", true, net.ErrClosed, balance.Neutral},
 		{"its connection fell silent", false, errSilent, balance.Neutral},
 		{"this box was short of memory", false, errShort, balance.Neutral},
