--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,7 @@
 	store     *standin.Store
 	storeGate map[string]*gate // between a box and the store
 	upstreams []*upstream
+	started   int // upstreams so far, not counting those that start again under their ids
 	boxes     []*box
 	document  route.Document
 	faults    []string
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -36,11 +36,12 @@
 	if err != nil {
 		return err
 	}
+	w.started++
 	g, err := w.newGate(100, l.Addr().String())
 	if err != nil {
 		return err
 	}
-	u := &upstream{id: fmt.Sprintf("u%d-%d", i, len(w.upstreams)), domain: domain(i), born: time.Now().UnixMilli(), world: w, gate: g, coldTill: time.Now().Add(cold)}
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, w.started), domain: domain(i), born: time.Now().UnixMilli(), world: w, gate: g, coldTill: time.Now().Add(cold)}
 	u.serve(l)
 	w.upstreams = append(w.upstreams, u)
 	w.list(u, false)
