What many nearby want is not copied for the sake of the way

Cause: copies cost more in moved memory than they saved on links, with the way counted in what they save or the bytes alone. Conclusion: the plain rule stays, by which a part is copied nearby where its keepers have more to read than it costs.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -13,9 +13,8 @@
 	now     time.Duration
 	request Request
 	shared  []Part
-	kept    []bool  // by shared part: an upstream in reach keeps it
-	keeper  *member // the nearest that is known to keep the last of them; may be nil
-	homes   homes   // they are taken to keep what none is known to
+	kept    []bool // by shared part: an upstream in reach keeps it
+	homes   homes  // they are taken to keep what none is known to
 }
 
 // promptCostOf gathers what is known.
@@ -23,8 +22,7 @@
 	p := promptCost{fleet: f, now: now, request: r, shared: r.shared(), homes: h}
 	p.kept = make([]bool, len(p.shared))
 	for i, part := range p.shared {
-		p.keeper = f.keeperOf(now, r, part, nil)
-		p.kept[i] = p.guessed(part) || p.keeper != nil
+		p.kept[i] = p.guessed(part) || f.keeperOf(now, r, part, nil) != nil
 	}
 	return p
 }
@@ -47,7 +45,8 @@
 }
 
 // at is the cost at an upstream, in tokens: what goes before it, the way there, and the last of
-// the shared parts. Counting those before it as well drew the prompts that share them to few
+// the shared parts: once where no upstream keeps it, since it has to be read somewhere, and
+// AgainWeight times where it would be read or moved once more. Counting those before it as well drew the prompts that share them to few
 // upstreams and made them late.
 func (p *promptCost) at(m *member) int {
 	cost := p.fleet.backlog(p.now, m, p.request.level())
@@ -60,27 +59,11 @@
 	case p.holds(m, last):
 		return cost
 	case kept:
-		return cost + p.again(m, last)
+		return cost + int(p.fleet.cfg.Tuning.AgainWeight*float64(last.Tokens))
 	}
 	return cost + last.Tokens // it has to be read somewhere, and at the near home it is of use to most
 }
 
-// again is what it costs that an upstream reads or moves a part which another one keeps, less
-// the bytes on links that the copy saves those which are to ask for it nearby while it is kept.
-// Their time on the way does not count: it is nobody's work, and with it so much was copied that
-// a fleet in three regions lost by it.
-func (p *promptCost) again(m *member, part Part) int {
-	cost := p.fleet.cfg.Tuning.AgainWeight * float64(part.Tokens)
-	if p.keeper == nil || p.fleet.cfg.Off[Copies] {
-		return int(cost)
-	}
-	saved := p.fleet.linkCost(p.keeper.Domain, p.request) - p.fleet.linkCost(m.Domain, p.request)
-	if saved <= 0 {
-		return int(cost)
-	}
-	return int(max(0, cost-saved*p.fleet.expectedNearby(p.now, part)))
-}
-
 // unread is how many tokens an upstream has to read of the prompt: the request's own
 // part, and what it lacks and cannot fetch.
 func (p *promptCost) unread(m *member) int {
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -67,7 +67,6 @@
 	loaded    []*member           // those on which others have work
 	services  map[string]*service // by name
 	kept      kept
-	demand    demand
 	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
 	domains   map[string]*domainReach // by name
 	ways      map[string]*way         // by failure domain
@@ -98,7 +97,6 @@
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
-		demand:    demand{byPart: make(map[uint32]fading)},
 		domains:   make(map[string]*domainReach),
 		ways:      make(map[string]*way),
 		rate:      cfg.Tuning.ReadRate,
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -30,7 +30,6 @@
 	Resuming         Mechanism = "resuming"  // a stream goes on at another upstream
 	Repeating        Mechanism = "repeating" // a request whose run failed is run elsewhere
 	Distance         Mechanism = "distance"  // how far upstreams are counts
-	Copies           Mechanism = "copies"    // what many nearby want is copied from far away
 )
 
 // purposes says what each mechanism is for.
@@ -48,7 +47,6 @@
 	Rests:            "spares requests the upstreams that fail",
 	Resuming:         "ends streams whose upstream is lost",
 	Repeating:        "answers requests whose first run failed",
-	Copies:           "saves the way to parts that many nearby ask for",
 	Distance:         "saves the time that requests spend on the way, and bytes over dear links",
 }
 
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -39,9 +39,6 @@
 		free:    m.open() < m.Slots,
 	}
 	f.serviceOf(r.Service).classes.observe(r, t.unread)
-	if last := r.lastShared(); last.told() {
-		f.demand.note(now, PartKey(last.ID))
-	}
 	t.begin(now)
 	return t
 }
--- a/balance/way.go
+++ b/balance/way.go
@@ -108,16 +108,7 @@
 		return 0
 	}
 	onWay := float64(f.Way(domain)) / float64(time.Millisecond) * f.rate
-	return int(onWay + f.linkCost(domain, r))
-}
-
-// linkCost is what the bytes of a request to a failure domain and of its answer count for, in
-// prompt tokens.
-func (f *Fleet) linkCost(domain string, r Request) float64 {
-	if f.cfg.Off[Distance] {
-		return 0
-	}
-	return float64(r.Bytes) / kilobyte * f.perKilobyte(domain)
+	return int(onWay + float64(r.Bytes)/kilobyte*f.perKilobyte(domain))
 }
 
 // kilobyte is in bytes.
--- a/experiment/placing/placing_test.go
+++ b/experiment/placing/placing_test.go
@@ -78,10 +78,9 @@
 		bytes = append(bytes, r.BytesRegions)
 		is.Equal(Run(regional(), w, 1), r)
 	}
-	overAll, forEach, cost, copies := bytes[0], bytes[1], bytes[2], bytes[3]
+	overAll, forEach, cost := bytes[0], bytes[1], bytes[2]
 	is.Equal(forEach, 0)
 	is.True(cost < overAll)
-	is.True(copies <= cost)
 }
 
 // engineJob is a job whose ends are noted.
--- a/experiment/placing/way.go
+++ b/experiment/placing/way.go
@@ -43,8 +43,7 @@
 var WaysBetweenRegions = []Way{
 	{Name: "a home over all", Loads: true, Parts: true, Off: balance.Off{balance.Distance: true}},
 	{Name: "a home for each region", Owner: ofTheRegion, Loads: true, Parts: true},
-	{Name: "the cost of distance", Loads: true, Parts: true, Off: balance.Off{balance.Copies: true}},
-	{Name: "the cost of distance, copies", Loads: true, Parts: true},
+	{Name: "the cost of distance", Loads: true, Parts: true},
 }
 
 // waysOf lists the ways that are compared for a spec.
@@ -86,9 +85,7 @@
 		key := domain
 		switch w.Owner {
 		case eachBox, ofTheRegion:
-			d := newDecider(domain)
-			d.fleet.SetSharers(s.sharers(box))
-			ofBox = append(ofBox, d)
+			ofBox = append(ofBox, newDecider(domain))
 			continue
 		case ofAll:
 			key = 0
@@ -112,15 +109,6 @@
 	return true
 }
 
-// sharers are the boxes of a box's domain.
-func (s *Spec) sharers(box int) balance.Sharers {
-	sharers := balance.Sharers{Box: boxName(box)}
-	for other := box % s.Domains; other < s.Boxes; other += s.Domains {
-		sharers.Boxes = append(sharers.Boxes, boxName(other))
-	}
-	return sharers
-}
-
 // regions names the region of each domain; none where there is one.
 func regions(s *Spec) map[string]string {
 	if s.Regions <= 1 {
@@ -196,8 +184,6 @@
 	}
 }
 
-func boxName(i int) string { return fmt.Sprintf("box-%03d", i) }
-
 func engineName(i int) string { return fmt.Sprintf("engine-%03d", i) }
 
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
