--- a/balance/memory.go
+++ b/balance/memory.go
@@ -13,6 +13,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -118,6 +119,21 @@
 	return own == 0 || float64(own+b.needs) <= b.part*float64(b.room)
 }
 
+// again is the bound of a request that is sent again: it has begun elsewhere, and to keep room for
+// one more as large would break off what can go on.
+func (b memoryBound) again() memoryBound {
+	b.room += b.needs
+	return b
+}
+
+// fitting returns those of the list that have memory for the request.
+func (b memoryBound) fitting(list []*member) []*member {
+	if !b.bound {
+		return list
+	}
+	return slices.DeleteFunc(list, func(m *member) bool { return !b.fits(m) })
+}
+
 // roomFor is how much of a memory may be held after a request is placed: with spare room for
 // one more that is as large, which another box may be placing at this moment.
 func roomFor(memory int, r Request) int {
@@ -139,11 +155,12 @@
 	if !bound.bound || bound.never {
 		return 0
 	}
+	mayLeave := f.tight(r)
 	least := time.Duration(math.MaxInt64)
 	runs := f.serviceOf(r.Service).holding.mean(now)
 	for _, m := range f.byService[r.Service] {
 		switch {
-		case m.closed() || m.out:
+		case m.closed() || m.out || !mayLeave && !f.inLane(now, m, false):
 			continue
 		case bound.fits(m):
 			return 0
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -345,3 +345,46 @@
 		})
 	}
 }
+
+// A burst of long prompts that has filled the memory of its own upstreams does not go to those that
+// are kept for tight streams; a tight stream may leave a lane without memory.
+func TestLongPromptsStayInTheirLaneWhereItsMemoryIsFull(t *testing.T) {
+	is := is.New(t)
+	f := newDividedFleet(60)
+	f.SetMemory("s", testMemory)
+	f.SetOthers(underWay(60, 1, 2))
+	f.SizeLanes(time.Second, nil)
+	is.Equal(len(tightPlaces(f)), 20)
+	long, stream := letter(1), chat(1)
+	for _, m := range f.byService["s"] {
+		if !m.tight {
+			m.others[3].Held = testMemory
+		}
+	}
+	_, ok := f.Place(time.Second, long, nil)
+	is.True(!ok)
+	is.True(f.MemoryLeft(time.Second, long) >= memoryWaitLeast)
+	for _, m := range f.byService["s"] {
+		m.others[3].Held = testMemory - m.others[3].Held // now the other lane is full
+	}
+	c, ok := f.Place(time.Second, stream, nil)
+	is.True(ok)
+	is.True(!f.byID[c.Upstream.ID].tight)
+}
+
+// What has begun elsewhere needs no room for one more as large.
+func TestASecondTryUsesTheSpareRoom(t *testing.T) {
+	is := is.New(t)
+	f := newMemoryFleet(2)
+	r := book(1, 20000, 500)
+	f.byID["u0"].others[3].Held = testMemory
+	f.byID["u1"].others[3].Held = testMemory*9/10 - 21000
+	_, ok := f.Place(0, r, nil)
+	is.True(!ok)
+	c, ok := f.Place(0, r, []string{"u0"})
+	is.True(ok)
+	is.Equal(c.Upstream.ID, "u1")
+	f.byID["u1"].others[3].Held++
+	_, ok = f.Place(0, r, []string{"u0"})
+	is.True(!ok) // never beyond the memory
+}
--- a/balance/move.go
+++ b/balance/move.go
@@ -82,8 +82,9 @@
 func (f *Fleet) calmest(now time.Duration, r Request, from *member) *member {
 	key := r.Parts[len(r.Parts)-1].ID
 	var best *member
+	memory := f.memoryBoundOf(r)
 	for _, m := range f.usable(now, r, []string{from.ID}) {
-		if !f.takesOver(now, m, r) {
+		if !memory.fits(m) || !f.takesOver(now, m, r) {
 			continue
 		}
 		if best == nil || f.calmer(from, m, best, key) {
--- a/balance/place.go
+++ b/balance/place.go
@@ -24,24 +24,44 @@
 // the request was sent to before are named in tried.
 func (f *Fleet) Place(now time.Duration, r Request, tried []string) (Choice, bool) {
 	list := f.usable(now, r, tried)
-	if len(list) == 0 {
-		return Choice{}, false
+	memory := f.memoryBoundOf(r)
+	if len(tried) > 0 {
+		memory = memory.again()
 	}
 	if sharedKey(r) == 0 {
+		list = memory.fitting(list)
+		if len(list) == 0 {
+			return Choice{}, false
+		}
 		return Choice{Upstream: &f.leastBusy(list).Upstream}, true
 	}
-	within, beyond := f.lane(now, r, list)
+	within, beyond := f.withMemory(now, r, list, memory)
+	if len(within) == 0 {
+		return Choice{}, false
+	}
 	return f.placePrompt(now, r, within, beyond), true
 }
 
-// usable lists the upstreams a request may go to. Where too many rest, those that fail
+// withMemory divides the upstreams into those of the request's lane and those beyond it, and
+// leaves out those without memory for it. A tight stream may leave a lane that has none; a long
+// prompt does not: in a burst that fills all memory of their own upstreams, such prompts
+// would go to those that are kept for tight streams.
+func (f *Fleet) withMemory(now time.Duration, r Request, list []*member, memory memoryBound) (within, beyond []*member) {
+	within, beyond = f.lane(now, r, list)
+	within, beyond = memory.fitting(within), memory.fitting(beyond)
+	if len(within) == 0 && f.tight(r) {
+		return beyond, nil
+	}
+	return within, beyond
+}
+
+// usable lists the upstreams a request may go to, whatever memory they have left. Where too many rest, those that fail
 // least are taken all the same.
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	var awake, resting, out []*member
-	memory := f.memoryBoundOf(r)
 	for _, m := range f.byService[r.Service] {
 		switch {
-		case m.closed() || slices.Contains(tried, m.ID) || !f.mayRunIn(m.Domain, r) || !f.bears(now, m) || !memory.fits(m):
+		case m.closed() || slices.Contains(tried, m.ID) || !f.mayRunIn(m.Domain, r) || !f.bears(now, m):
 		case m.out:
 			out = append(out, m)
 		case m.health.rests(now) && !f.cfg.Off[Rests]:
@@ -70,15 +90,20 @@
 	return resting[allowed:]
 }
 
-// leastBusy returns the upstream with the fewest requests for its slots; those
-// that fail count as busier, and so do those that lie further away.
+// leastBusy returns the upstream with the fewest requests for its slots; those that lie further
+// away count as busier, and so do those that fail: as much as the furthest lies away besides, so
+// that none is preferred for being near which fails all that it gets.
 func (f *Fleet) leastBusy(list []*member) *member {
 	held := f.workTime(list[0].Service)
+	var furthest float64
+	for _, m := range list {
+		furthest = max(furthest, f.awayOf(m.Domain, held))
+	}
 	var best *member
 	var bestScore float64
 	for _, m := range list {
 		score := (float64(m.open()) + f.cfg.Tuning.FailWeight*m.health.failing) / float64(max(m.Slots, 1))
-		score += f.awayOf(m.Domain, held)
+		score += f.awayOf(m.Domain, held) + furthest*m.health.failing
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
 		}
--- a/balance/way.go
+++ b/balance/way.go
@@ -137,5 +137,9 @@
 		return away
 	}
 	further := f.Way(domain) - f.Way(f.cfg.Domain)
-	return max(away, float64(further)/float64(held))
+	return max(away, min(float64(further)/float64(held), mostAway))
 }
+
+// mostAway bounds that, in requests a slot: upstreams queue a few and refuse what is beyond, while
+// others stand idle. Without it 74 requests of 5 ms waited at six slots before one went 60 ms away.
+const mostAway = 4
--- a/balance/way_test.go
+++ b/balance/way_test.go
@@ -159,6 +159,31 @@
 	}
 }
 
+// However short the work, few requests wait for each slot nearby; and what fails all that it gets is
+// not used for being near.
+func TestWhatIsNearIsNotOverrun(t *testing.T) {
+	is := is.New(t)
+	f := threeRegions(0)
+	f.Put(0, Upstream{ID: "near", Service: "p", Address: "1:1", Domain: "a0", Slots: 6})
+	f.Put(0, Upstream{ID: "far", Service: "p", Address: "2:1", Domain: "b0", Slots: 6})
+	r := Request{Service: "p"}
+	for range 100 {
+		f.Open(0, "far", r).Close(61*time.Millisecond, Answered) // 1 ms of work
+	}
+	open := 0
+	for ; open < 1000; open++ {
+		f.SetOthers(map[LoadKey]Load{{Key("near"), 0}: {Open: open}})
+		if c, _ := f.Place(time.Second, r, nil); c.Upstream.ID == "far" {
+			break
+		}
+	}
+	is.Equal(open, 6*mostAway+1)
+	f.SetOthers(nil)
+	f.byID["near"].health.failing = 1
+	c, _ := f.Place(time.Second, r, nil)
+	is.Equal(c.Upstream.ID, "far")
+}
+
 // What is lacking is fetched from the nearest that keeps it, and an answer moves within its region
 // as long as there is room.
 func TestCopiesComeFromNearby(t *testing.T) {
