--- a/balance/way_test.go
+++ b/balance/way_test.go
@@ -219,7 +219,7 @@
 		from := fmt.Sprintf("u%d", rapid.IntRange(0, 23).Draw(t, "from"))
 		a := &f.serviceOf("s").answers
 		a.events.add(1, 1)
-		a.calm.add(15*answersFrom, answersFrom) // ms from one event to the next
+		a.calm.add(15, answersFrom) // ms from one event to the next
 		m, ok := f.MoveTo(now, r, from, Progress{Events: 5, Between: 400 * time.Millisecond, Left: time.Second})
 		if ok {
 			within("moved from", f.byID[from].Address)
