balance: all boxes give an address back, and an end is noted before it is told

Cause: on "this start has ended" from another box, the holder of an address was only marked as leaving; the sound entry stayed put aside, and one that came again was refused, since its start is earlier than the holder's. And where 2,048 pieces of news waited to be told, the end was not even noted on the box that found out.

Shown by the new tests, which failed before: five of seven cases in which a hearer is told had no usable upstream at the address; with a full queue the ended upstream went on being chosen.

Now the end is noted first and told in front of all other news, the last of which makes room. A hearer gives the address to the latest waiting entry that has not left, an entry that has not left takes from a holder that is known to have ended, and when a holder goes those that have not left go first. A box's own 421 gives the address to nobody but the one that was named.

go test ./balance ./relay passes.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -52,6 +52,7 @@
 	breaks    int           // how many were at about that moment
 	back      time.Duration // when it could last be reached again
 	unsure    bool          // it is taken for cold, since nothing published tells of the time since
+	ended     bool          // another one has its address
 	doubted   bool          // there was a sign that it may have ended
 	doubtTill time.Duration // until then what others tell that it keeps may be of before that
 }
--- a/balance/life.go
+++ b/balance/life.go
@@ -38,6 +38,7 @@
 type lastLife struct {
 	born    int64
 	leaving bool // it took no new requests when it was last heard of
+	ended   bool // another one has its address
 	// doubtTill is until when what others tell that it keeps may be of before a sign that it
 	// may have ended; its entry may go and come back meanwhile.
 	doubtTill time.Duration
@@ -51,6 +52,7 @@
 	if last := f.lives[m.ID]; m.Born != 0 && last.born == m.Born {
 		m.doubtTill = last.doubtTill
 		m.doubted = m.doubtTill > 0
+		m.ended = last.ended
 	}
 }
 
@@ -158,6 +160,14 @@
 	}
 }
 
+// rememberEnd notes that a life has ended for when its entry goes and comes back.
+func (f *Fleet) rememberEnd(m *member) {
+	if last, known := f.lives[m.ID]; known && last.born == m.Born {
+		last.ended = true
+		f.lives[m.ID] = last
+	}
+}
+
 // believes reports whether what another box tells of the parts that an upstream keeps is
 // believed. While it cannot be reached after a sign, others may send to it in vain and tell so.
 func (f *Fleet) believes(now time.Duration, m *member) bool {
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -312,3 +312,52 @@
 	is.Equal(ids, []string{"a", "late"})
 	is.Equal(f.byAddress["10.1.0.1:1"].ID, "a")
 }
+
+// One box finds out that an entry lies about its address, and tells all others: each gives the
+// address to the upstream that has it, whether its entry waits there or comes again.
+func TestAllBoxesGiveAnAddressBack(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		entries  []Upstream // what the hearer knows besides before it is told
+		then     []Upstream // what is put after that
+		want     string
+		isServed bool
+	}{
+		{"the sound entry waits", []Upstream{entryOf("true", 100, 1)}, nil, "true", true},
+		{"it is renewed after that", []Upstream{entryOf("true", 100, 1)}, []Upstream{entryOf("true", 100, 3)}, "true", true},
+		{"it comes after that", nil, []Upstream{entryOf("true", 100, 3)}, "true", true},
+		{"it comes, and the false one again", nil, []Upstream{entryOf("true", 100, 3), entryOf("false", 900, 9)}, "true", true},
+		{"it has left", []Upstream{leaving(entryOf("true", 100, 1))}, nil, "false", false},
+		{"a later one has left", []Upstream{entryOf("true", 100, 1), leaving(entryOf("left", 200, 1))}, nil, "true", true},
+		{"nobody else names the address", nil, nil, "false", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			finder, hearer := knowing(0), knowing(0)
+			finder.Put(0, entryOf("true", 100, 1))
+			finder.Put(0, entryOf("false", 900, 2))
+			for _, u := range c.entries {
+				hearer.Put(0, u)
+			}
+			hearer.Put(0, entryOf("false", 900, 2))
+			finder.Named(time.Second, Life{"false", 900}, "true")
+			hearer.NoteKept(time.Second, finder.KeptNews())
+			for _, u := range c.then {
+				hearer.Put(2*time.Second, u)
+			}
+			is.Equal(hearer.IDs(), []string{c.want})
+			is.Equal(!hearer.Get(c.want).Leaving, c.isServed)
+		})
+	}
+}
+
+// When the entry that lied goes, one that has not left goes before a later one that has.
+func TestWhoHasNotLeftGetsAnAddressFirst(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("true", 100, 1))
+	f.Put(0, leaving(entryOf("left", 200, 1)))
+	f.Put(0, entryOf("false", 900, 2))
+	f.Remove("false")
+	is.Equal(f.IDs(), []string{"true"})
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -52,9 +52,13 @@
 	return u
 }
 
-// takes reports whether an entry takes its address from who has it: it is of a later start. One
-// that is known to have ended takes nothing, nor does one that says no more than the other.
+// takes reports whether an entry takes its address from who has it: it is of a later start, or
+// the other is known to have ended. One that is known to have ended takes nothing, nor does one
+// that says no more than the other.
 func (f *Fleet) takes(u Upstream, holder *member) bool {
+	if holder.ended && !f.isLeaving(u) {
+		return true
+	}
 	if f.hasLeft(u.Life()) && !holder.Leaving {
 		return false
 	}
@@ -127,22 +131,40 @@
 	f.cold = slices.DeleteFunc(f.cold, isIt)
 }
 
-// free gives an address that nobody has any more to the latest of those that wait for it.
+// free gives an address that nobody has any more to the one that is next for it.
 func (f *Fleet) free(now time.Duration, address string) {
 	if address == "" || f.byAddress[address] != nil {
 		return
 	}
+	if next := f.nextFor(address); next != nil {
+		f.Put(now, *next)
+	}
+}
+
+// nextFor is the latest of those that wait for an address, before all that have left; nil where
+// nobody waits.
+func (f *Fleet) nextFor(address string) *Upstream {
 	var next *Upstream
 	for _, u := range f.waiting {
-		if u.Address == address && (next == nil || later(*u, *next) > 0) {
+		if u.Address == address && (next == nil || f.goesBefore(*u, *next)) {
 			next = u
 		}
 	}
-	if next != nil {
-		f.Put(now, *next)
+	return next
+}
+
+// goesBefore reports whether an entry gets an address before another one that waits for it.
+func (f *Fleet) goesBefore(a, b Upstream) bool {
+	if left := f.isLeaving(a); left != f.isLeaving(b) {
+		return !left
 	}
+	return later(a, b) > 0
 }
 
+// isLeaving reports whether an upstream takes no new requests, by its entry or by what is known
+// of its life.
+func (f *Fleet) isLeaving(u Upstream) bool { return u.Leaving || f.hasLeft(u.Life()) }
+
 // Named notes that an upstream which was meant answered that it is another one: that one has
 // the address, if its entry waits for it.
 func (f *Fleet) Named(now time.Duration, meant Life, said string) {
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -68,21 +68,41 @@
 
 // ended notes that another start of an upstream has its address, and tells the other boxes.
 func (f *Fleet) ended(m *member) {
-	if m.Leaving || !f.lists(m) || len(f.kept.news) >= maxNews {
+	if m.ended || !f.lists(m) {
 		return
 	}
 	f.leaveEnded(m)
-	f.kept.news = append(f.kept.news, Kept{endedMark, m.key})
+	f.tellFirst(Kept{endedMark, m.key})
+}
+
+// tellFirst puts news before all that waits to be told, of which the last makes room: without
+// that, all boxes would go on sending to what one knows to have ended.
+func (f *Fleet) tellFirst(news Kept) {
+	rest := f.kept.news[:min(len(f.kept.news), maxNews-1)]
+	f.kept.news = append([]Kept{news}, rest...)
 }
 
 // leaveEnded sends nothing more to an upstream that has ended. It stays in the list until its
-// entry goes, so that a late entry does not bring it back.
+// entry goes or another one gets its address, so that a late entry does not bring it back.
 func (f *Fleet) leaveEnded(m *member) {
-	m.Leaving = true
+	m.Leaving, m.ended = true, true
 	f.remember(m.Upstream)
+	f.rememberEnd(m)
 	f.kept.forget(m)
 }
 
+// giveBack gives the address of an upstream that has ended to the latest of those that wait for
+// it and have not left. Which of them has it only the box knows that found out.
+func (f *Fleet) giveBack(now time.Duration, m *member) {
+	next := f.nextFor(m.Address)
+	if f.byAddress[m.Address] != m || next == nil || f.isLeaving(*next) {
+		return
+	}
+	u := *next
+	f.wait(m.Upstream)
+	f.Put(now, u)
+}
+
 // KeptNews returns, once, what other boxes should hear of.
 func (f *Fleet) KeptNews() []Kept {
 	news := f.kept.news
@@ -99,6 +119,7 @@
 		}
 		if told.Part == endedMark {
 			f.leaveEnded(m)
+			f.giveBack(now, m)
 			continue
 		}
 		if f.cfg.Off[Parts] || !f.believes(now, m) {
--- a/balance/tell_test.go
+++ b/balance/tell_test.go
@@ -39,3 +39,20 @@
 		})
 	}
 }
+
+// An upstream that is known to have ended gets nothing more however much waits to be told, and
+// that is told before all else.
+func TestAnEndIsNotedAndToldWhereMuchIsToBeTold(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("u", 100, 1))
+	for range maxNews {
+		f.kept.news = append(f.kept.news, Kept{7, 8})
+	}
+	key := f.byID["u"].key
+	f.Open(0, "u", prompt(9)).Close(0, Ended)
+	is.True(f.Get("u").Leaving)
+	news := f.KeptNews()
+	is.Equal(len(news), maxNews)
+	is.Equal(news[0], Kept{endedMark, key})
+}
