balance: own open work is counted again on a life that is listed again

Cause: an upstream whose entry goes and comes back, or that waits for its address, is listed anew, and the tickets that were open on it went on counting on the listing before. The bound on an upstream's memory rests on that count.

Shown by the new test, which failed before: with two requests open, Loads() was empty after the same life had come back by any of four ways.

Now the listing before is remembered while this box has something open on it, so no more are than it has requests, and its work (open, unread, tight, held) moves to the new listing of the same life; tickets that are open find it there. Health, reach and what it keeps are not taken over, as before. Another life gets nothing.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -32,8 +32,9 @@
 // member is an upstream with what this box knows of it besides.
 type member struct {
 	Upstream
-	work     work // of this box
-	others   work // of all other boxes
+	work     work    // of this box
+	others   work    // of all other boxes
+	heir     *member // the same life, listed again: it has the work since
 	health   health
 	out      bool          // it cannot be reached
 	byDomain bool          // it was only left along with its domain, when it last came to be out
@@ -78,6 +79,7 @@
 	byAddress map[string]*member
 	waiting   map[string]*Upstream // by id: entries whose address another upstream has
 	lives     map[string]lastLife  // by id: the last that is known
+	gone      map[string]*member   // by id: listed no more, and this box has requests open on them
 	named     map[string]bool      // services of the document in force; nil: none is known yet
 	latest    time.Duration        // when the list was last told of an entry
 	loaded    []*member            // those on which others have work
@@ -114,6 +116,7 @@
 		byAddress: make(map[string]*member),
 		waiting:   make(map[string]*Upstream),
 		lives:     make(map[string]lastLife),
+		gone:      make(map[string]*member),
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
--- a/balance/life.go
+++ b/balance/life.go
@@ -56,6 +56,36 @@
 	}
 }
 
+// takeWork counts on a life that is listed again what this box has open on it. Without that, the
+// bound on its memory would be passed by as much as it holds.
+func (f *Fleet) takeWork(m *member) {
+	before := f.gone[m.ID]
+	if before == nil || before.Life() != m.Life() || isAnother(before.Upstream, m.Upstream) {
+		return
+	}
+	m.work, before.work, before.heir = before.work, work{}, m
+	delete(f.gone, m.ID)
+}
+
+// forgetGone forgets an upstream that is not listed once nothing is open on it; so no more are
+// remembered than this box has requests.
+func (f *Fleet) forgetGone(m *member) {
+	if f.gone[m.ID] == m && !m.hasOpen() {
+		delete(f.gone, m.ID)
+	}
+}
+
+// counted is the member on which the work of this one is counted.
+func (m *member) counted() *member {
+	for m.heir != nil {
+		m = m.heir
+	}
+	return m
+}
+
+// hasOpen reports whether this box has requests open on an upstream.
+func (m *member) hasOpen() bool { return m.work.upTo(Levels-1).Open > 0 }
+
 // isPast reports whether an entry tells of a life before the last one that is known.
 func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
 
@@ -133,7 +163,7 @@
 	}
 	m.brokeAt = now
 	m.breaks++
-	if m.breaks >= breaksFrom && m.work.upTo(Levels-1).Open == 0 {
+	if m.breaks >= breaksFrom && !m.hasOpen() {
 		f.doubt(now, m)
 	}
 }
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -361,3 +361,84 @@
 	f.Remove("false")
 	is.Equal(f.IDs(), []string{"true"})
 }
+
+// What this box has open on a life is counted again when that life is listed again, whatever it
+// was gone for, and on no other one; the bound on an upstream's memory rests on it.
+func TestOwnOpenWorkComesBackWithItsLife(t *testing.T) {
+	renewed := func(f *Fleet) { f.Put(time.Second, entryOf("u", 100, 3)) }
+	for _, c := range []struct {
+		name    string
+		born    int64
+		between func(f *Fleet)
+		counted bool
+	}{
+		{"its entry goes and comes back", 100, func(f *Fleet) {
+			f.Remove("u")
+			renewed(f)
+		}, true},
+		{"twice", 100, func(f *Fleet) {
+			f.Remove("u")
+			renewed(f)
+			f.Remove("u")
+			renewed(f)
+		}, true},
+		{"it waits for its address", 100, func(f *Fleet) {
+			f.Put(0, entryOf("false", 900, 2))
+			f.Remove("false")
+		}, true},
+		{"no start is named", 0, func(f *Fleet) {
+			f.Remove("u")
+			f.Put(time.Second, entryOf("u", 0, 3))
+		}, true},
+		{"it starts again", 100, func(f *Fleet) { f.Put(time.Second, entryOf("u", 200, 3)) }, false},
+		{"it comes back as another life", 100, func(f *Fleet) {
+			f.Remove("u")
+			f.Put(time.Second, entryOf("u", 200, 3))
+		}, false},
+		{"no start is named and its count falls", 0, func(f *Fleet) {
+			f.Put(0, counting(entryOf("u", 0, 2), 5))
+			f.Remove("u")
+			f.Put(time.Second, counting(entryOf("u", 0, 3), 1))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(0)
+			f.Put(0, entryOf("u", c.born, 1))
+			first, second := f.Open(0, "u", prompt(7)), f.Open(0, "u", prompt(8))
+			before, told := f.byID["u"].work, f.Loads()
+			is.True(before.upTo(Levels-1).Held > 0)
+			c.between(f)
+			want := work{}
+			if c.counted {
+				want = before
+				is.Equal(f.Loads(), told)
+			}
+			is.Equal(f.byID["u"].work, want)
+			first.Close(2*time.Second, Answered)
+			if c.counted {
+				is.Equal(f.byID["u"].work.upTo(Levels-1).Open, 1)
+			}
+			second.Close(2*time.Second, Answered)
+			is.Equal(f.byID["u"].work, work{})
+			is.Equal(len(f.gone), 0)
+		})
+	}
+}
+
+// What is remembered of an upstream that went goes with the last request that is open on it.
+func TestWorkOfWhatWentIsRememberedWhileItIsOpen(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("u", 100, 1))
+	first, second := f.Open(0, "u", prompt(7)), f.Open(0, "u", prompt(8))
+	f.Remove("u")
+	first.Close(time.Second, Answered)
+	is.Equal(len(f.gone), 1)
+	second.Close(time.Second, Answered)
+	is.Equal(len(f.gone), 0)
+	f.Put(time.Second, entryOf("u", 100, 2))
+	is.Equal(f.byID["u"].work, work{})
+	f.Remove("u")
+	is.Equal(len(f.gone), 0) // nothing is open on it
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -89,6 +89,7 @@
 	}
 	m := &member{Upstream: u, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
 	f.recall(m)
+	f.takeWork(m)
 	f.noteAddress(m)
 	f.cool(now, m, u.ColdFor)
 	if now-f.listed < firstList {
@@ -119,6 +120,9 @@
 	}
 	f.remember(m.Upstream)
 	delete(f.byID, id)
+	if m.hasOpen() {
+		f.gone[id] = m
+	}
 	if f.byKey[m.key] == m {
 		delete(f.byKey, m.key)
 	}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -78,8 +78,12 @@
 	t.unread = 0
 }
 
-// count adds a change to the work of the upstream.
-func (t *Ticket) count(change Load) { t.member.work.add(t.request.level(), change) }
+// count adds a change to the work of the upstream, where that is counted by now.
+func (t *Ticket) count(change Load) {
+	m := t.member.counted()
+	m.work.add(t.request.level(), change)
+	t.fleet.forgetGone(m)
+}
 
 // Events notes how many events came since the first, how many the answer had until now, with
 // those of its runs before, and whether it has ended whole.
