relay: a failed run on an earlier life leaves the present one alone

Cause: a run that could not be sent, or was told of another upstream, closed the resting connections by the upstream's id, and put pending losses down to it, also where a later life had followed; those connections are sound.

Shown by the new test, which failed before: after a refused run on life 100 no connection of life 200 rested any more.

Now both are done only where no other life has followed. One that is not listed any more, as after it was told of another upstream, is treated as before.

--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -103,6 +103,17 @@
 	if outcome == balance.Ended {
 		x.relay.takeName(x.upstream.Life(), x.instead)
 	}
+	x.leaveUnreached(outcome)
+	x.logFailed(state, err)
+}
+
+// leaveUnreached closes the connections that rest to an upstream that could not be reached, or
+// is another one. Those to a life that has followed are sound: with a run on the one before they
+// would all be opened again.
+func (x *exchange) leaveUnreached(outcome balance.Outcome) {
+	if x.relay.isOver(x.upstream) {
+		return
+	}
 	if isUnreached(outcome) || outcome == balance.Ended {
 		x.relay.conns.forget(x.upstream.ID)
 	}
@@ -110,7 +121,6 @@
 		x.relay.logUnreached(x.upstream.ID)
 		x.relay.tryLater()
 	}
-	x.logFailed(state, err)
 }
 
 // outcomeOfFailure says what a run that brought nothing tells about its upstream.
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,3 +36,40 @@
 		}
 	}
 }
+
+// A run that could not be sent to an earlier life of an upstream closes no connection to the
+// present one, and no loss is put down to it; one on the present life does both.
+func TestAFailureOfAnEarlierLifeLeavesThePresentOneAlone(t *testing.T) {
+	is := is.New(t)
+	u, v := newStub(t, "u", answerOK("ok")), newStub(t, "v", answerOK("ok"))
+	b := newBench(t, u, v)
+	b.listBorn(u, 200, false)
+	b.await("u", 200)
+	r := b.relay
+	present, _ := r.listed("u")
+	c, err := r.conns.get(context.Background(), present, "s")
+	is.NoErr(err)
+	r.conns.keep(c, time.Minute)
+	resting := func() int {
+		r.conns.mu.Lock()
+		defer r.conns.mu.Unlock()
+		return len(r.conns.idle["u"])
+	}
+	r.mu.Lock()
+	r.fleet.Open(r.now(), "v", balance.Request{Service: "s"}).Close(r.now(), balance.Unreachable)
+	r.mu.Unlock()
+
+	x := &exchange{relay: r, request: &request{}, ctx: context.Background(), upstream: present}
+	x.upstream.Born = 100
+	x.failed(runUnsent, syscall.ECONNREFUSED)
+	is.Equal(resting(), 1)
+	r.mu.Lock()
+	lost := r.fleet.NewlyLost()
+	x.ticket = r.fleet.Open(r.now(), "u", balance.Request{Service: "s"})
+	r.mu.Unlock()
+	is.Equal(len(lost), 1) // nobody has put it down to u
+	x.upstream.Born = 200
+	x.failed(runUnsent, syscall.ECONNREFUSED)
+	is.Equal(resting(), 0)
+	b.until(func() bool { return b.log.contains("out of reach") })
+}
