--- a/balance/life.go
+++ b/balance/life.go
@@ -38,6 +38,7 @@
 type lastLife struct {
 	born    int64
 	leaving bool // it took no new requests when it was last heard of
+	ended   bool // another one has its address
 	// doubtTill is until when what others tell that it keeps may be of before a sign that it
 	// may have ended; its entry may go and come back meanwhile.
 	doubtTill time.Duration
@@ -51,9 +52,40 @@
 	if last := f.lives[m.ID]; m.Born != 0 && last.born == m.Born {
 		m.doubtTill = last.doubtTill
 		m.doubted = m.doubtTill > 0
+		m.ended = last.ended
 	}
 }
 
+// takeWork counts on a life that is listed again what this box has open on it. Without that, the
+// bound on its memory would be passed by as much as it holds.
+func (f *Fleet) takeWork(m *member) {
+	before := f.gone[m.ID]
+	if before == nil || before.Life() != m.Life() || isAnother(before.Upstream, m.Upstream) {
+		return
+	}
+	m.work, before.work, before.heir = before.work, work{}, m
+	delete(f.gone, m.ID)
+}
+
+// forgetGone forgets an upstream that is not listed once nothing is open on it; so no more are
+// remembered than this box has requests.
+func (f *Fleet) forgetGone(m *member) {
+	if f.gone[m.ID] == m && !m.hasOpen() {
+		delete(f.gone, m.ID)
+	}
+}
+
+// counted is the member on which the work of this one is counted.
+func (m *member) counted() *member {
+	for m.heir != nil {
+		m = m.heir
+	}
+	return m
+}
+
+// hasOpen reports whether this box has requests open on an upstream.
+func (m *member) hasOpen() bool { return m.work.upTo(Levels-1).Open > 0 }
+
 // isPast reports whether an entry tells of a life before the last one that is known.
 func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
 
@@ -131,7 +163,7 @@
 	}
 	m.brokeAt = now
 	m.breaks++
-	if m.breaks >= breaksFrom && m.work.upTo(Levels-1).Open == 0 {
+	if m.breaks >= breaksFrom && !m.hasOpen() {
 		f.doubt(now, m)
 	}
 }
@@ -158,6 +190,14 @@
 	}
 }
 
+// rememberEnd notes that a life has ended for when its entry goes and comes back.
+func (f *Fleet) rememberEnd(m *member) {
+	if last, known := f.lives[m.ID]; known && last.born == m.Born {
+		last.ended = true
+		f.lives[m.ID] = last
+	}
+}
+
 // believes reports whether what another box tells of the parts that an upstream keeps is
 // believed. While it cannot be reached after a sign, others may send to it in vain and tell so.
 func (f *Fleet) believes(now time.Duration, m *member) bool {
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -312,3 +312,133 @@
 	is.Equal(ids, []string{"a", "late"})
 	is.Equal(f.byAddress["10.1.0.1:1"].ID, "a")
 }
+
+// One box finds out that an entry lies about its address, and tells all others: each gives the
+// address to the upstream that has it, whether its entry waits there or comes again.
+func TestAllBoxesGiveAnAddressBack(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		entries  []Upstream // what the hearer knows besides before it is told
+		then     []Upstream // what is put after that
+		want     string
+		isServed bool
+	}{
+		{"the sound entry waits", []Upstream{entryOf("true", 100, 1)}, nil, "true", true},
+		{"it is renewed after that", []Upstream{entryOf("true", 100, 1)}, []Upstream{entryOf("true", 100, 3)}, "true", true},
+		{"it comes after that", nil, []Upstream{entryOf("true", 100, 3)}, "true", true},
+		{"it comes, and the false one again", nil, []Upstream{entryOf("true", 100, 3), entryOf("false", 900, 9)}, "true", true},
+		{"it has left", []Upstream{leaving(entryOf("true", 100, 1))}, nil, "false", false},
+		{"a later one has left", []Upstream{entryOf("true", 100, 1), leaving(entryOf("left", 200, 1))}, nil, "true", true},
+		{"nobody else names the address", nil, nil, "false", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			finder, hearer := knowing(0), knowing(0)
+			finder.Put(0, entryOf("true", 100, 1))
+			finder.Put(0, entryOf("false", 900, 2))
+			for _, u := range c.entries {
+				hearer.Put(0, u)
+			}
+			hearer.Put(0, entryOf("false", 900, 2))
+			finder.Named(time.Second, Life{"false", 900}, "true")
+			hearer.NoteKept(time.Second, finder.KeptNews())
+			for _, u := range c.then {
+				hearer.Put(2*time.Second, u)
+			}
+			is.Equal(hearer.IDs(), []string{c.want})
+			is.Equal(!hearer.Get(c.want).Leaving, c.isServed)
+		})
+	}
+}
+
+// When the entry that lied goes, one that has not left goes before a later one that has.
+func TestWhoHasNotLeftGetsAnAddressFirst(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("true", 100, 1))
+	f.Put(0, leaving(entryOf("left", 200, 1)))
+	f.Put(0, entryOf("false", 900, 2))
+	f.Remove("false")
+	is.Equal(f.IDs(), []string{"true"})
+}
+
+// What this box has open on a life is counted again when that life is listed again, whatever it
+// was gone for, and on no other one; the bound on an upstream's memory rests on it.
+func TestOwnOpenWorkComesBackWithItsLife(t *testing.T) {
+	renewed := func(f *Fleet) { f.Put(time.Second, entryOf("u", 100, 3)) }
+	for _, c := range []struct {
+		name    string
+		born    int64
+		between func(f *Fleet)
+		counted bool
+	}{
+		{"its entry goes and comes back", 100, func(f *Fleet) {
+			f.Remove("u")
+			renewed(f)
+		}, true},
+		{"twice", 100, func(f *Fleet) {
+			f.Remove("u")
+			renewed(f)
+			f.Remove("u")
+			renewed(f)
+		}, true},
+		{"it waits for its address", 100, func(f *Fleet) {
+			f.Put(0, entryOf("false", 900, 2))
+			f.Remove("false")
+		}, true},
+		{"no start is named", 0, func(f *Fleet) {
+			f.Remove("u")
+			f.Put(time.Second, entryOf("u", 0, 3))
+		}, true},
+		{"it starts again", 100, func(f *Fleet) { f.Put(time.Second, entryOf("u", 200, 3)) }, false},
+		{"it comes back as another life", 100, func(f *Fleet) {
+			f.Remove("u")
+			f.Put(time.Second, entryOf("u", 200, 3))
+		}, false},
+		{"no start is named and its count falls", 0, func(f *Fleet) {
+			f.Put(0, counting(entryOf("u", 0, 2), 5))
+			f.Remove("u")
+			f.Put(time.Second, counting(entryOf("u", 0, 3), 1))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := knowing(0)
+			f.Put(0, entryOf("u", c.born, 1))
+			first, second := f.Open(0, "u", prompt(7)), f.Open(0, "u", prompt(8))
+			before, told := f.byID["u"].work, f.Loads()
+			is.True(before.upTo(Levels-1).Held > 0)
+			c.between(f)
+			want := work{}
+			if c.counted {
+				want = before
+				is.Equal(f.Loads(), told)
+			}
+			is.Equal(f.byID["u"].work, want)
+			first.Close(2*time.Second, Answered)
+			if c.counted {
+				is.Equal(f.byID["u"].work.upTo(Levels-1).Open, 1)
+			}
+			second.Close(2*time.Second, Answered)
+			is.Equal(f.byID["u"].work, work{})
+			is.Equal(len(f.gone), 0)
+		})
+	}
+}
+
+// What is remembered of an upstream that went goes with the last request that is open on it.
+func TestWorkOfWhatWentIsRememberedWhileItIsOpen(t *testing.T) {
+	is := is.New(t)
+	f := knowing(0)
+	f.Put(0, entryOf("u", 100, 1))
+	first, second := f.Open(0, "u", prompt(7)), f.Open(0, "u", prompt(8))
+	f.Remove("u")
+	first.Close(time.Second, Answered)
+	is.Equal(len(f.gone), 1)
+	second.Close(time.Second, Answered)
+	is.Equal(len(f.gone), 0)
+	f.Put(time.Second, entryOf("u", 100, 2))
+	is.Equal(f.byID["u"].work, work{})
+	f.Remove("u")
+	is.Equal(len(f.gone), 0) // nothing is open on it
+}
