Conclude nothing of a run while its request goes out

Cause: a run counted as silent from when it was begun, though an upstream that reads a large body slowly does not know it before the body has come. Shown: a body of 1 MB, an upstream that takes 16 KB each 40 ms, a stream that may not be resumed: 502 for a run that was sound, 200 where nobody asks.

The silence now counts from the end of the writing, and none is asked before. Ruled out: ending on the word of an upstream that has the head only, since it tells of runs that it has taken whole. The new test failed before with 502.

Conclusion: the run is kept; a connection that falls silent while the body goes out is left to the request's time, as before anybody asked.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -30,7 +30,11 @@
 
 // roundTrip sends a request on a connection and reads the head of its answer.
 func (r *Relay) roundTrip(c *conn, o outgoing) (*answer, error) {
-	sent := c.send(o)
+	return r.readAnswer(c, o.id, c.send(o))
+}
+
+// readAnswer reads the head of the answer to a request that is being sent.
+func (r *Relay) readAnswer(c *conn, request string, sent *sending) (*answer, error) {
 	for skipped := 0; ; skipped++ {
 		a, err := r.readHead(c)
 		if err != nil {
@@ -38,7 +42,7 @@
 		}
 		a.sent = sent
 		id := headerValue(&a.header, r.cfg.Protocol.RequestID)
-		if id == "" || id == o.id {
+		if id == "" || id == request {
 			a.reuse = a.reuse && skipped == 0
 			return a, nil
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,8 +47,9 @@
 		return runUnsent, nil, err
 	}
 	x.hold(c)
-	x.listen()
-	a, err := r.roundTrip(c, o)
+	sent := c.send(o)
+	x.listen(sent)
+	a, err := r.readAnswer(c, o.id, sent)
 	x.heard()
 	if err != nil {
 		x.release()
--- a/relay/outgoing.go
+++ b/relay/outgoing.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -76,7 +77,8 @@
 
 // sending is a request on its way out.
 type sending struct {
-	done chan error
+	done    chan error
+	written atomic.Pointer[time.Time] // when all was; nil: not yet, or it failed
 }
 
 // send writes the request; a large one goes on being written in the background.
@@ -84,17 +86,26 @@
 	s := &sending{done: make(chan error, 1)}
 	if len(o.head)+len(o.body) <= largeBody {
 		_, err := c.Write(slices.Concat(o.head, o.body))
-		s.done <- err
+		s.end(err)
 		return s
 	}
 	go func() {
 		parts := net.Buffers{o.head, o.body} // a large body is not copied
 		_, err := parts.WriteTo(c.Conn)
-		s.done <- err
+		s.end(err)
 	}()
 	return s
 }
 
+// end notes the end of the writing.
+func (s *sending) end(err error) {
+	if err == nil {
+		now := time.Now()
+		s.written.Store(&now)
+	}
+	s.done <- err
+}
+
 // finished reports whether all was written without an error.
 func (s *sending) finished() bool {
 	select {
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -50,6 +50,7 @@
 // wait is a run's wait for the next bytes of its upstream.
 type wait struct {
 	since time.Time
+	sent  *sending      // the request, where nothing of its answer has come; or nil
 	came  int           // events of the answer that came
 	limit time.Duration // of the silence, before the upstream is asked
 
@@ -57,12 +58,13 @@
 	proofs int           // how often it said that something is missing
 }
 
-// listen notes that the exchange waits for its upstream's next bytes, until heard.
-func (x *exchange) listen() {
+// listen notes that the exchange waits for its upstream's next bytes, until heard; sent is
+// the request, where nothing of its answer has come.
+func (x *exchange) listen(sent *sending) {
 	if x.relay.cfg.Protocol.ReportCall == nil || x.events == nil && len(x.request.prompt.Parts) == 0 {
 		return
 	}
-	w := &wait{since: time.Now(), limit: max(silentAfter, silentTargets*x.route.Target)}
+	w := &wait{since: time.Now(), sent: sent, limit: max(silentAfter, silentTargets*x.route.Target)}
 	if x.events != nil && x.events.came > 0 {
 		w.came = max(x.events.total, int(x.events.last))
 		w.limit = max(silentAfter, silentGaps*x.route.EventGap)
@@ -73,10 +75,23 @@
 // heard ends the wait.
 func (x *exchange) heard() { x.waits.Store(nil) }
 
+// silence is how long the upstream has been silent since it could have said something. It
+// is none while the request goes out: an upstream that reads a large body slowly does not
+// know the run yet, and one that was ended for that would have run for nothing.
+func (w *wait) silence(now time.Time) time.Duration {
+	if w.sent == nil {
+		return now.Sub(w.since)
+	}
+	if written := w.sent.written.Load(); written != nil {
+		return now.Sub(*written)
+	}
+	return 0
+}
+
 // due reports whether the upstream is to be asked: after the limit, and then ever more
 // seldom where it says that all is well.
 func (w *wait) due(now time.Time) bool {
-	silence := now.Sub(w.since)
+	silence := w.silence(now)
 	if w.proofs > 0 {
 		return true
 	}
@@ -88,7 +103,7 @@
 	if r.Known {
 		return r.Events > w.came+1
 	}
-	return r.Waiting == 0 && now.Sub(w.since) >= strangeAfter
+	return r.Waiting == 0 && w.silence(now) >= strangeAfter
 }
 
 // suspect is a run that may be on a silent connection.
@@ -119,7 +134,7 @@
 	var missing atomic.Int64
 	var all sync.WaitGroup
 	for _, s := range list {
-		s.wait.asked = time.Since(s.wait.since)
+		s.wait.asked = s.wait.silence(time.Now())
 		all.Go(func() {
 			if r.proveSilent(ctx, s) {
 				missing.Add(1)
@@ -213,5 +228,5 @@
 	r.conns.forget(s.upstream.ID)
 	r.stats.count("connections_silent")
 	r.cfg.Log.Event("run", "silent", Fields{"id": s.exchange.request.id, "upstream": s.upstream.ID,
-		"silent_ms": time.Since(s.wait.since).Milliseconds(), "events": s.wait.came, "made": report.Events, "known": report.Known})
+		"silent_ms": s.wait.silence(time.Now()).Milliseconds(), "events": s.wait.came, "made": report.Events, "known": report.Known})
 }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -252,3 +252,69 @@
 	first, second := <-from, <-from
 	is.True(first != second)
 }
+
+// While a request goes out, its upstream cannot know it, and says nothing.
+func TestARequestThatGoesOutIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	w := wait{since: start, sent: &sending{done: make(chan error, 1)}, limit: time.Second}
+	is.True(!w.due(start.Add(time.Minute)))
+	is.True(!w.missing(start.Add(time.Minute), Report{}))
+	written := start.Add(time.Minute)
+	w.sent.written.Store(&written)
+	is.True(!w.due(written.Add(900 * time.Millisecond)))
+	is.True(!w.missing(written.Add(900*time.Millisecond), Report{}))
+	is.True(w.due(written.Add(time.Second)))
+	is.True(w.missing(written.Add(time.Second), Report{}))
+}
+
+// readSlowly takes a connection's bytes in small steps.
+type readSlowly struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c readSlowly) Read(p []byte) (int, error) {
+	time.Sleep(40 * time.Millisecond)
+	return io.ReadFull(c.Conn, p[:min(len(p), 16<<10)])
+}
+
+// An upstream that reads a large body slowly keeps the run, though it does not know it yet.
+func TestAnUpstreamThatReadsABodySlowlyIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 1<<20)
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				q := stubRequest{Request: r}
+				if r.URL.Path == "/tell" {
+					tell(c, q, Report{})
+					return
+				}
+				left := len(body) - in.Buffered()
+				for slow := (readSlowly{c}); left > 0; {
+					n, err := slow.Read(make([]byte, min(left, 16<<10)))
+					if left -= n; err != nil {
+						return
+					}
+				}
+				startStream(c, q)
+				chunk(c, event(1))
+				chunk(c, "")
+			}()
+		}
+	}()
+	u := &stub{id: "u1", listener: l}
+	b := newBenchWith(t, func(c *Config) { c.Protocol = tellingProtocol() }, u)
+	a := b.do(b.request("POST", "/fixed/x", body, "X-Parts", "1:1000"))
+	is.NoErr(a.err)
+	is.Equal(a.status, 200)
+	is.Equal(a.body, event(1))
+	is.Equal(b.relay.stats.counted("connections_silent"), uint64(0))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,7 +35,7 @@
 		e = x.events
 		e.from(a.body)
 	}
-	x.listen()
+	x.listen(nil)
 	pending, err := e.next()
 	x.heard()
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -58,7 +58,7 @@
 // Read gives the caller's side what comes next of the stream.
 func (x *exchange) Read(p []byte) (int, error) {
 	for len(x.pending) == 0 {
-		x.listen()
+		x.listen(nil)
 		pending, err := x.events.next()
 		x.heard()
 		x.pending = pending
