Take no shortage of memory for a silent connection

Cause: an event that is larger than what is free waits here until memory is given back, with nothing read, while the run still counted as one that waits for its upstream. Shown: an event of 40 KB, the account full for 2 s, a stream that may not be resumed: it broke off. The wait of a run that was ended stayed besides, so that it was ended and counted again at the next look.

The wait now ends while memory is awaited and begins anew after it, and ending a run takes its wait. Both new tests failed before (unexpected EOF; 2 instead of 1). Conclusion: only what an upstream keeps back counts as its silence.

--- a/relay/memory.go
+++ b/relay/memory.go
@@ -79,12 +79,21 @@
 }
 
 // keep charges bytes of an answer to the request's caller. It waits, with nothing read
-// meanwhile, until they fit or the request is given up.
+// meanwhile, until they fit or the request is given up. While nothing is read, the upstream
+// is not waited for: what it has made is held up here.
 func (x *exchange) keep(n int64) error {
-	if x.caller == nil || x.caller.lease.Await(x.ctx, n, wholeShare) {
+	if x.caller == nil || x.caller.lease.Grow(n, wholeShare) {
 		return nil
 	}
-	return errShort
+	waited := x.waits.Load() != nil
+	x.heard()
+	if !x.caller.lease.Await(x.ctx, n, wholeShare) {
+		return errShort
+	}
+	if waited {
+		x.listen(nil)
+	}
+	return nil
 }
 
 // keptReader charges what is read of a body beyond what is free.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -216,7 +216,7 @@
 // connections that rest are dropped as well, so that no other request finds out by itself.
 func (r *Relay) endSilent(s suspect, report Report) {
 	r.mu.Lock()
-	ended := r.runs[s.exchange] == s.conn && s.exchange.waits.Load() == s.wait
+	ended := r.runs[s.exchange] == s.conn && s.exchange.waits.CompareAndSwap(s.wait, nil)
 	if ended {
 		s.exchange.silent.Store(true)
 		_ = s.conn.Close()
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
 )
 
 // tellingProtocol is that of a deployment whose upstreams tell what runs on them.
@@ -318,3 +319,56 @@
 	is.Equal(a.body, event(1))
 	is.Equal(b.relay.stats.counted("connections_silent"), uint64(0))
 }
+
+// An answer that waits here for memory is not missing on its connection.
+func TestShortageOfMemoryIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	large := "id: 2\ndata: " + strings.Repeat("x", 40<<10) + "\n\n"
+	full := make(chan struct{})
+	u := newStub(t, "u1", func(conn net.Conn, r stubRequest) bool {
+		if r.URL.Path == "/tell" {
+			return tell(conn, r, Report{Known: true, Events: 9})
+		}
+		startStream(conn, r)
+		chunk(conn, event(1))
+		<-full
+		chunk(conn, large+event(3))
+		chunk(conn, "")
+		return true
+	})
+	b := newBenchWith(t, func(c *Config) { c.Protocol = tellingProtocol(); c.Memory = 8 << 20 }, u)
+	done := make(chan answered, 1)
+	go func() { done <- b.do(b.request("POST", "/fixed/x", "", "X-Parts", "1:1000")) }()
+	b.until(func() bool { return b.relay.stats.open.Load() == 1 && len(u.requests()) == 1 })
+	others := b.relay.account.Lease()
+	is.True(others.Grow(b.relay.account.Bound()-b.relay.account.Used(), 1))
+	close(full)
+	time.Sleep(2 * time.Second) // an upstream is asked well before that
+	others.Close()
+	a := <-done
+	is.NoErr(a.err)
+	is.Equal(a.body, event(1)+large+event(3))
+	is.Equal(b.relay.stats.counted("connections_silent"), uint64(0))
+}
+
+// A run whose connection has shown to be silent is ended once, also where it is slow to end.
+func TestASilentRunIsEndedOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBenchWith(t, func(c *Config) { c.Protocol = tellingProtocol() })
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	x := &exchange{relay: b.relay, request: &request{prompt: Prompt{Parts: []balance.Part{{}}}}, route: &route.Route{}}
+	c := &conn{Conn: near}
+	b.relay.mu.Lock()
+	b.relay.runs[x] = c
+	b.relay.mu.Unlock()
+	x.listen(nil)
+	s := suspect{exchange: x, conn: c, wait: x.waits.Load()}
+	b.relay.endSilent(s, Report{})
+	b.relay.endSilent(s, Report{})
+	is.Equal(b.relay.stats.counted("connections_silent"), uint64(1))
+	is.Equal(len(b.relay.suspects(time.Now().Add(time.Minute))), 0)
+	b.relay.mu.Lock()
+	delete(b.relay.runs, x)
+	b.relay.mu.Unlock()
+}
