Hold no request for a caller that has left, nor beyond its time

Cause: a request that is held until there is a document was sent on whether or not its caller was still there, and its time began after the hold.

The caller's leaving is now watched while its request is held and ends it with nothing sent; its time runs from its arrival. Both new tests failed without the two changes (10 callers that left: not one seen; 3.7 s at the most of 4 s left after 0.3 s: more). A caller that has sent its next request early is served.

Left: what is held is charged only once it is admitted, as its urgency is not known before.

--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -5,6 +5,7 @@
 // of the budget for sending requests again.
 
 import (
+	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,12 +24,15 @@
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	x, no := r.admit(q)
+	x, no := r.admit(q, ctx.Conn())
 	c := callerOf(ctx)
 	if no == nil && c != nil {
 		no = x.charge(c)
 	}
 	if no != nil {
+		if no.reason == callerLeft {
+			ctx.SetConnectionClose()
+		}
 		r.logRefused(q, *no)
 		r.answerSelf(ctx, q, *no)
 		return
@@ -60,12 +64,17 @@
 	r.stats.count("refused_" + no.reason)
 }
 
-// admit decides whether a request may run at all; the refusal is nil where it may.
-func (r *Relay) admit(q *request) (*exchange, *refusal) {
+// admit decides whether a request may run at all; the refusal is nil where it may. Its time
+// runs from its arrival, also where it is held until there is a document.
+func (r *Relay) admit(q *request, conn net.Conn) (*exchange, *refusal) {
+	arrived := time.Now()
 	if r.ended.Load() {
 		return nil, &refusal{fasthttp.StatusServiceUnavailable, "stopping", comeBackUsual}
 	}
-	doc := r.awaitDocument(q)
+	doc, left := r.awaitDocument(q, conn)
+	if left {
+		return nil, &refusal{status: fasthttp.StatusBadGateway, reason: callerLeft}
+	}
 	if doc == nil {
 		return nil, &refusal{fasthttp.StatusServiceUnavailable, "starting", comeBackStarting}
 	}
@@ -91,7 +100,7 @@
 		customer: customer,
 		service:  rt.Pick(xxhash.Sum64String(q.id)),
 		urgency:  doc.Urgency(rt, customer, r.cfg.Protocol.Priorities),
-		arrived:  time.Now(),
+		arrived:  arrived,
 	}
 	x.end = x.arrived.Add(holdTime(rt, q))
 	return x, nil
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -30,10 +30,13 @@
 	refuse(ctx, no)
 }
 
+// callerLeft is how logs are told of a request whose caller nobody can answer any more.
+const callerLeft = "caller left"
+
 // giveUp is the final answer of a request that no upstream answered.
 func (x *exchange) giveUp(reason string) *refusal {
 	if x.watch.gone.Load() {
-		return &refusal{status: fasthttp.StatusBadGateway, reason: "caller left"}
+		return &refusal{status: fasthttp.StatusBadGateway, reason: callerLeft}
 	}
 	late := errors.Is(x.ctx.Err(), context.DeadlineExceeded)
 	switch {
--- a/relay/starting.go
+++ b/relay/starting.go
@@ -5,6 +5,7 @@
 // it is true.
 
 import (
+	"net"
 	"time"
 
 	"github.com/doormast/doormast/route"
@@ -19,12 +20,13 @@
 	startShare = 4
 )
 
-// awaitDocument returns the document in force; nil where none comes in time. Callers of a box
-// that has just started have mostly been cut off by its end, and their next attempt is often the
-// last: a refusal that comes 0.2 s before the box could serve loses the request.
-func (r *Relay) awaitDocument(q *request) *route.Document {
+// awaitDocument returns the document in force; nil where none comes in time, or the caller, whose
+// connection is given, leaves before. Callers of a box that has just started have mostly been cut
+// off by its end, and their next attempt is often the last: a refusal that comes 0.2 s before the
+// box could serve loses the request.
+func (r *Relay) awaitDocument(q *request, conn net.Conn) (doc *route.Document, left bool) {
 	if d := r.belief.document(); d != nil {
-		return d
+		return d, false
 	}
 	hold := startHold
 	if q.timeLeft > 0 {
@@ -33,9 +35,13 @@
 	r.stats.count("held_starting")
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
+	gone := make(chan struct{})
+	watch := watchLeave(conn, func() { close(gone) })
 	select {
 	case <-r.belief.known:
 	case <-timer.C:
+	case <-gone:
 	}
-	return r.belief.document()
+	watch.stop()
+	return r.belief.document(), watch.gone.Load()
 }
--- a/relay/starting_test.go
+++ b/relay/starting_test.go
@@ -1,8 +1,14 @@
 package relay
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -40,3 +46,64 @@
 	is.Equal(b.held(), uint64(1))
 	is.Equal(len(s.requests()), 0)
 }
+
+// A request whose caller leaves while it is held is sent nowhere.
+func TestARequestThatIsHeldEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	s := newStub(t, "u1", answerOK("fine"))
+	b := newBench(t)
+	b.list(s, false)
+	b.until(func() bool { return b.known() == 1 })
+	const callers = 10
+	for i := range callers {
+		c := b.dialBox()
+		_, err := io.WriteString(c, lines(fmt.Sprintf("/once/%d", i), ""))
+		is.NoErr(err)
+		b.until(func() bool { return b.held() == uint64(i+1) })
+		is.NoErr(c.Close())
+	}
+	b.until(func() bool { return b.relay.stats.counted("refused_"+callerLeft) == callers })
+	b.board.set("document", testDocument(1), false)
+	is.Equal(b.do(b.request("POST", "/once/a", "")).status, 200)
+	is.Equal(len(s.requests()), 1)
+}
+
+// The time that a request is held comes out of its own.
+func TestARequestIsNotHeldLongerThanItsTime(t *testing.T) {
+	is := is.New(t)
+	s := newStub(t, "u1", answerOK("fine"))
+	b := newBench(t)
+	b.list(s, false)
+	b.until(func() bool { return b.known() == 1 })
+	got := make(chan answered, 1)
+	go func() { got <- b.do(b.request("POST", "/once/a", "", "X-Left", "4000")) }()
+	b.until(func() bool { return b.held() == 1 })
+	time.Sleep(300 * time.Millisecond) // it is held for as long
+	b.board.set("document", testDocument(1), false)
+	is.Equal((<-got).status, 200)
+	left, err := strconv.Atoi(s.requests()[0].Header.Get("X-Left"))
+	is.NoErr(err)
+	is.True(left <= 3700)
+}
+
+// A caller that sent its next request early has not left.
+func TestARequestThatIsHeldBeforeAnother(t *testing.T) {
+	is := is.New(t)
+	s := newStub(t, "u1", answerOK("fine"))
+	b := newBench(t)
+	b.list(s, false)
+	b.until(func() bool { return b.known() == 1 })
+	c := b.dialBox()
+	_, err := io.WriteString(c, lines("/once/a", "")+lines("/once/b", ""))
+	is.NoErr(err)
+	b.until(func() bool { return b.held() == 1 })
+	b.board.set("document", testDocument(1), false)
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -132,7 +132,7 @@
 	if x.outcome == "" {
 		x.outcome = "broken off"
 		if x.watch.gone.Load() {
-			x.outcome = "caller left"
+			x.outcome = callerLeft
 		}
 		if x.caller != nil && x.caller.cut.Load() {
 			x.outcome = "caller does not read"
