group: a new lead goes by what it knew until it is told

Cause: a box that took over as its domain's lead added up what it had been told as a lead, which was nothing. It named itself to the other leads only if those had been named in the last 3 s, so that they told it a beat later or more, and sent its members a whole list of its part of the truth.

What it knew as a member counts, less what has been told; members are told only once they have told; the sums of its domain and region are handed on once they are whole. All known leads get its first beat. It is not informed until then, for 3 s at most. A member tells a new lead anew.

--- a/group/audience.go
+++ b/group/audience.go
@@ -77,9 +77,6 @@
 		due: never, whole: never, wholeAt: never, heard: make(map[string]uint64)}
 }
 
-// forgetAudiences is of a box that does not lead any more.
-func (n *Node) forgetAudiences() { n.audiences = audiences{} }
-
 // listen brings up to date who is told what, and lists the audiences that have boxes.
 func (n *Node) listen(now time.Duration) []*audience {
 	a := &n.audiences
@@ -88,8 +85,9 @@
 		a.far, a.inland = newAudience(toFar, scopeRegion), newAudience(toFar, scopeBeyond)
 	}
 	s := &n.sums
-	a.members.value = func(key balance.LoadKey) balance.Load { return s.domain[key].Plus(s.region[key]).Plus(s.beyond[key]) }
-	a.members.list, a.members.peers = s.all, n.members(now)
+	a.members.value = s.at
+	a.members.list = s.all
+	a.members.peers = slices.DeleteFunc(n.members(now), func(p *peer) bool { return !n.hasTold(p) })
 	a.near.value = func(key balance.LoadKey) balance.Load { return s.domain[key] }
 	a.near.list, a.near.peers = func() Loads { return s.domain }, n.nearLeads(now)
 	list := []*audience{a.members, a.near}
@@ -100,7 +98,7 @@
 		a.inland.list, a.inland.peers = func() Loads { return s.beyond }, a.near.peers
 		list = append(list, a.far, a.inland)
 	}
-	return slices.DeleteFunc(list, func(a *audience) bool { return len(a.peers) == 0 })
+	return slices.DeleteFunc(list, func(a *audience) bool { return len(a.peers) == 0 || !n.tellable(a) })
 }
 
 func anyPeer(*peer) bool { return true }
--- a/group/count.go
+++ b/group/count.go
@@ -12,12 +12,13 @@
 func (n *Node) Known() bool { return n.most > 0 }
 
 // Informed reports whether this box knows what the others have under way: there are none, or it has
-// run for long enough to be told and hears of one who tells it.
+// run for long enough to be told and hears of one who tells it; one that has just begun to lead has
+// been told by all whose loads it adds up.
 func (n *Node) Informed(now time.Duration) bool {
 	if n.most <= 1 && n.alone() {
 		return true
 	}
-	if now-n.started < n.cfg.Timing.Settle {
+	if now-n.started < n.cfg.Timing.Settle || n.inherits != nil {
 		return false
 	}
 	for _, p := range n.peers {
--- a/group/hear.go
+++ b/group/hear.go
@@ -40,7 +40,7 @@
 		n.noteListed(now, b)
 	}
 	n.most = max(n.most, int(m.AllBoxes))
-	n.takeLoads(p, m)
+	n.takeLoads(now, p, m)
 	n.takeLanes(now, p, m)
 	n.takeClasses(now, p, m)
 	n.answer(now, m, p)
@@ -70,7 +70,7 @@
 	n.reaches[b.Address] = ReachOf(n.cfg.Self, b)
 	switch {
 	case p == nil:
-		p = &peer{box: b, heard: never, named: never, classesAt: never}
+		p = &peer{box: b, heard: never, named: never, classesAt: never, loadsAt: never, regionAt: never, beyondAt: never}
 		n.peers[b.Name], n.chosen = p, nil
 	case b.Boot < p.box.Boot:
 		return nil
@@ -92,7 +92,7 @@
 	if now-n.peers[b.Name].heard < n.cfg.Timing.Member {
 		return nil
 	}
-	p := &peer{box: b, heard: never, named: never, classesAt: never}
+	p := &peer{box: b, heard: never, named: never, classesAt: never, loadsAt: never, regionAt: never, beyondAt: never}
 	n.peers[b.Name], n.chosen = p, nil
 	return p
 }
--- a/group/load.go
+++ b/group/load.go
@@ -41,7 +41,7 @@
 		n.tellLoadsAsLead(now)
 		return
 	}
-	n.forgetAudiences()
+	n.stepDown()
 	if p := n.peers[n.lead().Name]; p != nil && p.leads && n.worthTelling(now, p) {
 		n.tellAll(now, p)
 	}
@@ -49,6 +49,8 @@
 
 // tellLoadsAsLead adds up anew what boxes have told, and tells it.
 func (n *Node) tellLoadsAsLead(now time.Duration) {
+	n.takeOver(now)
+	n.settleInheritance(now)
 	n.sums = n.sumLoads(now)
 	n.setOthers(without(n.sums.all(), n.loads))
 	for _, a := range n.listen(now) {
@@ -61,14 +63,18 @@
 func (n *Node) gone(now time.Duration, p *peer) bool { return now-p.heard > n.cfg.Timing.Member }
 
 // loadSums are loads by where the boxes are that have them.
-type loadSums struct{ domain, region, beyond Loads } // region: its other domains; beyond: other regions
+type loadSums struct {
+	domain, region, beyond Loads // region: its other domains; beyond: other regions
+	rest                   Loads // inherited, of boxes whose loads the others do not hold yet
+}
 
-// all adds up the three.
+// all adds up the four.
 func (s loadSums) all() Loads {
 	all := make(Loads, len(s.domain))
 	addLoads(all, s.domain)
 	addLoads(all, s.region)
 	addLoads(all, s.beyond)
+	addLoads(all, s.rest)
 	return all
 }
 
@@ -103,7 +109,11 @@
 // sumLoads adds up all loads.
 func (n *Node) sumLoads(now time.Duration) loadSums {
 	from := n.loadSources(now)
-	return loadSums{sumOf(from.domain), sumOf(from.region), sumOf(from.beyond)}
+	s := loadSums{domain: sumOf(from.domain), region: sumOf(from.region), beyond: sumOf(from.beyond), rest: make(Loads)}
+	if n.inherits != nil {
+		s.rest = without(n.inherits.others, without(s.all(), n.loads))
+	}
+	return s
 }
 
 func sumOf(lists []Loads) Loads {
@@ -114,12 +124,22 @@
 	return sum
 }
 
-// renew adds up some loads anew.
-func (s *loadSums) renew(from sources, keys map[balance.LoadKey]struct{}) {
-	for key := range keys {
+// at is one of all loads.
+func (s loadSums) at(key balance.LoadKey) balance.Load {
+	return s.domain[key].Plus(s.region[key]).Plus(s.beyond[key]).Plus(s.rest[key])
+}
+
+// renewSums adds up anew the loads that have changed.
+func (n *Node) renewSums(now time.Duration) {
+	s, from := &n.sums, n.loadSources(now)
+	for key := range n.changed {
 		setLoad(s.domain, key, sumAt(from.domain, key))
 		setLoad(s.region, key, sumAt(from.region, key))
 		setLoad(s.beyond, key, sumAt(from.beyond, key))
+		delete(s.rest, key)
+		if n.inherits != nil {
+			setLoad(s.rest, key, n.inherits.others[key].Minus(s.at(key).Minus(n.loads[key])))
+		}
 	}
 }
 
@@ -157,7 +177,7 @@
 }
 
 // takeLoads takes in what a peer tells.
-func (n *Node) takeLoads(p *peer, m *wire.GroupMessage) {
+func (n *Node) takeLoads(now time.Duration, p *peer, m *wire.GroupMessage) {
 	if !m.HasLoads {
 		return
 	}
@@ -165,10 +185,13 @@
 	switch {
 	case m.Scope == scopeRegion:
 		n.replaceLoads(&p.region, l)
+		p.regionAt = now
 	case m.Scope == scopeBeyond:
 		n.replaceLoads(&p.beyond, l)
+		p.beyondAt = now
 	case !m.Leads || !n.sameDomain(p):
 		n.replaceLoads(&p.loads, l)
+		p.loadsAt = now
 	case p.box.Name != n.lead().Name: // only the lead's count
 	case m.Whole && p.told:
 		n.setOthers(without(l, p.toldLoads))
--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -98,14 +98,14 @@
 
 // flushAsLead takes what has changed into the sums, and tells it.
 func (n *Node) flushAsLead(now time.Duration) {
+	n.takeOver(now)
 	if n.sums.domain == nil {
 		n.sums = n.sumLoads(now)
 	}
-	n.sums.renew(n.loadSources(now), n.changed)
+	n.renewSums(now)
 	list := n.listen(now)
 	for key := range n.changed {
-		all := n.sums.domain[key].Plus(n.sums.region[key]).Plus(n.sums.beyond[key])
-		n.setOther(key, all.Minus(n.loads[key]))
+		n.setOther(key, n.sums.at(key).Minus(n.loads[key]))
 		for _, a := range list {
 			a.changed[key] = struct{}{}
 		}
--- a/group/node.go
+++ b/group/node.go
@@ -101,9 +101,12 @@
 	beats    int    // that it was sent
 	toldList uint64 // digest of the boxes it was last told
 
-	loads     Loads                // its own, or its domain's where it leads another one
-	region    Loads                // the sum of its region, where it leads another one
-	beyond    Loads                // the sum of all other regions, where it leads this box's
+	loads     Loads         // its own, or its domain's where it leads another one
+	region    Loads         // the sum of its region, where it leads another one
+	beyond    Loads         // the sum of all other regions, where it leads this box's
+	loadsAt   time.Duration // when these were told whole
+	regionAt  time.Duration
+	beyondAt  time.Duration
 	told      bool                 // as this box's lead, it was told all loads of this box
 	toldLoads Loads                // and knows these
 	toldAt    time.Duration        // when it was told all
@@ -160,6 +163,9 @@
 	sums      loadSums                     // of a lead: what boxes have told it
 	changed   map[balance.LoadKey]struct{} // of a lead: what has changed since they were told
 	audiences audiences                    // of a lead
+	leading   bool                         // it has begun to lead
+	greets    bool                         // of a lead: its first beat is due, to all leads that it knows
+	inherits  *inheritance                 // of a lead: what it goes by until all have told; nil: they have
 	flushed   time.Duration                // when changes were last told
 	looked    time.Duration                // when what waits to be told was last looked at
 	news      Loads                        // what has changed in others and was not drained yet
--- a/group/talk.go
+++ b/group/talk.go
@@ -50,7 +50,7 @@
 func (n *Node) watchLead(now time.Duration) {
 	lead := n.lead()
 	if lead.Name != n.leadName {
-		n.leadName, n.waitsFrom = lead.Name, now
+		n.follow(now, lead.Name)
 	}
 	p := n.peers[lead.Name]
 	if p == nil {
@@ -58,13 +58,21 @@
 	}
 	if now-max(p.heard, n.waitsFrom) > n.cfg.Timing.Silence {
 		p.silent, n.chosen = true, nil
-		n.leadName, n.waitsFrom = n.lead().Name, now
+		n.follow(now, n.lead().Name)
 		if n.Leads() {
 			n.lastBeat = never // the others are to know at once
 		}
 	}
 }
 
+// follow notes who leads from now on: what that one was told when it led before is old.
+func (n *Node) follow(now time.Duration, name string) {
+	n.leadName, n.waitsFrom = name, now
+	if p := n.peers[name]; p != nil {
+		p.told, p.toldLoads = false, nil
+	}
+}
+
 // heardLead is when the present lead was heard last.
 func (n *Node) heardLead() time.Duration {
 	if p := n.peers[n.lead().Name]; p != nil && p.leads {
@@ -99,7 +107,7 @@
 		m.Classes = n.classesFor(p, classes)
 		n.send(p.box.Address, m)
 	}
-	n.lists = nil
+	n.lists, n.greets = nil, false
 	if !foreign {
 		n.hail(now)
 	}
@@ -120,14 +128,15 @@
 	return heard
 }
 
-// wantsBeat reports whether a box of another domain gets a beat: those that led one when they
+// wantsBeat reports whether a box of another domain gets a beat. All leads do that a new one knows
+// of, as it has never heard them and is to be told what they have under way; else those that led one when they
 // were last heard do seldom, or not at all where another one leads it now. After many boxes
 // have started at once, most have led their domain for a moment.
 func (n *Node) wantsBeat(now time.Duration, p *peer, heard map[string]bool) bool {
 	switch {
 	case !p.leads:
 		return false
-	case !n.gone(now, p) || now-p.named < n.cfg.Timing.Member && p.heard < 0:
+	case n.greets || !n.gone(now, p) || now-p.named < n.cfg.Timing.Member && p.heard < 0:
 		return true
 	}
 	return !heard[p.box.Domain] && n.beats%silentEvery == 0
