group: a sum stands until the next lead has told it whole

Cause: the first change that a new lead told passed for its domain's or region's sum, and a lead that was heard displaced the one before although it had told nothing; one that began to speak for its region forgot what the former had told of others.

A list of 500 stays when a stronger lead's first change comes. No audience is told changes before a whole list.

--- a/group/audience.go
+++ b/group/audience.go
@@ -93,16 +93,14 @@
 	list := []*audience{a.members, a.near}
 	if n.regionLead(now) == n.cfg.Self {
 		a.far.value = func(key balance.LoadKey) balance.Load { return s.domain[key].Plus(s.region[key]) }
-		a.far.list, a.far.peers = func() Loads { return sumOf([]Loads{s.domain, s.region}) }, n.regionLeads(now, anyPeer)
+		a.far.list, a.far.peers = func() Loads { return sumOf([]Loads{s.domain, s.region}) }, n.regionLeads(now)
 		a.inland.value = func(key balance.LoadKey) balance.Load { return s.beyond[key] }
 		a.inland.list, a.inland.peers = func() Loads { return s.beyond }, a.near.peers
 		list = append(list, a.far, a.inland)
 	}
-	return slices.DeleteFunc(list, func(a *audience) bool { return len(a.peers) == 0 || !n.tellable(a) })
+	return slices.DeleteFunc(list, func(a *audience) bool { return len(a.peers) == 0 || !n.tellable(now, a) })
 }
 
-func anyPeer(*peer) bool { return true }
-
 // tellWhole tells all there is to those that were not told yet, and, where it is due, to all.
 func (a *audience) tellWhole(n *Node, now time.Duration) {
 	l := rounded(a.list())
--- a/group/hear.go
+++ b/group/hear.go
@@ -33,6 +33,9 @@
 	p.heard, p.silent, p.leaving = now, false, m.Leaving
 	p.leads, p.reads, p.knows = m.Leads, m.Reads, m.Revision > 0
 	n.hearReading(now, m)
+	if !m.Leads && !n.sameDomain(p) {
+		p.loadsAt, p.regionAt, p.beyondAt = never, never, never // it speaks for others no more
+	}
 	if m.Leads {
 		p.boxes = int(m.DomainBoxes)
 	}
--- a/group/kept.go
+++ b/group/kept.go
@@ -130,7 +130,7 @@
 	if n.regionLead(now) != n.cfg.Self {
 		return
 	}
-	n.sendKept(n.regionLeads(now, anyPeer), list, scopeRegion, func(k keptNews) bool { return k.reach != ReachFar && !k.final })
+	n.sendKept(n.regionLeads(now), list, scopeRegion, func(k keptNews) bool { return k.reach != ReachFar && !k.final })
 	n.sendKept(near, list, scopeBeyond, func(k keptNews) bool { return k.reach == ReachFar })
 }
 
--- a/group/load.go
+++ b/group/load.go
@@ -50,6 +50,7 @@
 // tellLoadsAsLead adds up anew what boxes have told, and tells it.
 func (n *Node) tellLoadsAsLead(now time.Duration) {
 	n.takeOver(now)
+	n.noteSpeaker(now)
 	n.settleInheritance(now)
 	n.sums = n.sumLoads(now)
 	n.setOthers(without(n.sums.all(), n.loads))
@@ -89,6 +90,7 @@
 		switch {
 		case n.gone(now, p):
 			p.loads, p.region, p.beyond = nil, nil, nil
+			p.loadsAt, p.regionAt, p.beyondAt = never, never, never
 		case n.sameDomain(p):
 			s.domain = append(s.domain, p.loads)
 		}
@@ -96,13 +98,7 @@
 	for _, p := range n.domainLeads(now) {
 		s.region = append(s.region, p.loads)
 	}
-	if lead := n.regionLead(now); lead != n.cfg.Self {
-		s.beyond = []Loads{n.peers[lead.Name].beyond}
-		return s
-	}
-	for _, p := range n.regionLeads(now, func(p *peer) bool { return p.region != nil }) {
-		s.beyond = append(s.beyond, p.region)
-	}
+	s.beyond = n.beyondSources(now)
 	return s
 }
 
--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -99,6 +99,7 @@
 // flushAsLead takes what has changed into the sums, and tells it.
 func (n *Node) flushAsLead(now time.Duration) {
 	n.takeOver(now)
+	n.noteSpeaker(now)
 	if n.sums.domain == nil {
 		n.sums = n.sumLoads(now)
 	}
@@ -112,7 +113,9 @@
 	}
 	clear(n.changed)
 	for _, a := range list {
-		a.tellChanges(n, now)
+		if a.wholeAt != never { // changes alone would pass for the whole
+			a.tellChanges(n, now)
+		}
 	}
 }
 
--- a/group/node.go
+++ b/group/node.go
@@ -158,17 +158,20 @@
 	reaches  map[string]Reach   // by address
 	out      []Outgoing
 
-	loads     Loads                        // this box's own
-	others    Loads                        // all other boxes'
-	sums      loadSums                     // of a lead: what boxes have told it
-	changed   map[balance.LoadKey]struct{} // of a lead: what has changed since they were told
-	audiences audiences                    // of a lead
-	leading   bool                         // it has begun to lead
-	greets    bool                         // of a lead: its first beat is due, to all leads that it knows
-	inherits  *inheritance                 // of a lead: what it goes by until all have told; nil: they have
-	flushed   time.Duration                // when changes were last told
-	looked    time.Duration                // when what waits to be told was last looked at
-	news      Loads                        // what has changed in others and was not drained yet
+	loads       Loads                        // this box's own
+	others      Loads                        // all other boxes'
+	sums        loadSums                     // of a lead: what boxes have told it
+	changed     map[balance.LoadKey]struct{} // of a lead: what has changed since they were told
+	audiences   audiences                    // of a lead
+	leading     bool                         // it has begun to lead
+	hasFollowed bool                         // it has followed another lead
+	greets      bool                         // of a lead: its first beat is due, to all leads that it knows
+	speaker     string                       // of a lead: who speaks for its region
+	speaksFrom  time.Duration                // since when
+	inherits    *inheritance                 // of a lead: what it goes by until all have told; nil: they have
+	flushed     time.Duration                // when changes were last told
+	looked      time.Duration                // when what waits to be told was last looked at
+	news        Loads                        // what has changed in others and was not drained yet
 
 	ownLanes balance.LanePlan // as this box would divide services
 	lanes    balance.LanePlan // as the lead it follows does
--- a/group/takeover.go
+++ b/group/takeover.go
@@ -27,15 +27,19 @@
 	if n.leading {
 		return
 	}
-	n.leading, n.greets = true, true
-	n.lastBeat = never // those who are to tell are to know at once
-	n.sums = loadSums{}
+	n.leading = true
+	n.sums, n.speaker = loadSums{}, ""
+	if !n.hasFollowed {
+		return // it has just started
+	}
+	n.greets, n.lastBeat = true, never // those who are to tell are to know at once
 	n.inherits = &inheritance{at: now, others: maps.Clone(n.others)}
 }
 
 // stepDown ends leading.
 func (n *Node) stepDown() {
-	n.leading, n.greets, n.inherits = false, false, nil
+	n.leading, n.hasFollowed = false, true
+	n.greets, n.inherits = false, nil
 	n.audiences = audiences{}
 }
 
@@ -46,7 +50,7 @@
 		return
 	}
 	h.domain = n.membersTold(now, h.at)
-	h.region = n.eachTold(now, func(p *peer) string { return p.box.Domain },
+	h.region = n.eachTold(now, domainOf,
 		func(p *peer) bool { return n.sameRegion(p.box) }, func(p *peer) bool { return p.loadsAt >= h.at })
 	h.beyond = n.beyondTold(now, h.at)
 	if h.domain && h.region && h.beyond || now-h.at >= n.cfg.Timing.Member {
@@ -87,10 +91,9 @@
 
 // beyondTold reports whether the loads of other regions were told since a moment.
 func (n *Node) beyondTold(now, since time.Duration) bool {
-	region := func(p *peer) string { return p.box.Region }
 	foreign := func(p *peer) bool { return !n.sameRegion(p.box) }
 	lead := n.peers[n.regionLead(now).Name]
-	return n.eachTold(now, region, foreign, func(p *peer) bool {
+	return n.eachTold(now, regionOf, foreign, func(p *peer) bool {
 		if lead != nil {
 			return lead.beyondAt >= since
 		}
@@ -99,9 +102,11 @@
 }
 
 // tellable narrows what a lead tells whom to what it knows whole.
-func (n *Node) tellable(a *audience) bool {
+func (n *Node) tellable(now time.Duration, a *audience) bool {
 	h := n.inherits
 	switch {
+	case a == n.audiences.inland && n.awaitsRegions(now):
+		return false
 	case h == nil || a == n.audiences.members:
 		return true
 	case a == n.audiences.near:
--- a/group/takeover_test.go
+++ b/group/takeover_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
 )
 
 // openOthers is how many requests a box believes the others have under way.
@@ -74,11 +75,80 @@
 	w.run(time.Second)
 	is.True(n.Informed(w.now))
 	w.boxes[boxName(0, 0)].dead = true
-	for !n.Leads() {
+	for !n.leading {
 		w.run(step)
 	}
-	w.run(tickStep * step)
 	is.True(!n.Informed(w.now))
 	w.run(DefaultTiming.Member)
 	is.True(n.Informed(w.now))
 }
+
+// Those who hear of a domain or a region from its lead go by what the former one told until the
+// next one has told all.
+func TestOthersKeepASumUntilTheNextLeadTellsAll(t *testing.T) {
+	is := is.New(t)
+	w := across(t, 1, layout{6, 3}, 78)
+	w.loadEach()
+	w.run(14 * time.Second)
+	w.boxes[boxName(0, 0)].dead = true // of region 0, the strongest of all
+	before := 4 * (len(w.names) - 1)
+	for range 80 {
+		w.run(50 * time.Millisecond)
+		for _, box := range []string{boxName(3, 0), boxName(3, 4), boxName(1, 0), boxName(1, 4), boxName(4, 4)} {
+			if got := w.openOthers(box); got < before-4 || got > before {
+				t.Errorf("%v: %s believes %d, want %d to %d", w.now, box, got, before-4, before)
+			}
+		}
+	}
+	is.Equal(w.openOthers(boxName(1, 4)), before-4)
+}
+
+// The first change of a lead that has told nothing whole displaces nobody's sum.
+func TestAChangeIsNoSum(t *testing.T) {
+	is := is.New(t)
+	n := nodeWith(3)
+	n.cfg.Self.Region, n.cfg.Self.Boot = "here", 1
+	lead := func(name string, strength uint32) *wire.GroupMessage {
+		box := &wire.GroupBox{Name: name, Domain: "x", Region: "there", Strength: strength, Boot: 1, Address: name}
+		return &wire.GroupMessage{Sender: box, Leads: true}
+	}
+	now := 10 * time.Second
+	for range 40 {
+		now += tickStep * step
+		n.Tick(now)
+	}
+	first := lead("a", 10)
+	first.HasLoads, first.Scope, first.Columns = true, scopeRegion, packColumns(Loads{{Upstream: 1}: {Open: 10}, {Upstream: 2}: {Open: 500}})
+	n.Handle(now, first)
+	n.Tick(now)
+	is.Equal(n.Others()[balance.LoadKey{Upstream: 2}].Open, 500)
+	n.Handle(now, lead("b", 20))
+	n.Handle(now, &wire.GroupMessage{Sender: &wire.GroupBox{Name: "b", Boot: 1}, HasLoads: true, Partial: true, Scope: scopeRegion,
+		Columns: packColumns(Loads{{Upstream: 1}: {Open: 11}})})
+	n.Tick(now)
+	is.Equal(n.Others()[balance.LoadKey{Upstream: 2}].Open, 500)
+}
+
+// A lead tells no changes to those whom it has told no whole list yet.
+func TestTheWholeGoesBeforeChanges(t *testing.T) {
+	is := is.New(t)
+	w := across(t, 3, layout{6, 3}, 18)
+	w.loadEach()
+	w.run(5 * time.Second)
+	n := w.boxes[boxName(0, 0)].node
+	n.audiences = audiences{}
+	n.SetLoads(Loads{{Upstream: 1}: {Open: 1}})
+	n.FlushLoads(w.now + time.Second)
+	out, _ := n.Drain()
+	is.Equal(len(out), 0)
+	n.Tick(w.now + time.Second)
+	out, _ = n.Drain()
+	whole := 0
+	for _, o := range out {
+		is.True(!o.Message.Partial)
+		if o.Message.HasLoads {
+			whole++
+		}
+	}
+	is.True(whole > 0)
+}
