group: a box that joins is told of a load that returns

Cause: a box that was told the present list between two whole ones knew loads that differ from what the audience had been told; one that returned to the latter was no change, and the box kept the other for up to 10 s.

Shown: 384,000 tokens held told to the joining box, 128,000 to the rest; the return to 128,000 was told to nobody. Now it goes with the next changes: where the two lists differ, the load is owed whatever the thresholds.

--- a/group/audience.go
+++ b/group/audience.go
@@ -61,6 +61,7 @@
 	peers   []*peer
 	told    Loads                        // what they were told last
 	changed map[balance.LoadKey]struct{} // what may differ from that
+	owed    map[balance.LoadKey]struct{} // what some were told otherwise
 	due     time.Duration                // when changes may be told again
 	whole   time.Duration                // when all is told again
 	wholeAt time.Duration                // when it was told last
@@ -73,7 +74,7 @@
 
 // newAudience makes an audience that was told nothing yet.
 func newAudience(t telling, scope uint32) *audience {
-	return &audience{telling: t, scope: scope, told: make(Loads), changed: make(map[balance.LoadKey]struct{}),
+	return &audience{telling: t, scope: scope, told: make(Loads), changed: make(map[balance.LoadKey]struct{}), owed: make(map[balance.LoadKey]struct{}),
 		due: never, whole: never, wholeAt: never, heard: make(map[string]uint64)}
 }
 
@@ -104,10 +105,11 @@
 // tellWhole tells all there is to those that were not told yet, and, where it is due, to all.
 func (a *audience) tellWhole(n *Node, now time.Duration) {
 	l := rounded(a.list())
-	a.noteDifferences(l)
+	a.noteDifferences(l, a.changed)
 	if now < a.whole {
 		if fresh := a.fresh(); len(fresh) > 0 {
 			a.send(n, fresh, a.wholeMessage(n, now, l))
+			a.noteDifferences(l, a.owed) // one that returns to what the rest were told is a change for these
 		}
 		return
 	}
@@ -118,6 +120,7 @@
 	a.send(n, a.peers, m)
 	a.told, a.wholeAt = l, now
 	clear(a.changed)
+	clear(a.owed)
 	a.whole = now + min(max(n.cfg.Timing.Beat, a.pauseFor(m)*time.Duration(1/wholeShare)), wholeMost)
 }
 
@@ -134,15 +137,15 @@
 }
 
 // noteDifferences notes where a list differs from what was told.
-func (a *audience) noteDifferences(l Loads) {
+func (a *audience) noteDifferences(l Loads, differ map[balance.LoadKey]struct{}) {
 	for key, load := range l {
 		if a.told[key] != load {
-			a.changed[key] = struct{}{}
+			differ[key] = struct{}{}
 		}
 	}
 	for key := range a.told {
 		if _, still := l[key]; !still {
-			a.changed[key] = struct{}{}
+			differ[key] = struct{}{}
 		}
 	}
 }
@@ -206,6 +209,7 @@
 		told[c.key] = c.load
 		setLoad(a.told, c.key, c.load)
 		delete(a.changed, c.key)
+		delete(a.owed, c.key)
 	}
 	m := n.changesMessage(told)
 	m.Scope = a.scope
@@ -218,7 +222,10 @@
 	var list []change
 	for key := range a.changed {
 		load, told := roundedLoad(a.value(key)), a.told[key]
+		_, owed := a.owed[key]
 		switch {
+		case owed:
+			list = append(list, change{key, load, weightOf(told, load)})
 		case load == told:
 			delete(a.changed, key)
 		case a.matters(told, load):
--- /dev/null
+++ b/group/audience_test.go
@@ -0,0 +1,44 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
+)
+
+// audienceOf is an audience of some boxes that are told a list.
+func audienceOf(t telling, list Loads, names ...string) *audience {
+	a := newAudience(t, scopeDomain)
+	a.list = func() Loads { return list }
+	a.value = func(key balance.LoadKey) balance.Load { return list[key] }
+	for _, name := range names {
+		a.peers = append(a.peers, &peer{box: &wire.GroupBox{Name: name, Address: name, Boot: 1}})
+	}
+	return a
+}
+
+// A box that is told all between two whole lists is told too of a load that returns to what
+// the others were told.
+func TestABoxThatJoinsIsToldWhatReturns(t *testing.T) {
+	is := is.New(t)
+	n := nodeWith(3)
+	key := balance.LoadKey{Upstream: 1}
+	was := balance.Load{Unread: 6400, Open: 10, Held: 128000}
+	list := Loads{key: was}
+	now := 10 * time.Second
+	a := audienceOf(toNear, list, "a")
+	a.tellWhole(n, now)
+	list[key] = balance.Load{Unread: 6400, Open: 30, Held: 384000}
+	a.peers = audienceOf(toNear, list, "a", "b").peers
+	a.tellWhole(n, now)
+	list[key] = was
+	n.Drain()
+	a.tellChanges(n, now+flushPause)
+	out, _ := n.Drain()
+	is.Equal(len(out), 2)
+	is.Equal(loadsOf(out[1].Message), Loads{key: was})
+}
