group: what is held is told whatever its share

Cause: between domains a change of the tokens held was kept back up to 10 in 100 for each upstream, urgency and audience, which is the whole spare room that placement leaves of an upstream's memory.

Shown: 400,000 tokens held, a change of 4,096 was not told; now 4,096 tokens alone decide, either way.

--- a/group/audience.go
+++ b/group/audience.go
@@ -29,7 +29,7 @@
 	pause time.Duration // the least between two messages of changes
 	rows  int           // the most loads that such a message names
 	// The least differences that are worth telling before the next whole list, in tokens and
-	// requests, and the share of what was told that one has to be besides.
+	// requests, and the share of what was told that one has to be besides, but for what is held.
 	unread, open, held int
 	share              float64
 }
@@ -248,7 +248,8 @@
 	}
 	far := func(x, y, least int) bool { return distance(x, y) >= max(least, int(a.share*float64(x))) }
 	return far(told.Unread, load.Unread, a.unread) || far(told.Open, load.Open, a.open) ||
-		far(told.Tight, load.Tight, a.open) || far(told.Held, load.Held, a.held)
+		far(told.Tight, load.Tight, a.open) ||
+		distance(told.Held, load.Held) >= a.held // a share would use up the spare room that placement keeps
 }
 
 // requestTokens is how many tokens a request counts as where differences are compared, and
--- a/group/audience_test.go
+++ b/group/audience_test.go
@@ -42,3 +42,16 @@
 	is.Equal(len(out), 2)
 	is.Equal(loadsOf(out[1].Message), Loads{key: was})
 }
+
+// Between domains what is held is told from 4,096 tokens on, however much is held: placement
+// leaves a tenth of the memory free, which a share would use up.
+func TestWhatIsHeldIsToldWhateverItsShare(t *testing.T) {
+	is := is.New(t)
+	for _, tell := range []telling{toNear, toFar} {
+		a := audienceOf(tell, nil)
+		told := balance.Load{Open: 32, Held: 400_000}
+		is.True(a.matters(told, balance.Load{Open: 32, Held: 400_000 + 4096}))
+		is.True(a.matters(told, balance.Load{Open: 32, Held: 400_000 - 4096}))
+		is.True(!a.matters(told, balance.Load{Open: 32, Held: 400_000 + 4095}))
+	}
+}
