relay: a reading that hangs when it is no longer needed is no failure

Cause: a reading of everything that another box made needless ended with its page's own error where the page hung, so that a box that knew all was marked as one that cannot read, and the publisher as lost.

Shown: a page that hangs until its time-out with the cause ErrNotNeeded gave the time-out's error; now it gives ErrNotNeeded, which is passed over. A reading that ends since the box ends is told as before.

--- a/relay/reader.go
+++ b/relay/reader.go
@@ -92,6 +92,9 @@
 	}
 	r.items, r.revision, r.err = m.relay.cfg.Publisher.Everything(ctx)
 	m.goesOn = r.err != nil
+	if r.err != nil && errors.Is(context.Cause(ctx), mirror.ErrNotNeeded) {
+		r.err = mirror.ErrNotNeeded // however the page under way ended: a box that knows is none that cannot read
+	}
 }
 
 // untilKnown ends with ctx, or when another box has told this one what is published: after all
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -46,3 +46,24 @@
 		is.True(fourth.known > third.known) // it began by itself
 	}
 }
+
+// hanging is a publisher whose page fails some time after what it would tell is known.
+type hanging struct{ flaky }
+
+// Everything implements mirror.Publisher.
+func (h *hanging) Everything(ctx context.Context) ([]mirror.Item, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, errors.New("time-out")
+}
+
+// A reading that hangs, and fails after another box has told all, is none that failed.
+func TestAReadingThatHangsIsNotNeeded(t *testing.T) {
+	is := is.New(t)
+	m := &members{relay: &Relay{start: time.Now(), cfg: Config{Publisher: &hanging{}}}, known: make(chan struct{})}
+	close(m.known)
+	is.Equal(m.callPublisher(context.Background()).err, mirror.ErrNotNeeded)
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	m.known = make(chan struct{})
+	is.True(!errors.Is(m.callPublisher(ctx).err, mirror.ErrNotNeeded)) // the box ends
+}
