A copy at the newest revision keeps nothing that went

Cause: a box that starts again reads everything into an empty copy and told what it had learned as the changes behind revision 0. A box with an older copy took them, and its revision became the newest with items in it that had gone: a withdrawn evacuation stayed in force, and an upstream whose entry went stayed listed, until the next whole reading.

--- a/group/published.go
+++ b/group/published.go
@@ -135,7 +135,7 @@
 func (n *Node) sendItems(now time.Duration, to string, from uint64, changes []mirror.Item) {
 	m := n.message(now)
 	items, size := pack(changes)
-	if size > maxItems {
+	if size > maxItems || from == 0 { // what a box with an empty copy has learned tells nothing of what went
 		m.Pull = true
 	} else {
 		m.From, m.Items = from, items
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -73,9 +73,10 @@
 }
 
 // Apply takes the changes behind from, up to a revision, and returns what is new.
-// It reports false, and takes nothing, if the copy lacks changes before them.
+// It reports false, and takes nothing, if the copy lacks changes before them, or if they are all
+// that an empty copy has learned: those say nothing of what went.
 func (m *Mirror) Apply(from, to uint64, items []Item) ([]Item, bool) {
-	if from > m.revision || m.revision == 0 {
+	if from > m.revision || from == 0 {
 		return nil, false
 	}
 	var changes []Item
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -107,3 +107,16 @@
 		}
 	})
 }
+
+// What an empty copy has learned names what there is, and nothing that went: taken for the changes
+// behind revision 0, it left a copy at the newest revision with an item that was gone.
+func TestWhatAnEmptyCopyLearnedIsNoChange(t *testing.T) {
+	is := is.New(t)
+	kept, fresh := New(), New()
+	kept.Load([]Item{{Key: "a", Revision: 1}, {Key: "gone", Revision: 2}}, 2)
+	learned := fresh.Load([]Item{{Key: "a", Revision: 1}}, 3)
+	is.Equal(len(learned), 1)
+	_, ok := kept.Apply(0, fresh.Revision(), learned)
+	is.True(!ok)
+	is.Equal(kept.Revision(), uint64(2)) // it still knows that it lacks something
+}
