--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -40,6 +40,7 @@
 	byDomain bool          // it was only left along with its domain, when it last came to be out
 	since    time.Duration // when it was first listed
 	key      uint32        // of its life
+	history  *history
 	tight    bool          // it is in the lane for tight streams
 	moved    time.Duration // when it came into its lane from the other
 
@@ -91,8 +92,9 @@
 	rate      float64                 // prompt tokens that an upstream reads in a ms
 	listed    time.Duration           // when the first upstream was
 
-	evacuated  map[string]bool // failure domains
-	part       float64         // of an upstream's memory that this box may fill: 1 where it knows of the others
+	histories  map[uint32]*history // by key of the life
+	evacuated  map[string]bool     // failure domains
+	part       float64             // of an upstream's memory that this box may fill: 1 where it knows of the others
 	sharers    Sharers
 	cold       []*member // those that are, and some that were
 	sharedAnew bool      // what the rations depend on has changed
@@ -116,6 +118,7 @@
 		waiting:   make(map[string]*Upstream),
 		lives:     make(map[string]lastLife),
 		gone:      make(map[string]*member),
+		histories: make(map[uint32]*history),
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
--- a/balance/list.go
+++ b/balance/list.go
@@ -88,6 +88,7 @@
 		f.listed = now
 	}
 	m := &member{Upstream: u, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	m.history = f.historyOf(m.key)
 	f.recall(m)
 	f.takeWork(m)
 	f.noteAddress(m)
@@ -133,6 +134,7 @@
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 	f.cold = slices.DeleteFunc(f.cold, isIt)
+	f.forgetHistories(f.latest)
 }
 
 // free gives an address that nobody has any more to the one that is next for it.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -53,6 +53,7 @@
 	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight, Held: t.held})
 	t.fleet.sent(now, t.member, t.request)
 	t.member.noteCold(now)
+	t.member.history.note(now)
 }
 
 // Opened is when the request was counted.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,8 +98,9 @@
 	mu         sync.Mutex // guards what follows, up to finding
 	fleet      *balance.Fleet
 	budget     *balance.Budget
-	endedUnder balance.Suspects    // requests that upstreams ended under
-	runs       map[*exchange]*conn // the connections on which requests run
+	endedUnder balance.Suspects         // requests that upstreams ended under
+	named      map[balance.Life]float64 // limits, requests a second
+	runs       map[*exchange]*conn      // the connections on which requests run
 	// Lives of which it is being found out whether they have ended; closed when that is known.
 	finding map[balance.Life]chan struct{}
 
@@ -128,6 +129,7 @@
 		ends:       make(chan string, maxDuties),
 		pullClient: newPullClient(),
 		trials:     make(chan struct{}, 1),
+		named:      make(map[balance.Life]float64),
 		runs:       make(map[*exchange]*conn),
 		finding:    make(map[balance.Life]chan struct{}),
 		stats:      newStats(),
