--- a/relay/fatal_test.go
+++ b/relay/fatal_test.go
@@ -176,15 +176,15 @@
 }
 
 // peerOf starts another box of the group, before the same upstreams.
-func (m *mortals) peerOf(first *wire.GroupBox) *bench {
-	m.t.Helper()
-	b := newBenchWith(m.t, func(c *Config) {
-		c.Publisher = m.b.board
-		joins(m.t, c, "second", first.Address)
+func (b *bench) peerOf(self *wire.GroupBox) *bench {
+	b.t.Helper()
+	other := newBenchWith(b.t, func(c *Config) {
+		c.Publisher = b.board
+		joins(b.t, c, "second", self.Address)
 	})
-	b.board = m.b.board
-	b.until(func() bool { return b.relay.Ready() && b.relay.boxes() == 2 && m.b.relay.boxes() == 2 })
-	return b
+	other.board = b.board
+	other.until(func() bool { return other.relay.Ready() && other.relay.boxes() == 2 && b.relay.boxes() == 2 })
+	return other
 }
 
 // joins makes a box one of a group.
@@ -212,7 +212,7 @@
 		joins(t, c, "first")
 		self = c.Self
 	})
-	second := m.peerOf(self)
+	second := m.b.peerOf(self)
 	status := 0
 	for n := 0; n < 40 && status != http.StatusServiceUnavailable; n++ {
 		status = m.b.do(m.b.request(http.MethodPost, "/safe/x", fatalBody, "X-Id", fmt.Sprint("first-", n))).status
