--- a/balance/allowed.go
+++ b/balance/allowed.go
@@ -221,10 +221,10 @@
 // wanted is until when places are kept for requests of each urgency; 0: they are not.
 type wanted [Levels]time.Duration
 
-// keepForUrgent notes that a request of an urgency got no place since upstreams take no more: until the
-// span is over, the few places are kept from those that are less urgent.
+// keepForUrgent notes that a request of an urgency got no place since upstreams take no more: until a
+// place has come free and a caller that was refused may be back, the few that there are are kept from those that are less urgent.
 func (f *Fleet) keepForUrgent(now time.Duration, r Request) {
-	f.serviceOf(r.Service).wanted[r.level()] = now + f.cfg.Named.Span + mostOnWay
+	f.serviceOf(r.Service).wanted[r.level()] = now + f.cfg.Named.Span + 2*mostOnWay
 }
 
 // keptFor reports whether places are kept from requests of an urgency for more urgent ones.
--- a/balance/namednews.go
+++ b/balance/namednews.go
@@ -2,7 +2,7 @@
 
 // This file defines what boxes tell each other of limits that upstreams name. The invariants: boxes that
 // hear each other come to hold the same limits, whatever order they are told in; and no limit is ended by what
-// another box told unless it says that its request was sent later.
+// another box told unless that box sent its request later, as far as ages tell.
 
 import (
 	"encoding/binary"
@@ -14,14 +14,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// toldAbout is how far the times of two answers must lie apart, as boxes tell each other of them, for one to
-	// be the later.
-	toldAbout = time.Second
-	// toldLate is how long a message may have been under way: by so much the end of a limit may seem to be
-	// newer than it is.
-	toldLate = 300 * time.Millisecond
-)
+// toldAbout is how far the times of two answers must lie apart, as boxes tell each other of them, for one to
+// be the later: messages take a while.
+const toldAbout = time.Second
 
 // Named is what a box knows of the limit of an upstream, as boxes tell each other of it. Times are ages.
 type Named struct {
@@ -99,7 +94,7 @@
 // merge takes in what another box knows of the same life.
 func (x *named) merge(now time.Duration, t Named) {
 	if t.HasEnded {
-		x.ended = max(x.ended, now-t.Ended-toldLate)
+		x.ended = max(x.ended, now-t.Ended)
 	}
 	read, since := now-t.Read, now-t.Since
 	switch {
--- a/group/hear.go
+++ b/group/hear.go
@@ -50,6 +50,7 @@
 	for _, b := range m.Boxes {
 		n.noteListed(now, b)
 	}
+	n.takeSharers(now, p, m)
 	n.most = max(n.most, int(m.AllBoxes))
 	n.takeLoads(now, p, m)
 	n.takeLanes(now, p, m)
@@ -123,6 +124,9 @@
 	case m.Hello:
 		reply := n.message(now)
 		reply.Boxes = n.listFor(p.box.Domain, now)
+		if n.Leads() && n.sameDomain(p) {
+			reply.Sharers = n.packSharers(now)
+		}
 		reply.Classes = n.classesFor(p, n.packClasses(now))
 		n.send(p.box.Address, reply)
 	case m.Leads && n.sameDomain(p) && n.Leads():
--- a/group/limit_replay_test.go
+++ b/group/limit_replay_test.go
@@ -128,7 +128,7 @@
 		}
 		f := d.fleetOf(name)
 		if (int(now/step)+i)%tickStep == 0 {
-			f.SetSharers(balance.Sharers{Box: name, Boxes: b.node.Sharers(now)})
+			f.SetSharers(b.node.Sharers(now))
 			f.SetBoxes(b.node.Boxes(), true)
 			f.ForgetNamed(now)
 			b.node.SetLimits(f.NamedAll(now))
--- a/group/node.go
+++ b/group/node.go
@@ -179,6 +179,8 @@
 
 	ownClasses []balance.ClassSeen // that this box sees
 
+	sharers map[uint32]time.Duration // by hash of a box's name: when the lead told of it
+
 	suspects spread[balance.Suspect] // requests that upstreams end under
 	limits   spread[balance.Named]   // limits that upstreams name
 
@@ -217,6 +219,7 @@
 		changed:      make(map[balance.LoadKey]struct{}),
 		others:       make(Loads),
 		news:         make(Loads),
+		sharers:      make(map[uint32]time.Duration),
 	}
 	if !cfg.FirstStart {
 		n.hail(now) // callers wait: those who are there are to answer at once
--- a/group/sharers_test.go
+++ b/group/sharers_test.go
@@ -22,14 +22,14 @@
 	w := newWorld(t, 1)
 	w.fleet(2, 4)
 	w.run(time.Second)
-	is.Equal(w.boxes[boxName(0, 2)].node.Sharers(w.now), nil) // it has just started
+	is.Equal(w.boxes[boxName(0, 2)].node.Sharers(w.now).Boxes, nil) // it has just started
 	w.run(4 * time.Second)
 	for i := range 4 {
-		is.Equal(len(w.boxes[boxName(0, i)].node.Sharers(w.now)), 4)
+		is.Equal(len(w.boxes[boxName(0, i)].node.Sharers(w.now).Boxes), 4)
 	}
 	w.boxes[boxName(0, 3)].dead = true
 	w.run(time.Minute + 15*time.Second)
-	is.Equal(len(w.boxes[boxName(0, 0)].node.Sharers(w.now)), 3) // it is forgotten after a while
+	is.Equal(len(w.boxes[boxName(0, 0)].node.Sharers(w.now).Boxes), 3) // it is forgotten after a while
 }
 
 func TestABoxThatHearsOfNobodySharesInNothing(t *testing.T) {
@@ -38,18 +38,27 @@
 	w.seeds = []string{"nobody"}
 	b := w.start("lonely", "domain0", 1, false)
 	w.run(10 * time.Second)
-	is.Equal(b.node.Sharers(w.now), nil)
+	is.Equal(b.node.Sharers(w.now).Boxes, nil)
 }
 
-func TestOfManyBoxesTheStrongestShare(t *testing.T) {
+// A domain has more boxes than a message names: all share all the same, and all know of the same.
+func TestAllOfManyBoxesShare(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3)
 	w.fleet(1, 60)
 	w.run(8 * time.Second)
-	strongest := w.boxes[boxName(0, 5)].node.Sharers(w.now)
-	is.Equal(len(strongest), maxListed)
-	is.Equal(strongest, w.boxes[boxName(0, 20)].node.Sharers(w.now))
-	is.Equal(w.boxes[boxName(0, 59)].node.Sharers(w.now), nil)
+	all := w.boxes[boxName(0, 5)].node.Sharers(w.now).Boxes
+	is.Equal(len(all), 60)
+	for i := range 60 {
+		s := w.boxes[boxName(0, i)].node.Sharers(w.now)
+		is.Equal(s.Boxes, all)
+		is.True(slices.Contains(all, s.Box))
+	}
+	w.boxes[boxName(0, 59)].dead = true
+	w.run(sharesFor + 2*listedFor*DefaultTiming.Member + 5*time.Second) // the lead goes on naming it, and tells so later
+	for i := range 59 {
+		is.Equal(len(w.boxes[boxName(0, i)].node.Sharers(w.now).Boxes), 59) // it is forgotten after a while
+	}
 }
 
 // Boxes are killed, started, frozen and cut off with their domain, messages are lost, and
@@ -105,7 +114,7 @@
 		}
 		f := balance.NewFleet(balance.Config{Domain: b.self.Domain, Tuning: balance.DefaultTuning})
 		f.SetCold("s", balance.Cold{Lasts: time.Minute, Most: most})
-		f.SetSharers(balance.Sharers{Box: name, Boxes: b.node.Sharers(w.now)})
+		f.SetSharers(b.node.Sharers(w.now))
 		f.Put(0, balance.Upstream{ID: upstream, Service: "s", Domain: domainName(0), Slots: 8, ColdFor: time.Minute})
 		f.Put(0, balance.Upstream{ID: "other", Service: "s", Domain: domainName(1), Slots: 8, Leaving: true})
 		for range most {
--- a/group/talk.go
+++ b/group/talk.go
@@ -4,6 +4,7 @@
 // sends it, up to which revision it knows what is published, and how old that is.
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
@@ -105,7 +106,8 @@
 		}
 		foreign = foreign || !n.sameDomain(p) && now-p.heard < n.cfg.Timing.Member
 		m := n.message(now)
-		m.Boxes = n.listIfNew(p, now)
+		list := n.listIfNew(p, now)
+		m.Boxes, m.Sharers = list.boxes, list.sharers
 		m.Classes = n.classesFor(p, classes)
 		n.send(p.box.Address, m)
 	}
@@ -150,12 +152,13 @@
 
 // boxList is the boxes that a domain should know, with a digest of them.
 type boxList struct {
-	boxes  []*wire.GroupBox
-	digest uint64
+	boxes   []*wire.GroupBox
+	sharers []uint32
+	digest  uint64
 }
 
-// listIfNew is the list for a peer, or nil if it knows it.
-func (n *Node) listIfNew(p *peer, now time.Duration) []*wire.GroupBox {
+// listIfNew is the list for a peer, or an empty one if it knows it.
+func (n *Node) listIfNew(p *peer, now time.Duration) boxList {
 	of := p.box.Domain
 	if !n.sameDomain(p) {
 		of = "" // its members know each other: it is told of leads alone
@@ -166,6 +169,12 @@
 		for _, b := range l.boxes {
 			l.digest += xxhash.Sum64String(b.Name) ^ b.Boot // in no order
 		}
+		if n.sameDomain(p) {
+			l.sharers = n.packSharers(now)
+		}
+		for _, key := range l.sharers {
+			l.digest += weighKey(key)
+		}
 		if n.lists == nil {
 			n.lists = make(map[string]boxList)
 		}
@@ -173,10 +182,15 @@
 	}
 	p.beats++
 	if p.toldList == l.digest && p.beats%listEvery != 0 {
-		return nil
+		return boxList{}
 	}
 	p.toldList = l.digest
-	return l.boxes
+	return l
+}
+
+// weighKey spreads a hash over a digest.
+func weighKey(key uint32) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint32(nil, key))
 }
 
 // hail asks the seeds who is there.
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -6,8 +6,6 @@
 
 import (
 	"time"
-
-	"github.com/doormast/doormast/balance"
 )
 
 // syncFleet hands the node what this box has under way and has sent to upstreams, and the
@@ -15,7 +13,7 @@
 func (m *members) syncFleet() {
 	m.relay.mu.Lock()
 	defer m.relay.mu.Unlock()
-	m.relay.fleet.SetSharers(balance.Sharers{Box: m.relay.cfg.Self.Name, Boxes: m.node.Sharers(m.relay.now())})
+	m.relay.fleet.SetSharers(m.node.Sharers(m.relay.now()))
 	m.relay.fleet.Told(m.relay.now(), m.node.Confirmed())
 	m.relay.fleet.SetBoxes(m.node.Boxes(), m.node.Informed(m.relay.now()))
 	m.node.SetLoads(m.relay.fleet.Loads())
