--- a/group/sharers_test.go
+++ b/group/sharers_test.go
@@ -62,8 +62,9 @@
 }
 
 // Boxes are killed, started, frozen and cut off with their domain, messages are lost, and
-// still all boxes together may never send a cold upstream more than it bears.
-func TestNoScheduleExceedsWhatAColdUpstreamBears(t *testing.T) {
+// still all boxes together may never send a cold upstream more than it bears, nor one that names a limit more
+// than its bound.
+func TestNoScheduleExceedsWhatUpstreamsBear(t *testing.T) {
 	const (
 		domains, boxes = 2, 9
 		most           = 12
@@ -98,6 +99,11 @@
 				if sum := w.rations(upstream, most); sum > most {
 					t.Fatalf("%d of %d may be sent to %s", sum, most, upstream)
 				}
+				for _, limit := range []float64{0, 0.5, 1, 3.3, 20} {
+					if sum := w.limitRations(upstream, limit); sum > allowed(limit) {
+						t.Fatalf("%d of %d may be sent to %s, which names %v a second", sum, allowed(limit), upstream, limit)
+					}
+				}
 			}
 		}
 	})
@@ -127,6 +133,25 @@
 	return sum
 }
 
+// limitRations adds up what the living boxes may send to an upstream of the first domain that names a limit.
+func (w *world) limitRations(upstream string, perSecond float64) int {
+	sum := 0
+	for _, name := range w.names {
+		b := w.boxes[name]
+		if b.dead {
+			continue
+		}
+		f := balance.NewFleet(balance.Config{Domain: b.self.Domain, Tuning: balance.DefaultTuning, Named: boundsOfDay,
+			Regions: map[string]string{domainName(0): "r", domainName(1): "r"}})
+		f.SetSharers(b.node.Sharers(w.now))
+		f.Put(0, balance.Upstream{ID: upstream, Service: "s", Domain: domainName(0), Slots: 8})
+		f.Says(time.Second, balance.Life{ID: upstream}, balance.Statement{Named: true, PerSecond: perSecond, Read: time.Second})
+		l, _ := f.Limit(time.Second, upstream)
+		sum += l.Ration
+	}
+	return sum
+}
+
 // What is published once and taken away again, such as that a domain is evacuated, is in force
 // everywhere within the bound both times, though the publisher forgets its history in between
 // or turns the reader away.
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/wire"
 )
 
@@ -122,3 +125,171 @@
 	t.Logf("%d requests by the second box, %d in %v", all-before, most, allowedSpan)
 	is.True(float64(most) <= allowedTimes*allowedSpan.Seconds()*1+allowedSlack)
 }
+
+func TestWhatALimitIsReadAs(t *testing.T) {
+	nothing, none := limitSaid{}, limitSaid{read: true}
+	named := func(perSecond float64) limitSaid { return limitSaid{read: true, named: true, perSecond: perSecond} }
+	for _, c := range []struct {
+		name    string
+		headers []string
+		want    limitSaid
+	}{
+		{"no header", nil, none},
+		{"a whole number", []string{"3"}, named(3)},
+		{"a decimal one", []string{" 3.25 "}, named(3.25)},
+		{"nothing may be sent", []string{"0"}, named(0)},
+		{"next to nothing", []string{"0.01"}, named(0.01)},
+		{"huge", []string{"1" + strings.Repeat("0", 400)}, named(balance.NoLimit)},
+		{"empty", []string{""}, nothing},
+		{"a point alone", []string{"."}, nothing},
+		{"two points", []string{"1.2.3"}, nothing},
+		{"below 0", []string{"-1"}, nothing},
+		{"a sign", []string{"+1"}, nothing},
+		{"an exponent", []string{"1e3"}, nothing},
+		{"hexadecimal", []string{"0x10"}, nothing},
+		{"infinite", []string{"inf"}, nothing},
+		{"not a number", []string{"NaN"}, nothing},
+		{"a unit", []string{"3/s"}, nothing},
+		{"a list", []string{"3, 4"}, nothing},
+		{"the lower of two", []string{"4", "3"}, named(3)},
+		{"the one that can be read", []string{"many", "3"}, named(3)},
+		{"the one that can be read, before", []string{"3", "many"}, named(3)},
+		{"none that can be read", []string{"many", "more"}, nothing},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var h fasthttp.ResponseHeader
+			h.DisableNormalizing()
+			for i, value := range c.headers {
+				h.Add([]string{"X-Limit", "x-limit"}[i], value)
+			}
+			is.Equal(limitIn(&h, "X-Limit"), c.want)
+		})
+	}
+}
+
+// limitOf is what a box keeps to.
+func (b *bench) limitOf(id string) (balance.LimitOf, bool) {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	return b.relay.fleet.Limit(b.relay.now(), id)
+}
+
+// answerNaming answers with headers besides.
+func answerNaming(status string, headers ...string) func(net.Conn, stubRequest) bool {
+	return func(c net.Conn, r stubRequest) bool {
+		say(c, fmt.Sprintf("HTTP/1.1 %s\nX-Id: %s\nX-Sign: s\n%s\nContent-Length: 4\n\nwell", status, r.Header.Get("X-Id"), strings.Join(headers, "\n")))
+		return true
+	}
+}
+
+// All upstreams take nothing: who is refused hears it at once, with when to come back; and operators see why.
+func TestWhereAllUpstreamsTakeNoMoreCallersHearItAtOnce(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerNaming("200 OK", "X-Limit: 0"))
+	b := newBench(t, u)
+	got := b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", "first"))
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.header.Get("X-Limit"), "0") // the answer is passed on as it came
+	got = b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", "second"))
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.True(strings.Contains(got.body, limitReason))
+	is.True(strings.Contains(got.body, `"ran":"no"`))
+	is.Equal(len(u.requests()), 1)
+	is.Equal(b.relay.stats.counted(heldBack), uint64(1))
+	rows := b.relay.state().Upstreams
+	is.Equal(len(rows), 1)
+	is.True(rows[0].Limit != nil)
+	is.Equal(rows[0].Limit.PerSecond, 0.0)
+	is.Equal(rows[0].Limit.Span, uint64(10*time.Second/time.Microsecond))
+}
+
+// What names no limit, or none that can be read, is believed of nobody, whoever wrote it.
+func TestWhoseLimitIsBelieved(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script func(net.Conn, stubRequest) bool
+		known  bool
+	}{
+		{"an answer's", answerNaming("200 OK", "x-limit: 7"), true},
+		{"a failure's", answerNaming("500 Broken", "X-Limit: 7"), true},
+		{"a refusal's", answerNaming("503 Full", "X-Not-Run: 1", "X-Limit: 7"), true},
+		{"another start's", answerNaming("421 Other", "X-Not-Run: 1", "X-Started: next", "X-Limit: 7"), false},
+		{"one that cannot be read", answerNaming("200 OK", "X-Limit: -7"), false},
+		{"the caller's", answerOK("well"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newStub(t, "u", c.script)
+			b := newBench(t, u)
+			b.do(b.request(http.MethodPost, "/once/x", "x", "X-Limit", "7"))
+			is.Equal(u.requests()[0].Header.Get("X-Limit"), "7") // a caller's header goes on like any other
+			l, known := b.limitOf("u")
+			is.Equal(known, c.known)
+			if known {
+				is.Equal(l.PerSecond, 7.0)
+			}
+		})
+	}
+}
+
+// Another start under the same id has named nothing, and one whose limit has ended gets requests again.
+func TestALimitIsThatOfALife(t *testing.T) {
+	is := is.New(t)
+	n := newNeedy(t, "0")
+	b := newBench(t, n.list...)
+	n.untilNamed(b)
+	_, known := b.limitOf("u0")
+	is.True(known)
+	u := balance.Upstream{ID: "u0", Born: 5, Service: "s", Address: n.list[0].listener.Addr().String(), Domain: "d", Slots: 8}
+	b.board.set("u0", u, false)
+	b.until(func() bool { return b.log.contains(`"msg":"upstream: started again"`) })
+	_, known = b.limitOf("u0")
+	is.True(!known)
+}
+
+// Calls of the box's own tell of limits as well; that such an answer names none ends none, since nothing says that
+// it would.
+func TestWhatAnswersToCallsSayOfLimits(t *testing.T) {
+	is := is.New(t)
+	limit := "X-Limit: 7"
+	u := newStub(t, "u", func(c net.Conn, r stubRequest) bool { return answerNaming("200 OK", limit)(c, r) })
+	b := newBench(t, u)
+	call := func() {
+		_, _, err := b.relay.call(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+		is.NoErr(err)
+	}
+	call()
+	l, known := b.limitOf("u")
+	is.True(known)
+	is.Equal(l.PerSecond, 7.0)
+	limit = "X-Other: 7"
+	call()
+	_, known = b.limitOf("u")
+	is.True(known)
+	b.until(func() bool { // a box that has just started has no part
+		l, _ := b.limitOf("u")
+		return l.Ration > 0
+	})
+	b.do(b.request(http.MethodPost, "/safe/x", "x"))
+	_, known = b.limitOf("u")
+	is.True(!known) // an answer to a request does
+}
+
+// A connection on which nothing was sent, since its upstream takes no more, can be used again.
+func TestAConnectionThatWasNotUsedIsKept(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerOK("well"))
+	b := newBench(t, u)
+	to := *b.relay.fleet.Get("u")
+	c, err := b.relay.conns.get(t.Context(), to, "s")
+	is.NoErr(err)
+	for range 3 {
+		b.relay.conns.putBack(c)
+		again, err := b.relay.conns.get(t.Context(), to, "s")
+		is.NoErr(err)
+		is.True(again == c)
+	}
+	b.relay.conns.drop(c)
+}
