--- a/soak/box.go
+++ b/soak/box.go
@@ -49,9 +49,10 @@
   "listen": {"callers": %q, "ready": %q, "control": %q, "metrics": %q, "ip": %q},
   "platform": %q, "seeds": [%s], "peer_ports": [%d], "memory_mb": 256, "cpu_share": 0.5, "link_mbps": 100,
   "bounds": {"grace_s": 8, "retry_ratio": %v, "retry_slack": %d, "retry_window_s": 10, "document_ms": 2000,
-    "cold_overshoot": %v, "cold_slack": %d}}`,
+    "cold_overshoot": %v, "cold_slack": %d, "limit_span_s": %v, "limit_overshoot": %v, "limit_slack": %d}}`,
 		b.name, b.domain, first, b.at(portCallers), b.at(portReady), b.at(portControl), b.at(portMetrics), b.ip,
-		b.world.storeGate[b.name].address(), seeds, portPeers, ratioTop, slackTop, coldOvershoot, coldSlack)
+		b.world.storeGate[b.name].address(), seeds, portPeers, ratioTop, slackTop, coldOvershoot, coldSlack,
+		limitSpan.Seconds(), limitOvershoot, limitSlack)
 	b.settings = filepath.Join(b.world.cfg.Dir, b.name+".json")
 	return os.WriteFile(b.settings, []byte(text), 0o644)
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -28,30 +28,30 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		b := w.boxes[(n+i/20)%len(w.boxes)]
-		w.request(client, b.callers, fmt.Sprintf("r%d-%d", n, i), paths[(n+i)%len(paths)])
+		w.request(client, b, fmt.Sprintf("r%d-%d", n, i), paths[(n+i)%len(paths)])
 		time.Sleep(callerPause)
 	}
 }
 
-func (w *world) request(client *http.Client, address, id, path string) {
+func (w *world) request(client *http.Client, b *box, id, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 	defer cancel()
 	if rand.IntN(25) == 0 { // it leaves early
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(rand.IntN(40))*time.Millisecond)
 		defer cancel()
 	}
-	w.sendWithin(ctx, client, address, id, path+id, strings.Repeat("body of "+id+" ", 1+rand.IntN(500)))
+	w.sendWithin(ctx, client, b, id, path+id, strings.Repeat("body of "+id+" ", 1+rand.IntN(500)))
 }
 
 // send sends a request and checks its answer.
-func (w *world) send(client *http.Client, address, id, path, body string) {
+func (w *world) send(client *http.Client, b *box, id, path, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 	defer cancel()
-	w.sendWithin(ctx, client, address, id, path, body)
+	w.sendWithin(ctx, client, b, id, path, body)
 }
 
-func (w *world) sendWithin(ctx context.Context, client *http.Client, address, id, path, body string) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
+func (w *world) sendWithin(ctx context.Context, client *http.Client, b *box, id, path, body string) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.callers+path, strings.NewReader(body))
 	if err != nil {
 		w.ledger.violate("%s: %v", id, err)
 		return
@@ -61,12 +61,13 @@
 	r.Header.Set(words.RequestID, id)
 	r.Header.Set(words.Key, goodKey)
 	r.Header.Set(words.TimeLeft, fmt.Sprint(callerWait.Milliseconds()))
-	w.ledger.asked(id, path, body)
+	w.ledger.asked(id, path, body, b)
 	resp, err := client.Do(r)
 	if err != nil {
 		return // no answer promises nothing
 	}
 	defer func() { _ = resp.Body.Close() }()
+	w.noteTold(b, resp.Header)
 	got, err := io.ReadAll(resp.Body)
 	w.check(id, path, resp, string(got), err == nil)
 	w.ledger.told(id, resp.StatusCode, err == nil)
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -30,15 +30,14 @@
 type fatal struct {
 	mu       sync.Mutex
 	ended    int
-	third    time.Time       // when the third upstream ended
-	late     int             // times it was sent after that by boxes in touch
-	askedAt  map[string]*box // by id of the request
-	disturbs map[*box]int    // faults under way
+	third    time.Time    // when the third upstream ended
+	late     int          // times it was sent after that by boxes in touch
+	disturbs map[*box]int // faults under way
 	calmFrom map[*box]time.Time
 }
 
 func newFatal() *fatal {
-	return &fatal{askedAt: make(map[string]*box), disturbs: make(map[*box]int), calmFrom: make(map[*box]time.Time)}
+	return &fatal{disturbs: make(map[*box]int), calmFrom: make(map[*box]time.Time)}
 }
 
 // hit notes that a fault begins to disturb a box; what it returns ends that.
@@ -54,16 +53,25 @@
 	}
 }
 
+// inTouch reports whether no fault has hit a box lately. The caller holds mu.
+func (f *fatal) inTouch(b *box) bool {
+	return f.disturbs[b] == 0 && time.Since(f.calmFrom[b]) >= contact
+}
+
+// isHit reports whether a fault hits a box, or did lately.
+func (f *fatal) isHit(b *box) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.inTouch(b)
+}
+
 // callFatal sends the request until ctx ends.
 func (w *world) callFatal(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	for i := 0; ctx.Err() == nil; i++ {
 		b := w.boxes[i%len(w.boxes)]
 		id := fmt.Sprint("fatal", i)
-		w.fatal.mu.Lock()
-		w.fatal.askedAt[id] = b
-		w.fatal.mu.Unlock()
-		w.send(client, b.callers, id, fatalPath, fatalBody)
+		w.send(client, b, id, fatalPath, fatalBody)
 		time.Sleep(fatalPause)
 	}
 }
@@ -77,8 +85,8 @@
 	if f.ended == fatalFrom {
 		f.third = now
 	}
-	b := f.askedAt[id]
-	if f.ended <= fatalFrom || now.Sub(f.third) < contact || f.disturbs[b] > 0 || now.Sub(f.calmFrom[b]) < contact {
+	b := l.boxOf(id)
+	if f.ended <= fatalFrom || now.Sub(f.third) < contact || !f.inTouch(b) {
 		return
 	}
 	if f.late++; f.late > moreAtMost {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -96,6 +96,7 @@
 			}
 		}
 	}},
+	{"let an upstream name a limit", nameLimit},
 	{"forget the store's history", func(w *world) func() { w.store.Forget(); return nil }},
 	{"change the document", func(w *world) func() {
 		w.document.Version += 1 + uint64(w.random.IntN(3))
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -14,6 +14,7 @@
 type entry struct {
 	path     string
 	body     string
+	box      *box // that it was sent to
 	runs     int
 	arrivals int
 	promised bool // its caller was told that it has not run
@@ -44,10 +45,20 @@
 }
 
 // asked notes a request that a caller is about to send.
-func (l *ledger) asked(id, path, body string) {
+func (l *ledger) asked(id, path, body string, b *box) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries[id] = &entry{path: path, body: body}
+	l.entries[id] = &entry{path: path, body: body, box: b}
+}
+
+// boxOf is the box that a request was sent to; nil where nobody sent it.
+func (l *ledger) boxOf(id string) *box {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[id]; e != nil {
+		return e.box
+	}
+	return nil
 }
 
 // arrived checks what reached an upstream.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/doormast/doormast/balance"
@@ -70,7 +71,9 @@
 	document  route.Document
 	faults    []string
 	fatal     *fatal
-	returning chan *upstream // that ended under the fatal request, and are to be followed by others
+	mu        sync.Mutex           // guards lives
+	lives     map[string]*upstream // by id, the last one
+	returning chan *upstream       // that ended under the fatal request, and are to be followed by others
 }
 
 const (
@@ -112,7 +115,7 @@
 	}
 	defer func() { _ = guard.Close() }()
 	w := &world{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), began: time.Now(), ledger: newLedger(), storeGate: make(map[string]*gate),
-		fatal: newFatal(), returning: make(chan *upstream, returningMost)}
+		fatal: newFatal(), lives: make(map[string]*upstream), returning: make(chan *upstream, returningMost)}
 	defer w.close()
 	if err := w.start(); err != nil {
 		return nil, err
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -26,6 +26,7 @@
 	gate       *gate
 	server     *http.Server
 	coldTill   time.Time
+	need       *need
 
 	mu   sync.Mutex
 	runs map[string]int // events made, by request
@@ -46,13 +47,28 @@
 		return err
 	}
 	u := &upstream{id: fmt.Sprintf("u%d-%d", i, w.started), domain: domain(i), born: time.Now().UnixMilli(), world: w, gate: g,
-		coldTill: time.Now().Add(cold), runs: make(map[string]int)}
+		coldTill: time.Now().Add(cold), need: w.newNeed(), runs: make(map[string]int)}
 	u.serve(l)
+	w.noteUpstream(u)
 	w.upstreams = append(w.upstreams, u)
 	w.list(u, false)
 	return nil
 }
 
+// noteUpstream notes the present life of an upstream.
+func (w *world) noteUpstream(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lives[u.id] = u
+}
+
+// upstreamOf is the last life of an upstream; nil where there was none.
+func (w *world) upstreamOf(id string) *upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lives[id]
+}
+
 func (u *upstream) serve(l net.Listener) {
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
 	go func() { _ = u.server.Serve(l) }()
@@ -78,8 +94,9 @@
 		return err
 	}
 	u := &upstream{id: before.id, domain: before.domain, born: max(time.Now().UnixMilli(), before.born+1), world: w, gate: before.gate,
-		runs: make(map[string]int)}
+		need: w.newNeed(), runs: make(map[string]int)}
 	u.serve(l)
+	w.noteUpstream(u)
 	w.upstreams[i] = u
 	w.list(u, false)
 	return nil
@@ -109,11 +126,14 @@
 		return // it broke off before it was whole
 	}
 	u.world.ledger.arrived(u, id, string(body), r.Header.Get(words.Customer), r.Header.Get(words.Instance))
-	switch luck := rand.IntN(100); {
-	case r.Header.Get(words.Instance) != u.id:
+	if r.Header.Get(words.Instance) != u.id {
 		w.Header().Set(words.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	}
+	u.need.reached(u, u.world.ledger.boxOf(id))
+	u.need.put(w.Header())
+	switch luck := rand.IntN(100); {
 	case string(body) == fatalBody:
 		u.world.fatal.sentTo(u.world.ledger, id)
 		u.world.endUnder(u)
