--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,7 +29,7 @@
 	}
 	for i, s := range seeds {
 		report, err := Run(context.Background(), Config{Daemon: daemon, Dir: t.TempDir(), Seed: s.seed, For: 8 * time.Second, // upstreams that name limits are looked at from the third second on
-			
+
 			Boxes: 3, Upstreams: 4, Callers: 8, Net: 60 + i})
 		is.NoErr(err)
 		t.Logf("seed %d: %v", s.seed, report)
