--- a/balance/allowed_test.go
+++ b/balance/allowed_test.go
@@ -183,6 +183,20 @@
 	is.Equal(f.send(later+7*time.Second, 1), "u0") // it is long ago that one was refused
 }
 
+// The only other upstream is out of reach: who finds no place is not sent there to find that out.
+func TestWhoFindsNoPlaceHearsItAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := needyFleet(1, 2)
+	f.names(time.Second, "u0", 0)
+	f.Open(time.Second, "u1", Request{Service: "s"}).Close(time.Second, Unreachable)
+	is.True(f.byID["u1"].out)
+	is.Equal(f.send(time.Second, 0), "u0") // the request that looks whether the limit holds
+	is.Equal(f.send(2*time.Second, 0), "")
+	is.True(f.LimitLeft(2*time.Second, "s") > 0)
+	f.Says(3*time.Second, Life{ID: "u0"}, Statement{Sent: 2 * time.Second, Read: 3 * time.Second})
+	is.Equal(f.send(3*time.Second, 0), "u0")
+}
+
 // An entry that goes and comes back finds what was named, and what was sent.
 func TestALimitOutlivesItsEntry(t *testing.T) {
 	is := is.New(t)
--- a/balance/place.go
+++ b/balance/place.go
@@ -65,9 +65,12 @@
 // least are taken all the same.
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	var awake, resting, out []*member
+	limited := false
 	for _, m := range f.byService[r.Service] {
 		switch {
-		case !f.isOpen(now, m, r, tried) || !f.allows(now, m, r):
+		case !f.isOpen(now, m, r, tried):
+		case !f.allows(now, m, r):
+			limited = limited || !m.out
 		case m.out:
 			out = append(out, m)
 		case m.health.rests(now) && !f.cfg.Off[Rests]:
@@ -80,6 +83,9 @@
 	if len(awake) > 0 {
 		return awake
 	}
+	if limited {
+		return resting // who finds no place hears it at once, and not when a connection has not come up
+	}
 	return append(resting, out...)
 }
 
