--- a/group/restart_test.go
+++ b/group/restart_test.go
@@ -120,6 +120,28 @@
 	}
 }
 
+// After all boxes were killed at once, some heard a lead of another domain before anybody of their own, took
+// themselves for the lead of theirs, and asked nobody any more: for up to 3.25 s a domain had two leads, the one of which
+// knew of no other box, and shared with nobody what upstreams bear.
+func TestEachDomainHasOneLeadSoonAfterAllWereKilled(t *testing.T) {
+	const within = 2 * time.Second
+	for seed := range uint64(12) {
+		w := across(t, seed, layout{3, 1}, 60)
+		w.listUpstreams(345)
+		w.killAll()
+		w.run(within)
+		leads := 0
+		for _, name := range w.names {
+			if w.boxes[name].node.Leads() {
+				leads++
+			}
+		}
+		if leads != 3 {
+			t.Errorf("seed %d: %d boxes lead three domains", seed, leads)
+		}
+	}
+}
+
 func (w *world) killSeeds() {
 	for _, name := range w.seeds {
 		w.boxes[name].dead = true
