--- a/group/talk.go
+++ b/group/talk.go
@@ -112,11 +112,16 @@
 		n.send(p.box.Address, m)
 	}
 	n.lists, n.greets = nil, false
-	if !foreign {
+	if !foreign || now-n.started < seeksFor {
 		n.hail(now)
 	}
 }
 
+// seeksFor is how long after its start a lead asks the seeds with each beat, whomever it hears: they may have known
+// nobody when it first asked. Without that some led alone, or with one other box, for up to 3.25 s after
+// all boxes were killed.
+const seeksFor = 10 * time.Second
+
 // silentEvery is each how many beats a lead of a domain that is not heard gets one: a domain
 // that was cut off is found again within 2 s, and not flooded.
 const silentEvery = 5
