--- a/balance/allowed_test.go
+++ b/balance/allowed_test.go
@@ -232,6 +232,13 @@
 	is.True(goes.MayGo(2200 * time.Millisecond))
 }
 
+// A request that was placed at an upstream which is gone by then is counted nowhere, and may go.
+func TestWhatIsCountedNowhereMayGo(t *testing.T) {
+	is := is.New(t)
+	f := needyFleet(1, 1)
+	is.True(f.Open(0, "gone", Request{Service: "s"}).MayGo(0))
+}
+
 func TestLimitsMayBePassedByWhereThatIsSwitchedOff(t *testing.T) {
 	is := is.New(t)
 	f := needyFleet(1, 1)
