--- a/relay/limit.go
+++ b/relay/limit.go
@@ -19,8 +19,12 @@
 // limitSpan is the span over which the lines tell how many requests an upstream was sent.
 const limitSpan = 4 * time.Second
 
-// heldBack counts the requests that an upstream would have got but for its limit.
-const heldBack = "requests_held_back_by_limits"
+// Counters of limits, and of the requests that an upstream was passed over for, as it takes no more.
+const (
+	limitsNamed = "limits_named"
+	limitsEnded = "limits_ended"
+	heldBack    = "requests_held_back_by_limits"
+)
 
 // limitReason is why a request is refused that only upstreams are left for which take no more.
 const limitReason = "upstreams take no more"
@@ -66,8 +70,11 @@
 // noteLimit notes what an answer says of its upstream's limit; request is empty where it answers a call of
 // the box's own, of which nothing says that it names the limit whenever there is one.
 func (r *Relay) noteLimit(a *answer, request string) {
+	if r.cfg.Protocol.Limit == "" {
+		return
+	}
 	said := limitIn(&a.header, r.cfg.Protocol.Limit)
-	if r.cfg.Protocol.Limit == "" || !said.read || !said.named && request == "" {
+	if !said.read || !said.named && request == "" {
 		return
 	}
 	life := a.conn.life
@@ -92,12 +99,12 @@
 	sent := r.fleet.Sent(now, u.Life(), limitSpan)
 	limit, _ := r.fleet.Limit(now, u.ID)
 	r.mu.Unlock()
-	event := "names a limit"
-	switch {
-	case !isListed:
+	if !isListed {
 		return // it is of no concern here
-	case !c.Named:
-		event = "names no limit any more"
+	}
+	event, counter := "names a limit", limitsNamed
+	if !c.Named {
+		event, counter = "names no limit any more", limitsEnded
 	}
 	fields := Fields{"upstream": u.ID, "born": u.Born, "per_second": c.PerSecond, "before": c.Before, "source": "seen here", "id": request,
 		"sent_lately": sent, "span_ms": limitSpan.Milliseconds(), "ration": limit.Ration, "ration_span_ms": limit.Span.Milliseconds()}
@@ -106,7 +113,7 @@
 		delete(fields, "id")
 	}
 	r.cfg.Log.Event("upstream", event, fields)
-	r.stats.count("limits_" + map[bool]string{true: "named", false: "ended"}[c.Named])
+	r.stats.count(counter)
 }
 
 // shareLimits hands the node what others are to be told of limits, and takes in what they told.
