--- a/balance/admit.go
+++ b/balance/admit.go
@@ -54,8 +54,6 @@
 // narrower it becomes, and the more counts how long the request is read itself: then those
 // are taken first whose prompt lies there already and who hold others up the least.
 // However long that is, it may wait for a little, so that long prompts are served as well.
-// What the narrower bound gains: 0.510 to 0.562 of worth (the first 12 s of a
-// burst on 320 engines).
 func (f *Fleet) boundOf(s *service, a Admission, c Choice) time.Duration {
 	t := &f.cfg.Tuning
 	calm := part(a.Target, t.Admit)
--- a/balance/apart.go
+++ b/balance/apart.go
@@ -15,16 +15,13 @@
 )
 
 const (
-	// apartFrom is from which factor on between two classes' interference they are kept apart. It
-	// lies below what three deployments showed at the division that pays: medians over two
-	// days each, every box and 4 s, of 5.8 to 9.1; lowest moments of 2.2 to 5.1.
+	// apartFrom is from which factor on between two classes' interference they are kept apart.
 	apartFrom = 3.2
 	// apartSlack is how much greater another division's factor must be for it to replace
 	// the present one, and how far that may fall below apartFrom.
 	apartSlack = 1.2
 	// classShare is the part of the service's requests that a class must have to count. One
-	// request of each is enough to begin with: waiting for three left a box without lanes
-	// for its first 2.6 s.
+	// request of each is enough to begin with: a box that waits for more is without lanes meanwhile.
 	classShare = 0.02
 	// classMemory is the time over which the requests of a class are averaged.
 	classMemory = 10 * time.Second
--- a/balance/back.go
+++ b/balance/back.go
@@ -4,9 +4,8 @@
 // again under its id, and be cold, before its entry says so; where the store is down that takes
 // as long as it is. The invariant: where a service bounds what a cold upstream bears, one that
 // can be reached again gets its ration only, until what is published tells of the time since or
-// it is warm in either case. Without this, thirty of ninety upstreams that started again a second
-// before their entries came were sent up to 19 requests in one second, of 12 that they bear;
-// with it 6 (a replay with 90 boxes, both ways).
+// it is warm in either case. Without this, upstreams that start again are sent more than they bear until
+// their entries come.
 
 import (
 	"slices"
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -126,9 +126,8 @@
 
 // domainsPart is what the boxes of this box's domain share of the bound of a cold upstream:
 // all domains that have upstreams of the service have the same part, since each takes a part
-// of the requests. With all of it given to the upstream's own domain, the other boxes had to
-// read elsewhere what it could: 0.773 of worth in place of 0.791 on a day on which three
-// domains came back cold one after the other (one play each, without processor time). Where
+// of the requests. If the upstream's own domain had all of it, the other boxes would have to
+// read elsewhere what it keeps. Where
 // a part is less than one request, the upstream's own domain has all of it.
 func (f *Fleet) domainsPart(m *member) int {
 	shared := f.serviceOf(m.Service).cold.Most / coldHalf
@@ -159,9 +158,7 @@
 }
 
 // rationed is the upstream of a list that this box has sent the least of those that are cold or name a limit,
-// nil where there is none. The few boxes that may send to it would hardly ever find it by rendezvous: of 1,800
-// requests in the first three seconds after a third of the upstreams came back, the cold ones got
-// 80 without this and 367 with it, of at most 540 (a replay with 90 boxes, both ways).
+// nil where there is none. The few boxes that may send to it would hardly ever find it by rendezvous.
 func (f *Fleet) rationed(now time.Duration, list []*member) *member {
 	if len(f.cold) == 0 && len(f.limits.byLife) == 0 {
 		return nil
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -3,8 +3,7 @@
 // This file defines from where an upstream may fetch what it lacks of a prompt.
 // Fetching costs a fourth of reading again. An upstream whose failure domain is evacuated is
 // fetched from as long as it is there: its domain gets nothing by that, and what it keeps is
-// about to go (0.807 to 0.841 of worth on a day on which three domains were evacuated one after
-// the other, one play each). The invariant: an upstream that cannot be reached, or rests, is
+// about to go. The invariant: an upstream that cannot be reached, or rests, is
 // never fetched from, nor is one outside of the request's homes; one that was listed lately only
 // where boxes told that it was sent what is lacking.
 
--- a/balance/laneneed.go
+++ b/balance/laneneed.go
@@ -13,9 +13,7 @@
 // its first event has come back, which takes longer than the reading of a short one.
 const readingAhead = 100 * time.Millisecond
 
-// mostReadingWeight bounds what an upstream that reads all the time counts. In replays of 15
-// bursts before engines of five kinds 0.965 of the requests were in time with 1.43 for all of
-// them, 0.963 with 2 and 0.960 with 3 (a mean, late ones counted 0.3).
+// mostReadingWeight bounds what an upstream that reads all the time counts.
 const mostReadingWeight = 1.5
 
 // Need is what tight streams and the others need of a service's upstreams, as shares of them
@@ -39,9 +37,8 @@
 func (n Need) times(x float64) Need { return Need{n.Tight * x, n.Rest * x} }
 
 // follow is what it becomes when it is now: a rise counts at once, and what has fallen counts
-// less and less, by what is left of it. With a mean over a second the lane
-// was too large for as long after a burst of tight streams: 0.844 of the long prompts and 0.944 of
-// the streams of a replay of bursts in turn were in time, with this 0.870 and 0.966.
+// less and less, by what is left of it. With a mean the lane would be too large for as long after a burst
+// of tight streams, and too small as one begins.
 func (n Need) follow(now Need, left float64) Need {
 	return Need{max(now.Tight, now.Tight+(n.Tight-now.Tight)*left), max(now.Rest, now.Rest+(n.Rest-now.Rest)*left)}
 }
@@ -58,9 +55,7 @@
 // readingWeight is how many upstreams whose slots are all held count as much as one that reads
 // all the time, on either side: the more, the fewer prompts an upstream can read in the time that
 // one may wait. Where three can be, it has to rest half of its time for another to find it free;
-// where nine can be, it hardly has to. One weight for all suits one kind of prompts only: two
-// days whose prompts may wait for 1 s and for 0.3 s had 0.812 and 0.750 of worth with 1.43,
-// 0.826 and 0.756 with this (a play each).
+// where nine can be, it hardly has to. One weight for all would suit one kind of prompts only.
 func (f *Fleet) readingWeight(s *service) Need {
 	var tight, rest mean // how long prompts are read, by how long they may wait
 	for _, c := range s.classes.counted() {
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -30,7 +30,7 @@
 
 // Lanes is how this box's fleet is divided, as far as it is. A service in which this box
 // keeps nothing apart is left out: a lead that has just started, and has not seen all classes
-// yet, would dissolve the lanes of all (for 7 s on a day on which all boxes were restarted).
+// yet, would dissolve the lanes of all.
 func (f *Fleet) Lanes() LanePlan {
 	plan := make(LanePlan)
 	for _, s := range f.services {
--- a/balance/move.go
+++ b/balance/move.go
@@ -15,9 +15,7 @@
 const (
 	// moveSpare is how many times what it needs elsewhere is left when an answer moves. It waits
 	// until no more is left, since its upstream may come to read less meanwhile and the copy is
-	// paid for: with moves as soon as the end was expected too late, two days of high load had
-	// 0.810 and 0.790 of worth and 335 GB were copied on the first, with this 0.815, 0.790 and
-	// 231 GB.
+	// paid for.
 	moveSpare = 2
 	// moveGain is how many times faster an answer must be expected to end elsewhere.
 	moveGain = 2
--- a/balance/place.go
+++ b/balance/place.go
@@ -130,8 +130,7 @@
 
 // placePrompt chooses the candidate at which the prompt costs least; of equal ones the
 // first. A tight stream may leave its lane, at a cost; other prompts never do, since their
-// reading would hold up all that runs there: letting them leave as well cost 0.018 and
-// 0.024 of worth (means over days with trouble of two fleets).
+// reading would hold up all that runs there.
 func (f *Fleet) placePrompt(now time.Duration, r Request, within, beyond []*member) Choice {
 	ranked := f.rank(within, sharedKey(r))
 	candidates := f.candidates(now, r, within, ranked)
--- a/balance/slots.go
+++ b/balance/slots.go
@@ -55,8 +55,7 @@
 }
 
 // queued tells a place where streams hold all slots from one that only looks free since
-// little is to be read there (0.005 of worth over five days with trouble, 0.03 on the day
-// with the greatest burst of streams; three plays each). It is what could be read at an upstream, in tokens,
+// little is to be read there. It is what could be read at an upstream, in tokens,
 // until a request with the urgency gets a slot there: slots come free one after the other
 // while all are held.
 func (f *Fleet) queued(now time.Duration, m *member, urgency int) int {
--- a/balance/tell.go
+++ b/balance/tell.go
@@ -9,9 +9,7 @@
 
 const (
 	// keptFrom is from how many tokens on a part is worth knowing of: fewer are read in a step
-	// of an engine. With parts of 1,000 tokens or more only, a box could but guess where
-	// streams with short prompts had been read: days of high load on five fleets had 0.710 0.816
-	// 0.792 0.759 0.846 of worth, and 0.727 0.825 0.798 0.762 0.848 so.
+	// of an engine. Of smaller parts a box can but guess where they were read.
 	keptFrom = 60
 	// retellAfter is how long after it was told that a part is told again, so that
 	// boxes which have started since hear of it.
--- a/balance/tuning.go
+++ b/balance/tuning.go
@@ -4,8 +4,7 @@
 
 import "time"
 
-// Tuning holds the figures of placement. They come from measured days; the runs
-// stand in docs/design/8-platform.md and 9-deciding.md.
+// Tuning holds the figures of placement.
 type Tuning struct {
 	// AgainWeight is how many prompt tokens before a request each token weighs that would
 	// be read or moved once more, since another upstream keeps it.
@@ -14,10 +13,7 @@
 	// fetches prompts from the one that was their home before.
 	NewFor time.Duration
 	// LaneLeast is the least share of a service's upstreams that is left to tight streams, and
-	// to the others, as a part of 1. In a burst of long prompts what is kept reads little: with
-	// 0.15 in place of 0.22 two days of high load had 0.832 and 0.801 of worth, 0.815 and 0.791
-	// before, and a small fleet 0.827 in place of 0.814 over three days; with 0.10 the former
-	// had 0.814 and 0.772.
+	// to the others, as a part of 1. In a burst of long prompts what is kept reads little.
 	LaneLeast float64
 	// LaneQueue is how many prompts an upstream must be able to read in the time that another
 	// one may wait, for one that reads all the time to count as much as one whose slots are all
@@ -33,17 +29,15 @@
 	// domain counts as having more at the least, for requests without a prompt.
 	Away float64
 	// DomainKB and RegionKB are how many prompt tokens before a request a kilobyte of it counts
-	// for that goes to another failure domain, and to another region. With 150 in place of 40 a
-	// fleet whose bytes between domains are dear had 0.740 of worth on a day of high load, 0.701
-	// before; one in three regions 0.817 and 0.822 (one play each).
+	// for that goes to another failure domain, and to another region.
 	DomainKB, RegionKB float64
 	// FailWeight is how many open requests a certain failure counts for when the
 	// less busy upstream of a service without prompts is looked for.
 	FailWeight float64
 	// Admit is the share of its latency target that a request may wait for prompts
 	// that are read before its own; beyond it is refused and told when to come back.
-	// AdmitAgain is the same for one that has come back: at 1 it is still in time as a rule.
-	// At 2 it was late, and made those behind it late (0.002 and 0.003 of worth on two fleets).
+	// AdmitAgain is the same for one that has come back: at 1 it is still in time as a rule, beyond it is
+	// late, and makes those behind it late.
 	Admit, AdmitAgain float64
 	// AdmitLoaded is the share that may go into the reading of those and of its own, where
 	// all upstreams have much to read, and AdmitLeast what it may wait in any case.
--- a/group/audience.go
+++ b/group/audience.go
@@ -6,9 +6,8 @@
 // changed most goes first; and what is told is the load itself and not its difference, so that a
 // message that is lost leaves an error in what it told only, until the next whole list.
 //
-// Each change told to each box within 30 ms cost the lead of 100 boxes 13 MB/s in a fleet of 300
-// before 330 upstreams, as each message named nearly each upstream; a queue that has changed by
-// a few hundred tokens decides nothing.
+// If each change were told to each box at once, a lead's bytes would grow with the square of its domain,
+// as each message would name nearly each upstream; a queue that has changed by a few hundred tokens decides nothing.
 
 import (
 	"cmp"
@@ -46,9 +45,8 @@
 	toMembers = telling{each: 32e3, total: 1.25e6, pause: flushPause, rows: 48, unread: 1, open: 1, held: 1, share: 0}
 	// toNear is between domains of a region: choices there look at other domains' upstreams too.
 	toNear = telling{each: 4e3, total: 40e3, pause: flushPause, rows: 48, unread: 512, open: 1, held: 4096, share: 0.1}
-	// toFar is between regions, tens of ms apart. With a quarter of the bytes and seldomer, a day of
-	// three regions on which two thirds of the prompts left their domain lost 0.011 of worth, and
-	// saved no thousandth of the bytes between regions, most of which are prompts.
+	// toFar is between regions, tens of ms apart. Most bytes between them are prompts, which are placed worse
+	// the less is told.
 	toFar = telling{each: 8e3, total: 40e3, pause: flushPause, rows: 48, unread: 512, open: 1, held: 4096, share: 0.1}
 )
 
--- a/group/loadnews.go
+++ b/group/loadnews.go
@@ -5,9 +5,7 @@
 // invariant: a lead itself goes by what it was told last, whatever its audiences were told.
 //
 // An engine reads a long prompt in some 0.5 s, and boxes that know of each other's with a
-// delay of 0.75 s all choose the engine that was idle then: the true number of tokens before
-// a long prompt was not correlated with the one that its box went by (0.0; 295 boxes in a
-// burst).
+// greater delay all choose the engine that was idle then.
 
 import (
 	"time"
--- a/group/pulled.go
+++ b/group/pulled.go
@@ -14,8 +14,7 @@
 )
 
 // packedItems is everything at a revision, as it goes on the wire. At a start all members
-// of a domain pull the same from their lead: with a hundred of them and 3,000 upstreams, to
-// pack 750 KB for each took a third of the lead's processor.
+// of a domain pull the same from their lead, which packs it once for all.
 type packedItems struct {
 	revision uint64
 	bytes    []byte
--- a/group/restart.go
+++ b/group/restart.go
@@ -4,9 +4,8 @@
 // has callers waiting. The invariants: a box that hears of nobody who reads or knows begins
 // itself within a bounded time; and one that hears of somebody leaves the publisher to them.
 //
-// After all boxes were killed at once nobody knows anything. When each read for itself, 300
-// boxes before 345 upstreams asked for 2,100 pages of a store that hands out 310 a second; all
-// waited longer than a call may take, and none knew anything after 30 s. Now the seeds read,
+// After all boxes were killed at once nobody knows anything. If each read for itself, calls would wait longer
+// than one may take, and none would come to the end of its reading. So the seeds read,
 // whom all ask; and each that knows hands on what it knows.
 
 import (
--- a/group/takeover.go
+++ b/group/takeover.go
@@ -5,8 +5,8 @@
 // counts until they have told it, or have had Timing.Member to do so; and it hands on no sum that
 // is a part of the truth only.
 //
-// The lead of 26 boxes in one of three domains died: without this its successor and all its
-// members believed that 68 to 96 of 304 requests were under way, for 0.4 s.
+// Without this, the successor of a lead that died and all its members would believe for a beat that hardly any
+// requests are under way.
 
 import (
 	"maps"
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -10,9 +10,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// What is charged, in bytes, besides what others have sent. Heap and stacks measured by
-// BenchmarkSlowCallers, with the callers' and the upstream's side in the same process:
-// 13 KB for each connection that rests, 47 KB for each stream between two events.
+// What is charged, in bytes, besides what others have sent.
 const (
 	// callerBytes is for a caller's connection.
 	callerBytes = 12 << 10
--- a/relay/starting.go
+++ b/relay/starting.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// startHold is the longest that such a request waits. A box that starts among others has
-	// the document after 0.25 s (the longest of 85 boxes after a loss of power was 0.26 s), and
-	// one that reads by itself soon after.
+	// startHold is the longest that such a request waits: a box that starts among others has the
+	// document well within it.
 	startHold = 500 * time.Millisecond
 	// startShare is the part of what its caller waits that it may take of that.
 	startShare = 4
