What a box does ten times a second grows with the requests and not with the upstreams

Cause: Fleet.Loads, SetOthers and SizeLanes looked at each upstream, ten times a second, on each box: at 585 boxes before 5,910 upstreams, 6 % of a small box's processor without a request, and the product of both numbers for twice the fleet. Change: a service lists the upstreams that have work or read lately (active.go); what others have is taken whole only after an upstream was listed, else by its changes; slots are summed up as upstreams come and go. Beside it, along the same path: a decision works out a rendezvous weight once and not three times, and lists get their room at once; where an upstream of another domain could not be reached, the request goes on in its box's own; as many limits and lives are known as there are upstreams (8,192 before, 12,000 upstreams at twice the fleet). Tests set what others hold by othersHold, which also notes that the upstream is to be looked at; their bounds are as before.

--- a/balance/allowed.go
+++ b/balance/allowed.go
@@ -158,15 +158,13 @@
 	return slices.ContainsFunc(s.wanted[:level], func(until time.Duration) bool { return now < until })
 }
 
-// unlimited is the upstreams that name no limit; all where each does. What those take that do is no measure
-// of what there is.
-func (f *Fleet) unlimited(all []*member) []*member {
-	if len(f.limits.byLife) == 0 {
-		return all
-	}
-	list := slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return f.limitOf(m) != nil })
-	if len(list) == 0 {
-		return all
+// limitedOf lists the upstreams of a service that name a limit.
+func (f *Fleet) limitedOf(s *service) []*member {
+	var list []*member
+	for life := range f.limits.byLife {
+		if m := f.byKey[life]; m != nil && m.service == s && f.limitOf(m) != nil {
+			list = append(list, m)
+		}
 	}
 	return list
 }
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -56,7 +56,7 @@
 // sent, others may have sent the prompt to their next choice, which is a near one.
 func (f *Fleet) likelyKeeper(now time.Duration, r Request, chosen *member) *member {
 	key := sharedKey(r)
-	mine := weight(chosen.ID, key)
+	mine := chosen.weightFor(key)
 	fresh := f.young(now, chosen) || f.changed(now, chosen)
 	unheard := r.lastShared().told() && !f.sure(now)
 	tight := f.tight(r)
@@ -68,7 +68,7 @@
 	}
 	before := c.all.first
 	switch {
-	case before != nil && (fresh || weight(before.ID, key) > mine):
+	case before != nil && (fresh || before.weightFor(key) > mine):
 		return before
 	case unheard:
 		return f.nearest(r, c.list())
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -41,6 +41,9 @@
 	since    time.Duration // when it was first listed
 	key      uint32        // of its life
 	history  *history
+	service  *service
+	weighed  weighed
+	active   bool          // it is among its service's active ones
 	tight    bool          // it is in the lane for tight streams
 	moved    time.Duration // when it came into its lane from the other
 
@@ -74,24 +77,24 @@
 
 // Fleet is all upstreams that a box knows. It is not safe for several goroutines.
 type Fleet struct {
-	cfg       Config
-	byID      map[string]*member
-	byService map[string][]*member
-	byKey     map[uint32]*member
-	byAddress map[string]*member
-	waiting   map[string]*Upstream // by id: entries whose address another upstream has
-	lives     map[string]lastLife  // by id: the last that is known
-	gone      map[string]*member   // by id: listed no more, and this box has requests open on them
-	named     map[string]bool      // services of the document in force; nil: none is known yet
-	latest    time.Duration        // when the list was last told of an entry
-	loaded    []*member            // those on which others have work
-	services  map[string]*service  // by name
-	kept      kept
-	lost      []Lost                  // out of reach, and not returned by NewlyLost yet
-	domains   map[string]*domainReach // by name
-	ways      map[string]*way         // by failure domain
-	rate      float64                 // prompt tokens that an upstream reads in a ms
-	listed    time.Duration           // when the first upstream was
+	cfg        Config
+	byID       map[string]*member
+	byService  map[string][]*member
+	byKey      map[uint32]*member
+	byAddress  map[string]*member
+	waiting    map[string]*Upstream // by id: entries whose address another upstream has
+	lives      map[string]lastLife  // by id: the last that is known
+	gone       map[string]*member   // by id: listed no more, and this box has requests open on them
+	named      map[string]bool      // services of the document in force; nil: none is known yet
+	latest     time.Duration        // when the list was last told of an entry
+	services   map[string]*service  // by name
+	kept       kept
+	lost       []Lost                  // out of reach, and not returned by NewlyLost yet
+	othersAnew bool                    // an upstream was listed of which others may have told before
+	domains    map[string]*domainReach // by name
+	ways       map[string]*way         // by failure domain
+	rate       float64                 // prompt tokens that an upstream reads in a ms
+	listed     time.Duration           // when the first upstream was
 
 	histories  map[uint32]*history // by key of the life
 	evacuated  map[string]bool     // failure domains
--- a/balance/home.go
+++ b/balance/home.go
@@ -59,7 +59,7 @@
 // addTo takes an upstream into a ranking. How far it lies is looked up only where it may come
 // in among the near: of many upstreams, few do.
 func (f *Fleet) addTo(c *ranking, m *member, key uint64) {
-	w := weight(m.ID, key)
+	w := m.weightFor(key)
 	c.all.add(m, w)
 	if f.cfg.Off[Distance] || w < min(c.domain.secondWeight, c.region.secondWeight) {
 		return
@@ -107,6 +107,19 @@
 // where it shares nothing.
 func sharedKey(r Request) uint64 { return r.lastShared().ID }
 
+// weightFor is the upstream's weight for a key. One decision ranks the same upstreams several times, and hashing thousands
+// of ids is most of what it costs.
+func (m *member) weightFor(key uint64) uint64 {
+	if m.weighed.key != key {
+		m.weighed = weighed{key, weight(m.ID, key)}
+	}
+	return m.weighed.weight
+}
+
+// weighed is the weight that was worked out last, and for which key; the zero value is right for no key but 0, which
+// stands for prompts that share nothing.
+type weighed struct{ key, weight uint64 }
+
 // weight is the rendezvous weight of an upstream for a key.
 func weight(id string, key uint64) uint64 {
 	var d xxhash.Digest
--- a/balance/lane.go
+++ b/balance/lane.go
@@ -27,7 +27,7 @@
 	share   float64       // of the upstreams that tight streams should have
 	places  int           // upstreams that are kept for them
 	open    Need          // requests under way on each side, lately
-	slots   int           // of all its upstreams
+	spare   int           // slots of its upstreams, but for those that name limits
 	reading Need          // upstreams of each lane that read, as a share of all, lately
 	counted time.Duration // when these were last brought up to date
 }
@@ -36,6 +36,7 @@
 // are in the lane where none would be.
 func (f *Fleet) lane(now time.Duration, r Request, list []*member) (within, beyond []*member) {
 	tight := f.tight(r)
+	within = make([]*member, 0, len(list))
 	for _, m := range list {
 		if f.inLane(now, m, tight) {
 			within = append(within, m)
@@ -55,10 +56,10 @@
 // inLane reports whether an upstream is in the lane for tight streams, or in the one
 // for the others.
 func (f *Fleet) inLane(now time.Duration, m *member, tight bool) bool {
-	if len(f.byService[m.Service]) < minLanes {
+	s := m.service
+	if s.listed < minLanes {
 		return true
 	}
-	s := f.serviceOf(m.Service)
 	if s.stale {
 		f.divide(now, s)
 	}
--- a/balance/laneneed.go
+++ b/balance/laneneed.go
@@ -89,9 +89,9 @@
 // side needs more: it may be short of one while it has the other to spare.
 func (f *Fleet) needOf(s *service) Need {
 	reading := s.reading.by(f.readingWeight(s))
-	if s.slots == 0 {
+	if s.spare == 0 {
 		return reading
 	}
-	held := s.open.times(1 / float64(s.slots))
+	held := s.open.times(1 / float64(s.spare))
 	return Need{max(reading.Tight, held.Tight), max(reading.Rest, held.Rest)}
 }
--- a/balance/lanesize.go
+++ b/balance/lanesize.go
@@ -34,7 +34,7 @@
 func (f *Fleet) Lanes() LanePlan {
 	plan := make(LanePlan)
 	for _, s := range f.services {
-		if len(f.byService[s.name]) >= minLanes && s.places > 0 {
+		if s.listed >= minLanes && s.places > 0 {
 			plan[Key(s.name)] = Lane{s.places, s.classes.tightKeys()}
 		}
 	}
@@ -57,7 +57,8 @@
 func (f *Fleet) SizeLanes(now time.Duration, told LanePlan) []LaneChange {
 	var changes []LaneChange
 	for _, s := range f.services {
-		if len(f.byService[s.name]) < minLanes {
+		f.settle(s)
+		if s.listed < minLanes {
 			continue
 		}
 		if change, changed := f.sizeLane(now, s, told); changed {
@@ -94,22 +95,27 @@
 func (f *Fleet) count(now time.Duration, s *service, all []*member) {
 	var sum Load
 	var reading Need
-	slots := 0
-	for _, m := range all {
+	for _, m := range s.active {
 		l := m.underWay()
 		sum = sum.Plus(l)
 		m.noteReading(now-s.counted, l.Unread)
 		reading.add(m.tight, f.readingShare(l.Unread))
 	}
-	unread, unlimited := 0, f.unlimited(all)
-	for _, m := range unlimited {
-		unread += m.underWay().Unread
-		slots += m.Slots
+	limited := f.limitedOf(s)
+	unread := sum.Unread
+	s.spare = s.slots
+	if len(limited) < len(all) { // where all name limits, they are all there is
+		for _, m := range limited {
+			unread -= m.underWay().Unread
+			s.spare -= m.Slots
+		}
+	} else {
+		limited = nil
 	}
-	s.unread = float64(unread) / float64(len(unlimited))
+	s.unread = float64(unread) / float64(len(all)-len(limited))
 	s.classes.age(now - s.counted)
 	left := math.Exp(-float64(now-s.counted) / float64(f.cfg.Tuning.LaneMemory))
-	s.counted, s.slots = now, slots
+	s.counted = now
 	s.open = s.open.follow(Need{float64(sum.Tight), float64(sum.Open - sum.Tight)}, left)
 	s.reading = s.reading.follow(reading.times(1/float64(len(all))), left)
 }
--- a/balance/life.go
+++ b/balance/life.go
@@ -44,7 +44,8 @@
 	doubtTill time.Duration
 }
 
-// maxLives bounds the lives that are remembered beside those of listed upstreams.
+// maxLives is how many lives are remembered at least beside those of listed upstreams; as many as are listed where these are
+// more, since all of them may be replaced within a short time.
 const maxLives = 1 << 13
 
 // recall takes over what is remembered of a life that is listed again.
@@ -64,6 +65,7 @@
 		return
 	}
 	m.work, before.work, before.heir = before.work, work{}, m
+	f.activate(m)
 	delete(f.gone, m.ID)
 }
 
@@ -101,7 +103,7 @@
 	}
 	last.leaving = last.leaving || u.Leaving
 	f.lives[u.ID] = last
-	if len(f.lives) > len(f.byID)+len(f.waiting)+maxLives {
+	if len(f.lives) > len(f.byID)+len(f.waiting)+max(maxLives, len(f.byID)) {
 		f.forgetLives()
 	}
 }
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -442,3 +442,22 @@
 	f.Remove("u")
 	is.Equal(len(f.gone), 0) // nothing is open on it
 }
+
+// All of many upstreams start again: an entry of the life before, coming late, changes nothing, also where more than
+// maxLives were replaced meanwhile.
+func TestNoEarlierLifeComesBackWhereManyAreReplaced(t *testing.T) {
+	is := is.New(t)
+	const upstreams = maxLives + 100
+	f := NewFleet(Config{Domain: "d", Tuning: DefaultTuning})
+	entry := func(i int, born int64) Upstream {
+		return Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Domain: "d", Slots: 1, Born: born}
+	}
+	for i := range 2 * upstreams {
+		f.Put(0, entry(i, 2))
+	}
+	for i := range upstreams {
+		f.Remove(fmt.Sprintf("u%d", i))
+	}
+	f.Put(0, entry(0, 1)) // of an earlier life
+	is.True(f.Get("u0") == nil)
+}
--- a/balance/list.go
+++ b/balance/list.go
@@ -79,6 +79,7 @@
 		if u.Address != m.Address {
 			f.forgetAddress(m)
 		}
+		m.service.slots += u.Slots - m.Slots
 		m.Upstream, m.evacuated = u, f.evacuated[u.Domain]
 		f.noteAddress(m)
 		f.cool(now, m, u.ColdFor)
@@ -87,7 +88,8 @@
 	if len(f.byID) == 0 {
 		f.listed = now
 	}
-	m := &member{Upstream: u, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	s := f.serviceOf(u.Service)
+	m := &member{Upstream: u, service: s, since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
 	m.history = f.historyOf(m.key)
 	f.recall(m)
 	f.takeWork(m)
@@ -97,7 +99,10 @@
 		m.since = now - f.cfg.Tuning.NewFor // it was there before this box
 	}
 	f.byID[u.ID], f.byKey[m.key] = m, m
-	f.serviceOf(u.Service).stale = true
+	f.limits.listed = len(f.byID)
+	s.stale, f.othersAnew = true, true
+	s.listed++
+	s.slots += u.Slots
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 	f.sharedAnew = true
 }
@@ -128,7 +133,9 @@
 		delete(f.byKey, m.key)
 	}
 	f.forgetAddress(m)
-	f.serviceOf(m.Service).stale = true
+	m.service.stale = true
+	m.service.listed--
+	m.service.slots -= m.Slots
 	f.kept.forget(m)
 	f.markIn(m) // it counts among those of a domain that is left no more
 	isIt := func(other *member) bool { return other == m }
--- a/balance/load.go
+++ b/balance/load.go
@@ -63,7 +63,12 @@
 }
 
 // underWay is the load at all urgencies, for all boxes.
-func (m *member) underWay() Load { return m.work.upTo(Levels - 1).Plus(m.others.upTo(Levels - 1)) }
+func (m *member) underWay() Load {
+	if !m.active {
+		return Load{}
+	}
+	return m.work.upTo(Levels - 1).Plus(m.others.upTo(Levels - 1))
+}
 
 // open is how many requests are under way, for all boxes.
 func (m *member) open() int { return m.underWay().Open }
@@ -71,16 +76,26 @@
 // Loads returns what this box has under way.
 func (f *Fleet) Loads() map[LoadKey]Load {
 	loads := make(map[LoadKey]Load)
-	for _, m := range f.byID {
-		for urgency, l := range m.work {
-			if l.Open > 0 {
-				loads[LoadKey{m.key, urgency}] = l
-			}
+	for _, s := range f.services {
+		for _, m := range s.active {
+			f.addLoads(loads, m)
 		}
 	}
 	return loads
 }
 
+// addLoads adds what this box has under way on an upstream, where that is listed.
+func (f *Fleet) addLoads(loads map[LoadKey]Load, m *member) {
+	if !f.lists(m) {
+		return
+	}
+	for urgency, l := range m.work {
+		if l.Open > 0 {
+			loads[LoadKey{m.key, urgency}] = l
+		}
+	}
+}
+
 // NoteOthers takes changes in what all other boxes have under way; an empty load is none.
 func (f *Fleet) NoteOthers(changes map[LoadKey]Load) {
 	if f.cfg.Off[Loads] {
@@ -98,19 +113,23 @@
 	if m == nil || key.Urgency < 0 || key.Urgency >= Levels {
 		return
 	}
-	if m.others == (work{}) {
-		f.loaded = append(f.loaded, m)
-	}
 	m.others[key.Urgency] = load
+	f.activate(m)
 }
 
+// WantsOthers reports whether an upstream was listed since SetOthers: other boxes may have told before that they have
+// work there.
+func (f *Fleet) WantsOthers() bool { return f.othersAnew }
+
 // SetOthers takes what all other boxes have under way. It costs as much as there is
 // work, not as there are upstreams.
 func (f *Fleet) SetOthers(loads map[LoadKey]Load) {
-	for _, m := range f.loaded {
-		m.others = work{}
+	f.othersAnew = false
+	for _, s := range f.services {
+		for _, m := range s.active {
+			m.others = work{}
+		}
 	}
-	f.loaded = f.loaded[:0]
 	if f.cfg.Off[Loads] {
 		return
 	}
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -65,6 +65,9 @@
 
 // held is how many tokens an upstream's memory holds for all boxes' requests.
 func (m *member) held() int {
+	if !m.active {
+		return 0
+	}
 	sum := 0
 	for i := range m.work {
 		sum += m.work[i].Held + m.others[i].Held
@@ -74,6 +77,9 @@
 
 // ownHeld is the same for this box's requests.
 func (m *member) ownHeld() int {
+	if !m.active {
+		return 0
+	}
 	sum := 0
 	for i := range m.work {
 		sum += m.work[i].Held
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -56,7 +56,8 @@
 			f := newMemoryFleet(1)
 			f.SetBoxes(4, tt.informed)
 			m := f.byID["u0"]
-			m.work[3].Held, m.others[5].Held = tt.own, tt.others
+			m.work[3].Held = tt.own
+			othersHold(f, m, 5, tt.others)
 			is.Equal(f.memoryBoundOf(tt.request).fits(m), tt.want)
 			_, ok := f.Place(0, tt.request, nil)
 			is.Equal(ok, tt.want)
@@ -101,7 +102,7 @@
 	f := seenFleet(3)
 	f.SetMemory("s", testMemory)
 	late := Progress{Events: 10, Between: 400 * time.Millisecond, Left: 1500 * time.Millisecond}
-	f.byID["u1"].others[0].Held = testMemory * 9 / 10
+	othersHold(f, f.byID["u1"], 0, testMemory*9/10)
 	m, ok := f.MoveTo(time.Second, long(100, 360), "u0", late)
 	is.True(ok)
 	is.Equal(m.To.ID, "u2")
@@ -109,7 +110,7 @@
 	is.Equal(f.Loads()[LoadKey{Key("u2"), 0}], Load{Open: 1, Held: 1400 + 720})
 	aside.Close(time.Second, Neutral)
 	is.Equal(f.byID["u2"].held(), 0)
-	f.byID["u2"].others[0].Held = testMemory * 9 / 10
+	othersHold(f, f.byID["u2"], 0, testMemory*9/10)
 	_, ok = f.MoveTo(time.Second, long(101, 360), "u0", late)
 	is.True(!ok)
 }
@@ -120,11 +121,11 @@
 	holdSlots(f, 4*time.Second)
 	is.Equal(f.MemoryLeft(0, book(1, 20000, 0)), time.Duration(0)) // now
 	for i := range 2 {
-		f.byID[fmt.Sprintf("u%d", i)].others[0].Held = 50000
+		othersHold(f, f.byID[fmt.Sprintf("u%d", i)], 0, 50000)
 	}
 	left := f.MemoryLeft(0, book(1, 20000, 0))
 	is.True(left > 2900*time.Millisecond && left < 3*time.Second) // 37,024 of 50,000 tokens have to come free
-	f.byID["u0"].others[0].Held = 0
+	othersHold(f, f.byID["u0"], 0, 0)
 	is.Equal(f.MemoryLeft(0, book(1, 20000, 0)), time.Duration(0))
 }
 
@@ -358,14 +359,14 @@
 	long, stream := letter(1), chat(1)
 	for _, m := range f.byService["s"] {
 		if !m.tight {
-			m.others[3].Held = testMemory
+			othersHold(f, m, 3, testMemory)
 		}
 	}
 	_, ok := f.Place(time.Second, long, nil)
 	is.True(!ok)
 	is.True(f.MemoryLeft(time.Second, long) >= memoryWaitLeast)
 	for _, m := range f.byService["s"] {
-		m.others[3].Held = testMemory - m.others[3].Held // now the other lane is full
+		othersHold(f, m, 3, testMemory-m.others[3].Held) // now the other lane is full
 	}
 	c, ok := f.Place(time.Second, stream, nil)
 	is.True(ok)
@@ -377,14 +378,20 @@
 	is := is.New(t)
 	f := newMemoryFleet(2)
 	r := book(1, 20000, 500)
-	f.byID["u0"].others[3].Held = testMemory
-	f.byID["u1"].others[3].Held = testMemory*9/10 - 21000
+	othersHold(f, f.byID["u0"], 3, testMemory)
+	othersHold(f, f.byID["u1"], 3, testMemory*9/10-21000)
 	_, ok := f.Place(0, r, nil)
 	is.True(!ok)
 	c, ok := f.Place(0, r, []string{"u0"})
 	is.True(ok)
 	is.Equal(c.Upstream.ID, "u1")
-	f.byID["u1"].others[3].Held++
+	othersHold(f, f.byID["u1"], 3, testMemory*9/10-21000+1)
 	_, ok = f.Place(0, r, []string{"u0"})
 	is.True(!ok) // never beyond the memory
 }
+
+// othersHold sets what other boxes hold of an upstream's memory at an urgency.
+func othersHold(f *Fleet, m *member, urgency, tokens int) {
+	m.others[urgency].Held = tokens
+	f.activate(m)
+}
--- a/balance/named.go
+++ b/balance/named.go
@@ -19,8 +19,9 @@
 	// namedFor is how long a limit that has ended is remembered, so that who was not told yet learns of
 	// it, and how long one is of an upstream that is listed no more: entries go and come back.
 	namedFor = time.Minute
-	// maxNamed bounds the limits that are known, some 700 KB.
-	maxNamed = 1 << 13
+	// leastNamed is how many limits may be known at least, and namedEach how many for each upstream that is listed, where
+	// that is more: its own, and that of the life before.
+	leastNamed, namedEach = 1 << 13, 2
 )
 
 // Statement is what an answer of an upstream says of its limit.
@@ -68,6 +69,7 @@
 type limits struct {
 	byLife map[uint32]*named
 	news   map[uint32]bool // others are to be told of; true: seen here
+	listed int             // upstreams
 }
 
 // of is the limit of a life that holds, or nil.
@@ -104,7 +106,7 @@
 func (l *limits) change(life uint32, age time.Duration, told bool, do func(x *named)) (LimitChange, bool) {
 	x := l.byLife[life]
 	if x == nil {
-		if len(l.byLife) >= maxNamed {
+		if len(l.byLife) >= max(leastNamed, namedEach*l.listed) {
 			return LimitChange{}, false
 		}
 		if l.byLife == nil {
--- a/balance/named_test.go
+++ b/balance/named_test.go
@@ -119,8 +119,20 @@
 	var l limits
 	l.take(time.Minute, []Named{{Life: 1, PerSecond: math.Inf(1)}})
 	is.Equal(l.of(1).perSecond, float64(NoLimit))
-	for life := range uint32(2 * maxNamed) {
+	for life := range uint32(2 * leastNamed) {
 		l.take(time.Minute, []Named{{Life: life, PerSecond: 1}})
 	}
-	is.Equal(len(l.byLife), maxNamed)
+	is.Equal(len(l.byLife), leastNamed)
+}
+
+// Twice as many upstreams as were thought of all named limits; those beyond the bound were not known, and got as much as
+// ever.
+func TestEachOfManyUpstreamsMayNameALimit(t *testing.T) {
+	is := is.New(t)
+	const upstreams = 2 * leastNamed
+	f := newTestFleet(upstreams)
+	for i := range upstreams {
+		f.limits.says(Key(fmt.Sprintf("u%d", i)), Statement{Named: true, PerSecond: 1, Sent: time.Second, Read: time.Second})
+	}
+	is.Equal(len(f.limits.byLife), upstreams)
 }
--- a/balance/place.go
+++ b/balance/place.go
@@ -24,7 +24,7 @@
 // Place chooses an upstream; false means that there is none left to try. Those
 // the request was sent to before are named in tried.
 func (f *Fleet) Place(now time.Duration, r Request, tried []string) (Choice, bool) {
-	list, passed := f.usable(now, r, tried), f.passedOver(now, r, tried)
+	list, passed := f.afterUnreached(f.usable(now, r, tried), tried), f.passedOver(now, r, tried)
 	if len(list) == 0 && passed > 0 {
 		f.keepForUrgent(now, r)
 	}
@@ -64,7 +64,8 @@
 // usable lists the upstreams a request may go to, whatever memory they have left. Where too many rest, those that fail
 // least are taken all the same.
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
-	var awake, resting, out []*member
+	awake := make([]*member, 0, len(f.byService[r.Service]))
+	var resting, out []*member
 	limited := false
 	for _, m := range f.byService[r.Service] {
 		switch {
@@ -89,6 +90,26 @@
 	return append(resting, out...)
 }
 
+// afterUnreached narrows a list to this box's own domain where an upstream of another one, that the request was to go to
+// before, could not be reached. A cut takes whole domains away: of many boxes each would find that out by its own
+// requests, a wait for a connection for each domain and request.
+func (f *Fleet) afterUnreached(list []*member, tried []string) []*member {
+	if f.cfg.Off[Domains] || !slices.ContainsFunc(tried, f.isOutElsewhere) {
+		return list
+	}
+	own := slices.DeleteFunc(slices.Clone(list), func(m *member) bool { return m.Domain != f.cfg.Domain || m.out })
+	if len(own) == 0 {
+		return list
+	}
+	return own
+}
+
+// isOutElsewhere reports whether an upstream of another domain is out of reach.
+func (f *Fleet) isOutElsewhere(id string) bool {
+	m := f.byID[id]
+	return m != nil && m.out && m.Domain != f.cfg.Domain
+}
+
 // isOpen reports whether a request may go to an upstream, whatever limit that names.
 func (f *Fleet) isOpen(now time.Duration, m *member, r Request, tried []string) bool {
 	return !m.closed() && !slices.Contains(tried, m.ID) && f.mayRunIn(m.Domain, r) && f.bears(now, m)
--- a/balance/reach_test.go
+++ b/balance/reach_test.go
@@ -89,3 +89,27 @@
 	lose(f, 10*time.Second, "new1")
 	is.Equal(len(f.Unreached()), 4)
 }
+
+// A domain was cut off from the others. Each of its 125 boxes had a request a second, found out for itself which
+// upstreams it could not reach, and tried up to four of other domains for each request, 350 ms each.
+func TestARequestThatCouldNotGoElsewhereStaysInItsDomain(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(90)
+	r := prompt(1)
+	for r.Parts[0].ID = 1; ; r.Parts[0].ID++ { // a prompt that is at home in another domain
+		if c, _ := f.Place(0, r, nil); c.Upstream.Domain != "d0" {
+			break
+		}
+	}
+	first, _ := f.Place(0, r, nil)
+	f.Open(0, first.Upstream.ID, r).Close(0, Unreachable)
+	second, ok := f.Place(0, r, []string{first.Upstream.ID})
+	is.True(ok)
+	is.Equal(second.Upstream.Domain, "d0")
+	for _, m := range f.byService["s"] {
+		m.out = m.out || m.Domain == "d0"
+	}
+	third, ok := f.Place(0, r, []string{first.Upstream.ID})
+	is.True(ok)
+	is.True(third.Upstream.Domain != "d0") // nothing is left in its own
+}
--- a/balance/service.go
+++ b/balance/service.go
@@ -7,15 +7,18 @@
 type service struct {
 	lanes
 	name     string
-	classes  classes  // of its requests
-	refusals refusals // of its requests
-	holding  holding  // of its slots
-	work     mean     // ms that a request without a prompt runs for, where slots are free
-	answers  answers  // of its upstreams
-	cold     Cold     // what its upstreams bear while they are
-	memory   int      // tokens that the memory of each of its upstreams holds; 0: not known
-	wanted   wanted   // places that upstreams which name limits have
-	unread   float64  // prompt tokens that its upstreams have to read, a mean over them
+	active   []*member // of its upstreams; see active.go
+	listed   int       // its upstreams
+	slots    int       // of all its upstreams
+	classes  classes   // of its requests
+	refusals refusals  // of its requests
+	holding  holding   // of its slots
+	work     mean      // ms that a request without a prompt runs for, where slots are free
+	answers  answers   // of its upstreams
+	cold     Cold      // what its upstreams bear while they are
+	memory   int       // tokens that the memory of each of its upstreams holds; 0: not known
+	wanted   wanted    // places that upstreams which name limits have
+	unread   float64   // prompt tokens that its upstreams have to read, a mean over them
 }
 
 // serviceOf returns what is known of a service.
--- /dev/null
+++ b/balance/tick_bench_test.go
@@ -0,0 +1,33 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkTick tells what a box does ten times a second for its fleet, whatever requests it has: a few upstreams of
+// many have work.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{600, 6000, 12000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			f := newTestFleet(n)
+			others := make(map[LoadKey]Load)
+			for i := range 400 {
+				others[LoadKey{Key(fmt.Sprintf("u%d", i)), i % 3}] = Load{Unread: 640, Open: 1}
+			}
+			for i := range 4 {
+				f.Open(0, fmt.Sprintf("u%d", i), prompt(uint64(i+1)))
+			}
+			now := time.Duration(0)
+			for b.Loop() {
+				now += 100 * time.Millisecond
+				f.Loads()
+				f.SetOthers(others)
+				f.NoteClasses(f.Classes())
+				f.SizeLanes(now, nil)
+				f.Lanes()
+			}
+		})
+	}
+}
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -83,6 +83,7 @@
 func (t *Ticket) count(change Load) {
 	m := t.member.counted()
 	m.work.add(t.request.level(), change)
+	t.fleet.activate(m)
 	t.fleet.forgetGone(m)
 }
 
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -14,10 +14,12 @@
 	m.relay.mu.Lock()
 	defer m.relay.mu.Unlock()
 	m.relay.fleet.SetSharers(m.node.Sharers(m.relay.now()))
-	m.relay.fleet.Told(m.relay.now(), m.node.Confirmed())
+	m.relay.fleet.Told(m.relay.now(), time.Duration(m.relay.belief.confirmed.Load()))
 	m.relay.fleet.SetBoxes(m.node.Boxes(), m.node.Informed(m.relay.now()))
 	m.node.SetLoads(m.relay.fleet.Loads())
-	m.relay.fleet.SetOthers(m.node.Others())
+	if m.relay.fleet.WantsOthers() { // else changes have brought the fleet up to date
+		m.relay.fleet.SetOthers(m.node.Others())
+	}
 	m.node.SetClasses(m.relay.fleet.Classes())
 	m.relay.fleet.NoteClasses(m.node.Classes(m.relay.now()))
 	m.sizeLanes()
