A box answers others while it takes in a long list, and hands on what it was handed

Cause: a box that has pulled everything took all 6,000 entries in at one go, 0.85 s of a small box with their decoding, in which it answered no pull; after a loss of all, boxes have the list from each other, so that each of seven rounds waited that long. Change: the list is handed in by 200 entries, with a look at what else waits in between; the box does not say that it knows all before it has handed all in. What was pulled is handed on as it came, not packed anew.

--- a/group/pulled.go
+++ b/group/pulled.go
@@ -83,6 +83,9 @@
 	n.pullFails, n.wanted = false, wanted{}
 	from := n.cfg.Mirror.Revision()
 	changes := n.cfg.Mirror.Load(items, r.Revision)
+	if from == 0 && len(r.Packed) > 0 {
+		n.everything = packedItems{r.Revision, r.Packed} // the next box that pulls gets the same, unpacked and packed once less
+	}
 	if r.Revision >= from && n.agesHold(now) {
 		n.confirmed = max(n.confirmed, asked-fromMicros(r.ConfirmedAge))
 	}
--- a/group/pulled_test.go
+++ b/group/pulled_test.go
@@ -80,3 +80,20 @@
 		})
 	}
 }
+
+// A box that was handed everything hands the same bytes on: after a loss of all, each of many boxes packed anew what it had
+// just unpacked, before it could answer the next.
+func TestWhatWasPulledIsHandedOnAsItCame(t *testing.T) {
+	is := is.New(t)
+	from := nodeWith(1000)
+	n := NewNode(Config{Self: &wire.GroupBox{Name: "new", Domain: "d"}, Timing: DefaultTiming, Mirror: mirror.New(), Changed: func([]mirror.Item) {}}, 0)
+	first := from.Everything(time.Second, true)
+	n.Pulled(time.Second, time.Second, first)
+	second := n.Everything(2*time.Second, true)
+	is.True(&first.Packed[0] == &second.Packed[0])
+	is.Equal(second.Revision, first.Revision)
+	n.cfg.Mirror.Apply(1000, 1001, []mirror.Item{{Key: "upstream/0000", Gone: true, Revision: 1001}})
+	items, ok := unpackAll(n.Everything(3*time.Second, true).Packed)
+	is.True(ok)
+	is.Equal(len(items), 999) // and not what has changed since
+}
--- a/relay/members.go
+++ b/relay/members.go
@@ -53,12 +53,14 @@
 	kick     chan struct{} // readable when reads has become true
 	known    chan struct{} // closed when the mirror is no longer empty
 	loaded   chan struct{} // readable when this box's loads have changed
+	more     chan struct{} // readable while there is a backlog
 
 	// What the duty alone looks at.
 	pulling   bool
 	goesOn    bool                     // of the reader alone: its last reading of everything failed
 	wholeFrom time.Duration            // and when it, or the one it went on from, began
 	failures  int                      // readings that failed, in a row
+	backlog   []mirror.Item            // what is new in the mirror and not handed in yet, in its order
 	packed    packedMessage            // the last one that was sent
 	missing   map[string]time.Duration // upstreams whose entries went while in doubt, and when to drop them
 	refused   map[string]uint64        // by key: hash of the content that was last named in the log as not taken
@@ -72,6 +74,7 @@
 		kick:    make(chan struct{}, 1),
 		known:   make(chan struct{}),
 		loaded:  make(chan struct{}, 1),
+		more:    make(chan struct{}, 1),
 		traffic: newTraffic(r.stats),
 		missing: make(map[string]time.Duration),
 		refused: make(map[string]uint64),
@@ -106,6 +109,7 @@
 			m.dropMissing()
 		case <-m.loaded:
 			m.takeLoads()
+		case <-m.more:
 		case <-m.events.Ready():
 			m.relay.noticeSleep() // messages that waited meanwhile are not to be taken for new
 		}
@@ -113,6 +117,7 @@
 		for _, e := range batch {
 			m.take(ctx, e)
 		}
+		m.handIn()
 		m.after(ctx)
 	}
 }
@@ -154,7 +159,9 @@
 	m.shareLimits()
 	m.sendOut(ctx)
 	m.showRevision()
-	m.relay.belief.confirmed.Store(int64(m.node.Confirmed()))
+	if len(m.backlog) == 0 { // else the box still goes by what is older
+		m.relay.belief.confirmed.Store(int64(m.node.Confirmed()))
+	}
 	if m.node.Known() {
 		m.boxes.Store(int64(m.node.Boxes()))
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -162,8 +162,27 @@
 	}
 }
 
-// changed is told by the node, and hands in what is new in the mirror.
-func (m *members) changed(items []mirror.Item) {
+// mostHandedIn bounds the items that are handed in between two looks at what else waits.
+const mostHandedIn = 200
+
+// changed is told by the node, and notes what is new in the mirror.
+func (m *members) changed(items []mirror.Item) { m.backlog = append(m.backlog, items...) }
+
+// handIn hands in a part of what is new. A box that starts learns of thousands of upstreams at once; while it takes them in
+// it answers those that wait for the same list, which after a loss of all boxes have it from each other.
+func (m *members) handIn() {
+	next := m.backlog[:min(len(m.backlog), mostHandedIn)]
+	m.backlog = m.backlog[len(next):]
+	if len(m.backlog) > 0 {
+		wake(m.more)
+	} else {
+		m.backlog = nil // it may have been long
+	}
+	m.takeItems(next)
+}
+
+// takeItems takes in what is new in the mirror.
+func (m *members) takeItems(items []mirror.Item) {
 	for _, item := range items {
 		news, err := m.relay.cfg.Decode(item)
 		if err != nil {
--- a/relay/news_test.go
+++ b/relay/news_test.go
@@ -1,12 +1,17 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
 )
 
 func TestAnUpstreamThatIsLeavingGetsNothingNew(t *testing.T) {
@@ -54,3 +59,30 @@
 	is.True(r.fleet.Get("u1") == nil)
 	is.NoErr(r.cfg.Log.Close())
 }
+
+// After all of 585 boxes were killed, each that came to know the list of 6,000 upstreams took it in at one go, for most of
+// a second on a small box, and answered nobody meanwhile, though the others have the list from each other.
+func TestABoxAnswersOthersWhileItTakesInALongList(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{start: time.Now(), fleet: newEmptyFleet(), conns: newConns(nil), stats: newStats(),
+		cfg: Config{Log: NewLog("box", io.Discard), Decode: decode, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1}, Timing: group.DefaultTiming, Boxes: 1}}
+	m, err := newMembers(r)
+	is.NoErr(err)
+	m.after(context.Background())
+	var items []mirror.Item
+	for i := range 2 * mostHandedIn {
+		items = append(items, mirror.Item{Key: fmt.Sprintf("u%d", i), Revision: 1, Value: fmt.Appendf(nil, `{"ID":"u%d","Service":"s","Address":"10.0.0.1:%d"}`, i, i+1)})
+	}
+	m.node.Read(r.now(), r.now(), items, 1, true)
+	m.handIn()
+	m.after(context.Background())
+	is.Equal(len(r.fleet.IDs()), mostHandedIn)
+	is.Equal(len(m.more), 1)                                                // it goes on
+	is.True(time.Duration(r.belief.confirmed.Load()) < r.now()-time.Hour/2) // and does not say yet that it knows all
+	answer := m.node.Answer(r.now(), &wire.MirrorRequest{Packed: true})
+	is.True(len(answer.Packed) > 0) // others get all of it
+	m.handIn()
+	m.after(context.Background())
+	is.Equal(len(r.fleet.IDs()), 2*mostHandedIn)
+	is.Equal(time.Duration(r.belief.confirmed.Load()), m.node.Confirmed())
+}
