News of as many items that went is kept as there are items

Cause: news of 4,096 items that went is kept; where more go within a short time, late news of an item brings it back. At 12,000 upstreams, a replacement of half of them is beyond it. Change: as many as there are items, 4,096 at the least. Test: mirror, fails before.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -23,7 +23,8 @@
 	bytes    int    // of the values in history
 }
 
-// goneKept bounds the news of items that went.
+// goneKept is of how many items that went the news is kept at least; of more where there are more items, all of which may go
+// within a short time. Without it, late news of an item that went brings it back.
 const goneKept = 4096
 
 // New returns an empty copy.
@@ -112,7 +113,7 @@
 
 // trimGone forgets the oldest half of the news of items that went.
 func (m *Mirror) trimGone() {
-	if len(m.gone) <= goneKept {
+	if len(m.gone) <= max(goneKept, len(m.items)) {
 		return
 	}
 	revisions := make([]uint64, 0, len(m.gone))
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -120,3 +120,22 @@
 	is.True(!ok)
 	is.Equal(kept.Revision(), uint64(2)) // it still knows that it lacks something
 }
+
+// Most of a long list goes at once: late news of an item of it does not bring it back, also where more than goneKept went.
+func TestLateNewsOfWhatWentBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	const items = 3 * goneKept
+	m := New()
+	var list []Item
+	for i := range items {
+		list = append(list, Item{Key: fmt.Sprint(i), Revision: uint64(i + 1)})
+	}
+	m.Load(list, items)
+	var gone []Item
+	for i := range goneKept + 1 {
+		gone = append(gone, Item{Key: fmt.Sprint(i), Revision: items + uint64(i) + 1, Gone: true})
+	}
+	m.Apply(items, items+goneKept+1, gone)
+	m.Apply(m.Revision(), m.Revision(), []Item{{Key: "0", Revision: 1}})
+	is.Equal(len(m.Items()), items-goneKept-1)
+}
