Many changes at once go to all boxes in a few datagrams

Cause: changes that take more than a datagram were to be pulled, all that is published, by each box at once. A message is made once for all that get it.

--- a/group/audience.go
+++ b/group/audience.go
@@ -25,8 +25,9 @@
 type telling struct {
 	each  float64       // bytes a second of changes for each box, at most
 	total float64       // and for all boxes together
-	pause time.Duration // the least between two messages of changes
-	rows  int           // the most loads that such a message names
+	pause time.Duration // the least between two messages of changes, to any number of boxes
+	sends float64       // messages of changes a second, to all boxes together; 0: any number
+	rows  int           // the most loads that a message names which follows another one after the least pause
 	// The least differences that are worth telling before the next whole list, in tokens and
 	// requests, and the share of what was told that one has to be besides, but for what is held.
 	unread, open, held int
@@ -39,10 +40,14 @@
 // wholeMost is the longest pause between two whole lists.
 const wholeMost = 10 * time.Second
 
+// sendsToMembers is how many messages of changes a second a lead sends, 33 to each of 39 members. Each is a wake-up of the
+// box that gets it: in a larger domain each hears as much of what has changed, in fewer messages.
+const sendsToMembers = 1300
+
 var (
 	// toMembers leaves the lead of 39 boxes to tell each change at once, and holds that of a
 	// larger domain to what the narrowest link of 10 Mbit/s carries.
-	toMembers = telling{each: 32e3, total: 1.25e6, pause: flushPause, rows: 48, unread: 1, open: 1, held: 1, share: 0}
+	toMembers = telling{each: 32e3, total: 1.25e6, pause: flushPause, sends: sendsToMembers, rows: 48, unread: 1, open: 1, held: 1, share: 0}
 	// toNear is between domains of a region: choices there look at other domains' upstreams too.
 	toNear = telling{each: 4e3, total: 40e3, pause: flushPause, rows: 48, unread: 512, open: 1, held: 4096, share: 0.1}
 	// toFar is between regions, tens of ms apart. Most bytes between them are prompts, which are placed worse
@@ -212,7 +217,23 @@
 	m := n.changesMessage(told)
 	m.Scope = a.scope
 	a.send(n, a.peers, m)
-	a.due = now + max(a.pause, a.pauseFor(m))
+	a.due = now + max(a.leastPause(), a.pauseFor(m))
+}
+
+// leastPause is the least time between two messages of changes to boxes as many as listen.
+func (a *audience) leastPause() time.Duration {
+	if a.sends == 0 {
+		return a.pause
+	}
+	return max(a.pause, time.Duration(float64(len(a.peers))/a.sends*float64(time.Second)))
+}
+
+// rowsAtOnce bounds the loads in a message of changes, which stays within 6 KB.
+const rowsAtOnce = 400
+
+// mostRows is the most loads that a message of changes names: the longer the pause, the more have changed.
+func (a *audience) mostRows() int {
+	return min(int(a.leastPause()*time.Duration(a.rows)/a.pause), rowsAtOnce)
 }
 
 // changes lists what is worth telling, the greatest differences first.
@@ -230,11 +251,11 @@
 			list = append(list, change{key, load, weightOf(told, load)})
 		}
 	}
-	if len(list) > a.rows {
+	if rows := a.mostRows(); len(list) > rows {
 		slices.SortFunc(list, func(x, y change) int {
 			return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.key.Upstream, y.key.Upstream), cmp.Compare(x.key.Urgency, y.key.Urgency))
 		})
-		list = list[:a.rows]
+		list = list[:rows]
 	}
 	return list
 }
--- a/group/audience_test.go
+++ b/group/audience_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +56,17 @@
 		is.True(!a.matters(told, balance.Load{Open: 32, Held: 400_000 + 4095}))
 	}
 }
+
+// A lead of 116 members sent each 33 messages of changes a second, as that of 39 does: twice the boxes of a domain, twice
+// the messages of its lead, and all of them wake-ups.
+func TestALeadSendsSoManyMessagesHoweverManyListen(t *testing.T) {
+	is := is.New(t)
+	for _, boxes := range []int{1, 39, 116, 234, 1000} {
+		a := audienceOf(toMembers, nil, slices.Repeat([]string{"a"}, boxes)...)
+		perSecond := float64(boxes) * float64(time.Second) / float64(a.leastPause())
+		is.True(perSecond < sendsToMembers+1)
+		is.True(a.leastPause() == flushPause || perSecond > sendsToMembers-1)
+		is.Equal(a.mostRows(), min(int(a.leastPause()*time.Duration(a.rows)/flushPause), rowsAtOnce)) // and each tells as much a second
+	}
+	is.Equal(audienceOf(toNear, nil, "a", "b").leastPause(), flushPause)
+}
--- a/group/limits_test.go
+++ b/group/limits_test.go
@@ -184,3 +184,20 @@
 		})
 	}
 }
+
+// Where a box lacked more limits than a message holds, it was told the same ones with each beat, and never the rest.
+func TestABoxThatStartsLearnsOfAllLimits(t *testing.T) {
+	is := is.New(t)
+	const upstreams = 5*maxSpreadTold + 7
+	d := newNeedyDay(t, needyConfig{seed: 1, domains: 3, boxes: 6, upstreams: upstreams, perSecond: 1e-3})
+	for i := range upstreams {
+		d.says("b3", fmt.Sprintf("u%d", i), 2.5)
+	}
+	d.pass(3 * time.Second)
+	d.w.start("b5", "d2", 1, false)
+	d.pass(3 * time.Second)
+	for i := range upstreams {
+		know, alive := d.knowing(fmt.Sprintf("u%d", i), 2.5)
+		is.Equal(know, alive)
+	}
+}
--- a/group/node.go
+++ b/group/node.go
@@ -148,6 +148,7 @@
 	lastHail     time.Duration // while nobody has answered
 
 	everything packedItems // what was packed last
+	early      early       // changes that have overtaken those before them
 
 	lastTick time.Duration
 	wokeAt   time.Duration // when the box last noticed that it had stood still
@@ -213,6 +214,7 @@
 		directly:     never,
 		lastHail:     now,
 		flushed:      never,
+		early:        early{at: never},
 		suspects:     newSpread(spreadOfSuspects),
 		limits:       newSpread(spreadOfLimits),
 		looked:       never,
--- a/group/published.go
+++ b/group/published.go
@@ -24,12 +24,12 @@
 	n.doubtFor(now, m.DoubtLeft)
 	n.takeItems(now, m)
 	switch mine := n.cfg.Mirror.Revision(); {
-	case m.Revision > mine && (m.Pull || mine == 0):
+	case m.Revision > mine && (m.Pull && len(m.PackedItems) == 0 || mine == 0):
 		if n.wanted.from == "" {
 			n.pull = n.pullFrom(now, m.Sender)
 			n.pulledFrom = n.pull
 		}
-	case m.Revision > mine && now-n.lastAsk >= askPause:
+	case m.Revision > mine && now-n.lastAsk >= askPause && now-n.early.at >= askPause:
 		n.lastAsk = now
 		ask := n.message(now)
 		ask.Ask = true
@@ -79,13 +79,29 @@
 // missing here.
 func (n *Node) takeItems(now time.Duration, m *wire.GroupMessage) {
 	items, ok := unpack(m.Items)
+	if len(m.PackedItems) > 0 {
+		items, ok = unpackAll(m.PackedItems)
+	}
 	if !ok || len(items) == 0 {
 		return
 	}
+	if !n.applyItems(now, m.From, m.Revision, items) {
+		n.early.put(now, n.cfg.Mirror.Revision(), earlyItems{m.From, m.Revision, items})
+		return
+	}
+	for e, ok := n.early.take(n.cfg.Mirror.Revision()); ok; e, ok = n.early.take(n.cfg.Mirror.Revision()) {
+		n.applyItems(now, e.from, e.to, e.items)
+	}
+}
+
+// applyItems takes changes behind a revision; false means that some before them are missing here.
+func (n *Node) applyItems(now time.Duration, from, to uint64, items []mirror.Item) bool {
 	before := n.cfg.Mirror.Revision()
-	if changes, ok := n.cfg.Mirror.Apply(m.From, m.Revision, items); ok {
+	changes, ok := n.cfg.Mirror.Apply(from, to, items)
+	if ok {
 		n.tell(now, changes, before)
 	}
+	return ok
 }
 
 // doubtFor takes over another box's time of doubt, in microseconds.
@@ -104,9 +120,10 @@
 	if !n.Leads() {
 		return
 	}
+	messages := n.itemMessages(now, from, changes)
 	for _, p := range n.peers {
 		if n.sameDomain(p) || n.leadsNow(now, p) {
-			n.sendItems(now, p.box.Address, from, changes)
+			n.sendAll(p.box.Address, messages)
 		}
 	}
 }
@@ -127,20 +144,7 @@
 		n.send(to, m)
 		return
 	}
-	n.sendItems(now, to, after, changes)
-}
-
-// sendItems sends the changes behind a revision, or, where they are too many for a
-// datagram, says that everything has to be pulled.
-func (n *Node) sendItems(now time.Duration, to string, from uint64, changes []mirror.Item) {
-	m := n.message(now)
-	items, size := pack(changes)
-	if size > maxItems || from == 0 { // what a box with an empty copy has learned tells nothing of what went
-		m.Pull = true
-	} else {
-		m.From, m.Items = from, items
-	}
-	n.send(to, m)
+	n.sendAll(to, n.itemMessages(now, after, changes))
 }
 
 // Read notes that this box read the publisher itself: what is new behind the mirror's
@@ -161,7 +165,7 @@
 	n.confirmed = max(n.confirmed, known)
 	n.tell(now, changes, from)
 	if !n.Leads() {
-		n.sendItems(now, n.lead().Address, from, changes)
+		n.sendAll(n.lead().Address, n.itemMessages(now, from, changes))
 	}
 }
 
--- a/group/reads.go
+++ b/group/reads.go
@@ -43,7 +43,8 @@
 	}
 	// After a start, the reader is given its own time to settle and as much to read.
 	known := max(n.confirmed, n.started-t.Stale+2*t.Settle)
-	return now-known > t.Stale+time.Duration(min(n.place(), maxStagger))*t.Stagger
+	stale := now - known - t.Stale
+	return stale > 0 && stale > time.Duration(min(n.place(), maxStagger))*t.Stagger
 }
 
 // readsForAll reports whether this box is the strongest of the leads that can read.
--- a/group/spread.go
+++ b/group/spread.go
@@ -18,6 +18,8 @@
 	maxSpreadTold = 100
 	// spreadTells is how many messages tell what matters, since one may be lost.
 	spreadTells = 3
+	// comparedAtOnce is how many messages tell a box at once what it lacks.
+	comparedAtOnce = 4
 	// maxSpreadWaiting bounds what waits to be told; what comes beyond is left out, and found
 	// by the digest.
 	maxSpreadWaiting = 8 * maxSpreadTold
@@ -40,7 +42,13 @@
 	abroad   map[uint64]T // what leads of other domains told: leads need not be told that
 	heard    []T          // told by others, and not yet taken over
 	told     time.Duration
-	compared map[string]time.Duration // by box: when it was told all
+	compared map[string]compared // by box
+}
+
+// compared is when a box was told what this one holds, and how far that has come.
+type compared struct {
+	at   time.Duration
+	next int // in the list of all, the first entry to tell
 }
 
 // spreadNews is something to tell.
@@ -50,7 +58,7 @@
 }
 
 func newSpread[T any](of spreadOf[T]) spread[T] {
-	return spread[T]{of: of, told: never, abroad: make(map[uint64]T), compared: make(map[string]time.Duration)}
+	return spread[T]{of: of, told: never, abroad: make(map[uint64]T), compared: make(map[string]compared)}
 }
 
 // tell notes what is new, to be told.
@@ -141,14 +149,24 @@
 	}
 }
 
-// compare tells a box all that this one holds where the two differ, once a beat.
+// compare tells a box what this one holds where the two differ, once a beat: all of it, or, where that takes more
+// messages than comparedAtOnce, what follows on what was told the last time.
 func (s *spread[T]) compare(n *Node, now time.Duration, p *peer, digest uint64) {
-	at, isKnown := s.compared[p.box.Name]
-	if digest == s.digest || isKnown && now-at < n.cfg.Timing.Beat {
+	c, isKnown := s.compared[p.box.Name]
+	if digest == s.digest || isKnown && now-c.at < n.cfg.Timing.Beat {
 		return
 	}
-	s.compared[p.box.Name] = now
-	s.send(n, []*peer{p}, s.all[:min(len(s.all), maxSpreadTold)], true)
+	for range comparedAtOnce {
+		list := s.all[min(c.next, len(s.all)):]
+		list = list[:min(len(list), maxSpreadTold)]
+		s.send(n, []*peer{p}, list, true)
+		if c.next += len(list); c.next >= len(s.all) {
+			c.next = 0
+			break
+		}
+	}
+	c.at = now
+	s.compared[p.box.Name] = c
 }
 
 // otherLeads are the leads of other domains that are heard.
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -30,14 +30,17 @@
 	loss      float64
 	calls     int
 	bytes     int
-	sent      map[string]int                 // bytes, by box
-	kinds     map[sentKey]int                // bytes
+	sent      map[string]int  // bytes, by box
+	kinds     map[sentKey]int // bytes
+	messages  map[sentKey]int
 	regions   map[string]string              // of domains; empty: they are not divided
 	far       time.Duration                  // the way from one region to another
 	severs    func(a, b *wire.GroupBox) bool // links that are cut besides; nil: none
+	takesIn   time.Duration                  // how long a box answers nobody once it has pulled everything
 	link      float64                        // bytes a second that a box can send to those that pull from it; 0: any number
 	store     pagedStore
 	pulls     []pulling
+	pulled    int      // times that a box got everything
 	crossed   int      // pulls answered across the edge of a domain
 	packed    Outgoing // whose bytes are in packedAs: one message may go to many
 	packedAs  []byte
@@ -65,32 +68,33 @@
 }
 
 type testBox struct {
-	self    *wire.GroupBox
-	node    *Node
-	copy    *mirror.Mirror
-	dead    bool
-	frozen  bool
-	reading time.Duration // when the call under way ends; 0: none
-	waits   time.Duration // for a change, of the call under way
-	next    time.Duration // when the next call may begin
-	asked   uint64        // revision behind which it asks
-	whole   bool
-	began   time.Duration
-	page    int           // the next one of everything; those before it were read
-	asking  bool          // a page is on its way
-	askedAt time.Duration // since when
-	pulls   bool          // a pull is
-	sends   time.Duration // until when its link is busy with pulls
-	fails   int           // readings that failed, in a row
-	known   time.Duration // when it first knew what is published; 0: not yet
-	taken   []uint64      // revisions of the document it took, in order
+	self      *wire.GroupBox
+	node      *Node
+	copy      *mirror.Mirror
+	dead      bool
+	frozen    bool
+	reading   time.Duration // when the call under way ends; 0: none
+	waits     time.Duration // for a change, of the call under way
+	next      time.Duration // when the next call may begin
+	asked     uint64        // revision behind which it asks
+	whole     bool
+	began     time.Duration
+	page      int           // the next one of everything; those before it were read
+	asking    bool          // a page is on its way
+	askedAt   time.Duration // since when
+	pulls     bool          // a pull is
+	takesTill time.Duration // until when it takes in what it pulled
+	sends     time.Duration // until when its link is busy with pulls
+	fails     int           // readings that failed, in a row
+	known     time.Duration // when it first knew what is published; 0: not yet
+	taken     []uint64      // revisions of the document it took, in order
 }
 
 const documentKey = "document"
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), boxes: make(map[string]*testBox), published: mirror.New(),
-		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int), kinds: make(map[sentKey]int)}
+		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int), kinds: make(map[sentKey]int), messages: make(map[sentKey]int)}
 	w.published.Load([]mirror.Item{{Key: documentKey, Value: []byte("1"), Revision: 1}}, 1)
 	return w
 }
@@ -206,7 +210,9 @@
 		data := w.packedAs
 		w.bytes += len(data)
 		w.sent[b.self.Name] += len(data)
-		w.kinds[sentKey{KindOf(o.Message), o.Reach}] += len(data)
+		key := sentKey{KindOf(o.Message), o.Reach}
+		w.kinds[key] += len(data)
+		w.messages[key]++
 		if w.random.Float64() < w.loss {
 			continue
 		}
@@ -238,7 +244,7 @@
 	if r.BusyLeft == 0 && r.Revision > 0 && b.self.Domain != from.self.Domain {
 		w.crossed++
 	}
-	from.sends = max(from.sends, w.now) + time.Duration(float64(proto.Size(r))/w.link*float64(time.Second))
+	from.sends = max(from.sends, w.now, from.takesTill) + time.Duration(float64(proto.Size(r))/w.link*float64(time.Second))
 	p := pulling{asked: w.now, at: from.sends + 2*step, to: b, what: r}
 	if b.self.Region != from.self.Region {
 		p.at += 2 * w.far
@@ -261,6 +267,10 @@
 				b.node.PullFailed()
 			} else {
 				b.node.Pulled(w.now, p.asked, p.what)
+				if p.what.BusyLeft == 0 {
+					w.pulled++
+					b.takesTill = w.now + w.takesIn
+				}
 			}
 			w.collect(b)
 		}
