--- a/capacity/sweep.go
+++ b/capacity/sweep.go
@@ -5,6 +5,7 @@
 // between the first and the last size played, 0 to 2.
 
 import (
+	_ "embed" // relay.md
 	"fmt"
 	"math"
 	"strings"
@@ -63,12 +64,17 @@
 	{"after a domain was lost, ms", func(a SweepAt) float64 { return a.AfterZoneOut }},
 }
 
+// relay is what was measured of boxes that relay besides, each with the command or the journal entry that holds it.
+//
+//go:embed relay.md
+var relay string
+
 // sweeps writes the part of the page.
 func (f *figures) sweeps(b *strings.Builder) {
 	fmt.Fprintf(b, "## Boxes that relay, by the users' sweep\n\n")
 	fmt.Fprintf(b, "All traffic is in these figures, that of callers and upstreams too, and each box has a share of a core of\n")
 	fmt.Fprintf(b, "its own. What is carried on to %d boxes grows by the power between the smallest and the largest fleet\n", daemons)
-	fmt.Fprintf(b, "played, %d at the most. What carries each, and what breaks first: [relay](capacity/relay.md).\n", mostPower)
+	fmt.Fprintf(b, "played, %d at the most. What carries each, and what breaks first, stands below.\n", mostPower)
 	for _, s := range f.Sweeps {
 		fmt.Fprintf(b, "\n| %s |", s.Site)
 		for _, at := range s.Rows {
@@ -84,7 +90,7 @@
 			fmt.Fprintf(b, " %s |\n", shortNumber(s.carriedOn(c.figure)))
 		}
 	}
-	fmt.Fprintln(b)
+	fmt.Fprintf(b, "\n%s\n", relay)
 }
 
 // verdicts writes what became of the days.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,13 +1,3 @@
-// Package relay is a box that passes requests on to upstreams without knowing what
-// is in them: requests are told apart by host and path, prompts are described by
-// headers, and answers go back byte for byte.
-//
-// A Relay joins the parts: the callers' side (front.go), a request's arrival
-// (arrival.go), its way to its end (exchange.go) from one upstream to the next
-// (runs.go), one run on an upstream (attempt.go) and what became of it (outcome.go),
-// connections to upstreams (conns.go), what the box believes of the world
-// (belief.go), and its part of the group (members.go). The decisions are in package
-// balance.
 package relay
 
 // This file defines the relay's configuration and its start. The invariant: every duty
