A lead that hears nobody of a domain finds out whether it is cut off, and tells its boxes

Cause: each box finds out by its own requests which upstreams it cannot reach, and leaves a domain after two of them within 2 s. With a request a second for each of 585 boxes, a fifth of it for each domain, that hardly happens before a cut is over: each prompt for the other side waits 350 ms for a connection, and runs there end when the kernel notices, 3 s later. Runs there that may run again go on elsewhere.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -92,6 +92,7 @@
 	lost       []Lost                  // out of reach, and not returned by NewlyLost yet
 	othersAnew bool                    // an upstream was listed of which others may have told before
 	domains    map[string]*domainReach // by name
+	toldCutOff []string                // failure domains that another box finds cut off
 	ways       map[string]*way         // by failure domain
 	rate       float64                 // prompt tokens that an upstream reads in a ms
 	listed     time.Duration           // when the first upstream was
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -70,6 +70,61 @@
 	}
 }
 
+// CutOff lists, in order, the failure domains that this box has left as a whole.
+func (f *Fleet) CutOff() []string {
+	var list []string
+	for name, d := range f.domains {
+		if d.left > 0 {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// FollowCutOff leaves the failure domains that another box finds cut off and did not before, and takes those again that it does
+// no more. It returns those that it has left.
+func (f *Fleet) FollowCutOff(now time.Duration, told []string) []string {
+	if f.cfg.Off[Domains] {
+		return nil
+	}
+	var left []string
+	for _, name := range told {
+		if !slices.Contains(f.toldCutOff, name) && name != f.cfg.Domain {
+			f.leaveDomain(name)
+			left = append(left, name)
+		}
+	}
+	for _, name := range f.toldCutOff {
+		if !slices.Contains(told, name) {
+			f.returnToDomain(now, name)
+		}
+	}
+	f.toldCutOff = told
+	return left
+}
+
+// Sample lists up to so many upstreams of a failure domain that are in reach, other ones each time.
+func (f *Fleet) Sample(domain string, count int) []Upstream {
+	var list []Upstream
+	for _, m := range f.byID {
+		if len(list) == count {
+			break
+		}
+		if m.Domain == domain && !m.closed() && !m.out {
+			list = append(list, m.Upstream)
+		}
+	}
+	return list
+}
+
+// UnreachedLife notes that a trial connection to a life of an upstream did not come up.
+func (f *Fleet) UnreachedLife(now time.Duration, l Life) {
+	if m := f.byID[l.ID]; m != nil && m.Life() == l {
+		f.unreached(now, m)
+	}
+}
+
 // leaveDomain notes that a failure domain seems to be cut off.
 func (f *Fleet) leaveDomain(name string) {
 	for _, m := range f.byID {
--- a/group/hear.go
+++ b/group/hear.go
@@ -47,6 +47,9 @@
 	if m.Leads {
 		p.boxes = int(m.DomainBoxes)
 	}
+	if m.Leads && n.sameDomain(p) {
+		p.cutOff = m.CutOff
+	}
 	for _, b := range m.Boxes {
 		n.noteListed(now, b)
 	}
--- a/group/node.go
+++ b/group/node.go
@@ -95,8 +95,9 @@
 	reads   bool
 	knows   bool // it knows what is published
 	leaving bool
-	silent  bool // it was expected to lead and was not heard
-	boxes   int  // alive in its domain, as it said when it led
+	silent  bool     // it was expected to lead and was not heard
+	boxes   int      // alive in its domain, as it said when it led
+	cutOff  []string // domains that it finds cut off, as it said when it led this box's
 
 	beats    int    // that it was sent
 	toldList uint64 // digest of the boxes it was last told
@@ -149,6 +150,7 @@
 
 	everything packedItems // what was packed last
 	early      early       // changes that have overtaken those before them
+	cutOff     []string    // domains that this box finds cut off
 
 	lastTick time.Duration
 	wokeAt   time.Duration // when the box last noticed that it had stood still
--- a/group/talk.go
+++ b/group/talk.go
@@ -227,6 +227,7 @@
 		m.Leads, m.Reads = true, !n.readFails
 		m.DomainBoxes, m.AllBoxes = uint32(n.domainBoxes(now)), uint32(n.most)
 		m.Lanes = n.packLanes(now)
+		m.CutOff = n.cutOff
 	}
 	return m
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -57,6 +57,8 @@
 
 	// What the duty alone looks at.
 	pulling   bool
+	left      []string                 // domains that the box had left when it last looked
+	probedAt  time.Duration            // when upstreams of silent domains were tried last
 	goesOn    bool                     // of the reader alone: its last reading of everything failed
 	wholeFrom time.Duration            // and when it, or the one it went on from, began
 	failures  int                      // readings that failed, in a row
@@ -106,6 +108,7 @@
 			m.relay.noticeSleep()
 			m.syncFleet()
 			m.node.Tick(m.relay.now())
+			m.shareCutOff(ctx)
 			m.dropMissing()
 		case <-m.loaded:
 			m.takeLoads()
