--- a/relay/runs.go
+++ b/relay/runs.go
@@ -62,7 +62,9 @@
 	q := x.placement()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	began := time.Now()
 	choice, ok := r.fleet.Place(r.now(), q, x.triedPresent())
+	r.stats.observe("decision_us", time.Since(began).Microseconds())
 	if choice.Passed > 0 {
 		r.stats.count(heldBack)
 	}
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -32,11 +32,14 @@
 func (s *stats) count(name string) { metrics.GetOrRegisterCounter(name, s.registry).Inc(1) }
 
 // latency adds a time to a histogram, in ms.
-func (s *stats) latency(name string, d time.Duration) {
+func (s *stats) latency(name string, d time.Duration) { s.observe(name, d.Milliseconds()) }
+
+// observe adds a value to a histogram.
+func (s *stats) observe(name string, value int64) {
 	h := s.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(histogramSize))
 	})
-	h.(metrics.Histogram).Update(d.Milliseconds())
+	h.(metrics.Histogram).Update(value)
 }
 
 // write prints all figures as text, one a line.
