--- a/balance/reach.go
+++ b/balance/reach.go
@@ -83,16 +83,14 @@
 }
 
 // FollowCutOff leaves the failure domains that another box finds cut off and did not before, and takes those again that it does
-// no more. It returns those that it has left.
-func (f *Fleet) FollowCutOff(now time.Duration, told []string) []string {
+// no more.
+func (f *Fleet) FollowCutOff(now time.Duration, told []string) {
 	if f.cfg.Off[Domains] {
-		return nil
+		return
 	}
-	var left []string
 	for _, name := range told {
 		if !slices.Contains(f.toldCutOff, name) && name != f.cfg.Domain {
 			f.leaveDomain(name)
-			left = append(left, name)
 		}
 	}
 	for _, name := range f.toldCutOff {
@@ -101,10 +99,9 @@
 		}
 	}
 	f.toldCutOff = told
-	return left
 }
 
-// Sample lists up to so many upstreams of a failure domain that are in reach, other ones each time.
+// Sample lists up to so many upstreams of a failure domain that are not known to be out of reach, in no order.
 func (f *Fleet) Sample(domain string, count int) []Upstream {
 	var list []Upstream
 	for _, m := range f.byID {
