A box that pulls says what it has, and gets what has changed

A document with 200 customers and 150 routes goes into no datagram, so that each version was pulled by each box, with the entries of all upstreams, 150 KB. Change: MirrorRequest.after, MirrorResponse.from; whoever does not know the changes answers everything, as before.

--- a/group/changes_test.go
+++ b/group/changes_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
 )
 
 // entriesOf is entries of upstreams, of 250 bytes each as they are published.
@@ -119,3 +120,52 @@
 	is.Equal(len(m), 1)
 	is.True(m[0].Pull && len(m[0].PackedItems) == 0)
 }
+
+// With 200 customers and 150 routes a document no longer went into a datagram: each of its versions was pulled by all boxes at
+// once, and with it the entries of 6,000 upstreams. A storm of configurations made requests late for as long as it went on.
+func TestALargeDocumentIsPulledAlone(t *testing.T) {
+	is := is.New(t)
+	w := across(t, 2, layout{3, 1}, 60)
+	w.listEntries(2000)
+	w.killAll()
+	w.run(4 * time.Second)
+	is.Equal(w.behind(), nil)
+	random := rand.New(rand.NewPCG(1, 2))
+	w.calls, w.pulled, w.store.calls = 0, 0, 0
+	for range 3 {
+		document := make([]byte, 4*maxItems)
+		for i := range document {
+			document[i] = byte('a' + random.IntN(26))
+		}
+		w.publish(documentKey, string(document))
+		w.run(600 * time.Millisecond)
+		is.Equal(w.behind(), nil)
+	}
+	is.Equal(w.pulled, 0)
+	is.Equal(w.store.calls, 0)
+}
+
+// What is answered to a box that has nearly everything is what it lacks; to one of which that is not known, everything.
+func TestWhatABoxLacksIsAnswered(t *testing.T) {
+	is := is.New(t)
+	n, box := nodeWith(1000), nodeWith(1000)
+	n.cfg.Mirror.Apply(1000, 1003, entriesOf(3, 1001))
+	ask := func(after uint64) *wire.MirrorResponse {
+		n.answers = answers{}
+		return n.Answer(time.Second, &wire.MirrorRequest{Packed: true, Pulls: "b", After: after})
+	}
+	r := ask(1000)
+	is.Equal(r.From, uint64(1000))
+	box.Pulled(time.Second, time.Second, r)
+	is.Equal(box.cfg.Mirror.Revision(), uint64(1003))
+	is.Equal(box.cfg.Mirror.Items(), n.cfg.Mirror.Items())
+	is.Equal(ask(1001).From, uint64(1001)) // and not what was packed for the one before
+	for _, after := range []uint64{0, 7, 2000} {
+		is.Equal(ask(after).From, uint64(0))
+	}
+	ahead := nodeWith(1000)
+	ahead.Pulled(time.Second, time.Second, ask(1001)) // it begins where the box is not
+	is.Equal(ahead.cfg.Mirror.Revision(), uint64(1000))
+	box.Pulled(2*time.Second, 2*time.Second, ask(1003)) // nothing new
+	is.Equal(box.cfg.Mirror.Revision(), uint64(1003))
+}
--- a/group/fetch.go
+++ b/group/fetch.go
@@ -49,7 +49,7 @@
 	if left := n.answers.until - now; left > answerBacklog {
 		return &wire.MirrorResponse{BusyLeft: micros(left - answerBacklog/2), Elsewhere: n.elsewhere(now, req)}
 	}
-	r := n.Everything(now, req.Packed)
+	r := n.changesOrAll(now, req)
 	size := len(r.Packed)
 	for _, it := range r.Items {
 		size += len(it.Key) + len(it.Value) + itemHead
@@ -62,6 +62,20 @@
 	return r
 }
 
+// changesOrAll is what a box that pulls lacks, or everything where that is not known. A document that no datagram
+// holds is pulled by all at once with each of its versions; everything is many times as much.
+func (n *Node) changesOrAll(now time.Duration, req *wire.MirrorRequest) *wire.MirrorResponse {
+	revision := n.cfg.Mirror.Revision()
+	changes, known := n.cfg.Mirror.Since(req.After)
+	if !req.Packed || req.After == 0 || !known {
+		return n.Everything(now, req.Packed)
+	}
+	if p := &n.lately; p.bytes == nil || p.revision != revision || p.after != req.After {
+		*p = packedChanges{packedItems{revision, packAll(changes)}, req.After}
+	}
+	return &wire.MirrorResponse{Revision: revision, From: req.After, Packed: n.lately.bytes, ConfirmedAge: micros(now - n.confirmed), DoubtLeft: micros(n.doubt - now)}
+}
+
 // link is what the box's link carries, in bytes a second.
 func (n *Node) link() float64 {
 	if n.cfg.Link > 0 {
--- a/group/node.go
+++ b/group/node.go
@@ -148,9 +148,10 @@
 	directly     time.Duration // when the box itself was
 	lastHail     time.Duration // while nobody has answered
 
-	everything packedItems // what was packed last
-	early      early       // changes that have overtaken those before them
-	cutOff     []string    // domains that this box finds cut off
+	everything packedItems   // what was packed last
+	lately     packedChanges // and of changes
+	early      early         // changes that have overtaken those before them
+	cutOff     []string      // domains that this box finds cut off
 
 	lastTick time.Duration
 	wokeAt   time.Duration // when the box last noticed that it had stood still
--- a/group/pulled.go
+++ b/group/pulled.go
@@ -20,6 +20,12 @@
 	bytes    []byte
 }
 
+// packedChanges is the same of the changes behind a revision. Those that pull at the same moment mostly lack the same.
+type packedChanges struct {
+	packedItems
+	after uint64
+}
+
 // Everything is the answer to another box's pull; packed says that it reads the packed
 // form. The answer must not be changed.
 func (n *Node) Everything(now time.Duration, packed bool) *wire.MirrorResponse {
@@ -80,9 +86,14 @@
 	if !ok || len(items) == 0 {
 		return // the next beat shows what is missing still
 	}
-	n.pullFails, n.wanted = false, wanted{}
 	from := n.cfg.Mirror.Revision()
-	changes := n.cfg.Mirror.Load(items, r.Revision)
+	var changes []mirror.Item
+	if r.From == 0 {
+		changes = n.cfg.Mirror.Load(items, r.Revision)
+	} else if changes, ok = n.cfg.Mirror.Apply(r.From, r.Revision, items); !ok {
+		return // it starts where this box is not
+	}
+	n.pullFails, n.wanted = false, wanted{}
 	if from == 0 && len(r.Packed) > 0 {
 		n.everything = packedItems{r.Revision, r.Packed} // the next box that pulls gets the same, unpacked and packed once less
 	}
--- a/relay/pull.go
+++ b/relay/pull.go
@@ -37,7 +37,7 @@
 	self := m.relay.cfg.Self
 	client := wire.NewMirrorsClient(m.relay.pullClient, "http://"+address)
 	asked := m.relay.now()
-	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region, Pulls: self.Pulls}))
+	resp, err := client.Mirror(ctx, connect.NewRequest(&wire.MirrorRequest{Packed: true, Domain: self.Domain, Region: self.Region, Pulls: self.Pulls, After: m.revision.Load()}))
 	result := &pullResult{from: address, asked: asked, err: err}
 	if err == nil {
 		result.response = resp.Msg
