--- a/balance/budget.go
+++ b/balance/budget.go
@@ -68,6 +68,19 @@
 	return true
 }
 
+// BudgetUse is what a budget goes by at a moment.
+type BudgetUse struct {
+	Taken int // requests that count
+	Spent int // those sent again that count
+	Boxes int // among which the slack is divided
+}
+
+// Use returns what the budget goes by now.
+func (b *Budget) Use(now time.Duration, boxes int) BudgetUse {
+	b.advance(now)
+	return BudgetUse{Taken: b.sum(&b.taken), Spent: b.sum(&b.spent), Boxes: boxes}
+}
+
 // Left is how many more requests may be sent again now.
 func (b *Budget) Left(now time.Duration, boxes int) int {
 	b.advance(now)
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -109,6 +109,7 @@
 	"run: silent":                       "The connection carried nothing more while its upstream, asked twice on a fresh one, had made more events than came (made, events), or knew nothing of the run: it was ended, and goes on elsewhere where it may.",
 	"run: moves":                        "The answer would not end in its caller's time where it runs (here_ms), and would elsewhere (there_ms): its memory is copied and it goes on there.",
 	"run: not moved":                    "Its upstream did not answer the call to copy it; the answer goes on where it is, or breaks off.",
+	"run: not retried":                  "The service's retry budget on this box is used up: of window_ms count taken requests and spent retries, and the slack divided by boxes.",
 	"run: failed":                       "A run brought nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
 
--- /dev/null
+++ b/relay/retry.go
@@ -0,0 +1,34 @@
+package relay
+
+// This file defines how a retry is taken from the retry budget. The invariant: a request that is
+// given up since the budget is used up has a line that says by what.
+
+import "github.com/doormast/doormast/balance"
+
+// Counters of retries, each followed by the service's name.
+const (
+	retriesSpent  = "retries_"
+	retriesDenied = "retries_denied_"
+)
+
+// spendRetry takes a retry from the budget, if there is one.
+func (x *exchange) spendRetry() bool {
+	r := x.relay
+	r.mu.Lock()
+	granted := r.budget.Spend(r.now(), r.boxes())
+	use := r.budget.Use(r.now(), r.boxes())
+	r.mu.Unlock()
+	if granted {
+		r.stats.count(retriesSpent + x.service)
+		return true
+	}
+	r.stats.count(retriesDenied + x.service)
+	x.logNotRetried(use)
+	return false
+}
+
+// logNotRetried writes the line of a request that the budget allows no retry.
+func (x *exchange) logNotRetried(use balance.BudgetUse) {
+	x.relay.cfg.Log.Event("run", "not retried", Fields{"id": x.request.id, "upstream": x.upstream.ID, "service": x.service, "reason": "retry budget used up",
+		"taken": use.Taken, "spent": use.Spent, "boxes": use.Boxes, "window_ms": x.relay.cfg.Budget.Window.Milliseconds()})
+}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -176,8 +176,5 @@
 	if x.sent >= x.route.MaxAttempts || state == runUnknown && !x.route.Again() {
 		return false
 	}
-	r := x.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.budget.Spend(r.now(), r.boxes())
+	return x.spendRetry()
 }
