--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
 )
 
 // withoutRetries configures a relay that has no retry left.
@@ -22,3 +24,35 @@
 	is.True(b.log.contains(`"service":"s"`))
 	is.Equal(b.relay.stats.counted(retriesDenied+"s"), uint64(1))
 }
+
+// failing answers each request with a failure of the upstream's own.
+func failing(c net.Conn, r stubRequest) bool {
+	say(c, "HTTP/1.1 500 Broken\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: bad\nContent-Length: 2\n\nno")
+	return true
+}
+
+// A service whose upstreams failed got more retries than its requests allow, and a sound one none, where both were served
+// by the same boxes: a box kept one budget for all services. Lines "run: not retried" of both services, with the same
+// figures, settled it.
+func TestRetriesOfAServiceAreAllowedByItsOwnRequests(t *testing.T) {
+	is := is.New(t)
+	sound := newStub(t, "sound", answerOK("ok"))
+	bad1, bad2 := newStub(t, "bad1", failing), newStub(t, "bad2", failing)
+	b := newBenchWith(t, func(c *Config) { c.Budget = balance.BudgetConfig{Ratio: 0.5, Window: 10 * time.Second} }, bad1, bad2)
+	doc := testDocument(2)
+	doc.Services = append(doc.Services, route.Service{Name: "other", MaxConnections: 100})
+	doc.Routes = append(doc.Routes, route.Route{Name: "other", Host: "h.example", Prefix: "/other/", Repeat: route.Repeatable, MaxAttempts: 2, Timeout: 5 * time.Second,
+		Targets: []route.Target{{Service: "other", Weight: 1}}})
+	b.board.set("document", doc, false)
+	b.board.set("sound", balance.Upstream{ID: "sound", Service: "other", Address: sound.listener.Addr().String(), Domain: "d", Slots: 8}, false)
+	b.until(func() bool { return b.known() == 3 && b.do(b.request("GET", "/other/first", "")).status == 200 })
+	for range 40 {
+		is.Equal(b.do(b.request("GET", "/other/x", "")).status, 200)
+	}
+	for range 10 {
+		is.Equal(b.do(b.request("GET", "/safe/x", "")).status, 500)
+	}
+	if arrivals := len(bad1.requests()) + len(bad2.requests()); arrivals > 15 {
+		t.Fatalf("%d arrivals of 10 requests, half as many retries are allowed", arrivals)
+	}
+}
