Retry budgets: one for each service

What callers saw: nothing at the service that failed, but its upstreams got up to a third more retries than the budget allows; callers of the sound service beside it were given up without a retry, since the other one had used up the budget.

Cause: the bound is stated for each service, and a box kept one budget for all of them (hypothesis 1). What was taken for one service was spent on another.

Why this works: a box keeps a budget by service; one is dropped once nothing counts in it any more, so that services which documents no longer name take no memory. Status shows each budget, and the fewest retries left.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -18,7 +18,7 @@
 // one bucket too long, which errs on the safe side for what was spent.
 const bucketsPerWindow = 10
 
-// Budget counts what one box took and sent again. It is not safe for several
+// Budget counts what one box took for a service and sent again. It is not safe for several
 // goroutines.
 type Budget struct {
 	cfg   BudgetConfig
@@ -81,6 +81,12 @@
 	return BudgetUse{Taken: b.sum(&b.taken), Spent: b.sum(&b.spent), Boxes: boxes}
 }
 
+// idle reports whether nothing counts any more.
+func (b *Budget) idle(now time.Duration) bool {
+	use := b.Use(now, 0)
+	return use.Taken == 0 && use.Spent == 0
+}
+
 // Left is how many more requests may be sent again now.
 func (b *Budget) Left(now time.Duration, boxes int) int {
 	b.advance(now)
--- a/balance/budget_test.go
+++ b/balance/budget_test.go
@@ -29,6 +29,17 @@
 	is.True(b.Spend(12*time.Second, 10))
 }
 
+func TestBudgetsOfServicesThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	b := NewBudgets(budgetConfig, 0, true)
+	b.Of("gone").Take(time.Second)
+	b.Of("used").Take(time.Second)
+	b.Of("used").Take(50 * time.Second)
+	b.Forget(55 * time.Second)
+	is.Equal(b.Services(), []string{"used"})
+	is.Equal(b.Of("gone").Use(55*time.Second, 1).Taken, 0)
+}
+
 // Over any schedule, boxes that start at any time keep the sum of what they send
 // again within the common bound in every window, however they share the requests.
 func TestTheSumOverAllBoxesStaysWithinTheBound(t *testing.T) {
--- a/cmd/doormast/relay_test.go
+++ b/cmd/doormast/relay_test.go
@@ -52,6 +52,15 @@
 	is.True(strings.Contains(strings.Join(strings.Fields(out.String()), " "), "b2 78a6f68a54cd7cce 2 5m0s"))
 }
 
+func TestStatusShowsRetryBudgets(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(showStates(&out, []*wire.StateResponse{{Box: "b1"}, {Box: "b2", BudgetLeft: 3, Retries: []*wire.RetryRow{{Service: "s", Taken: 40, Spent: 5, Left: 3}}}}))
+	text := strings.Join(strings.Fields(out.String()), " ")
+	is.True(strings.Contains(text, "no requests yet"))
+	is.True(strings.Contains(text, "b2 s 40 5 3"))
+}
+
 func TestStatusShowsWhatBoxesHaveSent(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
--- a/cmd/doormast/status.go
+++ b/cmd/doormast/status.go
@@ -30,7 +30,7 @@
 	{"AGE", func(s *wire.StateResponse) string { return micros(s.ConfirmedAge).Round(time.Millisecond).String() }},
 	{"LEAD", func(s *wire.StateResponse) string { return s.Lead }},
 	{"BOXES", func(s *wire.StateResponse) string { return count(s.Boxes) }},
-	{"RETRIES LEFT", func(s *wire.StateResponse) string { return count(s.BudgetLeft) }},
+	{"RETRIES LEFT", retriesLeft},
 	{"MEMORY", func(s *wire.StateResponse) string { return boxMemory(s.Memory) }},
 	{"TURNED AWAY", func(s *wire.StateResponse) string { return count(s.Memory.GetTurnedAway()) }},
 	{"CUT OFF", func(s *wire.StateResponse) string { return count(s.Memory.GetCutOff()) }},
@@ -61,6 +61,14 @@
 	{"BYTES", func(t *wire.TrafficRow) string { return count(t.Bytes) }},
 }
 
+// retryColumns are those of the retry budgets, after the box's name.
+var retryColumns = []column[*wire.RetryRow]{
+	{"RETRIES OF SERVICE", func(r *wire.RetryRow) string { return r.Service }},
+	{"REQUESTS", func(r *wire.RetryRow) string { return count(r.Taken) }},
+	{"RETRIES", func(r *wire.RetryRow) string { return count(r.Spent) }},
+	{"LEFT", func(r *wire.RetryRow) string { return count(r.Left) }},
+}
+
 // withheldColumns are those of what the boxes withhold, after the box's name.
 var withheldColumns = []column[*wire.WithheldRow]{
 	{"WITHHOLDS", func(c *wire.WithheldRow) string { return c.Content }},
@@ -68,7 +76,7 @@
 	{"FOR", func(c *wire.WithheldRow) string { return micros(c.Left).Round(time.Second).String() }},
 }
 
-// showStates prints the boxes, the upstreams as the first of them sees them, the contents that the
+// showStates prints the boxes, the upstreams as the first of them sees them, their retry budgets, the contents that the
 // boxes withhold, and what they have sent each other since they started, those that sent nothing
 // of a kind so far left out.
 func showStates(w io.Writer, all []*wire.StateResponse) error {
@@ -76,6 +84,7 @@
 	showTable(tw, boxColumns, all)
 	fmt.Fprintln(tw)
 	showTable(tw, upstreamColumns, all[0].Upstreams)
+	showByBox(tw, retryColumns, all, (*wire.StateResponse).GetRetries)
 	showByBox(tw, withheldColumns, all, (*wire.StateResponse).GetWithheld)
 	showByBox(tw, trafficColumns, all, (*wire.StateResponse).GetTraffic)
 	return tw.Flush()
@@ -140,6 +149,14 @@
 	return fmt.Sprintf("%d of %d KB", m.GetUsed()/kilobyte, m.GetBound()/kilobyte)
 }
 
+// retriesLeft is how many retries the service with the fewest has left at a box.
+func retriesLeft(s *wire.StateResponse) string {
+	if len(s.Retries) == 0 {
+		return "no requests yet"
+	}
+	return count(s.BudgetLeft)
+}
+
 func upstreamState(u *wire.UpstreamRow) string {
 	switch {
 	case u.Leaving:
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -77,7 +77,7 @@
 	r := x.relay
 	r.stats.open.Add(1)
 	r.mu.Lock()
-	r.budget.Take(r.now())
+	r.budgets.Of(x.service).Take(r.now())
 	r.mu.Unlock()
 	x.ctx, x.cancel = context.WithDeadline(context.Background(), x.end)
 	x.watch = watchLeave(ctx.Conn(), x.cancel)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,7 +88,7 @@
 
 	mu         sync.Mutex // guards what follows, up to finding
 	fleet      *balance.Fleet
-	budget     *balance.Budget
+	budgets    *balance.Budgets
 	endedUnder balance.Suspects    // requests that upstreams ended under
 	runs       map[*exchange]*conn // the connections on which requests run
 	// Lives of which it is being found out whether they have ended; closed when that is known.
@@ -125,7 +125,7 @@
 	}
 	r.startWall.Store(r.start.UnixNano())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, Named: cfg.Limits, Off: cfg.Off, FirstStart: cfg.FirstStart})
-	r.budget = balance.NewBudget(cfg.Budget, r.now(), cfg.FirstStart)
+	r.budgets = balance.NewBudgets(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConns(r.connectionCap)
 	r.conns.cameUp = r.noteWay
 	r.front = newFront(r)
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -1,9 +1,12 @@
 package relay
 
-// This file defines how a retry is taken from the retry budget. The invariant: a request that is
+// This file defines how a retry is taken from its service's retry budget. The invariant: a request that is
 // given up since the budget is used up has a line that says by what.
 
-import "github.com/doormast/doormast/balance"
+import (
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
+)
 
 // Counters of retries, each followed by the service's name.
 const (
@@ -15,8 +18,9 @@
 func (x *exchange) spendRetry() bool {
 	r := x.relay
 	r.mu.Lock()
-	granted := r.budget.Spend(r.now(), r.boxes())
-	use := r.budget.Use(r.now(), r.boxes())
+	budget := r.budgets.Of(x.service)
+	granted := budget.Spend(r.now(), r.boxes())
+	use := budget.Use(r.now(), r.boxes())
 	r.mu.Unlock()
 	if granted {
 		r.stats.count(retriesSpent + x.service)
@@ -32,3 +36,19 @@
 	x.relay.cfg.Log.Event("run", "not retried", Fields{"id": x.request.id, "upstream": x.upstream.ID, "service": x.service, "reason": "retry budget used up",
 		"taken": use.Taken, "spent": use.Spent, "boxes": use.Boxes, "window_ms": x.relay.cfg.Budget.Window.Milliseconds()})
 }
+
+// retryRows are the budgets as operators read them, and the fewest retries that one has left; 0 where none
+// is in use. The caller holds the relay's mu.
+func (r *Relay) retryRows() (rows []*wire.RetryRow, fewest uint32) {
+	now, boxes := r.now(), r.boxes()
+	for _, service := range r.budgets.Services() {
+		budget := r.budgets.Of(service)
+		use := budget.Use(now, boxes)
+		left := uint32(budget.Left(now, boxes))
+		rows = append(rows, &wire.RetryRow{Service: service, Taken: uint32(use.Taken), Spent: uint32(use.Spent), Left: left})
+		if len(rows) == 1 || left < fewest {
+			fewest = left
+		}
+	}
+	return rows, fewest
+}
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -23,6 +23,10 @@
 	is.True(b.log.contains(`"msg":"run: not retried"`))
 	is.True(b.log.contains(`"service":"s"`))
 	is.Equal(b.relay.stats.counted(retriesDenied+"s"), uint64(1))
+	rows := b.relay.state().Retries
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Service, "s")
+	is.Equal(rows[0].Taken, uint32(1))
 }
 
 // failing answers each request with a failure of the upstream's own.
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -2,7 +2,7 @@
 
 // This file defines how a request is run on one upstream after another until one
 // answers. The invariant: a request that may have run is only sent again where its
-// route allows that, and each time it is sent again is taken from the budget.
+// route allows that, and each time it is sent again is taken from its service's budget.
 
 import (
 	"time"
--- a/relay/state.go
+++ b/relay/state.go
@@ -34,7 +34,7 @@
 		TurnedAway: r.stats.counted(callersTurnedAway), CutOff: r.stats.counted(callersCutOff)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out.BudgetLeft = uint32(r.budget.Left(r.now(), r.boxes()))
+	out.Retries, out.BudgetLeft = r.retryRows()
 	for _, s := range r.endedUnder.Withheld(r.now()) {
 		out.Withheld = append(out.Withheld, &wire.WithheldRow{Content: contentName(s.Content), Ended: uint32(len(s.Ended)),
 			Left: uint64(r.endedUnder.Left(r.now(), s.Content).Microseconds())})
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -26,6 +26,7 @@
 	m.node.TellKept(m.relay.fleet.KeptNews())
 	m.relay.fleet.NoteKept(m.relay.now(), m.node.DrainKept())
 	m.relay.endedUnder.Forget(m.relay.now())
+	m.relay.budgets.Forget(m.relay.now())
 	m.node.SetWithheld(m.relay.endedUnder.Withheld(m.relay.now()))
 	m.relay.fleet.ForgetNamed(m.relay.now())
 	m.node.SetLimits(m.relay.fleet.NamedAll(m.relay.now()))
