--- a/group/world_test.go
+++ b/group/world_test.go
@@ -27,6 +27,7 @@
 	down      bool            // the publisher
 	refused   map[string]bool // boxes that the publisher turns away
 	cut       map[string]bool // domains cut off from the others
+	alone     map[string]bool // boxes cut off from all others
 	loss      float64
 	calls     int
 	bytes     int
@@ -94,7 +95,7 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), boxes: make(map[string]*testBox), published: mirror.New(),
-		refused: make(map[string]bool), cut: make(map[string]bool), sent: make(map[string]int), kinds: make(map[sentKey]int), messages: make(map[sentKey]int)}
+		refused: make(map[string]bool), cut: make(map[string]bool), alone: make(map[string]bool), sent: make(map[string]int), kinds: make(map[sentKey]int), messages: make(map[sentKey]int)}
 	w.published.Load([]mirror.Item{{Key: documentKey, Value: []byte("1"), Revision: 1}}, 1)
 	return w
 }
@@ -187,8 +188,11 @@
 
 func (w *world) severed(a, b string) bool {
 	x, y := w.boxes[a], w.boxes[b]
-	if x == nil || y == nil || x.self.Domain == y.self.Domain {
-		return x == nil || y == nil
+	if x == nil || y == nil || w.alone[a] || w.alone[b] {
+		return true
+	}
+	if x.self.Domain == y.self.Domain {
+		return false
 	}
 	if w.severs != nil && w.severs(x.self, y.self) {
 		return true
