Retry budget: each request pays for retries of stated windows only, and the sums of all boxes add up

Cause: a box held, at each moment, what it had spent in the last window against what it had taken in it (and, as a bucket too many was summed, up to 1.1 of it). That is a bound for this box at this moment, not for a window over all boxes: requests of ten seconds pay for a burst of one box just before it dies, and the requests that follow pay for those of its successor in the same window.

Change: in each window that is open, a box spends at most half of the ratio for its requests of that window, half for those of the window before, and its share of the slack. Both parts are sums over requests, so they add up over all boxes, lives and moves of load to no more than the greater of both counts allows. A life that starts has no window before and no share of the slack in windows that began before it.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -1,11 +1,18 @@
 package balance
 
-// This file defines the budget for sending requests again. The invariant: within
-// any window, a box sends at most its share of the slack, plus the ratio of the
-// requests it took, a second time. A box that has just started has no share of the
-// slack for a whole window, since its predecessor may have used it.
-
-import "time"
+// This file defines a box's budget for sending requests of a service again. The invariant: in each window, all boxes
+// together send no more retries than the ratio times the requests of that window or of the one before, whichever
+// has more, and the slack; whenever boxes start again, and however requests move between them.
+//
+// No box knows what the others take, so each keeps to a sum that adds up: in any window it spends at most a fixed part of
+// the ratio for its requests of that window, the rest of it for its requests of the window before, and its share of the
+// slack. A box that has just started knows no window before, and its predecessor may have used its share of the slack in
+// any window that began before the start.
+
+import (
+	"math"
+	"time"
+)
 
 // BudgetConfig configures a Budget.
 type BudgetConfig struct {
@@ -14,97 +21,113 @@
 	Window time.Duration // the span over which both are counted
 }
 
-// bucketsPerWindow is how finely a window slides; a count stays in it for up to
-// one bucket too long, which errs on the safe side for what was spent.
-const bucketsPerWindow = 10
+const (
+	// bucketsPerWindow is how finely a window slides. The bucket in which a window begins counts in it for what
+	// was spent, and for nothing for what was taken.
+	bucketsPerWindow = 40
+	// bucketsKept is how many buckets are kept: those of two windows.
+	bucketsKept = 2 * bucketsPerWindow
+	// savedPart is the part of the ratio that the requests of the window before allow. It lets a box answer a burst
+	// of failures after a calm time; the other part is all that a box has which has just started.
+	savedPart = 0.5
+)
 
 // Budget counts what one box took for a service and sent again. It is not safe for several
 // goroutines.
 type Budget struct {
 	cfg   BudgetConfig
-	whole time.Duration // when a whole window has passed since the start
-	taken [bucketsPerWindow + 1]int
-	spent [bucketsPerWindow + 1]int
-	last  int64 // number of the newest bucket
+	start time.Duration
+	first bool
+	taken [bucketsKept]int // by bucket, modulo their number
+	spent [bucketsKept]int
+	last  int // the newest bucket, counted from the start
 }
 
 // NewBudget returns a budget of a box that starts now. first says that no box ran
 // before, so that nothing of the slack can have been used.
 func NewBudget(cfg BudgetConfig, now time.Duration, first bool) *Budget {
-	b := &Budget{cfg: cfg, whole: now + cfg.Window}
-	if first {
-		b.whole = now
-	}
-	b.last = b.bucket(now)
-	return b
+	return &Budget{cfg: cfg, start: now, first: first}
 }
 
-func (b *Budget) bucket(now time.Duration) int64 {
-	return int64(now / (b.cfg.Window / bucketsPerWindow))
-}
-
-// advance clears the buckets that have left the window.
+// advance clears the buckets that are no longer kept, and returns the newest one.
 func (b *Budget) advance(now time.Duration) int {
-	n := b.bucket(now)
-	for i := max(b.last+1, n-bucketsPerWindow); i <= n; i++ {
-		at := i % (bucketsPerWindow + 1)
-		b.taken[at], b.spent[at] = 0, 0
+	n := int((now - b.start) / (b.cfg.Window / bucketsPerWindow))
+	for i := max(b.last+1, n-bucketsKept+1); i <= n; i++ {
+		b.taken[i%bucketsKept], b.spent[i%bucketsKept] = 0, 0
 	}
 	b.last = max(b.last, n)
-	return int(b.last % (bucketsPerWindow + 1))
+	return b.last
 }
 
 // Take counts a request that was taken from a caller.
-func (b *Budget) Take(now time.Duration) { b.taken[b.advance(now)]++ }
+func (b *Budget) Take(now time.Duration) { b.taken[b.advance(now)%bucketsKept]++ }
 
 // Spend reports whether a request may be sent again, and counts it if so. The
 // slack is divided by the number of boxes.
 func (b *Budget) Spend(now time.Duration, boxes int) bool {
-	at := b.advance(now)
-	if float64(b.sum(&b.spent)+1) > b.allowed(now, boxes) {
+	if b.Left(now, boxes) < 1 {
 		return false
 	}
-	b.spent[at]++
+	b.spent[b.last%bucketsKept]++
 	return true
 }
 
 // BudgetUse is what a budget goes by at a moment.
 type BudgetUse struct {
-	Taken int // requests that count
-	Spent int // those sent again that count
+	Taken int // requests within the last window
+	Spent int // those sent again within it
 	Boxes int // among which the slack is divided
 }
 
 // Use returns what the budget goes by now.
 func (b *Budget) Use(now time.Duration, boxes int) BudgetUse {
-	b.advance(now)
-	return BudgetUse{Taken: b.sum(&b.taken), Spent: b.sum(&b.spent), Boxes: boxes}
+	n := b.advance(now)
+	use := BudgetUse{Boxes: boxes}
+	for i := n - bucketsPerWindow; i <= n; i++ {
+		use.Taken += at(&b.taken, i)
+		use.Spent += at(&b.spent, i)
+	}
+	return use
 }
 
 // idle reports whether nothing counts any more.
 func (b *Budget) idle(now time.Duration) bool {
-	use := b.Use(now, 0)
-	return use.Taken == 0 && use.Spent == 0
+	b.advance(now)
+	return b.taken == [bucketsKept]int{} && b.spent == [bucketsKept]int{}
 }
 
-// Left is how many more requests may be sent again now.
+// Left is how many more requests may be sent again now: the fewest that any window allows which
+// has begun and not ended.
 func (b *Budget) Left(now time.Duration, boxes int) int {
-	b.advance(now)
-	return max(0, int(b.allowed(now, boxes))-b.sum(&b.spent))
+	n := b.advance(now)
+	left := math.Inf(1)
+	spent, since, before := 0, 0, 0
+	for i := n - bucketsPerWindow + 1; i < n; i++ {
+		before += at(&b.taken, i)
+	}
+	for begin := n; begin >= n-bucketsPerWindow; begin-- {
+		spent += at(&b.spent, begin)
+		left = min(left, b.allowed(begin, boxes, since, before)-float64(spent))
+		since += at(&b.taken, begin)
+		before += at(&b.taken, begin-bucketsPerWindow) - at(&b.taken, begin-1)
+	}
+	return max(0, int(left))
 }
 
-func (b *Budget) allowed(now time.Duration, boxes int) float64 {
-	allowed := b.cfg.Ratio * float64(b.sum(&b.taken))
-	if now >= b.whole {
+// allowed is how many retries a window allows that begins within a bucket, for so many requests since and in
+// the window before.
+func (b *Budget) allowed(begin, boxes, since, before int) float64 {
+	allowed := b.cfg.Ratio * ((1-savedPart)*float64(since) + savedPart*float64(before))
+	if b.first || begin >= 0 {
 		allowed += b.cfg.Slack / float64(max(boxes, 1))
 	}
 	return allowed
 }
 
-func (b *Budget) sum(buckets *[bucketsPerWindow + 1]int) int {
-	n := 0
-	for _, v := range buckets {
-		n += v
+// at is a bucket's count; 0 for those from before the start.
+func at(buckets *[bucketsKept]int, i int) int {
+	if i < 0 {
+		return 0
 	}
-	return n
+	return buckets[i%bucketsKept]
 }
