Retry budget: the slack is divided by more than what a box restarted within a cut hears of

What callers saw: nothing. A box divided the slack by the boxes that it had heard of in its present life. A domain whose boxes start again while it is cut off counts itself alone, and takes the whole slack beside the others, as long as the cut lasts; one box that hears of nobody takes it alone.

Change: a box divides by the greatest number of boxes it has heard of, or by the domains of the settings times the boxes of its own domain, whichever is more; a box that has heard of nobody in its life has no share. Neither number falls in a life. Connections to upstreams go on being divided by the first number.

What is left: boxes restarted on both sides of a cut within one domain each divide by the boxes of their side; the shares of that domain may then come to twice its part.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -63,7 +63,7 @@
 func (b *Budget) Take(now time.Duration) { b.taken[b.advance(now)%bucketsKept]++ }
 
 // Spend reports whether a request may be sent again, and counts it if so. The
-// slack is divided by the number of boxes.
+// slack is divided by the number of boxes; 0: this one has no part of it.
 func (b *Budget) Spend(now time.Duration, boxes int) bool {
 	if b.Left(now, boxes) < 1 {
 		return false
@@ -76,7 +76,7 @@
 type BudgetUse struct {
 	Taken int // requests within the last window
 	Spent int // those sent again within it
-	Boxes int // among which the slack is divided
+	Boxes int // among which the slack is divided; 0: this one has no part of it
 }
 
 // Use returns what the budget goes by now.
@@ -118,8 +118,8 @@
 // the window before.
 func (b *Budget) allowed(begin, boxes, since, before int) float64 {
 	allowed := b.cfg.Ratio * ((1-savedPart)*float64(since) + savedPart*float64(before))
-	if b.first || begin >= 0 {
-		allowed += b.cfg.Slack / float64(max(boxes, 1))
+	if boxes > 0 && (b.first || begin >= 0) {
+		allowed += b.cfg.Slack / float64(boxes)
 	}
 	return allowed
 }
--- a/group/count.go
+++ b/group/count.go
@@ -1,13 +1,24 @@
 package group
 
-// This file defines how many boxes there are. The invariant: the count a box goes by
-// never falls within one life of it, so that shares of a common limit only shrink.
+// This file defines how many boxes there are, and by how many a box divides what all of them share. The invariants:
+// neither falls within one life of a box, so that shares of a common limit only shrink; and the shares of boxes that have
+// run for longer than they need to hear of each other do not add up to more than the whole, also where some of them
+// started again within a cut between domains.
 
 import "time"
 
 // Boxes is how many boxes there are, at the most that was ever known.
 func (n *Node) Boxes() int { return max(n.most, 1) }
 
+// Divisor is by how many this box divides what all boxes share; 0: it has no part, since it has heard of nobody in
+// this life. Each domain has the same part at least of what boxes know that hear of no other domain.
+func (n *Node) Divisor() int {
+	if !n.heardOthers && !n.alone() {
+		return 0
+	}
+	return max(n.most, n.cfg.Domains*n.mostHere, 1)
+}
+
 // Known reports whether the box has heard of the group's size.
 func (n *Node) Known() bool { return n.most > 0 }
 
--- a/group/hear.go
+++ b/group/hear.go
@@ -39,6 +39,7 @@
 		n.chosen = nil
 	}
 	p.heard, p.silent, p.leaving = now, false, m.Leaving
+	n.heardOthers = true
 	p.leads, p.reads, p.knows = m.Leads, m.Reads, m.Revision > 0
 	n.hearReading(now, m)
 	if !m.Leads && !n.sameDomain(p) {
@@ -48,6 +49,7 @@
 		p.boxes = int(m.DomainBoxes)
 	}
 	if m.Leads && n.sameDomain(p) {
+		n.mostHere = max(n.mostHere, int(m.DomainBoxes))
 		p.cutOff = m.CutOff
 	}
 	for _, b := range m.Boxes {
--- a/group/node.go
+++ b/group/node.go
@@ -75,6 +75,8 @@
 	// FirstStart says that no box ran before: there is time to find the others
 	// before anything is read. A box that starts later has callers waiting.
 	FirstStart bool
+	// Domains is how many failure domains there are, as settings list them; 0: not known.
+	Domains int
 	// Link is what the box's link carries, in bytes a second; 0: not known.
 	Link float64
 	// Changed is told what is new in the mirror.
@@ -128,6 +130,9 @@
 	started time.Duration
 	peers   map[string]*peer // by name; of this domain, and leads of others
 	most    int              // the greatest count of boxes seen
+
+	mostHere    int  // the same of this domain
+	heardOthers bool // another box has been heard in this life
 	leaving bool
 
 	chosen    *wire.GroupBox // the lead; nil where it has to be looked for anew
--- a/group/search_test.go
+++ b/group/search_test.go
@@ -91,6 +91,7 @@
 // searchSchedule runs one schedule.
 func searchSchedule(t *testing.T, path []int) {
 	w := &searched{world: newWorld(t, 61), counts: make(map[string]int)}
+	w.domains = 2
 	w.seeds = []string{firstLead, otherLead}
 	w.start(firstLead, domainName(0), 100, true)
 	w.start(member, domainName(0), 99, true)
@@ -162,7 +163,7 @@
 	sum := 0.0
 	for _, b := range w.boxes {
 		if before[b] {
-			sum += 1 / float64(b.node.Boxes())
+			sum += 1 / float64(b.node.Divisor())
 		}
 	}
 	if sum > 1.0001 {
--- a/group/slack_test.go
+++ b/group/slack_test.go
@@ -11,8 +11,8 @@
 func (w *world) shares() float64 {
 	sum := 0.0
 	for _, b := range w.boxes {
-		if !b.dead {
-			sum += 1 / float64(b.node.Boxes())
+		if n := b.node.Divisor(); !b.dead && n > 0 {
+			sum += 1 / float64(n)
 		}
 	}
 	return sum
@@ -37,6 +37,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(t, 71)
+			w.domains = 3
 			w.fleet(3, 4)
 			w.run(4 * time.Second)
 			tt.sever(w)
--- a/group/talk.go
+++ b/group/talk.go
@@ -40,6 +40,7 @@
 	n.lastBeat = now
 	if n.Leads() {
 		n.most = max(n.most, n.allBoxes(now))
+		n.mostHere = max(n.mostHere, n.domainBoxes(now))
 		n.beatAll(now)
 		return
 	}
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -27,6 +27,7 @@
 	down      bool            // the publisher
 	refused   map[string]bool // boxes that the publisher turns away
 	cut       map[string]bool // domains cut off from the others
+	domains   int             // how many there are, as settings list them; 0: they do not
 	alone     map[string]bool // boxes cut off from all others
 	loss      float64
 	calls     int
@@ -108,7 +109,7 @@
 		w.names = append(w.names, name)
 	}
 	w.boxes[name] = b
-	b.node = NewNode(Config{Self: b.self, Seeds: w.seeds, Timing: DefaultTiming, Mirror: b.copy, FirstStart: first,
+	b.node = NewNode(Config{Self: b.self, Seeds: w.seeds, Timing: DefaultTiming, Mirror: b.copy, FirstStart: first, Domains: w.domains,
 		Changed: func(items []mirror.Item) {
 			for _, it := range items {
 				if it.Key == documentKey {
--- a/relay/members.go
+++ b/relay/members.go
@@ -47,6 +47,7 @@
 	revision atomic.Uint64 // of the mirror
 	loadsAt  atomic.Int64  // time.Duration since the start, when the others' loads came
 	boxes    atomic.Int64
+	divisor  atomic.Int64 // of the retry budget's slack; 0: this box has no part
 	lead     atomic.Pointer[string]
 	reads    atomic.Bool   // the box is to read the publisher
 	watch    atomic.Int64  // time.Duration for which a reading waits for a change
@@ -90,6 +91,7 @@
 		Changed:    m.changed,
 		FirstStart: r.cfg.FirstStart,
 		Link:       r.cfg.Link,
+		Domains:    len(r.cfg.Regions),
 	}, r.now())
 	return m, m.listen()
 }
@@ -168,6 +170,7 @@
 	if m.node.Known() {
 		m.boxes.Store(int64(m.node.Boxes()))
 	}
+	m.divisor.Store(int64(m.node.Divisor()))
 	m.showReads()
 	m.showLead()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,6 +169,9 @@
 // boxes is how many boxes share the limits.
 func (r *Relay) boxes() int { return max(int(r.members.boxes.Load()), 1) }
 
+// slackDivisor is by how many this box divides the slack of retry budgets; 0: it has no part of it.
+func (r *Relay) slackDivisor() int { return int(r.members.divisor.Load()) }
+
 // connectionCap is how many connections this box may hold to an upstream.
 func (r *Relay) connectionCap(service string) int {
 	doc := r.belief.document()
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -19,8 +19,8 @@
 	r := x.relay
 	r.mu.Lock()
 	budget := r.budgets.Of(x.service)
-	granted := budget.Spend(r.now(), r.boxes())
-	use := budget.Use(r.now(), r.boxes())
+	granted := budget.Spend(r.now(), r.slackDivisor())
+	use := budget.Use(r.now(), r.slackDivisor())
 	r.mu.Unlock()
 	if granted {
 		r.stats.count(retriesSpent + x.service)
@@ -40,7 +40,7 @@
 // retryRows are the budgets as operators read them, and the fewest retries that one has left; 0 where none
 // is in use. The caller holds the relay's mu.
 func (r *Relay) retryRows() (rows []*wire.RetryRow, fewest uint32) {
-	now, boxes := r.now(), r.boxes()
+	now, boxes := r.now(), r.slackDivisor()
 	for _, service := range r.budgets.Services() {
 		budget := r.budgets.Of(service)
 		use := budget.Use(now, boxes)
