Retry budget: a retry counts when it is sent

One that found no connection cost callers a retry for nothing; many that wait for a domain that is out of reach are decided in one window and arrive in the next.

Change: whether there is a retry is looked at when it is decided, and it is taken as the run is sent. A move is taken when it is ordered, since its first run stops then; its run, or whatever follows it, costs nothing more.

Evidence: TestARetryThatIsNotSentIsNotTakenFromTheBudget fails on the code before (1 retry spent, none sent).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,6 +55,10 @@
 		r.conns.putBack(c)
 		return runUnsent, nil, errLimit
 	}
+	if !x.spendRetry() {
+		r.conns.putBack(c)
+		return runUnsent, nil, errBudget
+	}
 	x.hold(c)
 	sent := c.send(o)
 	x.listen(sent)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,7 @@
 	tried         []balance.Life // upstreams it was sent to, or that could not be reached
 	sent          int            // runs begun
 	unsent        int            // upstreams that could not be reached
+	paid          bool           // its next run has been taken from the retry budget
 	mayHave       bool           // a run may have happened
 	cutOff        int            // runs under which the upstream closed or reset the connection
 	refusalStatus int            // status of the last refusal by an upstream
--- a/relay/move.go
+++ b/relay/move.go
@@ -82,9 +82,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	if !ok || !r.isPresent(x.upstream) || !r.budgets.Of(x.service).Spend(r.now(), r.slackDivisor()) {
+	if !ok || !r.isPresent(x.upstream) || !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.slackDivisor()) {
 		return m, nil
 	}
+	x.paid = true
 	return m, r.fleet.SetAside(m.To.ID, q)
 }
 
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -1,7 +1,8 @@
 package relay
 
-// This file defines how a retry is taken from its service's retry budget. The invariant: a request that is
-// given up since the budget is used up has a line that says by what.
+// This file defines how a retry is taken from its service's retry budget. The invariants: each run after a request's first
+// is taken from it, a move when it is ordered and any other as it is sent; and a request that is given up since the budget is used
+// up has a line that says by what.
 
 import (
 	"github.com/doormast/doormast/balance"
@@ -14,16 +15,18 @@
 	retriesDenied = "retries_denied_"
 )
 
-// spendRetry takes a retry from the budget, if there is one.
-func (x *exchange) spendRetry() bool {
+// errBudget says that other requests used the retry budget up while this one waited for a connection.
+var errBudget = &Error{Op: "retry", Kind: KindFull}
+
+// hasRetry reports whether the budget has a retry left for the request, and logs that it has none.
+func (x *exchange) hasRetry() bool {
 	r := x.relay
 	r.mu.Lock()
 	budget := r.budgets.Of(x.service)
-	granted := budget.Spend(r.now(), r.slackDivisor())
+	left := budget.Left(r.now(), r.slackDivisor())
 	use := budget.Use(r.now(), r.slackDivisor())
 	r.mu.Unlock()
-	if granted {
-		r.stats.count(retriesSpent + x.service)
+	if left > 0 || x.paid {
 		return true
 	}
 	r.stats.count(retriesDenied + x.service)
@@ -31,6 +34,23 @@
 	return false
 }
 
+// spendRetry takes the run that is about to be sent from the budget; false: there is no retry left. A first run
+// and a move that was ordered cost nothing here.
+func (x *exchange) spendRetry() bool {
+	if x.sent == 0 {
+		return true
+	}
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.slackDivisor()) {
+		return false
+	}
+	x.paid = false
+	r.stats.count(retriesSpent + x.service)
+	return true
+}
+
 // logNotRetried writes the line of a request that the budget allows no retry.
 func (x *exchange) logNotRetried(use balance.BudgetUse) {
 	x.relay.cfg.Log.Event("run", "not retried", Fields{"id": x.request.id, "upstream": x.upstream.ID, "service": x.service, "reason": "retry budget used up",
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -60,3 +60,16 @@
 		t.Fatalf("%d arrivals of 10 requests, half as many retries are allowed", arrivals)
 	}
 }
+
+// A retry that found no connection was taken from the budget when it was decided, though nothing arrived anywhere, and one
+// that waited for a connection counted in a window before the one it arrived in. Found by reading.
+func TestARetryThatIsNotSentIsNotTakenFromTheBudget(t *testing.T) {
+	is := is.New(t)
+	bad, dead := newStub(t, "bad", failing), newStub(t, "dead", answerOK(""))
+	is.NoErr(dead.listener.Close())
+	b := newBench(t, bad, dead)
+	for len(bad.requests()) == 0 { // what is placed at dead first is sent to bad as its first run
+		is.Equal(b.do(b.request("GET", "/safe/x", "")).status, 500)
+	}
+	is.Equal(b.relay.state().Retries[0].Spent, uint32(0))
+}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -162,13 +162,13 @@
 }
 
 // mayRunAgain decides whether the request may go to another upstream after a run
-// that came as far as state, and takes it from the budget.
+// that came as far as state.
 func (x *exchange) mayRunAgain(state runState) bool {
 	if x.ctx.Err() != nil || x.left() < shortest || x.withheldFor() > 0 {
 		return false
 	}
 	if state == runUnsent {
-		return x.unsent < maxUnsent && (x.sent == 0 || x.sent < x.route.MaxAttempts)
+		return x.unsent < maxUnsent && (x.sent == 0 || x.sent < x.route.MaxAttempts && x.hasRetry())
 	}
 	if x.events == nil && x.relay.cfg.Off[balance.Repeating] {
 		return false
@@ -176,5 +176,5 @@
 	if x.sent >= x.route.MaxAttempts || state == runUnknown && !x.route.Again() {
 		return false
 	}
-	return x.spendRetry()
+	return x.hasRetry()
 }
