Retry budget of chat completions: the burst is shared by the boxes of a domain

Cause, found by looking for the incident's cause elsewhere: the invariant spoke of what a class spends, and each box kept it for itself, with the whole burst at each start. A class had as many bursts as boxes, and one more for each start.

Change: the burst is divided by the listed boxes of the domain, one retry at the least; a box that starts brings its part of the burst, not the whole.

Evidence: TestTheBurstOfRetriesIsSharedByAllBoxes fails on the code before: 330 retries of 1,000 attempts on five boxes with 20 starts; 150 are allowed. TestMayRetry notes a first attempt before it asks for a retry now, as boxes do; its bound is the same.

What is left: starts bring their part at once, so that a domain whose boxes all start again has one burst more.

--- a/cell/holder.go
+++ b/cell/holder.go
@@ -90,7 +90,7 @@
 	case n.withheld(l) > 0:
 		n.endWithheld(l)
 	default:
-		n.budget(req.Class).Attempt()
+		n.budget(req.Class).Attempt(len(n.listed()))
 		if m := n.takeLimits(l); m != nil {
 			n.park(l, m)
 		} else {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -1,8 +1,8 @@
 package decide
 
 // This file defines when a request that failed may be tried again. The
-// invariant: over any time, a class spends on retries at most retryShare of its
-// first attempts plus retryBurst, so that retries cannot feed an overload.
+// invariant: over any time, a class spends on retries at most retryShare of its first attempts in a failure domain, and
+// retryBurst, of which a box that starts brings its part once more; so that retries cannot feed an overload.
 
 const (
 	retryShare  = 0.1
@@ -10,21 +10,24 @@
 	maxAttempts = 4
 )
 
-// RetryBudget is the retry budget of one class on one box.
+// RetryBudget is the part of a class's retry budget that one box has.
 type RetryBudget struct {
 	credit  float64
 	started bool
 }
 
-// Attempt notes a first attempt, which earns credit.
-func (r *RetryBudget) Attempt() {
-	r.start()
-	r.credit = min(r.credit+retryShare, retryBurst)
+// Attempt notes a first attempt, which earns credit. The burst is divided among so many boxes, and each may save up one retry
+// at least.
+func (r *RetryBudget) Attempt(boxes int) {
+	most := max(1, retryBurst/float64(max(boxes, 1)))
+	if !r.started {
+		r.started, r.credit = true, most
+	}
+	r.credit = min(r.credit+retryShare, most)
 }
 
-// Spend takes one retry from the budget and reports whether there was one.
+// Spend takes one retry from the budget and reports whether there was one; there is none before the first attempt.
 func (r *RetryBudget) Spend() bool {
-	r.start()
 	if r.credit < 1 {
 		return false
 	}
@@ -32,12 +35,6 @@
 	return true
 }
 
-func (r *RetryBudget) start() {
-	if !r.started {
-		r.started, r.credit = true, retryBurst
-	}
-}
-
 // Failure describes an attempt that failed.
 type Failure struct {
 	Ran        bool // a byte may have left for the upstream
--- a/decide/small_test.go
+++ b/decide/small_test.go
@@ -222,16 +222,19 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := full
 			c.edit(&f)
-			is.New(t).Equal(MayRetry(f, new(RetryBudget)), c.want)
+			budget := new(RetryBudget)
+			budget.Attempt(1)
+			is.New(t).Equal(MayRetry(f, budget), c.want)
 		})
 	}
 	var b RetryBudget
 	n := 0
+	b.Attempt(1)
 	for b.Spend() {
 		n++
 	}
-	for range 100 {
-		b.Attempt()
+	for range 99 {
+		b.Attempt(1)
 	}
 	for b.Spend() {
 		n++
@@ -241,6 +244,32 @@
 	}
 }
 
+// Each life of each box allowed a class the whole burst of retries, so that a class had as many bursts as boxes, and another for each
+// start. Found by reading, after an incident of the other boxes' budgets.
+func TestTheBurstOfRetriesIsSharedByAllBoxes(t *testing.T) {
+	const boxes, attempts, restarts = 5, 1000, 20
+	var all [boxes]RetryBudget
+	retries := 0
+	drain := func() {
+		for i := range all {
+			for all[i].Spend() {
+				retries++
+			}
+		}
+	}
+	for i := range attempts {
+		all[i%boxes].Attempt(boxes)
+		if i%(attempts/restarts) == 0 {
+			drain()
+			all[i%boxes] = RetryBudget{}
+		}
+	}
+	drain()
+	if bound := retryBurst + attempts*retryShare + restarts*float64(retryBurst)/boxes; float64(retries) > bound {
+		t.Errorf("%d retries for %d attempts, %.0f are allowed", retries, attempts, bound)
+	}
+}
+
 func TestLengths(t *testing.T) {
 	is := is.New(t)
 	var l Lengths
