--- a/balance/budget.go
+++ b/balance/budget.go
@@ -28,8 +28,8 @@
 	// bucketsKept is how many buckets are kept: those of two windows.
 	bucketsKept = 2 * bucketsPerWindow
 	// savedPart is the part of the ratio that the requests of the window before allow. It lets a box answer a burst
-	// of failures after a calm time; the other part is all that a box has which has just started.
-	savedPart = 0.5
+	// of failures after a calm time; the other part is all that a box has which has just started, or whose load has grown.
+	savedPart = 0.25
 )
 
 // Budget counts what one box took for a service and sent again. It is not safe for several
