Connections to an upstream: shared with boxes that are not heard, too

Cause, the same as of the retry budget's slack: an upstream's connections were divided by the boxes heard in this life, so that boxes started again within a cut took what belongs to others: 90 in place of 30 of 360 where one domain of three is heard, all 360 where nobody is.

Change: they are divided by the same number as the slack; a box that has heard of nobody divides by the number that is assumed before others are known.

--- a/relay/members.go
+++ b/relay/members.go
@@ -47,7 +47,7 @@
 	revision atomic.Uint64 // of the mirror
 	loadsAt  atomic.Int64  // time.Duration since the start, when the others' loads came
 	boxes    atomic.Int64
-	divisor  atomic.Int64 // of the retry budget's slack; 0: this box has no part
+	divisor  atomic.Int64 // of what all boxes share; 0: this box has no part
 	lead     atomic.Pointer[string]
 	reads    atomic.Bool   // the box is to read the publisher
 	watch    atomic.Int64  // time.Duration for which a reading waits for a change
--- a/relay/move.go
+++ b/relay/move.go
@@ -82,7 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	if !ok || !r.isPresent(x.upstream) || !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.slackDivisor()) {
+	if !ok || !r.isPresent(x.upstream) || !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.divisor()) {
 		return m, nil
 	}
 	x.paid = true
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -183,7 +183,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budgets.Of(x.service).Left(r.now(), r.slackDivisor())
+	return r.budgets.Of(x.service).Left(r.now(), r.divisor())
 }
 
 // settle closes the count of the current run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,8 +169,8 @@
 // boxes is how many boxes share the limits.
 func (r *Relay) boxes() int { return max(int(r.members.boxes.Load()), 1) }
 
-// slackDivisor is by how many this box divides the slack of retry budgets; 0: it has no part of it.
-func (r *Relay) slackDivisor() int { return int(r.members.divisor.Load()) }
+// divisor is by how many this box divides what all boxes share; 0: it has heard of nobody, and has no part.
+func (r *Relay) divisor() int { return int(r.members.divisor.Load()) }
 
 // connectionCap is how many connections this box may hold to an upstream.
 func (r *Relay) connectionCap(service string) int {
@@ -182,7 +182,11 @@
 	if s == nil || s.MaxConnections == 0 {
 		return defaultConnections
 	}
-	return max(1, s.MaxConnections/r.boxes())
+	boxes := max(r.boxes(), r.divisor())
+	if r.divisor() == 0 {
+		boxes = max(boxes, r.cfg.Boxes)
+	}
+	return max(1, s.MaxConnections/boxes)
 }
 
 // Ready reports whether callers may be sent here.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -23,8 +23,8 @@
 	r := x.relay
 	r.mu.Lock()
 	budget := r.budgets.Of(x.service)
-	left := budget.Left(r.now(), r.slackDivisor())
-	use := budget.Use(r.now(), r.slackDivisor())
+	left := budget.Left(r.now(), r.divisor())
+	use := budget.Use(r.now(), r.divisor())
 	r.mu.Unlock()
 	if left > 0 || x.paid {
 		return true
@@ -43,7 +43,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.slackDivisor()) {
+	if !x.paid && !r.budgets.Of(x.service).Spend(r.now(), r.divisor()) {
 		return false
 	}
 	x.paid = false
@@ -60,7 +60,7 @@
 // retryRows are the budgets as operators read them, and the fewest retries that one has left; 0 where none
 // is in use. The caller holds the relay's mu.
 func (r *Relay) retryRows() (rows []*wire.RetryRow, fewest uint32) {
-	now, boxes := r.now(), r.slackDivisor()
+	now, boxes := r.now(), r.divisor()
 	for _, service := range r.budgets.Services() {
 		budget := r.budgets.Of(service)
 		use := budget.Use(now, boxes)
--- a/relay/runs_test.go
+++ b/relay/runs_test.go
@@ -184,7 +184,7 @@
 	left := func() int {
 		b.relay.mu.Lock()
 		defer b.relay.mu.Unlock()
-		return b.relay.budgets.Of("s").Left(b.relay.now(), b.relay.slackDivisor())
+		return b.relay.budgets.Of("s").Left(b.relay.now(), b.relay.divisor())
 	}
 	before := left()
 	first := b.do(b.request("GET", "/safe/x", "")) // both fail their first one
