Metrics: retries are counted for all services together

A counter for each service would outlive services that documents no longer name, against the invariant that figures take a bounded amount of memory. Status and the lines of a request tell the service. Names of counters only; no decision changes.

--- a/relay/retry.go
+++ b/relay/retry.go
@@ -9,10 +9,10 @@
 	"github.com/doormast/doormast/wire"
 )
 
-// Counters of retries, each followed by the service's name.
+// Counters of retries, of all services.
 const (
-	retriesSpent  = "retries_"
-	retriesDenied = "retries_denied_"
+	retriesSent   = "retries_sent"
+	retriesDenied = "retries_denied"
 )
 
 // errBudget says that other requests used the retry budget up while this one waited for a connection.
@@ -29,7 +29,7 @@
 	if left > 0 || x.paid {
 		return true
 	}
-	r.stats.count(retriesDenied + x.service)
+	r.stats.count(retriesDenied)
 	x.logNotRetried(use)
 	return false
 }
@@ -47,7 +47,7 @@
 		return false
 	}
 	x.paid = false
-	r.stats.count(retriesSpent + x.service)
+	r.stats.count(retriesSent)
 	return true
 }
 
