Cold upstreams: one that has become warm is no longer taken for one of which nothing is told

What callers saw: while the store is away, upstreams that came back one after the other got what was sent to them without a ration, after a few of them; they may have started again and fall over.

Cause: an upstream that can be reached again counts as in doubt until its entry may tell of a start, or it is warm in either case. The second was not noted: with the store away the doubt lasted as long as that, and with more than half of a service in doubt, "most are lost" switched the ration off.

Evidence: TestAnUpstreamThatIsWarmIsNoLongerInDoubt fails on the code before at the fifth of nine upstreams.

--- a/balance/back.go
+++ b/balance/back.go
@@ -57,5 +57,9 @@
 			f.sharedAnew = true
 		}
 	}
-	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool { return now >= m.coldTill })
+	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool {
+		isWarm := now >= m.coldTill
+		m.unsure = m.unsure && !isWarm
+		return isWarm
+	})
 }
--- a/balance/back_test.go
+++ b/balance/back_test.go
@@ -51,6 +51,23 @@
 	}
 }
 
+// While the store was away, upstreams that came back one after the other were taken for ones of which nothing is told yet for as long as
+// it was, also when they had become warm; after a few of them the next got what it was sent, without a ration. Found by reading.
+func TestAnUpstreamThatIsWarmIsNoLongerInDoubt(t *testing.T) {
+	is := is.New(t)
+	f := knowing(9)
+	f.SetCold("s", Cold{Lasts: 3 * time.Second, Most: 12})
+	now := time.Duration(0)
+	for i := range 6 {
+		id := fmt.Sprint("u", i)
+		now += 10 * time.Second
+		f.Open(now, id, prompt(1)).Close(now, Unreachable)
+		is.True(f.ReachedLife(now+time.Second, Life{ID: id}))
+		is.True(!f.bears(now+time.Second, f.byID[id])) // it may have started again
+		f.Told(now+5*time.Second, 0)
+	}
+}
+
 // Those that were left along with their domain come back as those that failed themselves.
 func TestADomainThatComesBackIsCold(t *testing.T) {
 	is := is.New(t)
