Cold upstreams: those that are lost are counted as that changes

Cause: for each upstream that can be reached again a box looked at all of its service, where cold upstreams are bounded; a domain that comes back cost upstreams times upstreams.

Change: a service keeps the count of its upstreams that are out of reach or in doubt.

TestLostUpstreamsAreCounted holds the count to a look at all over drawn schedules.

--- a/balance/back.go
+++ b/balance/back.go
@@ -30,21 +30,26 @@
 		return
 	}
 	f.cool(now, m, cold.Lasts)
-	m.unsure = now < m.coldTill
+	m.setLost(m.out, now < m.coldTill)
 }
 
 // lostMost reports whether more of a service's upstreams than may rest are out of reach, or came
 // back and nothing is told of them yet: then the cause is on this box's side, and their rations
 // alone would leave its callers without any.
 func (f *Fleet) lostMost(service string) bool {
-	list := f.byService[service]
-	lost := 0
-	for _, m := range list {
-		if m.out || m.unsure {
-			lost++
-		}
+	s := f.serviceOf(service)
+	return (s.lost+1)*percent > s.listed*mostResting
+}
+
+// setLost notes whether an upstream is out of reach, and whether it came back and nothing is told of it yet.
+func (m *member) setLost(out, unsure bool) {
+	if m.out || m.unsure {
+		m.service.lost--
+	}
+	m.out, m.unsure = out, unsure
+	if m.out || m.unsure {
+		m.service.lost++
 	}
-	return (lost+1)*percent > len(list)*mostResting
 }
 
 // Told notes that all that was published up to a moment is known here: what came back before
@@ -52,14 +57,14 @@
 func (f *Fleet) Told(now, known time.Duration) {
 	for _, m := range f.cold {
 		if m.unsure && known >= m.back+toldWithin {
-			m.unsure = false
+			m.setLost(m.out, false)
 			m.coldTill = now
 			f.sharedAnew = true
 		}
 	}
 	f.cold = slices.DeleteFunc(f.cold, func(m *member) bool {
 		isWarm := now >= m.coldTill
-		m.unsure = m.unsure && !isWarm
+		m.setLost(m.out, m.unsure && !isWarm)
 		return isWarm
 	})
 }
--- a/balance/back_test.go
+++ b/balance/back_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // One that was out of reach may have started again, and be cold before its entry says so.
@@ -68,6 +69,43 @@
 	}
 }
 
+// The count of upstreams that are lost is that of a look at all, whatever happened to them.
+func TestLostUpstreamsAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := knowing(9)
+		f.SetCold("s", Cold{Lasts: 3 * time.Second, Most: 12})
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond
+			id := fmt.Sprint("u", rapid.IntRange(0, 8).Draw(t, "upstream"))
+			m := f.byID[id]
+			switch what := rapid.IntRange(0, 5).Draw(t, "what"); {
+			case m == nil:
+				f.Put(now, Upstream{ID: id, Service: "s", Address: id, Domain: "d0", Slots: 8})
+			case what == 0:
+				f.Remove(id)
+			case what == 1:
+				f.cool(now, m, time.Second)
+			case what == 2:
+				f.Told(now, now-time.Duration(rapid.IntRange(0, 3000).Draw(t, "age"))*time.Millisecond)
+			case what == 3:
+				f.UnreachedLife(now, m.Life())
+			default:
+				f.ReachedLife(now, m.Life())
+			}
+			lost := 0
+			for _, m := range f.byID {
+				if m.out || m.unsure {
+					lost++
+				}
+			}
+			if s := f.serviceOf("s"); s.lost != lost || s.listed != len(f.byID) {
+				t.Fatalf("%d of %d are lost, %d of %d are counted", lost, len(f.byID), s.lost, s.listed)
+			}
+		}
+	})
+}
+
 // Those that were left along with their domain come back as those that failed themselves.
 func TestADomainThatComesBackIsCold(t *testing.T) {
 	is := is.New(t)
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -94,7 +94,7 @@
 	if left <= 0 {
 		return
 	}
-	m.unsure = false // its entry says so
+	m.setLost(m.out, false) // its entry says so
 	if now+left <= m.coldTill {
 		return
 	}
--- a/balance/list.go
+++ b/balance/list.go
@@ -139,6 +139,7 @@
 	m.service.slots -= m.Slots
 	f.kept.forget(m)
 	f.markIn(m) // it counts among those of a domain that is left no more
+	m.setLost(false, false)
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 	f.cold = slices.DeleteFunc(f.cold, isIt)
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -138,7 +138,8 @@
 		f.lost = append(f.lost, Lost{m.Upstream, byDomain})
 	}
 	f.markIn(m)
-	m.out, m.byDomain = true, byDomain
+	m.setLost(true, m.unsure)
+	m.byDomain = byDomain
 	if byDomain {
 		f.domain(m.Domain).left++
 	}
@@ -149,7 +150,8 @@
 	if m.byDomain {
 		f.domain(m.Domain).left--
 	}
-	m.out, m.byDomain = false, false
+	m.setLost(false, m.unsure)
+	m.byDomain = false
 }
 
 // reached notes that an upstream can be reached, and with it its domain.
--- a/balance/service.go
+++ b/balance/service.go
@@ -9,6 +9,7 @@
 	name     string
 	active   []*member // of its upstreams; see active.go
 	listed   int       // its upstreams
+	lost     int       // of them, those out of reach, and those that came back and nothing is told of
 	slots    int       // of all its upstreams
 	classes  classes   // of its requests
 	refusals refusals  // of its requests
