Retry budget: a box whose only seed is itself has the whole slack

Change: what counts is whether the seeds name another box. TestABoxThatIsTheOnlyOneSharesWithNobody divides by 0 on the code before.

--- a/group/count.go
+++ b/group/count.go
@@ -5,20 +5,28 @@
 // run for longer than they need to hear of each other do not add up to more than the whole, also where some of them
 // started again within a cut between domains.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Boxes is how many boxes there are, at the most that was ever known.
 func (n *Node) Boxes() int { return max(n.most, 1) }
 
-// Divisor is by how many this box divides what all boxes share; 0: it has no part, since it has heard of nobody in
-// this life. Each domain has the same part at least of what boxes know that hear of no other domain.
+// Divisor is by how many this box divides what all boxes share; 0: it has no part, since its seeds name others and it has
+// heard of nobody in this life. A box that hears of no other domain takes each to have as many boxes as its own.
 func (n *Node) Divisor() int {
-	if !n.heardOthers && !n.alone() {
+	if !n.heardOthers && n.namesOthers() {
 		return 0
 	}
 	return max(n.most, n.cfg.Domains*n.mostHere, 1)
 }
 
+// namesOthers reports whether the seeds name another box than this one.
+func (n *Node) namesOthers() bool {
+	return slices.ContainsFunc(n.cfg.Seeds, func(seed string) bool { return seed != n.cfg.Self.Address })
+}
+
 // Known reports whether the box has heard of the group's size.
 func (n *Node) Known() bool { return n.most > 0 }
 
--- a/group/node.go
+++ b/group/node.go
@@ -130,10 +130,10 @@
 	started time.Duration
 	peers   map[string]*peer // by name; of this domain, and leads of others
 	most    int              // the greatest count of boxes seen
+	leaving bool
 
-	mostHere    int  // the same of this domain
+	mostHere    int  // the greatest count of boxes of this domain
 	heardOthers bool // another box has been heard in this life
-	leaving bool
 
 	chosen    *wire.GroupBox // the lead; nil where it has to be looked for anew
 	leadName  string         // the lead that is waited for
--- a/group/slack_test.go
+++ b/group/slack_test.go
@@ -18,6 +18,16 @@
 	return sum
 }
 
+func TestABoxThatIsTheOnlyOneSharesWithNobody(t *testing.T) {
+	w := newWorld(t, 72)
+	w.seeds = []string{boxName(0, 0)}
+	b := w.start(boxName(0, 0), domainName(0), 100, false)
+	w.run(time.Second)
+	if got := b.node.Divisor(); got != 1 {
+		t.Fatalf("it divides by %d", got)
+	}
+}
+
 // Boxes that were restarted while they were cut off counted only those they heard, and took far more than their part of
 // the retry budget's slack as long as the cut lasted: what a box divided by was the count of this life alone. Found by reading,
 // as the count of boxes in lines "run: not retried" fell from 78 to 47 after all boxes had been killed.
