Log what upstreams say in answers: that they leave, and pauses that they ask for

The headers are now read and logged, one line an answer, and counted; no decision has changed. The platform's words for both are in platform/; a deployment without them reads nothing. A pause is seconds, a fraction, or a date (RFC 9110, 10.2.3), which counts from the answer's own date; what cannot be read has a line that says why.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -41,6 +41,7 @@
 			return nil, err
 		}
 		a.sent = sent
+		r.noteSaid(a, request)
 		id := headerValue(&a.header, r.cfg.Protocol.RequestID)
 		if id == "" || id == request {
 			a.reuse = a.reuse && skipped == 0
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -6,8 +6,6 @@
 // that gave it alone.
 
 import (
-	"math"
-	"strconv"
 	"strings"
 	"time"
 
@@ -54,17 +52,10 @@
 	return said
 }
 
-// parseLimit reads a decimal number that is not below 0: digits, and a point among them at the most.
+// parseLimit reads a limit, requests a second.
 func parseLimit(text string) (perSecond float64, ok bool) {
-	text = strings.TrimSpace(text)
-	if strings.Trim(text, "0123456789.") != "" {
-		return 0, false // a sign, an exponent, or no number
-	}
-	perSecond, err := strconv.ParseFloat(text, 64)
-	if err != nil && !math.IsInf(perSecond, 1) {
-		return 0, false
-	}
-	return min(perSecond, balance.NoLimit), true
+	perSecond, ok = parseDecimal(strings.TrimSpace(text))
+	return min(perSecond, balance.NoLimit), ok
 }
 
 // noteLimit notes what an answer says of its upstream's limit; request is empty where it answers a call of
--- /dev/null
+++ b/relay/said.go
@@ -0,0 +1,128 @@
+package relay
+
+// This file defines what the box reads of an upstream in its answers, beside limits: that it is leaving, and for how long
+// it wants no requests from this box. The invariants: an answer speaks for the life that gave it, whichever request it
+// belongs to; and a pause that cannot be read is no pause.
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// longestPause is what a longer pause counts as. An upstream that asks for more is likely to be replaced before.
+const longestPause = time.Hour
+
+// Counters of what answers say.
+const (
+	leavingSaid  = "upstreams_said_leaving"
+	pausesAsked  = "pauses_asked"
+	pausesUnread = "pauses_not_taken"
+)
+
+// pauseAsked is the pause that an answer asks for.
+type pauseAsked struct {
+	length time.Duration // 0: none
+	sent   string        // as it was sent
+	unread string        // why it asks for none though something was sent; empty: it was read
+}
+
+// saysLeaving reports whether the head of an answer says that its upstream is leaving.
+func (r *Relay) saysLeaving(h *fasthttp.ResponseHeader) bool {
+	name := r.cfg.Protocol.Leaving
+	if name == "" {
+		return false
+	}
+	for sent, value := range h.All() {
+		if isNamed(sent, name) && string(value) == "1" {
+			return true
+		}
+	}
+	return false
+}
+
+// isNamed reports whether a header has a name, in whatever case.
+func isNamed(sent []byte, name string) bool {
+	return len(sent) == len(name) && strings.EqualFold(string(sent), name)
+}
+
+// pauseIn reads the pause that the head of an answer asks for. Of several that can be read the longest counts.
+func pauseIn(h *fasthttp.ResponseHeader, name string, now time.Time) pauseAsked {
+	var asked pauseAsked
+	if name == "" || h.StatusCode() != fasthttp.StatusServiceUnavailable {
+		return asked
+	}
+	for sent, value := range h.All() {
+		if !isNamed(sent, name) {
+			continue
+		}
+		next := parsePause(string(value), headerValue(h, "Date"), now)
+		if asked.sent == "" || next.length > asked.length {
+			asked = next
+		}
+	}
+	return asked
+}
+
+// parsePause reads a pause: seconds, also a fraction of one, or the moment at which it ends. A moment counts from the one at
+// which the answer was dated, where it is: clocks of machines differ.
+func parsePause(text, dated string, now time.Time) pauseAsked {
+	asked := pauseAsked{sent: text}
+	text = strings.TrimSpace(text)
+	switch seconds, ok := parseDecimal(text); {
+	case ok:
+		asked.length = time.Duration(min(seconds, longestPause.Seconds()) * float64(time.Second))
+	default:
+		end, err := http.ParseTime(text)
+		if err != nil {
+			asked.unread = "neither seconds nor a date"
+			return asked
+		}
+		if from, err := http.ParseTime(dated); err == nil {
+			now = from
+		}
+		asked.length = min(end.Sub(now), longestPause)
+	}
+	if asked.length <= 0 {
+		asked.length, asked.unread = 0, "no time"
+	}
+	return asked
+}
+
+// parseDecimal reads a decimal number that is not below 0: digits, and a point among them at the most.
+func parseDecimal(text string) (number float64, ok bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false // a sign, an exponent, or no number
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil || math.IsInf(number, 1)
+}
+
+// noteSaid notes what an answer says of its upstream; request is the one it was read for.
+func (r *Relay) noteSaid(a *answer, request string) {
+	life := a.conn.life
+	if _, err := r.whyRefused(&a.header, life.ID); err != nil {
+		return // another start of it answers there
+	}
+	if r.saysLeaving(&a.header) {
+		r.stats.count(leavingSaid)
+		r.cfg.Log.Event("upstream", "says that it is leaving", Fields{"upstream": life.ID, "born": life.Born, "id": request})
+	}
+	asked := pauseIn(&a.header, r.cfg.Protocol.RetryAfter, time.Now())
+	if asked.sent == "" {
+		return
+	}
+	fields := Fields{"upstream": life.ID, "born": life.Born, "id": request, "asked": asked.sent, "pause_ms": asked.length.Milliseconds()}
+	if asked.unread != "" {
+		fields["why"] = asked.unread
+		r.stats.count(pausesUnread)
+		r.cfg.Log.Event("upstream", "pause not taken", fields)
+		return
+	}
+	r.stats.count(pausesAsked)
+	r.cfg.Log.Event("upstream", "asks for a pause", fields)
+}
