Tests that fail: upstreams that say they leave, and ask for pauses, in answers alone

Neither rule could be broken by a stand-in of ours.

What the soak checks depends on no timing: a box counts as having read an answer once a caller has its head, or once the request that was turned away has gone elsewhere, and only what was decided on after that counts.

--- a/soak/box.go
+++ b/soak/box.go
@@ -23,6 +23,7 @@
 	cmd              *exec.Cmd
 	ended            chan struct{}
 	asked            *atomic.Bool // the process was asked to end
+	starts           atomic.Int64
 }
 
 // Ports of a box; each box has an address of its own.
@@ -71,6 +72,7 @@
 		return err
 	}
 	b.ended, b.asked = make(chan struct{}), new(atomic.Bool)
+	b.starts.Add(1)
 	go b.wait(b.cmd, b.ended, b.asked)
 	return nil
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -68,6 +68,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	w.noteTold(b, resp.Header)
+	w.notePassedOn(id, resp.Header)
 	got, err := io.ReadAll(resp.Body)
 	w.check(id, path, resp, string(got), err == nil)
 	w.ledger.told(id, resp.StatusCode, err == nil)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,6 +98,8 @@
 	}},
 	{"let an upstream name a limit", nameLimit},
 	{"let upstreams fail most requests", failUpstreams},
+	{"let an upstream leave without the store", letLeave},
+	{"let an upstream ask for pauses", letPause},
 	{"forget the store's history", func(w *world) func() { w.store.Forget(); return nil }},
 	{"change the document", func(w *world) func() {
 		w.document.Version += 1 + uint64(w.random.IntN(3))
@@ -165,7 +167,7 @@
 func (w *world) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.cfg.For)
 	w.failMidway()
-	var pending []undo
+	pending := w.sayMidway()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(w.random.IntN(2*faultGap)) * time.Millisecond)
 		f := pick(w, faults)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -15,6 +15,8 @@
 	path     string
 	body     string
 	box      *box // that it was sent to
+	by       boxLife
+	decided  time.Time // where it goes next was not decided before
 	runs     int
 	arrivals int
 	promised bool // its caller was told that it has not run
@@ -29,10 +31,12 @@
 	violations []string
 	cold       map[*upstream][]time.Time // requests that reached those that were cold, of the last second
 	retries    retries
+	said       said
+	ranAt      map[string]*upstream // where a request ran last
 }
 
 func newLedger() *ledger {
-	return &ledger{entries: make(map[string]*entry), cold: make(map[*upstream][]time.Time), retries: newRetries()}
+	return &ledger{entries: make(map[string]*entry), cold: make(map[*upstream][]time.Time), retries: newRetries(), said: newSaid(), ranAt: make(map[string]*upstream)}
 }
 
 func (l *ledger) violate(format string, args ...any) {
@@ -49,7 +53,7 @@
 func (l *ledger) asked(id, path, body string, b *box) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries[id] = &entry{path: path, body: body, box: b}
+	l.entries[id] = &entry{path: path, body: body, box: b, by: b.life(), decided: time.Now()}
 	l.retries.ask(path)
 }
 
@@ -82,6 +86,18 @@
 	if e.arrivals++; e.arrivals > 1 {
 		l.retries.repeat(e.path)
 	}
+	l.said.read(id)
+	l.said.reached(u, e, l.breach)
+	e.decided, l.ranAt[id] = time.Now(), u
+}
+
+// turnsAway notes that an upstream turns a request away and asks for a pause.
+func (l *ledger) turnsAway(u *upstream, id string, length time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[id]; e != nil {
+		l.said.turnsAway(u, id, e.by, length)
+	}
 }
 
 // sentTo checks that an upstream which is cold is sent no more than it bears.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/doormast/doormast/platform"
@@ -28,6 +29,8 @@
 	server     *http.Server
 	coldTill   time.Time
 	need       *need
+	leaving    atomic.Bool // it says so in its answers
+	pausing    atomic.Bool // it turns requests away, and asks for a pause
 
 	mu   sync.Mutex
 	runs map[string]int // events made, by request
@@ -143,6 +146,12 @@
 	}
 	u.need.reached(u, u.world.ledger.boxOf(id))
 	u.need.put(w.Header())
+	if u.leaving.Load() {
+		w.Header().Set(words.Leaving, "1")
+	}
+	if u.asksForPause(w, id) {
+		return
+	}
 	switch luck := rand.IntN(100); {
 	case string(body) == fatalBody:
 		u.world.fatal.sentTo(u.world.ledger, id)
