Leaving: an answer that says so holds for the life of its upstream

Callers saw requests run at upstreams that had said for seconds that they leave (2458 and 2150 ms, 37 requests in 12 s): the store was away, and what a box believed of an upstream came from its entry alone.

An answer of a life that says so, whichever request it belongs to (a refusal, one that came late, a call of the box's own), is noted with the life, which no entry takes back: not one written again, nor one that lapses and returns, nor another writer's. To that end lives are remembered where no start is named, too, with what tells the next life from them. A later life, or another one at the address, is used at once.

It is looked at again when a request has its connection, together with what else has closed an upstream meanwhile (its entry, an evacuation, which were not looked at there), and before an answer goes on at a copy. An answer that could not go on elsewhere does not begin to move at an upstream that is leaving.

Tests: TestAnUpstreamThatSaysItIsLeavingGetsNothingNew failed before (61 requests in place of 1). Other boxes are not told: each has its own first answer, and an upstream that leaves serves on meanwhile.

--- a/balance/life.go
+++ b/balance/life.go
@@ -36,9 +36,9 @@
 // lastLife is what is remembered of the last known life of an upstream, for as long as the box
 // runs, also after its entry went.
 type lastLife struct {
-	born    int64
-	leaving bool // it took no new requests when it was last heard of
-	ended   bool // another one has its address
+	entry   Upstream // the last one of it
+	leaving bool     // it takes no new requests, by its entry or its own word
+	ended   bool     // another one has its address
 	// doubtTill is until when what others tell that it keeps may be of before a sign that it
 	// may have ended; its entry may go and come back meanwhile.
 	doubtTill time.Duration
@@ -50,7 +50,7 @@
 
 // recall takes over what is remembered of a life that is listed again.
 func (f *Fleet) recall(m *member) {
-	if last := f.lives[m.ID]; m.Born != 0 && last.born == m.Born {
+	if last := f.lives[m.ID]; m.Born != 0 && last.entry.Born == m.Born {
 		m.doubtTill = last.doubtTill
 		m.doubted = m.doubtTill > 0
 		m.ended = last.ended
@@ -89,20 +89,25 @@
 func (m *member) hasOpen() bool { return m.work.upTo(Levels-1).Open > 0 }
 
 // isPast reports whether an entry tells of a life before the last one that is known.
-func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].born }
+func (f *Fleet) isPast(u Upstream) bool { return u.Born != 0 && u.Born < f.lives[u.ID].entry.Born }
 
 // remember notes a life. What an entry of a service that is not named tells does not count: it
 // may come from another writer.
 func (f *Fleet) remember(u Upstream) {
-	if u.Born == 0 || u.Born < f.lives[u.ID].born || !f.serves(u.Service) {
+	last := f.lives[u.ID]
+	if u.Born < last.entry.Born || !f.serves(u.Service) {
 		return
 	}
-	last := f.lives[u.ID]
-	if last.born != u.Born {
-		last = lastLife{born: u.Born}
+	if last.entry.Born != u.Born {
+		last = lastLife{}
 	}
-	last.leaving = last.leaving || u.Leaving
-	f.lives[u.ID] = last
+	last.entry, last.leaving = u, last.leaving || u.Leaving
+	f.setLife(last)
+}
+
+// setLife notes what is known of the last life of an upstream.
+func (f *Fleet) setLife(last lastLife) {
+	f.lives[last.entry.ID] = last
 	if len(f.lives) > len(f.byID)+len(f.waiting)+max(maxLives, len(f.byID)) {
 		f.forgetLives()
 	}
@@ -120,7 +125,31 @@
 // hasLeft reports whether a life is known to take no new requests.
 func (f *Fleet) hasLeft(l Life) bool {
 	last := f.lives[l.ID]
-	return l.Born != 0 && last.born == l.Born && last.leaving
+	return last.entry.Born == l.Born && last.leaving
+}
+
+// SaysLeaving notes that a life says in an answer that it takes no new requests, and reports whether that is new. No entry
+// takes it back: entries are older than answers.
+func (f *Fleet) SaysLeaving(l Life) bool {
+	last := f.lives[l.ID]
+	if l.Born < last.entry.Born || f.hasLeft(l) {
+		return false
+	}
+	if l.Born > last.entry.Born {
+		last = lastLife{}
+	}
+	last.entry.ID, last.entry.Born, last.leaving = l.ID, l.Born, true
+	f.setLife(last)
+	if m := f.byID[l.ID]; m != nil && m.Life() == l {
+		m.Leaving = true
+	}
+	return true
+}
+
+// Accepts reports whether requests may be sent to a life that they were placed at: it may have come to leave since.
+func (f *Fleet) Accepts(l Life) bool {
+	m := f.byID[l.ID]
+	return !f.hasLeft(l) && (m == nil || m.Life() != l || !m.closed())
 }
 
 // Present is what the entry of an upstream says, also where another one has its address; false where
@@ -195,7 +224,7 @@
 
 // rememberDoubt notes the doubt about a life for when its entry goes and comes back.
 func (f *Fleet) rememberDoubt(m *member) {
-	if last, known := f.lives[m.ID]; known && last.born == m.Born {
+	if last, known := f.lives[m.ID]; known && last.entry.Born == m.Born {
 		last.doubtTill = m.doubtTill
 		f.lives[m.ID] = last
 	}
@@ -203,7 +232,7 @@
 
 // rememberEnd notes that a life has ended for when its entry goes and comes back.
 func (f *Fleet) rememberEnd(m *member) {
-	if last, known := f.lives[m.ID]; known && last.born == m.Born {
+	if last, known := f.lives[m.ID]; known && last.entry.Born == m.Born {
 		last.ended = true
 		f.lives[m.ID] = last
 	}
--- a/balance/list.go
+++ b/balance/list.go
@@ -48,6 +48,9 @@
 	case u.Born == 0:
 		u.Born = before.Born // an entry that names no start tells of the life that is known
 	}
+	if f.serves(u.Service) && isAnother(f.lives[u.ID].entry, u) {
+		delete(f.lives, u.ID)
+	}
 	u.Leaving = u.Leaving || f.hasLeft(u.Life())
 	f.remember(u)
 	return u
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -100,7 +100,7 @@
 	"request: caller left":              "The caller closed its connection; the run was ended.",
 	"request: caller does not read":     "The caller took nothing of its answer for seconds and was cut off; nothing is held against the upstream.",
 	"content: withheld":                 "Upstreams have ended under this content (ended, as boxes saw and told each other): it is refused until for_ms have passed, or it is answered whole.",
-	"upstream: says that it is leaving": "An answer of it to this box says so, whatever its entry says.",
+	"upstream: says that it is leaving": "An answer of it to this box says so: this life of it is sent nothing from here on, whatever its entry says (list_age_ms).",
 	"upstream: asks for a pause":        "It turned a request away and wants none from this box for pause_ms; asked is what it sent.",
 	"upstream: pause not taken":         "It turned a request away and sent something else than a time for which it wants none; why says what is wrong.",
 	"upstream: names a limit":           "An answer of it, seen here or by a box that told, names how many requests a second it takes from all boxes together (per_second, before). This box has sent it sent_lately in the last span_ms, and may send it ration in any ration_span_ms from now on.",
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
 )
 
 // runState is how far a run came.
@@ -53,7 +55,7 @@
 	}
 	if !x.mayGo() {
 		r.conns.putBack(c)
-		return runUnsent, nil, errLimit
+		return runUnsent, nil, errTakesNone
 	}
 	if !x.spendRetry() {
 		r.conns.putBack(c)
@@ -80,6 +82,24 @@
 	return runRefused, nil, err
 }
 
+// mayGo reports whether the run may still be sent, now that it has a connection.
+func (x *exchange) mayGo() bool {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.Accepts(x.upstream.Life()) && (x.ticket == nil || x.ticket.MayGo(r.now()))
+}
+
+// takesNone reports whether an upstream takes no request from this box now.
+func (r *Relay) takesNone(u balance.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.fleet.Accepts(u.Life()) || r.fleet.TakesNoMore(r.now(), u.ID)
+}
+
+// errTakesNone says that an upstream came to leave, or to name a limit, while the request waited for a connection.
+var errTakesNone = &Error{Op: "run", Kind: KindFull}
+
 // errReplaced says that another start of an upstream has its address now.
 var errReplaced = &Error{Op: "run", Kind: KindReplaced}
 
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -124,21 +124,3 @@
 		r.logLimit(c, "")
 	}
 }
-
-// mayGo reports whether the run may still be sent, now that it has a connection.
-func (x *exchange) mayGo() bool {
-	r := x.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return x.ticket == nil || x.ticket.MayGo(r.now())
-}
-
-// takesNoMore reports whether an upstream names a limit that lets this box send it nothing now.
-func (r *Relay) takesNoMore(u balance.Upstream) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fleet.TakesNoMore(r.now(), u.ID)
-}
-
-// errLimit says that an upstream came to name a limit while the request waited for a connection.
-var errLimit = &Error{Op: "run", Kind: KindFull}
--- a/relay/move.go
+++ b/relay/move.go
@@ -64,6 +64,9 @@
 	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || x.withheldFor() > 0 {
 		return
 	}
+	if !x.route.Resumable && r.takesNone(x.upstream) {
+		return // where the copy finds no room, it could go on neither there nor elsewhere
+	}
 	p := balance.Progress{Events: x.events.total, Between: x.pace.recent, Left: x.left()}
 	q := x.placement()
 	m, aside := x.moveTo(q, p)
@@ -146,7 +149,7 @@
 	if c.Name == "" {
 		return false
 	}
-	if at := m.liesAt(c); x.relay.isOver(at) || x.relay.takesNoMore(at) {
+	if at := m.liesAt(c); x.relay.isOver(at) || x.relay.takesNone(at) {
 		x.relay.dropCopy(m, c, x)
 		return false
 	}
--- a/relay/said.go
+++ b/relay/said.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
 )
 
 // longestPause is what a longer pause counts as. An upstream that asks for more is likely to be replaced before.
@@ -102,6 +104,18 @@
 	return number, err == nil || math.IsInf(number, 1)
 }
 
+// noteLeaving notes that a life says that it is leaving: from now on it is sent nothing.
+func (r *Relay) noteLeaving(life balance.Life, request string) {
+	r.mu.Lock()
+	isNew := r.fleet.SaysLeaving(life)
+	r.mu.Unlock()
+	if !isNew {
+		return
+	}
+	r.stats.count(leavingSaid)
+	r.cfg.Log.Event("upstream", "says that it is leaving", Fields{"upstream": life.ID, "born": life.Born, "id": request, "list_age_ms": r.age().Milliseconds()})
+}
+
 // noteSaid notes what an answer says of its upstream; request is the one it was read for.
 func (r *Relay) noteSaid(a *answer, request string) {
 	life := a.conn.life
@@ -109,8 +123,7 @@
 		return // another start of it answers there
 	}
 	if r.saysLeaving(&a.header) {
-		r.stats.count(leavingSaid)
-		r.cfg.Log.Event("upstream", "says that it is leaving", Fields{"upstream": life.ID, "born": life.Born, "id": request})
+		r.noteLeaving(life, request)
 	}
 	asked := pauseIn(&a.header, r.cfg.Protocol.RetryAfter, time.Now())
 	if asked.sent == "" {
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -62,3 +64,127 @@
 	a.send(b, "more", 60)
 	is.Equal(a.arrivals(), 1)
 }
+
+// isLeaving reports whether a box takes an upstream for one that is leaving.
+func (b *bench) isLeaving(id string) bool {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	return b.relay.fleet.Get(id).Leaving
+}
+
+func TestWhichAnswersSayThatTheirUpstreamIsLeaving(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script func(net.Conn, stubRequest) bool
+		want   bool
+	}{
+		{"a whole answer", answerNaming("200 OK", "X-Leaving: 1"), true},
+		{"in another case", answerNaming("200 OK", "x-leaving: 1"), true},
+		{"not found", answerNaming("404 No", "X-Leaving: 1"), true},
+		{"a failure", answerNaming("500 Broken", "X-Leaving: 1"), true},
+		{"a refusal", answerNaming("503 Full", "X-Not-Run: 1", "X-Leaving: 1"), true},
+		{"too many", answerNaming("429 Many", "X-Not-Run: 1", "X-Leaving: 1"), true},
+		{"the same with a pause", answerNaming("503 Full", "X-Not-Run: 1", "Retry-After: 1", "X-Leaving: 1"), true},
+		{"an answer to another request", func(c net.Conn, r stubRequest) bool {
+			say(c, "HTTP/1.1 200 OK\nX-Id: before\nX-Leaving: 1\nContent-Length: 0\n\n")
+			return answerOK("well")(c, r)
+		}, true},
+		{"another start of it", answerNaming("421 Other", "X-Not-Run: 1", "X-Started: next", "X-Leaving: 1"), false},
+		{"it does not", answerNaming("200 OK", "X-Leaving: 0"), false},
+		{"the caller's own", answerOK("well"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u, v := newStub(t, "u", c.script), newStub(t, "v", answerOK("well"))
+			b := newBench(t, u)
+			b.do(b.request(http.MethodPost, "/once/x", "x", "X-Leaving", "1"))
+			is.Equal(len(u.requests()), 1)
+			b.list(v, false)
+			b.until(func() bool { return b.known() == 2 })
+			is.Equal(b.relay.stats.counted(leavingSaid) == 1, c.want)
+			is.True(b.isLeaving("u") || !c.want)
+		})
+	}
+}
+
+// Answers to calls of the box's own say it as well.
+func TestAnAnswerToACallSaysThatItsUpstreamIsLeaving(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerNaming("200 OK", "X-Leaving: 1"))
+	b := newBench(t, u)
+	_, _, err := b.relay.call(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+	is.NoErr(err)
+	is.True(b.isLeaving("u"))
+}
+
+// What runs at an upstream when it says that it is leaving ends there; what breaks goes on elsewhere.
+func TestAStreamEndsWhereItsUpstreamIsLeaving(t *testing.T) {
+	for _, breaks := range []bool{false, true} {
+		t.Run(fmt.Sprint("breaks: ", breaks), func(t *testing.T) {
+			is := is.New(t)
+			said, goOn := make(chan struct{}), make(chan struct{})
+			u := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+				say(c, fmt.Sprintf("HTTP/1.1 200 OK\nX-Id: %s\nX-Sign: s\nX-Leaving: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n", r.Header.Get("X-Id")))
+				chunk(c, event(1))
+				close(said)
+				<-goOn
+				if breaks {
+					return false
+				}
+				chunk(c, event(2))
+				chunk(c, "")
+				return true
+			})
+			v := newStub(t, "v", func(c net.Conn, r stubRequest) bool {
+				startStream(c, r)
+				chunk(c, event(2))
+				chunk(c, "")
+				return true
+			})
+			b := newBench(t, u)
+			done := make(chan answered, 1)
+			go func() { done <- b.do(b.request(http.MethodPost, "/flow/x", "")) }()
+			<-said
+			b.until(func() bool { return b.isLeaving("u") })
+			b.list(v, false)
+			b.until(func() bool { return b.known() == 2 })
+			close(goOn)
+			is.Equal((<-done).body, event(1)+event(2))
+			is.Equal(len(u.requests()), 1)
+			is.Equal(len(v.requests()) == 1, breaks)
+		})
+	}
+}
+
+// The last upstream of a service leaves: callers hear at once that their requests have not run, and when to come back.
+func TestWhereTheLastUpstreamIsLeavingCallersHearItAtOnce(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerNaming("200 OK", "X-Leaving: 1"))
+	b := newBench(t, u)
+	is.Equal(b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", "first")).status, http.StatusOK)
+	got := b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", "second"))
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.True(strings.Contains(got.body, `"ran":"no"`))
+	is.Equal(len(u.requests()), 1)
+}
+
+// An upstream came to leave while a request waited for a connection to it: the request goes elsewhere.
+func TestARequestThatWaitedForAConnectionIsNotSentToWhatIsLeaving(t *testing.T) {
+	is := is.New(t)
+	u, v := newStub(t, "u", answerOK("u")), newStub(t, "v", answerOK("v"))
+	b := newBench(t, u, v)
+	r := b.relay
+	var once sync.Once
+	var left string
+	r.conns.cameUp = func(id string, _ time.Duration) {
+		once.Do(func() {
+			left = id
+			r.noteLeaving(r.lifeOf(id), "")
+		})
+	}
+	got := b.do(b.request(http.MethodPost, "/once/x", "x"))
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.body != left)
+	is.Equal(len(u.requests())+len(v.requests()), 1)
+}
