Test that fails: an upstream that asks for a pause gets requests within it

A stub turns requests away with 503 and Retry-After: 30 each time; a box sends it 20 of 100 requests, where three are allowed (the first, and two).

--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -188,3 +188,20 @@
 	is.True(got.body != left)
 	is.Equal(len(u.requests())+len(v.requests()), 1)
 }
+
+// An upstream turned requests away and asked for a pause each time, and got them as before.
+func TestAnUpstreamThatAsksForAPauseIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	a := newAnnouncer(t, "503 No", "X-Not-Run: 1\nRetry-After: 30")
+	b := newBench(t, a.list...)
+	a.untilSaid(b)
+	for range 20 {
+		a.send(b, "more", 5)
+		time.Sleep(fullRestPassed)
+	}
+	t.Logf("%d requests", a.arrivals())
+	is.True(a.arrivals() <= 1+2)
+}
+
+// fullRestPassed is longer than an upstream that had no room is passed over for.
+const fullRestPassed = 120 * time.Millisecond
