Pauses: an upstream that asks for one gets nothing until its end

Callers: upstreams that turned requests away and asked for 3 s of rest were sent four and six more by one box in that time; each cost the retry budget one, until it was used up and callers were refused. Where all upstreams of a service did so, callers were told to come back after 0.4 s, whatever had been asked for.

Cause: Retry-After of a 503 was read by nobody; a refusal passed the upstream over for 100 ms (fullRest).

Now a pause belongs to the life that asked for it, and the latest end counts. Within it a box sends nothing: not what is placed, not what has waited for a connection, no retry, no move and no call of its own. After the end requests return one at first, and each answer lets two follow, until as many are under way as the upstream has slots; boxes return up to a tenth of the pause later, each by a hash of its own. Where all upstreams of a service pause, requests that can be served after the first end in their time wait, the more urgent and then the earlier first; the others are refused at once with when it ends, spread by a quarter. A refusal with a pause is what any refusal is for ejection and the retry budget. Prompts whose whole lane pauses go beyond it.

Nothing is allocated for an answer that says nothing.

--- a/balance/allowed.go
+++ b/balance/allowed.go
@@ -84,8 +84,11 @@
 	return x != nil && f.limitLeft(now, m, x) > 0
 }
 
-// allows reports whether this box may send a request to an upstream, as far as its limit goes.
+// allows reports whether this box may send a request to an upstream, as far as its limit and the pause that it asked for go.
 func (f *Fleet) allows(now time.Duration, m *member, r Request) bool {
+	if !f.mayReturn(now, m, r) {
+		return false
+	}
 	x := f.limitOf(m)
 	if x == nil {
 		return true
@@ -93,9 +96,9 @@
 	return f.limitLeft(now, m, x) == 0 && !f.serviceOf(m.Service).keptFor(now, r.level())
 }
 
-// passedOver counts the upstreams that a request may not go to for their limits alone.
+// passedOver counts the upstreams that a request may not go to for their limits and pauses alone.
 func (f *Fleet) passedOver(now time.Duration, r Request, tried []string) int {
-	if len(f.limits.byLife) == 0 {
+	if len(f.limits.byLife) == 0 && len(f.pauses) == 0 {
 		return 0
 	}
 	n := 0
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -105,9 +105,11 @@
 	part       float64             // of an upstream's memory that this box may fill: 1 where it knows of the others
 	boxes      int                 // in all, as far as is known
 	sharers    Sharers
-	limits     limits    // that upstreams name
-	cold       []*member // those that are, and some that were
-	sharedAnew bool      // what the rations depend on has changed
+	limits     limits            // that upstreams name
+	pauses     map[uint32]*pause // that upstreams asked for, by Key of the life
+	pausesOver []uint32          // those that ended and were not returned by PausesOver yet
+	cold       []*member         // those that are, and some that were
+	sharedAnew bool              // what the rations depend on has changed
 }
 
 // firstList is the span in which a box that has started hears of all upstreams there
@@ -129,6 +131,7 @@
 		lives:     make(map[string]lastLife),
 		gone:      make(map[string]*member),
 		histories: make(map[uint32]*history),
+		pauses:    make(map[uint32]*pause),
 		evacuated: make(map[string]bool),
 		services:  make(map[string]*service),
 		kept:      kept{keepers: make(map[uint32][]keeper)},
--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -43,13 +43,13 @@
 			f.Put(0, c.first)
 			is.True(f.SaysLeaving(c.first.Life()))
 			is.True(!f.SaysLeaving(c.first.Life())) // it is not new
-			is.True(!f.Accepts(c.first.Life()))
+			is.True(!f.Accepts(2*time.Second, c.first.Life()))
 			for _, do := range c.then {
 				do(f)
 			}
 			choice, used := f.Place(2*time.Second, Request{Service: "s"}, nil)
 			is.Equal(used, c.used)
-			is.True(!used || f.Accepts(choice.Upstream.Life()))
+			is.True(!used || f.Accepts(2*time.Second, choice.Upstream.Life()))
 		})
 	}
 }
@@ -60,7 +60,7 @@
 	f := NewFleet(Config{Domain: "d1", Tuning: DefaultTuning})
 	f.Put(0, entryOf("u", 200, 1))
 	is.True(!f.SaysLeaving(Life{"u", 100}))
-	is.True(f.Accepts(Life{"u", 200}))
+	is.True(f.Accepts(2*time.Second, Life{"u", 200}))
 	is.True(f.SaysLeaving(Life{"v", 100}))
 	f.Put(0, Upstream{ID: "v", Born: 100, Service: "s", Address: "10.1.0.2:1"})
 	is.True(f.Get("v").Leaving)
@@ -77,9 +77,9 @@
 			is := is.New(t)
 			f := NewFleet(Config{Domain: "d1", Tuning: DefaultTuning})
 			f.Put(0, entryOf("u", 100, 1))
-			is.True(f.Accepts(Life{"u", 100}))
+			is.True(f.Accepts(2*time.Second, Life{"u", 100}))
 			do(f)
-			is.True(!f.Accepts(Life{"u", 100}))
+			is.True(!f.Accepts(2*time.Second, Life{"u", 100}))
 		})
 	}
 }
--- a/balance/life.go
+++ b/balance/life.go
@@ -146,10 +146,14 @@
 	return true
 }
 
-// Accepts reports whether requests may be sent to a life that they were placed at: it may have come to leave since.
-func (f *Fleet) Accepts(l Life) bool {
+// Accepts reports whether requests may be sent to a life that they were placed at: it may have come to leave since, or
+// asked for a pause.
+func (f *Fleet) Accepts(now time.Duration, l Life) bool {
+	if f.hasLeft(l) || f.PausedFor(now, l) > 0 {
+		return false
+	}
 	m := f.byID[l.ID]
-	return !f.hasLeft(l) && (m == nil || m.Life() != l || !m.closed())
+	return m == nil || m.Life() != l || !m.closed()
 }
 
 // Present is what the entry of an upstream says, also where another one has its address; false where
--- a/balance/list.go
+++ b/balance/list.go
@@ -50,6 +50,7 @@
 	}
 	if f.serves(u.Service) && isAnother(f.lives[u.ID].entry, u) {
 		delete(f.lives, u.ID)
+		delete(f.pauses, u.Life().Key()) // lives that name no start have the same
 	}
 	u.Leaving = u.Leaving || f.hasLeft(u.Life())
 	f.remember(u)
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -32,6 +32,7 @@
 	Repeating        Mechanism = "repeating"   // a request whose run failed is run elsewhere
 	Distance         Mechanism = "distance"    // how far upstreams are counts
 	Limits           Mechanism = "limits"      // upstreams get no more than they name
+	Pauses           Mechanism = "pauses"      // upstreams that ask for a pause get nothing until its end
 	Withholding      Mechanism = "withholding" // a request under which upstreams end is refused
 )
 
@@ -52,6 +53,7 @@
 	Resuming:         "ends streams whose upstream is lost",
 	Repeating:        "answers requests whose first run failed",
 	Limits:           "keeps upstreams in need from being sent more, by all boxes together, than they name in their answers",
+	Pauses:           "keeps upstreams that turn requests away, and say for how long, from being sent more meanwhile",
 	Withholding:      "keeps one request from ending one upstream after another, with all that runs there",
 	Distance:         "saves the time that requests spend on the way, and bytes over dear links",
 }
--- a/balance/place.go
+++ b/balance/place.go
@@ -54,6 +54,9 @@
 // would go to those that are kept for tight streams.
 func (f *Fleet) withMemory(now time.Duration, r Request, list []*member, memory memoryBound) (within, beyond []*member) {
 	within, beyond = f.lane(now, r, list)
+	if len(within) == 0 && f.anyPaused(r.Service) {
+		return memory.fitting(beyond), nil // its lane may be paused as a whole
+	}
 	within, beyond = memory.fitting(within), memory.fitting(beyond)
 	if len(within) == 0 && f.tight(r) {
 		return beyond, nil
--- a/balance/request.go
+++ b/balance/request.go
@@ -22,6 +22,7 @@
 	Expected int           // tokens of its answer, as its caller expects; 0: not said
 	Urgency  int           // 0 is the most urgent
 	Homes    route.Homes   // where it may run
+	Waited   bool          // it has waited for the end of a pause
 }
 
 // Part is a part of a prompt that other prompts may begin with too.
--- a/balance/service.go
+++ b/balance/service.go
@@ -19,6 +19,7 @@
 	cold     Cold      // what its upstreams bear while they are
 	memory   int       // tokens that the memory of each of its upstreams holds; 0: not known
 	wanted   wanted    // places that upstreams which name limits have
+	waits    waits     // for the end of a pause
 	unread   float64   // prompt tokens that its upstreams have to read, a mean over them
 }
 
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -18,6 +18,7 @@
 	begun   time.Duration // when its first event came
 	calm    bool          // its upstream read little when it was opened
 	moved   bool          // it ran elsewhere before
+	pause   *pause        // that it returned after, until it is answered
 	alone   bool          // nothing was before it
 	free    bool          // a slot was free
 	closed  bool
@@ -53,6 +54,7 @@
 	t.count(Load{Unread: t.unread, Open: 1, Tight: t.tight, Held: t.held})
 	t.fleet.sent(now, t.member, t.request)
 	t.member.noteCold(now)
+	t.goBack(now)
 	t.member.history.note(now)
 }
 
@@ -68,6 +70,7 @@
 		t.fleet.learnRate(t.unread, now-t.opened)
 	}
 	t.read, t.begun = true, now
+	t.cameBack(true)
 	t.fleet.serviceOf(t.request.Service).holding.begin(now)
 	t.fleet.reached(now, t.member)
 	t.clear()
@@ -114,6 +117,7 @@
 	}
 	t.clear()
 	t.closed = true
+	t.cameBack(outcome == Answered)
 	t.count(Load{Open: -1, Tight: -t.tight, Held: -t.held})
 	t.member.health.note(now, outcome)
 	if t.read {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -28,8 +28,11 @@
 // connection before it is given up.
 const foreignAnswers = 2
 
-// roundTrip sends a request on a connection and reads the head of its answer.
+// roundTrip makes a call of the box's own on a connection and reads the head of its answer.
 func (r *Relay) roundTrip(c *conn, o outgoing) (*answer, error) {
+	if r.isPaused(c.life) {
+		return nil, errTakesNone
+	}
 	return r.readAnswer(c, o.id, c.send(o))
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,9 +53,9 @@
 	if err != nil {
 		return runUnsent, nil, err
 	}
-	if !x.mayGo() {
+	if err := x.mayGo(); err != nil {
 		r.conns.putBack(c)
-		return runUnsent, nil, errTakesNone
+		return runUnsent, nil, err
 	}
 	if !x.spendRetry() {
 		r.conns.putBack(c)
@@ -82,23 +82,32 @@
 	return runRefused, nil, err
 }
 
-// mayGo reports whether the run may still be sent, now that it has a connection.
-func (x *exchange) mayGo() bool {
+// mayGo says why the run may no longer be sent, now that it has a connection; nil where it may.
+func (x *exchange) mayGo() error {
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.Accepts(x.upstream.Life()) && (x.ticket == nil || x.ticket.MayGo(r.now()))
+	switch {
+	case !r.fleet.Accepts(r.now(), x.upstream.Life()):
+		return errTakesNone
+	case x.ticket != nil && !x.ticket.MayGo(r.now()):
+		return errLimit
+	}
+	return nil
 }
 
 // takesNone reports whether an upstream takes no request from this box now.
 func (r *Relay) takesNone(u balance.Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.fleet.Accepts(u.Life()) || r.fleet.TakesNoMore(r.now(), u.ID)
+	return !r.fleet.Accepts(r.now(), u.Life()) || r.fleet.TakesNoMore(r.now(), u.ID)
 }
 
-// errTakesNone says that an upstream came to leave, or to name a limit, while the request waited for a connection.
-var errTakesNone = &Error{Op: "run", Kind: KindFull}
+// What an upstream came to say while the request waited for a connection.
+var (
+	errTakesNone = &Error{Op: "run", Kind: KindFull}   // it is leaving, or asks for a pause
+	errLimit     = &Error{Op: "limit", Kind: KindFull} // it names a limit
+)
 
 // errReplaced says that another start of an upstream has its address now.
 var errReplaced = &Error{Op: "run", Kind: KindReplaced}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -54,6 +54,8 @@
 	tooLarge      bool          // no upstream's memory holds it
 	again         bool          // it has come back after a refusal, as far as its time left shows
 	comeBack      time.Duration // when to come back, where that was worked out; 0: not
+	paused        time.Duration // until an upstream may take it after a pause; 0: no pause is why none does
+	waited        time.Duration // for ends of pauses
 
 	move     *move     // under way
 	moved    bool      // it has gone on elsewhere
@@ -152,6 +154,9 @@
 		f["late_pauses"], f["longest_pause_ms"] = x.pace.late, x.pace.longest.Milliseconds()
 		f["events"], f["expected_tokens"] = x.events.total, x.request.prompt.Expected
 	}
+	if x.waited > 0 {
+		f["waited_ms"] = x.waited.Milliseconds()
+	}
 	if x.moved {
 		f["moved"] = true
 	}
--- a/relay/news.go
+++ b/relay/news.go
@@ -78,6 +78,7 @@
 		c.otherEnded = &life
 	}
 	c.present, c.listed = r.listed(u.ID)
+	r.wakeWaiting(u.Service)
 	c.serves = r.fleet.Serves(u.ID)
 	return c
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -134,7 +134,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil, errors.Is(err, errShort), errors.Is(err, errTakesNone), errors.Is(err, errBudget), x.silent.Load() && state == runUnknown, x.held.Load():
+	case x.ctx.Err() != nil, errors.Is(err, errShort), errors.Is(err, errTakesNone), errors.Is(err, errLimit), errors.Is(err, errBudget), x.silent.Load() && state == runUnknown, x.held.Load():
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
@@ -197,7 +197,10 @@
 	}
 	r.mu.Lock()
 	x.ticket.Close(r.now(), o)
+	r.wakeWaiting(x.service)
+	over := r.fleet.PausesOver()
 	r.mu.Unlock()
+	r.logPausesOver(over)
 	wake(r.members.loaded)
 	x.ticket = nil
 }
--- /dev/null
+++ b/relay/pause_test.go
@@ -0,0 +1,260 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+func TestWhatAPauseIsReadAs(t *testing.T) {
+	const dated = "Thu, 03 Dec 2026 10:00:00 GMT"
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC) // this machine's clock is behind
+	read := func(length time.Duration) pauseAsked { return pauseAsked{length: length} }
+	unread := func(why string) pauseAsked { return pauseAsked{unread: why} }
+	const noTime, nonsense = "no time", "neither seconds nor a date"
+	for _, c := range []struct {
+		name    string
+		status  int
+		headers []string
+		want    pauseAsked
+	}{
+		{"no header", 503, nil, pauseAsked{}},
+		{"seconds", 503, []string{"3"}, read(3 * time.Second)},
+		{"a fraction", 503, []string{" 0.25 "}, read(250 * time.Millisecond)},
+		{"0", 503, []string{"0"}, unread(noTime)},
+		{"a negative number", 503, []string{"-1"}, unread(nonsense)},
+		{"a word", 503, []string{"soon"}, unread(nonsense)},
+		{"empty", 503, []string{""}, unread(nonsense)},
+		{"an exponent", 503, []string{"1e3"}, unread(nonsense)},
+		{"infinite", 503, []string{"inf"}, unread(nonsense)},
+		{"a year", 503, []string{"31536000"}, read(longestPause)},
+		{"beyond all numbers", 503, []string{"1" + strings.Repeat("0", 400)}, read(longestPause)},
+		{"a date", 503, []string{"Thu, 03 Dec 2026 10:00:02 GMT"}, read(2 * time.Second)},
+		{"an older form of it", 503, []string{"Thursday, 03-Dec-26 10:00:02 GMT"}, read(2 * time.Second)},
+		{"C's form", 503, []string{"Thu Dec  3 10:00:02 2026"}, read(2 * time.Second)},
+		{"a date that is past", 503, []string{"Thu, 03 Dec 2026 09:59:00 GMT"}, unread(noTime)},
+		{"a date in years", 503, []string{"Thu, 03 Dec 2099 10:00:00 GMT"}, read(longestPause)},
+		{"the longer of two", 503, []string{"1", "2"}, read(2 * time.Second)},
+		{"the one that can be read", 503, []string{"soon", "2"}, read(2 * time.Second)},
+		{"an answer that serves", 200, []string{"3"}, pauseAsked{}},
+		{"a failure", 500, []string{"3"}, pauseAsked{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			text := fmt.Sprintf("HTTP/1.1 %d X\r\nDate: %s\r\n", c.status, dated)
+			for i, value := range c.headers {
+				text += []string{"Retry-After", "retry-after"}[i] + ": " + value + "\r\n"
+			}
+			var h fasthttp.ResponseHeader
+			h.DisableNormalizing()
+			is.NoErr(h.Read(bufio.NewReader(strings.NewReader(text + "\r\n"))))
+			got := pauseIn(&h, "Retry-After", now)
+			got.sent = ""
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// A date without one of the answer counts by this machine's clock, and a deployment without the word reads none.
+func TestADateOfAnAnswerThatIsNotDated(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 3, 10, 0, 0, 0, time.UTC)
+	is.Equal(parsePause("Thu, 03 Dec 2026 10:00:02 GMT", "", now).length, 2*time.Second)
+	var h fasthttp.ResponseHeader
+	h.SetStatusCode(503)
+	h.Add("Retry-After", "3")
+	is.Equal(pauseIn(&h, "", now), pauseAsked{})
+}
+
+// What is said costs an answer nothing to look at.
+func TestWhatAnswersSayIsReadWithoutAllocating(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{cfg: Config{Protocol: testProtocol}}
+	var h fasthttp.ResponseHeader
+	h.DisableNormalizing()
+	for i := range 8 {
+		h.Add(fmt.Sprint("Header-", i), "value")
+	}
+	h.SetStatusCode(503)
+	is.Equal(testing.AllocsPerRun(100, func() {
+		if r.saysLeaving(&h) || pauseIn(&h, "Retry-After", time.Time{}).sent != "" {
+			t.Fatal("it says nothing")
+		}
+	}), 0.0)
+}
+
+// pauser is an upstream that asks for a pause once, and holds what comes later until it is let go.
+type pauser struct {
+	*stub
+	mu    sync.Mutex
+	asked time.Time   // when it did
+	came  []time.Time // requests since
+	hold  chan struct{}
+}
+
+func newPauser(t testing.TB, length string) *pauser {
+	p := &pauser{hold: make(chan struct{})}
+	p.stub = newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+		p.mu.Lock()
+		asks := p.asked.IsZero()
+		if asks {
+			p.asked = time.Now()
+		} else {
+			p.came = append(p.came, time.Now())
+		}
+		p.mu.Unlock()
+		if asks {
+			return answerNaming("503 No", "X-Not-Run: 1", "Retry-After: "+length)(c, r)
+		}
+		<-p.hold
+		return answerOK("well")(c, r)
+	})
+	return p
+}
+
+// arrivals is how many requests have come since it asked, and how long after that the first.
+func (p *pauser) arrivals() (n int, first time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.came) == 0 {
+		return 0, 0
+	}
+	return len(p.came), p.came[0].Sub(p.asked)
+}
+
+// waits is how many requests of the service wait for the end of a pause.
+func (b *bench) waits() int {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	if q := b.relay.waiting["s"]; q != nil {
+		return len(q.list)
+	}
+	return 0
+}
+
+// sends sends requests at the same time, and returns where their answers come.
+func (b *bench) sends(count int, header ...string) <-chan answered {
+	done := make(chan answered, count)
+	for i := range count {
+		go func() {
+			done <- b.do(b.request(http.MethodPost, "/safe/x", "x", append([]string{"X-Id", fmt.Sprint("r", i)}, header...)...))
+		}()
+	}
+	return done
+}
+
+// All upstreams asked for a pause: requests that can still be served after it wait, and arrive one before the others.
+func TestRequestsWaitForTheEndOfAPause(t *testing.T) {
+	is := is.New(t)
+	const length = 1500 * time.Millisecond
+	u := newPauser(t, "1.5")
+	b := newBench(t, u.stub)
+	first := b.do(b.request(http.MethodPost, "/safe/x", "x"))
+	is.Equal(first.status, http.StatusServiceUnavailable)
+	const count = 12
+	done := b.sends(count, "X-Left", "30000")
+	b.until(func() bool { return b.waits() == count || len(u.requests()) > 1 })
+	b.until(func() bool { n, _ := u.arrivals(); return n > 0 })
+	n, after := u.arrivals()
+	is.True(after >= length) // none came within the pause
+	is.Equal(n, 1)           // the others wait until that one is answered
+	is.Equal(b.waits(), count-1)
+	close(u.hold)
+	for range count {
+		is.Equal((<-done).status, http.StatusOK)
+	}
+	is.Equal(b.waits(), 0)
+	is.True(b.log.contains("upstream: used as before its pause"))
+}
+
+// Who cannot be served after the pause in its time hears it at once, with when it ends.
+func TestAPauseThatIsTooLongForACallerIsSaidAtOnce(t *testing.T) {
+	is := is.New(t)
+	u := newPauser(t, "30")
+	b := newBench(t, u.stub)
+	for i := range 3 { // the first was sent, the others were not
+		got := b.do(b.request(http.MethodPost, "/once/x", "x", "X-Id", fmt.Sprint(i)))
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 20 && after <= (30+3)*(1+comeBackSpread))
+		is.True(strings.Contains(got.body, pauseReason))
+		is.True(strings.Contains(got.body, `"ran":"no"`))
+	}
+	is.Equal(len(u.requests()), 1)
+}
+
+// Who leaves while it waits is not sent, and who waits for an upstream that is replaced goes to the next one.
+func TestWhoWaitsForAPauseHearsOfOthers(t *testing.T) {
+	is := is.New(t)
+	u, v := newPauser(t, "3"), newStub(t, "v", answerOK("v"))
+	b := newBench(t, u.stub)
+	b.do(b.request(http.MethodPost, "/safe/x", "x"))
+	done := b.sends(3)
+	b.until(func() bool { return b.waits() == 3 })
+	b.list(v, false)
+	for range 3 {
+		is.Equal((<-done).body, "v")
+	}
+	n, _ := u.arrivals()
+	is.Equal(n, 0)
+}
+
+// A call of the box's own is held back as well, and an answer to one asks for a pause.
+func TestCallsKeepToPauses(t *testing.T) {
+	is := is.New(t)
+	u := newPauser(t, "30")
+	b := newBench(t, u.stub)
+	call := func() error {
+		_, _, err := b.relay.call(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+		return err
+	}
+	is.NoErr(call())
+	is.Equal(call(), error(errTakesNone))
+	is.Equal(len(u.requests()), 1)
+}
+
+// A pause that cannot be read changes nothing, and operators see it.
+func TestAPauseThatCannotBeReadIsNamed(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", answerNaming("503 No", "X-Not-Run: 1", "Retry-After: soon"))
+	b := newBench(t, u)
+	for range 2 {
+		b.do(b.request(http.MethodPost, "/once/x", "x"))
+		time.Sleep(fullRestPassed)
+	}
+	is.Equal(len(u.requests()), 2)
+	is.True(b.log.contains("upstream: pause not taken"))
+}
+
+// An upstream asked for a pause while a request waited for a connection to it: the request goes elsewhere.
+func TestARequestThatWaitedForAConnectionIsNotSentWithinAPause(t *testing.T) {
+	is := is.New(t)
+	u, v := newStub(t, "u", answerOK("u")), newStub(t, "v", answerOK("v"))
+	b := newBench(t, u, v)
+	r := b.relay
+	var once sync.Once
+	var paused string
+	r.conns.cameUp = func(id string, _ time.Duration) {
+		once.Do(func() {
+			paused = id
+			life := r.lifeOf(id)
+			r.mu.Lock()
+			r.fleet.Pause(r.now(), life, time.Minute)
+			r.mu.Unlock()
+		})
+	}
+	got := b.do(b.request(http.MethodPost, "/once/x", "x"))
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.body != paused)
+	is.Equal(len(u.requests())+len(v.requests()), 1)
+}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -48,7 +48,18 @@
 	if x.limited {
 		reason = limitReason
 	}
-	return &refusal{fasthttp.StatusServiceUnavailable, reason, max(comeBackUsual, x.comeBack)}
+	after := max(comeBackUsual, x.comeBack)
+	if left := x.noPlaceFor(); left > 0 {
+		reason, after = pauseReason, spread(min(max(after, left), longestComeBack))
+	}
+	return &refusal{fasthttp.StatusServiceUnavailable, reason, after}
+}
+
+// noPlaceFor is for how long pauses keep all upstreams from the request, also those that it was sent to; 0: they do not.
+func (x *exchange) noPlaceFor() time.Duration {
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	return x.pauseLeft(nil)
 }
 
 // refusal is a final answer of the box's own.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,7 @@
 	budgets    *balance.Budgets
 	endedUnder balance.Suspects    // requests that upstreams ended under
 	runs       map[*exchange]*conn // the connections on which requests run
+	waiting    map[string]*waiting // requests that wait for the end of a pause, by service
 	// Lives of which it is being found out whether they have ended; closed when that is known.
 	finding map[balance.Life]chan struct{}
 
@@ -120,6 +121,7 @@
 		pullClient: newPullClient(),
 		trials:     make(chan struct{}, 1),
 		runs:       make(map[*exchange]*conn),
+		waiting:    make(map[string]*waiting),
 		finding:    make(map[balance.Life]chan struct{}),
 		stats:      newStats(),
 	}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -5,6 +5,7 @@
 // route allows that, and each time it is sent again is taken from its service's budget.
 
 import (
+	"errors"
 	"time"
 
 	"github.com/doormast/doormast/balance"
@@ -31,6 +32,8 @@
 		switch {
 		case x.late:
 			return nil, x.giveUp("too much before it")
+		case !ok && x.await():
+			continue
 		case !ok:
 			return x.unanswered("no upstream")
 		}
@@ -55,6 +58,7 @@
 
 // place chooses an upstream and counts the request there.
 func (x *exchange) place() (balance.Choice, bool) {
+	x.paused = 0
 	if x.ctx.Err() != nil {
 		return balance.Choice{}, false
 	}
@@ -69,7 +73,8 @@
 		r.stats.count(heldBack)
 	}
 	if !ok {
-		x.limited = choice.Passed > 0
+		x.paused = x.pauseLeft(x.triedPresent())
+		x.limited = choice.Passed > 0 && x.paused == 0
 		x.tooLarge = r.fleet.TooLarge(q)
 		left := max(r.fleet.ColdLeft(r.now(), x.service), r.fleet.MemoryLeft(r.now(), q), r.fleet.LimitLeft(r.now(), x.service))
 		x.comeBack = min(left, mostComeBack)
@@ -102,6 +107,7 @@
 		Expected: p.Expected,
 		Homes:    route.HomesOf(x.route, x.customer),
 		Urgency:  x.urgency,
+		Waited:   x.waited > 0,
 	}
 }
 
@@ -131,6 +137,9 @@
 func (x *exchange) send(n run) (runState, []byte) {
 	x.tried = append(x.tried, x.upstream.Life())
 	state, a, err := x.attempt(x.relay.outgoing(x.request, n))
+	if errors.Is(err, errTakesNone) {
+		x.tried = x.tried[:len(x.tried)-1] // it may wait for it
+	}
 	if state != runUnsent {
 		x.sent++
 	}
--- a/relay/said.go
+++ b/relay/said.go
@@ -136,6 +136,25 @@
 		r.cfg.Log.Event("upstream", "pause not taken", fields)
 		return
 	}
+	r.mu.Lock()
+	now := r.now()
+	till := r.fleet.Pause(now, life, asked.length)
+	r.mu.Unlock()
+	fields["till_ms"] = (till - now).Milliseconds()
 	r.stats.count(pausesAsked)
 	r.cfg.Log.Event("upstream", "asks for a pause", fields)
 }
+
+// isPaused reports whether a life wants nothing from this box for now.
+func (r *Relay) isPaused(l balance.Life) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.PausedFor(r.now(), l) > 0
+}
+
+// logPausesOver writes the lines about upstreams that are used as before their pauses.
+func (r *Relay) logPausesOver(list []balance.Upstream) {
+	for _, u := range list {
+		r.cfg.Log.Event("upstream", "used as before its pause", Fields{"upstream": u.ID, "born": u.Born})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -49,6 +49,7 @@
 	x.pace.events(time.Now(), x.route.EventGap)
 	x.relay.mu.Lock()
 	x.ticket.First(x.relay.now())
+	x.relay.wakeWaiting(x.service)
 	x.relay.mu.Unlock()
 	wake(x.relay.members.loaded)
 	x.begun.Store(true)
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -29,6 +29,7 @@
 	m.relay.budgets.Forget(m.relay.now())
 	m.node.SetWithheld(m.relay.endedUnder.Withheld(m.relay.now()))
 	m.relay.fleet.ForgetNamed(m.relay.now())
+	m.relay.fleet.ForgetPauses(m.relay.now())
 	m.node.SetLimits(m.relay.fleet.NamedAll(m.relay.now()))
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,11 +88,11 @@
 	}},
 	{"silence the store for all", func(w *world) func() {
 		for _, g := range w.storeGate {
-			g.mood.Store(int32(silent))
+			g.set(silent)
 		}
 		return func() {
 			for _, g := range w.storeGate {
-				g.mood.Store(int32(open))
+				g.set(open)
 			}
 		}
 	}},
@@ -144,8 +144,8 @@
 func (w *world) disturb(g *gate) func() {
 	m := mood(1 + w.random.IntN(len(moodNames)-1))
 	w.note("  %s: %s", g.target, moodNames[m])
-	g.mood.Store(int32(m))
-	return func() { g.mood.Store(int32(open)) }
+	g.set(m)
+	return func() { g.set(open) }
 }
 
 func (w *world) restart(b *box) {
--- a/soak/gate.go
+++ b/soak/gate.go
@@ -31,6 +31,7 @@
 	mood     atomic.Int32
 	joined   atomic.Int64 // connections so far
 	muted    atomic.Int64 // those up to this one carry nothing more, not even their end
+	hits     atomic.Int64 // times that something was done to what passes
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -98,7 +99,19 @@
 func (g *gate) isMuted(number int64) bool { return number <= g.muted.Load() }
 
 // mute lets the connections that are open carry nothing more.
-func (g *gate) mute() { g.muted.Store(g.joined.Load()) }
+func (g *gate) mute() {
+	g.hits.Add(1)
+	g.muted.Store(g.joined.Load())
+}
+
+// set changes what the gate does to what passes.
+func (g *gate) set(m mood) {
+	g.hits.Add(1)
+	g.mood.Store(int32(m))
+}
+
+// passes reports whether what is sent now passes as it is, and how often something was done before.
+func (g *gate) passes() (hits int64, ok bool) { return g.hits.Load(), mood(g.mood.Load()) == open }
 
 func (g *gate) pass(from, to net.Conn, number int64, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
@@ -132,6 +145,7 @@
 
 // resetAll resets all connections that are open.
 func (g *gate) resetAll() {
+	g.hits.Add(1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
@@ -140,7 +154,7 @@
 }
 
 func (g *gate) close() {
-	g.mood.Store(int32(open))
+	g.set(open)
 	_ = g.listener.Close()
 	g.resetAll()
 }
--- a/soak/said.go
+++ b/soak/said.go
@@ -33,6 +33,7 @@
 	upstream *upstream
 	by       boxLife
 	end      time.Time
+	hits     int64     // of the upstream's gate when it was sent
 	known    time.Time // the box is known to have read it; zero: it is not
 	got      int       // requests that the box has decided on since and that have come before the end
 }
@@ -66,16 +67,23 @@
 
 // turnsAway notes that an upstream turns a request away and asks for a pause.
 func (s *said) turnsAway(u *upstream, id string, by boxLife, length time.Duration) {
-	p := &pause{upstream: u, by: by, end: time.Now().Add(length)}
+	hits, passes := u.gate.passes()
+	if !passes {
+		return
+	}
+	p := &pause{upstream: u, by: by, hits: hits, end: time.Now().Add(length)}
 	s.pauses[u] = append(s.pauses[u], p)
 	s.asked[id] = append(s.asked[id], p)
 }
 
-// read notes that a box has read all answers that a request has got so far.
+// read notes that a box has read all answers that a request has got so far, as far as nothing was done to them on the way: a request
+// also goes elsewhere where its answer is lost.
 func (s *said) read(id string) {
 	now := time.Now()
 	for _, p := range s.asked[id] {
-		p.known = now
+		if hits, _ := p.upstream.gate.passes(); hits == p.hits {
+			p.known = now
+		}
 	}
 	delete(s.asked, id)
 }
