--- a/balance/doc.go
+++ b/balance/doc.go
@@ -13,7 +13,7 @@
 //     memory.go, request.go
 //   - who is refused: admit.go; what is sent again: budget.go; what moves: move.go, answers.go
 //   - which upstreams are left: health.go, reach.go, back.go, evacuate.go
-//   - how much an upstream is sent: cold.go, limitpart.go, allowed.go, named.go
+//   - how much an upstream is sent: cold.go, limitpart.go, allowed.go, named.go, pause.go
 //   - which upstreams are kept for tight streams: apart.go, lane.go, laneneed.go, lanesize.go, rate.go
 //   - which requests are withheld: suspects.go
 //   - what boxes tell each other of all that: tell.go, classnews.go, namednews.go, suspectnews.go
--- a/cmd/doormast/status.go
+++ b/cmd/doormast/status.go
@@ -165,6 +165,8 @@
 		return "evacuated"
 	case u.Out:
 		return "out of reach"
+	case u.PauseLeft > 0:
+		return "pauses " + micros(u.PauseLeft).Round(100*time.Millisecond).String()
 	case u.ColdLeft > 0:
 		return "cold"
 	}
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -191,6 +191,7 @@
 		is.True(strings.Contains(got.body, `"ran":"no"`))
 	}
 	is.Equal(len(u.requests()), 1)
+	is.True(b.relay.state().Upstreams[0].PauseLeft > 0) // as operators see it
 }
 
 // Who leaves while it waits is not sent, and who waits for an upstream that is replaced goes to the next one.
