Come-back time where the last upstreams of a service leave

Callers were told 0.4 s each time, however long none had been there, and spent their retries on that. Now it is as long as none has taken requests, 0.4 to 3 s and spread by a quarter. Where none is listed, or operators have evacuated the domain, nothing changes.

--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -83,3 +83,23 @@
 		})
 	}
 }
+
+// While no upstream of a service takes requests, callers are told to come back after as long again.
+func TestHowLongAServiceHasLackedUpstreams(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(Config{Domain: "d1", Tuning: DefaultTuning})
+	f.Put(0, entryOf("u", 100, 1))
+	lacks := func(now time.Duration) time.Duration {
+		f.Place(now, Request{Service: "s"}, nil)
+		return f.LackedFor(now, "s")
+	}
+	is.Equal(lacks(time.Second), time.Duration(0))
+	f.SaysLeaving(Life{"u", 100})
+	is.Equal(lacks(2*time.Second), time.Duration(0)) // the first that finds none
+	is.Equal(lacks(4*time.Second), 2*time.Second)
+	f.Put(5*time.Second, entryOf("u", 200, 2))
+	is.Equal(lacks(6*time.Second), time.Duration(0))
+	f.Evacuate("d1")
+	is.Equal(lacks(7*time.Second), time.Duration(0)) // operators say when that ends
+	is.Equal(lacks(8*time.Second), time.Duration(0))
+}
--- a/balance/place.go
+++ b/balance/place.go
@@ -28,6 +28,7 @@
 	if len(list) == 0 && passed > 0 {
 		f.keepForUrgent(now, r)
 	}
+	f.noteLack(now, r.Service, len(list) > 0)
 	memory := f.memoryBoundOf(r)
 	if len(tried) > 0 {
 		memory = memory.again()
@@ -48,6 +49,28 @@
 	return choice, true
 }
 
+// noteLack notes whether a request found an upstream of its service that takes any.
+func (f *Fleet) noteLack(now time.Duration, name string, found bool) {
+	s := f.serviceOf(name)
+	leaves := func(m *member) bool { return m.Leaving }
+	stays := func(m *member) bool { return !m.closed() }
+	switch {
+	case found || !slices.ContainsFunc(f.byService[name], leaves) || slices.ContainsFunc(f.byService[name], stays):
+		s.lacking = longAgo
+	case s.lacking == longAgo:
+		s.lacking = now
+	}
+}
+
+// LackedFor is for how long no upstream of a service has taken requests, since the last of them are leaving. As long as none has come, the
+// next one is to be expected after about as long again.
+func (f *Fleet) LackedFor(now time.Duration, service string) time.Duration {
+	if s := f.serviceOf(service); s.lacking != longAgo {
+		return now - s.lacking
+	}
+	return 0
+}
+
 // withMemory divides the upstreams into those of the request's lane and those beyond it, and
 // leaves out those without memory for it. A tight stream may leave a lane that has none; a long
 // prompt does not: in a burst that fills all memory of their own upstreams, such prompts
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -76,7 +76,7 @@
 		x.paused = x.pauseLeft(x.triedPresent())
 		x.limited = choice.Passed > 0 && x.paused == 0
 		x.tooLarge = r.fleet.TooLarge(q)
-		left := max(r.fleet.ColdLeft(r.now(), x.service), r.fleet.MemoryLeft(r.now(), q), r.fleet.LimitLeft(r.now(), x.service))
+		left := max(r.fleet.ColdLeft(r.now(), x.service), r.fleet.MemoryLeft(r.now(), q), r.fleet.LimitLeft(r.now(), x.service), spread(r.fleet.LackedFor(r.now(), x.service)))
 		x.comeBack = min(left, mostComeBack)
 		return choice, false
 	}
