Retry-After is read in a package of its own

No decision changes; the tests of the parser go along, and the relay keeps those of which header of which answer counts.

--- a/relay/limit.go
+++ b/relay/limit.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/internal/retryafter"
 )
 
 // limitSpan is the span over which the lines tell how many requests an upstream was sent.
@@ -54,7 +55,7 @@
 
 // parseLimit reads a limit, requests a second.
 func parseLimit(text string) (perSecond float64, ok bool) {
-	perSecond, ok = parseDecimal(strings.TrimSpace(text))
+	perSecond, ok = retryafter.Decimal(strings.TrimSpace(text))
 	return min(perSecond, balance.NoLimit), ok
 }
 
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -15,38 +15,29 @@
 	"github.com/valyala/fasthttp"
 )
 
-func TestWhatAPauseIsReadAs(t *testing.T) {
+func TestWhichPauseAnAnswerAsksFor(t *testing.T) {
 	const dated = "Thu, 03 Dec 2026 10:00:00 GMT"
 	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC) // this machine's clock is behind
-	read := func(length time.Duration) pauseAsked { return pauseAsked{length: length} }
-	unread := func(why string) pauseAsked { return pauseAsked{unread: why} }
-	const noTime, nonsense = "no time", "neither seconds nor a date"
 	for _, c := range []struct {
 		name    string
+		word    string
 		status  int
 		headers []string
-		want    pauseAsked
+		want    time.Duration
+		wrong   bool
 	}{
-		{"no header", 503, nil, pauseAsked{}},
-		{"seconds", 503, []string{"3"}, read(3 * time.Second)},
-		{"a fraction", 503, []string{" 0.25 "}, read(250 * time.Millisecond)},
-		{"0", 503, []string{"0"}, unread(noTime)},
-		{"a negative number", 503, []string{"-1"}, unread(nonsense)},
-		{"a word", 503, []string{"soon"}, unread(nonsense)},
-		{"empty", 503, []string{""}, unread(nonsense)},
-		{"an exponent", 503, []string{"1e3"}, unread(nonsense)},
-		{"infinite", 503, []string{"inf"}, unread(nonsense)},
-		{"a year", 503, []string{"31536000"}, read(longestPause)},
-		{"beyond all numbers", 503, []string{"1" + strings.Repeat("0", 400)}, read(longestPause)},
-		{"a date", 503, []string{"Thu, 03 Dec 2026 10:00:02 GMT"}, read(2 * time.Second)},
-		{"an older form of it", 503, []string{"Thursday, 03-Dec-26 10:00:02 GMT"}, read(2 * time.Second)},
-		{"C's form", 503, []string{"Thu Dec  3 10:00:02 2026"}, read(2 * time.Second)},
-		{"a date that is past", 503, []string{"Thu, 03 Dec 2026 09:59:00 GMT"}, unread(noTime)},
-		{"a date in years", 503, []string{"Thu, 03 Dec 2099 10:00:00 GMT"}, read(longestPause)},
-		{"the longer of two", 503, []string{"1", "2"}, read(2 * time.Second)},
-		{"the one that can be read", 503, []string{"soon", "2"}, read(2 * time.Second)},
-		{"an answer that serves", 200, []string{"3"}, pauseAsked{}},
-		{"a failure", 500, []string{"3"}, pauseAsked{}},
+		{"no header", "Retry-After", 503, nil, 0, false},
+		{"seconds", "Retry-After", 503, []string{"3"}, 3 * time.Second, false},
+		{"a date, by the answer's own", "Retry-After", 503, []string{"Thu, 03 Dec 2026 10:00:02 GMT"}, 2 * time.Second, false},
+		{"a word", "Retry-After", 503, []string{"soon"}, 0, true},
+		{"0", "Retry-After", 503, []string{"0"}, 0, true},
+		{"the longer of two", "Retry-After", 503, []string{"1", "2"}, 2 * time.Second, false},
+		{"the one that can be read", "Retry-After", 503, []string{"soon", "2"}, 2 * time.Second, false},
+		{"the one that can be read, before", "Retry-After", 503, []string{"2", "soon"}, 2 * time.Second, false},
+		{"an answer that serves", "Retry-After", 200, []string{"3"}, 0, false},
+		{"a failure", "Retry-After", 500, []string{"3"}, 0, false},
+		{"too many", "Retry-After", 429, []string{"3"}, 0, false},
+		{"a deployment without the word", "", 503, []string{"3"}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -57,24 +48,13 @@
 			var h fasthttp.ResponseHeader
 			h.DisableNormalizing()
 			is.NoErr(h.Read(bufio.NewReader(strings.NewReader(text + "\r\n"))))
-			got := pauseIn(&h, "Retry-After", now)
-			got.sent = ""
-			is.Equal(got, c.want)
+			got := pauseIn(&h, c.word, now)
+			is.Equal(got.length, c.want)
+			is.Equal(got.err != nil, c.wrong)
 		})
 	}
 }
 
-// A date without one of the answer counts by this machine's clock, and a deployment without the word reads none.
-func TestADateOfAnAnswerThatIsNotDated(t *testing.T) {
-	is := is.New(t)
-	now := time.Date(2026, 12, 3, 10, 0, 0, 0, time.UTC)
-	is.Equal(parsePause("Thu, 03 Dec 2026 10:00:02 GMT", "", now).length, 2*time.Second)
-	var h fasthttp.ResponseHeader
-	h.SetStatusCode(503)
-	h.Add("Retry-After", "3")
-	is.Equal(pauseIn(&h, "", now), pauseAsked{})
-}
-
 // What is said costs an answer nothing to look at.
 func TestWhatAnswersSayIsReadWithoutAllocating(t *testing.T) {
 	is := is.New(t)
--- a/relay/said.go
+++ b/relay/said.go
@@ -5,20 +5,15 @@
 // belongs to; and a pause that cannot be read is no pause.
 
 import (
-	"math"
-	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/internal/retryafter"
 )
 
-// longestPause is what a longer pause counts as. An upstream that asks for more is likely to be replaced before.
-const longestPause = time.Hour
-
 // Counters of what answers say.
 const (
 	leavingSaid  = "upstreams_said_leaving"
@@ -28,9 +23,9 @@
 
 // pauseAsked is the pause that an answer asks for.
 type pauseAsked struct {
+	sent   string        // as it was sent; empty: it asks for none
 	length time.Duration // 0: none
-	sent   string        // as it was sent
-	unread string        // why it asks for none though something was sent; empty: it was read
+	err    error         // why it asks for none though something was sent
 }
 
 // saysLeaving reports whether the head of an answer says that its upstream is leaving.
@@ -62,48 +57,14 @@
 		if !isNamed(sent, name) {
 			continue
 		}
-		next := parsePause(string(value), headerValue(h, "Date"), now)
-		if asked.sent == "" || next.length > asked.length {
-			asked = next
+		length, err := retryafter.Parse(string(value), headerValue(h, "Date"), now)
+		if asked.sent == "" || length > asked.length {
+			asked = pauseAsked{string(value), length, err}
 		}
 	}
 	return asked
 }
 
-// parsePause reads a pause: seconds, also a fraction of one, or the moment at which it ends. A moment counts from the one at
-// which the answer was dated, where it is: clocks of machines differ.
-func parsePause(text, dated string, now time.Time) pauseAsked {
-	asked := pauseAsked{sent: text}
-	text = strings.TrimSpace(text)
-	switch seconds, ok := parseDecimal(text); {
-	case ok:
-		asked.length = time.Duration(min(seconds, longestPause.Seconds()) * float64(time.Second))
-	default:
-		end, err := http.ParseTime(text)
-		if err != nil {
-			asked.unread = "neither seconds nor a date"
-			return asked
-		}
-		if from, err := http.ParseTime(dated); err == nil {
-			now = from
-		}
-		asked.length = min(end.Sub(now), longestPause)
-	}
-	if asked.length <= 0 {
-		asked.length, asked.unread = 0, "no time"
-	}
-	return asked
-}
-
-// parseDecimal reads a decimal number that is not below 0: digits, and a point among them at the most.
-func parseDecimal(text string) (number float64, ok bool) {
-	if strings.Trim(text, "0123456789.") != "" {
-		return 0, false // a sign, an exponent, or no number
-	}
-	number, err := strconv.ParseFloat(text, 64)
-	return number, err == nil || math.IsInf(number, 1)
-}
-
 // noteLeaving notes that a life says that it is leaving: from now on it is sent nothing.
 func (r *Relay) noteLeaving(life balance.Life, request string) {
 	r.mu.Lock()
@@ -130,8 +91,8 @@
 		return
 	}
 	fields := Fields{"upstream": life.ID, "born": life.Born, "id": request, "asked": asked.sent, "pause_ms": asked.length.Milliseconds()}
-	if asked.unread != "" {
-		fields["why"] = asked.unread
+	if asked.err != nil {
+		fields["why"] = asked.err.Error()
 		r.stats.count(pausesUnread)
 		r.cfg.Log.Event("upstream", "pause not taken", fields)
 		return
