Chat completions: what engines say in answers of leaving and pauses holds

An engine's X-Leaving was read in refusals only, and a report that it had made before took it back; its Retry-After was read by nobody, and who was refused heard a second.

An answer of any kind, also to a call of the box's own, is now noted by address where answers are read, and looked at again when a connection has come up; the run is then unused, and the release of its slot tells the owner what was said and how long ago (three fields more on the wire). The owner grants nothing there until the pause is over, after which slots come back by and by as after a break, and nothing to one that is leaving until a report of another start, or a report a minute later. Slots that holders keep there go back; the own share is not used while an owner is silent; reports are not asked for within a pause. Who is refused where all pause is told when the first ends.

Before: cell, an engine that serves on while it says that it is leaving, 25 starts where one is allowed (TestAnUpstreamThatSaysItIsLeavingWhileItServesGetsNothingNew); decide, slots granted after a refusal that says so and a report that is older (TestAnEarlierReportDoesNotTakeBackThatAnUpstreamIsLeaving).

--- a/cell/fallback.go
+++ b/cell/fallback.go
@@ -38,7 +38,7 @@
 	slices.SortStableFunc(waiting, func(a, b *local) int { return a.rule.Tier - b.rule.Tier })
 	for _, b := range n.backends(set) {
 		part := n.splitPart(b.Name, b.Slots)
-		for !b.Leaving && held[b.Name] < part && len(waiting) > 0 {
+		for !b.Leaving && !n.isQuiet(b.Name) && held[b.Name] < part && len(waiting) > 0 {
 			l := waiting[0]
 			waiting = waiting[1:]
 			held[b.Name]++
--- a/cell/finish.go
+++ b/cell/finish.go
@@ -76,21 +76,22 @@
 	case r.Outcome == decide.Unused:
 		n.bid(l)
 	default:
-		n.finishFailed(l)
+		n.finishFailed(l, r)
 	}
 	n.flush()
 }
 
 // release gives the slot back to its owner.
 func (n *Node) release(l *local, r Result) {
-	if r.Outcome == decide.Answered && n.keepSlot(l) {
+	if r.Outcome == decide.Answered && !r.Said.Any() && n.keepSlot(l) {
 		return
 	}
 	outcome := r.Outcome
-	if r.Leaving {
+	if r.Said.Leaving && r.Refused {
 		outcome = decide.Draining
 	}
-	m := &Release{Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: outcome, Pace: r.Pace, First: r.First, Attempt: l.slotAttempt}
+	n.noteSaid(l, r.Said)
+	m := &Release{Said: r.Said, Set: l.set, ID: l.slot, Upstream: l.upstream, Tokens: r.Tokens, Outcome: outcome, Pace: r.Pace, First: r.First, Attempt: l.slotAttempt}
 	if l.owner != "" {
 		n.deliver(l.owner, m)
 	}
@@ -117,7 +118,7 @@
 	n.forget(l)
 }
 
-func (n *Node) finishFailed(l *local) {
+func (n *Node) finishFailed(l *local, r Result) {
 	l.resume = ""
 	if n.withheld(l) > 0 {
 		n.endWithheld(l)
@@ -132,7 +133,7 @@
 		TimeLeft:   l.req.Deadline == 0 || n.now < l.arrived+l.req.Deadline,
 	}, n.budget(l.req.Class))
 	if reason != decide.NoReason {
-		n.end(l, Final{Reason: reason, Ran: l.ran, RetryAfter: time.Second})
+		n.end(l, Final{Reason: reason, Ran: l.ran, RetryAfter: max(time.Second, r.Said.Pause)})
 		return
 	}
 	e := l.event(timeline.Retried)
--- a/cell/node.go
+++ b/cell/node.go
@@ -62,8 +62,9 @@
 	claims   *decide.Claims
 	arrivals uint64 // requests so far; orders them
 	actions  []Action
-	draining bool // a planned stop has begun
-	joined   bool // the time of listening is over
+	draining bool                     // a planned stop has begun
+	quiet    map[string]time.Duration // by upstream: until when it gets nothing from this box's own share
+	joined   bool                     // the time of listening is over
 
 	table    *table.Table
 	roster   Roster
@@ -121,6 +122,7 @@
 		told:     make(map[string]time.Duration),
 		kept:     make(map[string][]keptSlot),
 		recalled: make(map[string]time.Duration),
+		quiet:    make(map[string]time.Duration),
 		seenEnds: make(map[string]seenEnd),
 	}
 	n.members = newMembership(cfg.Box, cfg.Boot, cfg.Timing, n.random)
--- a/cell/types.go
+++ b/cell/types.go
@@ -98,6 +98,7 @@
 	Pace     time.Duration // for one token; 0 if unknown
 	First    time.Duration // from sending to the first token; 0 if unknown
 	Attempt  uint32        // of the bid that the slot was granted for
+	Said     decide.Said   // by the upstream, in its answer
 }
 
 // Holding sums up all that the sender holds and waits for in a set; with Full,
@@ -238,7 +239,7 @@
 	Pace    time.Duration // for one token; 0 if unknown
 	First   time.Duration // from sending to the first token; 0 if unknown
 	Refused bool          // the upstream itself said that it did not run it
-	Leaving bool          // the upstream said that it is leaving
+	Said    decide.Said   // by the upstream, in its answer or in one before for which nothing was sent
 	Ended   bool          // the upstream cut it off, and nobody listens at its address any more
 }
 
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -77,6 +77,8 @@
 	pace    time.Duration
 	starts  int
 	ended   bool // it is dead, and nobody listens at its address
+	// announces says that it says in its answers that it is leaving, and serves on.
+	announces bool
 }
 
 type event struct {
@@ -378,7 +380,7 @@
 		return
 	}
 	if e.leaving {
-		w.finish(b, boot, a.Request, Result{Outcome: decide.Failed, Refused: true, Tokens: r.tokens, Leaving: true})
+		w.finish(b, boot, a.Request, Result{Outcome: decide.Failed, Refused: true, Tokens: r.tokens, Said: decide.Said{Leaving: true}})
 		return
 	}
 	b.node.Sending(w.now, a.Request)
@@ -414,7 +416,7 @@
 		w.endRun(r)
 		w.on(b, boot, func() {
 			w.answered++
-			w.finish(b, boot, id, Result{Outcome: decide.Answered, Ran: true, Tokens: r.total, Pace: r.engine.pace})
+			w.finish(b, boot, id, Result{Outcome: decide.Answered, Ran: true, Tokens: r.total, Pace: r.engine.pace, Said: decide.Said{Leaving: r.engine.announces}})
 		})
 		return
 	}
--- a/decide/place.go
+++ b/decide/place.go
@@ -36,6 +36,8 @@
 	Loaded  string
 	Loading bool
 	Fence   uint64
+	// Restarted says that it counts its announcements anew.
+	Restarted bool
 }
 
 const (
@@ -72,7 +74,10 @@
 	fresh    int      // granted since the report was taken, for a new owner
 	order    []uint64 // cached prefixes, the oldest first
 	draining bool     // its own report says that it is leaving
-	limit    int      // usable slots as of the last refresh
+	// saysLeaving says that an answer did, at saidLeaving or before; pausedTill is until when it wants no requests.
+	saysLeaving             bool
+	saidLeaving, pausedTill Time
+	limit                   int // usable slots as of the last refresh
 }
 
 func newBackend(now Time, b Backend) *backend {
@@ -109,7 +114,7 @@
 	defer p.countFree(b)
 	b.foreign = max(0, r.Running+r.Waiting-b.heldAround(now, r.Age))
 	b.fresh = 0
-	p.setDraining(b, r.Leaving)
+	p.reportsLeaving(b, r)
 	if r.Gap {
 		// Announcements were lost: what is known of this cache is in doubt, so
 		// forget it and learn it again.
@@ -123,14 +128,6 @@
 	}
 }
 
-// setDraining notes whether an upstream is leaving, by its own word.
-func (p *Pool) setDraining(b *backend, on bool) {
-	if on && !b.draining {
-		p.recallNow = true // what is kept there must not be used again
-	}
-	b.draining = on
-}
-
 // cache notes a prefix as held by b; what was noted first is forgotten first.
 func (p *Pool) cache(b *backend, prefix uint64) {
 	holders := p.cached[prefix]
@@ -199,7 +196,7 @@
 
 // usable is how many slots may be held now, given the pool's median pace.
 func (b *backend) usable(now Time, median float64) int {
-	if b.Leaving || b.draining || now < b.until || b.wrongModel() {
+	if b.Leaving || b.leaves() || now < b.until || now < b.pausedTill || b.wrongModel() {
 		return 0
 	}
 	slots := float64(b.Slots)
@@ -209,7 +206,7 @@
 	if b.paced && b.pace > slowFactor*median {
 		slots = max(1, slots*median/b.pace)
 	}
-	if age := now - b.since; age < warmUp && b.broken > 0 {
+	if age := now - b.since; age < warmUp && b.returns() {
 		slots = max(1, slots*float64(age)/float64(warmUp))
 	}
 	return int(slots)
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -308,7 +308,7 @@
 		b.failed(now)
 		p.refreshed = now - refreshEvery
 	case Draining:
-		p.setDraining(b, true)
+		p.saysLeaving(b, now)
 		p.refreshed = now - refreshEvery
 	}
 	l.class.settle(l.customer, float64(u.Tokens)-l.work)
--- a/decide/refuse.go
+++ b/decide/refuse.go
@@ -180,5 +180,8 @@
 // together.
 func (p *Pool) retryAfter(now Time, class *classQueue) time.Duration {
 	wait := max(p.expectedWait(now, class), time.Second)
+	if left := p.pauseLeft(now); left > 0 {
+		wait = left
+	}
 	return wait + time.Duration(p.random.Float64()*float64(wait)/2)
 }
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -34,7 +34,7 @@
 	r.clean, r.whole = !resp.ConnectionClose(), true
 	refused := resp.StatusCode() >= 500 && string(resp.Header.Peek(HeaderRan)) == "no"
 	if refused {
-		return cell.Result{Outcome: decide.Failed, Refused: true, Leaving: len(resp.Header.Peek(HeaderLeaving)) > 0}
+		return cell.Result{Outcome: decide.Failed, Refused: true}
 	}
 	if err := r.sink.Whole(resp.StatusCode(), string(resp.Header.ContentType()), body); err != nil {
 		return cell.Result{Outcome: decide.Abandoned, Ran: true}
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -35,6 +35,7 @@
 	}
 	_ = k.SetDeadline(time.Time{})
 	h.put(address, k)
+	h.note(address, &resp)
 	if resp.StatusCode() >= 300 {
 		return resp.Body(), fmt.Errorf("upstream %s: %s %s: status %d", address, method, path, resp.StatusCode())
 	}
@@ -75,6 +76,9 @@
 
 // Report asks an engine for its load and its cache events since the last time.
 func (h *HTTP) Report(ctx context.Context, address string) (decide.Report, error) {
+	if h.quiet(address).Pause > 0 {
+		return decide.Report{}, errPaused
+	}
 	h.mu.Lock()
 	after := h.seq[address]
 	h.mu.Unlock()
@@ -92,6 +96,7 @@
 	r := decide.Report{Age: time.Duration(e.AgeMillis) * time.Millisecond, Running: max(0, e.Running), Waiting: max(0, e.Waiting), Leaving: e.Leaving,
 		Loaded: e.Loaded, Loading: e.Loading, Fence: e.Fence}
 	r.Gap = e.First > after+1 || e.Last < after
+	r.Restarted = e.Last < after
 	for _, c := range e.Events {
 		if c.Evicted {
 			r.Evicted = append(r.Evicted, c.Prefix)
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -58,13 +58,14 @@
 	idle   map[string][]*conn
 	closed bool
 	seq    map[string]uint64 // last cache event seen, by address
+	said   map[string]heard  // by address
 }
 
 var _ Runner = (*HTTP)(nil)
 
 // NewHTTP returns a runner.
 func NewHTTP(cfg HTTPConfig) *HTTP {
-	return &HTTP{cfg: cfg, idle: make(map[string][]*conn), seq: make(map[string]uint64)}
+	return &HTTP{cfg: cfg, idle: make(map[string][]*conn), seq: make(map[string]uint64), said: make(map[string]heard)}
 }
 
 // Close closes the idle connections.
@@ -88,6 +89,9 @@
 	if c.Fresh {
 		open = h.dial
 	}
+	if s := h.quiet(c.Address); s.Any() {
+		return cell.Result{Outcome: decide.Unused, Tokens: c.From, Said: s}
+	}
 	k, err := open(ctx, c.Address)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -95,14 +99,15 @@
 		}
 		return cell.Result{Outcome: decide.Failed, Tokens: c.From}
 	}
-	if h.cfg.Clock.Boot() > c.StartBy || ctx.Err() != nil || !s.Sending() {
+	said := h.quiet(c.Address) // it may have said something while the connection came up
+	if said.Any() || h.cfg.Clock.Boot() > c.StartBy || ctx.Err() != nil || !s.Sending() {
 		h.put(c.Address, k)
-		return cell.Result{Outcome: decide.Unused, Tokens: c.From}
+		return cell.Result{Outcome: decide.Unused, Tokens: c.From, Said: said}
 	}
 	// Closing the connection is what wakes a blocked read when ctx ends.
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
 	r := h.runOn(k, run)
-	r.Tokens = run.tokens
+	r.Tokens, r.Said = run.tokens, run.said
 	r.Pace = run.pace(h.cfg.Clock.Boot())
 	if run.first > 0 {
 		r.First = run.first - run.sent
@@ -150,6 +155,7 @@
 	first  time.Duration // when the first token came
 	whole  bool          // the end mark was seen
 	clean  bool          // the connection can be used again
+	said   decide.Said   // by the upstream, in its answer
 }
 
 // pace is the mean time for one token.
@@ -174,13 +180,13 @@
 		return failed
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
+	r.said = h.note(r.call.Address, &resp)
 	if r.call.Plain {
 		return h.readWhole(&resp, r)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		refused := string(resp.Header.Peek(HeaderRan)) == "no"
-		return cell.Result{Outcome: decide.Failed, Ran: !refused, Refused: refused,
-			Leaving: len(resp.Header.Peek(HeaderLeaving)) > 0}
+		return cell.Result{Outcome: decide.Failed, Ran: !refused, Refused: refused}
 	}
 	return h.readStream(k, &resp, r)
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -37,9 +37,11 @@
 	CutAfter int     `json:"cut_after"` // tokens after which each stream breaks; 0 is none
 	Refuse   bool    `json:"refuse"`    // answer that nothing runs here
 	Leaving  bool    `json:"leaving"`
-	Drop     bool    `json:"drop"` // close connections without an answer
-	Gap      bool    `json:"gap"`  // lose cache events
-	Hang     bool    `json:"hang"` // accept and generate nothing
+	Announce bool    `json:"announce"` // say that it is leaving, and serve on
+	Pause    float64 `json:"pause"`    // refuse and ask for a pause of so many seconds; 0 is none
+	Drop     bool    `json:"drop"`     // close connections without an answer
+	Gap      bool    `json:"gap"`      // lose cache events
+	Hang     bool    `json:"hang"`     // accept and generate nothing
 }
 
 // Engine is a stand-in engine.
@@ -177,11 +179,14 @@
 	switch {
 	case f.Drop:
 		panic(http.ErrAbortHandler)
-	case f.Refuse || f.Leaving:
+	case f.Refuse || f.Leaving || f.Pause > 0:
 		w.Header().Set("X-Ran", "no")
 		if f.Leaving {
 			w.Header().Set("X-Leaving", "1")
 		}
+		if f.Pause > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(f.Pause, 'f', -1, 64))
+		}
 		http.Error(w, "nothing runs here", http.StatusServiceUnavailable)
 		return
 	}
@@ -292,6 +297,9 @@
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *engineStream) {
+	if e.now().Announce {
+		w.Header().Set("X-Leaving", "1")
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := w.(http.Flusher)
 	if !e.pass(r, s.run, s.prefill) {
