--- /dev/null
+++ b/e2e/said_test.go
@@ -0,0 +1,49 @@
+package e2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/standin"
+)
+
+// TestEnginesThatSaySo: an engine says in its answers alone that it is leaving, or asks for a pause; the box that has read that sends it
+// nothing more, and all callers are served elsewhere.
+func TestEnginesThatSaySo(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+		got    func(standin.EngineCounts) int // requests that have come to it
+	}{
+		{"leaving", standin.Faults{Announce: true}, func(n standin.EngineCounts) int { return len(n.Starts) }},
+		{"pause", standin.Faults{Pause: 60}, func(n standin.EngineCounts) int { return n.Refused }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSystem(t, config{domains: 1, boxes: 1, engines: 2, slots: 4, pace: time.Millisecond})
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			s.engines[0].SetFaults(c.faults)
+			expectAll := func(count int) {
+				answers, calls := askMany(ctx, s.boxes, count, question)
+				for i, a := range answers {
+					is.NoErr(a.err)
+					expectWhole(t, calls[i].prompt, a)
+				}
+			}
+			for c.got(s.engines[0].Counts()) == 0 && ctx.Err() == nil {
+				expectAll(2)
+			}
+			before := c.got(s.engines[0].Counts())
+			for range 8 { // for longer than an engine is left alone after a few failures
+				expectAll(16)
+				time.Sleep(500 * time.Millisecond)
+			}
+			is.Equal(c.got(s.engines[0].Counts()), before)
+			s.checkPromises()
+		})
+	}
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -63,6 +63,7 @@
 	model     string
 	loadedAt  time.Time
 	generated int // tokens, in all
+	refused   int
 	started   map[string]int
 }
 
@@ -107,7 +108,8 @@
 type EngineCounts struct {
 	Generated int            `json:"generated"` // tokens
 	Running   int            `json:"running"`
-	Starts    map[string]int `json:"starts"` // by request id
+	Refused   int            `json:"refused"` // turned away for a fault
+	Starts    map[string]int `json:"starts"`  // by request id
 }
 
 // Counts returns what the engine has done.
@@ -118,7 +120,7 @@
 	for id, n := range e.started {
 		starts[id] = n
 	}
-	return EngineCounts{e.generated, e.running, starts}
+	return EngineCounts{e.generated, e.running, e.refused, starts}
 }
 
 // SetFaults puts faults in force, also for what runs.
@@ -180,6 +182,7 @@
 	case f.Drop:
 		panic(http.ErrAbortHandler)
 	case f.Refuse || f.Leaving || f.Pause > 0:
+		e.countRefused()
 		w.Header().Set("X-Ran", "no")
 		if f.Leaving {
 			w.Header().Set("X-Leaving", "1")
@@ -215,6 +218,12 @@
 		run: run, prefill: e.prefill(id, prefix)})
 }
 
+func (e *Engine) countRefused() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refused++
+}
+
 func (e *Engine) begin(id string) *engineRun {
 	e.mu.Lock()
 	defer e.mu.Unlock()
