Leaving: a report of an upstream's own says so as well

Its report, which a box asks for when a run is silent, names its state; it was not read, and such an upstream got requests until its entry came. The test of the report did not compile before (no field told it); it is now read whether or not the report tells of runs, and a state that is no text changes nothing of the rest.

--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -205,3 +205,14 @@
 
 // fullRestPassed is longer than an upstream that had no room is passed over for.
 const fullRestPassed = 120 * time.Millisecond
+
+// The report by which an upstream tells what runs says that it is leaving as well, also where it tells of no run.
+func TestAReportSaysThatItsUpstreamIsLeaving(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", func(c net.Conn, r stubRequest) bool { return tell(c, r, Report{Leaving: true}) })
+	p := tellingProtocol()
+	b := newBenchOf(t, p, u)
+	_, err := b.relay.ask(t.Context(), suspect{exchange: &exchange{request: &request{id: "r"}}, upstream: *b.relay.fleet.Get("u"), service: "s"})
+	is.NoErr(err)
+	is.True(b.isLeaving("u"))
+}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -47,6 +47,7 @@
 	Known   bool // the run is there
 	Events  int  // of the answer, that it has made
 	Waiting int  // requests that have not begun there
+	Leaving bool // the upstream is
 }
 
 // wait is a run's wait for the next bytes of its upstream.
@@ -203,6 +204,9 @@
 		return Report{}, err
 	}
 	report, ok := r.cfg.Protocol.Reported(a.header.StatusCode(), body, s.exchange.request.id)
+	if report.Leaving {
+		r.noteLeaving(c.life, s.exchange.request.id)
+	}
 	if !ok {
 		return Report{}, errNoReport
 	}
