Pauses: a box that stops lets no request wait

A request that waits for the end of a pause when its box is told to stop could be cut by the end of the grace without an answer. It is now refused at once, as not run, and the caller goes to another box. TestABoxThatStopsLetsNoneWaitForAPause fails without: one is sent after the pause, and its caller sees 504.

--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -239,3 +239,27 @@
 	is.True(got.body != paused)
 	is.Equal(len(u.requests())+len(v.requests()), 1)
 }
+
+// A box that stops answers requests that wait at once: the pause may last for longer than its grace.
+func TestABoxThatStopsLetsNoneWaitForAPause(t *testing.T) {
+	is := is.New(t)
+	u := newPauser(t, "3")
+	b := newBench(t, u.stub)
+	b.do(b.request(http.MethodPost, "/safe/x", "x"))
+	done := b.sends(3)
+	b.until(func() bool { return b.waits() == 3 })
+	stopped := make(chan struct{})
+	go func() {
+		b.relay.Stop()
+		close(stopped)
+	}()
+	for range 3 {
+		got := <-done
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	<-stopped
+	n, _ := u.arrivals()
+	is.Equal(n, 0)
+}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -22,6 +22,7 @@
 // nobody would answer.
 func (r *Relay) Stop() {
 	r.stopping.Store(true)
+	r.wakeAll()
 	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.open.Load()})
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.Grace-graceMargin)
 	defer cancel()
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -54,8 +54,11 @@
 	return x.relay.fleet.PauseLeft(x.relay.now(), x.placement(), tried)
 }
 
-// canWait reports whether the request can still be served after a pause that lasts so long.
-func (x *exchange) canWait(left time.Duration) bool { return left > 0 && left+shortest <= x.left() }
+// canWait reports whether the request can still be served after a pause that lasts so long. On a box that is stopping none waits: its
+// grace may be over first.
+func (x *exchange) canWait(left time.Duration) bool {
+	return left > 0 && left+shortest <= x.left() && !x.relay.stopping.Load()
+}
 
 // await waits until the request may be placed after a pause. False: it need not, or cannot in its time. One that was sent before is
 // not sent again to an upstream that turned it away: its caller is told when to come back.
@@ -155,6 +158,17 @@
 	}
 }
 
+// wakeAll wakes all waiters of all services.
+func (r *Relay) wakeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, q := range r.waiting {
+		for _, w := range slices.Clone(q.list) {
+			r.wake(w)
+		}
+	}
+}
+
 // wake wakes a waiter. The caller holds the relay's mu.
 func (r *Relay) wake(w *waiter) {
 	r.unqueue(w)
