Leaving: a life that may have said so before it was known is asked

Trace: it had started again under its id and address, and all boxes' ways to the store were disturbed, so that for 1.2 s they took its answers, which said that it is leaving, for those of the life before. When its entry came it was another life, and used at once.

Clocks cannot tell which life an answer was of: a box whose clock is ahead by more than the upstream was away would leave a sound one for good. So a life that follows one which said itself that it is leaving gets nothing until it has been asked, by the call for its report: any answer says it. One whose earlier life was only listed as leaving is used at once, as before.

TestAnUpstreamThatStartedAgainIsAskedWhetherItIsLeaving fails without.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -51,6 +51,7 @@
 
 	reading   float64         // the share of the time that it has prompts to read
 	evacuated bool            // its failure domain is
+	unproven  bool            // it may have said that it is leaving before it was known
 	coldTill  time.Duration   // until when it is cold
 	ration    int             // requests that this box may send it within coldWindow while it is
 	coldSent  []time.Duration // when it sent those of the last coldWindow
--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,6 +48,9 @@
 			for _, do := range c.then {
 				do(f)
 			}
+			if u, known := f.Present("u"); known {
+				f.Proved(u.Life()) // it does not say so again
+			}
 			choice, used := f.Place(2*time.Second, Request{Service: "s"}, nil)
 			is.Equal(used, c.used)
 			is.True(!used || f.Accepts(2*time.Second, choice.Upstream.Life()))
@@ -103,3 +107,45 @@
 	is.Equal(lacks(7*time.Second), time.Duration(0)) // operators say when that ends
 	is.Equal(lacks(8*time.Second), time.Duration(0))
 }
+
+// An upstream started again while the store was away and said that it is leaving, in answers that were taken for those of the life before.
+// When its entry came it got requests again.
+func TestALifeThatMayHaveSaidItIsLeavingIsAskedFirst(t *testing.T) {
+	place := func(f *Fleet) bool {
+		_, ok := f.Place(2*time.Second, Request{Service: "s"}, nil)
+		return ok
+	}
+	for _, says := range []bool{false, true} {
+		for name, entries := range map[string][2]Upstream{
+			"starts are named": {entryOf("u", 100, 1), entryOf("u", 200, 2)},
+			"orders fall":      {counting(entryOf("u", 0, 1), 5), counting(entryOf("u", 0, 2), 1)},
+		} {
+			t.Run(fmt.Sprint(name, ", it says so again: ", says), func(t *testing.T) {
+				is := is.New(t)
+				f := NewFleet(Config{Domain: "d1", Tuning: DefaultTuning})
+				f.Put(0, entries[0])
+				f.SaysLeaving(entries[0].Life())
+				f.Put(time.Second, entries[1])
+				next := entries[1].Life()
+				is.True(f.Unproven(next))
+				is.True(!place(f))
+				if says {
+					f.SaysLeaving(next)
+				}
+				f.Proved(next)
+				is.True(!f.Unproven(next))
+				is.Equal(place(f), !says)
+			})
+		}
+	}
+}
+
+// One whose earlier life was only listed as leaving is used at once: the entry tells which life it is of.
+func TestALifeThatWasListedAsLeavingIsFollowedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(Config{Domain: "d1", Tuning: DefaultTuning})
+	f.Put(0, leaving(entryOf("u", 100, 1)))
+	f.Put(time.Second, entryOf("u", 200, 2))
+	is.True(!f.Unproven(Life{"u", 200}))
+	is.True(f.Accepts(2*time.Second, Life{"u", 200}))
+}
--- a/balance/life.go
+++ b/balance/life.go
@@ -38,7 +38,10 @@
 type lastLife struct {
 	entry   Upstream // the last one of it
 	leaving bool     // it takes no new requests, by its entry or its own word
-	ended   bool     // another one has its address
+	said    bool     // by its own word
+	// unproven says that the life before said that it is leaving: it may have been this one, which was not known of yet.
+	unproven bool
+	ended    bool // another one has its address
 	// doubtTill is until when what others tell that it keeps may be of before a sign that it
 	// may have ended; its entry may go and come back meanwhile.
 	doubtTill time.Duration
@@ -138,7 +141,7 @@
 	if l.Born > last.entry.Born {
 		last = lastLife{}
 	}
-	last.entry.ID, last.entry.Born, last.leaving = l.ID, l.Born, true
+	last.entry.ID, last.entry.Born, last.leaving, last.said = l.ID, l.Born, true, true
 	f.setLife(last)
 	if m := f.byID[l.ID]; m != nil && m.Life() == l {
 		m.Leaving = true
@@ -146,6 +149,26 @@
 	return true
 }
 
+// Unproven reports whether a life gets nothing until it is proved that it is not leaving: answers that said so were taken for those of the
+// life before.
+func (f *Fleet) Unproven(l Life) bool {
+	last := f.lives[l.ID]
+	return last.entry.Born == l.Born && last.unproven
+}
+
+// Proved notes that a life has been asked, and what it said was noted.
+func (f *Fleet) Proved(l Life) {
+	if !f.Unproven(l) {
+		return
+	}
+	last := f.lives[l.ID]
+	last.unproven = false
+	f.setLife(last)
+	if m := f.byID[l.ID]; m != nil && m.Life() == l {
+		m.unproven = false
+	}
+}
+
 // Accepts reports whether requests may be sent to a life that they were placed at: it may have come to leave since, or
 // asked for a pause.
 func (f *Fleet) Accepts(now time.Duration, l Life) bool {
--- a/balance/list.go
+++ b/balance/list.go
@@ -49,14 +49,21 @@
 		u.Born = before.Born // an entry that names no start tells of the life that is known
 	}
 	if f.serves(u.Service) && isAnother(f.lives[u.ID].entry, u) {
-		delete(f.lives, u.ID)
-		delete(f.pauses, u.Life().Key()) // lives that name no start have the same
+		f.nextLife(u)
 	}
 	u.Leaving = u.Leaving || f.hasLeft(u.Life())
 	f.remember(u)
 	return u
 }
 
+// nextLife forgets what the life before said of itself, but that it may have been this one which said that it is leaving.
+func (f *Fleet) nextLife(u Upstream) {
+	said := f.lives[u.ID].said
+	delete(f.lives, u.ID)
+	delete(f.pauses, u.Life().Key()) // lives that name no start have the same
+	f.setLife(lastLife{entry: u, unproven: said})
+}
+
 // takes reports whether an entry takes its address from who has it: it is of a later start, or
 // the other is known to have ended. One that is known to have ended takes nothing, nor does one
 // that says no more than the other.
@@ -95,6 +102,7 @@
 	}
 	s := f.serviceOf(u.Service)
 	m := &member{Upstream: u, service: s, inLanes: weight(u.ID, laneKey), since: now, moved: longAgo, brokeAt: longAgo, key: u.Life().Key(), coldTill: longAgo, evacuated: f.evacuated[u.Domain]}
+	m.unproven = f.Unproven(u.Life())
 	m.history = f.historyOf(m.key)
 	f.recall(m)
 	f.takeWork(m)
--- a/relay/news.go
+++ b/relay/news.go
@@ -61,6 +61,7 @@
 	present balance.Upstream
 	listed  bool
 	serves  bool   // the document names its service
+	asks    bool   // it is to be asked whether it is leaving
 	other   string // the one whose address it has taken over
 	// It was not leaving: nobody told of its end.
 	otherEnded *balance.Life
@@ -80,6 +81,7 @@
 	c.present, c.listed = r.listed(u.ID)
 	r.wakeWaiting(u.Service)
 	c.serves = r.fleet.Serves(u.ID)
+	c.asks = c.listed && r.fleet.Unproven(c.present.Life())
 	return c
 }
 
@@ -96,6 +98,9 @@
 	if c.serves && c.before.ID != "" && u.Life().After(c.before.Life()) {
 		r.startedAgain(c.before, u)
 	}
+	if c.asks {
+		go r.prove(u)
+	}
 	if c.other != "" {
 		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": c.other, "by": u.ID, "address": u.Address})
 		r.conns.forget(c.other)
--- a/relay/said.go
+++ b/relay/said.go
@@ -5,6 +5,7 @@
 // belongs to; and a pause that cannot be read is no pause.
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -77,6 +78,24 @@
 	r.cfg.Log.Event("upstream", "says that it is leaving", Fields{"upstream": life.ID, "born": life.Born, "id": request, "list_age_ms": r.age().Milliseconds()})
 }
 
+// prove asks a life whether it is leaving. The one before had said so; where the box heard late that the upstream has started again, that
+// may have been this one. Any answer says it.
+func (r *Relay) prove(u balance.Upstream) {
+	if r.cfg.Protocol.ReportCall != nil && r.cfg.Protocol.Leaving != "" {
+		ctx, cancel := context.WithTimeout(context.Background(), askWait)
+		defer cancel()
+		fields := Fields{"upstream": u.ID, "born": u.Born}
+		if _, _, err := r.call(ctx, u, u.Service, r.cfg.Protocol.ReportCall()); err != nil {
+			fields["error"] = err.Error()
+		}
+		r.cfg.Log.Event("upstream", "asked whether it is leaving", fields)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.Proved(u.Life())
+	r.wakeWaiting(u.Service)
+}
+
 // noteSaid notes what an answer says of its upstream; request is the one it was read for.
 func (r *Relay) noteSaid(a *answer, request string) {
 	life := a.conn.life
--- a/relay/said_test.go
+++ b/relay/said_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
 )
 
 // announcer is three upstreams of which the first says something in its answers, and the publisher says that all are ready.
@@ -216,3 +218,40 @@
 	is.NoErr(err)
 	is.True(b.isLeaving("u"))
 }
+
+// An upstream started again under its id and address while the box heard nothing of it, and said that it is leaving. Once its entry came
+// it is asked, and gets nothing where it says so again; one that does not is used.
+func TestAnUpstreamThatStartedAgainIsAskedWhetherItIsLeaving(t *testing.T) {
+	for _, says := range []bool{true, false} {
+		t.Run(fmt.Sprint("says so again: ", says), func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			headers := "X-Leaving: 1"
+			u := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return answerNaming("200 OK", headers)(c, r)
+			})
+			b := newBenchOf(t, tellingProtocol(), u)
+			b.listBorn(u, 100, false)
+			b.await("u", 100)
+			b.do(b.request(http.MethodPost, "/safe/x", "x"))
+			is.True(b.isLeaving("u"))
+			if !says {
+				mu.Lock()
+				headers = "X-Leaving: 0"
+				mu.Unlock()
+			}
+			b.listBorn(u, 200, false)
+			b.await("u", 200)
+			b.until(func() bool { return b.log.contains("upstream: asked whether it is leaving") })
+			b.until(func() bool {
+				b.relay.mu.Lock()
+				defer b.relay.mu.Unlock()
+				return !b.relay.fleet.Unproven(balance.Life{ID: "u", Born: 200})
+			})
+			got := b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", "again"))
+			is.Equal(got.status == http.StatusOK, !says)
+		})
+	}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -128,6 +128,9 @@
 
 // ServeHTTP runs a request as its id says: some are refused, cut or lost.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.leaving.Load() {
+		w.Header().Set(words.Leaving, "1")
+	}
 	if call := words.ReportCall(); r.Method == call.Method && r.URL.Path == call.Path {
 		u.report(w)
 		return
@@ -146,9 +149,6 @@
 	}
 	u.need.reached(u, u.world.ledger.boxOf(id))
 	u.need.put(w.Header())
-	if u.leaving.Load() {
-		w.Header().Set(words.Leaving, "1")
-	}
 	if u.asksForPause(w, id) {
 		return
 	}
