--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -21,7 +21,7 @@
 	comeBackSpread = 0.25
 )
 
-// Counters of requests that no upstream takes for a pause.
+// requestsWaited counts the requests that waited for the end of a pause.
 const requestsWaited = "requests_waited_for_pauses"
 
 // spread lengthens the time after which a caller shall come back, differently for each.
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -179,7 +179,39 @@
 		return
 	}
 	time.Sleep(time.Duration(rand.IntN(workLongest)) * time.Millisecond)
-	_, _ = io.WriteString(w, bodyOf(id))
+	switch rand.IntN(spoiltShare) {
+	case 0:
+		cutAnswer(w, id)
+	case 1:
+		answerTwice(w, u.id, id)
+	default:
+		_, _ = io.WriteString(w, bodyOf(id))
+	}
+}
+
+// spoiltShare is one in how many plain answers is spoilt in each way.
+const spoiltShare = 20
+
+// cutAnswer breaks off within an answer.
+func cutAnswer(w http.ResponseWriter, id string) {
+	body := bodyOf(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	hangUp(w)
+}
+
+// answerTwice answers an earlier request late, and then this one.
+func answerTwice(w http.ResponseWriter, upstream, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	for _, of := range []string{"before-" + id, id} {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s %s\r\nContent-Length: %d\r\n\r\n%s",
+			words.RequestID, of, words.Signature, upstream, of, len(bodyOf(of)), bodyOf(of))
+	}
+	_ = c.Close()
 }
 
 func isStream(path string) bool {
