Soak: what a request shows of a box counts for the life that took it

Trace (box2's log): its planned stop ended at 13.513, the next process started at 13.522 and had forgotten, as a restart may; the caller had sent the request at 13.510, counted for the process before, and the new one took it. What is sent before a start and arrives after it now counts for neither, and a start counts before its process may take anything.

--- a/soak/box.go
+++ b/soak/box.go
@@ -68,11 +68,11 @@
 	b.cmd.Stdout, b.cmd.Stderr = log, log
 	// A soak that is killed leaves no process behind.
 	b.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	b.starts.Add(1) // before anything may come from the process
 	if err := b.cmd.Start(); err != nil {
 		return err
 	}
 	b.ended, b.asked = make(chan struct{}), new(atomic.Bool)
-	b.starts.Add(1)
 	go b.wait(b.cmd, b.ended, b.asked)
 	return nil
 }
--- a/soak/said.go
+++ b/soak/said.go
@@ -52,6 +52,9 @@
 // reached checks a request that has reached an upstream, and was not decided on before a moment.
 func (s *said) reached(u *upstream, e *entry, breach func(format string, args ...any)) {
 	life, now := e.by, time.Now()
+	if e.box.life() != life {
+		return // its box has started since its caller sent it, and either life may have taken it
+	}
 	if known, isKnown := s.leaving[u][life]; isKnown && e.decided.After(known) {
 		breach("%s: it said that it is leaving in an answer that %s passed on %v before it was sent a request", u.id, life.box.name, e.decided.Sub(known))
 	}
