Signals: taken before anything else of a daemon begins

Signals are now taken by a package that needs no other, initialized before the large ones. A daemon of chat completions, which SIGHUP ended at any time, logs it.

--- a/cmd/doormastd/main.go
+++ b/cmd/doormastd/main.go
@@ -8,13 +8,13 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/doormast/doormast"
+	"github.com/doormast/doormast/internal/signals"
 	"github.com/doormast/doormast/settings"
 )
 
@@ -43,25 +43,40 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	box, err := doormast.Start(context.Background(), doormast.Config{Settings: *s, Log: newLog(s.Log)})
+	log := newLog(s.Log)
+	box, err := doormast.Start(context.Background(), doormast.Config{Settings: *s, Log: log})
 	if err != nil {
 		return err
 	}
+	stops := stopSignals(log)
 	select {
-	case <-signals:
+	case <-stops:
 	case <-box.DrainAsked():
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-signals
+		<-stops
 		cancel()
 	}()
 	return box.Stop(ctx)
 }
 
+// stopSignals gets an entry for each signal that asks for the daemon's end.
+func stopSignals(log *logrus.Logger) <-chan struct{} {
+	stops := make(chan struct{})
+	go func() {
+		for s := range signals.Channel() {
+			if s == syscall.SIGHUP {
+				log.Info("settings: They are read at the start only.")
+				continue
+			}
+			stops <- struct{}{}
+		}
+	}()
+	return stops
+}
+
 func newLog(s settings.Log) *logrus.Logger {
 	log := logrus.New()
 	if level, err := logrus.ParseLevel(s.Level); err == nil {
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/internal/signals"
 	"github.com/doormast/doormast/platform"
 	"github.com/doormast/doormast/relay"
 	"github.com/doormast/doormast/settings"
@@ -49,8 +49,6 @@
 	keptShare = 0.5
 	// leastKeptMB is what may be kept however small the box is.
 	leastKeptMB = 8
-	// maxSignals is how many signals may wait while one is dealt with.
-	maxSignals = 4
 	// boxesAssumed is how many boxes share limits while the others are not known:
 	// what a failure domain's loss leaves of today's deployments, with room to spare.
 	boxesAssumed = 10
@@ -62,8 +60,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, maxSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * megabyte))
 	}
@@ -73,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	for sig := range signals {
+	for sig := range signals.Channel() {
 		if sig != syscall.SIGHUP {
 			break
 		}
