Pauses: an answer to a request of before does not end a pause

Found by reading the change. Requests return after a pause and one of them is turned away with another pause; an answer to one that was sent before that let more follow, and at an upstream with one slot ended the new pause at once. TestAnAnswerToARequestOfBeforeEndsNoPause fails before.

--- a/balance/pause.go
+++ b/balance/pause.go
@@ -122,7 +122,8 @@
 	}
 }
 
-// cameBack notes what became of a request that returned after a pause. An answer lets two in its place.
+// cameBack notes what became of a request that returned after a pause. An answer lets two in its place, unless the upstream has asked for
+// another pause since the request was sent.
 func (t *Ticket) cameBack(answered bool) {
 	p := t.pause
 	if p == nil {
@@ -130,7 +131,7 @@
 	}
 	t.pause = nil
 	p.open--
-	if !answered {
+	if !answered || t.opened < p.till {
 		return
 	}
 	if p.room++; p.room > t.member.Slots {
--- a/balance/pause_test.go
+++ b/balance/pause_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// Of requests that returned together one was turned away with another pause: the answers of the others do not end that.
+func TestAnAnswerToARequestOfBeforeEndsNoPause(t *testing.T) {
+	is := is.New(t)
+	f := pausing(1)
+	u := *f.Get("u0")
+	u.Slots = 1
+	f.Put(0, u)
+	f.Pause(0, Life{ID: "u0"}, time.Second)
+	first := f.Open(2*time.Second, "u0", plain)
+	f.Pause(2100*time.Millisecond, Life{ID: "u0"}, 10*time.Second)
+	first.Close(2200*time.Millisecond, Answered)
+	_, ok := f.Place(3*time.Second, plain, nil)
+	is.True(!ok)
+	_, ok = f.Place(13*time.Second, plain, nil)
+	is.True(ok)
+}
+
 // Requests that wait go before others, and the more urgent before them.
 func TestWhoReturnsFirstAfterAPause(t *testing.T) {
 	is := is.New(t)
