soak: retries are judged as strictly as the rule, and runs reach a second window

The check judged 9 s of arrivals (the window less maxTransit) against 11 s of requests. That excuses what it should find: retries of more than one window of sends that arrive in one. Callers' and upstreams' times are on one clock here, so it now judges each window of exactly the length of the budget, from its first and to its last retry, against the same three spans of requests as the rule.

A run could not reach a second window with its budget used up, since a third of a run was shorter than a window. The window is now a setting of the run, and so are the pause of callers (with many requests the slack is lost in the ratio) and runs without other faults. Requests take 0.2 to 0.9 s longer to reach the upstreams in the first quarter of a window of the failing period.

--- a/soak/box.go
+++ b/soak/box.go
@@ -51,10 +51,10 @@
 	text := fmt.Sprintf(`{"box": %q, "domain": %q, "first_start": %v,
   "listen": {"callers": %q, "ready": %q, "control": %q, "metrics": %q, "ip": %q},
   "platform": %q, "seeds": [%s], "peer_ports": [%d], "memory_mb": 256, "cpu_share": 0.5, "link_mbps": 100,
-  "bounds": {"grace_s": 8, "retry_ratio": %v, "retry_slack": %d, "retry_window_s": 10, "document_ms": 2000,
+  "bounds": {"grace_s": 8, "retry_ratio": %v, "retry_slack": %d, "retry_window_s": %v, "document_ms": 2000,
     "cold_overshoot": %v, "cold_slack": %d, "limit_span_s": %v, "limit_overshoot": %v, "limit_slack": %d}}`,
 		b.name, b.domain, first, b.address(portCallers), b.address(portReady), b.address(portControl), b.address(portMetrics), b.ip,
-		b.harness.storeProxies[b.name].address(), seeds, portPeers, maxRetryRatio, maxRetrySlack, coldOvershoot, coldSlack,
+		b.harness.storeProxies[b.name].address(), seeds, portPeers, maxRetryRatio, maxRetrySlack, b.harness.retryWindow().Seconds(), coldOvershoot, coldSlack,
 		limitSpan.Seconds(), limitOvershoot, limitSlack)
 	b.settings = filepath.Join(b.harness.cfg.Dir, b.name+".json")
 	return os.WriteFile(b.settings, []byte(text), 0o644)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	callerPause = 10 * time.Millisecond
-	callerWait  = 2500 * time.Millisecond
+	defaultCallerPause = 10 * time.Millisecond
+	callerWait         = 2500 * time.Millisecond
 )
 
 var paths = []string{"/once/", "/safe/", "/flow/", "/fixed/", healthyPath, healthyPath}
@@ -26,10 +26,14 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	defer client.CloseIdleConnections()
+	pause := w.cfg.CallerPause
+	if pause == 0 {
+		pause = defaultCallerPause
+	}
 	for i := 0; ctx.Err() == nil; i++ {
 		b := w.boxes[(n+i/20)%len(w.boxes)]
 		w.request(client, b, fmt.Sprintf("r%d-%d", n, i), paths[(n+i)%len(paths)])
-		time.Sleep(callerPause)
+		time.Sleep(pause)
 	}
 }
 
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -159,10 +159,10 @@
 	}
 }
 
-func (c *checker) report() *Report {
+func (c *checker) report(retryWindow time.Duration) *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.retries.check(c.addViolation)
+	c.retries.check(retryWindow, c.addViolation)
 	r := &Report{Requests: len(c.entries), Answered: c.answered, Refused: c.refused, Retries: c.retries.count(), Violations: c.violations}
 	for _, e := range c.entries {
 		r.Runs += e.runs
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -168,6 +168,10 @@
 func (w *harness) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.cfg.Duration)
 	w.scheduleFailures()
+	if w.cfg.OnlyFailures {
+		sleepUntil(ctx, end)
+		return
+	}
 	pending := w.scheduleNotices()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(w.random.IntN(2*meanFaultGapMs)) * time.Millisecond)
@@ -182,6 +186,13 @@
 	runDue(pending, end.Add(time.Hour))
 }
 
+// sleepUntil waits until a time or until ctx is done.
+func sleepUntil(ctx context.Context, end time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // runDue runs the actions that are due by now and returns the rest.
 func runDue(pending []pendingUndo, now time.Time) []pendingUndo {
 	var rest []pendingUndo
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,9 +30,10 @@
 	listener    net.Listener
 	target      string
 	mode        atomic.Int32
-	accepted    atomic.Int64 // connections so far; they are numbered from 1
-	muted       atomic.Int64 // connections up to this number forward nothing, not even their close
-	disruptions atomic.Int64 // number of mode changes, mutes and resets
+	accepted    atomic.Int64  // connections so far; they are numbered from 1
+	pathDelay   *atomic.Int64 // additional delay of each read in the direction of the target, a time.Duration
+	muted       atomic.Int64  // connections up to this number forward nothing, not even their close
+	disruptions atomic.Int64  // number of mode changes, mutes and resets
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -44,12 +45,13 @@
 // proxyPollInterval is how often a blocked direction checks whether it may forward again.
 const proxyPollInterval = 10 * time.Millisecond
 
-func (w *harness) newProxy(last int, target string) (*proxy, error) {
+// newProxy starts a proxy; pathDelay delays what it forwards to its target.
+func (w *harness) newProxy(last int, target string, pathDelay *atomic.Int64) (*proxy, error) {
 	l, err := w.listen(last)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, pathDelay: pathDelay, conns: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -118,7 +120,7 @@
 
 func (p *proxy) copyBytes(from, to net.Conn, connNumber int64, responses bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
-	buf := make([]byte, 4<<10)
+	buf := make([]byte, 16<<10) // holds most requests, so that they are delayed once
 	for {
 		n, err := from.Read(buf)
 		for mode := proxyMode(p.mode.Load()); mode == modeSilent || mode == modeOneWay && responses; mode = proxyMode(p.mode.Load()) {
@@ -127,6 +129,9 @@
 		if proxyMode(p.mode.Load()) == modeDelayed {
 			time.Sleep(proxyDelay)
 		}
+		if !responses {
+			time.Sleep(time.Duration(p.pathDelay.Load()))
+		}
 		if n > 0 && !p.isMuted(connNumber) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -3,11 +3,12 @@
 // This file defines the periods in which upstreams refuse most requests, so that retry budgets are exhausted, next
 // to a service whose upstreams stay healthy.
 //
-// Invariant: in any window, the retries of all boxes that reach a service stay within the retry budget for that
-// service's requests.
+// Invariant: in any window, the retries of all boxes that arrive at a service stay within the retry budget for the
+// requests that callers sent to it.
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -18,9 +19,13 @@
 	healthyCount   = 2 // one in each domain
 	// failedShare is the percentage of requests that upstreams refuse in failing periods.
 	failedShare = 70
-	retryWindow = 10 * time.Second
-	// maxTransit bounds the time that a request takes from its caller to a box, and a retry from a box to an upstream.
-	maxTransit = time.Second
+	// defaultRetryWindow is the window of the retry budget where the run sets none.
+	defaultRetryWindow = 10 * time.Second
+	// Requests are slow to reach the upstreams for the first part of a failing period, the inverse of
+	// slowPathShare of a window, by a delay between the two bounds. Retries that were sent meanwhile arrive
+	// close to those that are sent once the slack is free again.
+	slowPathShare                        = 4
+	minSlowPathDelayMs, slowPathJitterMs = 200, 700
 )
 
 // startHealthy starts the upstreams that no fault affects, except that they may announce leaving or pauses.
@@ -43,13 +48,27 @@
 	return func() { w.failing.Add(-1) }
 }
 
-// scheduleFailures makes upstreams fail in the middle third of a run, which is long enough to exhaust retry budgets.
+// scheduleFailures makes upstreams fail in the middle third of a run, which is long enough to exhaust retry budgets,
+// and delays requests to them at its start.
 func (w *harness) scheduleFailures() {
 	third := w.cfg.Duration / 3
-	time.AfterFunc(third, func() { w.failing.Add(1) })
+	delay := time.Duration(minSlowPathDelayMs+w.random.IntN(slowPathJitterMs)) * time.Millisecond
+	time.AfterFunc(third, func() {
+		w.failing.Add(1)
+		w.pathDelay.Store(int64(delay))
+	})
+	time.AfterFunc(third+w.retryWindow()/slowPathShare, func() { w.pathDelay.Store(0) })
 	time.AfterFunc(2*third, func() { w.failing.Add(-1) })
 }
 
+// retryWindow returns the window of the retry budget.
+func (w *harness) retryWindow() time.Duration {
+	if w.cfg.RetryWindow > 0 {
+		return w.cfg.RetryWindow
+	}
+	return defaultRetryWindow
+}
+
 // fails reports whether the upstream refuses the current request because of a failing period.
 func (u *upstream) fails() bool { return u.harness.failing.Load() > 0 && rand.IntN(100) < failedShare }
 
@@ -88,31 +107,37 @@
 	return n
 }
 
-// check reports, for each service, the first window with more retries than the budget allows.
-func (r *retries) check(addViolation func(format string, args ...any)) {
+// check reports, for each service, the first window with more retries than the budget allows. Windows that start or
+// end with a retry contain the most of them.
+func (r *retries) check(window time.Duration, addViolation func(format string, args ...any)) {
 	for s, times := range r.retries {
-		for _, begin := range times {
-			n := between(times, begin, begin.Add(retryWindow-maxTransit))
-			requestCount := 0
-			for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
-				from := begin.Add(-earlier)
-				requestCount = max(requestCount, between(r.requests[s], from.Add(-maxTransit), from.Add(retryWindow)))
-			}
-			if allowed := maxRetrySlack + maxRetryRatio*float64(requestCount); float64(n) > allowed {
-				addViolation("service %s: %d retries within %v for %d requests; %.0f are allowed", s, n, retryWindow, requestCount, allowed)
+		for _, at := range times {
+			if r.checkWindow(s, at, window, addViolation) || r.checkWindow(s, at.Add(time.Nanosecond-window), window, addViolation) {
 				break
 			}
 		}
 	}
 }
 
-// between counts the times in [from, to).
-func between(times []time.Time, from, to time.Time) int {
-	n := 0
-	for _, at := range times {
-		if !at.Before(from) && at.Before(to) {
-			n++
-		}
+// checkWindow reports whether a service got more retries within a window than the budget allows.
+func (r *retries) checkWindow(s string, begin time.Time, window time.Duration, addViolation func(format string, args ...any)) bool {
+	n := between(r.retries[s], begin, begin.Add(window))
+	requestCount := 0
+	for _, earlier := range []time.Duration{0, window / 2, window} {
+		from := begin.Add(-earlier)
+		requestCount = max(requestCount, between(r.requests[s], from, from.Add(window)))
 	}
-	return n
+	allowed := maxRetrySlack + maxRetryRatio*float64(requestCount)
+	if float64(n) <= allowed {
+		return false
+	}
+	addViolation("service %s: %d retries within %v for %d requests; %.0f are allowed", s, n, window, requestCount, allowed)
+	return true
+}
+
+// between counts the times in [from, to) in a sorted list.
+func between(times []time.Time, from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return end - first
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,15 @@
 	Boxes     int
 	Upstreams int
 	Callers   int
+	// RetryWindow is the window of the retry budget; 0: defaultRetryWindow. The upstreams fail for a third of
+	// Duration, so only a run of more than three windows reaches a second one with its budget exhausted.
+	RetryWindow time.Duration
+	// OnlyFailures injects no faults other than failing upstreams that requests are slow to reach. Boxes that
+	// restart or lose upstreams leave part of the retry budget unused, which hides an excess.
+	OnlyFailures bool
+	// CallerPause is the pause of a caller between two requests; 0: defaultCallerPause. With fewer requests the
+	// slack is a larger part of the retry budget.
+	CallerPause time.Duration
 	// Net is the third octet of the loopback addresses; concurrent runs need different values.
 	Net int
 }
@@ -77,6 +86,7 @@
 	upstreamsByID map[string]*upstream // the latest incarnation of each
 	healthy       []*upstream          // upstreams of healthyService; they only announce leaving and pauses
 	failing       atomic.Int32         // if positive, upstreams other than the healthy ones refuse most requests
+	pathDelay     atomic.Int64         // delay of requests on their way to an upstream, a time.Duration
 	replacements  chan *upstream       // upstreams that the fatal request crashed and whose replacement is due
 }
 
@@ -137,7 +147,9 @@
 		}()
 	}
 	go func() {
-		w.sendFatal(callers)
+		if !cfg.OnlyFailures {
+			w.sendFatal(callers)
+		}
 		done <- struct{}{}
 	}()
 	w.injectFaults(ctx)
@@ -150,7 +162,7 @@
 }
 
 func (w *harness) report() *Report {
-	r := w.checker.report()
+	r := w.checker.report(w.retryWindow())
 	r.Faults = w.faults
 	return r
 }
@@ -179,7 +191,7 @@
 		return err
 	}
 	for i := range w.cfg.Boxes {
-		g, err := w.newProxy(1, l.Addr().String())
+		g, err := w.newProxy(1, l.Addr().String(), new(atomic.Int64))
 		if err != nil {
 			return err
 		}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	w.upstreamCount++
-	g, err := w.newProxy(100, l.Addr().String())
+	g, err := w.newProxy(100, l.Addr().String(), &w.pathDelay)
 	if err != nil {
 		return nil, err
 	}
