Logs: a line for each retry tells when it was sent and by when it can have arrived

What the logs could not tell: whether retries of more than one window of sends arrived in one window. There was a line for the failed run before a retry and none for the retry.

run: retried has the time of sending, the answer's time (the line's own), the budget's counts, the divisor of the slack, the box's age, and for a move how long before it was paid for; box: start names version and first start, since the report does not say what ran. No logic is changed.

--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
+	"github.com/doormast/doormast"
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/internal/signals"
@@ -133,6 +134,7 @@
 	disabled, _ := balance.ParseOff(s.Off) // LoadRelay has validated s.Off
 	return relay.Config{
 		Box:           s.Box,
+		Version:       version(),
 		Domain:        s.Domain,
 		Regions:       s.Regions,
 		Self:          self(s),
@@ -154,6 +156,20 @@
 	}
 }
 
+// version returns the version of the program, with the revision it was built from if known.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return doormast.Version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return doormast.Version + " " + s.Value
+		}
+	}
+	return doormast.Version
+}
+
 // bufferLimit returns how many bytes a box may buffer for callers and upstreams, or
 // 0 (no limit) if the box's memory size is unknown (memoryMB <= 0).
 func bufferLimit(memoryMB int) int64 {
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -117,6 +117,7 @@
 	"run: moves":                            "The answer would miss the caller's deadline on its upstream (here_ms) but meet it on another (there_ms): its memory is copied there and the run continues there.",
 	"run: not moved":                        "The upstream did not answer the call to copy the run; the answer continues there, or breaks off.",
 	"run: not retried":                      "The service's retry budget on this box is exhausted: it follows from the requests (taken) and retries (spent) of the last window_ms, and the slack divided by boxes.",
+	"run: retried":                          "A retry was sent sent_ms_ago and reached its upstream between then and now, or never: answered tells whether there is a response. On this box, which started up_ms ago, taken requests and spent retries of the service count in the window; the slack is divided by boxes. A retry for a move was paid for paid_ms_before it was sent.",
 	"run: failed":                           "A run returned nothing: unsent (no connection), refused (the upstream did not run it) or unknown (it may have run).",
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,9 @@
 	x.startReadWait(sent)
 	resp, err := r.readResponse(c, o.id, sent)
 	x.endReadWait()
+	if x.runsSent > 0 {
+		x.logRetried(sent.began, err)
+	}
 	if err != nil {
 		x.detachConn()
 		r.conns.discard(c)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,6 +40,7 @@
 	runsSent       int                   // runs started
 	unreachable    int                   // upstreams that could not be reached
 	retryPaid      bool                  // the next run has already been taken from the retry budget
+	retryPaidAt    time.Time             // when that was; zero: it was not
 	mayHaveRun     bool                  // an upstream may have run the request
 	runsCut        int                   // runs during which the upstream closed or reset the connection
 	refusalStatus  int                   // status of the last response in which an upstream refused the request
--- a/relay/move.go
+++ b/relay/move.go
@@ -89,7 +89,9 @@
 	if !ok || !r.isCurrent(x.upstream) || !x.retryPaid && !r.budgets.ForService(x.service).Spend(r.now(), r.divisor()) {
 		return m, nil
 	}
-	x.retryPaid = true
+	if !x.retryPaid {
+		x.retryPaid, x.retryPaidAt = true, time.Now()
+	}
 	return m, r.fleet.Reserve(m.To.ID, q)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,7 +36,8 @@
 	// item.
 	Publisher mirror.Publisher
 	Decode    func(mirror.Item) (Update, error)
-	Log       *Log // not closed by the relay
+	Version   string // of the program, for the log
+	Log       *Log   // not closed by the relay
 	Budget    balance.BudgetConfig
 	Cold      ColdBounds
 	Limits    balance.LimitBounds // bounds on the rate limits that upstreams announce
@@ -138,7 +139,7 @@
 		return nil, &Error{Op: "listen for datagrams", Kind: KindListen, Err: err}
 	}
 	r.startTasks(ctx)
-	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain, "off": cfg.Disabled.Names()})
+	r.cfg.Log.Event("box", "start", Fields{"box": cfg.Box, "domain": cfg.Domain, "version": cfg.Version, "first_start": cfg.FirstStart, "off": cfg.Disabled.Names()})
 	return r, nil
 }
 
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -2,10 +2,12 @@
 
 // This file defines how retries are taken from the retry budget of their service. The invariants: each
 // run after a request's first is taken from the budget, for a move when it is started and otherwise
-// when it is sent; and a request that is given up because the budget is used up has a log line with
-// the budget's use.
+// when it is sent; and a request that is given up because the budget is used up, and each retry, has a
+// log line with the budget's use.
 
 import (
+	"time"
+
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/wire"
 )
@@ -14,6 +16,7 @@
 const (
 	retriesSent   = "retries_sent"
 	retriesDenied = "retries_denied"
+	retryAnswered = "retry_answered_ms" // from sending a retry until its upstream answered or its run ended
 )
 
 // errBudget reports that other requests used up the retry budget while this one waited for a
@@ -53,6 +56,23 @@
 	return true
 }
 
+// logRetried logs a retry once there is a response to it, or none can come any more: it was sent at
+// the given time and reached its upstream, if at all, before now.
+func (x *exchange) logRetried(sent time.Time, err error) {
+	r := x.relay
+	r.mu.Lock()
+	use := r.budgets.ForService(x.service).Use(r.now(), r.divisor())
+	r.mu.Unlock()
+	fields := Fields{"id": x.request.id, "upstream": x.upstream.ID, "service": x.service, "runs": x.runsSent + 1, "answered": err == nil,
+		"sent_ms_ago": time.Since(sent).Milliseconds(), "taken": use.Taken, "spent": use.Spent, "boxes": use.Boxes, "up_ms": r.now().Milliseconds()}
+	if !x.retryPaidAt.IsZero() {
+		fields["paid_ms_before"] = sent.Sub(x.retryPaidAt).Milliseconds()
+		x.retryPaidAt = time.Time{}
+	}
+	r.stats.latency(retryAnswered, time.Since(sent))
+	r.cfg.Log.Event("run", "retried", fields)
+}
+
 // logNotRetried logs a request that the budget denies a retry.
 func (x *exchange) logNotRetried(use balance.BudgetUsage) {
 	x.relay.cfg.Log.Event("run", "not retried", Fields{"id": x.request.id, "upstream": x.upstream.ID, "service": x.service, "reason": "retry budget used up",
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -29,6 +29,17 @@
 	is.Equal(rows[0].Taken, uint32(1))
 }
 
+func TestRetryIsLogged(t *testing.T) {
+	is := is.New(t)
+	u1, u2 := newStub(t, "u1", respond500First()), newStub(t, "u2", respond500First())
+	b := newTestBoxWithConfig(t, func(c *Config) { c.Version = "1.2" }, u1, u2)
+	is.Equal(b.do(b.request("GET", "/safe/x", "")).status, 500)
+	is.NoErr(b.relay.cfg.Log.Close())
+	is.True(b.log.contains(`"msg":"run: retried"`))
+	is.True(b.log.contains(`"sent_ms_ago":`))
+	is.True(b.log.contains(`"version":"1.2"`))
+}
+
 // respond500 answers each request with status 500.
 func respond500(c net.Conn, r stubRequest) bool {
 	writeWire(c, "HTTP/1.1 500 Broken\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: bad\nContent-Length: 2\n\nno")
