Retry budget: a retry counts until it has arrived or no longer can

What callers saw: nothing directly; upstreams that already failed got more repeats than the operators allow.

Cause: a retry was charged at one moment and judged at another. It counted in the windows of the moment when it was sent (for a move: when the move was planned, up to 1.5 s before, and the charge stayed when the copy failed). The bound is on arrivals. Retries on a slow way arrive in the same window as those of the next window on a fast one, and the slack is spent anew 10.0 to 10.25 s after it was spent.

Change: Budget.Take returns a Retry, which counts in every window until it has ended: answered or broken off by the upstream (it has arrived before), or given up by the box (it may still arrive, as at a stopped process: it counts for a window more, and so does the retry after a first run that was given up), or not sent (returned, as are moves that come to nothing). So the slack is free again one window after the last moment at which what used it can have arrived, however long that took; no way is assumed.

Two things cannot be observed: how old a request is when the box reads it, and what a killed process still had under way. For these, and for windows that begin after a retry is sent, 1.2 s are assumed, after which the kernel gives up unacknowledged bytes.

Ruled out: judging sends with a longer window (covers only ways shorter than the addition, and takes it from every retry); an acknowledgement of the kernel as proof (a stopped process has not read what its kernel has acknowledged).

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -1,15 +1,20 @@
 package balance
 
-// This file defines the retry budget of a box for one service. The invariant: in each window, all
-// boxes together send at most Ratio retries per request of that window or of the previous one,
-// whichever has more, plus Slack; this holds however boxes restart and however requests move
-// between them.
+// This file defines the retry budget of a box for one service. The invariant: in each window, at
+// most Ratio retries per request of that window or of the previous one, whichever has more, plus
+// Slack arrive at the service from all boxes together; this holds however boxes restart, however
+// requests move between them, and however long retries take to arrive.
 //
 // A box does not know what the others spend, so each keeps to a bound that adds up over all
 // boxes: in any window it spends at most a fixed part of the ratio on the requests of that
 // window, the rest of the ratio on the requests of the previous window, and its share of the
 // slack. A box that has just started has no previous window, and the process that ran before it
 // may have used the box's share of the slack in any window that began before the start.
+//
+// Windows are those of arrivals at the upstreams, which a box does not see. A retry therefore
+// counts in every window from the time it is taken until it is known to have arrived or to be
+// unable to arrive any more. A request may have been sent by its caller up to Transit before the
+// box counts it, and a window that begins up to Transit after a retry is sent must allow it as well.
 
 import (
 	"math"
@@ -21,15 +26,18 @@
 	Ratio  float64       // retries per request
 	Slack  float64       // additional retries per window, summed over all boxes
 	Window time.Duration // time span over which requests and retries are counted
+	// Transit is the longest time that a request is assumed to take from its caller to the box, and a
+	// retry from the box to its upstream. A retry that takes longer can exceed the bound only if the
+	// requests that allowed it have left the windows meanwhile.
+	Transit time.Duration
 }
 
 const (
-	// bucketsPerWindow is the resolution of the sliding window. The bucket in which a window
-	// begins counts in full toward the retries of that window, and not at all toward its
-	// requests.
+	// bucketsPerWindow is the resolution of the sliding window.
 	bucketsPerWindow = 40
-	// bucketsKept is the number of buckets kept: those of two windows.
-	bucketsKept = 2 * bucketsPerWindow
+	// bucketsKept covers the two windows of requests that a window of retries depends on, and one
+	// window ahead, in which retries may still arrive.
+	bucketsKept = 3 * bucketsPerWindow
 	// previousWindowShare is the part of the ratio that is granted for the requests of the
 	// previous window. It lets a box answer a burst of failures after a quiet period. The rest is
 	// all that is available to a box that has just started or whose load has just grown.
@@ -43,8 +51,9 @@
 	start      time.Duration
 	firstStart bool
 	requests   [bucketsKept]int // by bucket number modulo bucketsKept
-	retries    [bucketsKept]int
-	newest     int // number of the newest bucket, counted from the start
+	arrivals   [bucketsKept]int // retries by the bucket in which they arrived at the latest
+	open       int              // retries that have not ended
+	newest     int              // number of the newest bucket, counted from the start
 }
 
 // NewBudget returns the budget of a box that starts now. firstStart says that no process ran on
@@ -53,85 +62,152 @@
 	return &Budget{cfg: cfg, start: now, firstStart: firstStart}
 }
 
+// Retry is a retry that was taken from a budget and may still arrive at its upstream. Each is
+// ended with Arrived or Cancel; nil and an ended Retry ignore further calls. It is not safe for
+// concurrent use.
+type Retry struct {
+	budget *Budget // nil once ended
+}
+
+// Take takes a retry from the budget; nil if none is left. The slack is divided evenly among
+// boxes; 0 means that this box has no share of it.
+func (b *Budget) Take(now time.Duration, boxes int) *Retry {
+	if b.Remaining(now, boxes) < 1 {
+		return nil
+	}
+	b.open++
+	return &Retry{b}
+}
+
+// Arrived records that the retry, if it reached its upstream at all, did so before latest, which
+// is at most one window from now.
+func (r *Retry) Arrived(now, latest time.Duration) {
+	if r == nil || r.budget == nil {
+		return
+	}
+	b := r.budget
+	n := b.advance(now)
+	b.arrivals[min(b.bucketOf(latest), n+bucketsPerWindow)%bucketsKept]++
+	b.open--
+	r.budget = nil
+}
+
+// Cancel returns the retry to the budget: it was not sent.
+func (r *Retry) Cancel() {
+	if r == nil || r.budget == nil {
+		return
+	}
+	r.budget.open--
+	r.budget = nil
+}
+
+// MayBeSent reports whether a retry that was taken some time ago is still within the budget.
+func (r *Retry) MayBeSent(now time.Duration, boxes int) bool {
+	return r != nil && r.budget != nil && r.budget.remaining(now, boxes) >= 0
+}
+
+// bucketOf returns the number of the bucket that contains a time.
+func (b *Budget) bucketOf(at time.Duration) int {
+	return int((at - b.start) / (b.cfg.Window / bucketsPerWindow))
+}
+
+// transitBuckets returns the number of buckets that Transit extends over.
+func (b *Budget) transitBuckets() int {
+	width := b.cfg.Window / bucketsPerWindow
+	return int((b.cfg.Transit + width - 1) / width)
+}
+
 // advance clears the buckets that have expired and returns the number of the newest one.
 func (b *Budget) advance(now time.Duration) int {
-	n := int((now - b.start) / (b.cfg.Window / bucketsPerWindow))
+	n := b.bucketOf(now)
 	for i := max(b.newest+1, n-bucketsKept+1); i <= n; i++ {
-		b.requests[i%bucketsKept], b.retries[i%bucketsKept] = 0, 0
+		b.requests[i%bucketsKept] = 0
+		b.arrivals[(i+bucketsPerWindow)%bucketsKept] = 0
 	}
 	b.newest = max(b.newest, n)
 	return b.newest
 }
 
-// CountRequest counts a request that was received from a caller.
-func (b *Budget) CountRequest(now time.Duration) { b.requests[b.advance(now)%bucketsKept]++ }
+// requestsIn returns the requests of a bucket; 0 for one that is not kept.
+func (b *Budget) requestsIn(i int) int {
+	if i < 0 || i > b.newest || i <= b.newest-bucketsKept {
+		return 0
+	}
+	return b.requests[i%bucketsKept]
+}
 
-// Spend reports whether a retry is allowed and, if so, counts it. The slack is divided evenly
-// among boxes; 0 means that this box has no share of it.
-func (b *Budget) Spend(now time.Duration, boxes int) bool {
-	if b.Remaining(now, boxes) < 1 {
-		return false
+// arrivalsIn returns the retries that arrived in a bucket at the latest; 0 for one that is not
+// kept.
+func (b *Budget) arrivalsIn(i int) int {
+	if i < 0 || i > b.newest+bucketsPerWindow || i < b.newest-bucketsPerWindow {
+		return 0
 	}
-	b.retries[b.newest%bucketsKept]++
-	return true
+	return b.arrivals[i%bucketsKept]
 }
 
+// CountRequest counts a request that was received from a caller.
+func (b *Budget) CountRequest(now time.Duration) { b.requests[b.advance(now)%bucketsKept]++ }
+
 // BudgetUsage is the state of a budget at one moment.
 type BudgetUsage struct {
 	Taken int // requests within the last window
-	Spent int // retries within the last window
+	Spent int // retries that arrived within the last window or may still arrive
 	Boxes int // number of boxes that share the slack; 0: this box has no share
 }
 
 // Use returns the requests and retries of the window that ends now.
 func (b *Budget) Use(now time.Duration, boxes int) BudgetUsage {
 	n := b.advance(now)
-	usage := BudgetUsage{Boxes: boxes}
-	for i := n - bucketsPerWindow; i <= n; i++ {
-		usage.Taken += countAt(&b.requests, i)
-		usage.Spent += countAt(&b.retries, i)
+	usage := BudgetUsage{Spent: b.open, Boxes: boxes}
+	for i := n - bucketsPerWindow; i <= n+bucketsPerWindow; i++ {
+		usage.Taken += b.requestsIn(i)
+		usage.Spent += b.arrivalsIn(i)
 	}
 	return usage
 }
 
-// idle reports whether all buckets are empty.
+// idle reports whether all buckets are empty and no retry is open.
 func (b *Budget) idle(now time.Duration) bool {
 	b.advance(now)
-	return b.requests == [bucketsKept]int{} && b.retries == [bucketsKept]int{}
+	return b.open == 0 && b.requests == [bucketsKept]int{} && b.arrivals == [bucketsKept]int{}
 }
 
-// Remaining returns how many more retries are allowed now: the minimum over all windows that
-// include the present moment.
+// Remaining returns how many more retries are allowed now.
 func (b *Budget) Remaining(now time.Duration, boxes int) int {
+	return max(0, int(b.remaining(now, boxes)))
+}
+
+// remaining returns the minimum, over all windows in which a retry that is sent now may arrive, of
+// the retries that are left; negative if a window has too many.
+func (b *Budget) remaining(now time.Duration, boxes int) float64 {
 	n := b.advance(now)
-	remaining := math.Inf(1)
-	retries, requestsSince, requestsBefore := 0, 0, 0
-	for i := n - bucketsPerWindow + 1; i < n; i++ {
-		requestsBefore += countAt(&b.requests, i)
+	transit := b.transitBuckets()
+	retries, since, before := b.open, 0, 0
+	for i := n + transit + 1; i <= n+bucketsPerWindow; i++ {
+		retries += b.arrivalsIn(i)
 	}
-	for begin := n; begin >= n-bucketsPerWindow; begin-- {
-		retries += countAt(&b.retries, begin)
-		remaining = min(remaining, b.allowance(begin, boxes, requestsSince, requestsBefore)-float64(retries))
-		requestsSince += countAt(&b.requests, begin)
-		requestsBefore += countAt(&b.requests, begin-bucketsPerWindow) - countAt(&b.requests, begin-1)
+	last := n + transit // the last bucket in which such a window begins
+	for i := last + transit + 2 - bucketsPerWindow; i <= n; i++ {
+		before += b.requestsIn(i)
+	}
+	remaining := math.Inf(1)
+	for begin := last; begin >= n-bucketsPerWindow; begin-- {
+		retries += b.arrivalsIn(begin)
+		next := begin + transit + 1 // the first bucket whose requests were all sent since the window began
+		since += b.requestsIn(next)
+		before += b.requestsIn(next-bucketsPerWindow) - b.requestsIn(next)
+		remaining = min(remaining, b.allowance(begin, boxes, since, before)-float64(retries))
 	}
-	return max(0, int(remaining))
+	return remaining
 }
 
 // allowance returns how many retries are allowed in a window that begins within bucket begin,
-// given the number of requests since and in the window before.
+// given the number of requests since then and in the window before.
 func (b *Budget) allowance(begin, boxes, since, before int) float64 {
 	allowed := b.cfg.Ratio * ((1-previousWindowShare)*float64(since) + previousWindowShare*float64(before))
-	if boxes > 0 && (b.firstStart || begin >= 0) {
+	// Retries of the process that ran before may arrive for Transit after its end.
+	if boxes > 0 && (b.firstStart || begin >= b.transitBuckets()) {
 		allowed += b.cfg.Slack / float64(boxes)
 	}
 	return allowed
 }
-
-// countAt returns the count of bucket i; 0 for buckets before the start.
-func countAt(buckets *[bucketsKept]int, i int) int {
-	if i < 0 {
-		return 0
-	}
-	return buckets[i%bucketsKept]
-}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -57,7 +57,7 @@
 		r.conns.putUnused(c)
 		return runUnsent, nil, err
 	}
-	if !x.spendRetry() {
+	if !x.takeRetry() {
 		r.conns.putUnused(c)
 		return runUnsent, nil, errBudget
 	}
@@ -66,9 +66,7 @@
 	x.startReadWait(sent)
 	resp, err := r.readResponse(c, o.id, sent)
 	x.endReadWait()
-	if x.runsSent > 0 {
-		x.logRetried(sent.began, err)
-	}
+	x.endRetry(sent.began, err)
 	if err != nil {
 		x.detachConn()
 		r.conns.discard(c)
--- a/relay/dial.go
+++ b/relay/dial.go
@@ -31,8 +31,8 @@
 // closing the connection.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// userTimeoutMillis is how long sent bytes may stay unacknowledged, in ms.
-const userTimeoutMillis = 1200
+// userTimeout is how long sent bytes may stay unacknowledged before the kernel gives them up.
+const userTimeout = 1200 * time.Millisecond
 
 // setSocketOptions sets the options of a connection to an upstream before it connects.
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
@@ -44,7 +44,7 @@
 	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
 	var set error
 	err := raw.Control(func(fd uintptr) {
-		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMillis)
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,8 +39,9 @@
 	triedInstances []balance.Incarnation // upstream instances it was sent to, or that could not be reached
 	runsSent       int                   // runs started
 	unreachable    int                   // upstreams that could not be reached
-	retryPaid      bool                  // the next run has already been taken from the retry budget
-	retryPaidAt    time.Time             // when that was; zero: it was not
+	retry          *balance.Retry        // of the run being sent, or taken for a move that is resumed; else nil
+	retryTakenAt   time.Time             // when it was taken for a move; zero: it was not
+	arrivedBy      time.Duration         // earlier runs have reached their upstreams by then, or never will
 	mayHaveRun     bool                  // an upstream may have run the request
 	runsCut        int                   // runs during which the upstream closed or reset the connection
 	refusalStatus  int                   // status of the last response in which an upstream refused the request
--- a/relay/move.go
+++ b/relay/move.go
@@ -35,6 +35,8 @@
 	from, to    balance.Upstream
 	copied      chan RunCopy    // receives one value
 	reservation *balance.Ticket // memory reserved for the copy until it is used or given up
+	retry       *balance.Retry  // the run that will continue from the copy
+	started     time.Time
 }
 
 // checkProgress reports the length of the response to the fleet, and starts a move if the response
@@ -69,30 +71,32 @@
 	}
 	p := balance.Progress{Events: x.events.total, EventInterval: x.pace.recent, TimeLeft: x.timeLeft()}
 	q := x.placement()
-	m, reservation := x.planMove(q, p)
-	if reservation == nil {
+	m, plan := x.planMove(q, p)
+	if m == nil {
 		return
 	}
-	r.cfg.Log.Event("run", "moves", Fields{"id": x.request.id, "upstream": x.upstream.ID, "to": m.To.ID, "events": p.Events,
-		"here_ms": m.Here.Milliseconds(), "there_ms": m.There.Milliseconds(), "left_ms": p.TimeLeft.Milliseconds()})
-	x.move = &move{from: x.upstream, to: m.To, copied: make(chan RunCopy, 1), reservation: reservation}
-	go r.requestCopy(x.move, x.request.id, x.service)
+	r.cfg.Log.Event("run", "moves", Fields{"id": x.request.id, "upstream": x.upstream.ID, "to": m.to.ID, "events": p.Events,
+		"here_ms": plan.Here.Milliseconds(), "there_ms": plan.There.Milliseconds(), "left_ms": p.TimeLeft.Milliseconds()})
+	x.move = m
+	go r.requestCopy(m, x.request.id, x.service)
 }
 
-// planMove decides whether the stream moves and reserves memory for its copy; without a ticket it
-// stays.
-func (x *exchange) planMove(q balance.Request, p balance.Progress) (balance.Move, *balance.Ticket) {
+// planMove decides whether the stream moves, and takes a retry and reserves memory for its copy; nil
+// means that it stays.
+func (x *exchange) planMove(q balance.Request, p balance.Progress) (*move, balance.Move) {
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
-	if !ok || !r.isCurrent(x.upstream) || !x.retryPaid && !r.budgets.ForService(x.service).Spend(r.now(), r.divisor()) {
-		return m, nil
+	plan, ok := r.fleet.MoveTo(r.now(), q, x.upstream.ID, p)
+	if !ok || !r.isCurrent(x.upstream) {
+		return nil, plan
 	}
-	if !x.retryPaid {
-		x.retryPaid, x.retryPaidAt = true, time.Now()
+	retry := r.budgets.ForService(x.service).Take(r.now(), r.divisor())
+	if retry == nil {
+		return nil, plan
 	}
-	return m, r.fleet.Reserve(m.To.ID, q)
+	reservation := r.fleet.Reserve(plan.To.ID, q)
+	return &move{from: x.upstream, to: plan.To, copied: make(chan RunCopy, 1), reservation: reservation, retry: retry, started: time.Now()}, plan
 }
 
 // closeReservation ends the reservation for the copy.
@@ -110,10 +114,15 @@
 	status, body, err := r.callUpstream(ctx, m.from, service, r.cfg.Protocol.MoveCall(id, m.to.Address))
 	if err != nil {
 		r.cfg.Log.Event("run", "not moved", Fields{"id": id, "upstream": m.from.ID, "error": err.Error()})
+		r.cancelRetry(m.retry) // the stream may go on for long where it is
 		m.copied <- RunCopy{}
 		return
 	}
-	m.copied <- r.cfg.Protocol.ParseMove(m.from.Address, status, body)
+	c := r.cfg.Protocol.ParseMove(m.from.Address, status, body)
+	if c.Name == "" {
+		r.cancelRetry(m.retry)
+	}
+	m.copied <- c
 }
 
 // callUpstream makes a call of the box itself to an upstream.
@@ -153,6 +162,7 @@
 		return false
 	}
 	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) {
+		x.relay.cancelRetry(m.retry)
 		x.relay.discardCopy(m, c, x)
 		return false
 	}
@@ -161,7 +171,10 @@
 	x.openMoved()
 	params := x.nextRun("")
 	params.runCopy = c.Memory
+	x.retry, x.retryTakenAt = m.retry, m.started
 	if state, _ := x.send(params); state != runAnswered {
+		x.relay.cancelRetry(x.retry) // unless it was sent
+		x.retry = nil
 		x.relay.discardCopy(m, c, x)
 		return false
 	}
--- a/relay/move_test.go
+++ b/relay/move_test.go
@@ -43,8 +43,17 @@
 
 // newMovingTestBox creates the box and its upstreams; copied responds to the call to copy the run.
 func newMovingTestBox(t *testing.T, copied func(c net.Conn, stop func())) *movingTestBox {
+	return newMovingTestBoxWithConfig(t, func(*Config) {}, newRetryArrivals(), copied)
+}
+
+// newMovingTestBoxWithConfig is newMovingTestBox with a configuration modified by change. The upstreams
+// fail requests for /safe/, and arrivals records what reaches them but for calls.
+func newMovingTestBoxWithConfig(t *testing.T, change func(*Config), arrivals *retryArrivals, copied func(c net.Conn, stop func())) *movingTestBox {
 	m := &movingTestBox{stopped: make(chan struct{})}
 	m.slow = newStub(t, "slow", func(c net.Conn, r stubRequest) bool {
+		if id := r.Header.Get("X-Id"); id != "" {
+			arrivals.note(id)
+		}
 		switch {
 		case r.URL.Path == "/copy":
 			copied(c, func() { close(m.stopped) })
@@ -54,6 +63,8 @@
 			return true
 		case r.Header.Get("X-Memory") != "":
 			return m.respondRest(c, r)
+		case strings.HasPrefix(r.URL.Path, "/safe/"):
+			return respond500(c, r)
 		}
 		startStream(c, r)
 		for i := 1; i <= 100; i++ {
@@ -66,8 +77,11 @@
 		}
 		return false
 	})
-	m.fast = newStub(t, "fast", m.respondRest)
-	m.testBox = newTestBoxWithProtocol(t, movingProtocol(), m.slow)
+	m.fast = newStub(t, "fast", arrivals.record(m.respondRest))
+	m.testBox = newTestBoxWithConfig(t, func(c *Config) {
+		c.Protocol = movingProtocol()
+		change(c)
+	}, m.slow)
 	document := testDocument(2)
 	document.Services[0].TransfersKV = true
 	m.publisher.set("document", document, false)
@@ -78,6 +92,9 @@
 
 // respondRest sends all events after the last one seen, and the end of the stream.
 func (m *movingTestBox) respondRest(c net.Conn, r stubRequest) bool {
+	if strings.HasPrefix(r.URL.Path, "/safe/") {
+		return respond500(c, r)
+	}
 	startStream(c, r)
 	var last int
 	_, _ = fmt.Sscan(r.Header.Get("X-Last"), &last)
@@ -174,6 +191,37 @@
 	is.Equal(len(m.fast.requests()), 0)
 }
 
+// The charge for a move that came to nothing was kept and paid for the stream's next retry, in a
+// window that did not contain it any more: a failure after such moves exceeded the budget.
+func TestFailedMovesDoNotPayForLaterRetries(t *testing.T) {
+	const streams = 3 // as many as the other upstream has room for
+	arrivals := newRetryArrivals()
+	m := newMovingTestBoxWithConfig(t, func(c *Config) { c.Budget = onlySlack }, arrivals, func(c net.Conn, _ func()) { respondCall(c, 404, "") })
+	m.awaitSlack()
+	done := make(chan callerResponse, streams)
+	for i := range streams {
+		go func() {
+			done <- m.do(m.request("POST", fmt.Sprintf("/flow/%d", i), "body", "X-Parts", "1:2000 2:100", "X-Expected", "100", "X-Left", "4800"))
+		}()
+	}
+	m.waitFor(func() bool { return len(m.slow.requests()) == streams })
+	m.listUpstream(m.fast, false)
+	m.waitFor(func() bool { return len(m.slow.requests()) == 2*streams }) // each has been asked to copy its run
+	m.awaitSlack()
+	close(m.stopped)
+	began := time.Now()
+	m.sendInParallel(10, func() bool { return time.Since(began) > onlySlack.Window/2 })
+	for range streams {
+		<-done
+	}
+	if n := arrivals.count(); n < int(onlySlack.Slack) {
+		t.Fatalf("%d retries arrived; the slack of %v is not used up", n, onlySlack.Slack)
+	}
+	if most := arrivals.most(onlySlack.Window); most > int(onlySlack.Slack) {
+		t.Fatalf("%d retries arrived within %v; %v are allowed", most, onlySlack.Window, onlySlack.Slack)
+	}
+}
+
 // A copy from which no run continues is freed.
 func TestUnusedCopyIsFreed(t *testing.T) {
 	is := is.New(t)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -129,6 +129,7 @@
 	}
 	r.startWall.Store(r.startedAt.UnixNano())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, LimitBounds: cfg.Limits, Off: cfg.Disabled, FirstStart: cfg.FirstStart})
+	cfg.Budget.Transit = userTimeout // the kernel delivers nothing later
 	r.budgets = balance.NewBudgets(cfg.Budget, r.now(), cfg.FirstStart)
 	r.conns = newConnPool(r.connectionCap)
 	r.conns.onConnect = r.recordConnectTime
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -142,6 +142,7 @@
 	}
 	x.endRun(false, balance.Neutral)
 	if x.move != nil {
+		x.relay.cancelRetry(x.move.retry)
 		x.relay.closeReservation(x.move)
 		x.relay.freeCopy(x.move, x.request.id, x.service)
 	}
