Retry budget: no slack in the first window after a first start either

Cause: the box that is started first divides the slack by the boxes it has heard so far. first_start gave it that share at once, since no process before it can have used any.

Change: a box has a share in windows that begin after its start, whoever ran before.

Cost: none where the first requests come a window after the start or later; before that, a box has its ratio alone.

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -8,8 +8,9 @@
 // A box does not know what the others spend, so each keeps to a bound that adds up over all
 // boxes: in any window it spends at most a fixed part of the ratio on the requests of that
 // window, the rest of the ratio on the requests of the previous window, and its share of the
-// slack. A box that has just started has no previous window, and the process that ran before it
-// may have used the box's share of the slack in any window that began before the start.
+// slack. A box that has just started has no previous window, and none of the slack in windows that
+// began before its start: the process that ran before it may have used its share, or, on the first
+// start of a deployment, the boxes do not all know of each other.
 //
 // Windows are those of arrivals at the upstreams, which a box does not see. A retry therefore
 // counts in every window from the time it is taken until it is known to have arrived or to be
@@ -47,19 +48,17 @@
 // Budget counts the requests that one box received for a service and the retries that it sent. It
 // is not safe for concurrent use.
 type Budget struct {
-	cfg        BudgetConfig
-	start      time.Duration
-	firstStart bool
-	requests   [bucketsKept]int // by bucket number modulo bucketsKept
-	arrivals   [bucketsKept]int // retries by the bucket in which they arrived at the latest
-	open       int              // retries that have not ended
-	newest     int              // number of the newest bucket, counted from the start
+	cfg      BudgetConfig
+	start    time.Duration
+	requests [bucketsKept]int // by bucket number modulo bucketsKept
+	arrivals [bucketsKept]int // retries by the bucket in which they arrived at the latest
+	open     int              // retries that have not ended
+	newest   int              // number of the newest bucket, counted from the start
 }
 
-// NewBudget returns the budget of a box that starts now. firstStart says that no process ran on
-// this box before, so that none of its slack can have been used.
-func NewBudget(cfg BudgetConfig, now time.Duration, firstStart bool) *Budget {
-	return &Budget{cfg: cfg, start: now, firstStart: firstStart}
+// NewBudget returns the budget of a box that starts now.
+func NewBudget(cfg BudgetConfig, now time.Duration) *Budget {
+	return &Budget{cfg: cfg, start: now}
 }
 
 // Retry is a retry that was taken from a budget and may still arrive at its upstream. Each is
@@ -205,8 +204,9 @@
 // given the number of requests since then and in the window before.
 func (b *Budget) allowance(begin, boxes, since, before int) float64 {
 	allowed := b.cfg.Ratio * ((1-previousWindowShare)*float64(since) + previousWindowShare*float64(before))
-	// Retries of the process that ran before may arrive for Transit after its end.
-	if boxes > 0 && (b.firstStart || begin >= b.transitBuckets()) {
+	// Retries of the process that ran before may arrive for Transit after its end. Where none ran before,
+	// the box may not have heard of all others yet.
+	if boxes > 0 && begin >= b.transitBuckets() {
 		allowed += b.cfg.Slack / float64(boxes)
 	}
 	return allowed
--- a/balance/budgets.go
+++ b/balance/budgets.go
@@ -11,22 +11,21 @@
 
 // Budgets holds the retry budgets of a box. It is not safe for concurrent use.
 type Budgets struct {
-	cfg        BudgetConfig
-	started    time.Duration
-	firstStart bool
-	byService  map[string]*Budget
+	cfg       BudgetConfig
+	started   time.Duration
+	byService map[string]*Budget
 }
 
-// NewBudgets returns the budgets of a box that starts now; firstStart is as for NewBudget.
-func NewBudgets(cfg BudgetConfig, now time.Duration, firstStart bool) *Budgets {
-	return &Budgets{cfg: cfg, started: now, firstStart: firstStart, byService: make(map[string]*Budget)}
+// NewBudgets returns the budgets of a box that starts now.
+func NewBudgets(cfg BudgetConfig, now time.Duration) *Budgets {
+	return &Budgets{cfg: cfg, started: now, byService: make(map[string]*Budget)}
 }
 
 // ForService returns the budget of a service and creates it if needed.
 func (b *Budgets) ForService(service string) *Budget {
 	budget := b.byService[service]
 	if budget == nil {
-		budget = NewBudget(b.cfg, b.started, b.firstStart)
+		budget = NewBudget(b.cfg, b.started)
 		b.byService[service] = budget
 	}
 	return budget
--- a/group/divisor_test.go
+++ b/group/divisor_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/wire"
 )
 
@@ -61,3 +62,57 @@
 		})
 	}
 }
+
+// While a deployment started, the first boxes divided the slack by the few that they had heard, and
+// spent several times the whole.
+func TestBoxesKeepToSlackDuringFirstStart(t *testing.T) {
+	const domains, perDomain = 3, 30
+	cfg := balance.BudgetConfig{Slack: 214, Window: 10 * time.Second}
+	for _, gap := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond} { // between two starts
+		t.Run(gap.String(), func(t *testing.T) {
+			w := newSimulation(t, 5)
+			w.domainCount = domains
+			for d := range domains {
+				w.seeds = append(w.seeds, boxName(d, 0))
+			}
+			budgets := make(map[string]*balance.Budget)
+			var spent []time.Duration
+			spendAll := func() { // all upstreams fail
+				for name, b := range budgets {
+					for r := b.Take(w.now, w.boxes[name].node.Divisor()); r != nil; r = b.Take(w.now, w.boxes[name].node.Divisor()) {
+						r.Arrived(w.now, w.now)
+						spent = append(spent, w.now)
+					}
+				}
+			}
+			for i := range perDomain {
+				for d := range domains {
+					name := boxName(d, i)
+					w.start(name, domainName(d), uint32(100-i), true)
+					budgets[name] = balance.NewBudget(cfg, w.now)
+					if gap > 0 {
+						w.run(gap)
+					}
+					spendAll()
+				}
+			}
+			for range 600 {
+				w.run(50 * time.Millisecond)
+				spendAll()
+			}
+			most, first := 0, 0
+			for i, at := range spent {
+				for at-spent[first] >= cfg.Window {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			if float64(most) > cfg.Slack {
+				t.Fatalf("%d retries within %v; %v are allowed", most, cfg.Window, cfg.Slack)
+			}
+			if len(spent) < int(cfg.Slack)/2 {
+				t.Fatalf("%d retries in all; the slack is not used", len(spent))
+			}
+		})
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,8 +43,8 @@
 	Limits    balance.LimitBounds // bounds on the rate limits that upstreams announce
 	Tuning    balance.Tuning
 	Disabled  balance.Off // mechanisms that are switched off
-	// FirstStart states that no box ran here before, so that no retries of an earlier process have to be
-	// assumed.
+	// FirstStart states that no box ran here before, so that no callers are waiting and no prompts are
+	// cached.
 	FirstStart bool
 	// Boxes is the number of boxes assumed to share limits until others are heard from.
 	Boxes int
@@ -130,7 +130,7 @@
 	r.startWall.Store(r.startedAt.UnixNano())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, LimitBounds: cfg.Limits, Off: cfg.Disabled, FirstStart: cfg.FirstStart})
 	cfg.Budget.Transit = userTimeout // the kernel delivers nothing later
-	r.budgets = balance.NewBudgets(cfg.Budget, r.now(), cfg.FirstStart)
+	r.budgets = balance.NewBudgets(cfg.Budget, r.now())
 	r.conns = newConnPool(r.connectionCap)
 	r.conns.onConnect = r.recordConnectTime
 	r.callerServer = newCallerServer(r)
