Known red: a box that has sent nothing takes a new limit for one that does not bind

One whose callers had all asked for another service sends its quota after 2.7 s: it judges whether the limit binds by what it has itself sent, none.

A trial that takes a limit for one that binds where the box has sent nothing mends it and fails five tests that expect an idle box to use its quota, and to ask whether a limit of 0 still holds, at once; which of the two is right for a service that is hardly used was not weighed.

--- a/balance/limitgate_test.go
+++ b/balance/limitgate_test.go
@@ -158,6 +158,16 @@
 	is.True(!f.LimitExhausted(advertised+5*time.Second, "u0"))
 }
 
+// A box that had sent nothing to a service took a new limit for one that does not bind, and sent its
+// quota in the span in which the requests of the other boxes already exceeded the limit.
+func TestBoxWithoutRequestsWaitsForFirstSpanOfLimit(t *testing.T) {
+	is := is.New(t)
+	f := limitedFleet(1, 2)
+	f.advertiseLimit(time.Second, "u0", 1)
+	is.True(f.LimitExhausted(2*time.Second, "u0"))
+	is.True(!f.LimitExhausted(7*time.Second, "u0"))
+}
+
 // A limit far above the request rate does not hold back requests when it is first advertised.
 func TestHighLimitHasNoFirstSpan(t *testing.T) {
 	is := is.New(t)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,7 +30,8 @@
 	for i, s := range seeds {
 		report, err := Run(context.Background(), Config{Daemon: daemon, Dir: t.TempDir(), Seed: s.seed,
 			Duration: 8 * time.Second, // advertised limits are checked only after the first 3 s
-			Boxes:    3, Upstreams: 4, Callers: 8, Net: 60 + i})
+			Boxes:    3, Upstreams: 4, Callers: 8, Net: 60 + i,
+			RetryWindow: 2 * time.Second}) // upstreams fail for longer than one window
 		is.NoErr(err)
 		t.Logf("seed %d: %v", s.seed, report)
 		is.Equal(len(report.Violations), 0) // see the log above
