Relay tests wait for the log's writer

Suspected, now shown: lines are queued by whoever logs and written by a goroutine of its own, and the test read the log before.

Checks that the log contains a line wait for it (awaitLog), and checks that it does not close the log first (closedLogContains), which is stricter than before: a line still queued would have been missed.

--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -84,8 +84,8 @@
 	b.waitFor(func() bool { return b.isIdle(0) })
 	b.waitFor(func() bool { return b.activeHandlers() == 0 })
 	is.Equal(b.relay.stats.counterValue(callersCutOff), uint64(callers))
-	b.waitFor(func() bool { return b.log.contains(`"msg":"request: caller does not read"`) })
-	is.True(!b.log.contains(`"msg":"run: failed"`)) // the upstream is not blamed
+	b.awaitLog(`"msg":"request: caller does not read"`)
+	is.True(!b.closedLogContains(`"msg":"run: failed"`)) // the upstream is not blamed
 	b.relay.mu.Lock()
 	defer b.relay.mu.Unlock()
 	for _, row := range b.relay.fleet.View(b.relay.now()) {
@@ -101,7 +101,7 @@
 	_, err := io.WriteString(b.dialBox(), rawRequest("/once/x", ""))
 	is.NoErr(err)
 	b.waitFor(func() bool { return b.relay.stats.counterValue(callersCutOff) == 1 && b.isIdle(0) })
-	b.waitFor(func() bool { return b.log.contains("takes nothing") })
+	b.awaitLog("takes nothing")
 }
 
 // A caller that reads slowly but steadily gets the whole response, however long it takes.
@@ -446,7 +446,7 @@
 	b.waitFor(func() bool { return b.isIdle(1) })
 	m := b.relay.state().Memory
 	is.Equal([]uint64{m.Bound, m.Used, m.TurnedAway, m.CutOff}, []uint64{1 << 20, callerBytes, 1, 0})
-	b.waitFor(func() bool { return b.log.contains(`"msg":"caller: turned away"`) })
+	b.awaitLog(`"msg":"caller: turned away"`)
 	var text bytes.Buffer
 	b.relay.WriteMetrics(&text)
 	is.True(strings.Contains(text.String(), "memory_bound_bytes 1048576\n"))
--- a/relay/evacuate_test.go
+++ b/relay/evacuate_test.go
@@ -37,7 +37,7 @@
 		is.Equal(b.do(b.request("GET", fmt.Sprintf("/safe/%d", i), "")).body, "2")
 	}
 	is.Equal(len(u1.requests()), 0)
-	is.True(b.log.contains("domain: evacuated"))
+	b.awaitLog("domain: evacuated")
 
 	b.publisher.set("evacuate/d2", "", false)
 	b.awaitEvacuated("d1", "d2")
@@ -50,7 +50,7 @@
 	b.publisher.set("evacuate/d1", "", true)
 	b.awaitEvacuated("d2")
 	is.Equal(b.do(b.request("POST", "/once/y", "")).body, "1")
-	is.True(b.log.contains("domain: taken back"))
+	b.awaitLog("domain: taken back")
 }
 
 // A run in an evacuated domain may finish there, but a stream that breaks continues elsewhere.
--- a/relay/incarnation_test.go
+++ b/relay/incarnation_test.go
@@ -110,8 +110,8 @@
 		is.NoErr(a.err)
 		is.Equal(a.body, event(1)+event(2))
 	}
-	is.True(b.log.contains("upstream: started again"))
-	is.True(b.log.contains("use of closed network connection")) // the cause that is logged
+	b.awaitLog("upstream: started again")
+	b.awaitLog("use of closed network connection") // the cause that is logged
 	is.Equal(len(next.requests()), streams)
 	close(answer)
 	is.Equal((<-once).body, "late")
@@ -199,8 +199,8 @@
 	b.waitFor(func() bool { return b.upstreamCount() == 2 })
 	b.listUpstream(u2, true)
 	b.waitFor(func() bool { return b.do(b.request("GET", "/safe/x", "")).body == "1" })
-	is.True(b.log.contains("entry unusable"))
-	b.waitFor(func() bool { return b.log.contains("published: not taken") })
+	b.awaitLog("entry unusable")
+	b.awaitLog("published: not taken")
 	is.Equal(b.log.count("published: not taken"), 1)
 }
 
@@ -298,7 +298,7 @@
 	is.Equal(b.listedStart("true"), int64(-1))
 	is.Equal(b.do(b.request("GET", "/safe/x", "")).body, "ok") // one refusal, then the second run is answered
 	is.Equal(b.listedStart("true"), int64(100))
-	is.True(b.log.contains("upstream: is another"))
+	b.awaitLog("upstream: is another")
 }
 
 // An entry of a service that the document does not name takes over no address until the
@@ -357,7 +357,7 @@
 	b.waitFor(func() bool { return len(u.requests()) == 1 })
 	b.listIncarnation(u, 200, false) // it started long before the connection was opened
 	b.awaitIncarnation("u", 200)
-	b.waitFor(func() bool { return b.log.contains(`"born":200`) })
+	b.awaitLog(`"born":200`)
 	close(proceed)
 	a := <-done
 	is.NoErr(a.err)
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -122,7 +122,7 @@
 	}, n.list...)
 	second := first.startPeer(self)
 	n.untilLimitSeen(first)
-	second.waitFor(func() bool { return second.log.contains(`"msg":"upstream: names a limit"`) })
+	second.awaitLog(`"msg":"upstream: names a limit"`)
 	before, _ := n.arrivals()
 	n.send(second, "second", 40)
 	all, most := n.arrivals()
@@ -251,7 +251,7 @@
 	is.True(known)
 	u := balance.Upstream{ID: "u0", StartedAt: 5, Service: "s", Address: n.list[0].listener.Addr().String(), Domain: "d", Slots: 8}
 	b.publisher.set("u0", u, false)
-	b.waitFor(func() bool { return b.log.contains(`"msg":"upstream: started again"`) })
+	b.awaitLog(`"msg":"upstream: started again"`)
 	_, known = b.limitOf("u0")
 	is.True(!known)
 }
--- a/relay/move_test.go
+++ b/relay/move_test.go
@@ -161,7 +161,7 @@
 			is.Equal(at.Header.Get("X-Id"), "id-"+path)
 			is.True(at.Header.Get("X-Last") != "")
 			is.Equal(at.body, "body")
-			is.True(m.log.contains("run: moves"))
+			m.awaitLog("run: moves")
 		})
 	}
 }
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -261,7 +261,7 @@
 			}
 			b.listIncarnation(u, 200, false)
 			b.awaitIncarnation("u", 200)
-			b.waitFor(func() bool { return b.log.contains("upstream: asked whether it is leaving") })
+			b.awaitLog("upstream: asked whether it is leaving")
 			b.waitFor(func() bool {
 				b.relay.mu.Lock()
 				defer b.relay.mu.Unlock()
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -71,5 +71,5 @@
 	x.upstream.StartedAt = 200
 	x.recordFailure(runUnsent, syscall.ECONNREFUSED)
 	is.Equal(idleConns(), 0)
-	b.waitFor(func() bool { return b.log.contains("out of reach") })
+	b.awaitLog("out of reach")
 }
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -156,7 +156,7 @@
 		is.Equal((<-done).status, http.StatusOK)
 	}
 	is.Equal(b.waitingRequests(), 0)
-	is.True(b.log.contains("upstream: used as before its pause"))
+	b.awaitLog("upstream: used as before its pause")
 }
 
 // A request whose time ends before the pause is refused at once, with the end of the pause as
@@ -218,7 +218,7 @@
 		time.Sleep(overloadPauseElapsed)
 	}
 	is.Equal(len(u.requests()), 2)
-	is.True(b.log.contains("upstream: pause not taken"))
+	b.awaitLog("upstream: pause not taken")
 }
 
 // A box that is stopping refuses waiting requests at once, since the pause may outlast its
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -137,8 +137,8 @@
 			} else {
 				is.True(strings.Contains(a.body, `"ran":"unknown"`))
 			}
-			b.waitFor(func() bool { return b.log.contains(`"msg":"run: silent"`) })
-			is.True(!b.log.contains(`"msg":"upstream: out of reach"`))
+			b.awaitLog(`"msg":"run: silent"`)
+			is.True(!b.closedLogContains(`"msg":"upstream: out of reach"`))
 			asked := b.relay.stats.counterValue("upstreams_asked")
 			is.True(asked >= confirmations && asked <= confirmations+2) // before the response, the first report may come too early to show loss
 			b.waitFor(func() bool { return b.relay.stats.openRequests.Load() == 0 })
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -47,7 +47,6 @@
 // A request still active at the end of the grace period is cut off when the process exits. The log
 // must report each of them.
 func TestStopLogsEachRequestItCuts(t *testing.T) {
-	is := is.New(t)
 	release := make(chan struct{})
 	started := make(chan struct{})
 	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
@@ -60,8 +59,8 @@
 	go func() { result <- b.do(b.request("POST", "/once/x", "")) }()
 	<-started
 	b.relay.Stop()
-	b.waitFor(func() bool { return b.log.contains(`"msg":"request: cut by the stop"`) })
-	is.True(b.log.contains(`"upstream":"u1"`))
+	b.awaitLog(`"msg":"request: cut by the stop"`)
+	b.awaitLog(`"upstream":"u1"`)
 	close(release)
 	<-result
 }
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -357,6 +357,19 @@
 	b.t.Fatal("timed out waiting for a condition")
 }
 
+// awaitLog waits until the log, which a goroutine of its own writes, contains a text.
+func (b *testBox) awaitLog(text string) {
+	b.t.Helper()
+	b.waitFor(func() bool { return b.log.contains(text) })
+}
+
+// closedLogContains reports whether the log contains a text after everything logged so far is written.
+// Nothing is logged afterwards.
+func (b *testBox) closedLogContains(text string) bool {
+	_ = b.relay.cfg.Log.Close() // never fails
+	return b.log.contains(text)
+}
+
 // callerResponse is the response that a caller received.
 type callerResponse struct {
 	status int
--- a/relay/suspension_test.go
+++ b/relay/suspension_test.go
@@ -54,7 +54,7 @@
 	clock.suspend(2 * time.Hour)
 	b.waitFor(func() bool { return len(got) > 0 })
 	is.Equal((<-got).status, http.StatusGatewayTimeout)
-	is.True(b.log.contains("box: was suspended"))
+	b.awaitLog("box: was suspended")
 }
 
 func TestRetryAfterSuspensionGetsRemainingTime(t *testing.T) {
@@ -77,7 +77,7 @@
 	go func() { got <- b.do(b.request(http.MethodPost, "/safe/x", "", "X-Left", "4000")) }()
 	<-began
 	clock.suspend(2 * time.Second)
-	b.waitFor(func() bool { return b.log.contains("box: was suspended") })
+	b.awaitLog("box: was suspended")
 	close(goOn)
 	is.Equal((<-got).status, http.StatusOK)
 	ms, err := strconv.Atoi(<-left)
--- a/relay/withhold_test.go
+++ b/relay/withhold_test.go
@@ -151,7 +151,7 @@
 	withheld := m.b.relay.state().Withheld
 	is.Equal(len(withheld), 1)
 	is.Equal(withheld[0].Ended, uint32(2))
-	m.b.waitFor(func() bool { return m.b.log.contains(`"content":"` + withheld[0].Content + `"`) })
+	m.b.awaitLog(`"content":"` + withheld[0].Content + `"`)
 }
 
 // A request that was answered completely is not withheld, though upstreams ended during other
@@ -268,7 +268,7 @@
 	warm.Wait()
 	got := b.do(b.request(http.MethodPost, "/safe/x", "x"))
 	is.Equal(got.status, http.StatusOK)
-	is.True(!b.log.contains("content: withheld"))
+	is.True(!b.closedLogContains("content: withheld"))
 	mu.Lock()
 	defer mu.Unlock()
 	is.True(!usedIdle)
@@ -284,7 +284,7 @@
 		b := newTestBox(t, u)
 		if leaving {
 			b.listUpstream(u, true)
-			b.waitFor(func() bool { return b.log.contains(`"leaving":true`) })
+			b.awaitLog(`"leaving":true`)
 		}
 		const content = 7
 		b.relay.mu.Lock()
@@ -292,7 +292,7 @@
 		b.relay.mu.Unlock()
 		next := &stub{id: "next", listener: u.listener}
 		b.listUpstream(next, false)
-		b.waitFor(func() bool { return b.log.contains(`"upstream":"next"`) }) // its entry is applied completely
+		b.awaitLog(`"upstream":"next"`) // its entry is applied completely
 		b.relay.mu.Lock()
 		is.Equal(b.relay.crashSuspects.Suspected(content), !leaving)
 		b.relay.mu.Unlock()
