Test: a retry counts longer where an earlier run may still arrive

A run that the box gives up (here: its domain counts as cut off) reaches its upstream after the retry did elsewhere, and is the second arrival.

--- a/relay/retryarrival_test.go
+++ b/relay/retryarrival_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/doormast/doormast/balance"
 )
 
@@ -152,3 +154,37 @@
 		t.Fatalf("%d retries arrived within %v; %v are allowed", most, onlySlack.Window, onlySlack.Slack)
 	}
 }
+
+// A run that the box gives up may still reach its upstream, as when the upstream's process is stopped.
+// The retry that follows was then counted a window before the second arrival.
+func TestRetryAfterRunThatMayStillArriveCountsLonger(t *testing.T) {
+	is := is.New(t)
+	var delay atomic.Int64
+	var hold sync.RWMutex
+	hold.Lock()
+	stopped, other := newStub(t, "stopped", respondOK("late")), newStub(t, "other", respondOK("ok"))
+	path := newPath(t, stopped, &delay, &hold)
+	b := newTestBoxWithConfig(t, func(c *Config) { c.Budget = onlySlack }, path)
+	b.awaitSlack()
+	answered := make(chan callerResponse, 1)
+	go func() { answered <- b.do(b.request("GET", "/safe/x", "")) }()
+	b.waitFor(func() bool {
+		b.relay.mu.Lock()
+		defer b.relay.mu.Unlock()
+		return len(b.relay.runConns) == 1
+	})
+	b.listUpstream(other, false)
+	b.waitFor(func() bool { return b.upstreamCount() == 2 })
+	b.relay.closeRetriableRunsIn("d")
+	is.Equal((<-answered).body, "ok")
+	is.Equal(len(other.requests()), 1)
+	is.Equal(len(stopped.requests()), 0)
+	hold.Unlock()
+	b.waitFor(func() bool { return len(stopped.requests()) == 1 }) // the second arrival
+
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	budget, now := b.relay.budgets.ForService("s"), b.relay.now()
+	is.Equal(budget.Use(now+onlySlack.Window*3/2, 1).Spent, 1) // the second arrival is in this window
+	is.Equal(budget.Use(now+3*onlySlack.Window, 1).Spent, 0)
+}
