--- a/soak/retries.go
+++ b/soak/retries.go
@@ -21,11 +21,11 @@
 	failedShare = 70
 	// defaultRetryWindow is the window of the retry budget where the run sets none.
 	defaultRetryWindow = 10 * time.Second
-	// Requests are slow to reach the upstreams for the first part of a failing period, the inverse of
-	// slowPathShare of a window, by a delay between the two bounds. Retries that were sent meanwhile arrive
-	// close to those that are sent once the slack is free again.
-	slowPathShare                        = 4
-	minSlowPathDelayMs, slowPathJitterMs = 200, 700
+	// slowPathPart is the part of a window, at the start of a failing period, for which requests take longer
+	// to reach the upstreams. Retries sent meanwhile arrive closer to those of the next window.
+	slowPathPart       = 0.25
+	minSlowPathDelayMs = 200 // additional time, with up to slowPathJitterMs more
+	slowPathJitterMs   = 700
 )
 
 // startHealthy starts the upstreams that no fault affects, except that they may announce leaving or pauses.
@@ -57,7 +57,8 @@
 		w.failing.Add(1)
 		w.pathDelay.Store(int64(delay))
 	})
-	time.AfterFunc(third+w.retryWindow()/slowPathShare, func() { w.pathDelay.Store(0) })
+	slowPath := time.Duration(slowPathPart * float64(w.retryWindow()))
+	time.AfterFunc(third+slowPath, func() { w.pathDelay.Store(0) })
 	time.AfterFunc(2*third, func() { w.failing.Add(-1) })
 }
 
