Limits: the first span follows what all boxes have sent, not one box's share

Callers saw nothing; an upstream in need got more than it names right after it had named it.

Cause: a box judged what all boxes send by its own requests times the number of boxes. One that had sent nothing concluded that nobody had, and used its quota in the span that the requests of others already exceeded.

Ruled out: a limit told late (5 ms), a quota too large (one request).

Change: boxes count what they sent before they knew a limit; members tell their lead, leads each other's, and all learn the total. A sum counts only if every live box is in it. Until then nothing is sent within the first span; then what the total leaves of the bound, by the same quotas. A request that only waits for a total waits for 0.2 s, and a quarter of its time, at the most. Older boxes read the messages as loads without changes; while one is there, or a box is silent, others wait for the first span as a binding limit always did.

--- a/balance/doc.go
+++ b/balance/doc.go
@@ -23,7 +23,8 @@
 //     memory.go, request.go
 //   - who is refused: admit.go; what is sent again: budget.go, budgets.go; what moves: move.go, answers.go
 //   - which upstreams are avoided: health.go, reach.go, recovery.go, evacuate.go
-//   - how much an upstream is sent: cold.go, limitstate.go, limitquota.go, limitgate.go, pause.go
+//   - how much an upstream is sent: cold.go, limitstate.go, limitprior.go, limitquota.go,
+//     limitgate.go, pause.go
 //   - which upstreams are reserved for tight streams: separation.go, lane.go, laneneed.go, lanesize.go, rate.go
 //   - which requests are withheld: suspects.go
 //   - what boxes report to each other: partreport.go, classreport.go, limitreport.go, suspectreport.go
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -106,9 +107,10 @@
 	historiesSweptAt time.Duration       // when the histories of unlisted incarnations were last swept
 	evacuated        map[string]bool     // failure domains
 	memoryShare      float64             // share of an upstream's memory that this box may fill; 1 if it knows the other boxes' loads
-	boxCount         int                 // number of all boxes, as far as known
 	quotaPeers       QuotaPeers          // boxes that share the quotas
 	limits           limitTable          // rate limits that upstreams state in their answers
+	priorsStale      bool                // the counts of TakePriorCounts have changed
+	priorsUntil      time.Duration       // when the first of them is no longer needed
 	pauses           map[uint32]*pause   // that upstreams requested, by incarnation key
 	endedPauses      []uint32            // incarnation keys of pauses that ended, not yet returned by PausesOver
 	coldMembers      []*member           // upstreams that are cold, and some that were
@@ -142,6 +144,7 @@
 		rtts:           make(map[string]*rttEstimate),
 		prefillRate:    cfg.Tuning.PrefillRate,
 		memoryShare:    1,
+		priorsUntil:    math.MaxInt64,
 	}
 }
 
--- a/balance/limitgate.go
+++ b/balance/limitgate.go
@@ -14,26 +14,19 @@
 // NoteLimitStatement records what an answer from an upstream incarnation says about its limit.
 func (f *Fleet) NoteLimitStatement(now time.Duration, incarnation Incarnation, s LimitStatement) (LimitChange, bool) {
 	c, changed := f.limits.observe(incarnation.Key(), s)
-	f.applyLimitChanges(now, c)
+	f.countPrior(now, incarnation.Key())
+	f.quotasStale = f.quotasStale || changed
 	return c, changed
 }
 
 // MergeLimits merges reports of limits from other boxes and returns the changes.
 func (f *Fleet) MergeLimits(now time.Duration, list []LimitReport) []LimitChange {
 	changes := f.limits.mergeReports(now, list)
-	f.applyLimitChanges(now, changes...)
-	return changes
-}
-
-// applyLimitChanges updates this box's view of limits that have changed.
-func (f *Fleet) applyLimitChanges(now time.Duration, changes ...LimitChange) {
-	for _, c := range changes {
-		x, m := f.limits.active(c.Life), f.byKey[c.Life]
-		if x != nil {
-			f.quotasStale = true
-			x.mayBind = m == nil || f.mayBind(now, m, x.perSecond)
-		}
+	for _, report := range list {
+		f.countPrior(now, report.Life)
 	}
+	f.quotasStale = f.quotasStale || len(changes) > 0
+	return changes
 }
 
 // TakeLimitNews returns the limits to report to other boxes since the last call.
@@ -118,21 +111,24 @@
 }
 
 // limitWait returns the time until this box may send another request to an upstream; 0: now.
-// During the first span under a new limit, the requests sent before already exceed it.
 func (f *Fleet) limitWait(now time.Duration, m *member, x *limitState) time.Duration {
 	f.refreshQuotas(now)
-	var left time.Duration
-	if x.mayBind { // boxes that had no report of the limit yet have sent more meanwhile
-		left = max(0, x.droppedAt+f.cfg.LimitBounds.Span+maxTransit-now)
-	}
 	_, span := f.cfg.LimitBounds.allowance(x.perSecond)
-	switch over := m.history.within(now, span) - x.quota; {
+	quota, left := x.quota, time.Duration(0)
+	if inFirstSpan := f.firstSpanEnd(x) - now; inFirstSpan > 0 {
+		quota = min(x.quota, x.firstQuota)
+		left = inFirstSpan
+	}
+	sent := m.history.within(now, span)
+	switch {
+	case sent < quota:
+		return 0
 	case x.quota == 0:
 		return max(left, span) // the whole allowance belongs to other boxes
-	case over >= 0:
-		return max(left, m.history.sent[len(m.history.sent)-x.quota]+span-now)
+	case sent < x.quota:
+		return left
 	}
-	return left
+	return max(left, m.history.sent[len(m.history.sent)-x.quota]+span-now)
 }
 
 // LimitLeft estimates the time until an upstream of a service that advertises a limit can take a
--- a/balance/limitgate_test.go
+++ b/balance/limitgate_test.go
@@ -28,6 +28,13 @@
 	f.NoteLimitStatement(now, f.byID[id].Incarnation(), LimitStatement{Named: true, PerSecond: perSecond, Sent: now - 1, Read: now})
 }
 
+// notePriorTotal records that all boxes together sent an upstream a number of requests before they
+// knew its limit.
+func (f *Fleet) notePriorTotal(id string, sent int) {
+	key := f.keyOf(id)
+	f.NotePriorTotals([]PriorCount{{Life: key, Start: f.limits.active(key).start(), Sent: sent}})
+}
+
 func TestLimitAllowance(t *testing.T) {
 	for _, c := range []struct {
 		perSecond float64
@@ -108,7 +115,9 @@
 func TestQuotaIsUsedThenOtherUpstreams(t *testing.T) {
 	is := is.New(t)
 	f := limitedFleet(1, 2)
-	f.advertiseLimit(time.Second, "u0", 1) // 5 in 5 s, of which this domain has 3
+	f.advertiseLimit(time.Second, "u0", 1)         // 5 in 5 s, of which this domain has 3
+	is.True(f.LimitExhausted(2*time.Second, "u0")) // it is not known what the other boxes have sent
+	f.notePriorTotal("u0", 0)
 	to := make(map[string]int)
 	for range 10 {
 		to[f.placeAndSend(2*time.Second, 0)]++
@@ -177,6 +186,8 @@
 	}
 	f.advertiseLimit(2*time.Second, "u0", 100)
 	f.advertiseLimit(2*time.Second, "u1", 100)
+	f.notePriorTotal("u0", 10)
+	f.notePriorTotal("u1", 10)
 	is.True(!f.LimitExhausted(2*time.Second, "u0"))
 	is.True(!f.LimitExhausted(2*time.Second, "u1"))
 }
@@ -201,6 +212,7 @@
 	is := is.New(t)
 	f := limitedFleet(1, 1)
 	f.advertiseLimit(time.Second, "u0", 1)
+	f.notePriorTotal("u0", 0)
 	is.Equal(f.placeAndSend(time.Second, 1), "u0") // no more urgent request was refused
 	for f.placeAndSend(time.Second, 0) != "" {
 	}
@@ -216,6 +228,7 @@
 	is := is.New(t)
 	f := limitedFleet(1, 2)
 	f.advertiseLimit(time.Second, "u0", 0)
+	f.notePriorTotal("u0", 0)
 	f.Open(time.Second, "u1", Request{Service: "s"}).Close(time.Second, Unreachable)
 	is.True(f.byID["u1"].unreachable)
 	is.Equal(f.placeAndSend(time.Second, 0), "u0") // the request that probes whether the limit still holds
@@ -231,6 +244,7 @@
 	f := limitedFleet(1, 1)
 	u := *f.Get("u0")
 	f.advertiseLimit(time.Second, "u0", 1)
+	f.notePriorTotal("u0", 0)
 	is.Equal(f.placeAndSend(time.Second, 0), "u0")
 	f.Remove("u0")
 	f.ExpireLimits(30 * time.Second)
--- a/balance/limitquota.go
+++ b/balance/limitquota.go
@@ -27,29 +27,32 @@
 	// fewer than that: otherwise the end of the limit would go unnoticed. One request in 10 s is
 	// far within any bound.
 	probeInterval = 10 * time.Second
-	// imbalanceFactor is how many times the mean of its service an upstream may be sent; a limit
-	// above that is taken not to bind.
-	imbalanceFactor = 2
 )
 
 // allowance returns how many requests all boxes together may send under a limit, and within which
 // time span.
 func (b LimitBounds) allowance(perSecond float64) (requests int, span time.Duration) {
 	span = b.Span + maxTransit
-	bound := max(b.Overshoot, 1)*perSecond*b.Span.Seconds() + b.Slack
-	requests = int(min(perSecond*span.Seconds(), bound/2))
+	requests = int(min(perSecond*span.Seconds(), b.maxRequests(perSecond)/2))
 	if requests > 0 {
 		return requests, span
 	}
 	return 1, time.Duration(min(float64(time.Second)/perSecond, float64(probeInterval)))
 }
 
-// refreshLimitQuotas recomputes the quota of this box for each limit.
+// maxRequests returns how many requests an upstream may get under a limit within the span, from
+// all boxes together.
+func (b LimitBounds) maxRequests(perSecond float64) float64 {
+	return max(b.Overshoot, 1)*perSecond*b.Span.Seconds() + b.Slack
+}
+
+// refreshLimitQuotas recomputes the quotas of this box for each limit.
 func (f *Fleet) refreshLimitQuotas() {
 	for incarnation, x := range f.limits.byIncarnation {
 		if m := f.byKey[incarnation]; m != nil && x.inForce() {
 			requests, _ := f.cfg.LimitBounds.allowance(x.perSecond)
 			x.quota = f.quotaPeers.quota(m.ID, f.domainLimitShare(m, requests))
+			x.firstQuota = f.quotaPeers.quota(m.ID, f.domainLimitShare(m, f.firstSpanAllowance(x)))
 		}
 	}
 }
@@ -72,16 +75,3 @@
 	}
 	return requests - each*(len(domains)-1)
 }
-
-// mayBind reports whether a limit may be lower than what an upstream is sent without it, judged
-// by what this box sent recently to all upstreams of the service. Only in that case do earlier
-// requests exceed the limit.
-func (f *Fleet) mayBind(now time.Duration, m *member, perSecond float64) bool {
-	requests, span := f.cfg.LimitBounds.allowance(perSecond)
-	sum := 0
-	for _, other := range f.byService[m.Service] {
-		sum += other.history.within(now, span)
-	}
-	usual := float64(sum*max(f.boxCount, 1)) / float64(max(len(f.byService[m.Service]), 1))
-	return imbalanceFactor*usual >= float64(requests)
-}
--- a/balance/limitreport.go
+++ b/balance/limitreport.go
@@ -104,7 +104,7 @@
 	case read <= x.endedAt:
 		return // the reported limit has ended since
 	case !x.inForce():
-		*x = limitState{perSecond: t.PerSecond, baseline: t.PerSecond, droppedAt: since, lastRead: read, endedAt: x.endedAt}
+		*x = limitState{perSecond: t.PerSecond, baseline: t.PerSecond, droppedTo: t.PerSecond, droppedAt: since, lastRead: read, endedAt: x.endedAt}
 	case read > x.lastRead+reportTolerance, read > x.lastRead-reportTolerance && t.PerSecond < x.perSecond:
 		x.set(t.PerSecond, since)
 	}
--- a/balance/limitstate.go
+++ b/balance/limitstate.go
@@ -38,13 +38,15 @@
 
 // limitState is what is known about the limit of an upstream incarnation.
 type limitState struct {
-	perSecond float64
-	droppedAt time.Duration // when it was first advertised, or last dropped significantly
-	baseline  float64       // baseline for the next significant drop
-	lastRead  time.Duration // when an answer that advertises it was last read
-	endedAt   time.Duration // when the latest request was sent whose answer advertises none
-	mayBind   bool          // may be lower than what the upstream is sent without it
-	quota     int           // requests that this box may send within the time span
+	perSecond  float64
+	droppedAt  time.Duration  // when it was first advertised, or last dropped significantly
+	droppedTo  float64        // value at that time
+	baseline   float64        // baseline for the next significant drop
+	lastRead   time.Duration  // when an answer that advertises it was last read
+	endedAt    time.Duration  // when the latest request was sent whose answer advertises none
+	prior      *priorRequests // nil until this box has counted its own
+	quota      int            // requests that this box may send within the time span
+	firstQuota int            // the same in the first span under the limit
 }
 
 // inForce reports whether the limit applies: no answer without a limit has certainly begun after
@@ -55,7 +57,7 @@
 func (x *limitState) set(perSecond float64, since time.Duration) {
 	x.perSecond = perSecond
 	if perSecond < significantDrop*x.baseline {
-		x.droppedAt, x.baseline = since, perSecond
+		x.droppedAt, x.droppedTo, x.baseline = since, perSecond, perSecond
 	}
 	x.baseline = max(x.baseline, perSecond)
 }
@@ -98,7 +100,7 @@
 			x.endedAt = max(x.endedAt, s.Sent)
 		case !s.Named:
 		case !x.inForce():
-			*x = limitState{perSecond: s.PerSecond, baseline: s.PerSecond, droppedAt: s.Read, lastRead: s.Read, endedAt: x.endedAt}
+			*x = limitState{perSecond: s.PerSecond, baseline: s.PerSecond, droppedTo: s.PerSecond, droppedAt: s.Read, lastRead: s.Read, endedAt: x.endedAt}
 		case certainlyLater || s.PerSecond < x.perSecond:
 			x.set(s.PerSecond, s.Read)
 		}
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -37,7 +37,7 @@
 
 // SetBoxes sets the number of boxes, and whether this box knows the loads of the others.
 func (f *Fleet) SetBoxes(boxes int, informed bool) {
-	f.memoryShare, f.boxCount = 1, boxes
+	f.memoryShare = 1
 	if !informed {
 		f.memoryShare = 1 / float64(max(boxes, 1))
 	}
--- a/group/limit_replay_test.go
+++ b/group/limit_replay_test.go
@@ -50,23 +50,27 @@
 	domains, boxes, upstreams int
 	perSecond                 float64 // requests, over all boxes
 	prompts                   bool    // requests have prompts
+	inTurn                    bool    // requests arrive at one box after the other; otherwise at random ones
 	limitsDisabled            bool    // boxes ignore limits
 }
 
 // limitReplay replays requests at boxes whose upstreams announce limits, on a virtual clock.
 type limitReplay struct {
-	cfg            limitReplayConfig
-	sim            *simulation
-	upstreams      []*limitedUpstream
-	fleets         map[string]*balance.Fleet
-	fleetBoxes     map[string]*testBox
-	disturbedUntil map[string]time.Duration // by box: until when it counts as out of contact
-	heads          []responseHead
-	nextArrival    time.Duration
-	way            time.Duration // additional time that requests take to reach an upstream
-	arrivals       int
-	refused        [balance.UrgencyLevels]int
-	placed         [balance.UrgencyLevels]int
+	cfg             limitReplayConfig
+	sim             *simulation
+	upstreams       []*limitedUpstream
+	fleets          map[string]*balance.Fleet
+	fleetBoxes      map[string]*testBox
+	disturbedUntil  map[string]time.Duration // by box: until when it counts as out of contact
+	heads           []responseHead
+	waitingRequests []waitingRequest
+	nextArrival     time.Duration
+	arriveAt        []string      // the boxes that requests arrive at; none: all
+	silent          string        // a box that reports no requests sent before limits were known, like an older version
+	way             time.Duration // additional time that requests take to reach an upstream
+	arrivals        int
+	refused         [balance.UrgencyLevels]int
+	placed          [balance.UrgencyLevels]int
 }
 
 // limitBounds are the bounds that boxes observe.
@@ -115,6 +119,7 @@
 		d.sim.run(step)
 		d.syncFleets()
 		d.deliverHeads()
+		d.placeWaiting()
 		for ; d.sim.now >= d.nextArrival; d.nextArrival += time.Duration(float64(time.Second) / d.cfg.perSecond) {
 			d.arrive()
 		}
@@ -142,25 +147,65 @@
 			b.node.SetLimits(f.KnownLimits(now))
 		}
 		b.node.FlushLimits(now)
+		if name != d.silent {
+			if counts, changed := f.TakePriorCounts(now); changed {
+				b.node.SetPriorCounts(counts)
+			}
+			b.node.FlushPriorCounts(now)
+			f.NotePriorTotals(b.node.DrainPriorTotals())
+		}
 		d.sim.sendOutgoing(b)
 	}
 }
 
+// waitingRequest is a request that waits for the total of requests sent before a limit.
+type waitingRequest struct {
+	box     string
+	request balance.Request
+}
+
 // arrive handles a new request at a random box.
 func (d *limitReplay) arrive() {
 	d.arrivals++
-	name := d.sim.names[d.sim.random.IntN(len(d.sim.names))]
+	names := d.sim.names
+	if len(d.arriveAt) > 0 {
+		names = d.arriveAt
+	}
+	name := names[d.sim.random.IntN(len(names))]
+	if d.cfg.inTurn {
+		name = names[d.arrivals%len(names)]
+	}
 	b := d.sim.boxes[name]
 	if b.dead || b.frozen {
 		return
 	}
-	f, now := d.fleetOf(name), d.sim.now
 	r := balance.Request{Service: "s", Urgency: d.arrivals % 2}
 	if d.cfg.prompts {
 		r.Parts, r.Tokens = []balance.Part{{ID: d.sim.random.Uint64(), Tokens: 500}, {ID: d.sim.random.Uint64(), Tokens: 100}}, 600
 	}
+	d.place(name, r)
+}
+
+// placeWaiting places the waiting requests again.
+func (d *limitReplay) placeWaiting() {
+	list := d.waitingRequests
+	d.waitingRequests = nil
+	for _, w := range list {
+		if b := d.sim.boxes[w.box]; !b.dead && !b.frozen {
+			d.place(w.box, w.request)
+		}
+	}
+}
+
+// place sends a request that a box has received, lets it wait or refuses it.
+func (d *limitReplay) place(name string, r balance.Request) {
+	b, f, now := d.sim.boxes[name], d.fleetOf(name), d.sim.now
 	choice, ok := f.Place(now, r, nil)
-	if !ok {
+	switch {
+	case !ok && f.PriorTotalWait(now, r.Service) > 0:
+		d.waitingRequests = append(d.waitingRequests, waitingRequest{name, r})
+		return
+	case !ok:
 		d.refused[r.Urgency]++
 		return
 	}
--- a/group/messagekind.go
+++ b/group/messagekind.go
@@ -20,6 +20,7 @@
 	KindPromptParts    Kind = "parts"          // prompt parts sent to upstreams
 	KindSuspects       Kind = "ended under"    // requests that upstreams crash under
 	KindLimits         Kind = "limits"         // rate limits that upstreams announce
+	KindPriorCounts    Kind = "prior counts"   // requests sent before limits were known
 	KindPullResponse   Kind = "all, to a pull" // all published data, in the response to a pull
 )
 
@@ -43,6 +44,8 @@
 		return KindSuspects
 	case carriesLimits(m):
 		return KindLimits
+	case carriesPriorCounts(m):
+		return KindPriorCounts
 	case m.Partial:
 		return KindLoadChanges
 	case m.HasLoads:
--- a/group/node.go
+++ b/group/node.go
@@ -7,8 +7,8 @@
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
-// upstreams crash under, and limits.go the rate limits that upstreams announce. The invariant:
-// messages leave a Node only through Drain.
+// upstreams crash under, limits.go the rate limits that upstreams announce, and priorcounts.go the
+// requests sent before limits were known. The invariant: messages leave a Node only through Drain.
 
 import (
 	"time"
@@ -116,13 +116,14 @@
 	loadsAt            time.Duration // when its complete list was received
 	regionLoadsAt      time.Duration
 	otherRegionLoadsAt time.Duration
-	loadsSent          bool                     // as this box's leader, it was sent all loads of this box
-	sentLoads          Loads                    // the loads it holds for this box
-	allLoadsSentAt     time.Duration            // when it was last sent the complete list
-	lastLoadsSentAt    time.Duration            // when it was last sent any loads
-	classes            []balance.ClassStats     // what it last reported about classes
-	classesAt          time.Duration            // when that was received
-	lastParts          map[uint32]receivedParts // the last message about prompt parts, by scope
+	loadsSent          bool                          // as this box's leader, it was sent all loads of this box
+	sentLoads          Loads                         // the loads it holds for this box
+	allLoadsSentAt     time.Duration                 // when it was last sent the complete list
+	lastLoadsSentAt    time.Duration                 // when it was last sent any loads
+	classes            []balance.ClassStats          // what it last reported about classes
+	classesAt          time.Duration                 // when that was received
+	lastParts          map[uint32]receivedParts      // the last message about prompt parts, by scope
+	priorCounts        map[uint32]balance.PriorCount // requests before limits: its own, or the sum of its domain if it leads another one
 }
 
 // sameDomain reports whether a peer belongs to this box's failure domain.
@@ -199,6 +200,8 @@
 	suspects replicator[balance.Suspect]     // requests that upstreams crash under
 	limits   replicator[balance.LimitReport] // rate limits that upstreams announce
 
+	priorCounts priorCounts // requests sent before limits were known
+
 	pendingParts  []pendingPart        // to be sent
 	receivedParts []balance.PartReport // received from other boxes and not drained yet
 }
@@ -231,6 +234,7 @@
 		reordered:             reorderBuffer{lastAt: never},
 		suspects:              newReplicator(suspectReplication),
 		limits:                newReplicator(limitReplication),
+		priorCounts:           priorCounts{lastFlush: never},
 		pendingCheckedAt:      never,
 		changedLoads:          make(map[balance.LoadKey]struct{}),
 		otherLoads:            make(Loads),
--- a/group/receive.go
+++ b/group/receive.go
@@ -19,6 +19,10 @@
 		n.handleParts(now, m)
 		return
 	}
+	if carriesPriorCounts(m) {
+		n.handlePriorCounts(now, m)
+		return
+	}
 	if m.Partial {
 		n.handleLoadChanges(m)
 		return
--- a/group/send.go
+++ b/group/send.go
@@ -33,6 +33,7 @@
 	n.sendParts(now)
 	n.FlushSuspects(now)
 	n.FlushLimits(now)
+	n.FlushPriorCounts(now)
 	n.startPendingPull(now)
 	n.retryHello(now)
 	if now-n.lastHeartbeat < n.cfg.Timing.HeartbeatInterval {
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -108,6 +108,7 @@
 	"upstream: asked whether it is leaving": "The upstream has restarted, and the answers that said it is leaving may have come from its current process; it gets requests unless it says so again.",
 	"upstream: pause not taken":             "The upstream rejected a request with an invalid pause duration; why says what is wrong.",
 	"upstream: names a limit":               "An answer of the upstream, to this box or to one that reported it, gives the requests per second it accepts from all boxes together (per_second; before is the previous limit). This box sent it sent_lately requests in the last span_ms, and may send it ration requests in any ration_span_ms from now on.",
+	"upstream: total sent before its limit": "All boxes together sent the upstream sent_by_all requests before they knew its limit, which began age_ms ago; what they leave of the bound may be sent in the first span under the limit, and this box's part of it at once.",
 	"upstream: names no limit any more":     "The upstream answered a request, sent after the last one whose answer gave its limit, without giving a limit.",
 	"upstream: ended":                       "The upstream broke off a run and its address no longer accepts connections: its crash is counted against the content of the runs it broke off.",
 	"box: was suspended":                    "The machine was suspended for for_ms: the remaining time of requests in progress is shorter, and the box's state is older, by that much.",
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -19,6 +19,9 @@
 // upstream.
 const sentWindow = 4 * time.Second
 
+// totalWaitDivisor limits the wait for totals to a fraction of the time that the caller waits.
+const totalWaitDivisor = 4
+
 // Counters of limits, and of requests for which an upstream was skipped because of its limit.
 const (
 	limitsNamed      = "limits_named"
@@ -125,7 +128,72 @@
 	}
 	r.mu.Unlock()
 	m.node.FlushLimits(now)
+	m.sharePriorCounts(now)
 	for _, c := range changes {
 		r.logLimit(c, "")
 	}
 }
+
+// sharePriorCounts passes the counts of requests sent before limits were known to the node, and
+// applies the totals over all boxes.
+func (m *members) sharePriorCounts(now time.Duration) {
+	r := m.relay
+	r.mu.Lock()
+	own, changed := r.fleet.TakePriorCounts(now)
+	r.mu.Unlock()
+	if changed {
+		m.node.SetPriorCounts(own)
+	}
+	m.node.FlushPriorCounts(now)
+	totals := m.node.DrainPriorTotals()
+	if len(totals) == 0 {
+		return
+	}
+	r.mu.Lock()
+	totals = r.fleet.NotePriorTotals(totals)
+	close(r.priorTotals)
+	r.priorTotals = make(chan struct{})
+	r.mu.Unlock()
+	for _, c := range totals {
+		r.logPriorTotal(now, c)
+	}
+}
+
+// awaitPriorTotals waits until the box may know whether it can send the request within limits that
+// have just begun. It returns false if nothing is to be expected. Otherwise, requests would be
+// refused for some tens of milliseconds if all upstreams begin to state limits at once.
+func (x *exchange) awaitPriorTotals() bool {
+	if !x.allLimited || x.ctx.Err() != nil {
+		return false
+	}
+	r := x.relay
+	r.mu.Lock()
+	left := min(r.fleet.PriorTotalWait(r.now(), x.service), x.timeLeft()/totalWaitDivisor)
+	totals := r.priorTotals
+	r.mu.Unlock()
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-totals:
+	case <-timer.C:
+	case <-x.ctx.Done():
+	}
+	return true
+}
+
+// logPriorTotal logs how many requests all boxes sent to an upstream before they knew its limit.
+func (r *Relay) logPriorTotal(now time.Duration, c balance.PriorCount) {
+	r.mu.Lock()
+	u, isListed := r.fleet.ByKey(c.Life)
+	sent := r.fleet.Sent(now, u.Incarnation(), sentWindow)
+	limit, _ := r.fleet.Limit(now, u.ID)
+	r.mu.Unlock()
+	if !isListed {
+		return
+	}
+	r.cfg.Log.Event("upstream", "total sent before its limit", Fields{"upstream": u.ID, "born": u.StartedAt, "per_second": c.Start.PerSecond, "sent_by_all": c.Sent,
+		"sent_lately": sent, "span_ms": sentWindow.Milliseconds(), "ration": limit.Quota, "ration_span_ms": limit.Span.Milliseconds(), "age_ms": (now - c.Start.At).Milliseconds()})
+}
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -212,6 +212,35 @@
 	is.Equal(rows[0].Limit.Span, uint64(10*time.Second/time.Microsecond))
 }
 
+// While a box did not know yet how many requests all boxes had sent to an upstream before its limit, it
+// refused requests that the limit allows. They wait for that.
+func TestRequestWaitsForPriorTotal(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u", respondOK("well"))
+	b := newTestBoxWithConfig(t, func(c *Config) { c.Timing.MemberTimeout = 50 * time.Millisecond }, u)
+	begin, end := balance.LimitStatement{Named: true, PerSecond: 100}, balance.LimitStatement{}
+	b.noteLimit("u", begin)
+	b.waitFor(func() bool {
+		l, _ := b.limitOf("u")
+		return l.Quota > 0
+	})
+	for i := range 10 {
+		b.noteLimit("u", end)
+		b.noteLimit("u", begin)
+		got := b.do(b.request(http.MethodPost, "/safe/x", "x", "X-Id", fmt.Sprint(i)))
+		is.Equal(got.status, http.StatusOK)
+	}
+}
+
+// noteLimit lets the box read a statement in an answer to a request sent just before.
+func (b *testBox) noteLimit(id string, s balance.LimitStatement) {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	s.Sent, s.Read = b.relay.now(), b.relay.now()+1
+	b.relay.fleet.NoteLimitStatement(b.relay.now(), b.relay.fleet.Get(id).Incarnation(), s)
+	wake(b.relay.members.loadsChanged)
+}
+
 // Only the upstream's own responses set its limit, and only with a valid value.
 func TestResponsesThatSetLimit(t *testing.T) {
 	for _, c := range []struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,6 +93,7 @@
 	crashSuspects balance.Suspects       // requests during which upstreams crashed
 	runConns      map[*exchange]*conn    // connection of each active run
 	pauseQueues   map[string]*pauseQueue // requests waiting for the end of a pause, by service
+	priorTotals   chan struct{}          // closed, and replaced, when totals of requests sent before limits arrive
 	// Running checks of whether an upstream instance has ended; each channel is closed when the result
 	// is known.
 	endChecks map[balance.Incarnation]chan struct{}
@@ -124,6 +125,7 @@
 		probeWake:   make(chan struct{}, 1),
 		runConns:    make(map[*exchange]*conn),
 		pauseQueues: make(map[string]*pauseQueue),
+		priorTotals: make(chan struct{}),
 		endChecks:   make(map[balance.Incarnation]chan struct{}),
 		stats:       newStats(),
 	}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -32,7 +32,7 @@
 		switch {
 		case x.tooLate:
 			return nil, x.finalRefusal("too much before it")
-		case !ok && x.awaitPauseEnd():
+		case !ok && (x.awaitPauseEnd() || x.awaitPriorTotals()):
 			continue
 		case !ok:
 			return x.unanswered("no upstream")
