soak: stale responses advertise the limit of their upstream

Cause, from the boxes' logs: sendStaleResponse wrote its two answers by hand, without the header of the limit. At 13.0 s box3 read one (request r20-22) and all six boxes logged that the upstream names no limit any more; 0.46 s later another answer named it again. Meanwhile it got what an upstream without a limit gets. An upstream that names none is allowed that: the stand-in said something else than its check assumes.

Ruled out: a limit lost by the boxes. All six logged its end from that one answer, which began after the last one that named it, as the design says.

Change: both answers carry the header. The check is unchanged, and stricter than before, since a box is no longer told that the limit is over.

--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -202,15 +202,20 @@
 	resetConnection(w)
 }
 
-// sendStaleResponse sends a late response to an earlier request, followed by the response to this one.
+// sendStaleResponse sends a late response to an earlier request, followed by the response to this one. Both
+// advertise the limit in the header of w, if there is one: an answer without it would end the limit.
 func sendStaleResponse(w http.ResponseWriter, upstream, id string) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
+	limit := ""
+	if value := w.Header().Get(protocol.Limit); value != "" {
+		limit = protocol.Limit + ": " + value + "\r\n"
+	}
 	for _, requestID := range []string{"before-" + id, id} {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s %s\r\nContent-Length: %d\r\n\r\n%s",
-			protocol.RequestID, requestID, protocol.Signature, upstream, requestID, len(responseBody(requestID)), responseBody(requestID))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s %s\r\n%sContent-Length: %d\r\n\r\n%s",
+			protocol.RequestID, requestID, protocol.Signature, upstream, requestID, limit, len(responseBody(requestID)), responseBody(requestID))
 	}
 	_ = c.Close()
 }
