Reports between boxes age while they wait to be sent

Cause: the replicator sends each entry three times, some 30 to 100 ms apart, and keeps it with the ages it had when it was queued; the list that answers a different digest is up to a tick old. So the second and third copy told a start, a reading or an end as later than it was, by up to 0.2 s and again on each hop. A box that lost the first copy took the limit for one that began later, and its total for another's. It waited until the next list, within a second.

Change: entries and lists keep the time of their ages, and are aged when they are sent. The same in reports of requests that upstreams crash under, where 0.2 s of 300 s changed nothing seen.

--- a/balance/limitreport.go
+++ b/balance/limitreport.go
@@ -31,6 +31,14 @@
 	Own       bool          // this box read the answer itself; not transmitted
 }
 
+// Aged returns the report as it is some time later.
+func (t LimitReport) Aged(by time.Duration) LimitReport {
+	t.Since += by
+	t.Read += by
+	t.Ended += by
+	return t
+}
+
 // report returns the report of a limit.
 func (x *limitState) report(now time.Duration, incarnation uint32) LimitReport {
 	return LimitReport{Life: incarnation, PerSecond: x.perSecond, Since: now - x.droppedAt, Read: now - x.lastRead, HasEnded: x.endedAt > longAgo, Ended: now - x.endedAt}
--- a/balance/suspectreport.go
+++ b/balance/suspectreport.go
@@ -21,6 +21,12 @@
 	Age     time.Duration // since the last crash
 }
 
+// Aged returns the report as it is some time later.
+func (t Suspect) Aged(by time.Duration) Suspect {
+	t.Age += by
+	return t
+}
+
 // queueReport queues a report of a content to other boxes.
 func (s *Suspects) queueReport(content uint64) {
 	if s.pending == nil {
--- a/group/limit_replay_test.go
+++ b/group/limit_replay_test.go
@@ -139,12 +139,12 @@
 			f.SetQuotaPeers(b.node.QuotaPeers(now))
 			f.SetBoxes(b.node.BoxCount(), true)
 			f.ExpireLimits(now)
-			b.node.SetLimits(f.KnownLimits(now))
+			setLimits(now, b, f)
 		}
 		f.MergeLimits(now, b.node.DrainLimits())
 		if news := f.TakeLimitNews(now); len(news) > 0 {
-			b.node.AnnounceLimits(news)
-			b.node.SetLimits(f.KnownLimits(now))
+			b.node.AnnounceLimits(now, news)
+			setLimits(now, b, f)
 		}
 		b.node.FlushLimits(now)
 		if name != d.silent {
@@ -164,6 +164,12 @@
 	request balance.Request
 }
 
+// setLimits passes the limits that a fleet knows to its box's node.
+func setLimits(now time.Duration, b *testBox, f *balance.Fleet) {
+	known, inForce := f.KnownLimits(now)
+	b.node.SetLimits(now, known, inForce)
+}
+
 // arrive handles a new request at a random box.
 func (d *limitReplay) arrive() {
 	d.arrivals++
--- a/group/limits.go
+++ b/group/limits.go
@@ -16,6 +16,7 @@
 	key:       func(x balance.LimitReport) uint64 { return uint64(x.Life) },
 	same:      func(a, b balance.LimitReport) bool { return a.PerSecond == b.PerSecond && a.HasEnded == b.HasEnded },
 	sendCount: func(balance.LimitReport) int { return entrySendCount },
+	aged:      balance.LimitReport.Aged,
 	pack:      packLimits,
 }
 
@@ -28,21 +29,21 @@
 }
 
 // SetLimits sets all limits this box knows, and those of them in force.
-func (n *Node) SetLimits(known, inForce []balance.LimitReport) {
-	n.limits.all, n.limits.digest = known, balance.LimitsDigest(inForce)
+func (n *Node) SetLimits(now time.Duration, known, inForce []balance.LimitReport) {
+	n.limits.setAll(now, known, balance.LimitsDigest(inForce))
 }
 
 // AnnounceLimits queues new limits to be announced. A member announces only limits it read from
 // an answer itself: it learned all others from its leader, which announced them to the other
 // boxes too.
-func (n *Node) AnnounceLimits(list []balance.LimitReport) {
+func (n *Node) AnnounceLimits(now time.Duration, list []balance.LimitReport) {
 	if n.IsLeader() {
-		n.limits.announce(list)
+		n.limits.announce(now, list)
 		return
 	}
 	for _, x := range list {
 		if x.Own {
-			n.limits.announce([]balance.LimitReport{x})
+			n.limits.announce(now, []balance.LimitReport{x})
 		}
 	}
 }
--- a/group/limits_test.go
+++ b/group/limits_test.go
@@ -124,6 +124,26 @@
 	}
 }
 
+// Reports were repeated with the ages that they had when first sent. A box that missed the first copy
+// took a limit for one that began later, and did not use the total that it was sent for it.
+func TestLimitThatBeginsSoonAfterEndReachesAllBoxes(t *testing.T) {
+	for seed := range uint64(20) {
+		d := idleReplay(t, seed)
+		d.respond("b1", "u0", 10)
+		d.advance(200 * time.Millisecond)
+		d.respond("b3", "u0", -1)
+		d.advance(100 * time.Millisecond)
+		d.respond("b1", "u0", 10)
+		d.advance(300 * time.Millisecond)
+		if know, alive := d.countKnowing("u0", 10); know != alive {
+			t.Errorf("seed %d: %d of %d boxes know the limit", seed, know, alive)
+		}
+		if may, withQuota := d.mayUse("u0"); may != withQuota {
+			t.Errorf("seed %d: %d of %d boxes may use their quotas", seed, may, withQuota)
+		}
+	}
+}
+
 // A limit that all boxes know is not announced again.
 func TestKnownLimitIsNotAnnouncedAgain(t *testing.T) {
 	is := is.New(t)
--- a/group/replicator.go
+++ b/group/replicator.go
@@ -4,7 +4,8 @@
 // are sent at once: a member sends them to its leader, and a leader to its members and the other
 // leaders. Heartbeats carry a digest of a box's entries; two boxes whose digests differ send each
 // other all entries. The invariant: two boxes that hear each other eventually hold the same
-// entries, whatever messages were lost and whichever of them restarted.
+// entries, whatever messages were lost and whichever of them restarted. The ages in an entry are
+// those at the time when it is sent, however long it has waited.
 
 import (
 	"slices"
@@ -33,14 +34,16 @@
 	key       func(T) uint64    // identifies the subject of an entry
 	same      func(a, b T) bool // two entries with the same key are equal
 	sendCount func(T) int       // number of messages that carry an entry
+	aged      func(entry T, by time.Duration) T
 	pack      func(m *wire.GroupMessage, list []T, digest uint64, all bool)
 }
 
 // replicator holds the entries of one kind that a box knows, has to send, and has received.
 type replicator[T any] struct {
 	rules            replicationRules[T]
-	all              []T    // all entries of this box
-	digest           uint64 // of the entries in force
+	all              []T           // all entries of this box
+	allAt            time.Duration // when their ages were determined
+	digest           uint64        // of the entries in force
 	pending          []pendingEntry[T]
 	fromOtherLeaders map[uint64]T // received from leaders of other domains, which need not be sent them
 	received         []T          // from other boxes, not drained yet
@@ -57,19 +60,25 @@
 // pendingEntry is an entry to be sent.
 type pendingEntry[T any] struct {
 	entry     T
-	sendsLeft int // messages that still have to carry it
+	at        time.Duration // when its ages were determined
+	sendsLeft int           // messages that still have to carry it
 }
 
 func newReplicator[T any](rules replicationRules[T]) replicator[T] {
 	return replicator[T]{rules: rules, lastFlush: never, fromOtherLeaders: make(map[uint64]T), reconciled: make(map[string]reconciliation)}
 }
 
+// setAll sets all entries of this box.
+func (r *replicator[T]) setAll(now time.Duration, list []T, digest uint64) {
+	r.all, r.allAt, r.digest = list, now, digest
+}
+
 // announce queues new entries to be sent.
-func (r *replicator[T]) announce(list []T) {
+func (r *replicator[T]) announce(now time.Duration, list []T) {
 	for _, x := range list {
 		r.pending = slices.DeleteFunc(r.pending, func(old pendingEntry[T]) bool { return r.rules.key(old.entry) == r.rules.key(x) })
 		if len(r.pending) < maxPendingEntries {
-			r.pending = append(r.pending, pendingEntry[T]{x, r.rules.sendCount(x)})
+			r.pending = append(r.pending, pendingEntry[T]{x, now, r.rules.sendCount(x)})
 		}
 	}
 }
@@ -83,12 +92,12 @@
 
 // takePending returns the entries for the next message. Entries to be sent again are queued
 // behind the others.
-func (r *replicator[T]) takePending() []T {
+func (r *replicator[T]) takePending(now time.Duration) []T {
 	var list []T
 	next := r.pending[:min(len(r.pending), maxEntriesPerMessage)]
 	r.pending = slices.Clone(r.pending[len(next):])
 	for _, x := range next {
-		list = append(list, x.entry)
+		list = append(list, r.rules.aged(x.entry, now-x.at))
 		if x.sendsLeft--; x.sendsLeft > 0 {
 			r.pending = append(r.pending, x)
 		}
@@ -102,7 +111,7 @@
 		return
 	}
 	r.lastFlush = now
-	list := r.takePending()
+	list := r.takePending(now)
 	if !n.IsLeader() {
 		r.send(n, []*peer{n.peers[n.leader().Name]}, list, false)
 		return
@@ -163,7 +172,10 @@
 	}
 	for range maxReconcileMessages {
 		list := r.all[min(c.next, len(r.all)):]
-		list = list[:min(len(list), maxEntriesPerMessage)]
+		list = slices.Clone(list[:min(len(list), maxEntriesPerMessage)])
+		for i := range list {
+			list[i] = r.rules.aged(list[i], now-r.allAt)
+		}
 		r.send(n, []*peer{p}, list, true)
 		if c.next += len(list); c.next >= len(r.all) {
 			c.next = 0
--- a/group/suspects.go
+++ b/group/suspects.go
@@ -17,6 +17,7 @@
 	key:       func(x balance.Suspect) uint64 { return x.Content },
 	same:      func(a, b balance.Suspect) bool { return a.Round == b.Round && slices.Equal(a.Ended, b.Ended) },
 	sendCount: suspectSendCount,
+	aged:      balance.Suspect.Aged,
 	pack:      packSuspects,
 }
 
@@ -38,12 +39,14 @@
 }
 
 // SetWithheld sets the requests that this box withholds from upstreams.
-func (n *Node) SetWithheld(list []balance.Suspect) {
-	n.suspects.all, n.suspects.digest = list, balance.SuspectsDigest(list)
+func (n *Node) SetWithheld(now time.Duration, list []balance.Suspect) {
+	n.suspects.setAll(now, list, balance.SuspectsDigest(list))
 }
 
 // AnnounceSuspects queues new entries to be announced.
-func (n *Node) AnnounceSuspects(list []balance.Suspect) { n.suspects.announce(list) }
+func (n *Node) AnnounceSuspects(now time.Duration, list []balance.Suspect) {
+	n.suspects.announce(now, list)
+}
 
 // DrainSuspects returns the entries announced by other boxes since the last call.
 func (n *Node) DrainSuspects() []balance.Suspect { return n.suspects.drain() }
--- a/group/suspects_test.go
+++ b/group/suspects_test.go
@@ -36,8 +36,8 @@
 			}
 			s := h.tables[name]
 			s.Merge(h.sim.now, b.node.DrainSuspects())
-			b.node.AnnounceSuspects(s.TakeNews(h.sim.now))
-			b.node.SetWithheld(s.Withheld(h.sim.now))
+			b.node.AnnounceSuspects(h.sim.now, s.TakeNews(h.sim.now))
+			b.node.SetWithheld(h.sim.now, s.Withheld(h.sim.now))
 			b.node.FlushSuspects(h.sim.now)
 			h.sim.sendOutgoing(b)
 		}
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -123,8 +123,8 @@
 	r.mu.Lock()
 	changes := r.fleet.MergeLimits(now, received)
 	if own := r.fleet.TakeLimitNews(now); len(own) > 0 {
-		m.node.AnnounceLimits(own)
-		m.node.SetLimits(r.fleet.KnownLimits(now))
+		m.node.AnnounceLimits(now, own)
+		m.setLimits(now)
 	}
 	r.mu.Unlock()
 	m.node.FlushLimits(now)
@@ -134,6 +134,12 @@
 	}
 }
 
+// setLimits passes all known limits to the node. The caller holds the relay's mu.
+func (m *members) setLimits(now time.Duration) {
+	known, inForce := m.relay.fleet.KnownLimits(now)
+	m.node.SetLimits(now, known, inForce)
+}
+
 // sharePriorCounts passes the counts of requests sent before limits were known to the node, and
 // applies the totals over all boxes.
 func (m *members) sharePriorCounts(now time.Duration) {
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -27,10 +27,10 @@
 	m.relay.fleet.NotePartReports(m.relay.now(), m.node.DrainSentParts())
 	m.relay.crashSuspects.Forget(m.relay.now())
 	m.relay.budgets.Forget(m.relay.now())
-	m.node.SetWithheld(m.relay.crashSuspects.Withheld(m.relay.now()))
+	m.node.SetWithheld(m.relay.now(), m.relay.crashSuspects.Withheld(m.relay.now()))
 	m.relay.fleet.ExpireLimits(m.relay.now())
 	m.relay.fleet.ForgetPauses(m.relay.now())
-	m.node.SetLimits(m.relay.fleet.KnownLimits(m.relay.now()))
+	m.setLimits(m.relay.now())
 }
 
 // updateLoads passes this box's loads to the node as soon as they have changed.
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -175,8 +175,8 @@
 	r.mu.Lock()
 	withheld := r.crashSuspects.Merge(now, received)
 	if own := r.crashSuspects.TakeNews(now); len(own) > 0 {
-		m.node.AnnounceSuspects(own)
-		m.node.SetWithheld(r.crashSuspects.Withheld(now))
+		m.node.AnnounceSuspects(now, own)
+		m.node.SetWithheld(now, r.crashSuspects.Withheld(now))
 	}
 	r.mu.Unlock()
 	m.node.FlushSuspects(now)
