Lists of boxes take at most a part of a link

The three seeds, which also lead, never got a document: even their connections to the store timed out, in 25 tries each. A box that starts asks the seeds each 0.2 to 0.4 s until it hears a leader. Each answer listed 48 boxes, some 4 KB: three times what a link of 10 Mbit/s carries, so heartbeats were seconds late, so boxes heard no leader and asked again. Leaders' lists to members did the same at the start.

Ruled out: processor time (0.009 cores at the most), the store (others had the list 0.3 s after the start), too few answers to pulls (297 of 300 had the document by 17.5 s).

Change: an answer lists the eight strongest boxes of the asker's domain, one of which leads and lists the others; answers and lists take a quarter of the link each. Who gets no answer asks again; who gets no list, gets it with a later heartbeat.

--- a/group/node.go
+++ b/group/node.go
@@ -200,6 +200,8 @@
 	suspects replicator[balance.Suspect]     // requests that upstreams crash under
 	limits   replicator[balance.LimitReport] // rate limits that upstreams announce
 
+	helloBudget linkBudget  // answers to hellos
+	listBudget  linkBudget  // box lists in heartbeats
 	priorCounts priorCounts // requests sent before limits were known
 
 	pendingParts  []pendingPart        // to be sent
--- a/group/receive.go
+++ b/group/receive.go
@@ -131,13 +131,7 @@
 	case m.Ask:
 		n.sendChanges(now, p.box.Address, m.Revision)
 	case m.Hello:
-		response := n.newMessage(now)
-		response.Boxes = n.boxesFor(p.box.Domain, now)
-		if n.IsLeader() && n.sameDomain(p) {
-			response.Sharers = n.packQuotaPeers(now)
-		}
-		response.Classes = n.classesFor(p, n.packClasses(now))
-		n.send(p.box.Address, response)
+		n.answerHello(now, p)
 	case m.Leads && n.sameDomain(p) && n.IsLeader():
 		n.send(p.box.Address, n.newMessage(now)) // it does not know of this box yet
 	case n.needsLeaderRedirect(now, p, m):
--- a/group/restart_test.go
+++ b/group/restart_test.go
@@ -143,6 +143,45 @@
 	}
 }
 
+// After 300 boxes had started at the same moment, each asked the seeds until it heard a leader, and their
+// answers, which listed 48 boxes each, filled the links of the seeds. The leaders' lists to their members
+// did the same. Heartbeats were seconds late, so boxes led alone and asked again, some of them for good.
+func TestFullRestartDoesNotFillLinks(t *testing.T) {
+	const (
+		within     = 4 * time.Second
+		maxQueuing = 500 * time.Millisecond
+	)
+	for seed := range uint64(3) {
+		w := startRegions(t, seed, layout{3, 1}, 300)
+		w.publishUpstreams(64)
+		w.linkRate, w.datagramRate = 10e6/8, 10e6/8/4 // the rest is for other traffic
+		for _, name := range w.names {
+			w.boxes[name].dead = true
+		}
+		w.run(500 * time.Millisecond)
+		for _, name := range w.names {
+			b := w.boxes[name]
+			w.start(name, b.self.Domain, b.self.Strength, false)
+		}
+		var longest time.Duration
+		for end := w.now + within; w.now < end; {
+			w.run(100 * time.Millisecond)
+			for _, b := range w.boxes {
+				longest = max(longest, b.datagramsUntil-w.now)
+			}
+		}
+		leaders := 0
+		for _, name := range w.names {
+			if w.boxes[name].node.IsLeader() {
+				leaders++
+			}
+		}
+		if leaders != 3 || longest > maxQueuing {
+			t.Errorf("seed %d: %d boxes lead, want 3; datagrams waited for %v", seed, leaders, longest)
+		}
+	}
+}
+
 // After a restart of all boxes, a box followed one that led only for a second, and then the next
 // strongest it knew, which did not lead either and did not answer. The box waited until the
 // timeout and then led alone. The order of a map decided whether this happened: 9 of 250 runs
--- a/group/send.go
+++ b/group/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/doormast/doormast/wire"
 )
@@ -165,6 +166,7 @@
 	boxes      []*wire.GroupBox
 	quotaPeers []uint32
 	digest     uint64
+	size       int // bytes in a message
 }
 
 // changedBoxList returns the list for a peer, or an empty one if the peer already has it.
@@ -185,6 +187,7 @@
 		for _, key := range l.quotaPeers {
 			l.digest += hashKey(key)
 		}
+		l.size = proto.Size(&wire.GroupMessage{Boxes: l.boxes, Sharers: l.quotaPeers})
 		if n.boxLists == nil {
 			n.boxLists = make(map[string]boxList)
 		}
@@ -194,6 +197,9 @@
 	if p.sentListDigest == l.digest && p.heartbeats%listResendInterval != 0 {
 		return boxList{}
 	}
+	if !n.listBudget.take(now, n.cfg.LinkRate, l.size) {
+		return boxList{} // the next heartbeat carries it
+	}
 	p.sentListDigest = l.digest
 	return l
 }
--- a/group/simulation_test.go
+++ b/group/simulation_test.go
@@ -40,6 +40,7 @@
 	linkCut          func(a, b *wire.GroupBox) bool // selects further links that are cut; nil: none
 	snapshotDelay    time.Duration                  // how long a box answers no pulls after it has received all data
 	linkRate         float64                        // bytes per second a box can send in answers to pulls; 0: unlimited
+	datagramRate     float64                        // bytes per second a box can send in datagrams; 0: unlimited
 	pages            pagedPublisher
 	pulls            []pullTransfer
 	snapshotsPulled  int      // number of times a box received all data
@@ -87,6 +88,7 @@
 	pullRunning       bool          // a pull is in progress
 	busyUntil         time.Duration // until when it answers no pulls after receiving all data
 	linkBusyUntil     time.Duration // until when its link is busy with answers to pulls
+	datagramsUntil    time.Duration // until when its link is busy with datagrams
 	readFailures      int           // consecutive failed reads
 	dataKnownAt       time.Duration // when it first held the published data; 0: not yet
 	documentRevisions []uint64      // revisions of the document it applied, in order
@@ -109,7 +111,7 @@
 		w.names = append(w.names, name)
 	}
 	w.boxes[name] = b
-	b.node = NewNode(Config{Self: b.self, Seeds: w.seeds, Timing: DefaultTiming, Mirror: b.mirror, FirstStart: first, DomainCount: w.domainCount,
+	b.node = NewNode(Config{Self: b.self, Seeds: w.seeds, Timing: DefaultTiming, Mirror: b.mirror, FirstStart: first, DomainCount: w.domainCount, LinkRate: w.datagramRate,
 		OnChange: func(items []mirror.Item) {
 			for _, it := range items {
 				if it.Key == documentKey {
@@ -221,7 +223,7 @@
 		if w.random.Float64() < w.lossRate {
 			continue
 		}
-		delay := time.Duration(w.random.IntN(4)) * step
+		delay := time.Duration(w.random.IntN(4))*step + w.queueOnLink(b, len(data))
 		if o.Reach == ReachOtherRegion {
 			delay += w.regionDelay
 		}
@@ -232,6 +234,18 @@
 	}
 }
 
+// queueOnLink returns how long a datagram waits for the sender's link and occupies it.
+func (w *simulation) queueOnLink(b *testBox, size int) time.Duration {
+	if w.datagramRate == 0 {
+		return 0
+	}
+	b.datagramsUntil = max(b.datagramsUntil, w.now) + time.Duration(float64(size+datagramOverhead)/w.datagramRate*float64(time.Second))
+	return b.datagramsUntil - w.now
+}
+
+// datagramOverhead is the size of the headers of a datagram.
+const datagramOverhead = 28
+
 // pullTimeout is the longest time that a pull may take.
 const pullTimeout = 1500 * time.Millisecond
 
