--- a/group/node.go
+++ b/group/node.go
@@ -2,7 +2,8 @@
 
 // This file defines Node, a box's view of the group: its configuration, the peers it knows, and
 // the messages it has to send. leader.go selects the leader and reader.go the box that reads the
-// publisher. count.go counts boxes. send.go and receive.go handle membership messages.
+// publisher. count.go counts boxes. send.go, receive.go and hello.go handle membership messages,
+// and linkbudget.go bounds what lists of boxes take of a link.
 // published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data.
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
