--- a/balance/limitgate.go
+++ b/balance/limitgate.go
@@ -110,14 +110,14 @@
 	return n
 }
 
-// limitWait returns the time until this box may send another request to an upstream; 0: now.
+// limitWait returns the time until this box may send another request to an upstream; 0: now. In the
+// first span of a limit, what was sent before it was known may leave less than the usual quota.
 func (f *Fleet) limitWait(now time.Duration, m *member, x *limitState) time.Duration {
 	f.refreshQuotas(now)
 	_, span := f.cfg.LimitBounds.allowance(x.perSecond)
 	quota, left := x.quota, time.Duration(0)
-	if inFirstSpan := f.firstSpanEnd(x) - now; inFirstSpan > 0 {
-		quota = min(x.quota, x.firstQuota)
-		left = inFirstSpan
+	if untilEnd := f.firstSpanEnd(x) - now; untilEnd > 0 {
+		quota, left = min(x.quota, x.firstQuota), untilEnd
 	}
 	sent := m.history.within(now, span)
 	switch {
