--- a/group/limits_test.go
+++ b/group/limits_test.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// Reports were repeated with the ages that they had when first sent. A box that missed the first copy
-// took a limit for one that began later, and did not use the total that it was sent for it.
+// Reports were repeated with the ages that they had when first sent. A box did not use its quota of a
+// limit that had ended and begun again, although all boxes knew the limit.
 func TestLimitThatBeginsSoonAfterEndReachesAllBoxes(t *testing.T) {
 	for seed := range uint64(20) {
 		d := idleReplay(t, seed)
