Upstreams that a leader's report takes away are logged at once, with the reporter

Operators saw: boxes of one domain wrote, 8 to 17 s late, that all upstreams of another, sound domain were out of reach, each caused by an upstream of their own domain.

Hypothesis: the lines are late, not the state. Fleet queues what it marks; only a failed connection of the same box emptied the queue. A leader's report of a cut-off domain marks upstreams and left them in the queue until then, and they were logged with that connection as the cause.

Change: whoever may mark upstreams takes and logs them in the same step. A record names its own cause; without one the line says told_by.

Measurement: TestReportedCutOffIsLoggedAtOnce fails before (no told_by, lines behind the box's own failure), passes after.

The requests lost are another matter.

--- a/balance/reach.go
+++ b/balance/reach.go
@@ -30,7 +30,8 @@
 // UnreachableUpstream is an upstream that has become unreachable.
 type UnreachableUpstream struct {
 	Upstream
-	ByDomain bool // only because its domain is taken to be cut off
+	ByDomain bool   // only because its domain is taken to be cut off
+	Cause    string // ID of the upstream whose failed connection led to it; empty if another box reported the domain
 }
 
 // domainReachOf returns the connectivity to a failure domain and creates the record if needed.
@@ -64,9 +65,9 @@
 	}
 	d := f.domainReachOf(m.Domain)
 	d.recordFailure(now, !m.unreachable)
-	f.markUnreachable(m, false)
+	f.lose(m, false, m.ID)
 	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
-		f.markDomainCutOff(m.Domain)
+		f.markDomainCutOff(m.Domain, m.ID)
 	}
 }
 
@@ -90,7 +91,7 @@
 	}
 	for _, name := range reported {
 		if !slices.Contains(f.reportedCutOff, name) && name != f.cfg.Domain {
-			f.markDomainCutOff(name)
+			f.markDomainCutOff(name, "")
 		}
 	}
 	for _, name := range f.reportedCutOff {
@@ -123,21 +124,28 @@
 	}
 }
 
-// markDomainCutOff marks all upstreams of a failure domain as unreachable.
-func (f *Fleet) markDomainCutOff(name string) {
+// markDomainCutOff marks all upstreams of a failure domain as unreachable. cause is as in
+// UnreachableUpstream.
+func (f *Fleet) markDomainCutOff(name, cause string) {
 	for _, m := range f.byID {
 		if m.Domain == name && !m.unreachable {
-			f.markUnreachable(m, true)
+			f.lose(m, true, cause)
 		}
 	}
 }
 
-// markUnreachable stops sending requests to an upstream until it is reachable again; byDomain
-// says that this follows from the state of its domain and not from a failure of its own.
-func (f *Fleet) markUnreachable(m *member, byDomain bool) {
+// lose stops sending requests to an upstream until it is reachable again, and queues that for
+// TakeNewlyUnreachable. cause is as in UnreachableUpstream.
+func (f *Fleet) lose(m *member, byDomain bool, cause string) {
 	if !m.unreachable {
-		f.newlyUnreachable = append(f.newlyUnreachable, UnreachableUpstream{m.Upstream, byDomain})
+		f.newlyUnreachable = append(f.newlyUnreachable, UnreachableUpstream{m.Upstream, byDomain, cause})
 	}
+	f.markUnreachable(m, byDomain)
+}
+
+// markUnreachable sets the unreachable state of an upstream; byDomain says that this follows from
+// the state of its domain and not from a failure of its own.
+func (f *Fleet) markUnreachable(m *member, byDomain bool) {
 	f.markReachable(m)
 	m.setReachability(true, m.assumedCold)
 	m.unreachableByDomain = byDomain
@@ -196,7 +204,8 @@
 	}
 }
 
-// TakeNewlyUnreachable returns the upstreams that became unreachable since the last call.
+// TakeNewlyUnreachable returns the upstreams that became unreachable since the last call. Each
+// caller of a method that may mark upstreams takes them, so that they are logged when it happens.
 func (f *Fleet) TakeNewlyUnreachable() []UnreachableUpstream {
 	list := f.newlyUnreachable
 	f.newlyUnreachable = nil
--- a/relay/cutoff.go
+++ b/relay/cutoff.go
@@ -29,7 +29,8 @@
 	r := m.relay
 	now := r.now()
 	silent := m.node.SilentDomains(now)
-	cutOff, reported := r.updateCutOff(now, m.node.IsLeader(), m.node.UnreachableDomains(now))
+	cutOff, reported, lost := r.updateCutOff(now, m.node.IsLeader(), m.node.UnreachableDomains(now))
+	r.logUnreachable(lost, m.node.LeaderName())
 	m.node.SetUnreachableDomains(cutOff)
 	for _, domain := range cutOff {
 		if !slices.Contains(m.cutOffDomains, domain) && (slices.Contains(reported, domain) || slices.Contains(silent, domain)) {
@@ -45,16 +46,17 @@
 	}
 }
 
-// updateCutOff returns the domains that this box treats as cut off, and those that its leader
-// reported. A box that does not lead first adopts its leader's.
-func (r *Relay) updateCutOff(now time.Duration, isLeader bool, reported []string) (cutOff, adopted []string) {
+// updateCutOff returns the domains that this box treats as cut off, those that its leader
+// reported, and the upstreams that have become unreachable. A box that does not lead first adopts
+// its leader's domains.
+func (r *Relay) updateCutOff(now time.Duration, isLeader bool, reported []string) (cutOff, adopted []string, lost []balance.UnreachableUpstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !isLeader {
 		r.fleet.FollowCutOffDomains(now, reported)
 		adopted = reported
 	}
-	return r.fleet.CutOffDomains(), adopted
+	return r.fleet.CutOffDomains(), adopted, r.fleet.TakeNewlyUnreachable()
 }
 
 // probeDomains probes a few upstreams of each domain.
@@ -86,10 +88,11 @@
 	} else {
 		r.fleet.NoteUnreachable(r.now(), u.Incarnation())
 	}
+	lost := r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
+	r.logUnreachable(lost, "")
 	if err != nil {
 		r.stats.count("probes_failed")
-		r.logUnreachable(u.ID)
 		r.wakeProbeLoop()
 	}
 }
--- a/relay/cutoff_test.go
+++ b/relay/cutoff_test.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,3 +83,39 @@
 	m.syncCutOff(context.Background())
 	is.Equal(m.relay.fleet.CutOffDomains(), []string{"d1"})
 }
+
+// When a leader reported a cut-off domain, its members logged the upstreams there only after their
+// own next failed connection, up to 17 s later, with that connection as the cause.
+func TestReportedCutOffIsLoggedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	m := newCutOffMember(t, "box")
+	m.relay.cfg.Log, m.relay.members = NewLog("box", &out), m
+	m.relay.budgets = balance.NewBudgets(balance.BudgetConfig{Window: time.Second}, 0)
+	lead := &wire.GroupMessage{Sender: &wire.GroupBox{Name: "lead", Domain: "d0", Boot: 1, Strength: 9}, Leads: true, CutOff: []string{"d1"}}
+	m.node.Handle(m.relay.now(), lead)
+	m.syncCutOff(context.Background())
+	x := &exchange{relay: m.relay, request: &request{}, ctx: context.Background(), upstream: *m.relay.fleet.Get("u0")}
+	x.ticket = m.relay.fleet.Open(m.relay.now(), "u0", balance.Request{Service: "s"})
+	x.recordFailure(runUnsent, syscall.ETIMEDOUT)
+	is.NoErr(m.relay.cfg.Log.Close())
+	var reported, own int
+	for line := range strings.Lines(out.String()) {
+		var fields map[string]any
+		is.NoErr(json.Unmarshal([]byte(line), &fields))
+		switch {
+		case fields["msg"] != "upstream: out of reach":
+		case fields["domain"] == "d1":
+			is.Equal(own, 0) // it was logged when the leader reported it
+			is.Equal(fields["told_by"], "lead")
+			is.Equal(fields["cause"], nil)
+			reported++
+		default:
+			is.Equal(fields["cause"], "u0")
+			is.Equal(fields["told_by"], nil)
+			own++
+		}
+	}
+	is.Equal(reported, 6)
+	is.Equal(own, 1)
+}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -123,7 +123,6 @@
 		x.relay.conns.closeIdle(x.upstream.ID)
 	}
 	if isConnectFailure(outcome) {
-		x.relay.logUnreachable(x.upstream.ID)
 		x.relay.wakeProbeLoop()
 	}
 }
@@ -198,9 +197,10 @@
 	r.mu.Lock()
 	x.ticket.Close(r.now(), o)
 	r.wakeReady(x.service)
-	over := r.fleet.PausesOver()
+	over, lost := r.fleet.PausesOver(), r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
 	r.logPausesEnded(over)
+	r.logUnreachable(lost, "")
 	wake(r.members.loadsChanged)
 	x.ticket = nil
 }
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -40,15 +40,17 @@
 	}
 }
 
-// logUnreachable logs the upstreams that have newly been marked unreachable; cause is the
-// upstream whose failed connection attempt led to that.
-func (r *Relay) logUnreachable(cause string) {
-	r.mu.Lock()
-	list := r.fleet.TakeNewlyUnreachable()
-	r.mu.Unlock()
+// logUnreachable logs the upstreams that have newly been marked unreachable; reporter is the box
+// whose report of a cut-off domain led to that, if no failed connection of this box did.
+func (r *Relay) logUnreachable(list []balance.UnreachableUpstream, reporter string) {
 	for _, u := range list {
-		r.cfg.Log.Event("upstream", "out of reach", Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service,
-			"cause": cause, "by_domain": u.ByDomain})
+		fields := Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service, "by_domain": u.ByDomain}
+		if u.Cause != "" {
+			fields["cause"] = u.Cause
+		} else {
+			fields["told_by"] = reporter
+		}
+		r.cfg.Log.Event("upstream", "out of reach", fields)
 	}
 }
 
