Boxes tell each other which upstreams' connections time out, and verify before they send

Hypothesis: a box never takes its own domain for cut off, so each of 29 boxes learned of 21 silent upstreams one by one, at the price of a request each, while others knew. What is missing is what another box knows.

Change: a box whose own connection to an upstream times out reports it to all. A report alone takes nothing away: a box that is told opens a connection there before its next request, and leaves the upstream only where that fails too. The first box that reaches it again reports that, and others probe at once.

What is under way when a host falls silent is still lost.

--- a/balance/doc.go
+++ b/balance/doc.go
@@ -27,6 +27,7 @@
 //     limitgate.go, pause.go
 //   - which upstreams are reserved for tight streams: separation.go, lane.go, laneneed.go, lanesize.go, rate.go
 //   - which requests are withheld: suspects.go
-//   - what boxes report to each other: partreport.go, classreport.go, limitreport.go, suspectreport.go
+//   - what boxes report to each other: partreport.go, classreport.go, limitreport.go, suspectreport.go,
+//     reachreport.go
 //   - configuration and switches: tuning.go, mechanism.go
 package balance
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -64,6 +64,7 @@
 	reachableSince time.Duration // when it last became reachable again
 	assumedCold    bool          // counts as cold until an entry newer than reachableSince describes it
 	replaced       bool          // another upstream has taken over its address
+	reports        reachReports  // of other boxes, about its connections
 	suspect        bool          // there was a sign that it may have restarted
 	distrustUntil  time.Duration // until then, cache news from other boxes may predate the suspected restart
 }
@@ -95,13 +96,14 @@
 	lastPutAt        time.Duration              // when an entry was last put
 	services         map[string]*service        // by name
 	parts            partIndex
-	newlyUnreachable []UnreachableUpstream   // not yet returned by TakeNewlyUnreachable
-	remoteLoadsStale bool                    // an upstream was listed since the last SetRemoteLoads
-	domains          map[string]*domainReach // by name
-	reportedCutOff   []string                // failure domains that another box reports as cut off
-	rtts             map[string]*rttEstimate // by failure domain
-	prefillRate      float64                 // prompt tokens that an upstream reads per ms
-	firstListedAt    time.Duration           // when the first upstream was listed
+	newlyUnreachable []UnreachableUpstream          // not yet returned by TakeNewlyUnreachable
+	reachReports     map[reachKey]queuedReachReport // not yet returned by TakeReachReports
+	remoteLoadsStale bool                           // an upstream was listed since the last SetRemoteLoads
+	domains          map[string]*domainReach        // by name
+	reportedCutOff   []string                       // failure domains that another box reports as cut off
+	rtts             map[string]*rttEstimate        // by failure domain
+	prefillRate      float64                        // prompt tokens that an upstream reads per ms
+	firstListedAt    time.Duration                  // when the first upstream was listed
 
 	histories        map[uint32]*history // by incarnation key
 	historiesSweptAt time.Duration       // when the histories of unlisted incarnations were last swept
@@ -141,6 +143,7 @@
 		services:       make(map[string]*service),
 		parts:          partIndex{holders: make(map[uint32][]partHolder)},
 		domains:        make(map[string]*domainReach),
+		reachReports:   make(map[reachKey]queuedReachReport),
 		rtts:           make(map[string]*rttEstimate),
 		prefillRate:    cfg.Tuning.PrefillRate,
 		memoryShare:    1,
--- a/balance/list.go
+++ b/balance/list.go
@@ -155,6 +155,7 @@
 	f.parts.forget(m)
 	f.markReachable(m) // remove it from the count of its cut-off domain
 	m.setReachability(false, false)
+	m.setReportedLost(false)
 	isIt := func(other *member) bool { return other == m }
 	f.byService[m.Service] = slices.DeleteFunc(f.byService[m.Service], isIt)
 	f.coldMembers = slices.DeleteFunc(f.coldMembers, isIt)
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -26,6 +26,7 @@
 	Fetching         Mechanism = "fetching"    // upstreams fetch cached prompts from each other
 	Memory           Mechanism = "memory"      // upstreams get no more than fits in their memory
 	DomainCutOff     Mechanism = "domains"     // failure domains are marked as cut off as a whole
+	ReachReports     Mechanism = "reach"       // upstreams that other boxes cannot reach are verified first
 	Moving           Mechanism = "moving"      // answers that would end late move to another upstream
 	FailureBackoff   Mechanism = "rests"       // upstreams that fail are avoided for a while
 	Resuming         Mechanism = "resuming"    // streams resume at another upstream
@@ -47,6 +48,7 @@
 	Parts:            "sends prompts to upstreams that have their shared parts cached",
 	Fetching:         "saves the prefill of parts that another upstream has cached",
 	Memory:           "keeps upstreams from crashing, or preempting requests, under the longest requests",
+	ReachReports:     "detects an upstream that falls silent once, not box by box",
 	DomainCutOff:     "detects a network partition once, not upstream by upstream",
 	Moving:           "finishes long answers whose upstream has become busy with prefill",
 	FailureBackoff:   "keeps requests away from upstreams that fail",
--- a/balance/place.go
+++ b/balance/place.go
@@ -95,13 +95,13 @@
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	available := make([]*member, 0, len(f.byService[r.Service]))
 	var backingOff, unreachable []*member
-	limited := false
+	limited, avoidReported := false, f.avoidsReported(tried)
 	for _, m := range f.byService[r.Service] {
 		switch {
 		case !f.isEligible(now, m, r, tried):
 		case !f.allowedByLimits(now, m, r):
 			limited = limited || !m.unreachable
-		case m.unreachable:
+		case m.unreachable || m.reports.verifying || avoidReported && m.reports.lost:
 			unreachable = append(unreachable, m)
 		case m.health.backingOff(now) && !f.cfg.Off[FailureBackoff]:
 			backingOff = append(backingOff, m)
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -170,6 +170,7 @@
 	}
 	d := f.domainReachOf(m.Domain)
 	d.consecutive = 0
+	m.noteReached(now)
 	f.markRecovered(now, m)
 	if d.inferred > 0 {
 		f.restoreDomain(now, m.Domain)
--- a/balance/recovery.go
+++ b/balance/recovery.go
@@ -20,12 +20,15 @@
 // markRecovered notes that an upstream is reachable again. It becomes cold if it was unreachable
 // before.
 func (f *Fleet) markRecovered(now time.Duration, m *member) {
-	wasUnreachable := m.unreachable
+	wasUnreachable, byDomain := m.unreachable, m.unreachableByDomain
 	f.markReachable(m)
 	if !wasUnreachable {
 		return
 	}
 	m.reachableSince = now
+	if !byDomain {
+		f.reportReached(now, m)
+	}
 	cold := f.serviceOf(m.Service).cold
 	if cold.MaxPerSecond == 0 || now < m.coldUntil || f.majorityLost(m.Service) {
 		return
--- a/balance/service.go
+++ b/balance/service.go
@@ -8,22 +8,23 @@
 // service is the state kept for a service and its requests.
 type service struct {
 	lanes
-	name             string
-	active           []*member     // upstreams that may have work; see active.go
-	upstreamCount    int           // number of its listed upstreams
-	unreachableCount int           // of them: unreachable, or reachable again without a newer entry
-	slotCount        int           // sum over its upstreams
-	classes          classes       // statistics of its request classes
-	refusals         refusals      // recent refusals of its requests
-	holding          holding       // how long its requests hold slots
-	plainRunTime     mean          // in ms, of requests without a prompt that found a free slot
-	answers          answerStats   // statistics of its answers
-	cold             ColdLimit     // limits for its upstreams while they are cold
-	memory           int           // tokens that the memory of each of its upstreams holds; 0 if unknown
-	urgentUntil      urgentHolds   // until when capacity is reserved for requests of each urgency
-	waiters          waiterCounts  // requests that wait for the end of a pause
-	unavailableSince time.Duration // when a request first found all listed upstreams leaving, else longAgo
-	meanUnread       float64       // prompt tokens that its upstreams have to read, averaged over them
+	name              string
+	active            []*member     // upstreams that may have work; see active.go
+	upstreamCount     int           // number of its listed upstreams
+	unreachableCount  int           // of them: unreachable, or reachable again without a newer entry
+	reportedLostCount int           // of them: reported unreachable by other boxes
+	slotCount         int           // sum over its upstreams
+	classes           classes       // statistics of its request classes
+	refusals          refusals      // recent refusals of its requests
+	holding           holding       // how long its requests hold slots
+	plainRunTime      mean          // in ms, of requests without a prompt that found a free slot
+	answers           answerStats   // statistics of its answers
+	cold              ColdLimit     // limits for its upstreams while they are cold
+	memory            int           // tokens that the memory of each of its upstreams holds; 0 if unknown
+	urgentUntil       urgentHolds   // until when capacity is reserved for requests of each urgency
+	waiters           waiterCounts  // requests that wait for the end of a pause
+	unavailableSince  time.Duration // when a request first found all listed upstreams leaving, else longAgo
+	meanUnread        float64       // prompt tokens that its upstreams have to read, averaged over them
 }
 
 // serviceOf returns the state of a service and creates it if needed.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -133,6 +133,7 @@
 	}
 	switch outcome {
 	case Unreachable:
+		t.fleet.reportLost(now, t.member, t.opened)
 		t.fleet.recordUnreachable(now, t.member)
 	case ConnectionRefused:
 		t.fleet.recordUnreachable(now, t.member)
--- a/group/messagekind.go
+++ b/group/messagekind.go
@@ -21,6 +21,7 @@
 	KindSuspects       Kind = "ended under"    // requests that upstreams crash under
 	KindLimits         Kind = "limits"         // rate limits that upstreams announce
 	KindPriorCounts    Kind = "prior counts"   // requests sent before limits were known
+	KindReachReports   Kind = "reached"        // upstreams that connections reach or time out at
 	KindPullResponse   Kind = "all, to a pull" // all published data, in the response to a pull
 )
 
@@ -46,6 +47,8 @@
 		return KindLimits
 	case carriesPriorCounts(m):
 		return KindPriorCounts
+	case carriesReachReports(m):
+		return KindReachReports
 	case m.Partial:
 		return KindLoadChanges
 	case m.HasLoads:
--- a/group/node.go
+++ b/group/node.go
@@ -8,8 +8,8 @@
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
-// upstreams crash under, limits.go the rate limits that upstreams announce, and priorcounts.go the
-// requests sent before limits were known. The invariant: messages leave a Node only through Drain.
+// upstreams crash under, limits.go the rate limits that upstreams announce, priorcounts.go the
+// requests sent before limits were known, and reachreports.go which upstreams can be reached. The invariant: messages leave a Node only through Drain.
 
 import (
 	"time"
@@ -200,9 +200,11 @@
 
 	suspects replicator[balance.Suspect]     // requests that upstreams crash under
 	limits   replicator[balance.LimitReport] // rate limits that upstreams announce
+	reach    replicator[balance.ReachReport] // connections to upstreams that time out, or work again
 
 	helloBudget linkBudget  // answers to hellos
 	listBudget  linkBudget  // box lists in heartbeats
+	reachBudget linkBudget  // on a leader: reports about connections
 	priorCounts priorCounts // requests sent before limits were known
 
 	pendingParts  []pendingPart        // to be sent
@@ -237,6 +239,7 @@
 		reordered:             reorderBuffer{lastAt: never},
 		suspects:              newReplicator(suspectReplication),
 		limits:                newReplicator(limitReplication),
+		reach:                 newReplicator(reachReplication),
 		priorCounts:           priorCounts{lastFlush: never},
 		pendingCheckedAt:      never,
 		changedLoads:          make(map[balance.LoadKey]struct{}),
--- a/group/receive.go
+++ b/group/receive.go
@@ -23,6 +23,10 @@
 		n.handlePriorCounts(now, m)
 		return
 	}
+	if carriesReachReports(m) {
+		n.handleReachReports(now, m)
+		return
+	}
 	if m.Partial {
 		n.handleLoadChanges(m)
 		return
--- a/group/send.go
+++ b/group/send.go
@@ -35,6 +35,7 @@
 	n.FlushSuspects(now)
 	n.FlushLimits(now)
 	n.FlushPriorCounts(now)
+	n.FlushReachReports(now)
 	n.startPendingPull(now)
 	n.retryHello(now)
 	if now-n.lastHeartbeat < n.cfg.Timing.HeartbeatInterval {
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -11,7 +11,7 @@
 //   - a request from its admission (arrival.go, documentwait.go) to its end (exchange.go), with its retries
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
 //   - responses: response.go, body.go, events.go, stream.go, pace.go, and moving a stream between upstreams: move.go
-//   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, limit.go, notices.go, withhold.go, content.go, cutoff.go
+//   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, limit.go, notices.go, withhold.go, content.go, cutoff.go, verify.go
 //   - what the box knows of documents and upstreams: published.go, update.go, reader.go
 //   - the exchange of state between boxes: members.go, peers.go, pull.go, sync.go, traffic.go
 //   - memory limits: memory.go, buffers.go
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -37,6 +37,8 @@
 	detachConn func() bool // unregisters the connection, so that ctx no longer closes it
 
 	triedInstances []balance.Incarnation // upstream instances it was sent to, or that could not be reached
+	unverified     []balance.Incarnation // of these, those that could not be verified in time
+	usesUnverified bool                  // it may be sent to upstreams that were not verified, as no other is left
 	runsSent       int                   // runs started
 	unreachable    int                   // upstreams that could not be reached
 	retry          *balance.Retry        // of the run being sent, or taken for a move that is resumed; else nil
--- a/relay/members.go
+++ b/relay/members.go
@@ -163,6 +163,7 @@
 	m.flushLoads()
 	m.shareSuspects()
 	m.shareLimits()
+	m.shareReachReports(ctx)
 	m.sendPending(ctx)
 	m.publishRevision()
 	if len(m.backlog) == 0 { // otherwise the box still uses older data
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -78,6 +78,7 @@
 	isListed := r.fleet.NoteReachable(r.now(), inc)
 	r.mu.Unlock()
 	if isListed {
+		wake(r.members.loadsChanged) // report it to the other boxes at once
 		r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id, "born": inc.StartedAt})
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,7 +87,7 @@
 	members    *members
 	pullClient *http.Client
 
-	mu            sync.Mutex // guards the fields up to endChecks
+	mu            sync.Mutex // guards the fields up to verifications
 	fleet         *balance.Fleet
 	budgets       *balance.Budgets
 	crashSuspects balance.Suspects       // requests during which upstreams crashed
@@ -97,6 +97,8 @@
 	// Running checks of whether an upstream instance has ended; each channel is closed when the result
 	// is known.
 	endChecks map[balance.Incarnation]chan struct{}
+	// Running verifications of upstreams that other boxes report unreachable, likewise.
+	verifications map[balance.Incarnation]chan struct{}
 
 	probeWake    chan struct{} // readable when a connection to an upstream has failed
 	stopping     atomic.Bool
@@ -114,20 +116,21 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
-		cfg:         cfg,
-		startedAt:   time.Now(),
-		startBoot:   cfg.Clock.Boot(),
-		published:   newPublished(),
-		account:     account.New(cfg.Memory),
-		cancel:      cancel,
-		endedTasks:  make(chan string, maxTasks),
-		pullClient:  newPullClient(),
-		probeWake:   make(chan struct{}, 1),
-		runConns:    make(map[*exchange]*conn),
-		pauseQueues: make(map[string]*pauseQueue),
-		priorTotals: make(chan struct{}),
-		endChecks:   make(map[balance.Incarnation]chan struct{}),
-		stats:       newStats(),
+		cfg:           cfg,
+		startedAt:     time.Now(),
+		startBoot:     cfg.Clock.Boot(),
+		published:     newPublished(),
+		account:       account.New(cfg.Memory),
+		cancel:        cancel,
+		endedTasks:    make(chan string, maxTasks),
+		pullClient:    newPullClient(),
+		probeWake:     make(chan struct{}, 1),
+		runConns:      make(map[*exchange]*conn),
+		pauseQueues:   make(map[string]*pauseQueue),
+		priorTotals:   make(chan struct{}),
+		endChecks:     make(map[balance.Incarnation]chan struct{}),
+		verifications: make(map[balance.Incarnation]chan struct{}),
+		stats:         newStats(),
 	}
 	r.startWall.Store(r.startedAt.UnixNano())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, LimitBounds: cfg.Limits, Off: cfg.Disabled, FirstStart: cfg.FirstStart})
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -32,6 +32,8 @@
 		switch {
 		case x.tooLate:
 			return nil, x.finalRefusal("too much before it")
+		case !ok && x.mayUseUnverified():
+			continue
 		case !ok && (x.awaitPauseEnd() || x.awaitPriorTotals()):
 			continue
 		case !ok:
@@ -127,8 +129,13 @@
 	return balance.Admission{Target: x.route.Target, Retried: x.cameBack}
 }
 
-// runOn runs the request on the chosen upstream.
+// runOn runs the request on the chosen upstream, unless that has to be verified first and does not
+// accept a connection.
 func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
+	if !x.verifyUpstream() {
+		x.leaveUnverified()
+		return runUnsent, nil
+	}
 	return x.send(x.nextRun(choice.FetchFrom))
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -118,6 +118,9 @@
 	x.recordFailure(runUnknown, cause)
 	for x.route.Resumable && x.events.hasEvents && !x.relay.cfg.Disabled[balance.Resuming] && x.mayRetry(runUnknown) {
 		choice, ok := x.place()
+		if !ok && x.mayUseUnverified() {
+			continue
+		}
 		if !ok {
 			return false
 		}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -61,10 +61,12 @@
 
 func newStub(t testing.TB, id string, script func(net.Conn, stubRequest) bool) *stub {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	return newStubOn(t, listen(t), id, script)
+}
+
+// newStubOn is newStub with a given listener.
+func newStubOn(t testing.TB, l net.Listener, id string, script func(net.Conn, stubRequest) bool) *stub {
+	t.Helper()
 	s := &stub{id: id, listener: l, script: script, closed: make(chan struct{}, 100)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
--- /dev/null
+++ b/relay/verify.go
@@ -0,0 +1,179 @@
+package relay
+
+// This file defines how the box verifies upstreams that other boxes report unreachable, and how it
+// shares what it observes itself. The invariants: a request is not placed at a reported upstream
+// while another one is left, unless a connection attempt of this box succeeds first; and an
+// attempt runs only where a request needs it, one at a time for each upstream, so that a report
+// does not make all boxes connect at once.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/doormast/doormast/balance"
+)
+
+const (
+	// minVerificationWait is the least time that a request waits for a verification before it
+	// goes elsewhere.
+	minVerificationWait = 50 * time.Millisecond
+	// verificationRTTs is the same in round trips: one connects, and packets may be delayed.
+	verificationRTTs = 4
+)
+
+// errUnverified reports that an upstream which other boxes report unreachable accepted no
+// connection in time.
+var errUnverified = &Error{Op: "verify upstream", Kind: KindExhausted}
+
+// Counters of reports and verifications.
+const (
+	upstreamsReportedLost  = "upstreams_told_lost"
+	upstreamsVerified      = "upstreams_verified"
+	upstreamsNotVerified   = "upstreams_not_verified"
+	requestsLeftUnverified = "requests_left_unverified"
+)
+
+// verifyUpstream reports whether the request may be sent to the upstream that was chosen. If the
+// upstream is reported unreachable, it waits for a verification, but not for one that is unlikely
+// to succeed.
+func (x *exchange) verifyUpstream() bool {
+	if x.usesUnverified {
+		return true
+	}
+	r := x.relay
+	done := r.startVerification(x.upstream)
+	if done == nil {
+		return true
+	}
+	timer := time.NewTimer(r.verificationWait(x.upstream.Domain))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		return false
+	case <-x.ctx.Done():
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.fleet.IsUnreachable(x.upstream.Incarnation())
+}
+
+// leaveUnverified ends the attempt to use an upstream that could not be verified in time.
+func (x *exchange) leaveUnverified() {
+	x.triedInstances = append(x.triedInstances, x.upstream.Incarnation())
+	x.unverified = append(x.unverified, x.upstream.Incarnation())
+	x.relay.stats.count(requestsLeftUnverified)
+	x.recordFailure(runUnsent, errUnverified)
+}
+
+// mayUseUnverified reports whether the request may go to the upstreams that it has left because
+// they could not be verified. That is the case when no other upstream is left: one that is only
+// slow to accept connections still serves the open ones.
+func (x *exchange) mayUseUnverified() bool {
+	if len(x.unverified) == 0 || x.ctx.Err() != nil {
+		return false
+	}
+	isUnverified := func(inc balance.Incarnation) bool { return slices.Contains(x.unverified, inc) }
+	x.triedInstances = slices.DeleteFunc(x.triedInstances, isUnverified)
+	x.unverified, x.usesUnverified = nil, true
+	return true
+}
+
+// verificationWait is how long a request waits for a verification.
+func (r *Relay) verificationWait(domain string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(max(minVerificationWait, verificationRTTs*r.fleet.RTT(domain)), balance.DialWait)
+}
+
+// startVerification starts the verification of an upstream, unless one is in progress. The
+// returned channel is closed at its end; nil means that none is needed.
+func (r *Relay) startVerification(u balance.Upstream) <-chan struct{} {
+	inc := u.Incarnation()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if done := r.verifications[inc]; done != nil {
+		return done
+	}
+	if !r.fleet.BeginVerification(inc) {
+		return nil
+	}
+	done := make(chan struct{})
+	r.verifications[inc] = done
+	go func() {
+		r.verify(u)
+		close(done)
+	}()
+	return done
+}
+
+// verify tries to connect to an upstream and records the result. Only an attempt that times out
+// counts against it: a host that refuses or resets a connection is there, and a request finds that
+// out at no cost.
+func (r *Relay) verify(u balance.Upstream) {
+	began, inc := r.now(), u.Incarnation()
+	c, err := dial(context.Background(), u.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	timedOut := isTimeout(err)
+	r.mu.Lock()
+	delete(r.verifications, inc)
+	r.fleet.EndVerification(r.now(), began, inc, timedOut)
+	lost := r.fleet.TakeNewlyUnreachable()
+	r.wakeReady(u.Service)
+	r.mu.Unlock()
+	r.logUnreachable(lost, "")
+	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "domain": u.Domain, "reached": !timedOut, "took_ms": (r.now() - began).Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	r.cfg.Log.Event("upstream", "verified", fields)
+	if !timedOut {
+		r.stats.count(upstreamsVerified)
+		return
+	}
+	r.stats.count(upstreamsNotVerified)
+	r.conns.closeIdle(u.ID)
+	r.wakeProbeLoop()
+}
+
+// isTimeout reports whether a connection attempt got no answer in time.
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// shareReachReports passes what this box observed of connections to the node, and applies the
+// reports of other boxes.
+func (m *members) shareReachReports(ctx context.Context) {
+	r := m.relay
+	received := m.node.DrainReachReports()
+	now := r.now()
+	r.mu.Lock()
+	changes := r.fleet.MergeReachReports(now, received)
+	queued := r.fleet.TakeReachReports(now)
+	r.mu.Unlock()
+	m.node.AnnounceReachReports(now, queued)
+	m.node.FlushReachReports(now)
+	for _, c := range changes {
+		r.applyReachChange(ctx, c)
+	}
+}
+
+// applyReachChange logs a report with an effect. An unreachable upstream that another box reaches
+// is probed at once.
+func (r *Relay) applyReachChange(ctx context.Context, c balance.ReachChange) {
+	fields := Fields{"upstream": c.ID, "born": c.StartedAt, "domain": c.Domain, "told_by": c.Report.Box, "age_ms": c.Report.Age.Milliseconds()}
+	if c.Report.Reached {
+		r.cfg.Log.Event("upstream", "reached by others", fields)
+		go r.probeUnreachable(ctx, c.ID, c.Address)
+		return
+	}
+	r.stats.count(upstreamsReportedLost)
+	r.cfg.Log.Event("upstream", "out of reach of others", fields)
+}
