A pause that ends with a stream's first event is logged at once

Operators saw "used as before its pause" late, up to the length of a stream.

Hypothesis: the same fault as with upstreams out of reach. The queue of ended pauses is filled by closed tickets and by first events, and emptied only where a ticket closes.

Change: the first event takes and logs them too. The other queues that the fleet fills for its owner (limits, prior counts, parts, reach reports) are emptied by the members' loop at each pass, and suspects' news too.

--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,6 +160,39 @@
 	b.awaitLog("upstream: used as before its pause")
 }
 
+// A pause that ended with the first event of a stream was logged only when a run of the box ended,
+// which could be a stream's length later.
+func TestPauseEndedByStreamIsLoggedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var paused atomic.Bool
+	hold := make(chan struct{})
+	u := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+		if paused.CompareAndSwap(false, true) {
+			return respondWithHeaders("503 No", "X-Not-Run: 1", "Retry-After: 0.3")(c, r)
+		}
+		startStream(c, r)
+		writeChunk(c, event(1))
+		<-hold
+		writeChunk(c, "")
+		return true
+	})
+	b := newTestBox(t, u)
+	b.do(b.request(http.MethodPost, "/brief/x", "x")) // its time ends before the pause
+	const count = 12 // more than the upstream has slots
+	done := make(chan callerResponse, count)
+	for i := range count {
+		go func() {
+			done <- b.do(b.request(http.MethodPost, "/flow/x", "x", "X-Id", fmt.Sprint("r", i), "X-Left", "30000"))
+		}()
+	}
+	b.awaitLog("upstream: used as before its pause")
+	is.Equal(b.relay.stats.openRequests.Load(), int64(count)) // no stream has ended
+	close(hold)
+	for range count {
+		is.Equal((<-done).status, http.StatusOK)
+	}
+}
+
 // A request whose time ends before the pause is refused at once, with the end of the pause as
 // the time to come back.
 func TestPauseTooLongForCaller(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -49,8 +49,10 @@
 	x.pace.observe(time.Now(), x.route.EventGap)
 	x.relay.mu.Lock()
 	x.ticket.NoteFirstEvent(x.relay.now())
+	over := x.relay.fleet.PausesOver()
 	x.relay.wakeReady(x.service)
 	x.relay.mu.Unlock()
+	x.relay.logPausesEnded(over)
 	wake(x.relay.members.loadsChanged)
 	x.eventsBegan.Store(true)
 	x.response, x.events, x.pendingEvents = resp, e, pending
