A verification that is refused leaves the upstream as it is

Hypothesis: a refused connection shows that the host is there, not that the upstream serves. EndVerification took anything but a time-out for reachable, so an upstream that had refused a request meanwhile would have been used again.

Change: three results; a refusal only ends the report.

Measurement: TestVerificationResult, "a refusal, after a failure of its own": by reading reachable before, unreachable now.

--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -190,11 +190,21 @@
 	return true
 }
 
+// VerificationResult is the result of the connection attempt of a verification.
+type VerificationResult uint8
+
+// The results of a verification.
+const (
+	VerifiedReachable   VerificationResult = iota // a connection was established
+	VerifiedUnreachable                           // the attempt timed out
+	NotSilent                                     // it was refused or reset, so the host is there
+)
+
 // EndVerification records the result of a verification that began at the given time. An upstream
 // whose connection timed out becomes unreachable unless it has answered this box meanwhile. Its
 // domain is not counted as failing: otherwise two reports, about two upstreams of a domain that is
 // sound, would take away all of them.
-func (f *Fleet) EndVerification(now, began time.Duration, l Incarnation, timedOut bool) {
+func (f *Fleet) EndVerification(now, began time.Duration, l Incarnation, result VerificationResult) {
 	m := f.byID[l.ID]
 	if m == nil || m.Incarnation() != l {
 		return
@@ -202,9 +212,9 @@
 	m.reports.verifying = false
 	m.setReportedLost(false)
 	switch {
-	case !timedOut:
+	case result == VerifiedReachable:
 		f.recordReachable(now, m)
-	case m.reports.answeredAt <= began && !m.unreachable:
+	case result == VerifiedUnreachable && m.reports.answeredAt <= began && !m.unreachable:
 		f.lose(m, false, m.ID)
 	}
 }
--- a/balance/reachreport_test.go
+++ b/balance/reachreport_test.go
@@ -98,14 +98,16 @@
 	tests := []struct {
 		name        string
 		meanwhile   func(f *Fleet)
-		timedOut    bool
+		result      VerificationResult
 		unreachable int
 	}{
-		{"a connection", func(*Fleet) {}, false, 0},
-		{"none", func(*Fleet) {}, true, 1},
-		{"none, but an answer on an open connection", func(f *Fleet) { f.Open(began, "u1", prompt(1)).Close(now, Answered) }, true, 0},
-		{"none, after a failure of its own", func(f *Fleet) { failUnreachable(f, now, "u1") }, true, 1},
-		{"none, to an earlier incarnation", func(f *Fleet) { f.Put(now, Upstream{ID: "u1", StartedAt: 5, Service: "s", Domain: "d1", Slots: 8}) }, true, 0},
+		{"a connection", func(*Fleet) {}, VerifiedReachable, 0},
+		{"none", func(*Fleet) {}, VerifiedUnreachable, 1},
+		{"a refusal", func(*Fleet) {}, NotSilent, 0},
+		{"a refusal, after a failure of its own", func(f *Fleet) { failUnreachable(f, now, "u1") }, NotSilent, 1},
+		{"none, but an answer on an open connection", func(f *Fleet) { f.Open(began, "u1", prompt(1)).Close(now, Answered) }, VerifiedUnreachable, 0},
+		{"none, after a failure of its own", func(f *Fleet) { failUnreachable(f, now, "u1") }, VerifiedUnreachable, 1},
+		{"none, to an earlier incarnation", func(f *Fleet) { f.Put(now, Upstream{ID: "u1", StartedAt: 5, Service: "s", Domain: "d1", Slots: 8}) }, VerifiedUnreachable, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -114,7 +116,7 @@
 			f.MergeReachReports(began, lostReport("u1", time.Second))
 			is.True(f.BeginVerification(u1))
 			tt.meanwhile(f)
-			f.EndVerification(now, began, u1, tt.timedOut)
+			f.EndVerification(now, began, u1, tt.result)
 			is.Equal(len(f.Unreachable()), tt.unreachable)
 			is.True(!needsVerification(f, "u1"))
 		})
@@ -129,7 +131,7 @@
 	for _, id := range []string{"u1", "u4"} {
 		f.MergeReachReports(time.Second, lostReport(id, time.Millisecond))
 		is.True(f.BeginVerification(Incarnation{ID: id}))
-		f.EndVerification(2*time.Second, time.Second, Incarnation{ID: id}, true)
+		f.EndVerification(2*time.Second, time.Second, Incarnation{ID: id}, VerifiedUnreachable)
 	}
 	is.Equal(len(f.Unreachable()), 2)
 	is.Equal(f.CutOffDomains(), nil)
--- a/relay/verify.go
+++ b/relay/verify.go
@@ -120,20 +120,20 @@
 	if err == nil {
 		_ = c.Close()
 	}
-	timedOut := isTimeout(err)
+	result := verificationResult(err)
 	r.mu.Lock()
 	delete(r.verifications, inc)
-	r.fleet.EndVerification(r.now(), began, inc, timedOut)
+	r.fleet.EndVerification(r.now(), began, inc, result)
 	lost := r.fleet.TakeNewlyUnreachable()
 	r.wakeReady(u.Service)
 	r.mu.Unlock()
 	r.logUnreachable(lost, "")
-	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "domain": u.Domain, "reached": !timedOut, "took_ms": (r.now() - began).Milliseconds()}
+	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "domain": u.Domain, "reached": err == nil, "took_ms": (r.now() - began).Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	r.cfg.Log.Event("upstream", "verified", fields)
-	if !timedOut {
+	if result != balance.VerifiedUnreachable {
 		r.stats.count(upstreamsVerified)
 		return
 	}
@@ -142,10 +142,16 @@
 	r.wakeProbeLoop()
 }
 
-// isTimeout reports whether a connection attempt got no answer in time.
-func isTimeout(err error) bool {
+// verificationResult returns the result of a connection attempt that ended with err.
+func verificationResult(err error) balance.VerificationResult {
 	var e net.Error
-	return errors.As(err, &e) && e.Timeout()
+	switch {
+	case err == nil:
+		return balance.VerifiedReachable
+	case errors.As(err, &e) && e.Timeout():
+		return balance.VerifiedUnreachable
+	}
+	return balance.NotSilent
 }
 
 // shareReachReports passes what this box observed of connections to the node, and applies the
