Soak: upstreams whose hosts do not respond at all

The proxies had no mode in which new connections time out: a silent one still accepted them. So verifications and their reports met nothing in the soak.

Change: a mode in which the kernel drops new connections and open ones carry nothing.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,7 +1,8 @@
 package soak
 
 // This file defines a TCP proxy on a loopback address that injects network faults: it delays or resets connections,
-// blocks one or both directions, refuses new connections, or permanently mutes existing connections while new ones work.
+// blocks one or both directions, refuses new connections, stands for a host that does not respond at all, or permanently
+// mutes existing connections while new ones work.
 //
 // Invariant: bytes are forwarded in order or not at all.
 
@@ -9,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -16,14 +18,15 @@
 type proxyMode int32
 
 const (
-	modeOpen     proxyMode = iota
-	modeDelayed            // each read is forwarded after proxyDelay
-	modeSilent             // both directions are blocked
-	modeOneWay             // responses are blocked
-	modeRefusing           // new connections are closed immediately
+	modeOpen        proxyMode = iota
+	modeDelayed               // each read is forwarded after proxyDelay
+	modeSilent                // both directions are blocked
+	modeOneWay                // responses are blocked
+	modeRefusing              // new connections are closed immediately
+	modeUnreachable           // new connections time out, and both directions are blocked
 )
 
-var modeNames = [...]string{"open", "delayed", "silent", "one way", "refusing"}
+var modeNames = [...]string{"open", "delayed", "silent", "one way", "refusing", "unreachable"}
 
 // proxy forwards connections to one target address.
 type proxy struct {
@@ -35,8 +38,14 @@
 	muted       atomic.Int64  // connections up to this number forward nothing, not even their close
 	disruptions atomic.Int64  // number of mode changes, mutes and resets
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	fillers []net.Conn // connections that fill the listener's queue in modeUnreachable
+}
+
+// blocks reports whether a direction is blocked.
+func (m proxyMode) blocks(responses bool) bool {
+	return m == modeSilent || m == modeUnreachable || m == modeOneWay && responses
 }
 
 // proxyDelay is the delay of each read in modeDelayed.
@@ -64,6 +73,9 @@
 		if err != nil {
 			return
 		}
+		for proxyMode(p.mode.Load()) == modeUnreachable {
+			time.Sleep(proxyPollInterval)
+		}
 		if proxyMode(p.mode.Load()) == modeRefusing {
 			_ = c.Close()
 			continue
@@ -111,6 +123,49 @@
 func (p *proxy) set(m proxyMode) {
 	p.disruptions.Add(1)
 	p.mode.Store(int32(m))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.fillers {
+		_ = c.Close()
+	}
+	p.fillers = nil
+	if m == modeUnreachable {
+		p.fillQueue()
+	} else {
+		p.setQueueLength(syscall.SOMAXCONN)
+	}
+}
+
+// maxFillers bounds the connections that fill a listener's queue: one that is accepted, one that is
+// queued, and those of boxes that come between.
+const maxFillers = 8
+
+// fillQueue makes the kernel drop new connections by filling the shortest possible queue.
+func (p *proxy) fillQueue() {
+	p.setQueueLength(0)
+	for range maxFillers {
+		c, err := net.DialTimeout("tcp", p.address(), fillTimeout)
+		if err != nil {
+			return
+		}
+		p.fillers = append(p.fillers, c)
+	}
+}
+
+// fillTimeout is how long a connection attempt may take before the queue counts as full.
+const fillTimeout = 50 * time.Millisecond
+
+// setQueueLength sets the number of connections that the kernel keeps for accept.
+func (p *proxy) setQueueLength(length int) {
+	l, ok := p.listener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), length) }) // fails only for a closed listener
 }
 
 // state returns the number of disruptions so far, and whether the proxy is in modeOpen.
@@ -123,7 +178,7 @@
 	buf := make([]byte, 16<<10) // holds most requests, so that they are delayed once
 	for {
 		n, err := from.Read(buf)
-		for mode := proxyMode(p.mode.Load()); mode == modeSilent || mode == modeOneWay && responses; mode = proxyMode(p.mode.Load()) {
+		for proxyMode(p.mode.Load()).blocks(responses) {
 			time.Sleep(proxyPollInterval)
 		}
 		if proxyMode(p.mode.Load()) == modeDelayed {
