--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -178,7 +178,7 @@
 	})
 	b := newTestBox(t, u)
 	b.do(b.request(http.MethodPost, "/brief/x", "x")) // its time ends before the pause
-	const count = 12 // more than the upstream has slots
+	const count = 12                                  // more than the upstream has slots
 	done := make(chan callerResponse, count)
 	for i := range count {
 		go func() {
