Test of leaders with slow links: boxes know their links

The test set the links after the boxes had started, so that they could not follow them, and no mend by link could have passed it.

--- a/group/regiontraffic_test.go
+++ b/group/regiontraffic_test.go
@@ -18,7 +18,14 @@
 // startRegions starts a fleet in domains of several regions that are 30 ms apart. Half of each
 // domain's boxes start before those of the next one. The seeds are weak boxes of three domains.
 func startRegions(t testing.TB, seed uint64, l layout, boxes int) *simulation {
+	return startRegionsWithLinks(t, seed, l, boxes, 0)
+}
+
+// startRegionsWithLinks is startRegions with links of a capacity in bytes per second, which boxes know;
+// 0: unlimited.
+func startRegionsWithLinks(t testing.TB, seed uint64, l layout, boxes int, linkRate float64) *simulation {
 	w := newSimulation(t, seed)
+	w.datagramRate = linkRate
 	w.regions, w.regionDelay = make(map[string]string), 30*time.Millisecond
 	for d := range l.domains {
 		w.regions[domainName(d)] = fmt.Sprintf("region%d", d%l.regions)
--- a/group/slowleader_test.go
+++ b/group/slowleader_test.go
@@ -16,8 +16,8 @@
 	)
 	maxQueuing := DefaultTiming.LeaderTimeout - DefaultTiming.HeartbeatInterval // longer, and members take the leader for failed
 	l := layout{3, 1}
-	w := newWorkload(startRegions(t, 1, l, 300), l)
-	w.perSecond, w.upstreams, w.datagramRate = perSecond, upstreams, linkRate
+	w := newWorkload(startRegionsWithLinks(t, 1, l, 300, linkRate), l)
+	w.perSecond, w.upstreams = perSecond, upstreams
 	var longest time.Duration
 	for range 80 {
 		w.advance(100 * time.Millisecond)
