--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -7,6 +7,7 @@
 // upstream that has answered the box since, or where too many upstreams of a service are reported.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -107,12 +108,13 @@
 	return list
 }
 
+// compareReachReports orders reports by incarnation key, and losses before returns.
 func compareReachReports(a, b ReachReport) int {
 	switch {
-	case a.Life < b.Life, a.Life == b.Life && !a.Reached && b.Reached:
+	case a.Life != b.Life || a.Reached == b.Reached:
+		return cmp.Compare(a.Life, b.Life)
+	case b.Reached:
 		return -1
-	case a == b:
-		return 0
 	}
 	return 1
 }
