A box that reaches no upstream tells in its log whether others do

Boxes that verify another box's report with success did not tell.

Change: a verification that succeeds is reported like the others, as verified. It changes no decision: the path of the box that lost the upstream may be cut still. Lines of requests without a response, and two metrics, say how many upstreams are out of reach and how many of these others reach, who told that and how long ago.

Test: TestLogTellsCutPathFromUpstreamThatIsDown; without the change such a line has neither field.

--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -23,10 +23,13 @@
 
 // ReachReport says that connections to an upstream time out, or that one was established again.
 type ReachReport struct {
-	Life    uint32        // incarnation key
-	Reached bool          // a connection was established again; otherwise they time out
-	Age     time.Duration // since the earliest time for which it holds
-	Box     string        // name of the box that observed it; empty: this one
+	Life    uint32 // incarnation key
+	Reached bool   // a connection was established again; otherwise they time out
+	// Verified states, with Reached, that the box had not lost the upstream itself: it verified the
+	// report of another box.
+	Verified bool
+	Age      time.Duration // since the earliest time for which it holds
+	Box      string        // name of the box that observed it; empty: this one
 }
 
 // Aged returns the report as it is some time later.
@@ -43,18 +46,41 @@
 
 // reachReports is the state of an upstream that follows from reports, or is kept for them.
 type reachReports struct {
-	lost        bool          // another box reports it unreachable, and it was not verified since
-	lostAt      time.Duration // if lost: the time for which that was reported
-	verifying   bool          // a connection attempt that verifies it is in progress
-	answeredAt  time.Duration // when this box last had an answer or a connection
-	lastLost    time.Duration // when a report that it is unreachable was last queued; 0: never
-	lastReached time.Duration // the same for a report of its return
+	lost         bool          // another box reports it unreachable, and it was not verified since
+	lostAt       time.Duration // if lost: the time for which that was reported
+	verifying    bool          // a connection attempt that verifies it is in progress
+	answeredAt   time.Duration // when this box last had an answer or a connection
+	lastLost     time.Duration // when a report that it is unreachable was last queued; 0: never
+	lastReached  time.Duration // the same for a report of its return
+	lastVerified time.Duration // the same for a report of a verification
+	reachedBy    string        // the box that last reported that it reaches it; empty: none did
+	reachedAt    time.Duration // if reachedBy: the time for which that was reported
 }
 
 // reachKey identifies a queued report.
 type reachKey struct {
-	life    uint32
-	reached bool
+	life uint32
+	kind reachKind
+}
+
+// reachKind is what a report says.
+type reachKind uint8
+
+const (
+	lostKind     reachKind = iota // connections time out
+	reachedKind                   // a connection was established again
+	verifiedKind                  // a box verified the report of another one with success
+)
+
+// kind returns what the report says.
+func (t ReachReport) kind() reachKind {
+	switch {
+	case !t.Reached:
+		return lostKind
+	case t.Verified:
+		return verifiedKind
+	}
+	return reachedKind
 }
 
 // queuedReachReport is a report to be sent, with the time for which it holds.
@@ -64,16 +90,24 @@
 }
 
 // queueReachReport queues a report for other boxes unless a similar one was queued lately.
-func (f *Fleet) queueReachReport(now time.Duration, m *member, reached bool, at time.Duration, box string) {
-	last := &m.reports.lastLost
-	if reached {
-		last = &m.reports.lastReached
-	}
+func (f *Fleet) queueReachReport(now time.Duration, m *member, kind reachKind, at time.Duration, box string) {
+	last := m.reports.lastQueued(kind)
 	if *last > 0 && now-*last < reachReportInterval {
 		return
 	}
 	*last = now
-	f.reachReports[reachKey{m.key, reached}] = queuedReachReport{at, box}
+	f.reachReports[reachKey{m.key, kind}] = queuedReachReport{at, box}
+}
+
+// lastQueued returns where the time of the last queued report of a kind is kept.
+func (r *reachReports) lastQueued(kind reachKind) *time.Duration {
+	switch kind {
+	case reachedKind:
+		return &r.lastReached
+	case verifiedKind:
+		return &r.lastVerified
+	}
+	return &r.lastLost
 }
 
 // reportLost queues a report that this box's own connection to an upstream timed out, unless
@@ -82,7 +116,7 @@
 	if f.cfg.Off[ReachReports] || !f.isListed(m) || m.closed() || m.unreachable || m.reports.lost {
 		return
 	}
-	f.queueReachReport(now, m, false, max(began, now-DialWait), "")
+	f.queueReachReport(now, m, lostKind, max(began, now-DialWait), "")
 }
 
 // reportReached queues a report that an upstream is reachable again, unless another box has reported
@@ -90,7 +124,7 @@
 // spares the others the rest of their round of probes.
 func (f *Fleet) reportReached(now time.Duration, m *member) {
 	if !f.cfg.Off[ReachReports] {
-		f.queueReachReport(now, m, true, now, "")
+		f.queueReachReport(now, m, reachedKind, now, "")
 	}
 }
 
@@ -101,22 +135,16 @@
 	}
 	var list []ReachReport
 	for key, x := range f.reachReports {
-		list = append(list, ReachReport{Life: key.life, Reached: key.reached, Age: now - x.at, Box: x.box})
+		list = append(list, ReachReport{Life: key.life, Reached: key.kind != lostKind, Verified: key.kind == verifiedKind, Age: now - x.at, Box: x.box})
 	}
 	clear(f.reachReports)
 	slices.SortFunc(list, compareReachReports)
 	return list
 }
 
-// compareReachReports orders reports by incarnation key, and losses before returns.
+// compareReachReports orders reports by incarnation key, then losses before returns.
 func compareReachReports(a, b ReachReport) int {
-	switch {
-	case a.Life != b.Life || a.Reached == b.Reached:
-		return cmp.Compare(a.Life, b.Life)
-	case b.Reached:
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.Life, b.Life), cmp.Compare(a.kind(), b.kind()))
 }
 
 // MergeReachReports applies the reports of other boxes and queues them to be forwarded. It returns
@@ -132,7 +160,7 @@
 		if m == nil || m.closed() || t.Age < 0 || t.Age >= maxReachReportAge {
 			continue
 		}
-		f.queueReachReport(now, m, t.Reached, now-t.Age, t.Box)
+		f.queueReachReport(now, m, t.kind(), now-t.Age, t.Box)
 		if f.mergeReachReport(m, t, now-t.Age) {
 			changes = append(changes, ReachChange{m.Upstream, t})
 		}
@@ -142,7 +170,12 @@
 
 // mergeReachReport applies a report for the time at, and returns whether it has an effect.
 func (f *Fleet) mergeReachReport(m *member, t ReachReport, at time.Duration) bool {
+	if t.Reached {
+		m.reports.reachedBy, m.reports.reachedAt = t.Box, at
+	}
 	switch {
+	case t.Verified:
+		return false // the path of the box that lost it may be cut still
 	case t.Reached:
 		if m.reports.lost && at > m.reports.lostAt {
 			m.setReportedLost(false)
@@ -216,6 +249,7 @@
 	switch {
 	case result == VerifiedReachable:
 		f.recordReachable(now, m)
+		f.queueReachReport(now, m, verifiedKind, now, "")
 	case result == VerifiedUnreachable && m.reports.answeredAt <= began && !m.unreachable:
 		f.lose(m, false, m.ID)
 	}
@@ -235,3 +269,39 @@
 		return m != nil && (m.unreachable || m.reports.verifying)
 	})
 }
+
+// PathState is what a box knows of its paths to upstreams, for logs and metrics.
+type PathState struct {
+	Listed      int // upstreams that are listed
+	Unreachable int // of these, those that this box does not reach
+	// ReachedByOthers is how many of the unreachable ones another box has reached within
+	// maxReachReportAge: this box's path is cut, not the upstream down.
+	ReachedByOthers int
+	ReportedBy      string        // the box with the latest of these reports; empty: there is none
+	ReportAge       time.Duration // if ReportedBy: of that report
+}
+
+// Paths returns what this box knows of its paths to the upstreams of a service, or of all services
+// if the name is empty.
+func (f *Fleet) Paths(now time.Duration, service string) PathState {
+	var s PathState
+	for _, m := range f.byID {
+		if service != "" && m.Service != service {
+			continue
+		}
+		s.Listed++
+		if !m.unreachable {
+			continue
+		}
+		s.Unreachable++
+		age := now - m.reports.reachedAt
+		if m.reports.reachedBy == "" || age >= maxReachReportAge {
+			continue
+		}
+		s.ReachedByOthers++
+		if s.ReportedBy == "" || age < s.ReportAge {
+			s.ReportedBy, s.ReportAge = m.reports.reachedBy, age
+		}
+	}
+	return s
+}
--- a/group/reachreports.go
+++ b/group/reachreports.go
@@ -34,9 +34,13 @@
 
 // reachReportKey identifies an upstream and the kind of the report.
 func reachReportKey(x balance.ReachReport) uint64 {
-	key := uint64(x.Life) << 1
+	const reached, verified, bits = 1, 2, 2
+	key := uint64(x.Life) << bits
 	if x.Reached {
-		key++
+		key |= reached
+	}
+	if x.Verified {
+		key |= verified
 	}
 	return key
 }
@@ -44,7 +48,7 @@
 func packReachReports(m *wire.GroupMessage, list []balance.ReachReport, _ uint64, _ bool) {
 	m.Partial = true // a box that does not know the reports reads the message as one without changed loads
 	for _, x := range list {
-		m.Reach = append(m.Reach, &wire.GroupReach{Life: x.Life, Reached: x.Reached, Age: micros(x.Age), Box: x.Box})
+		m.Reach = append(m.Reach, &wire.GroupReach{Life: x.Life, Reached: x.Reached, Verified: x.Verified, Age: micros(x.Age), Box: x.Box})
 	}
 }
 
@@ -94,7 +98,7 @@
 		if len(x.Box) > maxBoxName || x.Box == n.cfg.Self.Name {
 			continue // a leader sends a report back to its origin as well
 		}
-		list = append(list, balance.ReachReport{Life: x.Life, Reached: x.Reached, Age: fromMicros(x.Age), Box: cmp.Or(x.Box, m.Sender.Name)})
+		list = append(list, balance.ReachReport{Life: x.Life, Reached: x.Reached, Verified: x.Reached && x.Verified, Age: fromMicros(x.Age), Box: cmp.Or(x.Box, m.Sender.Name)})
 	}
 	n.reach.handle(n, now, m.Sender, list, 0, false)
 }
--- /dev/null
+++ b/relay/cutpath_test.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
+)
+
+// boxPath is the network path of one box to an upstream. Other boxes use other paths.
+type boxPath struct {
+	t        testing.TB
+	upstream string // address
+	listener net.Listener
+	silent   atomic.Bool
+	accepted sync.WaitGroup
+
+	mu      sync.Mutex
+	open    []net.Conn
+	fillers []net.Conn // connections that fill the queue of the listener
+	dials   int        // connections that were accepted
+}
+
+func newBoxPath(t testing.TB, u *stub) *boxPath {
+	t.Helper()
+	p := &boxPath{t: t, upstream: u.listener.Addr().String(), listener: listenWithoutQueue(t)}
+	p.accepted.Go(p.accept)
+	t.Cleanup(func() {
+		p.restore()
+		_ = p.listener.Close()
+		p.reset()
+		p.accepted.Wait()
+	})
+	return p
+}
+
+func (p *boxPath) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		for p.silent.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		p.accepted.Go(func() { p.serve(c) })
+	}
+}
+
+// serve copies between a box and the upstream while the path is not silent.
+func (p *boxPath) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	u, err := net.Dial("tcp", p.upstream)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.open = append(p.open, c, u)
+	p.dials++
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(u, c) })
+	both.Go(func() { p.copy(c, u) })
+	both.Wait()
+}
+
+func (p *boxPath) copy(to, from net.Conn) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	b := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(b)
+		for p.silent.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		if n > 0 {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// cut silences the path: new connections time out, and open ones deliver nothing.
+func (p *boxPath) cut() {
+	p.silent.Store(true)
+	timeouts := 0
+	for range 16 {
+		c, err := net.DialTimeout("tcp", p.listener.Addr().String(), balance.DialWait)
+		if err == nil {
+			p.fillers = append(p.fillers, c)
+			timeouts = 0
+		} else if timeouts++; timeouts == 3 {
+			return
+		}
+	}
+	p.t.Fatal("the path still accepts connections")
+}
+
+// restore ends cut.
+func (p *boxPath) restore() {
+	for _, c := range p.fillers {
+		_ = c.Close()
+	}
+	p.fillers = nil
+	p.silent.Store(false)
+}
+
+// reset resets the open connections.
+func (p *boxPath) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.open {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	p.open = nil
+}
+
+// refuse makes new connections fail with a refusal until accept is called again; open ones live on.
+func (p *boxPath) refuse() {
+	p.t.Helper()
+	if err := p.listener.Close(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *boxPath) connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dials
+}
+
+// paths are the paths of a box to its upstreams, by upstream ID.
+type paths map[string]*boxPath
+
+func newPaths(t testing.TB, stubs ...*stub) paths {
+	t.Helper()
+	list := make(paths)
+	for _, s := range stubs {
+		list[s.id] = newBoxPath(t, s)
+	}
+	return list
+}
+
+// cut silences all paths of the box.
+func (l paths) cut() {
+	var all sync.WaitGroup
+	for _, p := range l {
+		all.Go(p.cut)
+	}
+	all.Wait()
+}
+
+func (l paths) restore() {
+	for _, p := range l {
+		p.restore()
+	}
+}
+
+// decode is decodeItem with the addresses at which the box reaches the upstreams.
+func (l paths) decode(it mirror.Item) (Update, error) {
+	u, err := decodeItem(it)
+	if u.Upstream != nil && l[u.Upstream.ID] != nil {
+		u.Upstream.Address = l[u.Upstream.ID].listener.Addr().String()
+	}
+	return u, err
+}
+
+// startPathPair starts two boxes of a group. The first one reaches the stubs over paths of its own.
+func startPathPair(t *testing.T, l paths, stubs ...*stub) (first, second *testBox) {
+	t.Helper()
+	var self *wire.GroupBox
+	first = newTestBoxWithConfig(t, func(c *Config) {
+		joinGroup(t, c, "first")
+		c.Decode = l.decode
+		self = c.Self
+	}, stubs...)
+	second = first.startPeer(self)
+	first.waitFor(func() bool {
+		return first.relay.boxes() == 2 && second.relay.boxes() == 2 && second.upstreamCount() == len(stubs)
+	})
+	return first, second
+}
+
+// A box that reaches no upstream could not tell from its own log whether they are down.
+func TestLogTellsCutPathFromUpstreamThatIsDown(t *testing.T) {
+	is := is.New(t)
+	u, v, w := newStub(t, "u", respondOK("u")), newStub(t, "v", respondOK("v")), newStub(t, "w", respondOK("w"))
+	l := newPaths(t, u, v, w)
+	first, second := startPathPair(t, l, u, v, w)
+	l.cut()
+	is.True(first.once().status != http.StatusOK)
+	second.awaitLog(`"msg":"upstream: out of reach of others"`)
+	second.waitFor(func() bool {
+		is.Equal(second.once().status, http.StatusOK)
+		return second.log.contains(`"msg":"upstream: verified"`)
+	})
+	first.waitFor(func() bool {
+		first.relay.mu.Lock()
+		defer first.relay.mu.Unlock()
+		return first.relay.fleet.Paths(first.relay.now(), "s").ReachedByOthers > 0
+	})
+	is.True(first.once().status != http.StatusOK)
+	first.awaitLog(`"out_of_reach":3`)
+	first.awaitLog(`"told_by":"second"`)
+	var metrics lockedBuffer
+	first.relay.WriteMetrics(&metrics)
+	is.True(metrics.contains("upstreams_unreachable 3\n"))
+	is.True(!metrics.contains("upstreams_reached_by_others_only 0\n"))
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -176,6 +176,24 @@
 	}
 	if x.response != nil {
 		f["status"] = x.response.header.StatusCode()
+	} else {
+		x.addPathFields(f)
 	}
 	return f
 }
+
+// addPathFields adds to the log line of a request without a response whether the upstreams of its
+// service are down or only this box's paths to them, as far as other boxes have told.
+func (x *exchange) addPathFields(f Fields) {
+	r := x.relay
+	r.mu.Lock()
+	paths := r.fleet.Paths(r.now(), x.service)
+	r.mu.Unlock()
+	if paths.Unreachable == 0 {
+		return
+	}
+	f["upstreams"], f["out_of_reach"], f["reached_by_others"] = paths.Listed, paths.Unreachable, paths.ReachedByOthers
+	if paths.ReportedBy != "" {
+		f["told_by"], f["told_age_ms"] = paths.ReportedBy, paths.ReportAge.Milliseconds()
+	}
+}
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -76,5 +76,9 @@
 // WriteMetrics writes the box's metrics as text.
 func (r *Relay) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "memory_bound_bytes %d\nmemory_used_bytes %d\nmemory_peak_bytes %d\n", r.account.Bound(), r.account.Used(), r.account.Peak())
+	r.mu.Lock()
+	paths := r.fleet.Paths(r.now(), "")
+	r.mu.Unlock()
+	fmt.Fprintf(w, "upstreams_listed %d\nupstreams_unreachable %d\nupstreams_reached_by_others_only %d\n", paths.Listed, paths.Unreachable, paths.ReachedByOthers)
 	r.stats.write(w)
 }
