Boxes connect to upstreams through other boxes when their own paths are cut

Boxes partitioned from all upstreams answered 1 of 54 and 0 of 49 first attempts, the other boxes 155 of 156 and 160 of 161.

Cause: a way is missing. A box sends a request over its own links or not at all; boxes exchange state, never a connection. Ruled out: slow detection (nothing is served after a box knows all of its upstreams to be out of reach, nor where connections are refused within 10 ms), upstreams that are down or full (190 of 196 answered by the other boxes meanwhile, none turned away). Class: what a box finds out about its own path is taken for the state of the upstream.

Change: only the connection goes another way. The box keeps the request, its decisions, budget and retries, and connects to the upstream it has chosen through a box that reaches it. The other box connects to upstreams of its list alone, itself, within bounds of number and memory; the end of what the upstream sent is stated in a frame, so that an answer cut by the end of that box is never complete. Requests are placed behind tunnels only while a box reaches less than half of a service. A box whose connections fail twice with no answer in between verifies all upstreams before it uses connections that may have fallen silent. A refused connection counts as the end of an upstream only if other boxes are refused too.

The row of TestLostReportLeadsToVerification about a service half of which is unreachable has an answer between its failures now, since failures in a row put all paths in doubt by themselves; what it checks of reports is unchanged.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -65,6 +65,7 @@
 	assumedCold    bool          // counts as cold until an entry newer than reachableSince describes it
 	replaced       bool          // another upstream has taken over its address
 	reports        reachReports  // of other boxes, about its connections
+	tunnel         tunnelState   // of connections to it through other boxes
 	suspect        bool          // there was a sign that it may have restarted
 	distrustUntil  time.Duration // until then, cache news from other boxes may predate the suspected restart
 }
@@ -101,6 +102,8 @@
 	remoteLoadsStale bool                           // an upstream was listed since the last SetRemoteLoads
 	domains          map[string]*domainReach        // by name
 	reportedCutOff   []string                       // failure domains that another box reports as cut off
+	pathFailures     pathFailures                   // connections that failed with no answer of any upstream in between
+	tunnels          tunnelTrend                    // whether other boxes reach what this one does not
 	rtts             map[string]*rttEstimate        // by failure domain
 	prefillRate      float64                        // prompt tokens that an upstream reads per ms
 	firstListedAt    time.Duration                  // when the first upstream was listed
--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -27,6 +27,7 @@
 	Memory           Mechanism = "memory"      // upstreams get no more than fits in their memory
 	DomainCutOff     Mechanism = "domains"     // failure domains are marked as cut off as a whole
 	ReachReports     Mechanism = "reach"       // upstreams that other boxes cannot reach are verified first
+	Tunnels          Mechanism = "tunnels"     // upstreams are connected to through other boxes
 	Moving           Mechanism = "moving"      // answers that would end late move to another upstream
 	FailureBackoff   Mechanism = "rests"       // upstreams that fail are avoided for a while
 	Resuming         Mechanism = "resuming"    // streams resume at another upstream
@@ -49,6 +50,7 @@
 	Fetching:         "saves the prefill of parts that another upstream has cached",
 	Memory:           "keeps upstreams from crashing, or preempting requests, under the longest requests",
 	ReachReports:     "detects an upstream that falls silent once, not box by box",
+	Tunnels:          "serves the callers of a box whose paths to upstreams are cut",
 	DomainCutOff:     "detects a network partition once, not upstream by upstream",
 	Moving:           "finishes long answers whose upstream has become busy with prefill",
 	FailureBackoff:   "keeps requests away from upstreams that fail",
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -167,7 +167,7 @@
 	runTime := f.serviceOf(r.Service).holding.mean(now)
 	for _, m := range f.byService[r.Service] {
 		switch {
-		case m.closed() || m.unreachable || !mayLeaveLane && !f.inLane(now, m, false):
+		case m.closed() || f.isLost(m) || !mayLeaveLane && !f.inLane(now, m, false):
 			continue
 		case bound.fits(m):
 			return 0
--- a/balance/pause.go
+++ b/balance/pause.go
@@ -81,7 +81,7 @@
 	}
 	var least time.Duration
 	for _, m := range f.byService[r.Service] {
-		if m.unreachable || !f.isEligible(now, m, r, tried) {
+		if f.isLost(m) || !f.isEligible(now, m, r, tried) {
 			continue
 		}
 		p := f.pauseOf(m)
@@ -202,7 +202,7 @@
 func (f *Fleet) ReturnCapacity(now time.Duration, service string) int {
 	capacity := 0
 	for _, m := range f.byService[service] {
-		if m.closed() || m.unreachable {
+		if m.closed() || f.isLost(m) {
 			continue
 		}
 		switch p := f.pauseOf(m); {
--- a/balance/place.go
+++ b/balance/place.go
@@ -4,7 +4,8 @@
 // leaving or evacuated, that it was already sent to, that lies outside the regions it may run in,
 // that accepts no more while it is cold or under its stated limit, or that has no memory for it.
 // An upstream in failure backoff is chosen only if more than the allowed share of upstreams is,
-// and an unreachable one only if no other is left.
+// and an unreachable one only if no other is left, or if it is reached through another box while
+// this box reaches too few itself.
 
 import (
 	"cmp"
@@ -94,15 +95,18 @@
 // are in failure backoff, those that fail least are included.
 func (f *Fleet) usable(now time.Duration, r Request, tried []string) []*member {
 	available := make([]*member, 0, len(f.byService[r.Service]))
-	var backingOff, unreachable []*member
+	var backingOff, unreachable, tunnelled []*member
 	limited, avoidReported := false, f.avoidsReported(tried)
 	for _, m := range f.byService[r.Service] {
 		switch {
 		case !f.isEligible(now, m, r, tried):
 		case !f.allowedByLimits(now, m, r):
-			limited = limited || !m.unreachable
+			limited = limited || !f.isLost(m)
 		case m.unreachable || m.reports.verifying || avoidReported && m.reports.lost:
 			unreachable = append(unreachable, m)
+			if m.unreachable && f.behindTunnel(m) && !m.health.backingOff(now) {
+				tunnelled = append(tunnelled, m)
+			}
 		case m.health.backingOff(now) && !f.cfg.Off[FailureBackoff]:
 			backingOff = append(backingOff, m)
 		default:
@@ -110,6 +114,9 @@
 		}
 	}
 	available = append(available, excessBackingOff(backingOff, len(available))...)
+	if f.serviceOf(r.Service).needsTunnels() {
+		available = append(available, tunnelled...)
+	}
 	if len(available) > 0 {
 		return available
 	}
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -20,6 +20,13 @@
 	cutOffWindow = 2 * time.Second
 )
 
+// pathFailures are upstreams that became unreachable with no answer of any upstream in between.
+type pathFailures struct {
+	count int
+	first time.Duration // when the first of these connection attempts began, at the earliest
+	last  time.Duration
+}
+
 // domainReach is the connectivity to a failure domain.
 type domainReach struct {
 	consecutive int           // upstreams that became unreachable since the last answer
@@ -32,6 +39,9 @@
 	Upstream
 	ByDomain bool   // only because its domain is taken to be cut off
 	Cause    string // ID of the upstream whose failed connection led to it; empty if another box reported the domain
+	// ToVerify is how many other upstreams are to be verified before their next request, since this
+	// failure puts all paths of the box in doubt.
+	ToVerify int
 }
 
 // domainReachOf returns the connectivity to a failure domain and creates the record if needed.
@@ -65,12 +75,41 @@
 	}
 	d := f.domainReachOf(m.Domain)
 	d.recordFailure(now, !m.unreachable)
+	isNew := !m.unreachable
 	f.lose(m, false, m.ID)
+	if isNew {
+		f.doubtPaths(now)
+	}
 	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
 		f.markDomainCutOff(m.Domain, m.ID)
 	}
 }
 
+// doubtPaths counts an upstream that has become unreachable. If others have just before, with no
+// answer of any upstream in between, the cause may be in this box's own paths: every upstream that
+// has not answered since is verified before its next request, which would otherwise be lost on a
+// connection that has fallen silent.
+func (f *Fleet) doubtPaths(now time.Duration) {
+	p := &f.pathFailures
+	if p.count == 0 || now-p.last > cutOffWindow {
+		*p = pathFailures{first: now - DialWait}
+	}
+	p.count++
+	p.last = now
+	if p.count < cutOffThreshold || f.cfg.Off[Tunnels] || f.cfg.Off[ReachReports] {
+		return
+	}
+	doubted := 0
+	for _, m := range f.byID {
+		if !m.unreachable && !m.closed() && !m.reports.lost && m.reports.answeredAt < p.first {
+			m.setReportedLost(true)
+			m.reports.lostAt = now
+			doubted++
+		}
+	}
+	f.newlyUnreachable[len(f.newlyUnreachable)-1].ToVerify = doubted
+}
+
 // CutOffDomains returns the sorted names of the failure domains that this box treats as cut off.
 func (f *Fleet) CutOffDomains() []string {
 	var list []string
@@ -138,7 +177,7 @@
 // TakeNewlyUnreachable. cause is as in UnreachableUpstream.
 func (f *Fleet) lose(m *member, byDomain bool, cause string) {
 	if !m.unreachable {
-		f.newlyUnreachable = append(f.newlyUnreachable, UnreachableUpstream{m.Upstream, byDomain, cause})
+		f.newlyUnreachable = append(f.newlyUnreachable, UnreachableUpstream{Upstream: m.Upstream, ByDomain: byDomain, Cause: cause})
 	}
 	f.markUnreachable(m, byDomain)
 }
@@ -169,7 +208,7 @@
 		return
 	}
 	d := f.domainReachOf(m.Domain)
-	d.consecutive = 0
+	d.consecutive, f.pathFailures.count = 0, 0
 	m.noteReached(now)
 	f.markRecovered(now, m)
 	if d.inferred > 0 {
--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -172,6 +172,7 @@
 func (f *Fleet) mergeReachReport(m *member, t ReachReport, at time.Duration) bool {
 	if t.Reached {
 		m.reports.reachedBy, m.reports.reachedAt = t.Box, at
+		m.tunnel.failed = false
 	}
 	switch {
 	case t.Verified:
--- a/balance/reachreport_test.go
+++ b/balance/reachreport_test.go
@@ -51,6 +51,7 @@
 		{"half of the service is unreachable", func(f *Fleet) {
 			for _, id := range []string{"u0", "u3", "u6", "u9", "u2", "u5"} {
 				failUnreachable(f, now, id)
+				f.Open(now, "u4", prompt(1)).Close(now, Answered) // only the report concerns u1
 			}
 		}, lostReport("u1", time.Second), false},
 	}
--- a/balance/recovery.go
+++ b/balance/recovery.go
@@ -51,6 +51,13 @@
 	if m.unreachable || m.assumedCold {
 		m.service.unreachableCount--
 	}
+	switch {
+	case unreachable && !m.unreachable:
+		m.service.lostPaths++
+	case m.unreachable && !unreachable:
+		m.service.lostPaths--
+		m.tunnel = tunnelState{}
+	}
 	m.unreachable, m.assumedCold = unreachable, unsure
 	if m.unreachable || m.assumedCold {
 		m.service.unreachableCount++
--- a/balance/service.go
+++ b/balance/service.go
@@ -12,6 +12,7 @@
 	active            []*member     // upstreams that may have work; see active.go
 	upstreamCount     int           // number of its listed upstreams
 	unreachableCount  int           // of them: unreachable, or reachable again without a newer entry
+	lostPaths         int           // of them: unreachable for this box
 	reportedLostCount int           // of them: reported unreachable by other boxes
 	slotCount         int           // sum over its upstreams
 	classes           classes       // statistics of its request classes
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -21,6 +21,7 @@
 	pause        *pause        // the request was sent after this pause; nil once it has been answered
 	wasIdle      bool          // no other request was open on the upstream
 	hadFreeSlot  bool          // a slot was free
+	tunnelled    bool          // the request runs on a connection through another box
 	closed       bool          // Close was called
 }
 
@@ -73,10 +74,23 @@
 	t.prefilled, t.firstEventAt = true, now
 	t.finishResumed(true)
 	t.fleet.serviceOf(t.request.Service).holding.begin(now)
-	t.fleet.recordReachable(now, t.member)
+	t.recordReached(now)
 	t.clearUnread()
 }
 
+// UseTunnel records that the request runs on a connection through another box, so that its outcome
+// says nothing about this box's own path.
+func (t *Ticket) UseTunnel() { t.tunnelled = true }
+
+// recordReached records that the upstream was reached, on the path that the request took.
+func (t *Ticket) recordReached(now time.Duration) {
+	if t.tunnelled {
+		t.fleet.NoteTunnel(now, t.member.Incarnation(), true)
+		return
+	}
+	t.fleet.recordReachable(now, t.member)
+}
+
 // clearUnread removes the prompt's unread tokens from the work of the upstream.
 func (t *Ticket) clearUnread() {
 	t.count(Load{Unread: -t.unread})
@@ -131,18 +145,28 @@
 	if t.hadFreeSlot && outcome == Answered && len(t.request.Parts) == 0 {
 		t.fleet.learnServiceTime(t.member, now-t.opened)
 	}
+	t.recordConnection(now, outcome)
+}
+
+// recordConnection records what the outcome says about the path to the upstream, and about the
+// upstream's process.
+func (t *Ticket) recordConnection(now time.Duration, outcome Outcome) {
 	switch outcome {
 	case Unreachable:
-		t.fleet.reportLost(now, t.member, t.opened)
-		t.fleet.recordUnreachable(now, t.member)
+		if !t.tunnelled {
+			t.fleet.reportLost(now, t.member, t.opened)
+			t.fleet.recordUnreachable(now, t.member)
+		}
 	case ConnectionRefused:
-		t.fleet.recordUnreachable(now, t.member)
+		if !t.tunnelled {
+			t.fleet.recordUnreachable(now, t.member)
+		}
 		t.fleet.suspectRestart(now, t.member)
 	case ConnectionLost:
 		t.fleet.noteBreak(now, t.member)
 	case Replaced:
 		t.fleet.noteReplaced(t.member)
 	case Answered, Full:
-		t.fleet.recordReachable(now, t.member)
+		t.recordReached(now)
 	}
 }
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -120,7 +120,11 @@
 		{&cfg.CallerListener, s.Listen.Callers, "listen for callers"},
 		{&cfg.ReadinessListener, s.Listen.Ready, "listen for readiness checks"},
 		{&cfg.ControlListener, s.Listen.Control, "listen for other boxes"},
+		{&cfg.TunnelListener, s.PeerAddress(s.Listen.IP), "listen for connections of other boxes to upstreams"},
 	} {
+		if l.target == &cfg.TunnelListener && cfg.Disabled[balance.Tunnels] {
+			continue
+		}
 		var err error
 		if *l.target, err = net.Listen("tcp", l.address); err != nil {
 			return eris.Wrap(err, l.purpose)
@@ -149,6 +153,7 @@
 		Limits:        s.Bounds.Limits(),
 		Tuning:        s.Links.Tuning(),
 		Disabled:      disabled,
+		MaxTunnels:    s.Tunnels(),
 		FirstStart:    s.FirstStart,
 		Boxes:         assumedBoxes,
 		StopTimeout:   s.Bounds.Grace(),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,13 +46,17 @@
 func (x *exchange) attempt(o outgoingRequest) (runState, *response, error) {
 	r := x.relay
 	open := r.conns.get
-	if x.needsNewConn() {
+	switch {
+	case x.throughOther:
+		open = r.openThroughOther
+	case x.needsNewConn():
 		open = r.conns.openNew
 	}
 	c, err := open(x.ctx, x.upstream, x.service)
 	if err != nil {
 		return runUnsent, nil, err
 	}
+	x.notePath(c)
 	if err := x.checkSend(); err != nil {
 		r.conns.putUnused(c)
 		return runUnsent, nil, err
@@ -83,6 +87,17 @@
 	return runRefused, nil, err
 }
 
+// notePath records the path of the run: what it says about the upstream's path concerns this box
+// only if the connection is direct.
+func (x *exchange) notePath(c *conn) {
+	if c.tunnel() == nil || x.ticket == nil {
+		return
+	}
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.ticket.UseTunnel()
+}
+
 // checkSend returns why the run may no longer be sent now that it has a connection; nil if it may.
 func (x *exchange) checkSend() error {
 	r := x.relay
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -2,12 +2,15 @@
 
 // This file defines the pool of connections to upstreams. The invariants: a connection carries
 // one request at a time; it is returned to the pool only after a complete response with no
-// further bytes buffered; and an idle connection is checked before it is reused.
+// further bytes buffered; and an idle connection is checked before it is reused. Connections
+// through other boxes count like direct ones.
 
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,40 +36,86 @@
 	net.Conn
 	reader      *bufio.Reader
 	incarnation balance.Incarnation // of the upstream, as listed when the connection was opened
+	address     string              // of the upstream
 	opened      time.Time
 	idleUntil   time.Time // it may be reused until then
 }
 
 // connPool holds the idle connections to upstreams and counts all open ones.
 type connPool struct {
-	maxConns  func(service string) int                  // returns this box's limit for each upstream of the service
-	onConnect func(upstream string, took time.Duration) // called for each connection that was opened; may be nil
+	maxConns   func(service string) int                  // returns this box's limit for each upstream of the service
+	onConnect  func(upstream string, took time.Duration) // called for each direct connection that was opened; may be nil
+	dial       dialFunc
+	usesTunnel func(balance.Upstream) bool // returns whether connections to the upstream lead through another box
 
 	mu         sync.Mutex
-	idle       map[string][]*conn // by upstream ID, the most recently used last
-	open       map[string]int     // open connections by upstream ID, idle ones included
-	endedStart map[string]int64   // by upstream ID: incarnations started at or before this time (Unix ms) have ended
-	closed     bool               // no connection is kept any more
+	idle       map[idleKey][]*conn // the most recently used last
+	open       map[string]int      // open connections by upstream ID, idle ones included
+	endedStart map[string]int64    // by upstream ID: incarnations started at or before this time (Unix ms) have ended
+	closed     bool                // no connection is kept any more
+}
+
+// dialFunc opens a connection to an upstream.
+type dialFunc = func(context.Context, balance.Upstream) (net.Conn, error)
+
+// idleKey identifies idle connections that may replace each other.
+type idleKey struct {
+	id        string // of the upstream
+	tunnelled bool   // they lead through another box
 }
 
 func newConnPool(limit func(string) int) *connPool {
-	return &connPool{maxConns: limit, idle: make(map[string][]*conn), open: make(map[string]int), endedStart: make(map[string]int64)}
+	return &connPool{
+		maxConns: limit, idle: make(map[idleKey][]*conn), open: make(map[string]int), endedStart: make(map[string]int64),
+		dial:       func(ctx context.Context, u balance.Upstream) (net.Conn, error) { return dial(ctx, u.Address) },
+		usesTunnel: func(balance.Upstream) bool { return false },
+	}
 }
 
+// tunnel returns the connection to the box that the connection leads through; nil if it is direct.
+func (c *conn) tunnel() *tunnelConn {
+	t, _ := c.Conn.(*tunnelConn)
+	return t
+}
+
+// key returns the key under which the connection is kept while it is idle.
+func (c *conn) key() idleKey { return idleKey{c.incarnation.ID, c.tunnel() != nil} }
+
 // errConnLimit reports that this box has reached its limit of connections to the upstream.
 var errConnLimit = &Error{Op: "connect", Kind: KindExhausted}
 
 // get returns a connection that is known to be open, so that a later failure is due to the
 // request or the upstream. It reuses an idle connection if one is usable.
 func (p *connPool) get(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
-	id := u.ID
-	for c := p.popIdle(id); c != nil; c = p.popIdle(id) {
+	tunnelled := p.usesTunnel(u)
+	if !tunnelled {
+		p.closeIdleTunnelled(u.ID) // the upstream is reached directly again
+	}
+	if c := p.reuse(u, tunnelled); c != nil {
+		return c, nil
+	}
+	return p.connect(ctx, u, service)
+}
+
+// getTunnelled is get for a connection through another box, which dial opens, whatever is known of
+// direct ones.
+func (p *connPool) getTunnelled(ctx context.Context, u balance.Upstream, service string, dial dialFunc) (*conn, error) {
+	if c := p.reuse(u, true); c != nil {
+		return c, nil
+	}
+	return p.connectBy(ctx, u, service, dial)
+}
+
+// reuse returns an idle connection that is usable; nil if there is none.
+func (p *connPool) reuse(u balance.Upstream, tunnelled bool) *conn {
+	key := idleKey{u.ID, tunnelled}
+	for c := p.popIdle(key); c != nil; c = p.popIdle(key) {
 		if c.incarnation == u.Incarnation() && time.Now().Before(c.idleUntil) && c.isUsable() {
-			return c, nil
+			return c
 		}
 		p.discard(c)
 	}
-	return p.connect(ctx, u, service)
+	return nil
 }
 
 // putUnused returns a connection to the pool on which nothing was sent.
@@ -80,7 +129,7 @@
 
 // openNew closes an idle connection, if any, and opens a new one in its place.
 func (p *connPool) openNew(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
-	if c := p.popIdle(u.ID); c != nil {
+	if c := p.popIdle(idleKey{u.ID, p.usesTunnel(u)}); c != nil {
 		p.discard(c)
 	}
 	return p.connect(ctx, u, service)
@@ -89,25 +138,31 @@
 // connect opens a connection. It returns errConnLimit if this box already has as many
 // connections to the upstream as it may open.
 func (p *connPool) connect(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
+	return p.connectBy(ctx, u, service, p.dial)
+}
+
+// connectBy is connect with the function that opens the connection.
+func (p *connPool) connectBy(ctx context.Context, u balance.Upstream, service string, dial dialFunc) (*conn, error) {
 	if !p.reserve(u.ID, p.maxConns(service)) {
 		return nil, errConnLimit
 	}
 	start := time.Now()
-	c, err := dial(ctx, u.Address)
+	opened, err := dial(ctx, u)
 	if err != nil {
 		p.release(u.ID)
 		return nil, err
 	}
-	if p.onConnect != nil {
+	c := &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), incarnation: u.Incarnation(), address: u.Address, opened: time.Now()}
+	if p.onConnect != nil && c.tunnel() == nil {
 		p.onConnect(u.ID, time.Since(start))
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), incarnation: u.Incarnation(), opened: time.Now()}, nil
+	return c, nil
 }
 
 // isUsable reports whether the upstream has neither closed the connection nor sent bytes
 // without a request.
 func (c *conn) isUsable() bool {
-	if c.reader.Buffered() > 0 {
+	if t := c.tunnel(); c.reader.Buffered() > 0 || t != nil && !t.isIdle() {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -119,17 +174,16 @@
 	return err == nil && !readable
 }
 
-// popIdle removes and returns the most recently used idle connection to an upstream; nil if
-// there is none.
-func (p *connPool) popIdle(id string) *conn {
+// popIdle removes and returns the most recently used idle connection; nil if there is none.
+func (p *connPool) popIdle(key idleKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[id]
+	conns := p.idle[key]
 	if len(conns) == 0 {
 		return nil
 	}
 	c := conns[len(conns)-1]
-	p.idle[id] = conns[:len(conns)-1]
+	p.idle[key] = conns[:len(conns)-1]
 	return c
 }
 
@@ -170,7 +224,7 @@
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	if !p.closed && c.reader.Buffered() == 0 && !p.hasEnded(c.incarnation) {
-		p.idle[c.incarnation.ID] = append(p.idle[c.incarnation.ID], c)
+		p.idle[c.key()] = append(p.idle[c.key()], c)
 		p.mu.Unlock()
 		return
 	}
@@ -197,9 +251,42 @@
 
 // closeIdle closes the idle connections to an upstream.
 func (p *connPool) closeIdle(id string) {
+	p.closeIdleDirect(id)
+	p.closeIdleTunnelled(id)
+}
+
+// closeIdleDirect closes those of them that do not lead through another box.
+func (p *connPool) closeIdleDirect(id string) { p.closeIdleOf(idleKey{id, false}) }
+
+// closeIdleTunnelled closes those of them that do.
+func (p *connPool) closeIdleTunnelled(id string) { p.closeIdleOf(idleKey{id, true}) }
+
+// closeIdleThrough closes the idle connections that lead through a box.
+func (p *connPool) closeIdleThrough(via string) {
+	p.mu.Lock()
+	var conns []*conn
+	for key, list := range p.idle {
+		if !key.tunnelled {
+			continue
+		}
+		p.idle[key] = slices.DeleteFunc(list, func(c *conn) bool {
+			leads := c.tunnel().via == via
+			if leads {
+				conns = append(conns, c)
+			}
+			return leads
+		})
+	}
+	p.mu.Unlock()
+	for _, c := range conns {
+		p.discard(c)
+	}
+}
+
+func (p *connPool) closeIdleOf(key idleKey) {
 	p.mu.Lock()
-	conns := p.idle[id]
-	delete(p.idle, id)
+	conns := p.idle[key]
+	delete(p.idle, key)
 	p.mu.Unlock()
 	for _, c := range conns {
 		p.discard(c)
@@ -210,12 +297,9 @@
 func (p *connPool) close() {
 	p.mu.Lock()
 	p.closed = true
-	ids := make([]string, 0, len(p.idle))
-	for id := range p.idle {
-		ids = append(ids, id)
-	}
+	keys := slices.Collect(maps.Keys(p.idle))
 	p.mu.Unlock()
-	for _, id := range ids {
-		p.closeIdle(id)
+	for _, key := range keys {
+		p.closeIdleOf(key)
 	}
 }
--- a/relay/cutoff.go
+++ b/relay/cutoff.go
@@ -104,7 +104,7 @@
 	defer r.mu.Unlock()
 	for x, c := range r.runConns {
 		u := r.fleet.Get(c.incarnation.ID)
-		if u != nil && u.Domain == domain && x.route.CanRepeat() {
+		if u != nil && u.Domain == domain && x.route.CanRepeat() && c.tunnel() == nil {
 			_ = c.Close()
 		}
 	}
--- a/relay/dial.go
+++ b/relay/dial.go
@@ -18,6 +18,13 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// usesTunnel reports whether connections to an upstream lead through another box.
+func (r *Relay) usesTunnel(u balance.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.TunnelReaches(u.Incarnation())
+}
+
 // recordConnectTime reports to the fleet how long it took to open a connection to an upstream.
 func (r *Relay) recordConnectTime(upstream string, took time.Duration) {
 	r.mu.Lock()
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -12,6 +12,7 @@
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
 //   - responses: response.go, body.go, events.go, stream.go, pace.go, and moving a stream between upstreams: move.go
 //   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, limit.go, notices.go, withhold.go, content.go, cutoff.go, verify.go
+//   - connections to upstreams through other boxes: tunnel.go, tunnelframe.go, and for other boxes tunnelserver.go
 //   - what the box knows of documents and upstreams: published.go, update.go, reader.go
 //   - the exchange of state between boxes: members.go, peers.go, pull.go, sync.go, traffic.go
 //   - memory limits: memory.go, buffers.go
--- a/relay/error.go
+++ b/relay/error.go
@@ -11,6 +11,7 @@
 	KindReplaced   Kind = "replaced" // another instance of the upstream has taken over its address
 	KindNotReading Kind = "unread"   // a caller does not read its response
 	KindSilent     Kind = "silent"   // a connection delivers nothing although its upstream is working
+	KindTunnel     Kind = "tunnel"   // a connection through another box failed
 	KindListen     Kind = "edge"     // a socket cannot be opened for listening
 )
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -38,6 +38,7 @@
 
 	triedInstances []balance.Incarnation // upstream instances it was sent to, or that could not be reached
 	unverified     []balance.Incarnation // of these, those that could not be verified in time
+	throughOther   bool                  // the run connects through another box, as its upstream could not be verified in time
 	usesUnverified bool                  // it may be sent to upstreams that were not verified, as no other is left
 	runsSent       int                   // runs started
 	unreachable    int                   // upstreams that could not be reached
--- a/relay/incarnation.go
+++ b/relay/incarnation.go
@@ -60,8 +60,7 @@
 	runs := make(map[string][]*conn)
 	for x, c := range r.runConns {
 		if x.route.CanRepeat() && u.Incarnation().After(c.incarnation) && c.openedBefore(now, u.StartedAt) {
-			address := c.RemoteAddr().String()
-			runs[address] = append(runs[address], c)
+			runs[c.address] = append(runs[c.address], c)
 		}
 	}
 	return runs
@@ -90,14 +89,6 @@
 	return balance.Upstream{}, false
 }
 
-// listedIncarnation returns the incarnation in which an upstream is listed.
-func (r *Relay) listedIncarnation(id string) balance.Incarnation {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u, _ := r.listedUpstream(id)
-	return balance.Incarnation{ID: id, StartedAt: u.StartedAt}
-}
-
 // isCurrent reports whether an upstream is still listed in the incarnation that was chosen. The
 // caller holds the relay's mu.
 func (r *Relay) isCurrent(u balance.Upstream) bool {
--- a/relay/members.go
+++ b/relay/members.go
@@ -61,6 +61,7 @@
 	pulling       bool
 	cutOffDomains []string                 // domains that the box treated as cut off at the last check
 	lastProbe     time.Duration            // when upstreams of silent domains were last probed
+	peersSetAt    time.Duration            // when the boxes that may be connected through were last set
 	resumesRead   bool                     // used by readLoop only: its last full read failed
 	fullReadStart time.Duration            // used by readLoop only: when the first of a sequence of full reads started
 	failures      int                      // consecutive failed reads
@@ -112,6 +113,7 @@
 			m.syncFleet()
 			m.node.Tick(m.relay.now())
 			m.syncCutOff(ctx)
+			m.syncTunnelPeers()
 			m.dropMissing()
 		case <-m.loadsChanged:
 			m.updateLoads()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -98,9 +98,12 @@
 		x.mayHaveRun = true
 	}
 	x.closeTicket(outcome)
-	if isConnectFailure(outcome) && errors.Is(err, syscall.ECONNREFUSED) || outcome == balance.Replaced {
+	if outcome == balance.Replaced {
 		x.relay.noteEnd(x.upstream.Incarnation())
 	}
+	if isConnectFailure(outcome) && errors.Is(err, syscall.ECONNREFUSED) {
+		x.noteRefused()
+	}
 	if outcome == balance.Replaced {
 		x.relay.noteMisdirected(x.upstream.Incarnation(), x.replacement)
 	}
@@ -120,7 +123,7 @@
 		return
 	}
 	if isConnectFailure(outcome) || outcome == balance.Replaced {
-		x.relay.conns.closeIdle(x.upstream.ID)
+		x.relay.conns.closeIdleDirect(x.upstream.ID)
 	}
 	if isConnectFailure(outcome) {
 		x.relay.wakeProbeLoop()
@@ -131,7 +134,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil, errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
+	case x.ctx.Err() != nil, errors.Is(err, errTunnelLost), errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -33,7 +33,7 @@
 			for range min(maxProbes, len(list)) {
 				u := list[next%len(list)]
 				next++
-				go r.probeUnreachable(ctx, u.ID, u.Address)
+				go r.probeUnreachable(ctx, u)
 			}
 			sleep(ctx, probeInterval)
 		}
@@ -45,6 +45,9 @@
 func (r *Relay) logUnreachable(list []balance.UnreachableUpstream, reporter string) {
 	for _, u := range list {
 		fields := Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service, "by_domain": u.ByDomain}
+		if u.ToVerify > 0 {
+			fields["to_verify"] = u.ToVerify
+		}
 		if u.Cause != "" {
 			fields["cause"] = u.Cause
 		} else {
@@ -63,23 +66,25 @@
 
 // probeUnreachable opens a connection to an upstream and closes it, and marks the upstream
 // reachable if that succeeds.
-func (r *Relay) probeUnreachable(ctx context.Context, id, address string) {
-	inc := r.listedIncarnation(id)
-	c, err := dial(ctx, address)
+func (r *Relay) probeUnreachable(ctx context.Context, u balance.Upstream) {
+	inc := u.Incarnation()
+	c, err := dial(ctx, u.Address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && r.refusedByOthers(ctx, u) {
 			r.noteEnd(inc)
 		}
 		r.closeRetriableRuns(inc)
+		r.probeTunnel(ctx, u)
 		return // the next round probes it again
 	}
 	_ = c.Close()
 	r.mu.Lock()
 	isListed := r.fleet.NoteReachable(r.now(), inc)
 	r.mu.Unlock()
+	r.conns.closeIdleTunnelled(u.ID)
 	if isListed {
 		wake(r.members.loadsChanged) // report it to the other boxes at once
-		r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": id, "born": inc.StartedAt})
+		r.cfg.Log.Event("upstream", "reached again", Fields{"upstream": u.ID, "born": inc.StartedAt})
 	}
 }
 
@@ -91,7 +96,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for x, c := range r.runConns {
-		if c.incarnation == inc && x.route.CanRepeat() {
+		if c.incarnation == inc && x.route.CanRepeat() && c.tunnel() == nil {
 			_ = c.Close()
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,8 @@
 	CallerListener    net.Listener      // accepts callers' requests
 	ReadinessListener net.Listener      // accepts readiness checks
 	ControlListener   net.Listener      // accepts RPCs of other boxes; nil if the box has no peers
+	TunnelListener    net.Listener      // accepts other boxes that connect to upstreams through this one, at Self.Address; nil: none may
+	MaxTunnels        int               // how many connections of other boxes may lead through this one
 	Self              *wire.GroupBox    // the entry of this box in the group; without an address the box has no peers
 	Seeds             []string          // IP:port of boxes to contact first; they need not be running
 	LinkBandwidth     float64           // bandwidth of the box's network link in bytes per second; 0: unknown
@@ -84,6 +86,9 @@
 	stats        stats
 	callerServer *callerServer
 
+	tunnels      *tunnels
+	tunnelServer *tunnelServer
+
 	members    *members
 	pullClient *http.Client
 
@@ -138,6 +143,10 @@
 	r.budgets = balance.NewBudgets(cfg.Budget, r.now())
 	r.conns = newConnPool(r.connectionCap)
 	r.conns.onConnect = r.recordConnectTime
+	r.conns.dial = r.connectUpstream
+	r.conns.usesTunnel = r.usesTunnel
+	r.tunnels = newTunnels(r)
+	r.tunnelServer = newTunnelServer(r)
 	r.callerServer = newCallerServer(r)
 	var err error
 	if r.members, err = newMembers(r); err != nil {
@@ -160,12 +169,15 @@
 	if r.cfg.ControlListener != nil {
 		r.startTask("control", r.serveControl)
 	}
+	if r.cfg.TunnelListener != nil {
+		r.startTask("tunnels", func() { r.tunnelServer.serve(ctx, r.cfg.TunnelListener) })
+	}
 	r.startTask("callers", func() { r.callerServer.serve(r.cfg.CallerListener) })
 	r.startTask("ready", func() { r.callerServer.serveReady(r.cfg.ReadinessListener) })
 }
 
 // maxTasks is the maximum number of background tasks of a box.
-const maxTasks = 8
+const maxTasks = 9
 
 // startTask runs f in a goroutine and sends the task's name to endedTasks when f returns.
 func (r *Relay) startTask(name string, f func()) {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -82,8 +82,11 @@
 }
 
 // mayStillArrive reports whether a request whose run ended with err may reach its upstream later: the
-// box closed the connection, and the upstream may not have read what was sent.
-func mayStillArrive(err error) bool { return errors.Is(err, net.ErrClosed) }
+// box closed the connection, and the upstream may not have read what was sent; or the connection to
+// the box between was lost, and that box may still hold it.
+func mayStillArrive(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, errTunnelLost)
+}
 
 // cancelRetry returns a retry that was not sent to the budget.
 func (r *Relay) cancelRetry(retry *balance.Retry) {
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -132,7 +132,8 @@
 // runOn runs the request on the chosen upstream, unless that has to be verified first and does not
 // accept a connection.
 func (x *exchange) runOn(choice balance.Choice) (runState, []byte) {
-	if !x.verifyUpstream() {
+	x.throughOther = false
+	if !x.verifyUpstream() && !x.connectsThroughOther() {
 		x.leaveUnverified()
 		return runUnsent, nil
 	}
@@ -147,6 +148,9 @@
 	if errors.Is(err, errNotAccepting) {
 		x.triedInstances = x.triedInstances[:len(x.triedInstances)-1] // it may wait for this upstream's pause
 	}
+	if errors.Is(err, errUnverified) {
+		x.unverified = append(x.unverified, x.upstream.Incarnation())
+	}
 	if state != runUnsent {
 		x.runsSent++
 	}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -26,6 +26,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.StopTimeout-graceMargin)
 	defer cancel()
 	r.members.leave(ctx)
+	r.tunnelServer.announceStop()
 	sleep(ctx, acceptLinger)
 	// The server keeps serving its open connections after its shutdown has returned.
 	context.AfterFunc(ctx, func() { r.graceOver.Store(true) })
@@ -33,8 +34,12 @@
 		r.cfg.Log.Event("box", "stopped with active requests", Fields{"open": r.stats.openRequests.Load(), "error": err.Error()})
 		r.logRequestsCut()
 	}
+	r.tunnelServer.drain(ctx)
 	r.cancel()
 	r.conns.close()
+	if r.cfg.TunnelListener != nil {
+		_ = r.cfg.TunnelListener.Close() // its goroutine reports its end below
+	}
 	r.members.close()
 	if r.cfg.ControlListener != nil {
 		_ = r.cfg.ControlListener.Close() // no other box is served any more
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -92,7 +92,7 @@
 		if err == nil {
 			_ = c.Close()
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && r.refusedByOthers(context.Background(), u) {
 			r.noteEnd(inc)
 			wake(r.members.loadsChanged) // send this evidence to the other boxes at once
 		}
@@ -104,6 +104,23 @@
 	return done
 }
 
+// noteRefused records that the host of the request's upstream refused a connection: the upstream
+// has ended, unless other boxes reach it. Only a request that is suspected waits for that.
+func (x *exchange) noteRefused() {
+	r := x.relay
+	if r.cfg.Disabled[balance.Tunnels] || !r.tunnels.havePeers() {
+		r.noteEnd(x.upstream.Incarnation())
+		return
+	}
+	content := x.requestHash()
+	r.mu.Lock()
+	suspected := r.crashSuspects.Suspected(content)
+	r.mu.Unlock()
+	if done := r.checkEnded(x.upstream); suspected {
+		<-done
+	}
+}
+
 // noteEnd records the end of an incarnation, unless it was leaving or is no longer listed.
 func (r *Relay) noteEnd(inc balance.Incarnation) {
 	r.mu.Lock()
--- a/relay/withhold_test.go
+++ b/relay/withhold_test.go
@@ -201,6 +201,10 @@
 		t.Fatal(err)
 	}
 	c.ControlListener = listen(t)
+	if c.TunnelListener, err = net.Listen("tcp", address); err != nil {
+		t.Fatal(err)
+	}
+	c.MaxTunnels = 64
 	c.Self = &wire.GroupBox{Name: name, Domain: "d", Address: address, Pulls: c.ControlListener.Addr().String(), Boot: 1, Strength: uint32(len(name))}
 	c.Seeds = seeds
 }
--- a/settings/relay.go
+++ b/settings/relay.go
@@ -24,8 +24,9 @@
 	Listen     RelayListen       `json:"listen"`
 	Platform   string            `json:"platform"`   // IP:port of the store
 	Seeds      []string          `json:"seeds"`      // IP:port of the control addresses of some boxes
-	PeerPorts  []int             `json:"peer_ports"` // UDP ports between boxes; only the first is used
+	PeerPorts  []int             `json:"peer_ports"` // ports between boxes, UDP and TCP; only the first is used
 	MemoryMB   int               `json:"memory_mb"`  // memory of the box in megabytes; 0: not specified
+	MaxFDs     int               `json:"max_fds"`    // file descriptors of the box; 0: not specified
 	CPUShare   float64           `json:"cpu_share"`  // processor share of the box, in cores
 	LinkMbps   float64           `json:"link_mbps"`  // bandwidth of the box in megabits per second
 	Links      RelayLinks        `json:"links"`
@@ -106,7 +107,26 @@
 	strengthPerMegabit = 10
 )
 
-// PeerAddress returns the address for datagrams to the box with the given IP, as IP:port.
+const (
+	// reservedFDs is how many descriptors are left for other uses than sockets.
+	reservedFDs = 200
+	// fdsPerTunnel is how many of the remaining descriptors there are for each connection that
+	// other boxes may have through this one, which takes two: callers come first.
+	fdsPerTunnel = 8
+	// defaultTunnels is the limit if the settings state no number of descriptors.
+	defaultTunnels = 256
+)
+
+// Tunnels returns how many connections of other boxes to upstreams may lead through this box.
+func (s *Relay) Tunnels() int {
+	if s.MaxFDs == 0 {
+		return defaultTunnels
+	}
+	return max(0, s.MaxFDs-reservedFDs) / fdsPerTunnel
+}
+
+// PeerAddress returns the address at which the box with the given IP receives datagrams and
+// connections to upstreams of other boxes, as IP:port.
 func (s *Relay) PeerAddress(ip string) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.PeerPorts[0]))
 }
@@ -181,6 +201,7 @@
 	}
 	want(s.Links.Domain == nil || *s.Links.Domain >= 0, "links.domain_tokens_per_kb", "", "want 0 or more")
 	want(s.Links.Region == nil || *s.Links.Region >= 0, "links.region_tokens_per_kb", "", "want 0 or more")
+	want(s.MaxFDs >= 0, "max_fds", strconv.Itoa(s.MaxFDs), "want 0 or more")
 	want(s.Bounds.GraceSeconds > 0, "bounds.grace_s", "", "want a number above 0")
 	want(s.Bounds.DocumentMillis > 0, "bounds.document_ms", "", "want a number above 0")
 	want(s.Bounds.EvacuateMillis >= 0, "bounds.evacuate_ms", "", "want 0 or more")
