A request whose verification was refused opens a new connection

A refused verification is no silence, so the request went on; but on a connection that had been open, where it may have run, not on a new one, which costs nothing.

Change: a refused verification closes the idle connections.

--- a/relay/cutpath_test.go
+++ b/relay/cutpath_test.go
@@ -21,6 +21,7 @@
 	upstream string // address
 	listener net.Listener
 	silent   atomic.Bool
+	resets   atomic.Bool // connections are reset when they are used
 	accepted sync.WaitGroup
 
 	mu      sync.Mutex
@@ -78,6 +79,10 @@
 		for p.silent.Load() {
 			time.Sleep(time.Millisecond)
 		}
+		if p.resets.Load() {
+			p.reset()
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
@@ -222,6 +227,7 @@
 	}{
 		{"silent", paths.cut},
 		{"reset and refused", paths.refuse},
+		{"reset when used, and refused", paths.refuseAndResetWhenUsed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -241,6 +247,18 @@
 	}
 }
 
+// A verification that was refused let the request go on an open connection, which the path reset.
+func TestRequestAfterRefusedVerificationUsesNewConnection(t *testing.T) {
+	is := is.New(t)
+	u, v := newStub(t, "u", respondOK("u")), newStub(t, "v", respondOK("v"))
+	l := newPaths(t, u)
+	b := newTestBoxWithConfig(t, func(c *Config) { c.Decode = l.decode }, u, v)
+	is.Equal(b.once().body, "u") // the connection stays open
+	l.refuseAndResetWhenUsed()
+	b.reportLost("u")
+	is.Equal(b.once().body, "v")
+}
+
 // When its paths are back, a box connects directly again.
 func TestBoxWhosePathsAreBackConnectsDirectly(t *testing.T) {
 	is := is.New(t)
@@ -276,6 +294,14 @@
 	return count
 }
 
+// refuseAndResetWhenUsed refuses new connections of the box, and resets open ones when it uses them.
+func (l paths) refuseAndResetWhenUsed() {
+	for _, p := range l {
+		p.refuse()
+		p.resets.Store(true)
+	}
+}
+
 // refuse resets all connections of the box, and refuses new ones.
 func (l paths) refuse() {
 	for _, p := range l {
--- a/relay/verify.go
+++ b/relay/verify.go
@@ -146,6 +146,9 @@
 	r.cfg.Log.Event("upstream", "verified", fields)
 	if result != balance.VerifiedUnreachable {
 		r.stats.count(upstreamsVerified)
+		if err != nil {
+			r.conns.closeIdleDirect(u.ID) // a request on one of them could be lost, unlike on a new one
+		}
 		return
 	}
 	r.stats.count(upstreamsNotVerified)
