Requests and streams outlast a second of silence of their upstream

What callers would see: a sound upstream that is silent for a second or so loses what was sent to it before. TCP_USER_TIMEOUT was 1.2 s: sent bytes that are not acknowledged for so long end the connection, and with it keep-alive gives up at the probe after 2 s of silence, whatever its count. Lost bytes are sent again after 0.2, 0.6, 1.4 and 3.0 s.

Retries keep 1.2 s, which their budget takes as the longest way to an upstream, and so does the leg that a box opens for another one. What 1.2 s was good for, finding out that a path is silent under open connections, is done by a check of its own: a request that was not acknowledged for 0.35 s leads to a connection attempt, and only if that fails is the upstream out of reach; the request itself goes on. No other place sets the option (our code and the modules it uses were searched).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -28,6 +29,7 @@
 	r := x.relay
 	x.silent.Store(false)
 	r.mu.Lock()
+	c.checked = false
 	r.runConns[x] = c
 	x.cancelAtDeadline()
 	r.mu.Unlock()
@@ -65,10 +67,16 @@
 		r.conns.putUnused(c)
 		return runUnsent, nil, errBudget
 	}
+	if err := c.limitSend(x.sendTimeout()); err != nil {
+		x.cancelUnsent(c)
+		return runUnsent, nil, err
+	}
 	x.attachConn(c)
+	c.sentAt.Store(time.Now().UnixNano())
 	sent := c.send(o)
 	x.startReadWait(sent)
 	resp, err := r.readResponse(c, o.id, sent)
+	c.sentAt.Store(0)
 	x.endReadWait()
 	x.endRetry(sent.began, err)
 	if err != nil {
@@ -87,6 +95,21 @@
 	return runRefused, nil, err
 }
 
+// sendTimeout is how long the request may stay unacknowledged.
+func (x *exchange) sendTimeout() time.Duration {
+	if x.runsSent > 0 {
+		return retryTimeout
+	}
+	return userTimeout
+}
+
+// cancelUnsent closes a connection that cannot be used, and returns the retry.
+func (x *exchange) cancelUnsent(c *conn) {
+	x.relay.cancelRetry(x.retry)
+	x.retry = nil
+	x.relay.conns.discard(c)
+}
+
 // notePath records the path of the run: what it says about the upstream's path concerns this box
 // only if the connection is direct.
 func (x *exchange) notePath(c *conn) {
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,7 +39,10 @@
 	incarnation balance.Incarnation // of the upstream, as listed when the connection was opened
 	address     string              // of the upstream
 	opened      time.Time
-	idleUntil   time.Time // it may be reused until then
+	sentAt      atomic.Int64  // when the request that has no response yet was sent, Unix ns; 0: there is none
+	checked     bool          // the path was checked while that request was not acknowledged; guarded by the relay's mu
+	sendTimeout time.Duration // how long what is sent may stay unacknowledged
+	idleUntil   time.Time     // it may be reused until then
 }
 
 // connPool holds the idle connections to upstreams and counts all open ones.
@@ -152,7 +156,7 @@
 		p.release(u.ID)
 		return nil, err
 	}
-	c := &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), incarnation: u.Incarnation(), address: u.Address, opened: time.Now()}
+	c := &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize), incarnation: u.Incarnation(), address: u.Address, opened: time.Now(), sendTimeout: userTimeout}
 	if p.onConnect != nil && c.tunnel() == nil {
 		p.onConnect(u.ID, time.Since(start))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,7 +139,7 @@
 	}
 	r.startWall.Store(r.startedAt.UnixNano())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, LimitBounds: cfg.Limits, Off: cfg.Disabled, FirstStart: cfg.FirstStart})
-	cfg.Budget.Transit = userTimeout // the kernel delivers nothing later
+	cfg.Budget.Transit = retryTimeout // the kernel delivers nothing later
 	r.budgets = balance.NewBudgets(cfg.Budget, r.now())
 	r.conns = newConnPool(r.connectionCap)
 	r.conns.onConnect = r.recordConnectTime
@@ -162,6 +162,7 @@
 func (r *Relay) startTasks(ctx context.Context) {
 	r.startTask("members", func() { r.members.run(ctx) })
 	r.startTask("reader", func() { r.members.readLoop(ctx) })
+	r.startTask("unacked", func() { r.unackedLoop(ctx) })
 	r.startTask("trials", func() { r.probeLoop(ctx) })
 	if r.cfg.Protocol.ReportCall != nil {
 		r.startTask("silence", func() { r.silenceLoop(ctx) })
@@ -177,7 +178,7 @@
 }
 
 // maxTasks is the maximum number of background tasks of a box.
-const maxTasks = 9
+const maxTasks = 10
 
 // startTask runs f in a goroutine and sends the task's name to endedTasks when f returns.
 func (r *Relay) startTask(name string, f func()) {
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -160,6 +160,9 @@
 	began := r.now()
 	up, err := dial(ctx, u.Address)
 	watch.stop()
+	if err == nil {
+		err = limitSend(up, retryTimeout) // the request that is sent may be a retry
+	}
 	switch {
 	case err == nil:
 		setSmallBuffers(up)
