Tests of connections through other boxes: ends, bounds, who is asked, what is forwarded

Pure tests: when tunnels are tried, for whom requests are placed behind them, who is asked, spread over 8, 85 and 300 boxes.

Closing a datagram socket twice waited for ever; a test that stops a box itself showed it.

--- /dev/null
+++ b/balance/tunnel_test.go
@@ -0,0 +1,238 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// loseUpstreams makes upstreams unreachable for this box.
+func loseUpstreams(f *Fleet, now time.Duration, ids ...string) {
+	for _, id := range ids {
+		f.NoteUnreachable(now, Incarnation{ID: id})
+	}
+}
+
+func TestTunnelDelay(t *testing.T) {
+	const now = 10 * time.Second
+	u1 := Incarnation{ID: "u1"}
+	tests := []struct {
+		name  string
+		setUp func(f *Fleet)
+		delay time.Duration
+		ok    bool
+	}{
+		{"all are reached", func(*Fleet) {}, minTunnelDelay, false},
+		{"another one is not reached", func(f *Fleet) { loseUpstreams(f, now, "u2") }, minTunnelDelay, true},
+		{"it is not reached", func(f *Fleet) { loseUpstreams(f, now, "u1") }, 0, true},
+		{"no other box reached it", func(f *Fleet) { loseUpstreams(f, now, "u1"); f.NoteTunnel(now, u1, false) }, 0, false},
+		{"that was a while ago", func(f *Fleet) { loseUpstreams(f, now, "u1"); f.NoteTunnel(now-minTunnelBackoff, u1, false) }, 0, true},
+		{"a box has reached it since", func(f *Fleet) {
+			loseUpstreams(f, now, "u1")
+			f.NoteTunnel(now, u1, false)
+			f.MergeReachReports(now, []ReachReport{{Life: u1.Key(), Reached: true, Verified: true, Age: time.Millisecond, Box: "b"}})
+		}, 0, true},
+		{"it is not listed", func(f *Fleet) { f.Remove("u1") }, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(4)
+			tt.setUp(f)
+			delay, ok := f.TunnelDelay(now, u1)
+			is.Equal(ok, tt.ok)
+			if ok {
+				is.Equal(delay, tt.delay)
+			}
+		})
+	}
+}
+
+// An upstream that no box reaches is asked for ever more seldom: 300 boxes ask for one that is down
+// 75 times a second together.
+func TestTunnelsToUpstreamThatIsDownAreTriedEverMoreSeldom(t *testing.T) {
+	is := is.New(t)
+	f, u1 := newTestFleet(4), Incarnation{ID: "u1"}
+	loseUpstreams(f, 0, "u1")
+	tried := 0
+	for now := time.Second; now < 61*time.Second; now += 10 * time.Millisecond {
+		if f.TunnelProbeDue(now, u1) {
+			tried++
+			f.NoteTunnel(now, u1, false)
+		}
+	}
+	is.True(tried >= 15 && tried <= 2+int(60*time.Second/maxTunnelBackoff))
+}
+
+// Requests are placed behind tunnels only while a box reaches less than half of a service.
+func TestRequestsGoBehindTunnelsOnlyIfTooFewAreReached(t *testing.T) {
+	const now = time.Minute
+	tests := []struct {
+		name      string
+		lost      int
+		reached   bool // tunnels work
+		tunnelled bool // some requests are placed behind them
+	}{
+		{"half are lost", 6, true, false},
+		{"more than half are lost", 7, true, true},
+		{"all are lost", 12, true, true},
+		{"more than half are lost, and no other box reaches them", 7, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(12)
+			for i := range tt.lost {
+				id := fmt.Sprint("u", i)
+				loseUpstreams(f, time.Duration(i)*2*cutOffWindow, id) // one by one, not as a domain
+				f.NoteTunnel(now, Incarnation{ID: id}, tt.reached)
+			}
+			tunnelled := false
+			for i := range 200 {
+				r := prompt(1)
+				r.Parts[0].ID = uint64(i)
+				choice, ok := f.Place(now, r, nil)
+				is.True(ok)
+				tunnelled = tunnelled || f.IsUnreachable(choice.Upstream.Incarnation())
+			}
+			is.Equal(tunnelled, tt.tunnelled)
+		})
+	}
+}
+
+// The outcome of a request on a tunnel says nothing about this box's own path.
+func TestOutcomeBehindTunnelLeavesOwnPathUnreachable(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	for _, outcome := range []Outcome{Answered, Full, Unreachable, ConnectionRefused, ConnectionLost, Neutral} {
+		f, u1 := newTestFleet(4), Incarnation{ID: "u1"}
+		loseUpstreams(f, now, "u1")
+		ticket := f.Open(now, "u1", prompt(1))
+		ticket.UseTunnel()
+		ticket.NoteFirstEvent(now)
+		ticket.Close(now, outcome)
+		is.True(f.IsUnreachable(u1))
+	}
+	f := newTestFleet(4)
+	ticket := f.Open(now, "u1", prompt(1))
+	ticket.UseTunnel()
+	ticket.Close(now, Unreachable)
+	is.True(!f.IsUnreachable(Incarnation{ID: "u1"}))
+}
+
+// Failures in a row with no answer in between put all paths in doubt; an answer ends that.
+func TestFailuresInARowPutAllPathsInDoubt(t *testing.T) {
+	const now = 10 * time.Second
+	tests := []struct {
+		name  string
+		setUp func(f *Fleet)
+		want  bool // u3 is verified before its next request
+	}{
+		{"one failure", func(f *Fleet) { loseUpstreams(f, now, "u1") }, false},
+		{"two", func(f *Fleet) { loseUpstreams(f, now, "u1", "u2") }, true},
+		{"two, an answer in between", func(f *Fleet) {
+			loseUpstreams(f, now, "u1")
+			f.Open(now, "u0", prompt(1)).Close(now, Answered)
+			loseUpstreams(f, now, "u2")
+		}, false},
+		{"two, long apart", func(f *Fleet) { loseUpstreams(f, now-cutOffWindow-1, "u1"); loseUpstreams(f, now, "u2") }, false},
+		{"it has answered since", func(f *Fleet) {
+			f.Open(now, "u3", prompt(1)).Close(now, Answered)
+			loseUpstreams(f, now, "u1", "u2")
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(12)
+			tt.setUp(f)
+			is.Equal(needsVerification(f, "u3"), tt.want)
+		})
+	}
+}
+
+// tunnelPeers returns the boxes that a box knows: count of each domain.
+func tunnelPeers(box, domain string, count int) *TunnelPeers {
+	f := NewFleet(Config{Domain: domain})
+	var list []TunnelPeer
+	for _, d := range []string{"d0", "d1", "d2"} {
+		for i := range count {
+			list = append(list, TunnelPeer{Address: fmt.Sprintf("%s-%d", d, i), Domain: d})
+		}
+	}
+	p := f.NewTunnelPeers(box)
+	p.Set(0, list)
+	return p
+}
+
+// Boxes of the own domain come first, then those of the upstream's domain.
+func TestTunnelCandidatesByDistance(t *testing.T) {
+	is := is.New(t)
+	p := tunnelPeers("box", "d0", 2)
+	var domains []string
+	for _, address := range p.Candidates(0, Upstream{ID: "u", Domain: "d1"}, 6) {
+		domain, _, _ := strings.Cut(address, "-")
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains[:4])
+	is.Equal(domains, []string{"d0", "d0", "d1", "d1", "d2", "d2"})
+}
+
+// Boxes whose paths are cut ask different boxes, so that no single one carries the connections of all.
+func TestTunnelsSpreadOverBoxes(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{8, 85, 300} {
+		carried := make(map[string]int)
+		boxes := count / 2
+		for b := range boxes {
+			p := tunnelPeers(fmt.Sprint("cut", b), "d0", count/3)
+			for range 16 {
+				via := p.Candidates(0, Upstream{ID: "u", Domain: "d1"}, 1)[0]
+				p.Opened(via)
+				carried[via]++
+			}
+		}
+		most := 0
+		for _, n := range carried {
+			most = max(most, n)
+		}
+		mean := float64(16*boxes) / float64(len(carried))
+		t.Logf("%d boxes: %d carry, %.1f each, %d at most", count, len(carried), mean, most)
+		is.True(most < 16*boxes/2) // no single box for all
+	}
+}
+
+// A box that does not help is not asked again for a while: for the one upstream, or for any.
+func TestBoxThatDoesNotHelpIsNotAskedAgainForAWhile(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	u, other := Upstream{ID: "u", Domain: "d0"}, Upstream{ID: "v", Domain: "d0"}
+	p := tunnelPeers("box", "d0", 1)
+	first := p.Candidates(now, u, 1)[0]
+	p.NoteUnreached(now, first, u.Incarnation())
+	is.True(p.Candidates(now, u, 1)[0] != first)
+	is.Equal(p.Candidates(now, other, 1)[0], first)
+	is.Equal(p.Candidates(now+peerBackoff, u, 1)[0], first)
+	p.Avoid(now, first)
+	is.True(p.Candidates(now, other, 1)[0] != first)
+	is.Equal(p.Candidates(now+peerBackoff, other, 1)[0], first)
+}
+
+// A box whose whole domain is cut learns of boxes of other domains from their leaders, and forgets
+// them again.
+func TestBoxesNamedByOthersAreAsked(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(Config{Domain: "d0"})
+	p := f.NewTunnelPeers("box")
+	leader := []TunnelPeer{{Address: "d1-0", Domain: "d1"}}
+	p.Set(0, leader)
+	p.Learn(0, "d1-0", []string{"d1-1", "d1-2"})
+	p.Learn(0, "unknown", []string{"x"})
+	is.Equal(len(p.Candidates(0, Upstream{ID: "u", Domain: "d1"}, 9)), 3)
+	p.Set(learnedPeerTime, leader)
+	is.Equal(p.Len(), 1)
+}
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -37,6 +38,9 @@
 	booted chan struct{} // closed when gnet has opened its socket
 	done   chan error    // receives the result of gnet.Run
 	out    *net.UDPConn  // sends
+
+	closing  sync.Once
+	closeErr error // of the first Close
 }
 
 const (
@@ -101,8 +105,14 @@
 
 // Close stops receiving and sending and waits until the receiver has ended. It does not wait
 // for gnet's Stop, which polls only each 500 ms whether the receiver has ended; a box whose
-// planned stop had used up its grace period was killed during that wait.
+// planned stop had used up its grace period was killed during that wait. Further calls return the
+// result of the first.
 func (s *Socket) Close() error {
+	s.closing.Do(func() { s.closeErr = s.close() })
+	return s.closeErr
+}
+
+func (s *Socket) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.engine.Stop(ctx) }()
