Upstreams that state that they are brittle are not made to reject more than they bear

What callers would see: upstreams that state how many requests they may reject in a second (Server-Brittle) fall over, with all that they run, when boxes send more than they take. Nobody read the statement.

Cause: each box places by loads that are older than a rejection, and learns of a rejection by itself.

Change: the statement and rejections are told to all boxes, like what they observe of connections. What all boxes have open at a brittle upstream grows by at most half of what is free there until they have heard of it; while it is full, by quotas that add up to half of what it may reject. The quotas are those of cold upstreams: no further way of dividing is added.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -113,6 +113,7 @@
 		f.quotasStale = false
 		f.refreshColdQuotas(now)
 		f.refreshLimitQuotas()
+		f.refreshBrittleQuotas()
 	}
 }
 
@@ -120,17 +121,17 @@
 func (f *Fleet) refreshColdQuotas(now time.Duration) {
 	f.coldMembers = slices.DeleteFunc(f.coldMembers, func(m *member) bool { return now >= m.coldUntil })
 	for _, m := range f.coldMembers {
-		m.coldQuota = f.quotaPeers.quota(m.ID, f.domainColdShare(m))
+		m.coldQuota = f.quotaPeers.quota(m.ID, f.domainShare(m, f.serviceOf(m.Service).cold.MaxPerSecond))
 	}
 }
 
-// domainColdShare returns the part of a cold upstream's limit that the boxes of this domain have
-// together. All domains with upstreams of the service get the same part, since each of them
+// domainShare returns the part of an upstream's limit, while it is cold or full, that the boxes of
+// this domain have together. All domains with upstreams of the service get the same part, since each of them
 // carries a part of the requests. If the upstream's own domain got all of it, the other boxes
 // would have prompts prefilled elsewhere that the upstream has cached. If a part is less than one
 // request, the upstream's own domain gets the whole limit.
-func (f *Fleet) domainColdShare(m *member) int {
-	shared := f.serviceOf(m.Service).cold.MaxPerSecond / coldReserveDivisor
+func (f *Fleet) domainShare(m *member, maxPerSecond int) int {
+	shared := maxPerSecond / coldReserveDivisor
 	domains := make(map[string]bool)
 	for _, other := range f.byService[m.Service] {
 		domains[other.Domain] = true
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -24,7 +24,7 @@
 //   - who is refused: admit.go; what is sent again: budget.go, budgets.go; what moves: move.go, answers.go
 //   - which upstreams are avoided: health.go, reach.go, recovery.go, evacuate.go; which are connected to
 //     through another box, and which box: tunnel.go, tunnelpeers.go
-//   - how much an upstream is sent: cold.go, limitstate.go, limitprior.go, limitquota.go,
+//   - how much an upstream is sent: cold.go, brittle.go, limitstate.go, limitprior.go, limitquota.go,
 //     limitgate.go, pause.go
 //   - which upstreams are reserved for tight streams: separation.go, lane.go, laneneed.go, lanesize.go, rate.go
 //   - which requests are withheld: suspects.go
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -66,6 +66,7 @@
 	replaced       bool          // another upstream has taken over its address
 	reports        reachReports  // of other boxes, about its connections
 	tunnel         tunnelState   // of connections to it through other boxes
+	brittle        *brittleState // nil: it does not state that it is brittle
 	suspect        bool          // there was a sign that it may have restarted
 	distrustUntil  time.Duration // until then, cache news from other boxes may predate the suspected restart
 }
--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -28,8 +28,14 @@
 	// Verified states, with Reached, that the box had not lost the upstream itself: it verified the
 	// report of another box.
 	Verified bool
-	Age      time.Duration // since the earliest time for which it holds
-	Box      string        // name of the box that observed it; empty: this one
+	// Brittle states that the upstream may reject only Rejects requests in a second, and Full besides
+	// that it has rejected one. They are sent with Reached and Verified, so that boxes which do not know
+	// them make nothing of it.
+	Brittle bool
+	Rejects int
+	Full    bool
+	Age     time.Duration // since the earliest time for which it holds
+	Box     string        // name of the box that observed it; empty: this one
 }
 
 // Aged returns the report as it is some time later.
@@ -53,6 +59,8 @@
 	lastLost     time.Duration // when a report that it is unreachable was last queued; 0: never
 	lastReached  time.Duration // the same for a report of its return
 	lastVerified time.Duration // the same for a report of a verification
+	lastBrittle  time.Duration // the same for a report that it is brittle
+	lastFull     time.Duration // the same for a report that it rejected a request
 	reachedBy    string        // the box that last reported that it reaches it; empty: none did
 	reachedAt    time.Duration // if reachedBy: the time for which that was reported
 }
@@ -70,6 +78,8 @@
 	lostKind     reachKind = iota // connections time out
 	reachedKind                   // a connection was established again
 	verifiedKind                  // a box verified the report of another one with success
+	brittleKind                   // it states that it is brittle
+	fullKind                      // it is brittle, and has rejected a request
 )
 
 // kind returns what the report says.
@@ -77,6 +87,10 @@
 	switch {
 	case !t.Reached:
 		return lostKind
+	case t.Brittle && t.Full:
+		return fullKind
+	case t.Brittle:
+		return brittleKind
 	case t.Verified:
 		return verifiedKind
 	}
@@ -106,6 +120,10 @@
 		return &r.lastReached
 	case verifiedKind:
 		return &r.lastVerified
+	case brittleKind:
+		return &r.lastBrittle
+	case fullKind:
+		return &r.lastFull
 	}
 	return &r.lastLost
 }
@@ -135,7 +153,11 @@
 	}
 	var list []ReachReport
 	for key, x := range f.reachReports {
-		list = append(list, ReachReport{Life: key.life, Reached: key.kind != lostKind, Verified: key.kind == verifiedKind, Age: now - x.at, Box: x.box})
+		report := ReachReport{Life: key.life, Reached: key.kind != lostKind, Verified: key.kind >= verifiedKind, Brittle: key.kind >= brittleKind, Full: key.kind == fullKind, Age: now - x.at, Box: x.box}
+		if m := f.byKey[key.life]; key.kind >= brittleKind && m != nil && m.brittle != nil {
+			report.Rejects = m.brittle.rejects
+		}
+		list = append(list, report)
 	}
 	clear(f.reachReports)
 	slices.SortFunc(list, compareReachReports)
@@ -160,6 +182,12 @@
 		if m == nil || m.closed() || t.Age < 0 || t.Age >= maxReachReportAge {
 			continue
 		}
+		if t.kind() >= brittleKind {
+			if f.mergeBrittleReport(now, m, t) {
+				changes = append(changes, ReachChange{m.Upstream, t})
+			}
+			continue
+		}
 		f.queueReachReport(now, m, t.kind(), now-t.Age, t.Box)
 		if f.mergeReachReport(m, t, now-t.Age) {
 			changes = append(changes, ReachChange{m.Upstream, t})
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -56,6 +56,7 @@
 	t.count(Load{Unread: t.unread, Requests: 1, Tight: t.tight, MemoryTokens: t.held})
 	t.fleet.noteSent(now, t.member, t.request)
 	t.member.recordColdRequest(now)
+	t.member.recordBrittleRequest(now)
 	t.countResumed(now)
 	t.member.history.note(now)
 }
@@ -166,7 +167,10 @@
 		t.fleet.noteBreak(now, t.member)
 	case Replaced:
 		t.fleet.noteReplaced(t.member)
-	case Answered, Full:
+	case Full:
+		t.fleet.noteRejected(now, t.member, now, "")
+		t.recordReached(now)
+	case Answered:
 		t.recordReached(now)
 	}
 }
--- a/group/reachreports.go
+++ b/group/reachreports.go
@@ -34,7 +34,7 @@
 
 // reachReportKey identifies an upstream and the kind of the report.
 func reachReportKey(x balance.ReachReport) uint64 {
-	const reached, verified, bits = 1, 2, 2
+	const reached, verified, brittle, full, bits = 1, 2, 4, 8, 4
 	key := uint64(x.Life) << bits
 	if x.Reached {
 		key |= reached
@@ -42,13 +42,19 @@
 	if x.Verified {
 		key |= verified
 	}
+	if x.Brittle {
+		key |= brittle
+	}
+	if x.Full {
+		key |= full
+	}
 	return key
 }
 
 func packReachReports(m *wire.GroupMessage, list []balance.ReachReport, _ uint64, _ bool) {
 	m.Partial = true // a box that does not know the reports reads the message as one without changed loads
 	for _, x := range list {
-		m.Reach = append(m.Reach, &wire.GroupReach{Life: x.Life, Reached: x.Reached, Verified: x.Verified, Age: micros(x.Age), Box: x.Box})
+		m.Reach = append(m.Reach, &wire.GroupReach{Life: x.Life, Reached: x.Reached, Verified: x.Verified, Brittle: x.Brittle, Rejects: uint32(x.Rejects), Full: x.Full, Age: micros(x.Age), Box: x.Box})
 	}
 }
 
@@ -98,7 +104,7 @@
 		if len(x.Box) > maxBoxName || x.Box == n.cfg.Self.Name {
 			continue // a leader sends a report back to its origin as well
 		}
-		list = append(list, balance.ReachReport{Life: x.Life, Reached: x.Reached, Verified: x.Reached && x.Verified, Age: fromMicros(x.Age), Box: cmp.Or(x.Box, m.Sender.Name)})
+		list = append(list, balance.ReachReport{Life: x.Life, Reached: x.Reached, Verified: x.Reached && x.Verified, Brittle: x.Brittle, Rejects: int(x.Rejects), Full: x.Full, Age: fromMicros(x.Age), Box: cmp.Or(x.Box, m.Sender.Name)})
 	}
 	n.reach.handle(n, now, m.Sender, list, 0, false)
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -16,6 +16,7 @@
 	Instance        string // set for the upstream: the instance that the request is meant for
 	CurrentInstance string // in an upstream's refusal: the instance that now has its address
 	Limit           string // in an upstream's response: requests per second that it accepts from all boxes together
+	Brittle         string // in an upstream's response: how many requests it may reject in a second before it fails
 	Leaving         string // in an upstream's response: 1 if it is leaving
 	RetryAfter      string // in an upstream's refusal: for how long it wants no requests from this box
 	NotExecuted     string // in an upstream's refusal: it has not run the request
--- a/relay/response.go
+++ b/relay/response.go
@@ -49,6 +49,7 @@
 		if id == "" || id == request {
 			resp.reuse = resp.reuse && skipped == 0
 			r.noteLimit(resp, request)
+			r.noteBrittle(resp)
 			return resp, nil
 		}
 		// A late response to an earlier request: it is discarded.
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -23,7 +23,7 @@
 
 // testProtocol is the protocol of the deployment that the tests use.
 var testProtocol = Protocol{
-	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", CurrentInstance: "X-Started", NotExecuted: "X-Not-Run", Limit: "X-Limit", Leaving: "X-Leaving", RetryAfter: "Retry-After",
+	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", CurrentInstance: "X-Started", NotExecuted: "X-Not-Run", Limit: "X-Limit", Brittle: "X-Brittle", Leaving: "X-Leaving", RetryAfter: "Retry-After",
 	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", FetchFrom: "X-Fetch", KVHandle: "X-Memory", Priorities: 10,
 	Reserved:      []ReservedHeader{{Name: "X-Aside", Purpose: "a place is set aside"}},
 	PromptHeaders: []string{"X-Parts"},
--- a/relay/verify.go
+++ b/relay/verify.go
@@ -189,6 +189,10 @@
 // is probed at once.
 func (r *Relay) applyReachChange(ctx context.Context, c balance.ReachChange) {
 	fields := Fields{"upstream": c.ID, "born": c.StartedAt, "domain": c.Domain, "told_by": c.Report.Box, "age_ms": c.Report.Age.Milliseconds()}
+	if c.Report.Brittle {
+		r.logBrittle(c.Upstream, c.Report.Rejects, fields)
+		return
+	}
 	if c.Report.Reached {
 		r.cfg.Log.Event("upstream", "reached by others", fields)
 		go r.probeUnreachable(ctx, c.Upstream)
