Requests that are not acknowledged are looked at once, and only where nothing else was answered

Cost: the look asked the kernel for each request without a response each 0.25 s. Now a request is looked at once, and not at all if its upstream has answered this box since.

--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -284,6 +284,13 @@
 	}
 }
 
+// HasAnswered reports whether an incarnation has answered this box, or accepted a connection, since
+// a moment.
+func (f *Fleet) HasAnswered(l Incarnation, since time.Duration) bool {
+	m := f.byID[l.ID]
+	return m != nil && m.Incarnation() == l && m.reports.answeredAt >= since
+}
+
 // IsUnreachable reports whether an incarnation is listed and unreachable.
 func (f *Fleet) IsUnreachable(l Incarnation) bool {
 	m := f.byID[l.ID]
--- a/relay/unacked.go
+++ b/relay/unacked.go
@@ -34,19 +34,21 @@
 }
 
 // unackedUpstreams returns the upstreams to whose paths a request of this box has not been
-// acknowledged for minUnacked. Each run is considered once.
+// acknowledged for minUnacked, and that have answered nothing else meanwhile. Each run is considered
+// once.
 func (r *Relay) unackedUpstreams(now time.Time) []balance.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []balance.Upstream
 	found := make(map[string]bool)
 	for _, c := range r.runConns {
-		if !c.awaitsAckSince(now.Add(-minUnacked)) || found[c.incarnation.ID] {
+		waited := c.awaitsResponse(now)
+		if waited < minUnacked || found[c.incarnation.ID] || r.fleet.HasAnswered(c.incarnation, r.now()-waited) {
 			continue
 		}
-		c.checked = true
+		c.checked = true // either all is acknowledged, or the path is checked now
 		u, isListed := r.listedUpstream(c.incarnation.ID)
-		if isListed && u.Incarnation() == c.incarnation && !r.fleet.IsUnreachable(c.incarnation) {
+		if unacked(c.Conn.(syscall.Conn)) > 0 && isListed && u.Incarnation() == c.incarnation && !r.fleet.IsUnreachable(c.incarnation) {
 			found[u.ID] = true
 			list = append(list, u)
 		}
@@ -54,11 +56,14 @@
 	return list
 }
 
-// awaitsAckSince reports whether the request on a direct connection was sent before a time, has no
-// response yet, and is not acknowledged completely. The caller holds the relay's mu.
-func (c *conn) awaitsAckSince(before time.Time) bool {
+// awaitsResponse returns for how long the request on a direct connection has been sent without a
+// response; 0 if there is a response, or the path was checked before. The caller holds the relay's mu.
+func (c *conn) awaitsResponse(now time.Time) time.Duration {
 	sent := c.sentAt.Load()
-	return sent > 0 && sent <= before.UnixNano() && !c.checked && c.tunnel() == nil && unacked(c.Conn.(syscall.Conn)) > 0
+	if sent == 0 || c.checked || c.tunnel() != nil {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - sent)
 }
 
 // unacked returns how many bytes of a connection were written and are not acknowledged by the peer;
