Verifications of a box's own doubt are not reported to other boxes

Hypothesis: a box that doubts its paths verifies all upstreams, and each success was reported to all boxes, which are to hear only answers to what another box reported.

Test: TestVerificationsOfOwnDoubtAreNotReported; it fails before.

--- a/balance/reach.go
+++ b/balance/reach.go
@@ -103,7 +103,7 @@
 	for _, m := range f.byID {
 		if !m.unreachable && !m.closed() && !m.reports.lost && m.reports.answeredAt < p.first {
 			m.setReportedLost(true)
-			m.reports.lostAt = now
+			m.reports.lostAt, m.reports.doubted = now, true
 			doubted++
 		}
 	}
--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -52,7 +52,8 @@
 
 // reachReports is the state of an upstream that follows from reports, or is kept for them.
 type reachReports struct {
-	lost         bool          // another box reports it unreachable, and it was not verified since
+	lost         bool          // another box reports it unreachable, or this box doubts its paths, and it was not verified since
+	doubted      bool          // if lost: no other box reports it
 	lostAt       time.Duration // if lost: the time for which that was reported
 	verifying    bool          // a connection attempt that verifies it is in progress
 	answeredAt   time.Duration // when this box last had an answer or a connection
@@ -230,7 +231,7 @@
 	if m.reports.lost {
 		m.service.reportedLostCount--
 	}
-	m.reports.lost = lost
+	m.reports.lost, m.reports.doubted = lost, false
 	if m.reports.lost {
 		m.service.reportedLostCount++
 	}
@@ -273,12 +274,15 @@
 	if m == nil || m.Incarnation() != l {
 		return
 	}
+	answersReport := !m.reports.doubted
 	m.reports.verifying = false
 	m.setReportedLost(false)
 	switch {
 	case result == VerifiedReachable:
 		f.recordReachable(now, m)
-		f.queueReachReport(now, m, verifiedKind, now, "")
+		if answersReport {
+			f.queueReachReport(now, m, verifiedKind, now, "")
+		}
 	case result == VerifiedUnreachable && m.reports.answeredAt <= began && !m.unreachable:
 		f.lose(m, false, m.ID)
 	}
--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -155,6 +155,27 @@
 	}
 }
 
+// A box that doubts its paths verifies all upstreams. What it finds answers no other box's report, and
+// is told to nobody: at 300 boxes before 3,000 upstreams the reports doubled the bytes between domains.
+func TestVerificationsOfOwnDoubtAreNotReported(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	f := newTestFleet(12)
+	loseUpstreams(f, now, "u1", "u2")
+	f.TakeReachReports(now)
+	u3 := Incarnation{ID: "u3"}
+	is.True(f.BeginVerification(u3))
+	f.EndVerification(now, now, u3, VerifiedReachable)
+	is.Equal(f.TakeReachReports(now), nil)
+
+	f = newTestFleet(12)
+	f.MergeReachReports(now, lostReport("u3", time.Millisecond))
+	f.TakeReachReports(now)
+	is.True(f.BeginVerification(u3))
+	f.EndVerification(now, now, u3, VerifiedReachable)
+	is.Equal(len(f.TakeReachReports(now)), 1)
+}
+
 // tunnelPeers returns the boxes that a box knows: count of each domain.
 func tunnelPeers(box, domain string, count int) *TunnelPeers {
 	f := NewFleet(Config{Domain: domain})
