--- a/relay/withhold_test.go
+++ b/relay/withhold_test.go
@@ -189,21 +189,31 @@
 	return other
 }
 
+// listenPeerPort listens on a TCP port whose UDP port is free as well.
+func listenPeerPort(t testing.TB) net.Listener {
+	t.Helper()
+	for range 100 {
+		l := listen(t)
+		udp, err := net.ListenPacket("udp", l.Addr().String())
+		if err != nil {
+			_ = l.Close()
+			continue
+		}
+		if err := udp.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	t.Fatal("no port is free for TCP and UDP")
+	return nil
+}
+
 // joinGroup configures a box as a member of a group.
 func joinGroup(t testing.TB, c *Config, name string, seeds ...string) {
 	t.Helper()
-	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := udp.LocalAddr().String()
-	if err := udp.Close(); err != nil {
-		t.Fatal(err)
-	}
+	c.TunnelListener = listenPeerPort(t)
+	address := c.TunnelListener.Addr().String()
 	c.ControlListener = listen(t)
-	if c.TunnelListener, err = net.Listen("tcp", address); err != nil {
-		t.Fatal(err)
-	}
 	c.MaxTunnels = 64
 	c.Self = &wire.GroupBox{Name: name, Domain: "d", Address: address, Pulls: c.ControlListener.Addr().String(), Boot: 1, Strength: uint32(len(name))}
 	c.Seeds = seeds
