A report that an upstream is lost is answered once, not by each box

Hypothesis: under load many upstreams accept late and are reported lost; each of 300 boxes verifies each when it needs it, and each second one of them told all boxes so.

Change: a box reports a verification only if no other has since the report of the loss.

Test: TestReportOfLossIsAnsweredOnce; it fails before.

--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -274,7 +274,7 @@
 	if m == nil || m.Incarnation() != l {
 		return
 	}
-	answersReport := !m.reports.doubted
+	answersReport := !m.reports.doubted && m.reports.reachedAt < m.reports.lostAt // no other box has answered it yet
 	m.reports.verifying = false
 	m.setReportedLost(false)
 	switch {
--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -198,6 +198,21 @@
 	is.Equal(len(f.TakeReachReports(now)), 1)
 }
 
+// One report that an upstream is lost is answered once, not by each of 300 boxes as it verifies the
+// upstream.
+func TestReportOfLossIsAnsweredOnce(t *testing.T) {
+	is := is.New(t)
+	u3 := Incarnation{ID: "u3"}
+	f := newTestFleet(12)
+	f.MergeReachReports(10*time.Second, lostReport("u3", time.Millisecond))
+	f.MergeReachReports(11*time.Second, []ReachReport{{Life: u3.Key(), Reached: true, Verified: true, Age: 10 * time.Millisecond, Box: "b"}})
+	f.TakeReachReports(11 * time.Second)
+	now := 13 * time.Second
+	is.True(f.BeginVerification(u3))
+	f.EndVerification(now, now, u3, VerifiedReachable)
+	is.Equal(f.TakeReachReports(now), nil)
+}
+
 // tunnelPeers returns the boxes that a box knows: count of each domain.
 func tunnelPeers(box, domain string, count int) *TunnelPeers {
 	f := NewFleet(Config{Domain: domain})
