Failures within one domain put no other paths in doubt

Reports of verifications were not the cause.

Change: only failures in more than one domain do, where there is more than one.

Test: TestFailuresInARowPutAllPathsInDoubt, two rows; the first fails before.

--- a/balance/reach.go
+++ b/balance/reach.go
@@ -22,9 +22,11 @@
 
 // pathFailures are upstreams that became unreachable with no answer of any upstream in between.
 type pathFailures struct {
-	count int
-	first time.Duration // when the first of these connection attempts began, at the earliest
-	last  time.Duration
+	count  int
+	domain string        // of the first
+	spread bool          // others are of another failure domain
+	first  time.Duration // when the first of these connection attempts began, at the earliest
+	last   time.Duration
 }
 
 // domainReach is the connectivity to a failure domain.
@@ -78,7 +80,7 @@
 	isNew := !m.unreachable
 	f.lose(m, false, m.ID)
 	if isNew {
-		f.doubtPaths(now)
+		f.doubtPaths(now, m.Domain)
 	}
 	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
 		f.markDomainCutOff(m.Domain, m.ID)
@@ -86,17 +88,19 @@
 }
 
 // doubtPaths counts an upstream that has become unreachable. If others have just before, with no
-// answer of any upstream in between, the cause may be in this box's own paths: every upstream that
+// answer of any upstream in between, the cause may be in this box's own paths, unless all of them are
+// of one domain, which may be cut off or down as a whole: every upstream that
 // has not answered since is verified before its next request, which would otherwise be lost on a
 // connection that has fallen silent.
-func (f *Fleet) doubtPaths(now time.Duration) {
+func (f *Fleet) doubtPaths(now time.Duration, domain string) {
 	p := &f.pathFailures
 	if p.count == 0 || now-p.last > cutOffWindow {
-		*p = pathFailures{first: now - DialWait}
+		*p = pathFailures{first: now - DialWait, domain: domain}
 	}
 	p.count++
 	p.last = now
-	if p.count < cutOffThreshold || f.cfg.Off[Tunnels] || f.cfg.Off[ReachReports] {
+	p.spread = p.spread || domain != p.domain || !f.hasOtherDomain(domain)
+	if p.count < cutOffThreshold || !p.spread || f.cfg.Off[Tunnels] || f.cfg.Off[ReachReports] {
 		return
 	}
 	doubted := 0
@@ -110,6 +114,16 @@
 	f.newlyUnreachable[len(f.newlyUnreachable)-1].ToVerify = doubted
 }
 
+// hasOtherDomain reports whether upstreams of another failure domain are listed.
+func (f *Fleet) hasOtherDomain(domain string) bool {
+	for _, m := range f.byID {
+		if m.Domain != domain {
+			return true
+		}
+	}
+	return false
+}
+
 // CutOffDomains returns the sorted names of the failure domains that this box treats as cut off.
 func (f *Fleet) CutOffDomains() []string {
 	var list []string
--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -156,6 +156,8 @@
 	}{
 		{"one failure", func(f *Fleet) { loseUpstreams(f, now, "u1") }, false},
 		{"two", func(f *Fleet) { loseUpstreams(f, now, "u1", "u2") }, true},
+		{"two of one domain, which may be down", func(f *Fleet) { loseUpstreams(f, now, "u1", "u4") }, false},
+		{"two of one domain, and one of another", func(f *Fleet) { loseUpstreams(f, now, "u1", "u4", "u2") }, true},
 		{"two, an answer in between", func(f *Fleet) {
 			loseUpstreams(f, now, "u1")
 			f.Open(now, "u0", prompt(1)).Close(now, Answered)
