--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -75,8 +75,8 @@
 	is.True(tried >= 15 && tried <= maxTunnelFailures+2+int(60*time.Second/maxTunnelBackoff))
 }
 
-// Boxes that have lost less than half of a service, as a domain that is cut, do not look for ways that
-// they would not use: 300 boxes before 3,000 upstreams doubled the bytes between domains.
+// Boxes that have lost less than half of a service, as a domain that is cut, asked others for tunnels
+// that no request would use.
 func TestNoTunnelsAreTriedWhereNoneWouldBeUsed(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(12)
@@ -180,7 +180,7 @@
 }
 
 // A box that doubts its paths verifies all upstreams. What it finds answers no other box's report, and
-// is told to nobody: at 300 boxes before 3,000 upstreams the reports doubled the bytes between domains.
+// was told to all of them nevertheless.
 func TestVerificationsOfOwnDoubtAreNotReported(t *testing.T) {
 	is := is.New(t)
 	const now = 10 * time.Second
