Log lines and metrics tell the software versions of streams that go on

Hypothesis: nothing that a box writes tells whether a stream changed its software version in one answer, moved, or was taken up by its caller, so the incident's hypotheses cannot be told apart from logs. Change: the entry's version is decoded (balance.Upstream.Software) and logged with 'upstream: listed'; 'run: continues' names the way, both upstreams and both versions; streams_taken_up and streams_at_other_software count. Decisions are unchanged. Conclusion: one line a continuation separates 'resumed' and 'moved' (hypothesis 1) from 'taken_up' (2); a version that changes in place shows in 'listed' (3).

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -22,6 +22,7 @@
 	Address   string // IP:port
 	Domain    string // failure domain
 	Slots     int    // number of requests it runs concurrently
+	Software  string // version of its software; empty if its entry states none
 	Leaving   bool   // takes no new requests
 	// ColdFor is the remaining time for which the upstream is cold, according to its entry.
 	ColdFor  time.Duration
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -115,6 +115,7 @@
 	"caller: cut off":                       "The caller read nothing of its answer for two seconds, or was still reading long after its deadline (reason); its connection was reset.",
 	"caller: turned away":                   "The box has reached its memory limit (memory_used of memory_bound); the request did not run, and the caller was told when to retry.",
 	"run: silent":                           "The connection delivered nothing more, while the upstream, asked twice on a new connection, had produced more events than arrived (made, events) or did not know the run: the run was ended, and continues on another upstream if allowed.",
+	"run: continues":                        "The stream goes on at an upstream, after its run failed (resumed), with its memory (moved), or with its caller's next request (taken_up); began_software and software are the versions of the two upstreams.",
 	"run: moves":                            "The answer would miss the caller's deadline on its upstream (here_ms) but meet it on another (there_ms): its memory is copied there and the run continues there.",
 	"run: not moved":                        "The upstream did not answer the call to copy the run; the answer continues there, or breaks off.",
 	"run: not retried":                      "The service's retry budget on this box is exhausted: it follows from the requests (taken) and retries (spent) of the last window_ms, and the slack divided by boxes.",
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -74,6 +74,7 @@
 	response         *response       // of the last run that got one
 	failure          *failedResponse // the last error response of an upstream
 	events           *eventReader    // of a stream; nil before the response
+	origin           *streamOrigin   // where the stream began; nil before its first event
 	pendingEvents    []byte          // read, but not yet passed to the caller
 	firstEventsAfter time.Duration   // from the arrival to the first events
 	pace             pace            // of its events
--- a/relay/move.go
+++ b/relay/move.go
@@ -179,7 +179,7 @@
 		return false
 	}
 	x.moved = true
-	x.relay.stats.count("streams_moved")
+	x.noteContinued(wayMoved, *x.origin)
 	return true
 }
 
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -23,6 +23,7 @@
 	Signature       string // in an upstream's response: who gave it; the relay only forwards it
 	Priority        string // set for the upstream, 0 for the most urgent
 	LastEvent       string // the last event of a stream that the caller has received
+	Resumes         string // with LastEvent: the ID of the attempt that brought the stream's first event; the relay only reads it
 	KVHandle        string // set for the upstream: the KV cache copy that a run continues from
 	FetchFrom       string // set for the upstream: IP:port of another upstream that has the prompt cached
 	Priorities      int    // how many values Priority has, starting at 0
--- a/relay/request.go
+++ b/relay/request.go
@@ -27,6 +27,7 @@
 	headBytes        int    // length of the request line and headers
 	forwardedHeaders []byte // header lines to forward
 	lastEventID      string // the last event that the caller has received, as sent
+	resumes          string // ID of the attempt that brought the first event of the stream that it continues
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -46,6 +47,7 @@
 		customerKey: get(p.Key),
 		body:        ctx.Request.Body(),
 		lastEventID: get(p.LastEvent),
+		resumes:     get(p.Resumes),
 	}
 	if ms, err := strconv.ParseInt(get(p.TimeLeft), 10, 64); err == nil && ms > 0 {
 		q.timeLeft = time.Duration(ms) * time.Millisecond
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,6 +56,7 @@
 	wake(x.relay.members.loadsChanged)
 	x.eventsBegan.Store(true)
 	x.response, x.events, x.pendingEvents = resp, e, pending
+	x.noteOrigin()
 	return runAnswered, nil, nil
 }
 
@@ -128,7 +129,7 @@
 			return false
 		}
 		if state, _ := x.runOn(choice); state == runAnswered && x.response != previous {
-			x.relay.stats.count("streams_resumed")
+			x.noteContinued(wayResumed, *x.origin)
 			return true
 		}
 	}
--- a/relay/update.go
+++ b/relay/update.go
@@ -114,7 +114,7 @@
 		r.endEarlierRuns(u)
 	}
 	r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.StartedAt, "service": u.Service, "named": c.serviceKnown, "address": u.Address,
-		"leaving": u.Leaving, "cold_ms": u.ColdFor.Milliseconds()})
+		"leaving": u.Leaving, "software": u.Software, "cold_ms": u.ColdFor.Milliseconds()})
 }
 
 // evacuateDomain stops sending requests to the upstreams of a failure domain. Runs there may
