--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -24,7 +24,7 @@
 // testProtocol is the protocol of the deployment that the tests use.
 var testProtocol = Protocol{
 	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Customer: "X-Customer", Instance: "X-Instance", CurrentInstance: "X-Started", NotExecuted: "X-Not-Run", Limit: "X-Limit", Brittle: "X-Brittle", Leaving: "X-Leaving", RetryAfter: "Retry-After",
-	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", FetchFrom: "X-Fetch", KVHandle: "X-Memory", Priorities: 10,
+	Signature: "X-Sign", Priority: "X-Priority", LastEvent: "X-Last", FetchFrom: "X-Fetch", KVHandle: "X-Memory", Resumes: "X-Resumes", Priorities: 10,
 	Reserved:      []ReservedHeader{{Name: "X-Aside", Purpose: "a place is set aside"}},
 	PromptHeaders: []string{"X-Parts"},
 	Prompt: func(get func(string) string) Prompt {
@@ -53,6 +53,7 @@
 	id       string
 	listener net.Listener
 	script   func(c net.Conn, r stubRequest) bool // returns false to close the connection
+	software string                               // stated in its entry
 
 	mu       sync.Mutex
 	received []stubRequest
@@ -338,7 +339,7 @@
 }
 
 func (b *testBox) listUpstream(s *stub, leaving bool) {
-	b.publisher.set(s.id, balance.Upstream{ID: s.id, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Leaving: leaving}, false)
+	b.publisher.set(s.id, balance.Upstream{ID: s.id, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Leaving: leaving, Software: s.software}, false)
 }
 
 func (b *testBox) upstreamCount() int {
