Streams go on, in one answer, only at the software version that began them

What callers saw: a stream whose upstream crashed, or that moved, went on at an upstream of another software version; the answer looked complete. Change: balance.Upstream.Software; a request for placement has the Origin of its stream, and only upstreams of that version are eligible, for resumption and moves alike; the entry is looked at again just before the request is sent and before a copy is used. Cached prompt parts are fetched only from the same version. A version that is not known, or not stated while others state theirs, matches none. Idle connections to an upstream whose entry changes its version in place are closed. With the checks taken out, TestStreamIsPlacedAtOtherSoftware (3 cases), TestStreamMovesToOtherSoftware and TestPromptIsFetchedFromOtherSoftware fail.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -75,14 +75,22 @@
 	missing := false // a part is usable only together with all parts before it
 	for i, part := range p.shared {
 		missing = missing || !p.holds(m, part)
-		fetchable := p.request.CanTransfer && p.cached[i] && !p.fleet.cfg.Off[Fetching]
-		if missing && !fetchable {
+		if missing && !p.isFetchable(m, i) {
 			tokens += part.Tokens
 		}
 	}
 	return tokens
 }
 
+// isFetchable reports whether an upstream can fetch a shared part, by its index.
+func (p *promptCost) isFetchable(m *member, i int) bool {
+	if !p.request.CanTransfer || !p.cached[i] || p.fleet.cfg.Off[Fetching] {
+		return false
+	}
+	one := len(m.service.software.listed) == 1
+	return one || p.assumed(p.shared[i]) || p.fleet.holderOf(p.now, p.request, p.shared[i], m) != nil
+}
+
 // unread returns the number of tokens that an upstream has to read for a request placed there.
 func (f *Fleet) unread(now time.Duration, m *member, r Request) int {
 	cost := f.promptCostOf(now, r, f.home(now, r))
--- a/balance/fetch.go
+++ b/balance/fetch.go
@@ -62,7 +62,7 @@
 	tight := f.tight(r)
 	var c ranking
 	for _, m := range f.byService[r.Service] {
-		if m != chosen && !f.isLost(m) && !m.health.backingOff(now) && f.mayHold(now, m, tight) && f.mayRunIn(m.Domain, r) {
+		if m != chosen && mayFetch(chosen, m) && !f.isLost(m) && !m.health.backingOff(now) && f.mayHold(now, m, tight) && f.mayRunIn(m.Domain, r) {
 			f.addToRanking(&c, m, key)
 		}
 	}
--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -109,6 +109,8 @@
 	rtts             map[string]*rttEstimate        // by failure domain
 	prefillRate      float64                        // prompt tokens that an upstream reads per ms
 	firstListedAt    time.Duration                  // when the first upstream was listed
+	knownSince       time.Duration                  // when any upstream was first listed; longAgo: none was
+	streamSpan       time.Duration                  // the longest time that a stream may last
 
 	histories        map[uint32]*history // by incarnation key
 	historiesSweptAt time.Duration       // when the histories of unlisted incarnations were last swept
@@ -153,6 +155,8 @@
 		prefillRate:    cfg.Tuning.PrefillRate,
 		memoryShare:    1,
 		priorsUntil:    math.MaxInt64,
+		knownSince:     longAgo,
+		streamSpan:     defaultStreamSpan,
 	}
 }
 
--- a/balance/list.go
+++ b/balance/list.go
@@ -95,6 +95,10 @@
 			f.dropAddress(m)
 		}
 		m.service.slotCount += u.Slots - m.Slots
+		if u.Software != m.Software {
+			m.service.software.drop(m.Software)
+			m.service.software.add(u.Software)
+		}
 		m.Upstream, m.evacuated = u, f.evacuated[u.Domain]
 		f.claimAddress(m)
 		f.markCold(now, m, u.ColdFor)
@@ -103,6 +107,9 @@
 	if len(f.byID) == 0 {
 		f.firstListedAt = now
 	}
+	if f.knownSince == longAgo {
+		f.knownSince = now
+	}
 	s := f.serviceOf(u.Service)
 	m := &member{Upstream: u, service: s, laneWeight: weight(u.ID, laneKey), listedAt: now, laneChangedAt: longAgo, lastBreakAt: longAgo, key: u.Incarnation().Key(), coldUntil: longAgo, evacuated: f.evacuated[u.Domain]}
 	m.needsLeavingCheck = f.NeedsLeavingCheck(u.Incarnation())
@@ -119,6 +126,7 @@
 	s.stale, f.remoteLoadsStale = true, true
 	s.upstreamCount++
 	s.slotCount += u.Slots
+	s.software.add(u.Software)
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 	f.quotasStale = true
 }
@@ -152,6 +160,7 @@
 	m.service.stale = true
 	m.service.upstreamCount--
 	m.service.slotCount -= m.Slots
+	m.service.software.drop(m.Software)
 	f.parts.forget(m)
 	f.markReachable(m) // remove it from the count of its cut-off domain
 	m.setReachability(false, false)
--- a/balance/partindex.go
+++ b/balance/partindex.go
@@ -153,7 +153,7 @@
 	var best *member
 	for _, x := range f.parts.holders[PartKey(part.ID)] {
 		m := x.member
-		if m == to || f.isLost(m) || m.health.backingOff(now) || !x.recent(now) || !f.mayRunIn(m.Domain, r) {
+		if m == to || !mayFetch(to, m) || f.isLost(m) || m.health.backingOff(now) || !x.recent(now) || !f.mayRunIn(m.Domain, r) {
 			continue
 		}
 		if best == nil || f.fetchOrder(domain, m, best) < 0 {
--- a/balance/place.go
+++ b/balance/place.go
@@ -150,7 +150,7 @@
 // isEligible reports whether a request may go to an upstream, apart from the limit that the
 // upstream states.
 func (f *Fleet) isEligible(now time.Duration, m *member, r Request, tried []string) bool {
-	return !m.closed() && !slices.Contains(tried, m.ID) && f.mayRunIn(m.Domain, r) && f.coldQuotaLeft(now, m) && f.allowedByBrittleness(now, m)
+	return !m.closed() && !slices.Contains(tried, m.ID) && f.mayContinueAt(m, r) && f.mayRunIn(m.Domain, r) && f.coldQuotaLeft(now, m) && f.allowedByBrittleness(now, m)
 }
 
 // excessBackingOff returns the upstreams in failure backoff that are used anyway because more
--- a/balance/request.go
+++ b/balance/request.go
@@ -23,6 +23,7 @@
 	Urgency        int           // 0 is the most urgent
 	Homes          route.Homes   // regions it may run in
 	Waited         bool          // it has waited for the end of a pause
+	Origin         Origin        // where its stream began
 }
 
 // Part is a section of a prompt that other prompts may share as a prefix.
--- a/balance/service.go
+++ b/balance/service.go
@@ -9,6 +9,7 @@
 type service struct {
 	lanes
 	name              string
+	software          softwareHistory
 	active            []*member     // upstreams that may have work; see active.go
 	upstreamCount     int           // number of its listed upstreams
 	unreachableCount  int           // of them: unreachable, or reachable again without a newer entry
--- /dev/null
+++ b/balance/software_test.go
@@ -0,0 +1,132 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newSoftwareFleet returns a fleet with an upstream u0, u1 ... of each given software version.
+func newSoftwareFleet(cfg Config, versions ...string) *Fleet {
+	f := NewFleet(cfg)
+	for i, v := range versions {
+		f.Put(0, Upstream{ID: fmt.Sprint("u", i), Service: "s", Slots: 4, Software: v})
+	}
+	return f
+}
+
+// A stream went on at any upstream of its service, whatever version had begun it.
+func TestStreamIsPlacedAtOtherSoftware(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		origin   Origin
+		want     string // the only upstreams that it may go on at; empty: none
+	}{
+		{"no events yet", []string{"v1", "v2"}, Origin{}, "u0 u1"},
+		{"at its version", []string{"v1", "v2", "v1"}, Origin{Began: true, Known: true, Software: "v1"}, "u0 u2"},
+		{"none of its version", []string{"v2", "v2"}, Origin{Began: true, Known: true, Software: "v1"}, ""},
+		{"version not known", []string{"v1", "v1"}, Origin{Began: true, Software: "v1"}, ""},
+		{"no upstream states one", []string{"", ""}, Origin{Began: true, Known: true}, "u0 u1"},
+		{"some upstreams state one", []string{"", "v1", ""}, Origin{Began: true, Known: true}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSoftwareFleet(Config{}, c.versions...)
+			for _, r := range []Request{{Service: "s"}, prompt(7)} {
+				r.Origin = c.origin
+				got := ""
+				for _, m := range f.usable(0, r, nil) {
+					if got != "" {
+						got += " "
+					}
+					got += m.ID
+				}
+				is.Equal(got, c.want)
+				_, ok := f.Place(0, r, nil)
+				is.Equal(ok, c.want != "")
+			}
+		})
+	}
+}
+
+// A running answer moved to an upstream of another version.
+func TestStreamMovesToOtherSoftware(t *testing.T) {
+	is := is.New(t)
+	late := Progress{Events: 10, EventInterval: 400 * time.Millisecond, TimeLeft: 1500 * time.Millisecond}
+	f, r := fleetWithAnswers(3), longRequest(100, 360)
+	for id, software := range map[string]string{"u0": "v1", "u1": "v2", "u2": "v2"} {
+		u := *f.Get(id)
+		u.Software = software
+		f.Put(0, u)
+	}
+	r.Origin = Origin{Began: true, Known: true, Software: "v1"}
+	_, ok := f.MoveTo(time.Second, r, "u0", late)
+	is.True(!ok)
+	u := *f.Get("u2")
+	u.Software = "v1"
+	f.Put(0, u)
+	m, ok := f.MoveTo(time.Second, r, "u0", late)
+	is.True(ok)
+	is.Equal(m.To.ID, "u2")
+}
+
+// Cached prompt parts were fetched from an upstream of another version.
+func TestPromptIsFetchedFromOtherSoftware(t *testing.T) {
+	for _, c := range []struct {
+		holder string
+		want   bool
+	}{{"v1", true}, {"v2", false}} {
+		is := is.New(t)
+		f := newSoftwareFleet(Config{FirstStart: true}, "v1", c.holder)
+		f.NotePartReports(0, []PartReport{{PartKey(7), Key("u1")}})
+		for _, m := range f.byID {
+			m.Address = "address of " + m.ID
+		}
+		is.Equal(f.fetchFrom(0, prompt(7), f.byID["u0"]) != "", c.want)
+		is.Equal(f.unread(0, f.byID["u0"], prompt(7)) == 400, c.want) // else the shared part is read as well
+	}
+}
+
+// A version counts for as long as a stream that it began may last, however its upstreams went; and a
+// box that has just started does not know what served before, unless it is the first start of all.
+func TestSoleSoftware(t *testing.T) {
+	const span = 10 * time.Second
+	for _, c := range []struct {
+		name       string
+		firstStart bool
+		change     func(f *Fleet)
+		at         time.Duration
+		want       string // empty: not known
+	}{
+		{"first start", true, func(*Fleet) {}, 0, "v1"},
+		{"started a moment ago", false, func(*Fleet) {}, span - 1, ""},
+		{"known for long enough", false, func(*Fleet) {}, span, "v1"},
+		{"another is listed", true, func(f *Fleet) { f.Put(0, Upstream{ID: "x", Service: "s", Slots: 1, Software: "v2"}) }, span, ""},
+		{"another service", true, func(f *Fleet) { f.Put(0, Upstream{ID: "x", Service: "other", Slots: 1, Software: "v2"}) }, span, "v1"},
+		{"another went a moment ago", true, func(f *Fleet) { f.Put(0, Upstream{ID: "x", Service: "s", Slots: 1, Software: "v2"}); f.Remove("x") }, span, ""},
+		{"another went long ago", true, func(f *Fleet) {
+			f.Put(0, Upstream{ID: "x", Service: "s", Slots: 1, Software: "v2"})
+			f.Remove("x")
+			f.RecentSoftware(0, "s")
+		}, span + 1, "v1"},
+		{"an entry changed in place", true, func(f *Fleet) { f.Put(0, Upstream{ID: "u1", Service: "s", Slots: 4, Software: "v2"}) }, span, ""},
+		{"an entry changed in place and back", true, func(f *Fleet) {
+			f.Put(0, Upstream{ID: "u1", Service: "s", Slots: 4, Software: "v2"})
+			f.Put(0, Upstream{ID: "u1", Service: "s", Slots: 4, Software: "v1"})
+		}, 0, ""},
+		{"all entries went", true, func(f *Fleet) { f.Remove("u0"); f.Remove("u1") }, 0, "v1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSoftwareFleet(Config{FirstStart: c.firstStart}, "v1", "v1")
+			f.SetStreamSpan(span)
+			c.change(f)
+			software, ok := f.SoleSoftware(c.at, "s")
+			is.Equal(software, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,7 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case !r.fleet.Accepts(r.now(), x.upstream.Incarnation()):
+	case !r.fleet.Accepts(r.now(), x.upstream.Incarnation()), !r.mayContinueAt(x, x.upstream):
 		return errNotAccepting
 	case x.ticket != nil && !x.ticket.MaySend(r.now()):
 		return errLimit
--- a/relay/move.go
+++ b/relay/move.go
@@ -161,7 +161,7 @@
 	if c.Name == "" {
 		return false
 	}
-	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) {
+	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) || !x.mayContinueAt(at) {
 		x.relay.cancelRetry(m.retry)
 		x.relay.discardCopy(m, c, x)
 		return false
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -110,6 +110,7 @@
 		Homes:          route.AllowedRegions(x.route, x.customer),
 		Urgency:        x.urgency,
 		Waited:         x.pauseWaited > 0,
+		Origin:         x.placementOrigin(),
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -126,6 +126,7 @@
 			continue
 		}
 		if !ok {
+			x.logNotContinued()
 			return false
 		}
 		if state, _ := x.runOn(choice); state == runAnswered && x.response != previous {
--- a/relay/update.go
+++ b/relay/update.go
@@ -4,6 +4,7 @@
 // was removed is not dropped while the entry may come back.
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/doormast/doormast/balance"
@@ -107,12 +108,15 @@
 	if c.displacedEnded != nil {
 		r.recordEnd(*c.displacedEnded)
 	}
-	if c.before.Incarnation() == u.Incarnation() && c.before.Leaving == u.Leaving {
+	if c.before.Incarnation() == u.Incarnation() && c.before.Leaving == u.Leaving && c.before.Software == u.Software {
 		return
 	}
 	if c.serviceKnown {
 		r.endEarlierRuns(u)
 	}
+	if c.before.ID != "" && c.before.Software != u.Software {
+		r.conns.closeIdle(u.ID) // they may lead to its earlier process
+	}
 	r.cfg.Log.Event("upstream", "listed", Fields{"upstream": u.ID, "born": u.StartedAt, "service": u.Service, "named": c.serviceKnown, "address": u.Address,
 		"leaving": u.Leaving, "software": u.Software, "cold_ms": u.ColdFor.Milliseconds()})
 }
@@ -154,6 +158,22 @@
 		r.fleet.SetCold(s.Name, balance.ColdLimit{Duration: s.ColdFor, MaxPerSecond: r.cfg.Cold.maxRequests(s.ColdPerSecond)})
 		r.fleet.SetMemory(s.Name, s.KVCapacity)
 	}
+	r.fleet.SetStreamSpan(streamSpan(d))
+}
+
+// attemptsPerSpan is how many attempts of a caller, one after the other, a stream is assumed to last
+// at the most.
+const attemptsPerSpan = 2
+
+// streamSpan is the longest time that a stream of the document may last; 0 if no route names any.
+func streamSpan(d *route.Document) time.Duration {
+	var span time.Duration
+	for i := range d.Routes {
+		if rt := &d.Routes[i]; rt.Repeat == route.Stream && rt.Resumable {
+			span = max(span, attemptsPerSpan*cmp.Or(rt.Timeout, defaultTimeout))
+		}
+	}
+	return span
 }
 
 // dropUpstream removes an upstream and closes the idle connections to it. event is the logged
