Boxes tell each other where streams began, and refuse what nobody knows

What callers saw: a stream that its caller took up, with another request at any box, went on at whatever upstream was chosen; with a route that splits, even at another service. Ways weighed: to ask only when a stream is taken up (what a killed box knew is lost, and that is when callers come back); to draw the version from the id (binds where new streams go, away from cached prompts, and changes with the list); records at a few boxes. Chosen: records. Change: package origin, pure: a bounded table of records, keyed by a hash of customer and first id; holders drawn by the key, two in the box's domain and the leaders of two others; a bound on lookups, half of it for one customer. relay/origins.go sends a record before the caller gets the first event, and asks at most 160 ms when a stream is taken up. Where only one version can have begun any open stream (balance.SoleSoftware: known for as long as a stream lasts, list not older than 2 s) nothing is told or asked. A box that does not know that, as after its start, takes the word of one that does. The service is drawn from the first id as well. What is not known, ambiguous, or of a version that no upstream has any more is refused at once with a 503 that says it has not run and why. A stream that goes on is not refused for the wait before it, and may leave its lane and use the memory kept for retries.

--- a/balance/place.go
+++ b/balance/place.go
@@ -32,7 +32,7 @@
 	}
 	f.noteAvailability(now, r.Service, len(list) > 0)
 	memory := f.memoryBoundOf(r)
-	if len(tried) > 0 {
+	if len(tried) > 0 || r.Origin.Began {
 		memory = memory.forRetry()
 	}
 	if sharedKey(r) == 0 {
@@ -85,7 +85,7 @@
 		return memory.fitting(beyond), nil // all upstreams of its lane may be paused
 	}
 	within, beyond = memory.fitting(within), memory.fitting(beyond)
-	if len(within) == 0 && f.tight(r) {
+	if len(within) == 0 && (f.tight(r) || r.Origin.Began) {
 		return beyond, nil
 	}
 	return within, beyond
--- a/group/messagekind.go
+++ b/group/messagekind.go
@@ -22,6 +22,8 @@
 	KindLimits         Kind = "limits"         // rate limits that upstreams announce
 	KindPriorCounts    Kind = "prior counts"   // requests sent before limits were known
 	KindReachReports   Kind = "reached"        // upstreams that connections reach or time out at
+	KindOrigins        Kind = "origins"        // where streams began
+	KindOriginLookup   Kind = "origin lookups" // questions for that, and answers
 	KindPullResponse   Kind = "all, to a pull" // all published data, in the response to a pull
 )
 
@@ -49,6 +51,10 @@
 		return KindPriorCounts
 	case carriesReachReports(m):
 		return KindReachReports
+	case len(m.Origins) > 0:
+		return KindOrigins
+	case m.OriginQuery != nil, m.OriginReply != nil:
+		return KindOriginLookup
 	case m.Partial:
 		return KindLoadChanges
 	case m.HasLoads:
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -107,7 +107,7 @@
 		doc:      doc,
 		route:    rt,
 		customer: customer,
-		service:  rt.Pick(xxhash.Sum64String(q.id)),
+		service:  rt.Pick(xxhash.Sum64String(q.firstID())),
 		urgency:  doc.Urgency(rt, customer, r.cfg.Protocol.Priorities),
 		arrived:  arrived,
 
--- a/relay/members.go
+++ b/relay/members.go
@@ -114,6 +114,7 @@
 			m.node.Tick(m.relay.now())
 			m.syncCutOff(ctx)
 			m.syncTunnelPeers()
+			m.syncOriginPeers()
 			m.dropMissing()
 		case <-m.loadsChanged:
 			m.updateLoads()
--- /dev/null
+++ b/relay/origins.go
@@ -0,0 +1,350 @@
+package relay
+
+// This file defines how boxes tell and ask each other where streams began; package origin decides
+// whom. The invariants: a record is sent before the caller gets the stream's first event; records
+// and questions take bounded memory and time; and a question for one customer's stream tells nothing
+// of another's.
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/doormast/doormast/group"
+	"github.com/doormast/doormast/internal/account"
+	"github.com/doormast/doormast/internal/ring"
+	"github.com/doormast/doormast/origin"
+	"github.com/doormast/doormast/wire"
+)
+
+const (
+	// maxOrigins bounds the records that a box holds.
+	maxOrigins = 1 << 16
+	// originShare is the share of the box's memory up to which records may fill it.
+	originShare = 0.8
+	// maxOriginLife bounds how long a record is kept, whatever its caller states.
+	maxOriginLife = 10 * time.Minute
+	// originMargin is added to the time that a caller waits, for its last request to arrive.
+	originMargin = 2 * time.Second
+	// originQueueSize is the capacity of the queue of received messages.
+	originQueueSize = 1024
+	// originWait is the longest time that a lookup takes. originResend is when those that have not
+	// answered are asked once more, as a datagram may be lost.
+	originWait   = 160 * time.Millisecond
+	originResend = 60 * time.Millisecond
+	// freshList is the age up to which a list of upstreams is taken to hold every version that streams
+	// can have begun at: changes reach all boxes in that time.
+	freshList = 2 * time.Second
+	// originsPerMessage bounds the records in a message, which stays within 6 KB.
+	originsPerMessage = 60
+)
+
+// Counters of records and lookups.
+const (
+	originsTold       = "origins_told"
+	originsNotHeld    = "origins_not_held"
+	originsFound      = "origins_found"
+	originsUnknown    = "origins_unknown"
+	originsNotAsked   = "origins_not_asked"
+	originQueueOverun = "origin_messages_dropped"
+)
+
+// origins holds the records of this box, and asks other boxes for theirs.
+type origins struct {
+	relay  *Relay
+	events *ring.Ring[*wire.GroupMessage]
+	lease  *account.Lease
+
+	mu      sync.Mutex
+	table   *origin.Table
+	peers   origin.Peers
+	limiter *origin.Limiter
+	lookups map[uint64]chan<- originReply // by nonce
+	nonce   uint64
+}
+
+func newOrigins(r *Relay) *origins {
+	o := &origins{relay: r, events: ring.New[*wire.GroupMessage](originQueueSize), lease: r.account.Lease(),
+		limiter: origin.NewLimiter(), lookups: make(map[uint64]chan<- originReply), nonce: uint64(r.startedAt.UnixNano())}
+	o.table = origin.NewTable(origin.TableConfig{Max: maxOrigins,
+		Reserve: func(n int64) bool { return o.lease.Grow(n, originShare) },
+		Release: func(n int64) { o.lease.Shrink(n) }})
+	return o
+}
+
+// run handles messages of other boxes until ctx ends.
+func (o *origins) run(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	var batch []*wire.GroupMessage
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.expire()
+		case <-o.events.Ready():
+		}
+		batch = o.events.Drain(batch[:0])
+		for _, m := range batch {
+			o.handle(m)
+		}
+	}
+}
+
+func (o *origins) expire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Expire(o.relay.now())
+}
+
+// push queues a received message, on the socket's goroutine.
+func (o *origins) push(m *wire.GroupMessage) {
+	if !o.events.TryPush(m) {
+		o.relay.stats.count(originQueueOverun)
+	}
+}
+
+// setPeers sets the boxes that may hold records.
+func (o *origins) setPeers(list []origin.Peer) {
+	peers := origin.NewPeers(o.relay.cfg.Domain, list)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peers = peers
+}
+
+// syncOriginPeers passes the boxes that the node knows to the origins.
+func (m *members) syncOriginPeers() {
+	m.relay.origins.setPeers(m.node.OriginPeers(m.relay.now()))
+}
+
+func (o *origins) handle(m *wire.GroupMessage) {
+	switch {
+	case m.OriginQuery != nil:
+		o.answer(m.OriginQuery)
+	case m.OriginReply != nil:
+		o.deliver(originReply{m.Sender.GetName(), m.OriginReply})
+	}
+	for _, x := range m.Origins {
+		o.hold(recordOf(x))
+	}
+}
+
+func recordOf(x *wire.GroupOrigin) origin.Record {
+	life := time.Duration(min(x.Life, uint64(maxOriginLife/time.Microsecond))) * time.Microsecond
+	return origin.Record{Key: origin.Key(x.Stream), Origin: origin.Origin{Service: x.Service, Software: x.Software}, Life: life}
+}
+
+// hold adds a record to the table.
+func (o *origins) hold(x origin.Record) {
+	o.mu.Lock()
+	ok := o.table.Put(o.relay.now(), x)
+	o.mu.Unlock()
+	if !ok {
+		o.relay.stats.count(originsNotHeld)
+	}
+}
+
+// originReply is the answer of another box.
+type originReply struct {
+	box string
+	*wire.GroupOriginReply
+}
+
+// answer answers a question of another box.
+func (o *origins) answer(q *wire.GroupOriginQuery) {
+	r := o.relay
+	a := &wire.GroupOriginReply{Nonce: q.Nonce, ListAge: uint64(max(0, r.publishedAge()).Microseconds()), Domain: r.cfg.Domain}
+	o.mu.Lock()
+	found, result := o.table.Get(r.now(), origin.Key(q.Stream))
+	o.mu.Unlock()
+	r.mu.Lock()
+	a.SoleSoftware, a.Sole = r.fleet.SoleSoftware(r.now(), q.Service)
+	r.mu.Unlock()
+	a.Result = wire.GroupOriginReply_Result(result)
+	if result == origin.Found {
+		a.Origin = &wire.GroupOrigin{Stream: q.Stream, Service: found.Service, Software: found.Software}
+	}
+	m := group.OriginMessage(r.cfg.Self)
+	m.OriginReply = a
+	o.send([]string{q.ReplyTo}, m)
+}
+
+// deliver passes an answer to the lookup that waits for it.
+func (o *origins) deliver(a originReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c := o.lookups[a.Nonce]; c != nil {
+		select {
+		case c <- a:
+		default: // more answers than boxes were asked
+		}
+	}
+}
+
+// tell records where streams began, here and at their holders. mayHold says in which domains.
+func (o *origins) tell(list []origin.Record, mayHold func(domain string) bool) {
+	byHolder := make(map[string][]*wire.GroupOrigin)
+	o.mu.Lock()
+	for _, x := range list {
+		if !o.table.Put(o.relay.now(), x) {
+			o.relay.stats.count(originsNotHeld)
+		}
+		sent := &wire.GroupOrigin{Stream: uint64(x.Key), Service: x.Origin.Service, Software: x.Origin.Software, Life: uint64(x.Life.Microseconds())}
+		for _, address := range o.peers.Holders(x.Key, mayHold) {
+			byHolder[address] = append(byHolder[address], sent)
+		}
+	}
+	o.mu.Unlock()
+	for address, records := range byHolder {
+		for part := range slices.Chunk(records, originsPerMessage) {
+			m := group.OriginMessage(o.relay.cfg.Self)
+			m.Origins = part
+			o.send([]string{address}, m)
+			o.relay.stats.count(originsTold)
+		}
+	}
+}
+
+// send sends a message to some boxes, without a guarantee.
+func (o *origins) send(to []string, m *wire.GroupMessage) {
+	s := o.relay.members.socket
+	if s == nil {
+		return
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		o.relay.cfg.Log.Event("group", "encoding a message failed", Fields{"error": err.Error()})
+		return
+	}
+	for _, address := range to {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil {
+			continue
+		}
+		o.relay.members.traffic.add(group.KindOf(m), group.ReachUnknown, len(b))
+		s.Send(a, b)
+	}
+}
+
+// originAnswer is the result of a lookup.
+type originAnswer struct {
+	origin.Origin
+	result   origin.Result
+	sole     bool // no record was found, and only Software can have begun any stream
+	limited  bool // the limits on lookups were reached
+	asked    int  // boxes
+	answered int
+	took     time.Duration
+}
+
+// lookup finds out where a stream began: from this box's records, or else by asking its holders.
+func (o *origins) lookup(ctx context.Context, customer string, key origin.Key, service string, mayHold func(domain string) bool) originAnswer {
+	began := time.Now()
+	o.mu.Lock()
+	found, result := o.table.Get(o.relay.now(), key)
+	if result != origin.NotFound {
+		o.mu.Unlock()
+		return originAnswer{Origin: found, result: result}
+	}
+	if !o.limiter.Allow(o.relay.now(), customer) {
+		o.mu.Unlock()
+		o.relay.stats.count(originsNotAsked)
+		return originAnswer{limited: true}
+	}
+	asked := o.peers.Asked(key, mayHold)
+	others := o.peers.HasOtherDomains(mayHold)
+	o.nonce++
+	nonce, answers := o.nonce, make(chan originReply, 2*len(asked)) // each may answer twice
+	o.lookups[nonce] = answers
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		delete(o.lookups, nonce)
+		o.mu.Unlock()
+	}()
+	m := group.OriginMessage(o.relay.cfg.Self)
+	m.OriginQuery = &wire.GroupOriginQuery{Stream: uint64(key), Nonce: nonce, Service: service, ReplyTo: o.relay.cfg.Self.Address}
+	a := o.await(ctx, asked, others, m, answers)
+	a.took = time.Since(began)
+	return a
+}
+
+// await sends a question and collects the answers until one says where the stream began, all have
+// come, or originWait is over.
+func (o *origins) await(ctx context.Context, asked []string, others bool, m *wire.GroupMessage, answers <-chan originReply) originAnswer {
+	c := answerCount{asked: len(asked), otherDomains: others, domain: o.relay.cfg.Domain}
+	if len(asked) == 0 {
+		return originAnswer{}
+	}
+	o.send(asked, m)
+	end, again := time.NewTimer(originWait), time.NewTimer(originResend)
+	defer end.Stop()
+	defer again.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if found, done := c.add(a); done {
+				return found
+			}
+		case <-again.C:
+			o.send(asked, m)
+		case <-end.C:
+			return c.unknown()
+		case <-ctx.Done():
+			return c.unknown()
+		}
+	}
+}
+
+// answerCount judges the answers to a question.
+type answerCount struct {
+	asked        int    // boxes
+	otherDomains bool   // boxes of other domains are known
+	domain       string // of this box
+
+	answered  []string // boxes
+	elsewhere int      // answers of other domains
+	sole      string   // named by all answers so far
+	split     bool     // the answers do not all name the same sole version
+}
+
+// add counts an answer; done means that the lookup is over.
+func (c *answerCount) add(a originReply) (found originAnswer, done bool) {
+	if slices.Contains(c.answered, a.box) {
+		return originAnswer{}, false // to the question that was sent again
+	}
+	c.answered = append(c.answered, a.box)
+	if a.Domain != c.domain {
+		c.elsewhere++
+	}
+	switch {
+	case a.Result == wire.GroupOriginReply_FOUND && a.Origin != nil:
+		found = originAnswer{Origin: origin.Origin{Service: a.Origin.Service, Software: a.Origin.Software}, result: origin.Found}
+	case a.Result == wire.GroupOriginReply_AMBIGUOUS:
+		found = originAnswer{result: origin.Ambiguous}
+	case a.Sole && time.Duration(a.ListAge)*time.Microsecond <= freshList:
+		found = originAnswer{Origin: origin.Origin{Software: a.SoleSoftware}, sole: true}
+	default:
+		c.split = c.split || !a.Sole || len(c.answered) > 1 && a.SoleSoftware != c.sole
+		c.sole = a.SoleSoftware
+		if len(c.answered) < c.asked {
+			return originAnswer{}, false
+		}
+		found = c.unknown()
+		if !c.split && (c.elsewhere > 0 || !c.otherDomains) {
+			found = originAnswer{Origin: origin.Origin{Software: c.sole}, sole: true} // as while the publisher is away for all
+		}
+	}
+	found.asked, found.answered = c.asked, len(c.answered)
+	return found, true
+}
+
+// unknown is the result where no answer says where the stream began.
+func (c *answerCount) unknown() originAnswer {
+	return originAnswer{asked: c.asked, answered: len(c.answered)}
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -36,6 +36,10 @@
 		m.relay.stats.count("datagrams_garbled")
 		return
 	}
+	if group.CarriesOrigins(msg) {
+		m.relay.origins.push(msg)
+		return
+	}
 	if !m.events.TryPush(memberEvent{message: msg}) {
 		m.relay.stats.count("datagrams_dropped")
 	}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -51,7 +51,7 @@
 	if left := x.allPausedFor(); left > 0 {
 		reason, retryAfter = pauseReason, addJitter(min(max(retryAfter, left), maxPauseRetryAfter))
 	}
-	return &refusal{fasthttp.StatusServiceUnavailable, reason, retryAfter}
+	return x.refuseTakenUp(&refusal{fasthttp.StatusServiceUnavailable, reason, retryAfter})
 }
 
 // allPausedFor returns how long pauses keep the request from all upstreams, including those already
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -87,6 +87,7 @@
 	callerServer *callerServer
 
 	tunnels      *tunnels
+	origins      *origins
 	tunnelServer *tunnelServer
 
 	members    *members
@@ -146,6 +147,7 @@
 	r.conns.dial = r.connectUpstream
 	r.conns.usesTunnel = r.usesTunnel
 	r.tunnels = newTunnels(r)
+	r.origins = newOrigins(r)
 	r.tunnelServer = newTunnelServer(r)
 	r.callerServer = newCallerServer(r)
 	var err error
@@ -161,6 +163,7 @@
 // startTasks starts the background tasks, which run until the box stops.
 func (r *Relay) startTasks(ctx context.Context) {
 	r.startTask("members", func() { r.members.run(ctx) })
+	r.startTask("origins", func() { r.origins.run(ctx) })
 	r.startTask("reader", func() { r.members.readLoop(ctx) })
 	r.startTask("unacked", func() { r.unackedLoop(ctx) })
 	r.startTask("trials", func() { r.probeLoop(ctx) })
--- a/relay/request.go
+++ b/relay/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"iter"
 	"slices"
 	"strconv"
@@ -122,6 +123,15 @@
 	return slices.ContainsFunc(list, func(name string) bool { return strings.EqualFold(name, string(header)) })
 }
 
+// firstID is the ID of the request that brought the stream's first event: of an earlier one if this
+// request takes a stream up.
+func (q *request) firstID() string {
+	if q.lastEventID == "" {
+		return q.id
+	}
+	return cmp.Or(q.resumes, q.id)
+}
+
 // path returns the part of the URI that routes match: all before the query.
 func (q *request) path() string {
 	path, _, _ := strings.Cut(q.uri, "?")
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -27,6 +27,9 @@
 // runUntilAnswered sends the request to upstreams until one answers or the request is given up. It
 // returns the body of a response that is not a stream.
 func (x *exchange) runUntilAnswered() ([]byte, *refusal) {
+	if refused := x.findOrigin(); refused != nil {
+		return nil, refused
+	}
 	for {
 		choice, ok := x.place()
 		switch {
@@ -82,7 +85,7 @@
 		x.retryAfter = min(left, maxRetryAfter)
 		return choice, false
 	}
-	if x.runsSent == 0 && len(q.Parts) > 0 {
+	if x.runsSent == 0 && len(q.Parts) > 0 && !q.Origin.Began {
 		if x.retryAfter, ok = r.fleet.Admit(r.now(), q, x.admission(), choice); !ok {
 			x.upstream, x.backlog, x.tooLate = *choice.Upstream, choice.Backlog, true
 			return choice, false
--- a/relay/software_test.go
+++ b/relay/software_test.go
@@ -94,6 +94,8 @@
 	t.Run("taken up at another box", func(t *testing.T) {
 		is := is.New(t)
 		first, second := startPair(t, newSoftwareStubs(t, 1, "v1", "v2")...)
+		first.awaitOriginPeers()
+		second.awaitOriginPeers()
 		for i := range streams {
 			id := fmt.Sprint("s", i)
 			began := first.do(first.request(http.MethodPost, "/flow/x", "", "X-Id", id))
@@ -113,6 +115,7 @@
 		}, newSoftwareStubs(t, 1, "v1", "v2")...)
 		second := first.startPeer(self)
 		second.waitFor(func() bool { return second.upstreamCount() == 2 })
+		first.awaitOriginPeers()
 		var began [streams]callerResponse
 		for i := range began {
 			began[i] = first.do(first.request(http.MethodPost, "/flow/x", "", "X-Id", fmt.Sprint("s", i)))
@@ -132,3 +135,28 @@
 	b.t.Helper()
 	return b.do(b.request(http.MethodPost, "/flow/x", "", "X-Id", id, "X-Resumes", first, "X-Last", strconv.Itoa(after)))
 }
+
+// awaitOriginPeers waits until the box knows another one that may hold records of its streams.
+func (b *testBox) awaitOriginPeers() {
+	b.t.Helper()
+	b.waitFor(func() bool {
+		b.relay.origins.mu.Lock()
+		defer b.relay.origins.mu.Unlock()
+		return b.relay.origins.peers.Len() > 0
+	})
+}
+
+// openThenBreak returns a script that sends an event, waits, and breaks off; streams that go on are finished.
+func openThenBreak(proceed <-chan struct{}) func(net.Conn, stubRequest) bool {
+	return func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		if r.Header.Get("X-Last") == "" {
+			writeChunk(c, softwareEvent(1, "v1"))
+			<-proceed
+			return false
+		}
+		writeChunk(c, softwareEvent(2, "v1"))
+		writeChunk(c, "")
+		return true
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -54,9 +54,11 @@
 	x.relay.mu.Unlock()
 	x.relay.logPausesEnded(over)
 	wake(x.relay.members.loadsChanged)
-	x.eventsBegan.Store(true)
+	isFirst := !x.eventsBegan.Swap(true)
 	x.response, x.events, x.pendingEvents = resp, e, pending
-	x.noteOrigin()
+	if isFirst {
+		x.noteOrigin()
+	}
 	return runAnswered, nil, nil
 }
 
--- /dev/null
+++ b/relay/takeup_test.go
@@ -0,0 +1,265 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/route"
+	"github.com/doormast/doormast/wire"
+)
+
+// startSoftwarePair starts two boxes that know each other as holders of records.
+func startSoftwarePair(t *testing.T, stubs ...*stub) (first, second *testBox) {
+	first, second = startPair(t, stubs...)
+	first.awaitOriginPeers()
+	second.awaitOriginPeers()
+	return first, second
+}
+
+// got reports whether an upstream got a request with an id.
+func (s *stub) got(id string) bool {
+	return slices.ContainsFunc(s.requests(), func(r stubRequest) bool { return r.Header.Get("X-Id") == id })
+}
+
+// begin begins a stream that breaks after two events.
+func (b *testBox) begin(id string, header ...string) callerResponse {
+	b.t.Helper()
+	return b.do(b.request(http.MethodPost, "/flow/x", "", append([]string{"X-Id", id}, header...)...))
+}
+
+func (b *testBox) counter(name string) uint64 { return b.relay.stats.counterValue(name) }
+
+// What nobody knows was guessed: a stream that was taken up went on anywhere.
+func TestStreamOfUnknownOriginGoesOnAnywhere(t *testing.T) {
+	long := strings.Repeat("x", 4000)
+	for _, c := range []struct {
+		name   string
+		header []string
+	}{
+		{"attempt that never was", []string{"X-Resumes", "made up", "X-Last", "2"}},
+		{"attempt that is not named", []string{"X-Last", "2"}},
+		{"a very long id", []string{"X-Resumes", long, "X-Last", "2"}},
+		{"attempt of another customer", []string{"X-Resumes", "known", "X-Last", "2", "X-Key", "other secret"}},
+		{"attempt that brought no event", []string{"X-Resumes", "refused", "X-Last", "2"}},
+		{"two streams of one id", []string{"X-Resumes", "twice", "X-Last", "2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			stubs := newSoftwareStubs(t, 1, "v1", "v2")
+			first, second := startSoftwarePair(t, stubs...)
+			doc := testDocument(2)
+			doc.Customers = append(doc.Customers, route.Customer{Name: "other", Keys: []string{"other secret"}})
+			first.publisher.set("document", doc, false)
+			first.waitFor(func() bool { return first.relay.documentVersion() == 2 && second.relay.documentVersion() == 2 })
+			first.begin("known")
+			for !stubs[0].got("twice") || !stubs[1].got("twice") {
+				first.begin("twice") // until both versions have begun one
+			}
+			sent := len(stubs[0].requests()) + len(stubs[1].requests())
+			a := second.do(second.request(http.MethodPost, "/flow/x", "", append([]string{"X-Id", "again"}, c.header...)...))
+			is.Equal(a.status, http.StatusServiceUnavailable)
+			is.Equal(a.header.Get("Retry-After"), "") // it cannot succeed later
+			is.True(strings.Contains(a.body, originUnknownReason))
+			is.True(strings.Contains(a.body, `"ran":"no"`))
+			is.Equal(len(stubs[0].requests())+len(stubs[1].requests()), sent)
+			second.awaitLog(`"msg":"origin: unknown"`)
+		})
+	}
+}
+
+// A caller names the first attempt each time that it takes a stream up, whichever box went on.
+func TestStreamTakenUpTwiceGoesOnAtOtherSoftware(t *testing.T) {
+	is := is.New(t)
+	first, second := startSoftwarePair(t, newSoftwareStubs(t, 1, "v1", "v2")...)
+	for i := range streams {
+		id := fmt.Sprint("s", i)
+		body := first.begin(id).body
+		for n, b := range []*testBox{second, first, second} {
+			a := b.takeUp(id, fmt.Sprint(id, "-", n), 2+n%2)
+			is.Equal(a.status, http.StatusOK)
+			body += a.body
+		}
+		is.Equal(len(versionsIn(body)), 1)
+	}
+}
+
+// While one version serves, nothing is told, asked or refused.
+func TestOneSoftwareVersionCostsNothing(t *testing.T) {
+	is := is.New(t)
+	first, second := startSoftwarePair(t, newSoftwareStubs(t, 2, "v1")...)
+	for i := range streams {
+		id := fmt.Sprint("s", i)
+		is.Equal(strings.Count(first.begin(id).body, "id: "), streamLength)
+		is.Equal(second.takeUp(id, id+"-again", 2).status, http.StatusOK)
+		is.Equal(second.do(second.request(http.MethodPost, "/flow/x", "", "X-Last", "2")).status, http.StatusOK) // no attempt is named
+	}
+	for _, b := range []*testBox{first, second} {
+		is.Equal(b.counter(originsTold)+b.counter(originsFound)+b.counter(originsUnknown), uint64(0))
+	}
+}
+
+// A box that has just started does not know which versions served before, and is told by one that does.
+func TestStartedBoxRefusesStreamsOfTheOnlySoftware(t *testing.T) {
+	is := is.New(t)
+	first := newTestBoxWithConfig(t, func(c *Config) { joinGroup(t, c, "first") }, newSoftwareStubs(t, 2, "v1")...)
+	second := newTestBoxWithConfig(t, func(c *Config) {
+		c.Publisher, c.FirstStart = first.publisher, false
+		joinGroup(t, c, "second", first.relay.cfg.Self.Address)
+	})
+	second.publisher = first.publisher
+	second.waitFor(func() bool { return second.relay.Ready() && second.upstreamCount() == 2 && first.relay.boxes() == 2 })
+	second.awaitOriginPeers()
+	is.Equal(second.takeUp("s", "s-again", 2).status, http.StatusOK)
+	is.Equal(second.counter(originsFound), uint64(1))
+}
+
+// A box alone that has just started cannot know: the version that began the stream may have gone.
+func TestLoneStartedBoxGuesses(t *testing.T) {
+	is := is.New(t)
+	b := newTestBoxWithConfig(t, func(c *Config) { c.FirstStart = false }, newSoftwareStubs(t, 2, "v1")...)
+	is.Equal(b.takeUp("s", "s-again", 2).status, http.StatusServiceUnavailable)
+	begun := b.begin("t")
+	is.Equal(strings.Count(begun.body, "id: "), streamLength)
+	is.Equal(b.takeUp("t", "t-again", 2).status, http.StatusOK) // it knows what it has begun itself
+}
+
+// The version that began a stream has no upstream any more: another failure than an unknown origin.
+func TestStreamOfGoneSoftwareIsRefusedWithItsReason(t *testing.T) {
+	is := is.New(t)
+	stubs := newSoftwareStubs(t, 1, "v1", "v2")
+	first, second := startSoftwarePair(t, stubs...)
+	began := make(map[string]bool)
+	for i := 0; !began["v1"]; i++ {
+		id := fmt.Sprint("s", i)
+		for v := range versionsIn(first.begin(id).body) {
+			began[v] = true
+		}
+	}
+	id := ""
+	for _, r := range stubs[0].requests() {
+		id = r.Header.Get("X-Id")
+	}
+	first.publisher.set(stubs[0].id, nil, true)
+	second.waitFor(func() bool { return second.upstreamCount() == 1 })
+	a := second.takeUp(id, "again", 2)
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(a.body, noSoftwareReason))
+	is.Equal(a.header.Get("Retry-After"), "")
+	second.awaitLog(`"msg":"origin: found"`)
+}
+
+// Streams that are open when a second version comes up were not recorded when they began.
+func TestStreamOpenBeforeSecondSoftwareIsUnknown(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	v1 := newStub(t, "v1-0", nil)
+	v1.software = "v1"
+	v1.script = openThenBreak(proceed)
+	first, second := startSoftwarePair(t, v1)
+	done := make(chan callerResponse)
+	go func() { done <- first.begin("s") }()
+	first.waitFor(func() bool {
+		return len(v1.requests()) == 1 && first.relay.stats.openRequests.Load() == 1 && first.hasEvents()
+	})
+	v2 := newSoftwareStub(t, "v2-0", "v2")
+	first.listUpstream(v2, false)
+	second.waitFor(func() bool { return second.upstreamCount() == 2 && first.upstreamCount() == 2 })
+	second.waitFor(func() bool {
+		second.relay.origins.mu.Lock()
+		defer second.relay.origins.mu.Unlock()
+		return second.relay.origins.table.Len() == 1
+	})
+	close(proceed)
+	<-done
+	a := second.takeUp("s", "again", 1)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(len(v2.requests()), 0)
+}
+
+// hasEvents reports whether a stream of the box has brought events.
+func (b *testBox) hasEvents() bool {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	for x := range b.relay.runConns {
+		if x.origin != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// An upstream started again under its id and address with another version; streams that began before its
+// entry told are of unknown origin.
+func TestEntryThatChangesItsSoftwareInPlace(t *testing.T) {
+	is := is.New(t)
+	stubs := newSoftwareStubs(t, 1, "v1", "v2")
+	first, second := startSoftwarePair(t, stubs...)
+	for len(stubs[0].requests()) == 0 {
+		first.begin(fmt.Sprint("s", len(stubs[1].requests())))
+	}
+	id := stubs[0].requests()[0].Header.Get("X-Id")
+	first.publisher.set("v1-0", balance.Upstream{ID: "v1-0", Service: "s", Address: stubs[0].listener.Addr().String(), Domain: "d", Slots: 8, Software: "v2"}, false)
+	second.waitFor(func() bool {
+		second.relay.mu.Lock()
+		defer second.relay.mu.Unlock()
+		return !second.relay.fleet.ListsSoftware("s", "v1")
+	})
+	is.Equal(second.takeUp(id, "again", 2).status, http.StatusServiceUnavailable)
+}
+
+// On a route that splits, a stream that was taken up went on at another service.
+func TestStreamTakenUpGoesOnAtOtherService(t *testing.T) {
+	is := is.New(t)
+	stubs := newSoftwareStubs(t, 1, "v1", "v2")
+	b := newTestBoxWithConfig(t, func(c *Config) { c.FirstStart = true }, stubs...)
+	doc := testDocument(2)
+	doc.Services = append(doc.Services, route.Service{Name: "o", MaxConnections: 100})
+	for i := range doc.Routes {
+		doc.Routes[i].Targets = []route.Target{{Service: "s", Weight: 1}, {Service: "o", Weight: 1}}
+	}
+	b.publisher.set("v2-0", balance.Upstream{ID: "v2-0", Service: "o", Address: stubs[1].listener.Addr().String(), Domain: "d", Slots: 8, Software: "v2"}, false)
+	b.publisher.set("document", doc, false)
+	b.waitFor(func() bool {
+		u, ok := b.relay.fleetUpstream("v2-0")
+		return ok && u.Service == "o" && b.relay.documentVersion() == 2
+	})
+	for i := range streams {
+		id := fmt.Sprint("s", i)
+		began := b.begin(id)
+		rest := b.takeUp(id, id+"-again", 2)
+		is.Equal(rest.status, http.StatusOK)
+		is.Equal(len(versionsIn(began.body+rest.body)), 1)
+	}
+}
+
+// fleetUpstream returns a listed upstream.
+func (r *Relay) fleetUpstream(id string) (balance.Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listedUpstream(id)
+}
+
+// The holder that a box asks stands still or has gone: the caller is refused well within its patience.
+func TestLookupWaitsForSilentHolder(t *testing.T) {
+	is := is.New(t)
+	var self *wire.GroupBox
+	first := newTestBoxWithConfig(t, func(c *Config) {
+		joinGroup(t, c, "first")
+		self = c.Self
+	}, newSoftwareStubs(t, 1, "v1", "v2")...)
+	second := first.startPeer(self)
+	second.awaitOriginPeers()
+	first.relay.members.close() // it answers no more
+	began := time.Now()
+	a := second.takeUp("s", "again", 2)
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < time.Second)
+	second.awaitLog(`"answered":0`)
+}
