New requests leave room for streams that go on at a scarce version

Change: while several versions are listed, a new request goes to versions of which a quarter of the slots is free, as long as there is one; cold upstreams count as full. Measured: TestNewRequestsTakeRoomOfStreamsThatGoOn; with the mechanism off, its cases of a busy and of a cold version fail.

--- a/balance/mechanism.go
+++ b/balance/mechanism.go
@@ -36,6 +36,7 @@
 	Limits           Mechanism = "limits"      // upstreams get no more than the limits they advertise
 	Pauses           Mechanism = "pauses"      // upstreams that request a pause get nothing until its end
 	Withholding      Mechanism = "withholding" // requests that make upstreams crash are refused
+	Continuing       Mechanism = "continuing"  // new requests leave room for streams that go on
 )
 
 // purposes holds the purpose of each mechanism.
@@ -59,6 +60,7 @@
 	Limits:           "keeps all boxes together within the limits that upstreams advertise in their answers",
 	Pauses:           "sends nothing to upstreams that refuse requests and request a pause, until its end",
 	Withholding:      "keeps one request from crashing one upstream after another, with everything that they run",
+	Continuing:       "lets streams go on at the software version that began them while its upstreams are busy",
 	Distance:         "saves network time, and bytes over expensive links",
 }
 
--- a/balance/place.go
+++ b/balance/place.go
@@ -30,6 +30,7 @@
 	if len(list) == 0 && passed > 0 {
 		f.reserveForUrgent(now, r)
 	}
+	list = f.leaveRoomToContinue(now, r, list)
 	f.noteAvailability(now, r.Service, len(list) > 0)
 	memory := f.memoryBoundOf(r)
 	if len(tried) > 0 || r.Origin.Began {
--- a/balance/software_test.go
+++ b/balance/software_test.go
@@ -130,3 +130,36 @@
 		})
 	}
 }
+
+// A version with one upstream among twelve was filled by new requests, so that streams it had begun could not go on.
+func TestNewRequestsTakeRoomOfStreamsThatGoOn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		busy   map[string]int // open requests by upstream, of 4 slots each
+		cold   string         // an upstream that is cold
+		wantV1 bool           // new requests go to v1 as well
+	}{
+		{"all idle", nil, "", true},
+		{"v1 is busy", map[string]int{"u0": 4}, "", false},
+		{"both are busy", map[string]int{"u0": 4, "u1": 4, "u2": 4, "u3": 4}, "", true},
+		{"v1 is cold", nil, "u0", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSoftwareFleet(Config{}, "v1", "v2", "v2", "v2")
+			for id, open := range c.busy {
+				for range open {
+					f.Open(0, id, Request{Service: "s"})
+				}
+			}
+			if c.cold != "" {
+				f.byID[c.cold].coldUntil = time.Minute
+			}
+			list := f.leaveRoomToContinue(0, Request{Service: "s"}, f.membersInOrder())
+			is.Equal(len(list) == 4, c.wantV1)
+			is.True(len(list) >= 3)
+			going := Request{Service: "s", Origin: Origin{Began: true, Known: true, Software: "v1"}}
+			is.Equal(len(f.leaveRoomToContinue(0, going, f.membersInOrder())), 4)
+		})
+	}
+}
