Soak: upstreams of two software versions, callers that take streams up, and boxes that break ORDER and LOST

Cause: the soak's upstreams had no version and its callers never came back, so no run could show the incident's fault. Change: events tell the version that wrote them; upstreams are of two versions and may start again under their id with the other one; a caller whose stream breaks takes it up after 30 to 90 ms at any box, twice at the most. Measured: TestChecksOfStreamsFindBoxesThatBreakThem: a stand-in box that mixes versions and one that lets no stream go on are found, one that keeps the version is not.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -131,6 +131,7 @@
 		}
 		w.upstreams[i] = w.upstreams[len(w.upstreams)-1]
 		w.upstreams = w.upstreams[:len(w.upstreams)-1]
+		old.stopServing()
 		w.publishUpstream(old, true)
 		return func() {
 			w.store.Put(platform.DeletedItem(old.id))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -55,13 +55,15 @@
 type Report struct {
 	Requests, Answered, Refused, Runs int
 	Retries                           int      // arrivals at upstreams beyond the first of each request
+	TakenUp, Continued                int      // streams that callers took up while two upstreams of their version served, and those that went on
+	Tried, Began                      int      // requests for new streams at undisturbed boxes, and those that brought events
 	Faults                            []string // descriptions, each with its time since the start of the run
 	Violations                        []string
 }
 
 func (r *Report) String() string {
-	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d faults, %d violations", r.Requests, r.Answered, r.Refused,
-		r.Runs, r.Retries, len(r.Faults), len(r.Violations))
+	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
+		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, len(r.Faults), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return text
 	}
@@ -82,6 +84,7 @@
 	document      route.Document
 	faults        []string
 	fatal         *fatal
+	streams       *streamRecord
 	mu            sync.Mutex           // guards upstreamsByID
 	upstreamsByID map[string]*upstream // the latest incarnation of each
 	healthy       []*upstream          // upstreams of healthyService; they only announce leaving and pauses
@@ -129,8 +132,7 @@
 		return nil, err
 	}
 	defer func() { _ = guard.Close() }()
-	w := &harness{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), startedAt: time.Now(), checker: newChecker(), storeProxies: make(map[string]*proxy),
-		fatal: newFatal(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
+	w := newHarness(cfg)
 	defer w.close()
 	if err := w.start(); err != nil {
 		return nil, err
@@ -161,8 +163,17 @@
 	return w.report(), nil
 }
 
+// newHarness returns the state of a run in which nothing is started yet.
+func newHarness(cfg Config) *harness {
+	return &harness{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), startedAt: time.Now(), checker: newChecker(), storeProxies: make(map[string]*proxy),
+		fatal: newFatal(), streams: newStreamRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
+}
+
 func (w *harness) report() *Report {
+	w.streams.check(w.checker.reportViolation)
 	r := w.checker.report(w.retryWindow())
+	r.TakenUp, r.Continued = w.streams.goesOn.tried, w.streams.goesOn.brought
+	r.Tried, r.Began = w.streams.began.tried, w.streams.began.brought
 	r.Faults = w.faults
 	return r
 }
@@ -239,7 +250,7 @@
 
 // publishUpstream writes an upstream's entry to the store.
 func (w *harness) publishUpstream(u *upstream, leaving bool) {
-	it, err := platform.UpstreamItem(balance.Upstream{ID: u.id, StartedAt: u.startedAt, Service: u.service, Address: u.proxy.address(), Domain: u.domain, Slots: 32, Leaving: leaving,
+	it, err := platform.UpstreamItem(balance.Upstream{ID: u.id, StartedAt: u.startedAt, Service: u.service, Address: u.proxy.address(), Domain: u.domain, Slots: 32, Leaving: leaving, Software: u.software,
 		ColdFor: max(0, time.Until(u.coldUntil))})
 	if err != nil {
 		w.checker.reportViolation("encode upstream entry: %v", err)
--- /dev/null
+++ b/soak/streams_test.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/platform/standin"
+)
+
+// standInBox forwards the requests of callers as a box would, without its care for software versions.
+type standInBox struct {
+	harness *harness
+	choose  func(b *standInBox, r *http.Request) *upstream // nil: the request is refused
+
+	mu    sync.Mutex
+	began map[string]string // by request id: software version of the upstream that it was sent to
+}
+
+// ServeHTTP implements http.Handler.
+func (b *standInBox) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u := b.choose(b, r)
+	if u == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.mu.Lock()
+	b.began[r.Header.Get(protocol.RequestID)] = u.software
+	b.mu.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+u.proxy.address()+r.URL.Path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	out.Header = r.Header.Clone()
+	out.Header.Set(protocol.Instance, u.id)
+	out.Header.Set(protocol.Customer, "customer")
+	resp, err := http.DefaultTransport.RoundTrip(out)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(w, resp.Body); err != nil {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// anyOf returns any upstream of a software version, or of all versions if it is empty.
+func (b *standInBox) anyOf(software string) *upstream {
+	for {
+		u := b.harness.upstreams[rand.IntN(len(b.harness.upstreams))]
+		if software == "" || u.software == software {
+			return u
+		}
+	}
+}
+
+// The checks on streams that callers take up find a box that mixes software versions (ORDER), and one that lets
+// none go on (LOST), and nothing at one that keeps the version.
+func TestChecksOfStreamsFindBoxesThatBreakThem(t *testing.T) {
+	for i, c := range []struct {
+		name   string
+		choose func(b *standInBox, r *http.Request) *upstream
+		want   string // part of the violation; empty: none
+	}{
+		{"keeps the version", func(b *standInBox, r *http.Request) *upstream {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.anyOf(b.began[r.Header.Get(protocol.Resumes)])
+		}, ""},
+		{"mixes versions", func(b *standInBox, _ *http.Request) *upstream { return b.anyOf("") }, "several software versions"},
+		{"lets no stream go on", func(b *standInBox, r *http.Request) *upstream {
+			if r.Header.Get(protocol.Resumes) != "" {
+				return nil
+			}
+			return b.anyOf("")
+		}, "that callers took up 0 went on"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(Config{Net: 92 + i, Upstreams: 4})
+			defer w.close()
+			l, err := w.listen(1)
+			is.NoErr(err)
+			w.store = standin.NewStore(l)
+			for i := range w.cfg.Upstreams {
+				is.NoErr(w.startUpstream(i, 0))
+				w.upstreams[i].advertisedLimit.set(-1)
+			}
+			server := httptest.NewServer(&standInBox{harness: w, choose: c.choose, began: make(map[string]string)})
+			defer server.Close()
+			w.boxes = []*box{{name: "stand-in", harness: w, callers: strings.TrimPrefix(server.URL, "http://")}}
+			var callers sync.WaitGroup
+			for n := range 8 {
+				callers.Go(func() {
+					for k := range 60 {
+						w.request(http.DefaultClient, w.boxes[0], fmt.Sprintf("r%d-%d", n, k), resumablePath)
+					}
+				})
+			}
+			callers.Wait()
+			w.boxes = nil
+			var found []string
+			w.streams.check(func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) })
+			is.True(w.streams.goesOn.tried >= minContinued)
+			is.Equal(len(found) > 0, c.want != "")
+			is.True(strings.Contains(strings.Join(found, "\n"), c.want))
+		})
+	}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -23,7 +23,8 @@
 type upstream struct {
 	id, domain      string
 	service         string
-	startedAt       int64 // Unix time in milliseconds
+	software        string // version
+	startedAt       int64  // Unix time in milliseconds
 	harness         *harness
 	proxy           *proxy
 	server          *http.Server
@@ -32,6 +33,9 @@
 	leaving         atomic.Bool // announce leaving in responses
 	pausing         atomic.Bool // refuse requests and request a pause
 
+	serves bool // it is counted among the upstreams of its software version that serve
+	ended  sync.Once
+
 	mu   sync.Mutex
 	runs map[string]int // by id of a running request, the number of events sent
 }
@@ -46,6 +50,7 @@
 		return err
 	}
 	w.registerUpstream(u)
+	u.startServing()
 	w.upstreams = append(w.upstreams, u)
 	w.publishUpstream(u, false)
 	return nil
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{id: fmt.Sprintf("u%d-%d", i, w.upstreamCount), service: service, domain: domain(i), startedAt: time.Now().UnixMilli(), harness: w, proxy: g,
+	u := &upstream{id: fmt.Sprintf("u%d-%d", i, w.upstreamCount), service: service, software: softwareVersions[(i/2+w.upstreamCount/8)%len(softwareVersions)], domain: domain(i), startedAt: time.Now().UnixMilli(), harness: w, proxy: g,
 		coldUntil: time.Now().Add(cold), advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int)}
 	u.serve(l)
 	return u, nil
@@ -93,7 +98,25 @@
 }
 
 // crash closes the server and all its connections immediately, without notice to the store or the boxes.
-func (u *upstream) crash() { _ = u.server.Close() }
+func (u *upstream) crash() {
+	u.stopServing()
+	_ = u.server.Close()
+}
+
+// stopServing no longer counts the upstream among those of its software version that serve.
+func (u *upstream) stopServing() {
+	u.ended.Do(func() {
+		if u.serves {
+			u.harness.streams.addServing(u.software, -1)
+		}
+	})
+}
+
+// startServing counts it.
+func (u *upstream) startServing() {
+	u.serves = true
+	u.harness.streams.addServing(u.software, 1)
+}
 
 // restartUpstream starts a new incarnation of a crashed upstream under the same id and address. It
 // does nothing if the upstream has been replaced or restarted meanwhile.
@@ -106,10 +129,11 @@
 	if err != nil {
 		return err
 	}
-	u := &upstream{id: previous.id, service: previous.service, domain: previous.domain, startedAt: max(time.Now().UnixMilli(), previous.startedAt+1), harness: w, proxy: previous.proxy,
+	u := &upstream{id: previous.id, service: previous.service, software: pick(w, softwareVersions), domain: previous.domain, startedAt: max(time.Now().UnixMilli(), previous.startedAt+1), harness: w, proxy: previous.proxy,
 		advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int)}
 	u.serve(l)
 	w.registerUpstream(u)
+	u.startServing()
 	w.upstreams[i] = u
 	w.publishUpstream(u, false)
 	return nil
@@ -124,8 +148,10 @@
 // responseBody returns the body of the plain response to a request, which is unique to the request id.
 func responseBody(id string) string { return "answer to " + id + strings.Repeat(".", len(id)*8) }
 
-// streamEvent returns the nth server-sent event of the response to a request, counted from 1.
-func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+// streamEvent returns the nth server-sent event of the response of a software version to a request, counted from 1.
+func streamEvent(id string, n int, software string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, software)
+}
 
 // ServeHTTP runs a request; at random it refuses some, truncates some responses and drops others.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -236,7 +262,7 @@
 		cut = 1 + rand.IntN(eventsPerStream)
 	}
 	for n := from + 1; n <= eventsPerStream; n++ {
-		event := streamEvent(id, n)
+		event := streamEvent(id, n, u.software)
 		if n == cut {
 			event = event[:len(event)/2]
 		}
