A box that has just started asks again for the origins of streams, as it learns of other boxes

Cause: callers come back to a box within 100 ms of its start; it knew no other box until its first tick, and ended a lookup as soon as the few that it knew had answered. Conclusion: what stays unknown is lost with the boxes that held it.

--- a/relay/members.go
+++ b/relay/members.go
@@ -167,6 +167,9 @@
 	m.shareSuspects()
 	m.shareLimits()
 	m.shareReachReports(ctx)
+	if !m.relay.origins.havePeers() {
+		m.syncOriginPeers() // callers come back to a box as soon as it has started
+	}
 	m.sendPending(ctx)
 	m.publishRevision()
 	if len(m.backlog) == 0 { // otherwise the box still uses older data
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -36,6 +36,10 @@
 	// answered are asked once more, as a datagram may be lost.
 	originWait   = 160 * time.Millisecond
 	originResend = 60 * time.Millisecond
+	// originSettle is the time after a start in which a box learns of the others.
+	originSettle = 3 * time.Second
+	// maxOriginReplies bounds the answers that wait for a lookup; a box answers each time that it is asked.
+	maxOriginReplies = 32
 	// freshList is the age up to which a list of upstreams is taken to hold every version that streams
 	// can have begun at: changes reach all boxes in that time.
 	freshList = 2 * time.Second
@@ -122,6 +126,13 @@
 	m.relay.origins.setPeers(m.node.OriginPeers(m.relay.now()))
 }
 
+// havePeers reports whether any box is known that may hold records.
+func (o *origins) havePeers() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peers.Len() > 0
+}
+
 func (o *origins) handle(m *wire.GroupMessage) {
 	switch {
 	case m.OriginQuery != nil:
@@ -256,10 +267,8 @@
 		o.relay.stats.count(originsNotAsked)
 		return originAnswer{limited: true}
 	}
-	asked := o.peers.Asked(key, mayHold)
-	others := o.peers.HasOtherDomains(mayHold)
 	o.nonce++
-	nonce, answers := o.nonce, make(chan originReply, 2*len(asked)) // each may answer twice
+	nonce, answers := o.nonce, make(chan originReply, maxOriginReplies)
 	o.lookups[nonce] = answers
 	o.mu.Unlock()
 	defer func() {
@@ -269,19 +278,34 @@
 	}()
 	m := group.OriginMessage(o.relay.cfg.Self)
 	m.OriginQuery = &wire.GroupOriginQuery{Stream: uint64(key), Nonce: nonce, Service: service, ReplyTo: o.relay.cfg.Self.Address}
-	a := o.await(ctx, asked, others, m, answers)
+	a := o.await(ctx, func() ([]string, bool) { return o.asked(key, mayHold) }, m, answers)
 	a.took = time.Since(began)
 	return a
 }
 
+// asked returns the boxes to ask for a stream, and whether any box of another domain is among those
+// that this box knows.
+func (o *origins) asked(key origin.Key, mayHold func(domain string) bool) (list []string, others bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.peers.Asked(key, mayHold), o.peers.HasOtherDomains(mayHold)
+}
+
 // await sends a question and collects the answers until one says where the stream began, all have
-// come, or originWait is over.
-func (o *origins) await(ctx context.Context, asked []string, others bool, m *wire.GroupMessage, answers <-chan originReply) originAnswer {
-	c := answerCount{asked: len(asked), otherDomains: others, domain: o.relay.cfg.Domain}
-	if len(asked) == 0 {
+// come, or originWait is over. A box that has just started may learn of others meanwhile, so that it
+// asks once more before it gives up.
+func (o *origins) await(ctx context.Context, asked func() ([]string, bool), m *wire.GroupMessage, answers <-chan originReply) originAnswer {
+	c := answerCount{domain: o.relay.cfg.Domain, asksAgain: o.relay.now() < originSettle && o.relay.members.socket != nil}
+	ask := func() {
+		var list []string
+		list, c.otherDomains = asked()
+		c.asked = len(list)
+		o.send(list, m)
+	}
+	ask()
+	if c.asked == 0 && !c.asksAgain {
 		return originAnswer{}
 	}
-	o.send(asked, m)
 	end, again := time.NewTimer(originWait), time.NewTimer(originResend)
 	defer end.Stop()
 	defer again.Stop()
@@ -292,7 +316,11 @@
 				return found
 			}
 		case <-again.C:
-			o.send(asked, m)
+			c.asksAgain = false
+			ask()
+			if c.asked == 0 {
+				return originAnswer{}
+			}
 		case <-end.C:
 			return c.unknown()
 		case <-ctx.Done():
@@ -304,6 +332,7 @@
 // answerCount judges the answers to a question.
 type answerCount struct {
 	asked        int    // boxes
+	asksAgain    bool   // more boxes may be asked
 	otherDomains bool   // boxes of other domains are known
 	domain       string // of this box
 
@@ -332,7 +361,7 @@
 	default:
 		c.split = c.split || !a.Sole || len(c.answered) > 1 && a.SoleSoftware != c.sole
 		c.sole = a.SoleSoftware
-		if len(c.answered) < c.asked {
+		if len(c.answered) < c.asked || c.asksAgain {
 			return originAnswer{}, false
 		}
 		found = c.unknown()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -140,6 +140,31 @@
 	}},
 }
 
+// killFaults are the faults of a run with OnlyKills.
+var killFaults = []fault{
+	{"kill one box", func(w *harness) func() { return w.killBoxes(1) }},
+	{"kill half of the boxes", func(w *harness) func() { return w.killBoxes(len(w.boxes) / 2) }},
+}
+
+// killBoxes kills some boxes at once; the returned function starts them again.
+func (w *harness) killBoxes(count int) func() {
+	var killed []*box
+	for _, i := range w.random.Perm(len(w.boxes))[:count] {
+		b := w.boxes[i]
+		endDisruption := w.fatal.beginDisruption(b)
+		b.kill()
+		endDisruption()
+		killed = append(killed, b)
+	}
+	return func() {
+		for _, b := range killed {
+			endDisruption := w.fatal.beginDisruption(b)
+			w.restartBox(b)
+			endDisruption()
+		}
+	}
+}
+
 func pick[T any](w *harness, list []T) T { return list[w.random.IntN(len(list))] }
 
 // setRandomMode puts a proxy into a random mode other than modeOpen; the returned function reopens it.
@@ -168,15 +193,20 @@
 // injectFaults injects faults for the duration of the run, then undoes those that remain.
 func (w *harness) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.cfg.Duration)
-	w.scheduleFailures()
+	if !w.cfg.OnlyKills {
+		w.scheduleFailures()
+	}
 	if w.cfg.OnlyFailures {
 		sleepUntil(ctx, end)
 		return
 	}
-	pending := w.scheduleNotices()
+	var pending []pendingUndo
+	if !w.cfg.OnlyKills {
+		pending = w.scheduleNotices()
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(w.random.IntN(2*meanFaultGapMs)) * time.Millisecond)
-		f := pick(w, faults)
+		f := pick(w, w.faultKinds())
 		w.logFault("%s", f.name)
 		if do := f.inject(w); do != nil {
 			pending = append(pending, pendingUndo{time.Now().Add(time.Duration(w.random.IntN(2*meanFaultMs)) * time.Millisecond), do})
@@ -187,6 +217,14 @@
 	runDue(pending, end.Add(time.Hour))
 }
 
+// faultKinds are the faults of this run.
+func (w *harness) faultKinds() []fault {
+	if w.cfg.OnlyKills {
+		return killFaults
+	}
+	return faults
+}
+
 // sleepUntil waits until a time or until ctx is done.
 func sleepUntil(ctx context.Context, end time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, end)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,9 @@
 	// OnlyFailures injects no faults other than failing upstreams that requests are slow to reach. Boxes that
 	// restart or lose upstreams leave part of the retry budget unused, which hides an excess.
 	OnlyFailures bool
+	// OnlyKills injects no faults other than boxes that are killed, up to half of them at once, and streams that
+	// upstreams break.
+	OnlyKills bool
 	// CallerPause is the pause of a caller between two requests; 0: defaultCallerPause. With fewer requests the
 	// slack is a larger part of the retry budget.
 	CallerPause time.Duration
@@ -149,7 +152,7 @@
 		}()
 	}
 	go func() {
-		if !cfg.OnlyFailures {
+		if !cfg.OnlyFailures && !cfg.OnlyKills {
 			w.sendFatal(callers)
 		}
 		done <- struct{}{}
