Streams go on only over connections that are proven to lead to the version that the list names

What callers could see: an upstream starts again under its id and address with another version, and the store has not told yet; streams of its earlier version went on there, and those that began there went on at others. A stream with events is not sent over one that is not proven; one that begins over it is of unknown origin. Measured: TestStreamGoesOnAtUpstreamThatStartedAgain; without the question it fails (two versions in a stream).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,6 +63,10 @@
 		r.conns.putUnused(c)
 		return runUnsent, nil, err
 	}
+	if err := x.proveSoftware(c); err != nil {
+		r.conns.discard(c)
+		return runUnsent, nil, err
+	}
 	if !x.takeRetry() {
 		r.conns.putUnused(c)
 		return runUnsent, nil, errBudget
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -43,6 +43,7 @@
 	checked     bool          // the path was checked while that request was not acknowledged; guarded by the relay's mu
 	sendTimeout time.Duration // how long what is sent may stay unacknowledged
 	idleUntil   time.Time     // it may be reused until then
+	proven      bool          // it leads to the incarnation
 }
 
 // connPool holds the idle connections to upstreams and counts all open ones.
@@ -178,6 +179,14 @@
 	return err == nil && !readable
 }
 
+// hasProven reports whether an idle connection is open that is proven to lead to an incarnation.
+func (p *connPool) hasProven(inc balance.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isProven := func(c *conn) bool { return c.proven && c.incarnation == inc && c.isUsable() }
+	return slices.ContainsFunc(p.idle[idleKey{inc.ID, false}], isProven) || slices.ContainsFunc(p.idle[idleKey{inc.ID, true}], isProven)
+}
+
 // popIdle removes and returns the most recently used idle connection; nil if there is none.
 func (p *connPool) popIdle(key idleKey) *conn {
 	p.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -75,6 +75,7 @@
 	failure          *failedResponse // the last error response of an upstream
 	events           *eventReader    // of a stream; nil before the response
 	origin           *streamOrigin   // where the stream began; nil before its first event
+	unproven         bool            // its connection may lead to another software version than the list names
 	pendingEvents    []byte          // read, but not yet passed to the caller
 	firstEventsAfter time.Duration   // from the arrival to the first events
 	pace             pace            // of its events
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -58,7 +58,7 @@
 	defer r.mu.Unlock()
 	u, isListed := r.listedUpstream(x.upstream.ID)
 	unchanged := !isListed || u.Incarnation() != x.upstream.Incarnation() || u.Software == x.upstream.Software
-	x.origin = &streamOrigin{balance.Origin{Began: true, Known: unchanged, Software: x.upstream.Software}, x.upstream.ID}
+	x.origin = &streamOrigin{balance.Origin{Began: true, Known: unchanged && !x.unproven, Software: x.upstream.Software}, x.upstream.ID}
 }
 
 // placementOrigin returns the origin for the placement of the request.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -50,6 +50,8 @@
 	Events  int  // events of the response that the upstream has produced
 	Waiting int  // requests at the upstream that have not started
 	Leaving bool // the upstream is leaving
+	// StartedAt is when the upstream started, Unix ms; 0 if it does not say.
+	StartedAt int64
 }
 
 // upstreamWait is a run's wait for the next bytes from its upstream.
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,3 +265,47 @@
 	is.True(time.Since(began) < time.Second)
 	second.awaitLog(`"answered":0`)
 }
+
+// An upstream started again under its ID and address with another version, and the store has not told yet: streams
+// of its earlier version went on there, and those that began there went on at that version.
+func TestStreamGoesOnAtUpstreamThatStartedAgain(t *testing.T) {
+	is := is.New(t)
+	honest, restarted := newStartedStub(t, "honest", "v1", 1), newStartedStub(t, "restarted", "v2", 2)
+	b := newTestBoxWithProtocol(t, reportingProtocol(), honest.stub, restarted.stub)
+	list := func(s *stub, software string) {
+		b.publisher.set(s.id, balance.Upstream{ID: s.id, StartedAt: 1, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Software: software}, false)
+	}
+	list(honest.stub, "v1")
+	list(restarted.stub, "v1")
+	list(newSoftwareStub(t, "other", "v2"), "v2")
+	b.waitFor(func() bool {
+		return b.upstreamCount() == 3 && b.listedStart("honest") == 1 && b.listedStart("restarted") == 1
+	})
+	for i := range 3 * streams {
+		a := b.begin(fmt.Sprint("s", i))
+		is.Equal(len(versionsIn(a.body)), 1)
+	}
+	is.True(honest.began.Load() > 0 && restarted.began.Load() > 0)
+	b.awaitLog(`"msg":"upstream: start differs"`)
+}
+
+// startedStub is an upstream that tells when it started.
+type startedStub struct {
+	*stub
+	began atomic.Int64 // streams
+}
+
+func newStartedStub(t testing.TB, id, software string, startedAt int64) *startedStub {
+	s := &startedStub{stub: newSoftwareStub(t, id, software)}
+	inner := s.script
+	s.script = func(c net.Conn, r stubRequest) bool {
+		if r.URL.Path == "/tell" {
+			return respondReport(c, r, Report{StartedAt: startedAt})
+		}
+		if r.Header.Get("X-Last") == "" {
+			s.began.Add(1)
+		}
+		return inner(c, r)
+	}
+	return s
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -295,7 +295,7 @@
 // writeReport responds with the running requests and their progress.
 func (u *upstream) writeReport(w http.ResponseWriter) {
 	u.mu.Lock()
-	body, err := platform.EncodeReport(u.runs)
+	body, err := platform.EncodeReport(u.startedAt, u.runs)
 	u.mu.Unlock()
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
