Soak: streams that go on are judged only while two upstreams of their version take requests

The rule counts streams "while two runners of their software version serve"; the check took every process that ran for one that serves. Change: an upstream counts while it is published, takes requests (no limit, pause, failure or announced end), is warm, and its proxy and domain are in order, without a change during the attempt. The share of half and the number of 12 stay.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -110,8 +110,12 @@
 	}},
 	{"evacuate a domain", func(w *harness) func() {
 		d := domain(w.random.IntN(2))
+		w.setEvacuated(d, true)
 		w.store.Put(platform.EvacuationItem(d, false))
-		return func() { w.store.Put(platform.EvacuationItem(d, true)) }
+		return func() {
+			w.store.Put(platform.EvacuationItem(d, true))
+			w.setEvacuated(d, false)
+		}
 	}},
 	{"crash an upstream and restart it under its id", func(w *harness) func() {
 		u := pick(w, w.upstreams)
@@ -131,7 +135,7 @@
 		}
 		w.upstreams[i] = w.upstreams[len(w.upstreams)-1]
 		w.upstreams = w.upstreams[:len(w.upstreams)-1]
-		old.stopServing()
+		old.stopped.Store(true)
 		w.publishUpstream(old, true)
 		return func() {
 			w.store.Put(platform.DeletedItem(old.id))
@@ -140,6 +144,13 @@
 	}},
 }
 
+// setEvacuated records whether a domain is evacuated.
+func (w *harness) setEvacuated(domain string, evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated[domain] = evacuated
+}
+
 // killFaults are the faults of a run with OnlyKills.
 var killFaults = []fault{
 	{"kill one box", func(w *harness) func() { return w.killBoxes(1) }},
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -53,6 +53,13 @@
 	return l
 }
 
+// isSet reports whether a limit is advertised.
+func (l *advertisedLimit) isSet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit >= 0
+}
+
 // set changes the advertised limit; a negative value stops advertising.
 func (l *advertisedLimit) set(perSecond float64) {
 	l.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,6 +90,7 @@
 	streams       *streamRecord
 	mu            sync.Mutex           // guards upstreamsByID
 	upstreamsByID map[string]*upstream // the latest incarnation of each
+	evacuated     map[string]bool      // by domain; guarded by mu as well
 	healthy       []*upstream          // upstreams of healthyService; they only announce leaving and pauses
 	failing       atomic.Int32         // if positive, upstreams other than the healthy ones refuse most requests
 	pathDelay     atomic.Int64         // delay of requests on their way to an upstream, a time.Duration
@@ -169,7 +170,7 @@
 // newHarness returns the state of a run in which nothing is started yet.
 func newHarness(cfg Config) *harness {
 	return &harness{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), startedAt: time.Now(), checker: newChecker(), storeProxies: make(map[string]*proxy),
-		fatal: newFatal(), streams: newStreamRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
+		fatal: newFatal(), evacuated: make(map[string]bool), streams: newStreamRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
 }
 
 func (w *harness) report() *Report {
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -3,7 +3,7 @@
 // This file defines the streams that callers take up again, and the checks on the software versions that wrote them.
 //
 // Invariants: at most maxMixed streams of a run hold events of two versions, in one response or over a caller's
-// requests; and where two upstreams of their version serve, the share of streams taken up at undisturbed boxes that
+// requests; and where two upstreams of their version serve throughout, the share of streams taken up at undisturbed boxes that
 // go on is at least minContinuedShare of the share of new streams that begin there.
 
 import (
@@ -41,27 +41,12 @@
 type streamRecord struct {
 	mu       sync.Mutex
 	versions map[string]map[string]bool // by the id of the request that brought the first event
-	serving  map[string]int             // upstreams that serve, by software version
 	began    share                      // requests for new streams at undisturbed boxes
 	goesOn   share                      // those that take a stream up while two upstreams of its version serve
 }
 
 func newStreamRecord() *streamRecord {
-	return &streamRecord{versions: make(map[string]map[string]bool), serving: make(map[string]int)}
-}
-
-// addServing adds to the upstreams of a software version that serve.
-func (s *streamRecord) addServing(software string, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.serving[software] += n
-}
-
-// twoServe reports whether two upstreams of a version serve.
-func (s *streamRecord) twoServe(software string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.serving[software] >= 2
+	return &streamRecord{versions: make(map[string]map[string]bool)}
 }
 
 // received records the versions that wrote events of a stream.
@@ -109,6 +94,31 @@
 	}
 }
 
+// servingOf reports whether two upstreams of a software version serve: they run, are published, take requests, and
+// their connections and domains are in order. changes differs when one of these conditions may have failed meanwhile.
+func (w *harness) servingOf(software string) (changes int64, twoServe bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, u := range w.upstreamsByID {
+		if u.software != software || u.service != service {
+			continue
+		}
+		disruptions, isOpen := u.proxy.state()
+		changes += disruptions + 1
+		if isOpen && u.serves() && !w.evacuated[u.domain] {
+			n++
+		}
+	}
+	return changes, n >= 2
+}
+
+// serves reports whether the upstream takes requests.
+func (u *upstream) serves() bool {
+	return !u.stopped.Load() && !u.leaving.Load() && !u.pausing.Load() && !u.advertisedLimit.isSet() &&
+		u.harness.failing.Load() == 0 && time.Now().After(u.coldUntil)
+}
+
 // streamedEvent is an event as a caller received it.
 type streamedEvent struct {
 	number   int
@@ -143,11 +153,12 @@
 		last := events[len(events)-1]
 		time.Sleep(takeUpAfter + time.Duration(rand.Int64N(int64(takeUpSpread))))
 		b := w.boxes[rand.IntN(len(w.boxes))]
-		isJudged := !w.fatal.disturbed(b) && w.streams.twoServe(last.software)
+		before, isJudged := w.servingOf(last.software)
+		isJudged = isJudged && !w.fatal.disturbed(b)
 		ctx, cancel := newCallerContext()
 		got := w.sendWithin(ctx, client, b, outgoing{id: fmt.Sprintf("%s-up%d", first, n), path: path, body: body, resumes: first, after: last.number})
 		cancel()
-		if isJudged && !w.fatal.disturbed(b) && w.streams.twoServe(last.software) {
+		if after, serve := w.servingOf(last.software); isJudged && serve && after == before && !w.fatal.disturbed(b) {
 			w.streams.attempted(true, len(got.events) > 0)
 		}
 		events = append(events, got.events...)
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -33,8 +33,7 @@
 	leaving         atomic.Bool // announce leaving in responses
 	pausing         atomic.Bool // refuse requests and request a pause
 
-	serves bool // it is counted among the upstreams of its software version that serve
-	ended  sync.Once
+	stopped atomic.Bool // it has ended, or is published as leaving
 
 	mu   sync.Mutex
 	runs map[string]int // by id of a running request, the number of events sent
@@ -50,7 +49,6 @@
 		return err
 	}
 	w.registerUpstream(u)
-	u.startServing()
 	w.upstreams = append(w.upstreams, u)
 	w.publishUpstream(u, false)
 	return nil
@@ -99,25 +97,10 @@
 
 // crash closes the server and all its connections immediately, without notice to the store or the boxes.
 func (u *upstream) crash() {
-	u.stopServing()
+	u.stopped.Store(true)
 	_ = u.server.Close()
 }
 
-// stopServing no longer counts the upstream among those of its software version that serve.
-func (u *upstream) stopServing() {
-	u.ended.Do(func() {
-		if u.serves {
-			u.harness.streams.addServing(u.software, -1)
-		}
-	})
-}
-
-// startServing counts it.
-func (u *upstream) startServing() {
-	u.serves = true
-	u.harness.streams.addServing(u.software, 1)
-}
-
 // restartUpstream starts a new incarnation of a crashed upstream under the same id and address. It
 // does nothing if the upstream has been replaced or restarted meanwhile.
 func (w *harness) restartUpstream(previous *upstream) error {
@@ -133,7 +116,6 @@
 		advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int)}
 	u.serve(l)
 	w.registerUpstream(u)
-	u.startServing()
 	w.upstreams[i] = u
 	w.publishUpstream(u, false)
 	return nil
