Boxes that restart learn which versions served, and hand their records over when they stop

Cause: a restarted box did not know for as long as a stream may last whether another version had served, so that it recorded each stream and looked each one up that was taken up, also where one version serves; and a rolling restart of a domain lost all copies of a record in turn. Change: a box asks others for the sole version of a service until one tells (every 250 ms), and then holds its own observation from there on; a box that stops sends its records to the other holders of its domain, 4,096 at the most. Measured: TestStartedBoxRefusesStreamsOfTheOnlySoftware wants no record and no lookup once told; TestRecordIsLostWhenHoldersRestartInTurn. After all boxes were killed nobody can tell, as before.

--- a/balance/software.go
+++ b/balance/software.go
@@ -30,8 +30,9 @@
 // softwareHistory holds the software versions of a service's upstreams: those listed, and those
 // that were listed within the time that a stream may last.
 type softwareHistory struct {
-	listed map[string]int           // number of upstreams by version
-	endsAt map[string]time.Duration // by version without upstreams: when the last one was unlisted
+	vouched bool                     // another box has known the list for as long as a stream may last
+	listed  map[string]int           // number of upstreams by version
+	endsAt  map[string]time.Duration // by version without upstreams: when the last one was unlisted
 }
 
 // add counts a listed upstream.
@@ -89,16 +90,38 @@
 // at, or false if there are several, or this box has not known the list for as long as a stream may
 // last.
 func (f *Fleet) SoleSoftware(now time.Duration, service string) (string, bool) {
-	if !f.cfg.FirstStart && (f.knownSince == longAgo || now-f.knownSince < f.streamSpan) {
-		return "", false
-	}
 	versions := f.RecentSoftware(now, service)
-	if len(versions) != 1 {
+	if len(versions) != 1 || !f.knowsHistory(now, service) {
 		return "", false
 	}
 	return versions[0], true
 }
 
+// knowsHistory reports whether this box knows every version of a service that may have open streams.
+func (f *Fleet) knowsHistory(now time.Duration, service string) bool {
+	return f.cfg.FirstStart || f.knownSince != longAgo && now-f.knownSince >= f.streamSpan || f.serviceOf(service).software.vouched
+}
+
+// Vouch records that, as another box knows, only one version of a service can have begun any open
+// stream. It has no effect if this box has seen others.
+func (f *Fleet) Vouch(now time.Duration, service, software string) {
+	if versions := f.RecentSoftware(now, service); len(versions) == 1 && versions[0] == software {
+		f.serviceOf(service).software.vouched = true
+	}
+}
+
+// ServicesToVouch returns the services of which this box has seen one version, and does not know
+// whether there were others.
+func (f *Fleet) ServicesToVouch(now time.Duration) []string {
+	var names []string
+	for name := range f.byService {
+		if len(f.RecentSoftware(now, name)) == 1 && !f.knowsHistory(now, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // ListsSoftware reports whether an upstream of a service with a software version is listed.
 func (f *Fleet) ListsSoftware(service, software string) bool {
 	return f.serviceOf(service).software.listed[software] > 0
--- a/origin/table.go
+++ b/origin/table.go
@@ -94,6 +94,17 @@
 	return *r.origin, Found
 }
 
+// All returns the records that are kept, with the rest of their time.
+func (t *Table) All(now time.Duration) []Record {
+	list := make([]Record, 0, len(t.records))
+	for key, r := range t.records {
+		if r.expires > now && !r.ambiguous {
+			list = append(list, Record{key, *r.origin, r.expires - now})
+		}
+	}
+	return list
+}
+
 // Len returns the number of records, some of which may have expired.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -36,6 +36,12 @@
 	// answered are asked once more, as a datagram may be lost.
 	originWait   = 160 * time.Millisecond
 	originResend = 60 * time.Millisecond
+	// originTick is how often expired records are removed.
+	originTick = 250 * time.Millisecond
+	// maxHandedOver bounds the records that a box sends when it stops, some 160 KB for each holder.
+	maxHandedOver = 1 << 12
+	// historyNonce marks answers about versions that belong to no lookup.
+	historyNonce = 0
 	// originSettle is the time after a start in which a box learns of the others.
 	originSettle = 3 * time.Second
 	// maxOriginReplies bounds the answers that wait for a lookup; a box answers each time that it is asked.
@@ -82,7 +88,7 @@
 
 // run handles messages of other boxes until ctx ends.
 func (o *origins) run(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
+	ticker := time.NewTicker(originTick)
 	defer ticker.Stop()
 	var batch []*wire.GroupMessage
 	for {
@@ -91,6 +97,7 @@
 			return
 		case <-ticker.C:
 			o.expire()
+			o.askHistory()
 		case <-o.events.Ready():
 		}
 		batch = o.events.Drain(batch[:0])
@@ -169,7 +176,7 @@
 // answer answers a question of another box.
 func (o *origins) answer(q *wire.GroupOriginQuery) {
 	r := o.relay
-	a := &wire.GroupOriginReply{Nonce: q.Nonce, ListAge: uint64(max(0, r.publishedAge()).Microseconds()), Domain: r.cfg.Domain}
+	a := &wire.GroupOriginReply{Nonce: q.Nonce, ListAge: uint64(max(0, r.publishedAge()).Microseconds()), Domain: r.cfg.Domain, Service: q.Service}
 	o.mu.Lock()
 	found, result := o.table.Get(r.now(), origin.Key(q.Stream))
 	o.mu.Unlock()
@@ -185,8 +192,28 @@
 	o.send([]string{q.ReplyTo}, m)
 }
 
+// askHistory asks other boxes which versions served before this one started, until one has told, or
+// this box has known the list for as long as a stream may last.
+func (o *origins) askHistory() {
+	r := o.relay
+	r.mu.Lock()
+	services := r.fleet.ServicesToVouch(r.now())
+	r.mu.Unlock()
+	for _, service := range services {
+		asked, _ := o.asked(origin.KeyOf("", service), func(string) bool { return true })
+		m := group.OriginMessage(r.cfg.Self)
+		m.OriginQuery = &wire.GroupOriginQuery{Nonce: historyNonce, Service: service, ReplyTo: r.cfg.Self.Address}
+		o.send(asked, m)
+	}
+}
+
 // deliver passes an answer to the lookup that waits for it.
 func (o *origins) deliver(a originReply) {
+	if a.Sole && time.Duration(a.ListAge)*time.Microsecond <= freshList {
+		o.relay.mu.Lock()
+		o.relay.fleet.Vouch(o.relay.now(), a.Service, a.SoleSoftware)
+		o.relay.mu.Unlock()
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if c := o.lookups[a.Nonce]; c != nil {
@@ -197,6 +224,20 @@
 	}
 }
 
+// handOver sends the records of this box, which is about to stop, to their other holders. Boxes that
+// restart one after the other would else lose all copies of a record.
+func (o *origins) handOver() {
+	o.mu.Lock()
+	list := o.table.All(o.relay.now())
+	o.mu.Unlock()
+	list = list[:min(len(list), maxHandedOver)]
+	o.tell(list, ownDomainOnly)
+}
+
+// ownDomainOnly allows holders of this box's failure domain only: what the homes of each stream's
+// route allow elsewhere is not known any more.
+func ownDomainOnly(string) bool { return false }
+
 // tell records where streams began, here and at their holders. mayHold says in which domains.
 func (o *origins) tell(list []origin.Record, mayHold func(domain string) bool) {
 	byHolder := make(map[string][]*wire.GroupOrigin)
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -34,6 +34,7 @@
 		r.cfg.Log.Event("box", "stopped with active requests", Fields{"open": r.stats.openRequests.Load(), "error": err.Error()})
 		r.logRequestsCut()
 	}
+	r.origins.handOver()
 	r.tunnelServer.drain(ctx)
 	r.cancel()
 	r.conns.close()
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -119,7 +119,48 @@
 	second.waitFor(func() bool { return second.relay.Ready() && second.upstreamCount() == 2 && first.relay.boxes() == 2 })
 	second.awaitOriginPeers()
 	is.Equal(second.takeUp("s", "s-again", 2).status, http.StatusOK)
-	is.Equal(second.counter(originsFound), uint64(1))
+	second.waitFor(func() bool { return second.knowsSole("v1") }) // before it has known the list for long
+	before := second.counter(originsFound)
+	is.Equal(strings.Count(second.begin("t").body, "id: "), streamLength)
+	is.Equal(second.takeUp("s", "s-again", 2).status, http.StatusOK)
+	is.Equal(second.counter(originsFound), before)
+	is.Equal(second.counter(originsTold), uint64(0))
+}
+
+// knowsSole reports whether the box knows that only one software version can have begun any open stream.
+func (b *testBox) knowsSole(software string) bool {
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	sole, ok := b.relay.fleet.SoleSoftware(b.relay.now(), "s")
+	return ok && sole == software
+}
+
+// Boxes that restart one after the other lost all copies of a record.
+func TestRecordIsLostWhenHoldersRestartInTurn(t *testing.T) {
+	is := is.New(t)
+	first, second := startSoftwarePair(t, newSoftwareStubs(t, 1, "v1", "v2")...)
+	began := first.begin("s")
+	third := newTestBoxWithConfig(t, func(c *Config) {
+		c.Publisher, c.FirstStart = first.publisher, false
+		joinGroup(t, c, "third", second.relay.cfg.Self.Address)
+	})
+	third.publisher = first.publisher
+	third.waitFor(func() bool { return third.relay.Ready() && third.upstreamCount() == 2 && second.relay.boxes() == 3 })
+	second.waitFor(func() bool {
+		second.relay.origins.mu.Lock()
+		defer second.relay.origins.mu.Unlock()
+		return second.relay.origins.peers.Len() == 2
+	})
+	second.relay.Stop()
+	first.relay.members.close()
+	third.waitFor(func() bool {
+		third.relay.origins.mu.Lock()
+		defer third.relay.origins.mu.Unlock()
+		return third.relay.origins.table.Len() > 0
+	})
+	rest := third.takeUp("s", "s-again", 2)
+	is.Equal(rest.status, http.StatusOK)
+	is.Equal(len(versionsIn(began.body+rest.body)), 1)
 }
 
 // A box alone that has just started cannot know: the version that began the stream may have gone.
