Open streams are recorded whichever way a second software version comes up

Cause: an upstream that gets its address from another's removal is listed without an entry of its own at that moment, so that the comparison around an entry missed its version. Change: the fleet itself notes that a service has got its second version. A stream whose domain has ended is taken up in another one: TestRecordIsLostWithItsDomain.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -111,6 +111,7 @@
 	firstListedAt    time.Duration                  // when the first upstream was listed
 	knownSince       time.Duration                  // when any upstream was first listed; longAgo: none was
 	streamSpan       time.Duration                  // the longest time that a stream may last
+	secondSoftware   []string                       // services not yet returned by TakeSecondSoftware
 
 	histories        map[uint32]*history // by incarnation key
 	historiesSweptAt time.Duration       // when the histories of unlisted incarnations were last swept
--- a/balance/list.go
+++ b/balance/list.go
@@ -97,7 +97,7 @@
 		m.service.slotCount += u.Slots - m.Slots
 		if u.Software != m.Software {
 			m.service.software.drop(m.Software)
-			m.service.software.add(u.Software)
+			f.noteSoftware(m.service, u.Software)
 		}
 		m.Upstream, m.evacuated = u, f.evacuated[u.Domain]
 		f.claimAddress(m)
@@ -126,7 +126,7 @@
 	s.stale, f.remoteLoadsStale = true, true
 	s.upstreamCount++
 	s.slotCount += u.Slots
-	s.software.add(u.Software)
+	f.noteSoftware(s, u.Software)
 	f.byService[u.Service] = append(f.byService[u.Service], m)
 	f.quotasStale = true
 }
--- a/balance/software.go
+++ b/balance/software.go
@@ -35,13 +35,16 @@
 	endsAt  map[string]time.Duration // by version without upstreams: when the last one was unlisted
 }
 
-// add counts a listed upstream.
-func (h *softwareHistory) add(software string) {
+// add counts a listed upstream, and reports whether its version is the second one that may have
+// open streams.
+func (h *softwareHistory) add(software string) (isSecond bool) {
 	if h.listed == nil {
 		h.listed, h.endsAt = make(map[string]int), make(map[string]time.Duration)
 	}
+	before := len(h.listed) + len(h.endsAt)
 	h.listed[software]++
 	delete(h.endsAt, software)
+	return before == 1 && len(h.listed)+len(h.endsAt) > 1
 }
 
 // drop undoes add.
@@ -122,6 +125,21 @@
 	return names
 }
 
+// noteSoftware counts the version of an upstream that is listed now.
+func (f *Fleet) noteSoftware(s *service, software string) {
+	if s.software.add(software) {
+		f.secondSoftware = append(f.secondSoftware, s.name)
+	}
+}
+
+// TakeSecondSoftware returns the services of which a second software version has come up since the
+// last call.
+func (f *Fleet) TakeSecondSoftware() []string {
+	services := f.secondSoftware
+	f.secondSoftware = nil
+	return services
+}
+
 // ListsSoftware reports whether an upstream of a service with a software version is listed.
 func (f *Fleet) ListsSoftware(service, software string) bool {
 	return f.serviceOf(service).software.listed[software] > 0
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -221,22 +221,31 @@
 	return r.fleet.StreamSpan()
 }
 
-// tellOpenStreams records the origins of the open streams of a service, of which another software
+// tellOpenStreams records the origins of the open streams of services of which a second software
 // version has come up. What began before has not been recorded.
-func (r *Relay) tellOpenStreams(service string) {
-	var open []*exchange
+func (r *Relay) tellOpenStreams() {
 	r.mu.Lock()
-	for x := range r.runConns {
-		if x.service == service && x.origin != nil && x.origin.Known && x.route.Repeat == route.Stream && x.route.Resumable {
-			open = append(open, x)
-		}
-	}
+	open := r.openStreams(r.fleet.TakeSecondSoftware())
 	r.mu.Unlock()
 	for _, x := range open {
 		r.origins.tell([]origin.Record{x.originRecord()}, x.mayHoldOrigin)
 	}
 }
 
+// openStreams returns the open streams of some services that callers may take up. The caller holds mu.
+func (r *Relay) openStreams(services []string) []*exchange {
+	if len(services) == 0 {
+		return nil
+	}
+	var open []*exchange
+	for x := range r.runConns {
+		if slices.Contains(services, x.service) && x.origin != nil && x.origin.Known && x.route.Repeat == route.Stream && x.route.Resumable {
+			open = append(open, x)
+		}
+	}
+	return open
+}
+
 // logNotContinued logs that a stream whose run ended cannot go on.
 func (x *exchange) logNotContinued() {
 	r := x.relay
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -350,3 +350,31 @@
 	}
 	return s
 }
+
+// A stream was taken up in another failure domain, after its own had ended with all that its boxes knew.
+func TestRecordIsLostWithItsDomain(t *testing.T) {
+	is := is.New(t)
+	var self *wire.GroupBox
+	first := newTestBoxWithConfig(t, func(c *Config) {
+		joinGroup(t, c, "first")
+		self = c.Self
+	}, newSoftwareStubs(t, 1, "v1", "v2")...)
+	second := newTestBoxWithConfig(t, func(c *Config) {
+		c.Publisher = first.publisher
+		joinGroup(t, c, "second", self.Address)
+		c.Domain, c.Self.Domain = "other", "other"
+	})
+	second.publisher = first.publisher
+	second.waitFor(func() bool { return second.relay.Ready() && second.upstreamCount() == 2 && first.relay.boxes() == 2 })
+	first.awaitOriginPeers()
+	for i := range streams {
+		id := fmt.Sprint("s", i)
+		began := first.begin(id)
+		if i == streams-1 {
+			first.relay.Stop()
+		}
+		rest := second.takeUp(id, id+"-again", 2)
+		is.Equal(rest.status, http.StatusOK)
+		is.Equal(len(versionsIn(began.body+rest.body)), 1)
+	}
+}
--- a/relay/update.go
+++ b/relay/update.go
@@ -46,6 +46,7 @@
 	default:
 		r.dropUpstream(u.Removed, "gone from the list")
 	}
+	r.tellOpenStreams()
 }
 
 // applyDocument puts a document in force if it is newer than the current one.
@@ -63,7 +64,6 @@
 	isListed     bool
 	serviceKnown bool   // the document names its service
 	mustAsk      bool   // it has to be asked whether it is leaving
-	newSoftware  bool   // several software versions of its service may have open streams, and one did before
 	displaced    string // ID of the upstream whose address it has taken over
 	// The incarnation of displaced, if its end was unannounced: it was not leaving.
 	displacedEnded *balance.Incarnation
@@ -75,9 +75,7 @@
 	defer r.mu.Unlock()
 	var c entryChange
 	c.before, _ = r.listedUpstream(u.ID)
-	several := len(r.fleet.RecentSoftware(r.now(), u.Service)) > 1
 	c.displaced = r.fleet.Put(r.now(), u)
-	c.newSoftware = !several && len(r.fleet.RecentSoftware(r.now(), u.Service)) > 1
 	if other, known := r.fleet.Entry(c.displaced); known && !other.Leaving {
 		inc := other.Incarnation()
 		c.displacedEnded = &inc
@@ -104,9 +102,6 @@
 	if c.mustAsk {
 		go r.askLeaving(u)
 	}
-	if c.newSoftware {
-		r.tellOpenStreams(u.Service)
-	}
 	if c.displaced != "" {
 		r.cfg.Log.Event("upstream", "replaced", Fields{"upstream": c.displaced, "by": u.ID, "address": u.Address})
 		r.conns.closeIdle(c.displaced)
