--- a/balance/place.go
+++ b/balance/place.go
@@ -20,6 +20,7 @@
 	Backlog   int    // prompt tokens that the upstream reads before this request
 	Unread    int    // tokens of this prompt that the upstream has to read
 	Skipped   int    // number of upstreams skipped because they accept no more requests from this box
+	LeftRoom  bool   // none was chosen, as what is free is kept for streams that go on
 	HoldsPart bool   // the upstream is known or assumed to hold the prompt's last shared part
 }
 
@@ -30,8 +31,12 @@
 	if len(list) == 0 && passed > 0 {
 		f.reserveForUrgent(now, r)
 	}
+	usable := len(list)
 	list = f.leaveRoomToContinue(now, r, list)
 	f.noteAvailability(now, r.Service, len(list) > 0)
+	if len(list) == 0 && usable > 0 {
+		return Choice{Skipped: passed, LeftRoom: true}, false
+	}
 	memory := f.memoryBoundOf(r)
 	if len(tried) > 0 || r.Origin.Began {
 		memory = memory.forRetry()
--- a/balance/request.go
+++ b/balance/request.go
@@ -24,6 +24,7 @@
 	Homes          route.Homes   // regions it may run in
 	Waited         bool          // it has waited for the end of a pause
 	Origin         Origin        // where its stream began
+	Resumable      bool          // its stream may go on at another upstream
 }
 
 // Part is a section of a prompt that other prompts may share as a prefix.
--- a/balance/service.go
+++ b/balance/service.go
@@ -10,6 +10,7 @@
 	lanes
 	name              string
 	software          softwareHistory
+	resumableAt       time.Duration // when a stream that may go on elsewhere was last placed, else longAgo
 	active            []*member     // upstreams that may have work; see active.go
 	upstreamCount     int           // number of its listed upstreams
 	unreachableCount  int           // of them: unreachable, or reachable again without a newer entry
@@ -33,7 +34,7 @@
 func (f *Fleet) serviceOf(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{name: name, classes: classes{byKey: make(map[uint32]*class)}, lanes: lanes{stale: true}, unavailableSince: longAgo}
+		s = &service{name: name, classes: classes{byKey: make(map[uint32]*class)}, lanes: lanes{stale: true}, unavailableSince: longAgo, resumableAt: longAgo}
 		f.services[name] = s
 	}
 	return s
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -55,6 +55,7 @@
 	prefixCached   bool          // the upstream is assumed to have the prompt's shared prefix cached
 	backlog        int           // prompt tokens that the upstream has to process first
 	tooLate        bool          // it would have been served too late
+	leftRoom       bool          // what is free is kept for streams that go on
 	allLimited     bool          // the remaining upstreams have reached their rate limits
 	tooLarge       bool          // it fits into no upstream's memory
 	cameBack       bool          // the caller probably retried after a refusal, judging by its remaining time
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -88,11 +88,12 @@
 	return x.origin.Known && u.Software == x.origin.Software
 }
 
-// Reasons for which a stream that its caller takes up is refused. It has not run.
+// Reasons for which a stream that its caller takes up is refused, or a new request for its sake. It has not run.
 const (
 	originUnknownReason = "not known where the stream began"
 	noSoftwareReason    = "no upstream of the software that began the stream"
 	softwareFullReason  = "upstreams of the software that began the stream take no more"
+	roomKeptReason      = "free slots are kept for streams that go on" // of a new request
 	serviceGoneReason   = "its route no longer names the service that began the stream"
 )
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -44,8 +44,11 @@
 	case x.tooLarge:
 		return &refusal{fasthttp.StatusServiceUnavailable, "larger than an upstream's memory", maxRetryAfter}
 	}
-	if x.allLimited {
+	switch {
+	case x.allLimited:
 		reason = limitReason
+	case x.leftRoom:
+		reason = roomKeptReason
 	}
 	retryAfter := max(defaultRetryAfter, x.retryAfter)
 	if left := x.allPausedFor(); left > 0 {
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -80,7 +80,7 @@
 	if !ok {
 		x.pausedFor = x.pauseLeft(x.triedCurrent())
 		x.allLimited = choice.Skipped > 0 && x.pausedFor == 0
-		x.tooLarge = r.fleet.TooLarge(q)
+		x.tooLarge, x.leftRoom = r.fleet.TooLarge(q), choice.LeftRoom
 		left := max(r.fleet.ColdLeft(r.now(), x.service), r.fleet.MemoryLeft(r.now(), q), r.fleet.LimitLeft(r.now(), x.service), addJitter(r.fleet.UnavailableFor(r.now(), x.service)))
 		x.retryAfter = min(left, maxRetryAfter)
 		return choice, false
@@ -114,6 +114,7 @@
 		Urgency:        x.urgency,
 		Waited:         x.pauseWaited > 0,
 		Origin:         x.placementOrigin(),
+		Resumable:      x.route.Repeat == route.Stream && x.route.Resumable,
 	}
 }
 
