--- a/relay/runs.go
+++ b/relay/runs.go
@@ -114,7 +114,7 @@
 		Urgency:        x.urgency,
 		Waited:         x.pauseWaited > 0,
 		Origin:         x.placementOrigin(),
-		Resumable:      x.route.Repeat == route.Stream && x.route.Resumable,
+		Resumable:      x.isResumable(),
 	}
 }
 
