--- a/balance/doc.go
+++ b/balance/doc.go
@@ -27,6 +27,7 @@
 //   - how much an upstream is sent: cold.go, brittle.go, limitstate.go, limitprior.go, limitquota.go,
 //     limitgate.go, pause.go
 //   - which upstreams are reserved for tight streams: separation.go, lane.go, laneneed.go, lanesize.go, rate.go
+//   - where a stream may go on: software.go; what is left free for it: continuing.go
 //   - which requests are withheld: suspects.go
 //   - what boxes report to each other: partreport.go, classreport.go, limitreport.go, suspectreport.go,
 //     reachreport.go
--- a/group/node.go
+++ b/group/node.go
@@ -9,8 +9,8 @@
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
 // upstreams crash under, limits.go the rate limits that upstreams announce, priorcounts.go the
-// requests sent before limits were known, and reachreports.go which upstreams can be reached. The
-// invariant: messages leave a Node only through Drain.
+// requests sent before limits were known, and reachreports.go which upstreams can be reached.
+// originpeers.go names the boxes that may hold records of streams. The invariant: messages leave a Node only through Drain.
 
 import (
 	"time"
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -47,12 +47,12 @@
 
 // Counters of records and lookups.
 const (
-	originsTold       = "origins_told"
-	originsNotHeld    = "origins_not_held"
-	originsFound      = "origins_found"
-	originsUnknown    = "origins_unknown"
-	originsNotAsked   = "origins_not_asked"
-	originQueueOverun = "origin_messages_dropped"
+	originsTold           = "origins_told"
+	originsNotHeld        = "origins_not_held"
+	originsFound          = "origins_found"
+	originsUnknown        = "origins_unknown"
+	originsNotAsked       = "origins_not_asked"
+	originMessagesDropped = "origin_messages_dropped"
 )
 
 // origins holds the records of this box, and asks other boxes for theirs.
@@ -108,7 +108,7 @@
 // push queues a received message, on the socket's goroutine.
 func (o *origins) push(m *wire.GroupMessage) {
 	if !o.events.TryPush(m) {
-		o.relay.stats.count(originQueueOverun)
+		o.relay.stats.count(originMessagesDropped)
 	}
 }
 
