What an upstream announces while a connection is proven is heeded

Cause, shown by a test: a request whose connection is asked for the upstream's start waits for the answer, and was sent without looking again whether the upstream takes requests; several waited like that. Change: the last look at pauses, limits and leaving comes after the proof. Measured: TestRequestIsSentWithinPauseAfterProof fails without the change (200 for 503).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,14 +59,14 @@
 		return runUnsent, nil, err
 	}
 	x.notePath(c)
-	if err := x.checkSend(); err != nil {
-		r.conns.putUnused(c)
-		return runUnsent, nil, err
-	}
 	if err := x.proveSoftware(c); err != nil {
 		r.conns.discard(c)
 		return runUnsent, nil, err
 	}
+	if err := x.checkSend(); err != nil {
+		r.conns.putUnused(c)
+		return runUnsent, nil, err
+	}
 	if !x.takeRetry() {
 		r.conns.putUnused(c)
 		return runUnsent, nil, errBudget
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -378,3 +378,33 @@
 		is.Equal(len(versionsIn(began.body+rest.body)), 1)
 	}
 }
+
+// An upstream asked for a pause while a request's connection was being proven, and was sent the request all the same.
+func TestRequestIsSentWithinPauseAfterProof(t *testing.T) {
+	is := is.New(t)
+	asked, proceed := make(chan struct{}, 1), make(chan struct{})
+	u := newStub(t, "u", nil)
+	u.script = func(c net.Conn, r stubRequest) bool {
+		if r.URL.Path == "/tell" {
+			asked <- struct{}{}
+			<-proceed
+			return respondReport(c, r, Report{StartedAt: 1})
+		}
+		return respondOK("sent")(c, r)
+	}
+	b := newTestBoxWithProtocol(t, reportingProtocol(), u)
+	b.publisher.set("u", balance.Upstream{ID: "u", StartedAt: 1, Service: "s", Address: u.listener.Addr().String(), Domain: "d", Slots: 8, Software: "v1"}, false)
+	b.publisher.set("gone", balance.Upstream{ID: "gone", Service: "s", Address: "127.0.0.1:1", Domain: "d", Slots: 8, Software: "v2"}, false)
+	b.waitFor(func() bool { return b.upstreamCount() == 2 && b.listedStart("u") == 1 })
+	b.publisher.set("gone", nil, true)
+	b.waitFor(func() bool { return b.upstreamCount() == 1 })
+	done := make(chan callerResponse)
+	go func() { done <- b.begin("s", "X-Left", "600") }()
+	<-asked
+	b.relay.mu.Lock()
+	b.relay.fleet.Pause(b.relay.now(), balance.Incarnation{ID: "u", StartedAt: 1}, time.Hour)
+	b.relay.mu.Unlock()
+	close(proceed)
+	is.Equal((<-done).status, http.StatusServiceUnavailable)
+	is.Equal(len(u.requests()), 1) // the question alone
+}
