--- a/relay/members.go
+++ b/relay/members.go
@@ -126,6 +126,9 @@
 		for _, e := range batch {
 			m.handle(ctx, e)
 		}
+		if !m.relay.origins.havePeers() {
+			m.syncOriginPeers() // callers come back to a box as soon as it has started
+		}
 		m.applyBacklog()
 		m.flush(ctx)
 	}
@@ -167,9 +170,6 @@
 	m.shareSuspects()
 	m.shareLimits()
 	m.shareReachReports(ctx)
-	if !m.relay.origins.havePeers() {
-		m.syncOriginPeers() // callers come back to a box as soon as it has started
-	}
 	m.sendPending(ctx)
 	m.publishRevision()
 	if len(m.backlog) == 0 { // otherwise the box still uses older data
