Logs tell which boxes were asked for a connection, how each answered, and for how long none is asked

A box whose attempts through others failed wrote only how many it had asked; its log could not tell boxes that are cut themselves from an upstream that nobody reaches, nor that the box then asked nobody for up to four seconds. tunnel lines name the answers and the wait, a request without a response names the wait and whether the path of its last run is gone, and the metrics have the wait.

--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -66,6 +66,14 @@
 	return f.tunnels.failures < maxTunnelFailures || now >= f.tunnels.retryAt
 }
 
+// TunnelWait returns for how long no tunnel to any upstream is tried; 0: one may be tried now.
+func (f *Fleet) TunnelWait(now time.Duration) time.Duration {
+	if f.tunnels.failures < maxTunnelFailures {
+		return 0
+	}
+	return max(0, f.tunnels.retryAt-now)
+}
+
 // pathsInDoubt reports whether a connection attempt that fails may be due to this box's path: the
 // box does not reach some upstream, or there is no other one to try.
 func (f *Fleet) pathsInDoubt(m *member) bool {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -191,12 +191,14 @@
 func (x *exchange) addPathFields(f Fields) {
 	r := x.relay
 	r.mu.Lock()
-	paths := r.fleet.Paths(r.now(), x.service)
+	paths, wait := r.fleet.Paths(r.now(), x.service), r.fleet.TunnelWait(r.now())
+	isLost := r.fleet.IsUnreachable(x.upstream.Incarnation())
 	r.mu.Unlock()
 	if paths.Unreachable == 0 {
 		return
 	}
 	f["upstreams"], f["out_of_reach"], f["reached_by_others"] = paths.Listed, paths.Unreachable, paths.ReachedByOthers
+	f["path_lost"], f["tunnels_wait_ms"] = isLost, wait.Milliseconds()
 	if paths.ReportedBy != "" {
 		f["told_by"], f["told_age_ms"] = paths.ReportedBy, paths.ReportAge.Milliseconds()
 	}
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -77,8 +77,9 @@
 func (r *Relay) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "memory_bound_bytes %d\nmemory_used_bytes %d\nmemory_peak_bytes %d\n", r.account.Bound(), r.account.Used(), r.account.Peak())
 	r.mu.Lock()
-	paths := r.fleet.Paths(r.now(), "")
+	paths, wait := r.fleet.Paths(r.now(), ""), r.fleet.TunnelWait(r.now())
 	r.mu.Unlock()
-	fmt.Fprintf(w, "upstreams_listed %d\nupstreams_unreachable %d\nupstreams_reached_by_others_only %d\n", paths.Listed, paths.Unreachable, paths.ReachedByOthers)
+	fmt.Fprintf(w, "upstreams_listed %d\nupstreams_unreachable %d\nupstreams_reached_by_others_only %d\ntunnels_wait_ms %d\n",
+		paths.Listed, paths.Unreachable, paths.ReachedByOthers, wait.Milliseconds())
 	r.stats.write(w)
 }
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -107,6 +108,14 @@
 	err    error // the box did not answer
 }
 
+// String returns the box that was asked and how it answered.
+func (t *tunnelResult) String() string {
+	if t.err != nil {
+		return t.via + "=SILENT"
+	}
+	return t.via + "=" + t.result.String()
+}
+
 // open connects to an upstream through another box within balance.DialWait. It asks the next box as
 // soon as one declines, or has not answered for tunnelAttemptInterval.
 func (t *tunnels) open(ctx context.Context, u balance.Upstream) (*tunnelConn, error) {
@@ -115,6 +124,7 @@
 	defer cancel()
 	candidates := t.candidates(u)
 	results := make(chan tunnelResult, len(candidates))
+	answers := make([]string, 0, len(candidates))
 	asked, failed, refused := 0, 0, false
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -129,15 +139,16 @@
 		case res := <-results:
 			if res.conn != nil {
 				go closeLater(results, asked-failed-1)
-				t.noteOutcome(u, began, res.via, failed+1, nil)
+				t.noteOutcome(u, began, res.via, failed+1, answers, nil)
 				return res.conn, nil
 			}
 			failed++
+			answers = append(answers, res.String())
 			refused = refused || res.result == wire.TunnelResponse_REFUSED
 			timer.Reset(0)
 		case <-ctx.Done():
 			go closeLater(results, asked-failed)
-			t.noteOutcome(u, began, "", asked, ctx.Err())
+			t.noteOutcome(u, began, "", asked, answers, ctx.Err())
 			return nil, errNoTunnel
 		}
 	}
@@ -146,7 +157,7 @@
 		err = syscall.ECONNREFUSED // as another box was told by the upstream's host
 	}
 	if r.tunnels.havePeers() {
-		t.noteOutcome(u, began, "", failed, err)
+		t.noteOutcome(u, began, "", failed, answers, err)
 	}
 	return nil, err
 }
@@ -160,18 +171,22 @@
 	}
 }
 
-// noteOutcome records and logs whether a connection was opened.
-func (t *tunnels) noteOutcome(u balance.Upstream, began time.Time, via string, asked int, err error) {
+// noteOutcome records and logs whether a connection was opened. answers are those of the boxes that did not help.
+func (t *tunnels) noteOutcome(u balance.Upstream, began time.Time, via string, asked int, answers []string, err error) {
 	r := t.relay
 	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "service": u.Service, "asked": asked, "took_ms": time.Since(began).Milliseconds()}
+	if len(answers) > 0 {
+		fields["answers"] = strings.Join(answers, " ")
+	}
 	if errors.Is(err, context.Canceled) {
 		return // this box's own attempt was faster, or the request ended
 	}
 	r.mu.Lock()
 	r.fleet.NoteTunnel(r.now(), u.Incarnation(), err == nil)
+	wait := r.fleet.TunnelWait(r.now())
 	r.mu.Unlock()
 	if err != nil {
-		fields["error"] = err.Error()
+		fields["error"], fields["wait_ms"] = err.Error(), wait.Milliseconds()
 		r.stats.count(tunnelsNotOpened)
 		r.cfg.Log.Event("tunnel", "not opened", fields)
 		return
