Boxes that lack paths themselves are asked last for connections, and say nothing about upstreams

What callers saw: at three boxes of 36 that had lost their paths, 11 of 33 requests were answered from 3 s after the cut on, at the others all; for four seconds every request ended as 502 or 503 after 1.45 s.

Cause: a box asks the nearest boxes for a connection. Where most of its domain is cut these lack the same paths. Their failure was held against the upstream and, from two on, against tunnels to any upstream; five attempts made beside each other counted as five in a row, and nobody was asked for four seconds. What was learned of a box held for one upstream and one second, so the same boxes were asked again for each of 90.

Ruled out: full boxes (no FULL in 126 lines 'tunnel: not opened'), memory (no line 'caller: turned away'), upstreams (others were served 538 of 540).

Now half of those asked at most are of one domain; a box that is asked answers within 200 ms, and says when it is in doubt itself; such boxes come last for 4 s; silent ones are asked after 1, 2, 4 s; only a box that is not in doubt says something about an upstream; attempts that overlap count once; an upstream that a tunnel led to is tried all the same.

--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -36,6 +36,7 @@
 type tunnelTrend struct {
 	work     bool          // the last ones were established
 	failures int           // upstreams in a row that no other box reached
+	failedAt time.Duration // if failures: when the last of them was counted
 	retryAt  time.Duration // from maxTunnelFailures on: when another upstream is tried
 }
 
@@ -63,10 +64,19 @@
 	if f.cfg.Off[Tunnels] || m.tunnel.failed && now < m.tunnel.retryAt {
 		return false
 	}
-	return f.tunnels.failures < maxTunnelFailures || now >= f.tunnels.retryAt
+	return m.tunnel.reached || f.TunnelWait(now) == 0
 }
 
-// TunnelWait returns for how long no tunnel to any upstream is tried; 0: one may be tried now.
+// BeginTunnel notes that other boxes are asked for a connection. Where they reached none of the last
+// upstreams, one attempt is made at a time.
+func (f *Fleet) BeginTunnel(now time.Duration) {
+	if f.tunnels.failures >= maxTunnelFailures && now >= f.tunnels.retryAt {
+		f.tunnels.retryAt = now + DialWait
+	}
+}
+
+// TunnelWait returns for how long no tunnel is tried to upstreams that none was established to; 0: one may be
+// tried now.
 func (f *Fleet) TunnelWait(now time.Duration) time.Duration {
 	if f.tunnels.failures < maxTunnelFailures {
 		return 0
@@ -100,17 +110,34 @@
 // NoteTunnel records whether a tunnel to an upstream incarnation was established.
 func (f *Fleet) NoteTunnel(now time.Duration, l Incarnation, established bool) {
 	m := f.byID[l.ID]
-	if m == nil || m.Incarnation() != l {
-		return
-	}
-	if established {
+	switch {
+	case m == nil || m.Incarnation() != l:
+	case established:
 		m.tunnel = tunnelState{reached: true}
 		f.tunnels = tunnelTrend{work: true}
-		return
+	default:
+		f.noteTunnelFailure(now, now, m)
 	}
+}
+
+// NoteTunnelFailure records that no other box reached an upstream incarnation in an attempt that began at
+// the given time.
+func (f *Fleet) NoteTunnelFailure(now, began time.Duration, l Incarnation) {
+	if m := f.byID[l.ID]; m != nil && m.Incarnation() == l {
+		f.noteTunnelFailure(now, began, m)
+	}
+}
+
+// noteTunnelFailure is NoteTunnelFailure. Of attempts that were made beside each other, one counts as a
+// failure of tunnels to any upstream.
+func (f *Fleet) noteTunnelFailure(now, began time.Duration, m *member) {
 	backoff := min(max(minTunnelBackoff, 2*m.tunnel.backoff), maxTunnelBackoff)
 	m.tunnel = tunnelState{failed: true, backoff: backoff, retryAt: now + backoff}
+	if f.tunnels.failures > 0 && began < f.tunnels.failedAt {
+		return
+	}
 	f.tunnels.failures++
+	f.tunnels.failedAt = now
 	if excess := f.tunnels.failures - maxTunnelFailures; excess >= 0 {
 		f.tunnels.work = false
 		f.tunnels.retryAt = now + min(minTunnelBackoff<<min(excess, maxTunnelDoublings), maxTunnelBackoff)
@@ -156,6 +183,12 @@
 // isLost reports whether an upstream is reached neither by this box nor through another one.
 func (f *Fleet) isLost(m *member) bool { return m.unreachable && !f.behindTunnel(m) }
 
+// LacksPaths reports whether a failure of this box to reach an upstream of a service says nothing about
+// others: it reaches too few of the service, or none has answered since several became unreachable.
+func (f *Fleet) LacksPaths(name string) bool {
+	return f.serviceOf(name).needsTunnels() || f.pathFailures.count >= cutOffThreshold
+}
+
 // needsTunnels reports whether the upstreams that this box reaches itself are too few of a
 // service's to serve its requests.
 func (s *service) needsTunnels() bool { return s.lostPaths*percent > s.upstreamCount*maxBackoffPercent }
--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -296,3 +296,143 @@
 	p.Set(learnedPeerTime, leader)
 	is.Equal(p.Len(), 1)
 }
+
+// A box whose whole domain is cut asked six boxes of it, and nobody else.
+func TestAtMostHalfOfThoseAskedAreOfOneDomain(t *testing.T) {
+	is := is.New(t)
+	p := tunnelPeers("box", "d0", 20)
+	own := 0
+	for _, address := range p.Candidates(0, Upstream{ID: "u", Domain: "d0"}, 6) {
+		if strings.HasPrefix(address, "d0-") {
+			own++
+		}
+	}
+	is.Equal(own, 3)
+	p = tunnelPeers("box", "d0", 2) // too few elsewhere
+	is.Equal(len(p.Candidates(0, Upstream{ID: "u", Domain: "d0"}, 6)), 6)
+}
+
+// Boxes that lack paths themselves were asked anew for each upstream, and before those that do not.
+func TestBoxesThatLackPathsAreAskedLast(t *testing.T) {
+	const now = 10 * time.Second
+	tests := []struct {
+		name string
+		note func(p *TunnelPeers, address string)
+		last bool
+	}{
+		{"it does not reach one upstream", func(p *TunnelPeers, address string) { p.NoteUnreached(now, address, Incarnation{ID: "v"}) }, false},
+		{"two in a row", func(p *TunnelPeers, address string) {
+			p.NoteUnreached(now, address, Incarnation{ID: "v"})
+			p.NoteUnreached(now, address, Incarnation{ID: "w"})
+		}, true},
+		{"two, and a connection in between", func(p *TunnelPeers, address string) {
+			p.NoteUnreached(now, address, Incarnation{ID: "v"})
+			p.Opened(address)
+			p.Closed(address)
+			p.NoteUnreached(now, address, Incarnation{ID: "w"})
+		}, false},
+		{"it states that it lacks paths", func(p *TunnelPeers, address string) { p.NoteDoubtful(now, address) }, true},
+		{"that was a while ago", func(p *TunnelPeers, address string) { p.NoteDoubtful(now-doubtfulPeerTime, address) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := tunnelPeers("box", "d0", 2)
+			u := Upstream{ID: "u", Domain: "d0"}
+			near := p.Candidates(now, u, 1)[0]
+			tt.note(p, near)
+			got := p.Candidates(now, u, 6)
+			is.Equal(got[0] == near, !tt.last)
+			is.Equal(got[len(got)-1] == near, tt.last)
+		})
+	}
+}
+
+// A box that gives no answer is asked ever more seldom, until it answers.
+func TestBoxThatGivesNoAnswerIsAskedEverMoreSeldom(t *testing.T) {
+	is := is.New(t)
+	p := NewFleet(Config{Domain: "d0"}).NewTunnelPeers("box")
+	p.Set(0, []TunnelPeer{{Address: "a", Domain: "d0"}})
+	asked, u := 0, Upstream{ID: "u", Domain: "d0"}
+	for now := time.Second; now < 61*time.Second; now += 10 * time.Millisecond {
+		if len(p.Candidates(now, u, 1)) > 0 {
+			asked++
+			p.Avoid(now, "a")
+		}
+	}
+	is.True(asked >= 14 && asked <= 3+int(60*time.Second/maxPeerBackoff))
+	p.Opened("a")
+	p.Avoid(time.Hour, "a")
+	is.Equal(len(p.Candidates(time.Hour+peerBackoff, u, 1)), 1)
+}
+
+// Five attempts that were made beside each other counted as five upstreams in a row that no box reaches:
+// nobody was asked for four seconds.
+func TestTunnelAttemptsBesideEachOtherCountAsOneFailure(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	for i := range 5 {
+		began := time.Second + time.Duration(i)*10*time.Millisecond
+		f.NoteTunnelFailure(began+DialWait, began, Incarnation{ID: fmt.Sprint("u", i)})
+	}
+	is.Equal(f.TunnelWait(2*time.Second), time.Duration(0))
+	f.NoteTunnelFailure(3*time.Second, 2*time.Second, Incarnation{ID: "u6"})
+	is.True(f.TunnelWait(3*time.Second) > 0)
+}
+
+// An upstream that was reached through another box is tried again while others are not.
+func TestUpstreamReachedThroughOtherBoxIsTriedWhileOthersAreNot(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	f := newTestFleet(12)
+	loseUpstreams(f, now, "u1", "u2", "u3", "u4")
+	f.NoteTunnel(now, Incarnation{ID: "u1"}, true)
+	f.NoteTunnel(now, Incarnation{ID: "u2"}, false)
+	f.NoteTunnel(now, Incarnation{ID: "u3"}, false)
+	_, ok := f.TunnelDelay(now, Incarnation{ID: "u1"})
+	is.True(ok)
+	_, ok = f.TunnelDelay(now, Incarnation{ID: "u4"})
+	is.True(!ok)
+}
+
+// Where no box reached the last upstreams, one attempt is made at a time.
+func TestOneTunnelIsTriedAtATimeWhereNoneWorks(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	f.NoteTunnel(0, Incarnation{ID: "u1"}, false)
+	f.NoteTunnel(0, Incarnation{ID: "u2"}, false)
+	now := f.TunnelWait(0)
+	is.Equal(f.TunnelWait(now), time.Duration(0))
+	f.BeginTunnel(now)
+	is.Equal(f.TunnelWait(now), DialWait)
+}
+
+// A box that lacks paths states it: what it does not reach may be reached by others.
+func TestLacksPaths(t *testing.T) {
+	const now = 10 * time.Second
+	tests := []struct {
+		name  string
+		setUp func(f *Fleet)
+		want  bool
+	}{
+		{"all are reached", func(*Fleet) {}, false},
+		{"one is not", func(f *Fleet) { loseUpstreams(f, now, "u1") }, false},
+		{"two in a row are not", func(f *Fleet) { loseUpstreams(f, now, "u1", "u2") }, true},
+		{"two, and one has answered since", func(f *Fleet) {
+			loseUpstreams(f, now, "u1", "u2")
+			f.Open(now, "u0", prompt(1)).Close(now, Answered)
+		}, false},
+		{"most, and one has answered since", func(f *Fleet) {
+			loseUpstreams(f, now, "u1", "u2", "u3", "u4", "u5", "u6", "u7")
+			f.Open(now, "u0", prompt(1)).Close(now, Answered)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(12)
+			tt.setUp(f)
+			is.Equal(f.LacksPaths("s"), tt.want)
+		})
+	}
+}
--- a/balance/tunnelpeers.go
+++ b/balance/tunnelpeers.go
@@ -2,8 +2,9 @@
 
 // This file decides through which boxes a box connects to upstreams that it does not reach itself.
 // The invariants: a box that failed to help is not asked again for a while; boxes near the way to
-// the upstream come first; and different boxes prefer different ones, so that no single box
-// carries the connections of all.
+// the upstream come first, but behind all others those that lack paths themselves; at most half of
+// those that are asked are of one domain, which may be cut as a whole; and different boxes prefer
+// different ones, so that no single box carries the connections of all.
 
 import (
 	"cmp"
@@ -12,8 +13,14 @@
 )
 
 const (
-	// peerBackoff is how long a box that did not help is not asked again.
-	peerBackoff = time.Second
+	// peerBackoff is how long a box that did not help is not asked again. It doubles, up to
+	// maxPeerBackoff, each time that the box gives no answer.
+	peerBackoff    = time.Second
+	maxPeerBackoff = 4 * time.Second
+	// doubtfulPeerTime is how long a box that lacks paths itself comes after the others, and
+	// maxPeerMisses how many upstreams in a row it may fail to reach before that is assumed.
+	doubtfulPeerTime = 4 * time.Second
+	maxPeerMisses    = 2
 	// tunnelsPerStep is how many tunnels through a box weigh as much as one step of distance: bytes
 	// between domains cost more than within one.
 	tunnelsPerStep = 8
@@ -34,9 +41,12 @@
 // peerState is what this box knows of another one as a way to upstreams.
 type peerState struct {
 	TunnelPeer
-	learnedAt time.Duration // when another box named it; longAgo: it is known as a member of the group
-	avoidTill time.Duration // not asked before
-	open      int           // tunnels of this box through it
+	learnedAt    time.Duration // when another box named it; longAgo: it is known as a member of the group
+	avoidTill    time.Duration // not asked before
+	backoff      time.Duration // of the last time that it gave no answer; 0: it has answered since
+	misses       int           // upstreams in a row that it did not reach
+	doubtfulTill time.Duration // asked after others before
+	open         int           // tunnels of this box through it
 }
 
 // peerFailure identifies an upstream that a box does not reach.
@@ -120,9 +130,34 @@
 		return now >= p.avoidTill && now >= t.failures[peerFailure{p.Address, life}]
 	})
 	slices.SortFunc(list, func(a, b *peerState) int {
-		return cmp.Or(cmp.Compare(t.cost(a, u), t.cost(b, u)), cmp.Compare(peerWeight(t.box, b), peerWeight(t.box, a)), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(compareDoubt(now, a, b), cmp.Compare(t.cost(a, u), t.cost(b, u)), cmp.Compare(peerWeight(t.box, b), peerWeight(t.box, a)), cmp.Compare(a.Address, b.Address))
 	})
-	return addresses(list, count)
+	return addresses(limitPerDomain(list, (count+1)/2), count)
+}
+
+// compareDoubt orders boxes that lack paths themselves after the others.
+func compareDoubt(now time.Duration, a, b *peerState) int {
+	isDoubtful := func(p *peerState) int {
+		if now < p.doubtfulTill {
+			return 1
+		}
+		return 0
+	}
+	return isDoubtful(a) - isDoubtful(b)
+}
+
+// limitPerDomain moves the boxes of each domain beyond the first limit behind all others.
+func limitPerDomain(list []*peerState, limit int) []*peerState {
+	first, rest := make([]*peerState, 0, len(list)), []*peerState(nil)
+	count := make(map[string]int)
+	for _, p := range list {
+		if count[p.Domain]++; count[p.Domain] > limit {
+			rest = append(rest, p)
+			continue
+		}
+		first = append(first, p)
+	}
+	return append(first, rest...)
 }
 
 // cost orders boxes by the distance that bytes travel from this box through them to the upstream,
@@ -157,17 +192,38 @@
 	if len(t.failures) < maxPeerFailures {
 		t.failures[peerFailure{address, l.Key()}] = now + peerBackoff
 	}
+	p := t.peers[address]
+	if p == nil {
+		return
+	}
+	p.backoff = 0
+	if p.misses++; p.misses >= maxPeerMisses {
+		p.doubtfulTill = now + doubtfulPeerTime
+	}
+}
+
+// NoteDoubtful records that a box states that it lacks paths itself.
+func (t *TunnelPeers) NoteDoubtful(now time.Duration, address string) {
+	if p := t.peers[address]; p != nil {
+		p.doubtfulTill = now + doubtfulPeerTime
+	}
 }
 
 // Avoid records that a box is of no help for any upstream at present.
 func (t *TunnelPeers) Avoid(now time.Duration, address string) {
-	if p := t.peers[address]; p != nil {
-		p.avoidTill = now + peerBackoff
+	if p := t.peers[address]; p != nil && now >= p.avoidTill {
+		p.backoff = min(max(peerBackoff, 2*p.backoff), maxPeerBackoff)
+		p.avoidTill = now + p.backoff
 	}
 }
 
 // Opened and Closed count the tunnels of this box through another one.
-func (t *TunnelPeers) Opened(address string) { t.addOpen(address, 1) }
+func (t *TunnelPeers) Opened(address string) {
+	t.addOpen(address, 1)
+	if p := t.peers[address]; p != nil {
+		p.backoff, p.misses, p.doubtfulTill = 0, 0, 0
+	}
+}
 
 // Closed undoes Opened.
 func (t *TunnelPeers) Closed(address string) { t.addOpen(address, -1) }
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +23,8 @@
 	maxTunnelAttempts = 6
 	// tunnelAttemptInterval is how long a box is waited for until the next one is asked as well.
 	tunnelAttemptInterval = 60 * time.Millisecond
+	// minTunnelAnswerWait is how long a box must have had for its answer to count as silent.
+	minTunnelAnswerWait = tunnelDialWait + tunnelAttemptInterval
 )
 
 // Counters of connections through other boxes.
@@ -102,16 +105,30 @@
 
 // tunnelResult is the result of asking one box.
 type tunnelResult struct {
-	via    string
-	conn   *tunnelConn
-	result wire.TunnelResponse_Result
-	err    error // the box did not answer
+	via     string
+	conn    *tunnelConn
+	result  wire.TunnelResponse_Result
+	inDoubt bool          // the box lacks paths itself
+	err     error         // the box did not answer
+	waited  time.Duration // for the answer
+}
+
+// isConclusive reports whether the answer says something about the upstream, and not about the box alone.
+func (t *tunnelResult) isConclusive() bool {
+	switch t.result {
+	case wire.TunnelResponse_FULL, wire.TunnelResponse_STOPPING:
+		return false
+	}
+	return t.err == nil && !t.inDoubt
 }
 
 // String returns the box that was asked and how it answered.
 func (t *tunnelResult) String() string {
-	if t.err != nil {
+	switch {
+	case t.err != nil:
 		return t.via + "=SILENT"
+	case t.inDoubt:
+		return t.via + "=IN_DOUBT"
 	}
 	return t.via + "=" + t.result.String()
 }
@@ -119,49 +136,71 @@
 // open connects to an upstream through another box within balance.DialWait. It asks the next box as
 // soon as one declines, or has not answered for tunnelAttemptInterval.
 func (t *tunnels) open(ctx context.Context, u balance.Upstream) (*tunnelConn, error) {
-	began, r := time.Now(), t.relay
+	a := &tunnelAttempt{tunnels: t, upstream: u, candidates: t.begin(u), began: time.Now(), beganAt: t.relay.now()}
 	ctx, cancel := context.WithTimeout(ctx, balance.DialWait)
 	defer cancel()
-	candidates := t.candidates(u)
-	results := make(chan tunnelResult, len(candidates))
-	answers := make([]string, 0, len(candidates))
-	asked, failed, refused := 0, 0, false
+	results := make(chan tunnelResult, len(a.candidates))
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for failed < len(candidates) {
+	for len(a.failed) < len(a.candidates) {
 		select {
 		case <-timer.C:
-			if asked < len(candidates) {
-				t.ask(ctx, candidates[asked], u, results)
-				asked++
+			if a.asked < len(a.candidates) {
+				t.ask(ctx, a.candidates[a.asked], u, results)
+				a.asked++
 				timer.Reset(tunnelAttemptInterval)
 			}
 		case res := <-results:
 			if res.conn != nil {
-				go closeLater(results, asked-failed-1)
-				t.noteOutcome(u, began, res.via, failed+1, answers, nil)
+				go closeLater(results, a.asked-len(a.failed)-1)
+				a.noteOutcome(res.via, nil)
 				return res.conn, nil
 			}
-			failed++
-			answers = append(answers, res.String())
-			refused = refused || res.result == wire.TunnelResponse_REFUSED
+			a.failed = append(a.failed, res)
 			timer.Reset(0)
 		case <-ctx.Done():
-			go closeLater(results, asked-failed)
-			t.noteOutcome(u, began, "", asked, answers, ctx.Err())
+			go closeLater(results, a.asked-len(a.failed))
+			a.noteOutcome("", ctx.Err())
 			return nil, errNoTunnel
 		}
 	}
-	err := error(errNoTunnel)
-	if refused {
-		err = syscall.ECONNREFUSED // as another box was told by the upstream's host
-	}
-	if r.tunnels.havePeers() {
-		t.noteOutcome(u, began, "", failed, answers, err)
+	err := a.failure()
+	if t.havePeers() {
+		a.noteOutcome("", err)
 	}
 	return nil, err
 }
 
+// begin returns the boxes to ask for a connection to an upstream, and notes that they are asked.
+func (t *tunnels) begin(u balance.Upstream) []string {
+	r := t.relay
+	r.mu.Lock()
+	r.fleet.BeginTunnel(r.now())
+	r.mu.Unlock()
+	return t.candidates(u)
+}
+
+// tunnelAttempt is an attempt to connect to an upstream through another box.
+type tunnelAttempt struct {
+	tunnels    *tunnels
+	upstream   balance.Upstream
+	candidates []string // boxes to ask, in turn
+	asked      int      // of them
+	failed     []tunnelResult
+	began      time.Time
+	beganAt    time.Duration // the same by the relay's clock
+}
+
+// failure returns the error of an attempt in which no box connected.
+func (a *tunnelAttempt) failure() error {
+	for _, res := range a.failed {
+		if res.result == wire.TunnelResponse_REFUSED {
+			return syscall.ECONNREFUSED // as another box was told by the upstream's host
+		}
+	}
+	return errNoTunnel
+}
+
 // closeLater closes the connections that come up after another one was taken.
 func closeLater(results <-chan tunnelResult, count int) {
 	for range count {
@@ -171,20 +210,26 @@
 	}
 }
 
-// noteOutcome records and logs whether a connection was opened. answers are those of the boxes that did not help.
-func (t *tunnels) noteOutcome(u balance.Upstream, began time.Time, via string, asked int, answers []string, err error) {
-	r := t.relay
-	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "service": u.Service, "asked": asked, "took_ms": time.Since(began).Milliseconds()}
-	if len(answers) > 0 {
-		fields["answers"] = strings.Join(answers, " ")
-	}
+// noteOutcome records and logs whether a connection was opened. A failure says something about the upstream
+// only if a box that does not lack paths itself has declined.
+func (a *tunnelAttempt) noteOutcome(via string, err error) {
+	r, u := a.tunnels.relay, a.upstream
 	if errors.Is(err, context.Canceled) {
 		return // this box's own attempt was faster, or the request ended
 	}
 	r.mu.Lock()
-	r.fleet.NoteTunnel(r.now(), u.Incarnation(), err == nil)
+	switch {
+	case err == nil:
+		r.fleet.NoteTunnel(r.now(), u.Incarnation(), true)
+	case slices.ContainsFunc(a.failed, func(res tunnelResult) bool { return res.isConclusive() }):
+		r.fleet.NoteTunnelFailure(r.now(), a.beganAt, u.Incarnation())
+	}
 	wait := r.fleet.TunnelWait(r.now())
 	r.mu.Unlock()
+	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "service": u.Service, "asked": a.asked, "took_ms": time.Since(a.began).Milliseconds()}
+	if len(a.failed) > 0 {
+		fields["answers"] = a.answers()
+	}
 	if err != nil {
 		fields["error"], fields["wait_ms"] = err.Error(), wait.Milliseconds()
 		r.stats.count(tunnelsNotOpened)
@@ -196,10 +241,21 @@
 	r.cfg.Log.Event("tunnel", "opened", fields)
 }
 
+// answers lists the boxes that did not help, each with its answer.
+func (a *tunnelAttempt) answers() string {
+	list := make([]string, len(a.failed))
+	for i, res := range a.failed {
+		list[i] = res.String()
+	}
+	return strings.Join(list, " ")
+}
+
 // ask asks a box in the background.
 func (t *tunnels) ask(ctx context.Context, via string, u balance.Upstream, results chan<- tunnelResult) {
+	began := time.Now()
 	go func() {
 		res := t.request(ctx, via, u)
+		res.waited = time.Since(began)
 		t.noteAnswer(ctx, u, res)
 		results <- res
 	}()
@@ -224,7 +280,8 @@
 		return res
 	}
 	t.learn(via, resp.Elsewhere)
-	if res.result = resp.Result; res.result != wire.TunnelResponse_OPENED {
+	res.result, res.inDoubt = resp.Result, resp.InDoubt
+	if res.result != wire.TunnelResponse_OPENED {
 		_ = c.Close()
 		return res
 	}
@@ -242,17 +299,21 @@
 	return resp, readMessage(c, resp)
 }
 
-// noteAnswer records what an answer says about the box that was asked.
+// noteAnswer records what an answer says about the box that was asked. One that had no time to answer is
+// not judged: it may have tried to connect.
 func (t *tunnels) noteAnswer(ctx context.Context, u balance.Upstream, res tunnelResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.relay.now()
 	switch {
-	case res.conn != nil, errors.Is(ctx.Err(), context.Canceled):
+	case res.conn != nil, errors.Is(ctx.Err(), context.Canceled), ctx.Err() != nil && res.waited < minTunnelAnswerWait:
 	case res.err != nil, res.result == wire.TunnelResponse_FULL, res.result == wire.TunnelResponse_STOPPING:
 		t.peers.Avoid(now, res.via)
 	default:
 		t.peers.NoteUnreached(now, res.via, u.Incarnation())
+		if res.inDoubt {
+			t.peers.NoteDoubtful(now, res.via)
+		}
 	}
 }
 
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -27,6 +27,9 @@
 	// tunnelBytes is charged for a tunnel: the contents of the kernel buffers toward the box that
 	// asked, by the kernel's own accounting, and the buffers of both directions.
 	tunnelBytes = 2*2*tunnelBufferSize + 2*maxFrameData
+	// tunnelDialWait bounds a connection attempt for another box, which is told the result before it
+	// gives up.
+	tunnelDialWait = 200 * time.Millisecond
 	// maxElsewhere is how many boxes are named to one of another domain.
 	maxElsewhere = 4
 	// tunnelTick is how often the server notes that the process runs, and maxTunnelStall the
@@ -154,7 +157,7 @@
 	case !lease.Grow(tunnelBytes, minRequestShare):
 		return nil, wire.TunnelResponse_FULL
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, tunnelDialWait)
 	defer cancel()
 	watch := watchDisconnect(c, cancel)
 	began := r.now()
@@ -170,12 +173,20 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, wire.TunnelResponse_REFUSED
 	}
-	if ctx.Err() == nil {
+	if !errors.Is(ctx.Err(), context.Canceled) {
 		s.noteUnreached(u, began)
 	}
 	return nil, wire.TunnelResponse_UNREACHED
 }
 
+// lacksPaths reports whether this box lacks paths to the service of an upstream.
+func (r *Relay) lacksPaths(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.fleet.Get(id)
+	return u != nil && r.fleet.LacksPaths(u.Service)
+}
+
 // noteUnreached records that an upstream does not accept this box's connection either.
 func (s *tunnelServer) noteUnreached(u balance.Upstream, began time.Duration) {
 	r := s.relay
@@ -191,6 +202,9 @@
 // since it knows only their leader.
 func (s *tunnelServer) response(req *wire.TunnelRequest, result wire.TunnelResponse_Result) *wire.TunnelResponse {
 	resp := &wire.TunnelResponse{Result: result}
+	if result == wire.TunnelResponse_UNREACHED {
+		resp.InDoubt = s.relay.lacksPaths(req.Upstream)
+	}
 	if req.Domain != "" && req.Domain != s.relay.cfg.Domain {
 		resp.Elsewhere = s.relay.tunnels.sample(req.Box)
 	}
