One lost request puts the paths of its service in doubt, and ends on a path that is gone

What callers saw: of first tries at 38 boxes that had lost their paths to a service of five upstreams, 15 of 71 were answered in the first second and 41 of 53 in the second, at the others 63 of 63 and 64 of 69. Each got nothing for 1.0 to 1.2 s, all its time.

Cause: a box learned of each path by a request of its own that was lost. A request was looked at after 0.35 s, its path found gone 0.35 s later, and that said nothing of the four others: two failures in a row were needed, and any answer of another service in between began the count anew. The lost request itself waited for its time, though the box knew. Class: what is learned once is not used for what it tells of the rest.

Ruled out: callers that are not read (no line 'caller: turned away'), slow detection alone (the second upstream was found out at 1.43 s in the median, the third at 1.87 s).

Now a request is looked at after 0.15 s; if the connection attempt takes longer than usual, four other paths of the service are tried at once, and if none answers, all are verified before their next request. Failures are counted for each service. A request that is not acknowledged on a path that is gone is sent again, or, where it may run once and another box reaches the upstream, its caller is told at once. A host that is silent for everyone keeps its requests.

go test ./relay ./balance ./oplog pass.

--- a/balance/doc.go
+++ b/balance/doc.go
@@ -22,7 +22,7 @@
 //   - where a request goes: place.go, with cost.go, rendezvous.go, partindex.go, fetch.go, rtt.go, slots.go,
 //     memory.go, request.go
 //   - who is refused: admit.go; what is sent again: budget.go, budgets.go; what moves: move.go, answers.go
-//   - which upstreams are avoided: health.go, reach.go, recovery.go, evacuate.go; which are connected to
+//   - which upstreams are avoided: health.go, reach.go, doubt.go, recovery.go, evacuate.go; which are connected to
 //     through another box, and which box: tunnel.go, tunnelpeers.go
 //   - how much an upstream is sent: cold.go, brittle.go, limitstate.go, limitprior.go, limitquota.go,
 //     limitgate.go, pause.go
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -20,15 +20,6 @@
 	cutOffWindow = 2 * time.Second
 )
 
-// pathFailures are upstreams that became unreachable with no answer of any upstream in between.
-type pathFailures struct {
-	count  int
-	domain string        // of the first
-	spread bool          // others are of another failure domain
-	first  time.Duration // when the first of these connection attempts began, at the earliest
-	last   time.Duration
-}
-
 // domainReach is the connectivity to a failure domain.
 type domainReach struct {
 	consecutive int           // upstreams that became unreachable since the last answer
@@ -44,6 +35,9 @@
 	// ToVerify is how many other upstreams are to be verified before their next request, since this
 	// failure puts all paths of the box in doubt.
 	ToVerify int
+	// ToSample are others to be verified at once, since this failure may be one of all paths of the box to the
+	// service.
+	ToSample []Upstream
 }
 
 // domainReachOf returns the connectivity to a failure domain and creates the record if needed.
@@ -80,50 +74,13 @@
 	isNew := !m.unreachable
 	f.lose(m, false, m.ID)
 	if isNew {
-		f.doubtPaths(now, m.Domain)
+		f.doubtPaths(now, m)
 	}
 	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
 		f.markDomainCutOff(m.Domain, m.ID)
 	}
 }
 
-// doubtPaths counts an upstream that has become unreachable. If others have just before, with no
-// answer of any upstream in between, the cause may be in this box's own paths, unless all of them are
-// of one domain, which may be cut off or down as a whole: every upstream that
-// has not answered since is verified before its next request, which would otherwise be lost on a
-// connection that has fallen silent.
-func (f *Fleet) doubtPaths(now time.Duration, domain string) {
-	p := &f.pathFailures
-	if p.count == 0 || now-p.last > cutOffWindow {
-		*p = pathFailures{first: now - DialWait, domain: domain}
-	}
-	p.count++
-	p.last = now
-	p.spread = p.spread || domain != p.domain || !f.hasOtherDomain(domain)
-	if p.count < cutOffThreshold || !p.spread || f.cfg.Off[Tunnels] || f.cfg.Off[ReachReports] {
-		return
-	}
-	doubted := 0
-	for _, m := range f.byID {
-		if !m.unreachable && !m.closed() && !m.reports.lost && m.reports.answeredAt < p.first {
-			m.setReportedLost(true)
-			m.reports.lostAt, m.reports.doubted = now, true
-			doubted++
-		}
-	}
-	f.newlyUnreachable[len(f.newlyUnreachable)-1].ToVerify = doubted
-}
-
-// hasOtherDomain reports whether upstreams of another failure domain are listed.
-func (f *Fleet) hasOtherDomain(domain string) bool {
-	for _, m := range f.byID {
-		if m.Domain != domain {
-			return true
-		}
-	}
-	return false
-}
-
 // CutOffDomains returns the sorted names of the failure domains that this box treats as cut off.
 func (f *Fleet) CutOffDomains() []string {
 	var list []string
@@ -222,7 +179,7 @@
 		return
 	}
 	d := f.domainReachOf(m.Domain)
-	d.consecutive, f.pathFailures.count = 0, 0
+	d.consecutive, f.pathFailures.count, m.service.pathFailures.count = 0, 0, 0
 	m.noteReached(now)
 	f.markRecovered(now, m)
 	if d.inferred > 0 {
--- a/balance/reachreport.go
+++ b/balance/reachreport.go
@@ -132,7 +132,7 @@
 // reportLost queues a report that this box's own connection to an upstream timed out, unless
 // another box has reported it before. began is when the attempt, or the request, began.
 func (f *Fleet) reportLost(now time.Duration, m *member, began time.Duration) {
-	if f.cfg.Off[ReachReports] || !f.isListed(m) || m.closed() || m.unreachable || m.reports.lost {
+	if f.cfg.Off[ReachReports] || !f.isListed(m) || m.closed() || m.unreachable || m.reports.lost && !m.reports.doubted {
 		return
 	}
 	f.queueReachReport(now, m, lostKind, max(began, now-DialWait), "")
@@ -285,6 +285,7 @@
 		}
 	case result == VerifiedUnreachable && m.reports.answeredAt <= began && !m.unreachable:
 		f.lose(m, false, m.ID)
+		f.doubtPaths(now, m)
 	}
 }
 
--- a/balance/service.go
+++ b/balance/service.go
@@ -28,13 +28,15 @@
 	waiters           waiterCounts  // requests that wait for the end of a pause
 	unavailableSince  time.Duration // when a request first found all listed upstreams leaving, else longAgo
 	meanUnread        float64       // prompt tokens that its upstreams have to read, averaged over them
+	pathFailures      pathFailures  // connections to its upstreams that failed with no answer of any of them in between
+	sampledAt         time.Duration // when paths to its upstreams were last verified at once, else longAgo
 }
 
 // serviceOf returns the state of a service and creates it if needed.
 func (f *Fleet) serviceOf(name string) *service {
 	s := f.services[name]
 	if s == nil {
-		s = &service{name: name, classes: classes{byKey: make(map[uint32]*class)}, lanes: lanes{stale: true}, unavailableSince: longAgo, resumableAt: longAgo}
+		s = &service{name: name, classes: classes{byKey: make(map[uint32]*class)}, lanes: lanes{stale: true}, unavailableSince: longAgo, resumableAt: longAgo, sampledAt: longAgo}
 		f.services[name] = s
 	}
 	return s
--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -85,9 +85,10 @@
 }
 
 // pathsInDoubt reports whether a connection attempt that fails may be due to this box's path: the
-// box does not reach some upstream, or there is no other one to try.
+// box does not reach some upstream, the path is in doubt by this box's own observation, or there is no
+// other one to try.
 func (f *Fleet) pathsInDoubt(m *member) bool {
-	return m.service.upstreamCount == 1 || f.AnyUnreachable()
+	return m.service.upstreamCount == 1 || m.reports.doubted || f.AnyUnreachable()
 }
 
 // AnyUnreachable reports whether this box does not reach some upstream.
@@ -186,7 +187,8 @@
 // LacksPaths reports whether a failure of this box to reach an upstream of a service says nothing about
 // others: it reaches too few of the service, or none has answered since several became unreachable.
 func (f *Fleet) LacksPaths(name string) bool {
-	return f.serviceOf(name).needsTunnels() || f.pathFailures.count >= cutOffThreshold
+	s := f.serviceOf(name)
+	return s.needsTunnels() || s.pathFailures.count >= cutOffThreshold
 }
 
 // needsTunnels reports whether the upstreams that this box reaches itself are too few of a
--- a/relay/cutoff.go
+++ b/relay/cutoff.go
@@ -30,7 +30,7 @@
 	now := r.now()
 	silent := m.node.SilentDomains(now)
 	cutOff, reported, lost := r.updateCutOff(now, m.node.IsLeader(), m.node.UnreachableDomains(now))
-	r.logUnreachable(lost, m.node.LeaderName())
+	r.noteUnreachable(lost, m.node.LeaderName())
 	m.node.SetUnreachableDomains(cutOff)
 	for _, domain := range cutOff {
 		if !slices.Contains(m.cutOffDomains, domain) && (slices.Contains(reported, domain) || slices.Contains(silent, domain)) {
@@ -90,7 +90,7 @@
 	}
 	lost := r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
-	r.logUnreachable(lost, "")
+	r.noteUnreachable(lost, "")
 	if err != nil {
 		r.stats.count("probes_failed")
 		r.wakeProbeLoop()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -203,7 +203,7 @@
 	over, lost := r.fleet.PausesOver(), r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
 	r.logPausesEnded(over)
-	r.logUnreachable(lost, "")
+	r.noteUnreachable(lost, "")
 	wake(r.members.loadsChanged)
 	x.ticket = nil
 }
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -40,9 +40,10 @@
 	}
 }
 
-// logUnreachable logs the upstreams that have newly been marked unreachable; reporter is the box
-// whose report of a cut-off domain led to that, if no failed connection of this box did.
-func (r *Relay) logUnreachable(list []balance.UnreachableUpstream, reporter string) {
+// noteUnreachable logs the upstreams that have newly been marked unreachable, and verifies those that may be
+// as well; reporter is the box whose report of a cut-off domain led to that, if no failed connection of
+// this box did.
+func (r *Relay) noteUnreachable(list []balance.UnreachableUpstream, reporter string) {
 	for _, u := range list {
 		fields := Fields{"upstream": u.ID, "domain": u.Domain, "service": u.Service, "by_domain": u.ByDomain}
 		if u.ToVerify > 0 {
@@ -54,6 +55,7 @@
 			fields["told_by"] = reporter
 		}
 		r.cfg.Log.Event("upstream", "out of reach", fields)
+		r.samplePaths(u.Upstream, r.now()-balance.DialWait, u.ToSample)
 	}
 }
 
@@ -70,7 +72,7 @@
 	inc := u.Incarnation()
 	c, err := dial(ctx, u.Address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) && r.refusedByOthers(ctx, u) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !r.reachedByOther(ctx, u) {
 			r.noteEnd(inc)
 		}
 		r.closeRetriableRuns(inc)
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -470,7 +470,7 @@
 	r.fleet.NoteDial(r.now(), began, u.Incarnation(), dialOutcome(d.err))
 	lost := r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
-	r.logUnreachable(lost, "")
+	r.noteUnreachable(lost, "")
 	if d.err != nil {
 		r.conns.closeIdleDirect(u.ID)
 		r.wakeProbeLoop()
@@ -501,23 +501,22 @@
 	}
 }
 
-// refusedByOthers reports whether the host of an upstream, which refused a connection of this box,
-// refuses other boxes too. Otherwise this box's path refuses, and the upstream has not ended. It
-// reports true if no other box can tell.
-func (r *Relay) refusedByOthers(ctx context.Context, u balance.Upstream) bool {
+// reachedByOther reports whether another box is known to reach an upstream to which this box's connections
+// fail: then only the path of this box is gone.
+func (r *Relay) reachedByOther(ctx context.Context, u balance.Upstream) bool {
 	r.mu.Lock()
 	isReached, mayTry := r.fleet.TunnelReaches(u.Incarnation()), r.fleet.MayTryTunnel(r.now(), u.Incarnation())
 	r.mu.Unlock()
 	if isReached {
-		return false
+		return true
 	}
 	if !mayTry || !r.tunnels.havePeers() {
-		return true
+		return false
 	}
 	c, err := r.tunnels.open(ctx, u)
 	if err != nil {
-		return true
+		return false
 	}
 	_ = c.Close()
-	return false
+	return true
 }
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -194,7 +194,7 @@
 	r.fleet.NoteDial(r.now(), began, u.Incarnation(), balance.Unreachable)
 	lost := r.fleet.TakeNewlyUnreachable()
 	r.mu.Unlock()
-	r.logUnreachable(lost, "")
+	r.noteUnreachable(lost, "")
 	r.wakeProbeLoop()
 }
 
--- a/relay/verify.go
+++ b/relay/verify.go
@@ -3,8 +3,8 @@
 // This file defines how the box verifies upstreams that other boxes report unreachable, and how it
 // shares what it observes itself. The invariants: a request is not placed at a reported upstream
 // while another one is left, unless a connection attempt of this box succeeds first; and an
-// attempt runs only where a request needs it, one at a time for each upstream, so that a report
-// does not make all boxes connect at once.
+// attempt runs only where a request needs it, or for a few upstreams beside one that failed, one at a
+// time for each upstream, so that a report does not make all boxes connect at once.
 
 import (
 	"context"
@@ -104,13 +104,26 @@
 // startVerification starts the verification of an upstream, unless one is in progress. The
 // returned channel is closed at its end; nil means that none is needed.
 func (r *Relay) startVerification(u balance.Upstream) <-chan struct{} {
-	inc := u.Incarnation()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.startVerificationIf(u, r.fleet.BeginVerification)
+}
+
+// startSample starts the verification of an upstream that no request needs at present.
+func (r *Relay) startSample(u balance.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startVerificationIf(u, func(inc balance.Incarnation) bool { return r.fleet.BeginSample(r.now(), inc) })
+}
+
+// startVerificationIf is startVerification with the function that decides whether one is needed. The
+// caller holds mu.
+func (r *Relay) startVerificationIf(u balance.Upstream, begin func(balance.Incarnation) bool) <-chan struct{} {
+	inc := u.Incarnation()
 	if done := r.verifications[inc]; done != nil {
 		return done
 	}
-	if !r.fleet.BeginVerification(inc) {
+	if !begin(inc) {
 		return nil
 	}
 	done := make(chan struct{})
@@ -138,7 +151,7 @@
 	lost := r.fleet.TakeNewlyUnreachable()
 	r.wakeReady(u.Service)
 	r.mu.Unlock()
-	r.logUnreachable(lost, "")
+	r.noteUnreachable(lost, "")
 	fields := Fields{"upstream": u.ID, "born": u.StartedAt, "domain": u.Domain, "reached": err == nil, "took_ms": (r.now() - began).Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -92,7 +92,7 @@
 		if err == nil {
 			_ = c.Close()
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) && r.refusedByOthers(context.Background(), u) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !r.reachedByOther(context.Background(), u) {
 			r.noteEnd(inc)
 			wake(r.members.loadsChanged) // send this evidence to the other boxes at once
 		}
