Boxes that all lack paths ask each other one attempt at a time

What would happen: since boxes in doubt say nothing about upstreams, nothing bounded how often a box asks while all boxes lack their paths: four probes each half second and every request, six boxes each. Four attempts in a row without a decision, each after the other, now lead to one at a time, 250 ms apart at the least, until one succeeds; an upstream that a tunnel led to is tried all the same.

go test ./balance, and the tests of ./relay on tunnels, paths and cuts, pass.

--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -22,6 +22,11 @@
 	// maxTunnelFailures is how many upstreams in a row no other box may reach before tunnels are
 	// no longer expected to work for those that were not tried yet.
 	maxTunnelFailures = 2
+	// maxUndecided is how many attempts in a row, each after the other, may end with boxes that lack paths
+	// themselves or do not answer, before one attempt is made at a time, and undecidedBackoff the time from
+	// its end to the next. The boxes that are asked differ each time.
+	maxUndecided     = 4
+	undecidedBackoff = 250 * time.Millisecond
 )
 
 // tunnelState is what a box knows of the tunnels to an upstream.
@@ -34,12 +39,21 @@
 
 // tunnelTrend is what a box knows of tunnels to any upstream.
 type tunnelTrend struct {
-	work     bool          // the last ones were established
-	failures int           // upstreams in a row that no other box reached
-	failedAt time.Duration // if failures: when the last of them was counted
-	retryAt  time.Duration // from maxTunnelFailures on: when another upstream is tried
+	work      bool          // the last ones were established
+	failures  int           // upstreams in a row that no other box reached
+	undecided int           // attempts in a row that say nothing about the upstream
+	failedAt  time.Duration // when the last of either was counted; 0: none since one was established
+	retryAt   time.Duration // if isScarce: when another upstream is tried
 }
 
+// isScarce reports whether tunnels to upstreams that were not reached yet are tried one at a time.
+func (t *tunnelTrend) isScarce() bool {
+	return t.failures >= maxTunnelFailures || t.undecided >= maxUndecided
+}
+
+// overlaps reports whether an attempt was made beside one that was counted, so that it counts with it.
+func (t *tunnelTrend) overlaps(began time.Duration) bool { return began < t.failedAt }
+
 // ConnectDelay is the head start that a box's own attempt to connect to an upstream of a domain has
 // before other attempts follow.
 func (f *Fleet) ConnectDelay(domain string) time.Duration {
@@ -67,10 +81,10 @@
 	return m.tunnel.reached || f.TunnelWait(now) == 0
 }
 
-// BeginTunnel notes that other boxes are asked for a connection. Where they reached none of the last
-// upstreams, one attempt is made at a time.
+// BeginTunnel notes that other boxes are asked for a connection. Where they were of no help lately, one
+// attempt is made at a time.
 func (f *Fleet) BeginTunnel(now time.Duration) {
-	if f.tunnels.failures >= maxTunnelFailures && now >= f.tunnels.retryAt {
+	if f.tunnels.isScarce() && now >= f.tunnels.retryAt {
 		f.tunnels.retryAt = now + DialWait
 	}
 }
@@ -78,7 +92,7 @@
 // TunnelWait returns for how long no tunnel is tried to upstreams that none was established to; 0: one may be
 // tried now.
 func (f *Fleet) TunnelWait(now time.Duration) time.Duration {
-	if f.tunnels.failures < maxTunnelFailures {
+	if !f.tunnels.isScarce() {
 		return 0
 	}
 	return max(0, f.tunnels.retryAt-now)
@@ -134,7 +148,7 @@
 func (f *Fleet) noteTunnelFailure(now, began time.Duration, m *member) {
 	backoff := min(max(minTunnelBackoff, 2*m.tunnel.backoff), maxTunnelBackoff)
 	m.tunnel = tunnelState{failed: true, backoff: backoff, retryAt: now + backoff}
-	if f.tunnels.failures > 0 && began < f.tunnels.failedAt {
+	if f.tunnels.overlaps(began) {
 		return
 	}
 	f.tunnels.failures++
@@ -145,6 +159,20 @@
 	}
 }
 
+// NoteTunnelUndecided records that an attempt that began at the given time ended with boxes that lack paths
+// themselves or do not answer.
+func (f *Fleet) NoteTunnelUndecided(now, began time.Duration) {
+	t := &f.tunnels
+	if t.overlaps(began) {
+		return
+	}
+	t.undecided++
+	t.failedAt = now
+	if t.isScarce() {
+		t.retryAt = max(t.retryAt, now+undecidedBackoff)
+	}
+}
+
 // NoteDial records the result of a connection attempt to an upstream incarnation that was not made
 // for a single request, or not used by it. began is when it was made.
 func (f *Fleet) NoteDial(now, began time.Duration, l Incarnation, o Outcome) {
--- a/balance/tunnel_test.go
+++ b/balance/tunnel_test.go
@@ -436,3 +436,37 @@
 		})
 	}
 }
+
+// Where all boxes lack paths, each would ask six others for every request and probe.
+func TestBoxesThatAllLackPathsAskEachOtherOneAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	for i := range 12 {
+		loseUpstreams(f, 0, fmt.Sprint("u", i))
+	}
+	attempts, busyUntil := 0, time.Duration(0)
+	for now := time.Second; now < 61*time.Second; now += 10 * time.Millisecond {
+		_, mayTry := f.TunnelDelay(now, Incarnation{ID: fmt.Sprint("u", attempts%12)})
+		if !mayTry || now < busyUntil {
+			continue
+		}
+		attempts++
+		f.BeginTunnel(now)
+		busyUntil = now + 10*time.Millisecond
+		f.NoteTunnelUndecided(now+5*time.Millisecond, now)
+	}
+	t.Logf("%d attempts in 60 s", attempts)
+	is.True(attempts <= maxUndecided+1+int(60*time.Second/undecidedBackoff))
+	f.NoteTunnel(61*time.Second, Incarnation{ID: "u0"}, true)
+	is.Equal(f.TunnelWait(61*time.Second), time.Duration(0))
+}
+
+// Attempts beside each other that say nothing about upstreams count once.
+func TestUndecidedTunnelAttemptsBesideEachOtherCountOnce(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(12)
+	for i := range 3 * maxUndecided {
+		f.NoteTunnelUndecided(time.Second+DialWait, time.Second+time.Duration(i)*time.Millisecond)
+	}
+	is.Equal(f.TunnelWait(2*time.Second), time.Duration(0))
+}
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -223,6 +223,8 @@
 		r.fleet.NoteTunnel(r.now(), u.Incarnation(), true)
 	case slices.ContainsFunc(a.failed, func(res tunnelResult) bool { return res.isConclusive() }):
 		r.fleet.NoteTunnelFailure(r.now(), a.beganAt, u.Incarnation())
+	default:
+		r.fleet.NoteTunnelUndecided(r.now(), a.beganAt)
 	}
 	wait := r.fleet.TunnelWait(r.now())
 	r.mu.Unlock()
