--- a/relay/doc.go
+++ b/relay/doc.go
@@ -11,8 +11,9 @@
 //   - a request from its admission (arrival.go, documentwait.go) to its end (exchange.go), with its retries
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
 //   - responses: response.go, body.go, events.go, stream.go, pace.go, and moving a stream between upstreams: move.go
-//   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, limit.go, notices.go, withhold.go, content.go, cutoff.go, verify.go
-//   - connections to upstreams through other boxes: tunnel.go, tunnelframe.go, and for other boxes tunnelserver.go
+//   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, unacked.go, limit.go,
+//     notices.go, withhold.go, content.go, cutoff.go, verify.go
+//   - connections to upstreams through other boxes: tunnel.go, tunnelattempt.go, tunnelframe.go, and for other boxes tunnelserver.go
 //   - where a stream began (origin.go), how its caller takes it up (takeup.go), the records of other boxes (origins.go,
 //     originlookup.go), and what a connection leads to (proof.go)
 //   - what the box knows of documents and upstreams: published.go, update.go, reader.go
