Paths that are lost one by one cut off no failure domain

There a third of the upstreams goes dark under overload.

Cause: boxes look at paths of unacknowledged requests sooner than before, many at a time, and each that was lost counted towards its domain: two in a row with no answer of the domain in between, which is slow to answer under overload, took away all of it, and leaders told their members. In 4 s 5,390 upstreams were left with their domain, 191 before (no processor time, logs).

Now a path that is looked at takes away its upstream alone, as a verification does; where all that failed are of one domain, its other upstreams are verified before their next request. Attempts of requests still count for the domain. TestLostPathsCutOffNoDomain fails without it.

--- a/balance/doubt.go
+++ b/balance/doubt.go
@@ -41,8 +41,8 @@
 }
 
 // doubtPaths counts an upstream that has become unreachable, the last of newlyUnreachable. It puts all
-// paths of this box in doubt, or those to the upstream's service, if others failed just before; if not,
-// some paths to the service are to be verified at once.
+// paths of this box in doubt, or those to the upstream's service, if others failed just before, or those
+// to its domain if all of them are there; if not, some paths to the service are to be verified at once.
 func (f *Fleet) doubtPaths(now time.Duration, m *member) {
 	s, entry := m.service, &f.newlyUnreachable[len(f.newlyUnreachable)-1]
 	all := f.pathFailures.add(now, m.Domain, f.hasOtherDomain(m.Domain))
@@ -55,11 +55,25 @@
 		}
 	case own:
 		entry.ToVerify = f.doubtService(now, s.pathFailures.first, m.Service)
+	case s.pathFailures.count >= cutOffThreshold:
+		entry.ToVerify = f.doubtDomain(now, s.pathFailures.first, m)
 	default:
 		entry.ToSample = f.samplePaths(now, s.pathFailures.first, m)
 	}
 }
 
+// doubtDomain puts the paths to the upstreams of a service in the domain of one that failed in doubt that
+// have not answered since a time, and returns how many these are.
+func (f *Fleet) doubtDomain(now, since time.Duration, failed *member) int {
+	count := 0
+	for _, m := range f.byService[failed.Service] {
+		if m.Domain == failed.Domain {
+			count += f.doubtPath(now, since, m)
+		}
+	}
+	return count
+}
+
 // doubtService puts the paths to all upstreams of a service in doubt that have not answered since a time,
 // and returns how many these are.
 func (f *Fleet) doubtService(now, since time.Duration, name string) int {
--- a/balance/doubt_test.go
+++ b/balance/doubt_test.go
@@ -153,3 +153,18 @@
 	loseUpstreams(f, time.Second, "u1", "u2")
 	is.True(!needsVerification(f, "u3"))
 }
+
+// When a third of the upstreams went dark, boxes that looked at the paths of several requests took whole
+// domains for cut off: 5,390 upstreams in 4 s, 191 before paths were looked at sooner.
+func TestLostPathsCutOffNoDomain(t *testing.T) {
+	is := is.New(t)
+	const now = 10 * time.Second
+	f := newTestFleet(12)
+	for _, id := range []string{"u1", "u4", "u7"} { // all of one domain
+		f.NoteDial(now, now-DialWait, Incarnation{ID: id}, Unreachable)
+	}
+	is.Equal(f.CutOffDomains(), nil)
+	is.Equal(len(f.Unreachable()), 3)
+	is.True(needsVerification(f, "u10")) // the last one there
+	is.True(!needsVerification(f, "u3"))
+}
--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -174,7 +174,8 @@
 }
 
 // NoteDial records the result of a connection attempt to an upstream incarnation that was not made
-// for a single request, or not used by it. began is when it was made.
+// for a single request, or not used by it. began is when it was made. An attempt that fails takes away the
+// one upstream; its domain is not counted as failing, since boxes look at many paths at the same time.
 func (f *Fleet) NoteDial(now, began time.Duration, l Incarnation, o Outcome) {
 	m := f.byID[l.ID]
 	switch {
@@ -182,9 +183,10 @@
 	case o == Answered:
 		f.recordReachable(now, m)
 	case m.unreachable || m.reports.answeredAt > began:
-	case o == Unreachable:
+	case o == Unreachable && f.isListed(m):
 		f.reportLost(now, m, began)
-		f.recordUnreachable(now, m)
+		f.lose(m, false, m.ID)
+		f.doubtPaths(now, m)
 	case o == ConnectionRefused:
 		f.recordUnreachable(now, m)
 	}
