Logs of runs that were cut off name route, customer and prompt parts

Hypothesis: the lines cannot tell a shared part from a customer or a route as the cause of crashes. Change: fields route, customer and parts (hexadecimal, without the last).

--- a/relay/content.go
+++ b/relay/content.go
@@ -8,9 +8,13 @@
 	"strconv"
 	"strings"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/internal/content"
 )
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
 // requestHash is a hash of the request's method, host, path with query, customer and body. It
 // is called by the exchange's own goroutine, or by others while they hold the relay's mu and
 // the request has a run.
@@ -34,3 +38,16 @@
 
 // formatContentHash formats a content hash as it appears in logs.
 func formatContentHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
+// formatParts formats the IDs of the parts of a prompt that other prompts may share as they
+// appear in logs.
+func formatParts(parts []balance.Part) string {
+	if len(parts) < 2 {
+		return ""
+	}
+	var ids []string
+	for _, p := range parts[:min(len(parts)-1, maxLoggedParts)] {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(ids, " ")
+}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -172,7 +172,8 @@
 		fields["error"] = err.Error()
 	}
 	if outcome == balance.ConnectionLost {
-		fields["content"] = formatContentHash(x.requestHash())
+		fields["content"], fields["parts"] = formatContentHash(x.requestHash()), formatParts(x.request.prompt.Parts)
+		fields["route"], fields["customer"] = x.route.Name, x.customerName()
 	}
 	r.cfg.Log.Event("run", "failed", fields)
 	r.stats.count("runs_" + runNames[state])
