--- a/relay/withhold_test.go
+++ b/relay/withhold_test.go
@@ -35,6 +35,10 @@
 	t testing.TB
 	b *testBox
 
+	// crash reports whether an upstream crashes under a request, after it has written what it
+	// writes of the answer.
+	crash func(c net.Conn, r stubRequest) bool
+
 	mu      sync.Mutex
 	ended   int
 	started int
@@ -44,7 +48,8 @@
 }
 
 func newCrashingUpstreams(t testing.TB) *crashingUpstreams {
-	return &crashingUpstreams{t: t, open: make(map[*stub][]net.Conn), began: make(chan struct{}, 1)}
+	crash := func(_ net.Conn, r stubRequest) bool { return r.body == fatalBody }
+	return &crashingUpstreams{t: t, crash: crash, open: make(map[*stub][]net.Conn), began: make(chan struct{}, 1)}
 }
 
 // start starts an upstream.
@@ -67,7 +72,7 @@
 			_, _ = c.Read(make([]byte, 1)) // until the box closes the connection
 			return false
 		}
-		if r.body == fatalBody {
+		if m.crash(c, r) {
 			m.end(s)
 			return false
 		}
