--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -1,41 +1,30 @@
 package balance
 
-// This file identifies requests that make upstreams crash. Such a request may crash each upstream
-// that begins to run it, and be retried under another id at any box, so it is identified by its
-// content. The invariants: a content during which withholdThreshold upstreams have crashed is
-// withheld, whichever boxes observed it; a content that was answered in full since is not; and an
-// upstream that answers has not crashed, so the runs that were cut off there before count against
-// no content.
-//
-// Without this, 46 upstreams crashed under one request, each time with the loss of everything
-// else that they ran.
+// This file defines the evidence of what makes upstreams crash. A request may crash each upstream
+// that begins to run it and be retried under another id at any box, or requests that differ in
+// all else may share the part of the prompt that does. So a crash is recorded for each subject of
+// the runs that it cut off: their contents, and the parts of their prompts. The invariants: the
+// crashes recorded for a subject are those since a run with it was last answered in full,
+// whichever boxes observed them; and an upstream that answers has not crashed, so the runs that
+// were cut off there before count against nothing. verdict.go decides what is withheld.
 
 import (
 	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// withholdThreshold is the number of upstreams that crash under a content before it is
-	// withheld. A single crash may coincide with any request; two in a row with the same content
-	// are rarely a coincidence.
-	withholdThreshold = 2
-	// withholdBase is how long a content is withheld after the first withholdThreshold crashes;
-	// it doubles with each further one. After that the content may run again, and crashes one
-	// more upstream at worst: the crashes may have had another cause, or the fault may have been
-	// fixed.
-	withholdBase = 5 * time.Minute
-	// maxWithhold bounds that time, and suspectRetention is how long a content is remembered
-	// since an upstream last crashed under it.
-	maxWithhold      = time.Hour
+	// suspectRetention is how long a subject is remembered since an upstream last crashed under it.
 	suspectRetention = 2 * maxWithhold
-	// maxSuspects bounds the contents that are remembered; with eight incarnations each, they
-	// take about 400 KB.
+	// maxSuspects bounds the subjects that are remembered; with all their incarnations, they take
+	// about 800 KB.
 	maxSuspects = 1 << 11
-	// incarnationsPerContent bounds the incarnations that are remembered per content.
-	incarnationsPerContent = 8
+	// incarnationsPerSubject bounds the incarnations that are remembered per subject.
+	incarnationsPerSubject = 16
 	// lostRunWindow is how long after a run was cut off its upstream may be found to have
 	// crashed, and maxLostRuns bounds the runs for which this is open.
 	lostRunWindow = 10 * time.Second
@@ -43,76 +32,146 @@
 	// crashRetention is how long a crash is remembered: further cut-off runs may be reported
 	// later than the first.
 	crashRetention = time.Minute
+	// maxPartsPerRequest bounds the parts of a request that count as subjects.
+	maxPartsPerRequest = 64
 )
 
-// suspect is what is known about a content.
+// Subject is what requests may have in common that makes upstreams crash: their whole content, or
+// one part of their prompts at one service. Other services run other software, so their answers
+// prove nothing.
+type Subject struct {
+	Hash    uint64 // hash of the content, or ID of the part
+	Service uint32 // hash of the part's service; 0: the subject is a content
+}
+
+// ContentSubject returns the subject of all requests with a content.
+func ContentSubject(hash uint64) Subject { return Subject{Hash: hash} }
+
+// ServiceKey identifies a service in subjects; it is never 0.
+func ServiceKey(service string) uint32 { return max(uint32(xxhash.Sum64String(service)), 1) }
+
+// PartSubjects returns the subjects of the parts of a prompt that other prompts may share.
+func PartSubjects(service string, parts []Part) []Subject {
+	if len(parts) < 2 {
+		return nil
+	}
+	shared := parts[:min(len(parts)-1, maxPartsPerRequest)]
+	key := ServiceKey(service)
+	list := make([]Subject, len(shared))
+	for i, p := range shared {
+		list[i] = Subject{p.ID, key}
+	}
+	return list
+}
+
+// IsPart reports whether the subject is a part of prompts.
+func (j Subject) IsPart() bool { return j.Service != 0 }
+
+func compareSubjects(a, b Subject) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Hash, b.Hash))
+}
+
+// crash is a crash of an upstream that cut off a run of a subject.
+type crash struct {
+	incarnation  uint32
+	began, ended time.Duration // of the run
+}
+
+// suspect is what is known about a subject.
 type suspect struct {
-	crashed []uint32 // sorted incarnation keys
-	round   uint32
-	at      time.Duration // time of the last crash, or when the content was answered
+	crashes  []crash // sorted by incarnation
+	round    uint32
+	at       time.Duration // time of the last crash, or when the subject was answered
+	wasSound bool          // a run of it was answered at some box
+	soundAt  time.Duration // about when that was last
+}
+
+// LostRun is a run that was cut off at an upstream which may have crashed.
+type LostRun struct {
+	Subjects    []Subject
+	Incarnation Incarnation
+	Began       time.Duration // when it was sent
+	LooksWhole  bool          // its answer ended with the connection, and may be complete
 }
 
-// lostRun is a run that was cut off at an upstream which may have crashed.
 type lostRun struct {
-	content     uint64
+	subjects    []Subject
 	incarnation uint32
-	at          time.Duration
+	began, at   time.Duration
 }
 
-// Suspects holds the contents under which upstreams have crashed, as one box knows them. The zero
+// Suspects holds the subjects under which upstreams have crashed, as one box knows them. The zero
 // value is empty. It is not safe for concurrent use.
 type Suspects struct {
-	contents map[uint64]*suspect
+	Box   uint64 // hash of the box's name
+	Boxes int    // boxes that share the evidence; they retry withheld subjects one after another
+
+	subjects map[Subject]*suspect
 	lostRuns []lostRun
+	whole    []lostRun                // with answers that look whole, until their upstreams answer again
 	crashed  map[uint32]time.Duration // crashed incarnations, and when this box found out
 	reported map[uint32]time.Duration // crashed incarnations reported by other boxes, and when
-	pending  map[uint64]struct{}      // contents to report to other boxes
+	pending  map[Subject]struct{}     // subjects to report to other boxes
+	sound    soundParts
+	verdicts verdicts
 }
 
 // Any reports whether anything is recorded; if not, callers need not compute the hash of a
 // request's content.
-func (s *Suspects) Any() bool { return len(s.contents) > 0 || len(s.lostRuns) > 0 }
+func (s *Suspects) Any() bool { return len(s.subjects) > 0 || len(s.lostRuns) > 0 }
 
 // Forget drops expired entries.
 func (s *Suspects) Forget(now time.Duration) {
-	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return now-c.at >= lostRunWindow })
+	isOver := func(c lostRun) bool { return now-c.at >= lostRunWindow }
+	s.lostRuns, s.whole = slices.DeleteFunc(s.lostRuns, isOver), slices.DeleteFunc(s.whole, isOver)
 	maps.DeleteFunc(s.crashed, func(_ uint32, at time.Duration) bool { return now-at >= crashRetention })
 	maps.DeleteFunc(s.reported, func(_ uint32, at time.Duration) bool { return now-at >= suspectRetention })
-	maps.DeleteFunc(s.contents, func(_ uint64, x *suspect) bool { return now-x.at >= suspectRetention })
+	before := len(s.subjects)
+	maps.DeleteFunc(s.subjects, func(_ Subject, x *suspect) bool { return now-x.at >= suspectRetention })
+	if len(s.subjects) != before || len(s.verdicts.list) > 0 {
+		s.verdicts.invalidate()
+	}
 }
 
-// NoteConnectionLost records that an upstream closed or reset the connection during a run of a
-// content. It reports whether the content becomes withheld, which happens if the upstream is
-// already known to have crashed.
-func (s *Suspects) NoteConnectionLost(now time.Duration, content uint64, l Incarnation) (withheld bool) {
-	incarnation := l.Key()
-	if at, isOver := s.crashed[incarnation]; isOver && now-at < crashRetention {
-		return s.addCrash(now, content, incarnation)
+// NoteConnectionLost records that an upstream closed or reset the connection during a run.
+func (s *Suspects) NoteConnectionLost(now time.Duration, run LostRun) {
+	c := lostRun{run.Subjects, run.Incarnation.Key(), run.Began, now}
+	if at, isOver := s.crashed[c.incarnation]; isOver && now-at < crashRetention {
+		s.addCrashes(now, c)
+		return
 	}
-	if len(s.lostRuns) >= maxLostRuns && now-s.lostRuns[0].at >= lostRunWindow {
+	list := &s.lostRuns
+	if run.LooksWhole {
+		list = &s.whole
+	}
+	if len(*list) >= maxLostRuns && now-(*list)[0].at >= lostRunWindow {
 		s.Forget(now)
 	}
-	if len(s.lostRuns) < maxLostRuns {
-		s.lostRuns = append(s.lostRuns, lostRun{content, incarnation, now})
+	if len(*list) < maxLostRuns {
+		*list = append(*list, c)
 	}
-	return false
 }
 
-// Ended records that an upstream has ended without planning or announcing it. It returns the
-// contents whose runs were cut off there and that become withheld, and whether the end was not
-// known before.
-func (s *Suspects) Ended(now time.Duration, l Incarnation) (withheld []uint64, isNew bool) {
+// Ended records that an upstream has ended without planning or announcing it. It reports whether
+// the end was not known before.
+func (s *Suspects) Ended(now time.Duration, l Incarnation) (isNew bool) {
 	incarnation := l.Key()
 	at, isOver := s.crashed[incarnation]
 	isNew = !isOver || now-at >= crashRetention
 	recordEnd(&s.crashed, incarnation, now)
-	for _, c := range s.lostRuns {
-		if c.incarnation == incarnation && now-c.at < lostRunWindow && s.addCrash(now, c.content, incarnation) {
-			withheld = append(withheld, c.content)
+	var cut []lostRun
+	take := func(c lostRun) bool {
+		if c.incarnation == incarnation && now-c.at < lostRunWindow {
+			cut = append(cut, c)
 		}
+		return c.incarnation == incarnation
+	}
+	s.lostRuns, s.whole = slices.DeleteFunc(s.lostRuns, take), slices.DeleteFunc(s.whole, take)
+	slices.SortStableFunc(cut, func(a, b lostRun) int { return cmp.Compare(b.began, a.began) }) // the last run is the likeliest cause
+	for _, c := range cut {
+		s.addCrashes(now, c)
 	}
-	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return c.incarnation == incarnation })
-	return withheld, isNew
+	return isNew
 }
 
 // recordEnd records in ends when an upstream incarnation was found, or reported, to have crashed.
@@ -123,92 +182,133 @@
 	(*ends)[incarnation] = now
 }
 
-// addCrash counts the crash of an upstream against a content, and reports whether the content
-// becomes withheld.
-func (s *Suspects) addCrash(now time.Duration, content uint64, incarnation uint32) bool {
-	before := s.Left(now, content)
-	x := s.ensure(now, content)
-	if !x.add(incarnation) && !x.full() {
-		return false // already known
+// addCrashes counts the crash of an upstream against the subjects of a run that it cut off.
+func (s *Suspects) addCrashes(now time.Duration, c lostRun) {
+	for _, j := range c.subjects {
+		x := s.ensure(now, j)
+		if !x.add(crash{c.incarnation, c.began, c.at}) && !x.full() {
+			continue // already known
+		}
+		x.at = now
+		s.noteChange(j)
+		s.reportSoundness(now, j, x)
 	}
-	x.at = now
-	s.queueReport(content)
-	return before == 0 && s.Left(now, content) > 0
 }
 
-// ensure returns the record of a content and creates it if needed.
-func (s *Suspects) ensure(now time.Duration, content uint64) *suspect {
-	x := s.contents[content]
+// noteChange records that the entry of a subject has changed.
+func (s *Suspects) noteChange(j Subject) {
+	s.verdicts.invalidate()
+	s.queueReport(j)
+}
+
+// ensure returns the record of a subject and creates it if needed.
+func (s *Suspects) ensure(now time.Duration, j Subject) *suspect {
+	x := s.subjects[j]
 	if x == nil {
 		s.makeRoom(now)
-		if s.contents == nil {
-			s.contents = make(map[uint64]*suspect)
+		if s.subjects == nil {
+			s.subjects = make(map[Subject]*suspect)
 		}
 		x = &suspect{at: now}
-		s.contents[content] = x
+		s.subjects[j] = x
 	}
 	return x
 }
 
-// add adds an incarnation and reports whether it is new. If there are too many, those with the
-// lowest keys are kept, so that boxes converge whatever the order of their reports.
-func (x *suspect) add(incarnation uint32) bool {
-	i, known := slices.BinarySearch(x.crashed, incarnation)
-	if known || i >= incarnationsPerContent {
+// add adds a crash and reports whether its incarnation is new. If there are too many, those with
+// the lowest keys are kept, so that boxes converge whatever the order of their reports.
+func (x *suspect) add(c crash) bool {
+	i, known := x.find(c.incarnation)
+	if known || i >= incarnationsPerSubject {
 		return false
 	}
-	x.crashed = slices.Insert(x.crashed, i, incarnation)
-	x.crashed = x.crashed[:min(len(x.crashed), incarnationsPerContent)]
+	x.crashes = slices.Insert(x.crashes, i, c)
+	x.crashes = x.crashes[:min(len(x.crashes), incarnationsPerSubject)]
 	return true
 }
 
+func (x *suspect) find(incarnation uint32) (int, bool) {
+	return slices.BinarySearchFunc(x.crashes, incarnation, func(c crash, key uint32) int { return cmp.Compare(c.incarnation, key) })
+}
+
 // full reports whether more incarnations may have crashed than are remembered.
-func (x *suspect) full() bool { return len(x.crashed) == incarnationsPerContent }
+func (x *suspect) full() bool { return len(x.crashes) == incarnationsPerSubject }
 
-// makeRoom drops expired entries and, if that is not enough, a quarter of the contents: those
+// mayHold reports whether an incarnation has crashed under the subject, as far as is remembered.
+func (x *suspect) mayHold(incarnation uint32) bool {
+	i, known := x.find(incarnation)
+	return known || x.full() && i == incarnationsPerSubject
+}
+
+// makeRoom drops expired entries and, if that is not enough, a quarter of the subjects: those
 // with the fewest crashes, and of these the oldest.
 func (s *Suspects) makeRoom(now time.Duration) {
-	if len(s.contents) < maxSuspects {
+	if len(s.subjects) < maxSuspects {
 		return
 	}
 	s.Forget(now)
-	if len(s.contents) < maxSuspects {
+	if len(s.subjects) < maxSuspects {
 		return
 	}
-	list := slices.SortedFunc(maps.Keys(s.contents), func(a, b uint64) int {
-		x, y := s.contents[a], s.contents[b]
-		return cmp.Or(cmp.Compare(len(x.crashed), len(y.crashed)), cmp.Compare(x.at, y.at), cmp.Compare(a, b))
+	list := slices.SortedFunc(maps.Keys(s.subjects), func(a, b Subject) int {
+		x, y := s.subjects[a], s.subjects[b]
+		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), cmp.Compare(x.at, y.at), compareSubjects(a, b))
 	})
-	for _, content := range list[:maxSuspects/4] { // a batch, since thousands of contents arrive when a whole domain ends
-		delete(s.contents, content)
+	for _, j := range list[:maxSuspects/4] { // a batch, since thousands of subjects arrive when a whole domain ends
+		delete(s.subjects, j)
 	}
+	s.verdicts.invalidate()
 }
 
-// Answered records that a content was answered in full, so that it does not crash upstreams.
-func (s *Suspects) Answered(now time.Duration, content uint64) {
-	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return c.content == content })
-	if x := s.contents[content]; x != nil && len(x.crashed) > 0 {
-		x.crashed, x.at = nil, now
-		x.round++
-		s.queueReport(content)
+// Answered records that a run of some subjects was answered in full, so that none of them crashes
+// upstreams.
+func (s *Suspects) Answered(now time.Duration, subjects ...Subject) {
+	s.sound.note(now, subjects)
+	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return isContentOf(c.subjects, subjects) })
+	for _, j := range subjects {
+		if x := s.subjects[j]; x != nil && len(x.crashes) > 0 {
+			x.crashes, x.at, x.wasSound, x.soundAt = nil, now, true, now
+			x.round++
+			s.noteChange(j)
+		}
 	}
 }
 
+// isContentOf reports whether some subjects include the content of another run.
+func isContentOf(run, subjects []Subject) bool {
+	return slices.ContainsFunc(run, func(j Subject) bool { return !j.IsPart() && slices.Contains(subjects, j) })
+}
+
+// Survived records that a run of some subjects has been answering for long. That is less than a
+// complete answer: only what was never answered is suspected before them.
+func (s *Suspects) Survived(now time.Duration, subjects ...Subject) { s.sound.note(now, subjects) }
+
 // Alive records that an upstream has answered a run that began at the given time. If it was
 // thought to have crashed before that, it had not.
-func (s *Suspects) Alive(l Incarnation, began time.Duration) {
+func (s *Suspects) Alive(now time.Duration, l Incarnation, began time.Duration) {
 	incarnation := l.Key()
-	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return c.incarnation == incarnation && c.at < began })
+	isBefore := func(c lostRun) bool { return c.incarnation == incarnation && c.at < began }
+	s.lostRuns = slices.DeleteFunc(s.lostRuns, isBefore)
+	var whole []lostRun
+	s.whole = slices.DeleteFunc(s.whole, func(c lostRun) bool {
+		if isBefore(c) {
+			whole = append(whole, c)
+		}
+		return isBefore(c)
+	})
+	for _, c := range whole {
+		s.Answered(now, c.subjects...)
+	}
 	if !s.crashedBefore(incarnation, began) {
 		return
 	}
 	delete(s.crashed, incarnation)
 	delete(s.reported, incarnation)
-	for content, x := range s.contents {
-		if i, held := slices.BinarySearch(x.crashed, incarnation); held {
-			x.crashed = slices.Delete(x.crashed, i, i+1)
+	for j, x := range s.subjects {
+		if i, held := x.find(incarnation); held {
+			x.crashes = slices.Delete(x.crashes, i, i+1)
 			x.round++
-			s.queueReport(content)
+			s.noteChange(j)
 		}
 	}
 }
@@ -221,34 +321,35 @@
 	return (isFound || isReported) && (!isFound || found < moment) && (!isReported || reported < moment)
 }
 
-// Suspected reports whether an upstream has crashed under a content.
-func (s *Suspects) Suspected(content uint64) bool {
-	x := s.contents[content]
-	return x != nil && len(x.crashed) > 0
+// Suspected reports whether an upstream has crashed under one of some subjects, and no verdict on
+// another explains that. A part of which runs were answered lately does not count: it is in most
+// runs that crashes cut off.
+func (s *Suspects) Suspected(now time.Duration, subjects ...Subject) bool {
+	return s.maxCrashes(now, subjects) > 0
 }
 
-// Left returns how much longer a content is withheld; 0: it may run.
-func (s *Suspects) Left(now time.Duration, content uint64) time.Duration {
-	if x := s.contents[content]; x != nil {
-		return max(0, x.at+x.withheldFor()-now)
-	}
-	return 0
+// MayRepeat reports whether a run that was cut off may be repeated at another upstream: not if
+// several have crashed under one of its subjects and nothing else explains that.
+func (s *Suspects) MayRepeat(now time.Duration, subjects ...Subject) bool {
+	return s.maxCrashes(now, subjects) < withholdThreshold
 }
 
-// withheldFor returns how long a content is withheld after the last crash.
-func (x *suspect) withheldFor() time.Duration {
-	extra := len(x.crashed) - withholdThreshold
-	if extra < 0 {
-		return 0
+// maxCrashes returns the most crashes recorded for one of some subjects that counts as suspected.
+func (s *Suspects) maxCrashes(now time.Duration, subjects []Subject) int {
+	most := 0
+	for _, j := range subjects {
+		if x := s.subjects[j]; x != nil && !(j.IsPart() && s.isKnownSound(now, j, x)) {
+			most = max(most, s.unexplained(now, j, x))
+		}
 	}
-	return min(withholdBase<<extra, maxWithhold)
+	return most
 }
 
-// Count returns the number of upstreams known to have crashed under a content, at most
-// incarnationsPerContent.
-func (s *Suspects) Count(content uint64) int {
-	if x := s.contents[content]; x != nil {
-		return len(x.crashed)
+// Count returns the number of upstreams known to have crashed under a subject, at most
+// incarnationsPerSubject.
+func (s *Suspects) Count(j Subject) int {
+	if x := s.subjects[j]; x != nil {
+		return len(x.crashes)
 	}
 	return 0
 }
--- a/balance/suspects_test.go
+++ b/balance/suspects_test.go
@@ -13,14 +13,23 @@
 func incarnationOf(n int) Incarnation { return Incarnation{ID: fmt.Sprint("u", n), StartedAt: 1} }
 
 // crashDuring records that an upstream crashed during runs of contents.
-func crashDuring(s *Suspects, now time.Duration, n int, contents ...uint64) []uint64 {
+func crashDuring(s *Suspects, now time.Duration, n int, contents ...uint64) (withheld []uint64) {
 	for _, c := range contents {
-		s.NoteConnectionLost(now, c, incarnationOf(n))
+		s.NoteConnectionLost(now, lostRunOf(now, n, ContentSubject(c)))
+	}
+	s.Ended(now+time.Millisecond, incarnationOf(n))
+	verdicts, _ := s.TakeVerdicts(now + time.Millisecond)
+	for _, v := range verdicts {
+		withheld = append(withheld, v.Subjects[0].Hash)
 	}
-	withheld, _ := s.Ended(now+time.Millisecond, incarnationOf(n))
 	return withheld
 }
 
+// lostRunOf is a run of some subjects that was cut off at the upstream with the given number.
+func lostRunOf(began time.Duration, n int, subjects ...Subject) LostRun {
+	return LostRun{Subjects: subjects, Incarnation: incarnationOf(n), Began: began}
+}
+
 func TestWithheldContents(t *testing.T) {
 	const content, other = 7, 8
 	for _, test := range []struct {
@@ -48,46 +57,46 @@
 			crashDuring(s, 0, 2, other)
 		}, 0},
 		{"cut off, but the upstreams are alive", func(s *Suspects) {
-			s.NoteConnectionLost(0, content, incarnationOf(1))
-			s.NoteConnectionLost(0, content, incarnationOf(2))
+			s.NoteConnectionLost(0, lostRunOf(0, 1, ContentSubject(content)))
+			s.NoteConnectionLost(0, lostRunOf(0, 2, ContentSubject(content)))
 		}, 0},
 		{"cut-off runs found after the crashes", func(s *Suspects) {
 			s.Ended(0, incarnationOf(1))
 			s.Ended(0, incarnationOf(2))
-			s.NoteConnectionLost(9*time.Second, content, incarnationOf(1))
-			s.NoteConnectionLost(9*time.Second, content, incarnationOf(2))
+			s.NoteConnectionLost(9*time.Second, lostRunOf(9*time.Second, 1, ContentSubject(content)))
+			s.NoteConnectionLost(9*time.Second, lostRunOf(9*time.Second, 2, ContentSubject(content)))
 		}, withholdBase - time.Second},
 		{"cut off long before the crashes", func(s *Suspects) {
-			s.NoteConnectionLost(-20*time.Second, content, incarnationOf(1))
-			s.NoteConnectionLost(-20*time.Second, content, incarnationOf(2))
+			s.NoteConnectionLost(-20*time.Second, lostRunOf(-20*time.Second, 1, ContentSubject(content)))
+			s.NoteConnectionLost(-20*time.Second, lostRunOf(-20*time.Second, 2, ContentSubject(content)))
 			s.Ended(0, incarnationOf(1))
 			s.Ended(0, incarnationOf(2))
 		}, 0},
 		{"answered in full between", func(s *Suspects) {
 			crashDuring(s, 0, 1, content)
-			s.Answered(time.Second, content)
+			s.Answered(time.Second, ContentSubject(content))
 			crashDuring(s, 2*time.Second, 2, content)
 		}, 0},
 		{"answered in full after", func(s *Suspects) {
 			crashDuring(s, 0, 1, content)
 			crashDuring(s, 0, 2, content)
-			s.Answered(time.Second, content)
+			s.Answered(time.Second, ContentSubject(content))
 		}, 0},
 		{"one of them answers later: it had not crashed", func(s *Suspects) {
 			crashDuring(s, 0, 1, content)
 			crashDuring(s, 0, 2, content)
-			s.Alive(incarnationOf(2), time.Second)
+			s.Alive(9*time.Second, incarnationOf(2), time.Second)
 		}, 0},
 		{"one of them answers a run that began before", func(s *Suspects) {
 			crashDuring(s, 9*time.Second, 1, content)
 			crashDuring(s, 9*time.Second, 2, content)
-			s.Alive(incarnationOf(2), time.Second)
+			s.Alive(9*time.Second, incarnationOf(2), time.Second)
 		}, withholdBase - 999*time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := new(Suspects)
 			test.do(s)
-			is.New(t).Equal(s.Left(10*time.Second, content), test.left)
+			is.New(t).Equal(s.Left(10*time.Second, ContentSubject(content)), test.left)
 		})
 	}
 }
@@ -101,14 +110,14 @@
 	crashDuring(a, 0, 1, content)
 	crashDuring(a, 0, 2, content)
 	b.Merge(time.Second, a.TakeNews(time.Second))
-	is.True(b.Left(time.Second, content) > 0)
-	b.Alive(incarnationOf(1), 900*time.Millisecond) // a run that began before the report proves nothing
-	is.True(b.Left(time.Second, content) > 0)
-	b.Alive(incarnationOf(1), 1100*time.Millisecond)
-	is.Equal(b.Left(2*time.Second, content), time.Duration(0))
+	is.True(b.Left(time.Second, ContentSubject(content)) > 0)
+	b.Alive(time.Second, incarnationOf(1), 900*time.Millisecond) // a run that began before the report proves nothing
+	is.True(b.Left(time.Second, ContentSubject(content)) > 0)
+	b.Alive(1200*time.Millisecond, incarnationOf(1), 1100*time.Millisecond)
+	is.Equal(b.Left(2*time.Second, ContentSubject(content)), time.Duration(0))
 	a.Merge(2*time.Second, b.TakeNews(2*time.Second))
-	is.Equal(a.Left(2*time.Second, content), time.Duration(0))
-	is.Equal(a.Count(content), 1)
+	is.Equal(a.Left(2*time.Second, ContentSubject(content)), time.Duration(0))
+	is.Equal(a.Count(ContentSubject(content)), 1)
 }
 
 func TestWithholdTimeDoubles(t *testing.T) {
@@ -117,14 +126,14 @@
 	is.Equal(len(crashDuring(s, 0, 1, 7)), 0)
 	is.Equal(crashDuring(s, 0, 2, 7), []uint64{7}) // becomes withheld
 	later := withholdBase + time.Second
-	is.Equal(s.Left(later, 7), time.Duration(0))
+	is.Equal(s.Left(later, ContentSubject(7)), time.Duration(0))
 	is.Equal(crashDuring(s, later, 3, 7), []uint64{7})
-	is.Equal(s.Left(later+time.Millisecond, 7), 2*withholdBase)
+	is.Equal(s.Left(later+time.Millisecond, ContentSubject(7)), 2*withholdBase)
 	for n := range 40 {
 		crashDuring(s, later, 100+n, 7)
 	}
-	is.Equal(s.Left(later+time.Millisecond, 7), maxWithhold)
-	is.Equal(s.Count(7), incarnationsPerContent)
+	is.Equal(s.Left(later+time.Millisecond, ContentSubject(7)), maxWithhold)
+	is.Equal(s.Count(ContentSubject(7)), incarnationsPerSubject)
 }
 
 func TestSuspectsAreBounded(t *testing.T) {
@@ -135,19 +144,19 @@
 	for n := range 3 * maxSuspects {
 		crashDuring(s, time.Second, n, uint64(1000+n))
 	}
-	is.True(len(s.contents) <= maxSuspects)
-	is.True(s.Left(time.Second, 7) > 0) // the content with the most crashes is kept
+	is.True(len(s.subjects) <= maxSuspects)
+	is.True(s.Left(time.Second, ContentSubject(7)) > 0) // the content with the most crashes is kept
 	for n := range 3 * maxLostRuns {
-		s.NoteConnectionLost(time.Second, uint64(n), incarnationOf(-1))
+		s.NoteConnectionLost(time.Second, lostRunOf(time.Second, -1, ContentSubject(uint64(n))))
 	}
 	is.True(len(s.lostRuns) <= maxLostRuns)
 	is.True(s.Any())
 	s.Forget(3 * suspectRetention) // expired entries are dropped
 	is.True(!s.Any())
 	is.Equal(len(s.crashed), 0)
-	_, isNew := s.Ended(0, incarnationOf(1))
+	isNew := s.Ended(0, incarnationOf(1))
 	is.True(isNew)
-	_, isNew = s.Ended(time.Second, incarnationOf(1))
+	isNew = s.Ended(time.Second, incarnationOf(1))
 	is.True(!isNew)
 }
 
@@ -158,7 +167,7 @@
 		boxes := []*Suspects{new(Suspects), new(Suspects), new(Suspects)}
 		now := time.Duration(0)
 		exchange := func(from, to *Suspects) {
-			list := from.Withheld(now)
+			list := from.Established(now)
 			random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 			to.Merge(now, list)
 		}
@@ -169,7 +178,7 @@
 			case 0, 1:
 				crashDuring(b, now, random.IntN(40), content)
 			case 2:
-				b.Answered(now, content)
+				b.Answered(now, ContentSubject(content))
 			default:
 				reports := b.TakeNews(now)
 				for _, other := range boxes {
@@ -188,9 +197,9 @@
 				}
 			}
 		}
-		want := boxes[0].Withheld(now)
+		want := boxes[0].Established(now)
 		for _, b := range boxes[1:] {
-			got := b.Withheld(now)
+			got := b.Established(now)
 			same := slices.EqualFunc(got, want, func(x, y Suspect) bool {
 				return x.Content == y.Content && x.Round == y.Round && slices.Equal(x.Ended, y.Ended)
 			})
--- a/cell/withheld.go
+++ b/cell/withheld.go
@@ -47,7 +47,7 @@
 	if l.req.Content == 0 || !n.suspects.Any() {
 		return 0
 	}
-	return n.suspects.Left(n.now, l.req.Content)
+	return n.suspects.Left(n.now, balance.ContentSubject(l.req.Content))
 }
 
 // endWithheld ends a request that is withheld.
@@ -68,7 +68,7 @@
 		n.upstreamCrashes[l.upstream] = crash
 	}
 	incarnation := balance.Incarnation{ID: n.cfg.Box + "/" + l.upstream, StartedAt: int64(n.cfg.Boot) + crash.count}
-	n.suspects.NoteConnectionLost(n.now, l.req.Content, incarnation)
+	n.suspects.NoteConnectionLost(n.now, balance.LostRun{Subjects: []balance.Subject{balance.ContentSubject(l.req.Content)}, Incarnation: incarnation, Began: n.now})
 	n.suspects.Ended(n.now, incarnation)
 	n.broadcastSuspects()
 }
@@ -77,7 +77,7 @@
 // that it does not crash upstreams.
 func (n *Node) noteAnswer(l *localRequest) {
 	if l.req.Content != 0 && n.suspects.Any() {
-		n.suspects.Answered(n.now, l.req.Content)
+		n.suspects.Answered(n.now, balance.ContentSubject(l.req.Content))
 		n.broadcastSuspects()
 	}
 }
@@ -99,7 +99,7 @@
 	if len(unsent) == 0 {
 		return nil
 	}
-	n.withheldDigest = balance.SuspectsDigest(n.suspects.Withheld(n.now))
+	n.withheldDigest = balance.SuspectsDigest(n.suspects.Established(n.now))
 	for _, l := range n.sortedRequests(func(l *localRequest) bool { return n.withheldFor(l) > 0 }) {
 		n.stopWithheld(l)
 	}
@@ -141,7 +141,7 @@
 	if digest == n.withheldDigest {
 		return
 	}
-	list := n.suspects.Withheld(n.now)
+	list := n.suspects.Established(n.now)
 	n.send(from, &Ends{Suspects: list[:min(len(list), maxSuspectsPerMessage)], All: true})
 }
 
@@ -152,5 +152,5 @@
 		return
 	}
 	n.suspects.Forget(n.now)
-	n.withheldDigest = balance.SuspectsDigest(n.suspects.Withheld(n.now))
+	n.withheldDigest = balance.SuspectsDigest(n.suspects.Established(n.now))
 }
--- a/group/fatal_replay_test.go
+++ b/group/fatal_replay_test.go
@@ -51,7 +51,7 @@
 // send sends the request to an upstream, unless the box withholds it or is down.
 func (d *fatalReplay) send(name string, mayRetry bool) {
 	b := d.sim.boxes[name]
-	if s := d.tables[name]; b.dead || s == nil || s.Left(d.sim.now, fatalContent) > 0 {
+	if s := d.tables[name]; b.dead || s == nil || s.Left(d.sim.now, balance.ContentSubject(fatalContent)) > 0 {
 		return
 	}
 	d.sentAt = append(d.sentAt, d.sim.now)
@@ -63,14 +63,14 @@
 // step advances one run of the request.
 func (d *fatalReplay) step(r fatalRun) {
 	running := d.sim.boxes[r.name] == r.box && !r.box.dead
-	switch withheld := running && d.tables[r.name].Left(d.sim.now, fatalContent) > 0; {
+	switch withheld := running && d.tables[r.name].Left(d.sim.now, balance.ContentSubject(fatalContent)) > 0; {
 	case !running && d.sim.now < r.startsAt, withheld && d.sim.now < r.startsAt: // its connection is closed before it starts
 	case d.sim.now < r.endsAt:
 		d.runs = append(d.runs, r)
 	default:
 		d.crashedAt = append(d.crashedAt, d.sim.now)
 		if running {
-			d.tables[r.name].NoteConnectionLost(d.sim.now, fatalContent, r.incarnation)
+			d.tables[r.name].NoteConnectionLost(d.sim.now, balance.LostRun{Subjects: []balance.Subject{balance.ContentSubject(fatalContent)}, Incarnation: r.incarnation, Began: r.startsAt})
 			d.tables[r.name].Ended(d.sim.now, r.incarnation)
 			if r.mayRetry {
 				d.send(r.name, false)
--- a/group/messagekind.go
+++ b/group/messagekind.go
@@ -18,7 +18,7 @@
 	KindLoads          Kind = "loads"          // a complete list of loads
 	KindLoadChanges    Kind = "changed loads"  // changed loads only
 	KindPromptParts    Kind = "parts"          // prompt parts sent to upstreams
-	KindSuspects       Kind = "ended under"    // requests that upstreams crash under
+	KindSuspects       Kind = "ended under"    // requests and parts of prompts that upstreams crash under
 	KindLimits         Kind = "limits"         // rate limits that upstreams announce
 	KindPriorCounts    Kind = "prior counts"   // requests sent before limits were known
 	KindReachReports   Kind = "reached"        // upstreams that connections reach or time out at
@@ -43,7 +43,7 @@
 	switch {
 	case len(m.Kept) > 0:
 		return KindPromptParts
-	case carriesSuspects(m):
+	case carriesSuspects(m), carriesSuspectParts(m):
 		return KindSuspects
 	case carriesLimits(m):
 		return KindLimits
--- a/group/node.go
+++ b/group/node.go
@@ -199,9 +199,10 @@
 
 	quotaPeers map[uint32]time.Duration // by hash of the box name: when a leader last named it
 
-	suspects replicator[balance.Suspect]     // requests that upstreams crash under
-	limits   replicator[balance.LimitReport] // rate limits that upstreams announce
-	reach    replicator[balance.ReachReport] // connections to upstreams that time out, or work again
+	suspects     replicator[balance.Suspect]     // requests that upstreams crash under
+	suspectParts replicator[balance.Suspect]     // parts of prompts that upstreams crash under
+	limits       replicator[balance.LimitReport] // rate limits that upstreams announce
+	reach        replicator[balance.ReachReport] // connections to upstreams that time out, or work again
 
 	helloBudget linkBudget  // answers to hellos
 	listBudget  linkBudget  // box lists in heartbeats
@@ -239,6 +240,7 @@
 		loadsFlushedAt:        never,
 		reordered:             reorderBuffer{lastAt: never},
 		suspects:              newReplicator(suspectReplication),
+		suspectParts:          newReplicator(partReplication),
 		limits:                newReplicator(limitReplication),
 		reach:                 newReplicator(reachReplication),
 		priorCounts:           priorCounts{lastFlush: never},
--- a/group/receive.go
+++ b/group/receive.go
@@ -27,6 +27,10 @@
 		n.handleReachReports(now, m)
 		return
 	}
+	if carriesSuspectParts(m) {
+		n.handleSuspectParts(now, m)
+		return
+	}
 	if m.Partial {
 		n.handleLoadChanges(m)
 		return
@@ -69,6 +73,7 @@
 	n.receiveLanes(now, p, m)
 	n.receiveClasses(now, p, m)
 	n.suspects.reconcile(n, now, p, m.WithheldDigest)
+	n.suspectParts.reconcile(n, now, p, m.PartsEndedDigest)
 	n.limits.reconcile(n, now, p, m.LimitsDigest)
 	n.reply(now, m, p)
 	n.updatePublished(now, m)
--- a/group/replicator.go
+++ b/group/replicator.go
@@ -34,6 +34,7 @@
 	key       func(T) uint64    // identifies the subject of an entry
 	same      func(a, b T) bool // two entries with the same key are equal
 	sendCount func(T) int       // number of messages that carry an entry
+	weight    func(T) int       // how many of maxEntriesPerMessage an entry counts for; nil: each one
 	aged      func(entry T, by time.Duration) T
 	pack      func(m *wire.GroupMessage, list []T, digest uint64, all bool)
 }
@@ -94,7 +95,7 @@
 // behind the others.
 func (r *replicator[T]) takePending(now time.Duration) []T {
 	var list []T
-	next := r.pending[:min(len(r.pending), maxEntriesPerMessage)]
+	next := r.pending[:r.fitting(len(r.pending), func(i int) T { return r.pending[i].entry })]
 	r.pending = slices.Clone(r.pending[len(next):])
 	for _, x := range next {
 		list = append(list, r.rules.aged(x.entry, now-x.at))
@@ -105,6 +106,20 @@
 	return list
 }
 
+// fitting returns how many of the first n entries fit into a message.
+func (r *replicator[T]) fitting(n int, entry func(i int) T) int {
+	if r.rules.weight == nil {
+		return min(n, maxEntriesPerMessage)
+	}
+	sum := 0
+	for i := range n {
+		if sum += r.rules.weight(entry(i)); sum > maxEntriesPerMessage && i > 0 {
+			return i
+		}
+	}
+	return n
+}
+
 // flush sends queued entries, at most once per minFlushInterval.
 func (r *replicator[T]) flush(n *Node, now time.Duration) {
 	if len(r.pending) == 0 || now-r.lastFlush < minFlushInterval {
@@ -172,7 +187,7 @@
 	}
 	for range maxReconcileMessages {
 		list := r.all[min(c.next, len(r.all)):]
-		list = slices.Clone(list[:min(len(list), maxEntriesPerMessage)])
+		list = slices.Clone(list[:r.fitting(len(list), func(i int) T { return list[i] })])
 		for i := range list {
 			list[i] = r.rules.aged(list[i], now-r.allAt)
 		}
--- a/group/send.go
+++ b/group/send.go
@@ -232,8 +232,9 @@
 		DoubtLeft:    micros(n.deletionsUncertainUntil - now),
 		Reading:      n.readingStatus(now),
 
-		WithheldDigest: n.suspects.digest,
-		LimitsDigest:   n.limits.digest,
+		WithheldDigest:   n.suspects.digest,
+		PartsEndedDigest: n.suspectParts.digest,
+		LimitsDigest:     n.limits.digest,
 	}
 	if n.IsLeader() {
 		m.Leads, m.Reads = true, !n.readFailed
--- a/group/suspects_test.go
+++ b/group/suspects_test.go
@@ -37,7 +37,7 @@
 			s := h.tables[name]
 			s.Merge(h.sim.now, b.node.DrainSuspects())
 			b.node.AnnounceSuspects(h.sim.now, s.TakeNews(h.sim.now))
-			b.node.SetWithheld(h.sim.now, s.Withheld(h.sim.now))
+			b.node.SetEstablished(h.sim.now, s.Established(h.sim.now))
 			b.node.FlushSuspects(h.sim.now)
 			h.sim.sendOutgoing(b)
 		}
@@ -47,7 +47,7 @@
 // crash lets an upstream crash while a box runs a content on it.
 func (h *suspectTables) crash(name string, content uint64, id string) {
 	s := h.tables[name]
-	s.NoteConnectionLost(h.sim.now, content, balance.Incarnation{ID: id})
+	s.NoteConnectionLost(h.sim.now, balance.LostRun{Subjects: []balance.Subject{balance.ContentSubject(content)}, Incarnation: balance.Incarnation{ID: id}})
 	s.Ended(h.sim.now, balance.Incarnation{ID: id})
 }
 
@@ -55,7 +55,7 @@
 func (h *suspectTables) withholding(content uint64) int {
 	n := 0
 	for name, s := range h.tables {
-		if !h.sim.boxes[name].dead && s.Left(h.sim.now, content) > 0 {
+		if !h.sim.boxes[name].dead && s.Left(h.sim.now, balance.ContentSubject(content)) > 0 {
 			n++
 		}
 	}
@@ -173,7 +173,7 @@
 	h.runTables(time.Second)
 	is.Equal(h.withholding(fatalContent), 4)
 	w.lossRate = 1
-	h.tables["d"].Answered(w.now, fatalContent)
+	h.tables["d"].Answered(w.now, balance.ContentSubject(fatalContent))
 	h.runTables(500 * time.Millisecond)
 	is.Equal(h.withholding(fatalContent), 3)
 	w.lossRate = 0
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -4,6 +4,7 @@
 // request that is refused has run nowhere and takes nothing from the retry budget.
 
 import (
+	"maps"
 	"net"
 	"time"
 
@@ -64,6 +65,7 @@
 	fields := Fields{"id": q.id, "status": refused.status, "reason": refused.reason, "host": q.host,
 		"path": q.path(), "version": r.documentVersion(), "age_ms": r.publishedAge().Milliseconds()}
 	if x != nil && refused.reason == withheldReason {
+		r.addVerdictFields(fields, x)
 		fields["content"], fields["route"], fields["customer"] = formatContentHash(x.requestHash()), x.route.Name, x.customerName()
 		fields["come_back_ms"] = refused.retryAfter.Milliseconds()
 	}
@@ -71,6 +73,16 @@
 	r.stats.count("refused_" + refused.reason)
 }
 
+// addVerdictFields adds to the log line of a withheld request what it is withheld for.
+func (r *Relay) addVerdictFields(f Fields, x *exchange) {
+	r.mu.Lock()
+	v, found := r.crashSuspects.VerdictOn(r.now(), x.subjects()...)
+	r.mu.Unlock()
+	if found {
+		maps.Copy(f, r.verdictFields(v))
+	}
+}
+
 // admit decides whether a request may run; the refusal is nil if it may. The request's timeout starts
 // at its arrival, including any wait for the document.
 func (r *Relay) admit(q *request, conn net.Conn) (*exchange, *refusal) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,6 +77,7 @@
 	}
 	x.attachConn(c)
 	c.sentAt.Store(time.Now().UnixNano())
+	x.sentAt = r.now()
 	sent := c.send(o)
 	x.startReadWait(sent)
 	resp, err := r.readResponse(c, o.id, sent)
@@ -131,6 +132,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
+	case x.withheldForLocked() > 0:
+		return errWithheld
 	case !r.fleet.Accepts(r.now(), x.upstream.Incarnation()), !r.mayContinueAt(x, x.upstream):
 		return errNotAccepting
 	case x.ticket != nil && !x.ticket.MaySend(r.now()):
@@ -152,6 +155,9 @@
 	errLimit        = &Error{Op: "send request within limit", Kind: KindExhausted} // it announces a rate limit
 )
 
+// errWithheld reports that the request was found to crash upstreams while it waited.
+var errWithheld = &Error{Op: "send withheld request", Kind: KindExhausted}
+
 // errReplaced reports that another instance of the upstream has taken over its address.
 var errReplaced = &Error{Op: "send request", Kind: KindReplaced}
 
--- a/relay/content.go
+++ b/relay/content.go
@@ -36,9 +36,12 @@
 	return x.customer.Name
 }
 
-// formatContentHash formats a content hash as it appears in logs.
+// formatContentHash formats a content hash, or the ID of a part, as it appears in logs.
 func formatContentHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
+// formatCrash formats the key of an incarnation that has crashed as it appears in logs.
+func formatCrash(key uint32) string { return strconv.FormatUint(uint64(key), 16) }
+
 // formatParts formats the IDs of the parts of a prompt that other prompts may share as they
 // appear in logs.
 func formatParts(parts []balance.Part) string {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,16 +17,17 @@
 
 // exchange is an admitted request and its state until it is answered.
 type exchange struct {
-	relay       *Relay
-	request     *request
-	doc         *route.Document
-	route       *route.Route
-	customer    *route.Customer
-	service     string
-	urgency     int           // 0 is the most urgent
-	contentHash atomic.Uint64 // hash of the request without its ID; 0: not computed yet
-	arrived     time.Time
-	deadline    time.Time // when the request is given up, by the monotonic clock
+	relay        *Relay
+	request      *request
+	doc          *route.Document
+	route        *route.Route
+	customer     *route.Customer
+	service      string
+	urgency      int                               // 0 is the most urgent
+	contentHash  atomic.Uint64                     // hash of the request without its ID; 0: not computed yet
+	partSubjects atomic.Pointer[[]balance.Subject] // the prompt's parts as they are suspected; nil: not computed yet
+	arrived      time.Time
+	deadline     time.Time // when the request is given up, by the monotonic clock
 	// Total suspension time of the machine before the request arrived, a time.Duration.
 	suspendedBefore int64
 
@@ -41,6 +42,9 @@
 	throughOther   bool                  // the run connects through another box, as its upstream could not be verified in time
 	usesUnverified bool                  // it may be sent to upstreams that were not verified, as no other is left
 	runsSent       int                   // runs started
+	sentAt         time.Duration         // when the current run was sent
+	answeringSince time.Time             // when the current run's first event arrived
+	survived       bool                  // the current run was noted to have been answering for long
 	unreachable    int                   // upstreams that could not be reached
 	retry          *balance.Retry        // of the run being sent, or taken for a move that is resumed; else nil
 	retryTakenAt   time.Time             // when it was taken for a move; zero: it was not
--- a/relay/move.go
+++ b/relay/move.go
@@ -47,6 +47,7 @@
 	}
 	x.checkedAt = time.Now()
 	x.reportLength()
+	x.noteSurvival()
 	x.startMoveIfLate()
 }
 
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -41,6 +41,8 @@
 		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
 	case x.mayHaveRun:
 		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
+	case x.withheldFor() > 0:
+		return &refusal{fasthttp.StatusServiceUnavailable, withheldReason, x.withheldFor()}
 	case x.tooLarge:
 		return &refusal{fasthttp.StatusServiceUnavailable, "larger than an upstream's memory", maxRetryAfter}
 	}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -192,6 +192,9 @@
 	if x.ctx.Err() != nil || x.timeLeft() < minTimeLeft || x.withheldFor() > 0 {
 		return false
 	}
+	if state == runUnknown && !x.mayRepeat() {
+		return false
+	}
 	if state == runUnsent {
 		return x.unreachable < maxUnreachable && (x.runsSent == 0 || x.runsSent < x.route.MaxAttempts && x.hasRetry())
 	}
--- a/relay/state.go
+++ b/relay/state.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/route"
 	"github.com/doormast/doormast/wire"
 )
@@ -35,9 +36,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out.Retries, out.BudgetLeft = r.retryRows()
-	for _, s := range r.crashSuspects.Withheld(r.now()) {
-		out.Withheld = append(out.Withheld, &wire.WithheldRow{Content: formatContentHash(s.Content), Ended: uint32(len(s.Ended)),
-			Left: uint64(r.crashSuspects.Left(r.now(), s.Content).Microseconds())})
+	for _, v := range r.crashSuspects.Verdicts(r.now()) {
+		out.Withheld = append(out.Withheld, r.withheldRow(v))
 	}
 	for _, u := range r.fleet.View(r.now()) {
 		out.Upstreams = append(out.Upstreams, &wire.UpstreamRow{Limit: r.limitRow(u.ID),
@@ -49,6 +49,22 @@
 	return out
 }
 
+// withheldRow is a verdict as shown to operators.
+func (r *Relay) withheldRow(v balance.Verdict) *wire.WithheldRow {
+	row := &wire.WithheldRow{Ended: uint32(len(v.Crashed)), Left: uint64((v.At + v.Hold - r.now()).Microseconds())}
+	for _, j := range v.Subjects {
+		if j.IsPart() {
+			row.Parts, row.Service = append(row.Parts, formatContentHash(j.Hash)), r.serviceName(j.Service)
+			continue
+		}
+		row.Content = formatContentHash(j.Hash)
+	}
+	for _, key := range v.Crashed {
+		row.Crashes = append(row.Crashes, formatCrash(key))
+	}
+	return row
+}
+
 // limitRow is the limit that an upstream states; nil if it states none. The caller holds the
 // relay's mu.
 func (r *Relay) limitRow(id string) *wire.LimitRow {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,7 @@
 		x.relay.conns.discard(resp.conn)
 		return runUnknown, nil, err
 	}
+	x.answeringSince, x.survived = time.Now(), false
 	if x.firstEventsAfter == 0 {
 		x.firstEventsAfter = time.Since(x.arrived)
 	}
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // syncFleet passes this box's loads and observations to the node, and those of the other boxes
@@ -25,9 +27,10 @@
 	m.sizeLanes()
 	m.node.AnnounceSentParts(m.relay.fleet.TakePartReports())
 	m.relay.fleet.NotePartReports(m.relay.now(), m.node.DrainSentParts())
+	m.relay.crashSuspects.Box, m.relay.crashSuspects.Boxes = xxhash.Sum64String(m.relay.cfg.Box), m.relay.boxes()
 	m.relay.crashSuspects.Forget(m.relay.now())
 	m.relay.budgets.Forget(m.relay.now())
-	m.node.SetWithheld(m.relay.now(), m.relay.crashSuspects.Withheld(m.relay.now()))
+	m.node.SetEstablished(m.relay.now(), m.relay.crashSuspects.Established(m.relay.now()))
 	m.relay.fleet.ExpireLimits(m.relay.now())
 	m.relay.fleet.ForgetPauses(m.relay.now())
 	m.setLimits(m.relay.now())
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -1,7 +1,7 @@
 package relay
 
-// This file defines how the box detects requests that crash upstreams, and how it withholds
-// them. A crash is assumed where an upstream closed or reset the connection under a run, and
+// This file defines how the box detects requests and parts of prompts that crash upstreams, and how
+// it withholds such requests. A crash is assumed where an upstream closed or reset the connection under a run, and
 // then its address refuses connections or belongs to another incarnation; a reset alone is no
 // evidence, nor is the end of an upstream that was leaving. The invariant: a withheld request
 // is not sent to an upstream, whether it has just arrived, is about to be retried, or waits at
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,24 +22,79 @@
 // withheldReason is the reason given when a withheld request is refused.
 const withheldReason = "upstreams ended under it"
 
-// refuseWithheld returns the refusal of a request that is withheld; nil if it may run.
+// survivalTime is how long a run must have been answering to count in favor of the parts of its
+// prompt: one that crashes its upstream does so soon after the answer has begun.
+const survivalTime = 2 * time.Second
+
+// parts returns the subjects of the prompt's parts that other prompts may share. The rules for
+// calls are those of requestHash.
+func (x *exchange) parts() []balance.Subject {
+	if list := x.partSubjects.Load(); list != nil {
+		return *list
+	}
+	list := balance.PartSubjects(x.service, x.request.prompt.Parts)
+	x.partSubjects.Store(&list)
+	return list
+}
+
+// subjects returns what may make upstreams crash under the request.
+func (x *exchange) subjects() []balance.Subject {
+	return append([]balance.Subject{balance.ContentSubject(x.requestHash())}, x.parts()...)
+}
+
+// refuseWithheld returns the refusal of a request that has arrived and is withheld; nil if it may
+// run.
 func (x *exchange) refuseWithheld() *refusal {
-	left := x.withheldFor()
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.withholds() {
+		return nil
+	}
+	left := r.crashSuspects.Admit(r.now(), x.subjects()...)
 	if left == 0 {
 		return nil
 	}
 	return &refusal{fasthttp.StatusServiceUnavailable, withheldReason, left}
 }
 
+// withholds reports whether any requests may be withheld. The caller holds mu.
+func (r *Relay) withholds() bool {
+	return r.crashSuspects.Any() && !r.cfg.Disabled[balance.Withholding]
+}
+
 // withheldFor is how much longer the request is withheld; 0 if it may run.
 func (x *exchange) withheldFor() time.Duration {
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	return x.withheldForLocked()
+}
+
+// withheldForLocked is withheldFor for callers that hold the relay's mu.
+func (x *exchange) withheldForLocked() time.Duration {
 	r := x.relay
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.crashSuspects.Any() || r.cfg.Disabled[balance.Withholding] {
+	if !r.withholds() {
 		return 0
 	}
-	return r.crashSuspects.Left(r.now(), x.requestHash())
+	return r.crashSuspects.Left(r.now(), x.subjects()...)
+}
+
+// mayRepeat reports whether the request may be sent again after its run was cut off, and logs it
+// if not.
+func (x *exchange) mayRepeat() bool {
+	r := x.relay
+	if x.runsCut == 0 || r.cfg.Disabled[balance.Withholding] {
+		return true
+	}
+	r.mu.Lock()
+	may := r.crashSuspects.MayRepeat(r.now(), x.subjects()...)
+	r.mu.Unlock()
+	if !may {
+		r.stats.count("runs_not_repeated")
+		r.cfg.Log.Event("run", "not repeated", Fields{"id": x.request.id, "upstream": x.upstream.ID, "content": formatContentHash(x.requestHash()),
+			"parts": formatParts(x.request.prompt.Parts)})
+	}
+	return may
 }
 
 // needsNewConn reports whether the request must be sent on a new connection because an earlier
@@ -49,7 +105,7 @@
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return x.runsCut > 0 || r.crashSuspects.Any() && r.crashSuspects.Suspected(x.requestHash())
+	return x.runsCut > 0 || r.crashSuspects.Any() && r.crashSuspects.Suspected(r.now(), x.subjects()...)
 }
 
 // noteDisconnect records that the upstream closed or reset the connection under the run, and
@@ -61,14 +117,12 @@
 	if r.cfg.Disabled[balance.Withholding] {
 		return
 	}
-	content, u := x.requestHash(), x.upstream
+	subjects, u := x.subjects(), x.upstream
 	r.mu.Lock()
-	withheld := r.crashSuspects.NoteConnectionLost(r.now(), content, u.Incarnation())
-	suspected := r.crashSuspects.Suspected(content)
+	r.crashSuspects.NoteConnectionLost(r.now(), balance.LostRun{Subjects: subjects, Incarnation: u.Incarnation(), Began: x.sentAt})
+	suspected := r.crashSuspects.Suspected(r.now(), subjects...)
 	r.mu.Unlock()
-	if withheld {
-		r.withholdContents([]uint64{content}, "seen here")
-	}
+	r.applyVerdicts("seen here")
 	wake(r.members.loadsChanged)
 	done := r.checkEnded(u)
 	if suspected {
@@ -112,9 +166,9 @@
 		r.noteEnd(x.upstream.Incarnation())
 		return
 	}
-	content := x.requestHash()
+	subjects := x.subjects()
 	r.mu.Lock()
-	suspected := r.crashSuspects.Suspected(content)
+	suspected := r.crashSuspects.Suspected(r.now(), subjects...)
 	r.mu.Unlock()
 	if done := r.checkEnded(x.upstream); suspected {
 		<-done
@@ -138,46 +192,120 @@
 		return
 	}
 	r.mu.Lock()
-	withheld, isNew := r.crashSuspects.Ended(r.now(), inc)
+	isNew := r.crashSuspects.Ended(r.now(), inc)
 	r.mu.Unlock()
-	if !isNew {
-		return
+	if isNew {
+		r.cfg.Log.Event("upstream", "ended", Fields{"upstream": inc.ID, "born": inc.StartedAt, "crash": formatCrash(inc.Key()), "age_ms": r.publishedAge().Milliseconds()})
 	}
-	r.cfg.Log.Event("upstream", "ended", Fields{"upstream": inc.ID, "born": inc.StartedAt, "age_ms": r.publishedAge().Milliseconds()})
-	r.withholdContents(withheld, "seen here")
+	r.applyVerdicts("seen here")
 }
 
 // noteAnswered records that the run was answered completely: the request does not crash its
-// upstream, and the upstream had not ended before.
+// upstream, and the upstream had not ended before. A failure does not show that the request was
+// run, so it says nothing about parts. An answer that ends with its connection may have been cut
+// off by a crash.
 func (x *exchange) noteAnswered() {
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.crashSuspects.Any() {
+	now, u := r.now(), x.upstream.Incarnation()
+	succeeded := x.response != nil && x.response.header.StatusCode() < fasthttp.StatusMultipleChoices
+	switch {
+	case x.response != nil && !x.response.hasFraming():
+		r.crashSuspects.NoteConnectionLost(now, balance.LostRun{Subjects: x.subjects(), Incarnation: u, Began: x.sentAt, LooksWhole: true})
+	case succeeded && !r.crashSuspects.Any():
+		r.crashSuspects.Answered(now, x.parts()...)
+	case succeeded:
+		r.crashSuspects.Answered(now, x.subjects()...)
+	case r.crashSuspects.Any():
+		r.crashSuspects.Answered(now, balance.ContentSubject(x.requestHash()))
+	}
+	r.crashSuspects.Alive(now, u, x.ticket.Opened())
+	wake(r.members.loadsChanged)
+}
+
+// noteSurvival records that a run has been answering for long.
+func (x *exchange) noteSurvival() {
+	if x.survived || time.Since(x.answeringSince) < survivalTime {
 		return
 	}
-	r.crashSuspects.Answered(r.now(), x.requestHash())
-	r.crashSuspects.Alive(x.upstream.Incarnation(), x.ticket.Opened())
+	x.survived = true
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.relay.crashSuspects.Survived(x.relay.now(), x.parts()...)
 }
 
-// withholdContents logs contents that are withheld from now on. It also closes the connections
-// of their runs that have produced no event yet, since those would crash their upstreams as
-// well.
-func (r *Relay) withholdContents(contents []uint64, source string) {
-	for _, content := range contents {
-		r.mu.Lock()
-		now := r.now()
-		count, left := r.crashSuspects.Count(content), r.crashSuspects.Left(now, content)
+// applyVerdicts logs what is withheld from now on and what no longer is. It also closes the
+// connections of withheld runs that have produced no event yet, since those would crash their
+// upstreams as well.
+func (r *Relay) applyVerdicts(source string) {
+	r.mu.Lock()
+	now := r.now()
+	withheld, withdrawn := r.crashSuspects.TakeVerdicts(now)
+	for _, v := range withheld {
 		for x, c := range r.runConns {
-			if !x.eventsBegan.Load() && x.requestHash() == content {
+			if !x.eventsBegan.Load() && v.Holds(x.subjects()) {
 				x.withheldRun.Store(true)
 				_ = c.Close()
 			}
 		}
-		r.mu.Unlock()
-		r.stats.count("contents_withheld")
-		r.cfg.Log.Event("content", "withheld", Fields{"content": formatContentHash(content), "ended": count, "for_ms": left.Milliseconds(), "why": source})
 	}
+	r.mu.Unlock()
+	for _, v := range withheld {
+		r.stats.count(verdictSubject(v) + "s_withheld")
+		fields := r.verdictFields(v)
+		fields["for_ms"], fields["why"] = (v.At + v.Hold - now).Milliseconds(), source
+		r.cfg.Log.Event(verdictSubject(v), "withheld", fields)
+	}
+	for _, v := range withdrawn {
+		r.stats.count(verdictSubject(v) + "s_released")
+		fields := r.verdictFields(v)
+		fields["why"] = source
+		r.cfg.Log.Event(verdictSubject(v), "no longer withheld", fields)
+	}
+}
+
+// verdictSubject names what a verdict is about in log lines and metrics.
+func verdictSubject(v balance.Verdict) string {
+	if v.Subjects[0].IsPart() {
+		return "part"
+	}
+	return "content"
+}
+
+// verdictFields returns the fields that identify a verdict in log lines: what is withheld, and the
+// crashes held against it, by which the lines of upstreams that ended are found.
+func (r *Relay) verdictFields(v balance.Verdict) Fields {
+	f := Fields{"ended": len(v.Crashed)}
+	var parts, crashes []string
+	for _, j := range v.Subjects {
+		if j.IsPart() {
+			parts = append(parts, formatContentHash(j.Hash))
+			f["service"] = r.serviceName(j.Service)
+			continue
+		}
+		f["content"] = formatContentHash(j.Hash)
+	}
+	for _, key := range v.Crashed {
+		crashes = append(crashes, formatCrash(key))
+	}
+	if len(parts) > 0 {
+		f["parts"] = strings.Join(parts, " ")
+	}
+	f["crashes"] = strings.Join(crashes, " ")
+	return f
+}
+
+// serviceName returns the name of a service in the document in force; empty if it has none.
+func (r *Relay) serviceName(key uint32) string {
+	if d := r.published.document(); d != nil {
+		for _, s := range d.Services {
+			if balance.ServiceKey(s.Name) == key {
+				return s.Name
+			}
+		}
+	}
+	return ""
 }
 
 // shareSuspects passes this box's evidence to the node, and applies the evidence received from
@@ -190,12 +318,12 @@
 	}
 	now := r.now()
 	r.mu.Lock()
-	withheld := r.crashSuspects.Merge(now, received)
+	r.crashSuspects.Merge(now, received)
 	if own := r.crashSuspects.TakeNews(now); len(own) > 0 {
 		m.node.AnnounceSuspects(now, own)
-		m.node.SetWithheld(now, r.crashSuspects.Withheld(now))
+		m.node.SetEstablished(now, r.crashSuspects.Established(now))
 	}
 	r.mu.Unlock()
 	m.node.FlushSuspects(now)
-	r.withholdContents(withheld, "told")
+	r.applyVerdicts("told")
 }
--- a/relay/withhold_test.go
+++ b/relay/withhold_test.go
@@ -170,7 +170,7 @@
 	ends := func(id string) {
 		m.b.relay.mu.Lock()
 		defer m.b.relay.mu.Unlock()
-		m.b.relay.crashSuspects.NoteConnectionLost(m.b.relay.now(), x.requestHash(), balance.Incarnation{ID: id})
+		m.b.relay.crashSuspects.NoteConnectionLost(m.b.relay.now(), balance.LostRun{Subjects: x.subjects(), Incarnation: balance.Incarnation{ID: id}})
 		m.b.relay.crashSuspects.Ended(m.b.relay.now(), balance.Incarnation{ID: id})
 	}
 	ends("gone-1")
@@ -305,15 +305,15 @@
 			b.listUpstream(u, true)
 			b.awaitLog(`"leaving":true`)
 		}
-		const content = 7
+		content := balance.ContentSubject(7)
 		b.relay.mu.Lock()
-		b.relay.crashSuspects.NoteConnectionLost(b.relay.now(), content, balance.Incarnation{ID: "u"})
+		b.relay.crashSuspects.NoteConnectionLost(b.relay.now(), balance.LostRun{Subjects: []balance.Subject{content}, Incarnation: balance.Incarnation{ID: "u"}})
 		b.relay.mu.Unlock()
 		next := &stub{id: "next", listener: u.listener}
 		b.listUpstream(next, false)
 		b.awaitLog(`"upstream":"next"`) // its entry is applied completely
 		b.relay.mu.Lock()
-		is.Equal(b.relay.crashSuspects.Suspected(content), !leaving)
+		is.Equal(b.relay.crashSuspects.Suspected(b.relay.now(), content), !leaving)
 		b.relay.mu.Unlock()
 	}
 }
