--- a/balance/suspectreport.go
+++ b/balance/suspectreport.go
@@ -107,7 +107,7 @@
 	if j.IsPart() {
 		threshold = partSuccession
 	}
-	return len(x.crashes) >= threshold && x.at+holdTime(j, x.crashes) > now
+	return len(x.crashes) >= threshold && x.at+candidate{subject: j, entry: x, unexplained: x.crashes}.hold() > now
 }
 
 // Merge merges the reports of another box. If this box knows more about a subject, it reports that
--- a/balance/verdict.go
+++ b/balance/verdict.go
@@ -29,14 +29,20 @@
 	partSuccession    = 3
 	partCrashes       = 5
 	partMinSuccession = 2
+	// minCrashGap is the least time between two crashes in succession: boxes hear of the same
+	// moment at different times.
+	minCrashGap = 200 * time.Millisecond
 	// soundPartSuccession applies, with partCrashes, to a part that was answered lately.
 	soundPartSuccession = 4
-	// withholdBase is how long a content is withheld after the first withholdThreshold crashes,
-	// and partWithholdBase a part, which more requests may share; it doubles with each further
-	// crash, for a part in succession. After that one request may run again: the crashes may have
-	// had another cause, or the fault may have been fixed.
-	withholdBase     = 5 * time.Minute
-	partWithholdBase = time.Minute
+	// withholdBase is how long a subject is withheld after the first crashes that are enough;
+	// it doubles with each further crash, for a part in succession. After that one request may
+	// run again: the crashes may have had another cause, or the fault may have been fixed. More
+	// requests share a part, so with fewer than partCrashes it is withheld for weakWithholdBase,
+	// and for soundWithholdBase if it was answered lately: without that part, which may be in all
+	// requests of a customer, nothing would be answered that clears it.
+	withholdBase      = 5 * time.Minute
+	weakWithholdBase  = time.Minute
+	soundWithholdBase = 15 * time.Second
 	// maxWithhold bounds that time.
 	maxWithhold = time.Hour
 	// retryInterval is the time within which all boxes learn how a request that ran after a
@@ -156,7 +162,7 @@
 	n := 0
 	last := time.Duration(0)
 	for _, c := range byEnd {
-		if n == 0 || c.began >= last {
+		if n == 0 || c.began >= last && c.ended-last >= minCrashGap {
 			n, last = n+1, c.ended
 		}
 	}
@@ -169,7 +175,7 @@
 
 // newVerdict returns the verdict on the subjects that explain the same crashes.
 func (s *Suspects) newVerdict(best candidate, tied []candidate) Verdict {
-	v := Verdict{At: best.entry.at, Hold: holdTime(best.subject, best.unexplained)}
+	v := Verdict{At: best.entry.at, Hold: best.hold()}
 	for _, c := range tied {
 		v.Subjects = append(v.Subjects, c.subject)
 	}
@@ -180,11 +186,17 @@
 	return v
 }
 
-// holdTime returns how long a subject is withheld after the last of some crashes.
-func holdTime(j Subject, crashes []crash) time.Duration {
-	base, extra := withholdBase, len(crashes)-withholdThreshold
-	if j.IsPart() {
-		base, extra = partWithholdBase, succession(crashes)-partSuccession
+// hold returns how long the subject is withheld after the last crash.
+func (c candidate) hold() time.Duration {
+	base, extra := withholdBase, len(c.unexplained)-withholdThreshold
+	if c.subject.IsPart() {
+		extra = succession(c.unexplained) - partSuccession
+	}
+	switch {
+	case c.isSound:
+		base = soundWithholdBase
+	case c.subject.IsPart() && len(c.unexplained) < partCrashes:
+		base = weakWithholdBase
 	}
 	return min(base<<max(extra, 0), maxWithhold)
 }
@@ -197,7 +209,8 @@
 	}
 	b := binary.LittleEndian.AppendUint64(nil, s.Box)
 	b = binary.LittleEndian.AppendUint64(b, j.Hash)
-	return min(time.Duration(xxhash.Sum64(b)%uint64(s.Boxes))*retryInterval, hold)
+	spread := min(time.Duration(s.Boxes)*retryInterval, hold)
+	return time.Duration(xxhash.Sum64(b) % uint64(spread))
 }
 
 // Left returns how much longer requests with some subjects are withheld; 0: they may run.
--- a/group/suspects_test.go
+++ b/group/suspects_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
@@ -35,6 +36,7 @@
 				h.boxes[name], h.tables[name] = b, new(balance.Suspects)
 			}
 			s := h.tables[name]
+			s.Box, s.Boxes = xxhash.Sum64String(name), b.node.BoxCount()
 			s.Merge(h.sim.now, b.node.DrainSuspects())
 			b.node.AnnounceSuspects(h.sim.now, s.TakeNews(h.sim.now))
 			b.node.SetEstablished(h.sim.now, s.Established(h.sim.now))
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -27,7 +27,7 @@
 	m.sizeLanes()
 	m.node.AnnounceSentParts(m.relay.fleet.TakePartReports())
 	m.relay.fleet.NotePartReports(m.relay.now(), m.node.DrainSentParts())
-	m.relay.crashSuspects.Box, m.relay.crashSuspects.Boxes = xxhash.Sum64String(m.relay.cfg.Box), m.relay.boxes()
+	m.relay.crashSuspects.Box, m.relay.crashSuspects.Boxes = xxhash.Sum64String(m.relay.cfg.Box), m.node.BoxCount()
 	m.relay.crashSuspects.Forget(m.relay.now())
 	m.relay.budgets.Forget(m.relay.now())
 	m.node.SetEstablished(m.relay.now(), m.relay.crashSuspects.Established(m.relay.now()))
