Soak: different requests that share a fatal part

Each run sends them, and sound requests that share all other parts; checks as strict as the rule: three late sends after the fifth crash, half as many sound ones begin as of those without a prompt. Stand-in boxes break each check.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -14,6 +14,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/platform"
 )
 
 const (
@@ -52,8 +55,15 @@
 		defer cancel()
 	}
 	o := outgoing{id: id, path: path + id, body: strings.Repeat("body of "+id+" ", 1+rand.IntN(500))}
+	isSharing := rand.IntN(2) == 0
+	if isSharing && path != healthyPath {
+		o.prompt = promptOf(customerPart, firstPart)
+	}
 	isUndisturbed := !w.fatal.disturbed(b)
 	got := w.sendWithin(ctx, client, b, o)
+	if isUndisturbed && !leaves && path != healthyPath {
+		w.fatal.countSound(b, isSharing, got.whole || len(got.events) > 0)
+	}
 	if path != resumablePath || leaves {
 		return
 	}
@@ -71,6 +81,7 @@
 // outgoing is a request of a caller.
 type outgoing struct {
 	id, path, body string
+	prompt         []balance.Part
 	resumes        string // the id of the request that brought the first event of the stream that it takes up
 	after          int    // the last event of that stream that the caller has
 }
@@ -99,6 +110,11 @@
 	r.Header.Set(protocol.RequestID, o.id)
 	r.Header.Set(protocol.Key, goodKey)
 	r.Header.Set(protocol.TimeLeft, fmt.Sprint(callerWait.Milliseconds()))
+	if len(o.prompt) > 0 {
+		for name, value := range platform.PromptHeaders(o.prompt) {
+			r.Header.Set(name, value)
+		}
+	}
 	if o.resumes != "" {
 		r.Header.Set(protocol.Resumes, o.resumes)
 		r.Header.Set(protocol.LastEvent, strconv.Itoa(o.after))
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -1,10 +1,12 @@
 package soak
 
 // This file defines the fatal request, which crashes each upstream that starts to run it and is sent
-// repeatedly, to the boxes in turn, with a new id each time.
+// repeatedly, to the boxes in turn, with a new id each time; fatalpart.go defines different requests
+// that share the part of their prompts which does.
 //
-// Invariant: later than propagationTime after the third crash, the boxes that have had no fault for
-// propagationTime together forward the request at most maxLateSends times.
+// Invariant: later than propagationTime after the third crash under the request, or the fifth under
+// the part, the boxes that have had no fault for propagationTime together forward such requests at
+// most maxLateSends times.
 
 import (
 	"context"
@@ -22,23 +24,31 @@
 	fatalBody        = "what ends an upstream"
 	fatalInterval    = 150 * time.Millisecond
 	replacementDelay = time.Second // from a crash to the start of a replacement
-	allowedCrashes   = 3           // crashes before the invariant applies
+	allowedCrashes   = 3           // crashes under the request before the invariant applies
 	maxLateSends     = 3
 	propagationTime  = 3 * time.Second
 )
 
-// fatal tracks the fatal request and which boxes faults affect.
+// crashCount counts the crashes of one cause.
+type crashCount struct {
+	allowed   int // crashes before the invariant applies
+	crashes   int
+	limitAt   time.Time // when the last allowed crash happened
+	lastAt    time.Time // when the last crash happened
+	lateSends int       // times that undisturbed boxes forwarded such a request after that
+}
+
+// fatal tracks what crashes upstreams and which boxes faults affect.
 type fatal struct {
-	mu           sync.Mutex
-	crashes      int
-	thirdCrash   time.Time    // when the third upstream crashed
-	lateSends    int          // times that undisturbed boxes forwarded the request after that
-	activeFaults map[*box]int // number of current faults
-	quietSince   map[*box]time.Time
+	mu            sync.Mutex
+	request, part crashCount
+	sound         soundShares
+	activeFaults  map[*box]int // number of current faults
+	quietSince    map[*box]time.Time
 }
 
 func newFatal() *fatal {
-	return &fatal{activeFaults: make(map[*box]int), quietSince: make(map[*box]time.Time)}
+	return &fatal{request: crashCount{allowed: allowedCrashes}, part: crashCount{allowed: allowedPartCrashes}, activeFaults: make(map[*box]int), quietSince: make(map[*box]time.Time)}
 }
 
 // beginDisruption records that a fault starts to affect a box; the returned function records its end.
@@ -77,21 +87,22 @@
 	}
 }
 
-// requestArrived records that the fatal request reached an upstream, and checks the invariant.
-func (f *fatal) requestArrived(l *checker, id string) {
+// requestArrived records that a request reached an upstream that crashes under it, and checks the invariant.
+func (f *fatal) requestArrived(l *checker, id string, c *crashCount) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crashes++
+	c.crashes++
 	now := time.Now()
-	if f.crashes == allowedCrashes {
-		f.thirdCrash = now
+	c.lastAt = now
+	if c.crashes == c.allowed {
+		c.limitAt = now
 	}
 	b := l.boxOf(id)
-	if f.crashes <= allowedCrashes || now.Sub(f.thirdCrash) < propagationTime || !f.undisturbed(b) {
+	if c.crashes <= c.allowed || now.Sub(c.limitAt) < propagationTime || !f.undisturbed(b) {
 		return
 	}
-	if f.lateSends++; f.lateSends > maxLateSends {
-		l.reportViolation("%s: request crashes upstreams, but box %s still forwarded it; late forwards by all boxes: %d", id, b.name, f.lateSends)
+	if c.lateSends++; c.lateSends > maxLateSends {
+		l.reportViolation("%s: request crashes upstreams, but box %s still forwarded it; late forwards by all boxes: %d", id, b.name, c.lateSends)
 	}
 }
 
--- /dev/null
+++ b/soak/fatalpart_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/platform/standin"
+)
+
+// The checks on fatal parts find a box that forwards all requests with the part (BUDGET), and one that refuses all
+// that share another part with them (LOST), and nothing at one that refuses those with the fatal part only.
+func TestChecksOfFatalPartsFindBoxesThatBreakThem(t *testing.T) {
+	holds := func(r *http.Request, part uint64) bool {
+		for _, p := range protocol.Prompt(r.Header.Get).Parts {
+			if p.ID == part {
+				return true
+			}
+		}
+		return false
+	}
+	for i, c := range []struct {
+		name    string
+		refuses func(r *http.Request) bool
+		want    string // part of the violation; empty: none
+	}{
+		{"withholds the part", func(r *http.Request) bool { return holds(r, fatalPart) }, ""},
+		{"forwards all", func(*http.Request) bool { return false }, "still forwarded it"},
+		{"withholds another part", func(r *http.Request) bool { return holds(r, firstPart) }, "sound requests that share parts"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(Config{Net: 96 + i, Upstreams: 8})
+			defer w.close()
+			l, err := w.listen(1)
+			is.NoErr(err)
+			w.store = standin.NewStore(l)
+			for i := range w.cfg.Upstreams {
+				is.NoErr(w.startUpstream(i, 0))
+				w.upstreams[i].advertisedLimit.set(-1)
+			}
+			server := httptest.NewServer(&standInBox{harness: w, began: make(map[string]string), choose: func(b *standInBox, r *http.Request) *upstream {
+				if c.refuses(r) {
+					return nil
+				}
+				return b.anyRunning()
+			}})
+			defer server.Close()
+			b := &box{name: "stand-in", harness: w, callers: strings.TrimPrefix(server.URL, "http://")}
+			w.boxes = []*box{b}
+			past := time.Now().Add(-3 * propagationTime)
+			w.fatal.part = crashCount{allowed: allowedPartCrashes, crashes: allowedPartCrashes, limitAt: past, lastAt: past}
+			for n := range 6 {
+				id := fmt.Sprint("part", n)
+				w.sendPrompt(http.DefaultClient, b, outgoing{id: id, path: "/safe/" + id, body: id, prompt: promptOf(customerPart, firstPart, fatalPart)})
+			}
+			for n := range 8 * minSoundRequests {
+				w.request(http.DefaultClient, b, fmt.Sprint("r", n), "/safe/")
+			}
+			w.boxes = nil
+			w.fatal.checkSound(w.checker.reportViolation)
+			found := strings.Join(w.checker.violations, "\n")
+			is.Equal(found != "", c.want != "")
+			is.True(strings.Contains(found, c.want))
+		})
+	}
+}
+
+// anyRunning returns any upstream that has not crashed.
+func (b *standInBox) anyRunning() *upstream {
+	for {
+		if u := b.anyOf(""); !u.stopped.Load() {
+			return u
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,13 +60,16 @@
 	Retries                           int      // arrivals at upstreams beyond the first of each request
 	TakenUp, Continued                int      // streams that callers took up while two upstreams of their version served, and those that went on
 	Tried, Began                      int      // requests for new streams at undisturbed boxes, and those that brought events
+	Sharing, SharingBegan             int      // sound requests that share parts with fatal ones, once those must be withheld, and those that began
+	Others, OthersBegan               int      // likewise those without a prompt
+	Crashes, LateSends                int      // upstreams crashed by fatal requests, and such requests that were sent too late
 	Faults                            []string // descriptions, each with its time since the start of the run
 	Violations                        []string
 }
 
 func (r *Report) String() string {
-	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
-		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, len(r.Faults), len(r.Violations))
+	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d crashes under fatal requests, %d of these sent late, %d of %d sound ones that share parts began (%d of %d others), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
+		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, r.Crashes, r.LateSends, r.SharingBegan, r.Sharing, r.OthersBegan, r.Others, len(r.Faults), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return text
 	}
@@ -158,10 +161,16 @@
 		}
 		done <- struct{}{}
 	}()
+	go func() {
+		if !cfg.OnlyFailures && !cfg.OnlyKills {
+			w.sendFatalPart(callers)
+		}
+		done <- struct{}{}
+	}()
 	w.injectFaults(ctx)
 	time.Sleep(settleTime)
 	stop()
-	for range cfg.Callers + 1 {
+	for range cfg.Callers + 2 {
 		<-done
 	}
 	return w.report(), nil
@@ -175,9 +184,13 @@
 
 func (w *harness) report() *Report {
 	w.streams.check(w.checker.reportViolation)
+	w.fatal.checkSound(w.checker.reportViolation)
 	r := w.checker.report(w.retryWindow())
 	r.TakenUp, r.Continued = w.streams.goesOn.tried, w.streams.goesOn.brought
 	r.Tried, r.Began = w.streams.began.tried, w.streams.began.brought
+	r.Crashes, r.LateSends = w.fatal.request.crashes+w.fatal.part.crashes, w.fatal.request.lateSends+w.fatal.part.lateSends
+	r.Sharing, r.SharingBegan = w.fatal.sound.sharing.tried, w.fatal.sound.sharing.brought
+	r.Others, r.OthersBegan = w.fatal.sound.others.tried, w.fatal.sound.others.brought
 	r.Faults = w.faults
 	return r
 }
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -163,9 +163,12 @@
 	}
 	switch outcome := rand.IntN(100); {
 	case string(body) == fatalBody:
-		u.harness.fatal.requestArrived(u.harness.checker, id)
+		u.harness.fatal.requestArrived(u.harness.checker, id, &u.harness.fatal.request)
 		u.harness.crashOnFatal(u)
 		return
+	case hasFatalPart(r):
+		u.harness.crashOnPart(u, w, id, r.URL.Path)
+		return
 	case u.service == healthyService:
 	case outcome < 4, u.fails():
 		u.harness.checker.checkColdRate(u)
