--- a/soak/fatalpart_test.go
+++ b/soak/fatalpart_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,9 +60,15 @@
 				id := fmt.Sprint("part", n)
 				w.sendPrompt(http.DefaultClient, b, outgoing{id: id, path: "/safe/" + id, body: id, prompt: promptOf(customerPart, firstPart, fatalPart)})
 			}
-			for n := range 8 * minSoundRequests {
-				w.request(http.DefaultClient, b, fmt.Sprint("r", n), "/safe/")
+			var callers sync.WaitGroup
+			for n := range 8 {
+				callers.Go(func() {
+					for k := range minSoundRequests {
+						w.request(http.DefaultClient, b, fmt.Sprintf("r%d-%d", n, k), resumablePath)
+					}
+				})
 			}
+			callers.Wait()
 			w.boxes = nil
 			w.fatal.checkSound(w.checker.reportViolation)
 			found := strings.Join(w.checker.violations, "\n")
