A box tells how many crashes it has established in succession; answers that end with their connection

Change: the gap applies only where another box told of a crash, and a box tells how many it has established in succession by its own clock. Also: a stream without length or chunks that ends before its first event counts as broken off (it was passed on as a whole, empty one), and an answer that ends with its connection clears its parts only when its upstream accepts another connection.

--- a/balance/soundparts.go
+++ b/balance/soundparts.go
@@ -60,6 +60,16 @@
 	return known && now-at < soundRetention || x.wasSound && now-x.soundAt < soundRetention
 }
 
+// KnownSound reports whether runs with all of some parts were answered lately at this box.
+func (s *Suspects) KnownSound(now time.Duration, parts ...Subject) bool {
+	for _, j := range parts {
+		if at, known := s.sound.answeredAt[j]; !known || now-at >= soundRetention {
+			return false
+		}
+	}
+	return true
+}
+
 // reportSoundness tells other boxes that this box has seen answers with a suspected part, unless
 // they were told lately.
 func (s *Suspects) reportSoundness(now time.Duration, j Subject, x *suspect) {
--- a/balance/suspectreport.go
+++ b/balance/suspectreport.go
@@ -14,13 +14,15 @@
 
 // Suspect is a subject under which upstreams have crashed, as sent between boxes.
 type Suspect struct {
-	Content  uint64        // hash of the content, or ID of the part
-	Service  uint32        // hash of the part's service; 0: the subject is a content
-	Ended    []uint32      // sorted incarnation keys; empty: answered since
-	Spans    []Span        // of the runs that were cut off, parallel to Ended; nil: not stated
-	Round    uint32        // number of times that crashes were withdrawn; the greater round wins
-	Age      time.Duration // since the last crash
-	SoundAge time.Duration // since a run with the part was answered; 0: not known
+	Content uint64        // hash of the content, or ID of the part
+	Service uint32        // hash of the part's service; 0: the subject is a content
+	Ended   []uint32      // sorted incarnation keys; empty: answered since
+	Spans   []Span        // of the runs that were cut off, parallel to Ended; nil: not stated
+	Round   uint32        // number of times that crashes were withdrawn; the greater round wins
+	Age     time.Duration // since the last crash
+	// For a part, the largest number of these crashes in succession that a box has established.
+	InSuccession int
+	SoundAge     time.Duration // since a run with the part was answered; 0: not known
 }
 
 // Span says when a run was sent and when it was cut off.
@@ -81,6 +83,9 @@
 			t.Spans = append(t.Spans, Span{now - c.began, now - c.ended})
 		}
 	}
+	if j.IsPart() {
+		t.InSuccession = max(x.inSuccession, succession(x.crashes))
+	}
 	if j.IsPart() && x.wasSound {
 		t.SoundAge = max(now-x.soundAt, 1)
 	}
@@ -138,7 +143,7 @@
 	}
 	for i, incarnation := range t.Ended {
 		began, ended := t.span(now, i)
-		isNew := x.add(crash{incarnation, began, ended})
+		isNew := x.add(crash{incarnation, began, ended, true})
 		if isNew {
 			s.noteChange(j)
 			recordEnd(&s.reported, incarnation, now)
@@ -148,6 +153,10 @@
 			s.verdicts.invalidate()
 		}
 	}
+	if t.InSuccession > max(x.inSuccession, succession(x.crashes)) {
+		x.inSuccession = t.InSuccession
+		s.noteChange(j)
+	}
 	if at := now - t.SoundAge; t.SoundAge > 0 && x.mayUpdateSoundness(at) {
 		x.wasSound, x.soundAt = true, at
 		s.noteChange(j)
--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -75,15 +75,18 @@
 type crash struct {
 	incarnation  uint32
 	began, ended time.Duration // of the run
+	told         bool          // another box observed it
 }
 
 // suspect is what is known about a subject.
 type suspect struct {
-	crashes  []crash // sorted by incarnation
-	round    uint32
-	at       time.Duration // time of the last crash, or when the subject was answered
-	wasSound bool          // a run of it was answered at some box
-	soundAt  time.Duration // about when that was last
+	crashes []crash // sorted by incarnation
+	round   uint32
+	// The largest number of crashes in succession that a box has established.
+	inSuccession int
+	at           time.Duration // time of the last crash, or when the subject was answered
+	wasSound     bool          // a run of it was answered at some box
+	soundAt      time.Duration // about when that was last
 }
 
 // LostRun is a run that was cut off at an upstream which may have crashed.
@@ -186,7 +189,7 @@
 func (s *Suspects) addCrashes(now time.Duration, c lostRun) {
 	for _, j := range c.subjects {
 		x := s.ensure(now, j)
-		if !x.add(crash{c.incarnation, c.began, c.at}) && !x.full() {
+		if !x.add(crash{c.incarnation, c.began, c.at, false}) && !x.full() {
 			continue // already known
 		}
 		x.at = now
@@ -267,7 +270,7 @@
 	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return isContentOf(c.subjects, subjects) })
 	for _, j := range subjects {
 		if x := s.subjects[j]; x != nil && len(x.crashes) > 0 {
-			x.crashes, x.at, x.wasSound, x.soundAt = nil, now, true, now
+			x.crashes, x.inSuccession, x.at, x.wasSound, x.soundAt = nil, 0, now, true, now
 			x.round++
 			s.noteChange(j)
 		}
@@ -287,18 +290,8 @@
 // thought to have crashed before that, it had not.
 func (s *Suspects) Alive(now time.Duration, l Incarnation, began time.Duration) {
 	incarnation := l.Key()
-	isBefore := func(c lostRun) bool { return c.incarnation == incarnation && c.at < began }
-	s.lostRuns = slices.DeleteFunc(s.lostRuns, isBefore)
-	var whole []lostRun
-	s.whole = slices.DeleteFunc(s.whole, func(c lostRun) bool {
-		if isBefore(c) {
-			whole = append(whole, c)
-		}
-		return isBefore(c)
-	})
-	for _, c := range whole {
-		s.Answered(now, c.subjects...)
-	}
+	s.lostRuns = slices.DeleteFunc(s.lostRuns, func(c lostRun) bool { return c.incarnation == incarnation && c.at < began })
+	s.Reached(now, l, began)
 	if !s.crashedBefore(incarnation, began) {
 		return
 	}
@@ -306,13 +299,30 @@
 	delete(s.reported, incarnation)
 	for j, x := range s.subjects {
 		if i, held := x.find(incarnation); held {
-			x.crashes = slices.Delete(x.crashes, i, i+1)
+			x.crashes, x.inSuccession = slices.Delete(x.crashes, i, i+1), 0
 			x.round++
 			s.noteChange(j)
 		}
 	}
 }
 
+// Reached records that an upstream accepted a connection at the given time: answers that ended
+// with their connections before that were whole.
+func (s *Suspects) Reached(now time.Duration, l Incarnation, at time.Duration) {
+	incarnation := l.Key()
+	var whole []lostRun
+	s.whole = slices.DeleteFunc(s.whole, func(c lostRun) bool {
+		isBefore := c.incarnation == incarnation && c.at < at
+		if isBefore {
+			whole = append(whole, c)
+		}
+		return isBefore
+	})
+	for _, c := range whole {
+		s.Answered(now, c.subjects...)
+	}
+}
+
 // crashedBefore reports whether an upstream was found or reported to have crashed, only at times
 // before the given one.
 func (s *Suspects) crashedBefore(incarnation uint32, moment time.Duration) bool {
--- a/balance/verdict.go
+++ b/balance/verdict.go
@@ -29,8 +29,8 @@
 	partSuccession    = 3
 	partCrashes       = 5
 	partMinSuccession = 2
-	// minCrashGap is the least time between two crashes in succession: boxes hear of the same
-	// moment at different times.
+	// minCrashGap is the least time between two crashes in succession of which other boxes told:
+	// boxes hear of the same moment at different times.
 	minCrashGap = 200 * time.Millisecond
 	// soundPartSuccession applies, with partCrashes, to a part that was answered lately.
 	soundPartSuccession = 4
@@ -147,28 +147,39 @@
 	case !c.subject.IsPart():
 		return n >= withholdThreshold
 	case c.isSound:
-		return n >= partCrashes && succession(c.unexplained) >= soundPartSuccession
+		return n >= partCrashes && c.succession() >= soundPartSuccession
 	case n < partSuccession:
 		return false
 	}
-	inSuccession := succession(c.unexplained)
+	inSuccession := c.succession()
 	return inSuccession >= partSuccession || n >= partCrashes && inSuccession >= partMinSuccession
 }
 
+// succession returns how many of the unexplained crashes are in succession, by the times that this
+// box knows or as a box with better knowledge has told.
+func (c candidate) succession() int {
+	return max(succession(c.unexplained), min(c.entry.inSuccession, len(c.unexplained)))
+}
+
 // succession returns the largest number of crashes of which each cut off a run that was sent after
 // the one before.
 func succession(crashes []crash) int {
 	byEnd := slices.SortedFunc(slices.Values(crashes), func(a, b crash) int { return cmp.Compare(a.ended, b.ended) })
 	n := 0
-	last := time.Duration(0)
+	var last crash
 	for _, c := range byEnd {
-		if n == 0 || c.began >= last && c.ended-last >= minCrashGap {
-			n, last = n+1, c.ended
+		if n == 0 || c.follows(last) {
+			n, last = n+1, c
 		}
 	}
 	return n
 }
 
+// follows reports whether the run that a crash cut off was sent after another crash.
+func (c crash) follows(last crash) bool {
+	return c.began >= last.ended && (!c.told && !last.told || c.ended-last.ended >= minCrashGap)
+}
+
 func sameCrashes(a, b []crash) bool {
 	return slices.EqualFunc(a, b, func(x, y crash) bool { return x.incarnation == y.incarnation })
 }
@@ -190,7 +201,7 @@
 func (c candidate) hold() time.Duration {
 	base, extra := withholdBase, len(c.unexplained)-withholdThreshold
 	if c.subject.IsPart() {
-		extra = succession(c.unexplained) - partSuccession
+		extra = c.succession() - partSuccession
 	}
 	switch {
 	case c.isSound:
--- a/group/suspects.go
+++ b/group/suspects.go
@@ -36,9 +36,9 @@
 // crashesPerWeight is how many crashes of a part take as much of a message as the rest of it.
 const crashesPerWeight = 3
 
-// samePart reports whether two entries tell the same crashes, and both or neither of them answers.
+// samePart reports whether two entries tell the same crashes and succession, and both or neither of them answers.
 func samePart(a, b balance.Suspect) bool {
-	return a.Round == b.Round && slices.Equal(a.Ended, b.Ended) && (a.SoundAge > 0) == (b.SoundAge > 0)
+	return a.Round == b.Round && slices.Equal(a.Ended, b.Ended) && a.InSuccession == b.InSuccession && (a.SoundAge > 0) == (b.SoundAge > 0)
 }
 
 // suspectSendCount returns the number of messages that carry an entry. The crash of a first
@@ -66,7 +66,7 @@
 }
 
 func packPart(x balance.Suspect) *wire.GroupSuspect {
-	out := &wire.GroupSuspect{Content: x.Content, Service: x.Service, Ended: x.Ended, Round: x.Round, Age: micros(x.Age), SoundAge: micros(x.SoundAge)}
+	out := &wire.GroupSuspect{Content: x.Content, Service: x.Service, Ended: x.Ended, Round: x.Round, Age: micros(x.Age), SoundAge: micros(x.SoundAge), InSuccession: uint32(x.InSuccession)}
 	for _, s := range x.Spans {
 		out.BeganMs = append(out.BeganMs, uint32(max(s.BeganAge, 0).Milliseconds()))
 		out.CutMs = append(out.CutMs, uint32(max(s.EndedAge, 0).Milliseconds()))
@@ -76,7 +76,7 @@
 
 // unpackPart returns a received entry; ok is false if it is malformed.
 func unpackPart(w *wire.GroupSuspect) (x balance.Suspect, ok bool) {
-	x = balance.Suspect{Content: w.Content, Service: w.Service, Ended: w.Ended, Round: w.Round, Age: fromMicros(w.Age), SoundAge: fromMicros(w.SoundAge)}
+	x = balance.Suspect{Content: w.Content, Service: w.Service, Ended: w.Ended, Round: w.Round, Age: fromMicros(w.Age), SoundAge: fromMicros(w.SoundAge), InSuccession: int(w.InSuccession)}
 	if w.Service == 0 || len(w.BeganMs) != len(w.Ended) || len(w.CutMs) != len(w.Ended) {
 		return x, false
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -38,6 +38,9 @@
 	x.startReadWait(nil)
 	pending, err := e.next()
 	x.endReadWait()
+	if errors.Is(err, io.EOF) && !resp.hasFraming() {
+		err = io.ErrUnexpectedEOF // no event, and nothing says that there are none
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		x.detachConn()
 		x.relay.conns.discard(resp.conn)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -119,3 +120,48 @@
 	is.NoErr(err)
 	is.Equal(string(rest), event(2))
 }
+
+// A stream with neither a length nor chunks ends with its connection: within an event it has been
+// broken off, and without any event nothing says that it was whole.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sent   string // by the first upstream, before it closes the connection
+		path   string
+		want   string
+		status int
+		broken bool
+	}{
+		{"after an event", event(1) + event(2), "/flow/x", event(1) + event(2), 200, false},
+		{"within an event", event(1) + "id: 2\nda", "/flow/x", event(1) + event(2), 200, false},
+		{"within an event of a stream that is not resumable", event(1) + "id: 2\nda", "/fixed/x", event(1), 200, true},
+		{"before the first event", "", "/flow/x", event(1) + event(2), 200, false},
+		{"before the first event of a stream that is not resumable", "", "/fixed/x", "", 502, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int32
+			script := func(conn net.Conn, r stubRequest) bool {
+				if runs.Add(1) == 1 {
+					writeWire(conn, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nContent-Type: text/event-stream\n\n")
+					_, _ = io.WriteString(conn, c.sent)
+					return false
+				}
+				startStream(conn, r)
+				from, _ := strconv.Atoi(r.Header.Get("X-Last"))
+				for i := from + 1; i <= 2; i++ {
+					writeChunk(conn, event(i))
+				}
+				writeChunk(conn, "")
+				return true
+			}
+			b := newTestBox(t, newStub(t, "u1", script), newStub(t, "u2", script))
+			got := b.do(b.request("POST", c.path, "body"))
+			is.Equal(got.status, c.status)
+			is.Equal(got.err != nil, c.broken)
+			if c.status == 200 {
+				is.Equal(got.body, c.want)
+			}
+		})
+	}
+}
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -26,6 +26,9 @@
 // prompt: one that crashes its upstream does so soon after the answer has begun.
 const survivalTime = 2 * time.Second
 
+// endCheckDelay is how long after its connections a crashing upstream may still accept others.
+const endCheckDelay = 50 * time.Millisecond
+
 // parts returns the subjects of the prompt's parts that other prompts may share. The rules for
 // calls are those of requestHash.
 func (x *exchange) parts() []balance.Subject {
@@ -141,10 +144,14 @@
 	}
 	done := make(chan struct{})
 	r.endChecks[inc] = done
+	began := r.now()
 	go func() {
 		c, err := dial(context.Background(), u.Address)
 		if err == nil {
 			_ = c.Close()
+			r.mu.Lock()
+			r.crashSuspects.Reached(r.now(), inc, began)
+			r.mu.Unlock()
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) && !r.reachedByOther(context.Background(), u) {
 			r.noteEnd(inc)
@@ -202,17 +209,18 @@
 
 // noteAnswered records that the run was answered completely: the request does not crash its
 // upstream, and the upstream had not ended before. A failure does not show that the request was
-// run, so it says nothing about parts. An answer that ends with its connection may have been cut
-// off by a crash.
+// run, so it says nothing about parts.
 func (x *exchange) noteAnswered() {
+	if x.response != nil && !x.response.hasFraming() {
+		x.noteEndOfConnection()
+		return
+	}
 	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, u := r.now(), x.upstream.Incarnation()
 	succeeded := x.response != nil && x.response.header.StatusCode() < fasthttp.StatusMultipleChoices
 	switch {
-	case x.response != nil && !x.response.hasFraming():
-		r.crashSuspects.NoteConnectionLost(now, balance.LostRun{Subjects: x.subjects(), Incarnation: u, Began: x.sentAt, LooksWhole: true})
 	case succeeded && !r.crashSuspects.Any():
 		r.crashSuspects.Answered(now, x.parts()...)
 	case succeeded:
@@ -224,6 +232,23 @@
 	wake(r.members.loadsChanged)
 }
 
+// noteEndOfConnection records that the answer ended with its connection, which a crash may have
+// cut off. Unless answers with its parts are known, the upstream is checked.
+func (x *exchange) noteEndOfConnection() {
+	r := x.relay
+	if r.cfg.Disabled[balance.Withholding] {
+		return
+	}
+	r.mu.Lock()
+	now := r.now()
+	r.crashSuspects.NoteConnectionLost(now, balance.LostRun{Subjects: x.subjects(), Incarnation: x.upstream.Incarnation(), Began: x.sentAt, LooksWhole: true})
+	known := r.crashSuspects.KnownSound(now, x.parts()...)
+	r.mu.Unlock()
+	if u := x.upstream; !known {
+		time.AfterFunc(endCheckDelay, func() { r.checkEnded(u) })
+	}
+}
+
 // noteSurvival records that a run has been answering for long.
 func (x *exchange) noteSurvival() {
 	if x.survived || time.Since(x.answeringSince) < survivalTime {
--- a/relay/withholdpart_test.go
+++ b/relay/withholdpart_test.go
@@ -5,9 +5,15 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
 )
 
 // Requests with different bodies shared one part of their prompts, and each crashed the upstreams
@@ -76,3 +82,117 @@
 	b.awaitLog(`"parts":"1 ab"`) // without the last one, which is of this request alone
 	is.True(b.closedLogContains(`"route":"once"`))
 }
+
+// An answer with neither a length nor chunks ends with its connection, so one that a crash cuts off
+// looks whole. It does not clear its parts, and the crash counts against them.
+func TestAnswerCutOffByCrashDoesNotClearParts(t *testing.T) {
+	is := is.New(t)
+	m := newPartCrashingUpstreams(t, func(c net.Conn, r stubRequest) {
+		writeWire(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\n\nhalf")
+	})
+	m.startBox(6, func(*Config) {})
+	status := 0
+	for n := 0; n < 12 && status != http.StatusServiceUnavailable; n++ {
+		m.b.waitFor(func() bool { return m.b.lists(m.newest()) })
+		status = m.send(m.b, "/safe/x", "fatal", n, "1:100 66:50").status
+		for k := range 8 { // find that the upstream has ended
+			is.Equal(m.send(m.b, "/safe/x", "sound", 100*n+k, "1:100 2:10").status, http.StatusOK)
+		}
+	}
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(m.endedCount() <= maxEndedUnderPart)
+}
+
+// A box that did not run any of the requests refuses the part as well, and a request that it
+// refuses leads to the part and to the crashes held against it in the log and in its state.
+func TestWithheldPartIsKnownToOtherBoxes(t *testing.T) {
+	is := is.New(t)
+	m := newPartCrashingUpstreams(t, func(net.Conn, stubRequest) {})
+	var self *wire.GroupBox
+	m.startBox(6, func(c *Config) {
+		joinGroup(t, c, "first")
+		self = c.Self
+	})
+	second := m.b.startPeer(self)
+	status := 0
+	for n := 0; n < 40 && status != http.StatusServiceUnavailable; n++ {
+		status = m.send(m.b, "/safe/x", "fatal", n, "1:100 66:50").status
+		m.send(m.b, "/safe/x", "sound", n, "1:100 2:10")
+	}
+	is.Equal(status, http.StatusServiceUnavailable)
+	second.awaitLog(`"msg":"part: withheld"`)
+	before := m.endedCount()
+	got := m.send(second, "/safe/x", "other", 1, "1:100 66:50")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(m.send(second, "/safe/x", "sound", 1000, "1:100 2:10").status, http.StatusOK)
+	is.Equal(m.endedCount(), before) // no upstream crashed under it at the second box
+	withheld := second.relay.state().Withheld
+	is.Equal(len(withheld), 1)
+	is.Equal(withheld[0].Parts, []string{"42"}) // hexadecimal
+	is.Equal(withheld[0].Service, "s")
+	is.True(len(withheld[0].Crashes) >= 3)
+	is.True(second.closedLogContains(`"reason":"upstreams ended under it"`))
+	is.True(second.log.contains(`"parts":"42"`))
+	is.True(m.b.closedLogContains(`"crash":"` + withheld[0].Crashes[0] + `"`)) // of the line "upstream: ended"
+}
+
+// A part is not told apart from the customer's part, or from one that sound requests have as
+// well, by how often runs of it are cut off.
+func TestPartsCutOffBesideFatalPartAreServed(t *testing.T) {
+	is := is.New(t)
+	m := newPartCrashingUpstreams(t, func(net.Conn, stubRequest) { time.Sleep(20 * time.Millisecond) })
+	m.startBox(8, func(*Config) {})
+	for n := range 10 {
+		m.b.waitFor(func() bool { return m.b.lists(m.newest()) })
+		var beside sync.WaitGroup
+		for k := range 16 {
+			beside.Go(func() { m.send(m.b, "/safe/x", "beside", 100*n+k, "1:100 2:10") })
+		}
+		beside.Go(func() { m.send(m.b, "/safe/x", "fatal", n, "1:100 2:10 66:50") })
+		beside.Wait()
+	}
+	is.True(m.endedCount() <= maxEndedUnderPart)
+	is.Equal(m.send(m.b, "/safe/x", "last", 0, "1:100 2:10 66:50").status, http.StatusServiceUnavailable)
+	is.Equal(m.send(m.b, "/safe/x", "sound", 0, "1:100 2:10").status, http.StatusOK)
+	is.Equal(m.send(m.b, "/safe/x", "sound", 1, "1:100").status, http.StatusOK)
+}
+
+// For a while most new connections come to one box, for a request each.
+func TestBoxThatGetsMostNewConnectionsServesThem(t *testing.T) {
+	is := is.New(t)
+	slow := func(c net.Conn, r stubRequest) bool {
+		time.Sleep(10 * time.Millisecond)
+		return respondOK("well")(c, r)
+	}
+	b := newTestBox(t, newStub(t, "u1", slow), newStub(t, "u2", slow), newStub(t, "u3", slow))
+	var served atomic.Int32
+	var callers sync.WaitGroup
+	for n := range 40 {
+		callers.Go(func() {
+			for k := range 10 {
+				if b.do(b.request(http.MethodPost, "/safe/x", "body", "X-Id", fmt.Sprint(n, "-", k))).status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	is.Equal(served.Load(), int32(400))
+}
+
+// Where all answers end with their connections, an upstream that accepts another one shows that
+// they were whole, and so that their parts are sound.
+func TestAnswersThatEndWithTheirConnectionsClearParts(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(t, newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+		writeWire(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\n\nwell")
+		return false
+	}))
+	is.Equal(b.do(b.request(http.MethodPost, "/safe/x", "body", "X-Parts", "1:100 9:10")).body, "well")
+	b.waitFor(func() bool {
+		b.relay.mu.Lock()
+		defer b.relay.mu.Unlock()
+		return b.relay.crashSuspects.KnownSound(b.relay.now(), balance.PartSubjects("s", []balance.Part{{ID: 1}, {ID: 9}})...)
+	})
+}
