--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -131,7 +131,7 @@
 	maps.DeleteFunc(s.reported, func(_ uint32, at time.Duration) bool { return now-at >= suspectRetention })
 	before := len(s.subjects)
 	maps.DeleteFunc(s.subjects, func(_ Subject, x *suspect) bool { return now-x.at >= suspectRetention })
-	if len(s.subjects) != before || len(s.verdicts.list) > 0 {
+	if len(s.subjects) != before || len(s.verdicts.list) > 0 && now-s.verdicts.computed >= verdictAge {
 		s.verdicts.invalidate()
 	}
 }
--- a/balance/verdict.go
+++ b/balance/verdict.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +46,11 @@
 	soundWithholdBase = 15 * time.Second
 	// maxWithhold bounds that time.
 	maxWithhold = time.Hour
+	// maxCandidates bounds the subjects that verdicts are chosen from: those with the most crashes.
+	maxCandidates = 512
+	// verdictAge is after how long verdicts are computed anew though no evidence has changed, since
+	// answers speak for a part for some time only.
+	verdictAge = time.Second
 	// retryInterval is the time within which all boxes learn how a request that ran after a
 	// verdict was over has ended.
 	retryInterval = 2 * time.Second
@@ -62,10 +68,11 @@
 	retryAt  time.Duration // when this box may let one run again
 }
 
-// verdicts are the verdicts of a box. The zero value must be computed first.
+// verdicts are the verdicts of a box. The zero value has none.
 type verdicts struct {
-	stale     bool // list does not reflect the evidence
-	changed   bool // the evidence has changed since TakeVerdicts
+	stale     bool          // list does not reflect the evidence
+	changed   bool          // the evidence has changed since TakeVerdicts
+	computed  time.Duration // when list was computed
 	list      []Verdict
 	first     map[Subject]int           // index into list by each verdict's first subject
 	announced map[Subject]Verdict       // verdicts in force when TakeVerdicts last returned
@@ -81,12 +88,13 @@
 	if !v.stale {
 		return v
 	}
-	v.stale = false
+	v.stale, v.computed = false, now
 	v.list, v.first = nil, make(map[Subject]int)
 	for _, verdict := range s.explain(now) {
 		v.first[verdict.Subjects[0]] = len(v.list)
 		v.list = append(v.list, verdict)
 	}
+	maps.DeleteFunc(v.tried, func(j Subject, _ time.Duration) bool { _, still := v.first[j]; return !still })
 	return v
 }
 
@@ -106,7 +114,10 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return compareSubjects(a.subject, b.subject) })
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(compareCandidates(a, b), compareSubjects(a.subject, b.subject))
+	})
+	list = list[:min(len(list), maxCandidates)]
 	var chosen []Verdict
 	for len(list) > 0 {
 		slices.SortStableFunc(list, compareCandidates)
--- a/balance/verdict_test.go
+++ b/balance/verdict_test.go
@@ -321,3 +321,31 @@
 func parts(list []Suspect) []Suspect {
 	return slices.DeleteFunc(list, func(x Suspect) bool { return !x.Subject().IsPart() })
 }
+
+// fullSuspects returns a table in which each subject has as many crashes as are remembered.
+func fullSuspects() *Suspects {
+	s := new(Suspects)
+	for n := range incarnationsPerSubject {
+		for i := range uint64(maxSuspects / 4) {
+			crashUnder(s, time.Duration(n+1)*time.Second, n, subjectsOf(i, firstPart+100*i, companion+100*i, crashPart+100*i))
+		}
+	}
+	return s
+}
+
+// BenchmarkAdmitAmongVerdicts measures the decision on a request that holds no suspected part.
+func BenchmarkAdmitAmongVerdicts(b *testing.B) {
+	s, request := fullSuspects(), subjectsOf(1<<40, 1<<41, 1<<42, 1<<43)
+	for b.Loop() {
+		s.Admit(30*time.Second, request...)
+	}
+}
+
+// BenchmarkVerdicts measures the verdicts on a full table after a change.
+func BenchmarkVerdicts(b *testing.B) {
+	s := fullSuspects()
+	for b.Loop() {
+		s.verdicts.invalidate()
+		s.current(30 * time.Second)
+	}
+}
--- a/cmd/doormast/relay_test.go
+++ b/cmd/doormast/relay_test.go
@@ -52,6 +52,13 @@
 	is.True(strings.Contains(strings.Join(strings.Fields(out.String()), " "), "b2 78a6f68a54cd7cce 2 5m0s"))
 }
 
+func TestStatusShowsWithheldParts(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(showStates(&out, []*wire.StateResponse{{Box: "b1", Withheld: []*wire.WithheldRow{{Parts: []string{"42", "2"}, Service: "s", Ended: 3, Left: 60000000}}}}))
+	is.True(strings.Contains(strings.Join(strings.Fields(out.String()), " "), "b1 parts 42+2 of s 3 1m0s"))
+}
+
 func TestStatusShowsRetryBudgets(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
--- a/cmd/doormast/status.go
+++ b/cmd/doormast/status.go
@@ -69,14 +69,22 @@
 	{"LEFT", func(r *wire.RetryRow) string { return count(r.Left) }},
 }
 
-// withheldColumns are the columns of the table of withheld request contents, after the
+// withheldColumns are the columns of the table of withheld contents and parts of prompts, after the
 // box's name.
 var withheldColumns = []column[*wire.WithheldRow]{
-	{"WITHHOLDS", func(c *wire.WithheldRow) string { return c.Content }},
+	{"WITHHOLDS", withheldSubject},
 	{"UPSTREAMS ENDED", func(c *wire.WithheldRow) string { return count(c.Ended) }},
 	{"FOR", func(c *wire.WithheldRow) string { return micros(c.Left).Round(time.Second).String() }},
 }
 
+// withheldSubject names a content, or parts of prompts and their service.
+func withheldSubject(c *wire.WithheldRow) string {
+	if len(c.Parts) == 0 {
+		return c.Content
+	}
+	return strings.TrimSpace(c.Content + " parts " + strings.Join(c.Parts, "+") + " of " + c.Service)
+}
+
 // showStates prints the boxes, the upstreams as the first box sees them, and per box the
 // retry budgets, the withheld contents and the traffic to other boxes since the start. A
 // box has a traffic row only for the kinds of messages that it has sent.
--- a/group/suspects.go
+++ b/group/suspects.go
@@ -27,7 +27,7 @@
 var partReplication = replicationRules[balance.Suspect]{
 	key:       func(x balance.Suspect) uint64 { return x.Content ^ uint64(x.Service)<<32 },
 	same:      samePart,
-	sendCount: suspectSendCount,
+	sendCount: partSendCount,
 	weight:    func(x balance.Suspect) int { return 1 + len(x.Ended)/crashesPerWeight },
 	aged:      balance.Suspect.Aged,
 	pack:      packParts,
@@ -51,6 +51,15 @@
 	return entrySendCount
 }
 
+// partSendCount is suspectSendCount for parts. Each crash and each answer after it concerns popular
+// parts at many boxes; a part becomes important with its second crash.
+func partSendCount(x balance.Suspect) int {
+	if len(x.Ended) < 2 {
+		return 1
+	}
+	return entrySendCount
+}
+
 func packSuspects(m *wire.GroupMessage, list []balance.Suspect, digest uint64, all bool) {
 	m.AllWithheld, m.WithheldDigest = all, digest
 	for _, x := range list {
--- a/group/suspects_test.go
+++ b/group/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/wire"
 )
 
 // suspectTables holds the boxes' tables of requests that upstreams crash under, connected to the
@@ -229,3 +231,60 @@
 		b.ReportMetric(float64(w.bytesByKind[sentKey{KindSuspects, ReachDomain}]-before), "B/withheld")
 	}
 }
+
+// suspectPart is a report about a part under which two upstreams have crashed.
+var suspectPart = balance.Suspect{Content: 66, Service: 5, Ended: []uint32{1, 2}, Age: time.Second, InSuccession: 2, SoundAge: time.Minute,
+	Spans: []balance.Span{{BeganAge: 3 * time.Second, EndedAge: 2 * time.Second}, {BeganAge: 1500 * time.Millisecond, EndedAge: time.Second}}}
+
+func TestSuspectPartsAreSentUnchanged(t *testing.T) {
+	is := is.New(t)
+	var m wire.GroupMessage
+	packParts(&m, []balance.Suspect{suspectPart}, 7, true)
+	is.True(carriesSuspectParts(&m))
+	is.Equal(KindOf(&m), KindSuspects)
+	got, ok := unpackPart(m.PartsEnded[0])
+	is.True(ok)
+	is.Equal(got, suspectPart)
+}
+
+func TestMalformedSuspectPartsAreIgnored(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*wire.GroupSuspect)
+	}{
+		{"no service", func(w *wire.GroupSuspect) { w.Service = 0 }},
+		{"fewer times than crashes", func(w *wire.GroupSuspect) { w.BeganMs = w.BeganMs[:1] }},
+		{"more times than crashes", func(w *wire.GroupSuspect) { w.CutMs = append(w.CutMs, 1) }},
+		{"the same crash twice", func(w *wire.GroupSuspect) { w.Ended[1] = w.Ended[0] }},
+		{"crashes out of order", func(w *wire.GroupSuspect) { w.Ended[0] = 9 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			x := suspectPart
+			x.Ended = slices.Clone(x.Ended)
+			w := packPart(x)
+			test.change(w)
+			_, ok := unpackPart(w)
+			is.New(t).True(!ok)
+		})
+	}
+}
+
+// A box that does not know the fields for parts finds an empty list of changed loads in such a
+// message, and takes it for no heartbeat.
+func TestOlderBoxesIgnoreSuspectParts(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	w.seeds = []string{"a"}
+	w.start("a", "d0", 2, true)
+	w.start("b", "d0", 1, true)
+	w.run(3 * time.Second)
+	a, b := w.boxes["a"], w.boxes["b"]
+	before := a.node.peers["b"].lastHeard
+	m := &wire.GroupMessage{Sender: &wire.GroupBox{Name: "b", Boot: b.self.Boot}}
+	packParts(m, []balance.Suspect{suspectPart}, 7, true)
+	m.PartsEnded, m.AllPartsEnded, m.PartsEndedDigest = nil, false, 0
+	a.node.Handle(w.now+time.Second, m)
+	is.Equal(a.node.peers["b"].lastHeard, before)
+	is.Equal(len(a.node.DrainSuspects()), 0)
+	is.Equal(a.node.BoxCount(), 2)
+}
--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 		switch {
 		case stringValue(l.Fields["id"]) == id:
 			_, err = fmt.Fprintf(w, "%s\n  %s\n", l, describe(l))
-		case s.contains(l) && isRelevant(l, s.upstreams):
+		case s.contains(l) && isRelevant(l, s.upstreams), s.isEvidence(l):
 			_, err = fmt.Fprintf(w, "    %s\n", l)
 		}
 		if err != nil {
@@ -43,6 +44,8 @@
 	from, to  time.Time
 	boxes     map[string]bool
 	upstreams map[string]bool // keyed by id
+	crashes   map[string]bool // held against the request, keyed as lines name them
+	parts     string          // of prompts, for which the request was refused
 }
 
 // newScope derives the scope from the request's own lines, of which there must be at least one.
@@ -52,14 +55,36 @@
 		to:        own[len(own)-1].Time,
 		boxes:     make(map[string]bool),
 		upstreams: make(map[string]bool),
+		crashes:   make(map[string]bool),
 	}
 	for _, l := range own {
 		s.boxes[l.Box] = true
 		s.upstreams[stringValue(l.Fields["upstream"])] = true
+		for _, crash := range strings.Fields(stringValue(l.Fields["crashes"])) {
+			s.crashes[crash] = true
+		}
+		if l.Event == "refused" {
+			s.parts = stringValue(l.Fields["parts"])
+		}
 	}
 	return s
 }
 
+// isEvidence reports whether a line of any box, at any time before the request's end, tells why
+// the request was withheld: the crashes held against it, and since when its parts are withheld.
+func (s scope) isEvidence(l Line) bool {
+	if l.Time.After(s.to) {
+		return false
+	}
+	switch l.Component {
+	case "upstream":
+		return s.crashes[stringValue(l.Fields["crash"])]
+	case "part":
+		return s.parts != "" && stringValue(l.Fields["parts"]) == s.parts
+	}
+	return false
+}
+
 // contains reports whether a line comes from one of the boxes within the time window.
 func (s scope) contains(l Line) bool {
 	return !l.Time.Before(s.from) && !l.Time.After(s.to) && s.boxes[l.Box]
@@ -101,6 +126,10 @@
 	"request: cut by the stop":              "The grace period of the box's shutdown ended while an upstream was processing the request; the exit of the process interrupted the answer.",
 	"request: caller left":                  "The caller closed its connection; the run was cancelled.",
 	"request: caller does not read":         "The caller read nothing of its answer for seconds and was disconnected; this does not count as a failure of the upstream.",
+	"part: withheld":                        "Upstreams crashed under requests that share these parts of their prompts (ended, and crashes, by which the lines of upstreams that ended are found): requests that hold all of them are refused until for_ms have passed or one of them is answered completely.",
+	"part: no longer withheld":              "Requests with these parts may run again: one of them was answered completely, or another part explains the crashes.",
+	"content: no longer withheld":           "The content may run again: it was answered completely, or a part of its prompt explains the crashes.",
+	"run: not repeated":                     "The run was cut off, and several upstreams have crashed under its content or under parts of its prompt that nothing else explains: it is not sent to another one.",
 	"content: withheld":                     "Upstreams crashed while processing this content (ended counts the crashes that boxes saw or reported to each other): it is refused until for_ms have passed or it gets a complete answer.",
 	"upstream: says that it is leaving":     "An answer of the upstream to this box says so: this box sends it nothing more until it restarts, whatever its entry in the list says (list_age_ms).",
 	"upstream: asks for a pause":            "The upstream rejected a request and asked this box to send none for pause_ms (asked is the value it sent); requests resume after till_ms.",
@@ -110,7 +139,7 @@
 	"upstream: names a limit":               "An answer of the upstream, to this box or to one that reported it, gives the requests per second it accepts from all boxes together (per_second; before is the previous limit). This box sent it sent_lately requests in the last span_ms, and may send it ration requests in any ration_span_ms from now on.",
 	"upstream: total sent before its limit": "All boxes together sent the upstream sent_by_all requests before they knew its limit, which began age_ms ago; what they leave of the bound may be sent in the first span under the limit, and this box's part of it at once.",
 	"upstream: names no limit any more":     "The upstream answered a request, sent after the last one whose answer gave its limit, without giving a limit.",
-	"upstream: ended":                       "The upstream broke off a run and its address no longer accepts connections: its crash is counted against the content of the runs it broke off.",
+	"upstream: ended":                       "The upstream broke off a run and its address no longer accepts connections: its crash is counted against the content of the runs it broke off, and against the parts of their prompts; other lines name it by crash.",
 	"box: was suspended":                    "The machine was suspended for for_ms: the remaining time of requests in progress is shorter, and the box's state is older, by that much.",
 	"caller: cut off":                       "The caller read nothing of its answer for two seconds, or was still reading long after its deadline (reason); its connection was reset.",
 	"caller: turned away":                   "The box has reached its memory limit (memory_used of memory_bound); the request did not run, and the caller was told when to retry.",
--- a/oplog/oplog_test.go
+++ b/oplog/oplog_test.go
@@ -62,3 +62,22 @@
 	is.True(errors.As(Explain(&bytes.Buffer{}, lines, "other"), &e))
 	is.Equal(e.Kind, KindRequestNotFound)
 }
+
+// A request that is refused for a part of its prompt leads to the part and to the crashes held
+// against it, which other boxes may have seen long before.
+func TestExplainLeadsToPartAndCrashes(t *testing.T) {
+	is := is.New(t)
+	a, _ := read(t, `{"box":"box1","msg":"part: withheld","parts":"42","crashes":"a1 b2","why":"told","time":"2026-01-01T10:00:01.000Z"}
+{"box":"box1","msg":"part: withheld","parts":"7","crashes":"c3","why":"told","time":"2026-01-01T10:00:01.000Z"}
+{"box":"box1","msg":"request: refused","id":"r1","parts":"42","crashes":"a1 b2","time":"2026-01-01T10:02:00.000Z"}
+`)
+	b, _ := read(t, `{"box":"box2","msg":"upstream: ended","upstream":"u1","crash":"a1","time":"2026-01-01T10:00:00.000Z"}
+{"box":"box2","msg":"upstream: ended","upstream":"u9","crash":"c3","time":"2026-01-01T10:00:00.000Z"}
+`)
+	var out bytes.Buffer
+	is.NoErr(Explain(&out, Merge(a, b), "r1"))
+	is.True(strings.Contains(out.String(), "upstream=u1"))
+	is.True(strings.Contains(out.String(), "part: withheld"))
+	is.True(!strings.Contains(out.String(), "u9"))
+	is.True(!strings.Contains(out.String(), "c3"))
+}
