--- a/group/fatalpart_replay_test.go
+++ b/group/fatalpart_replay_test.go
@@ -438,3 +438,27 @@
 		is.New(t).True(d.lateFatalSends(fatalPart) > 0) // the verdict was over within that time
 	}
 }
+
+// After all boxes were killed at once nobody knows of the part. They learn of it as at first: the
+// bounds hold from when they have been up for partContact.
+func TestFatalPartIsLearnedAgainAfterAllBoxesRestart(t *testing.T) {
+	for seed := range uint64(3) {
+		d := newPartReplay(t, seed, defaultPartLoad)
+		d.advance(partWarmUp + 8*time.Second)
+		for _, name := range d.sim.names {
+			d.sim.boxes[name].dead = true
+		}
+		d.advance(time.Second)
+		for _, name := range d.sim.names {
+			b := d.sim.boxes[name]
+			d.sim.start(name, b.self.Domain, b.self.Strength, false)
+		}
+		d.crashes, d.fatalSent = make(map[uint64][]time.Duration), make(map[uint64][]time.Duration)
+		restarted := d.sim.now
+		d.advance(12 * time.Second)
+		late := slices.DeleteFunc(slices.Clone(d.fatalSent[fatalPart]), func(at time.Duration) bool { return at < restarted+partContact })
+		t.Logf("seed %d: %d crashes, %d later than %v after the restart", seed, len(d.crashes[fatalPart]), len(late), partContact)
+		is.New(t).True(len(late) <= lateSends)
+		is.New(t).True(d.beganShare(kindSound, restarted+2*partContact, d.sim.now) >= minBeganShare)
+	}
+}
