--- a/relay/withholdpart_test.go
+++ b/relay/withholdpart_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -196,3 +197,32 @@
 		return b.relay.crashSuspects.KnownSound(b.relay.now(), balance.PartSubjects("s", []balance.Part{{ID: 1}, {ID: 9}})...)
 	})
 }
+
+// A caller who names the parts of others and breaks his requests off himself makes nobody suspect
+// them, though the upstream ends after that.
+func TestCallerThatLeavesCountsAgainstNoPart(t *testing.T) {
+	is := is.New(t)
+	arrived, left := make(chan struct{}, 1), make(chan struct{}, 1)
+	u := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+		startStream(c, r)
+		writeChunk(c, event(1))
+		arrived <- struct{}{}
+		_, _ = c.Read(make([]byte, 1)) // until the box closes the connection
+		left <- struct{}{}
+		return false
+	})
+	b := newTestBox(t, u)
+	ctx, leave := context.WithCancel(context.Background())
+	r := b.request(http.MethodPost, "/flow/x", "body", "X-Parts", "1:100 2:10 9:10").WithContext(ctx)
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	<-arrived
+	leave()
+	_ = resp.Body.Close()
+	<-left
+	_ = u.listener.Close()
+	b.relay.recordEnd(balance.Incarnation{ID: "u"})
+	b.relay.mu.Lock()
+	defer b.relay.mu.Unlock()
+	is.True(!b.relay.crashSuspects.Any())
+}
