--- a/balance/suspects.go
+++ b/balance/suspects.go
@@ -348,7 +348,7 @@
 func (s *Suspects) maxCrashes(now time.Duration, subjects []Subject) int {
 	most := 0
 	for _, j := range subjects {
-		if x := s.subjects[j]; x != nil && !(j.IsPart() && s.isKnownSound(now, j, x)) {
+		if x := s.subjects[j]; x != nil && (!j.IsPart() || !s.isKnownSound(now, j, x)) {
 			most = max(most, s.unexplained(now, j, x))
 		}
 	}
--- a/soak/fatalpart.go
+++ b/soak/fatalpart.go
@@ -65,10 +65,10 @@
 	}
 }
 
-func (w *harness) sendPrompt(client *http.Client, b *box, o outgoing) received {
+func (w *harness) sendPrompt(client *http.Client, b *box, o outgoing) {
 	ctx, cancel := newCallerContext()
 	defer cancel()
-	return w.sendWithin(ctx, client, b, o)
+	w.sendWithin(ctx, client, b, o)
 }
 
 // crashOnPart crashes an upstream before it has answered, or after it has begun to.
