--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -4,7 +4,6 @@
 // request that is refused has run nowhere and takes nothing from the retry budget.
 
 import (
-	"maps"
 	"net"
 	"time"
 
@@ -73,16 +72,6 @@
 	r.stats.count("refused_" + refused.reason)
 }
 
-// addVerdictFields adds to the log line of a withheld request what it is withheld for.
-func (r *Relay) addVerdictFields(f Fields, x *exchange) {
-	r.mu.Lock()
-	v, found := r.crashSuspects.VerdictOn(r.now(), x.subjects()...)
-	r.mu.Unlock()
-	if found {
-		maps.Copy(f, r.verdictFields(v))
-	}
-}
-
 // admit decides whether a request may run; the refusal is nil if it may. The request's timeout starts
 // at its arrival, including any wait for the document.
 func (r *Relay) admit(q *request, conn net.Conn) (*exchange, *refusal) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,17 +17,17 @@
 
 // exchange is an admitted request and its state until it is answered.
 type exchange struct {
-	relay        *Relay
-	request      *request
-	doc          *route.Document
-	route        *route.Route
-	customer     *route.Customer
-	service      string
-	urgency      int                               // 0 is the most urgent
-	contentHash  atomic.Uint64                     // hash of the request without its ID; 0: not computed yet
-	partSubjects atomic.Pointer[[]balance.Subject] // the prompt's parts as they are suspected; nil: not computed yet
-	arrived      time.Time
-	deadline     time.Time // when the request is given up, by the monotonic clock
+	relay              *Relay
+	request            *request
+	doc                *route.Document
+	route              *route.Route
+	customer           *route.Customer
+	service            string
+	urgency            int                               // 0 is the most urgent
+	contentHash        atomic.Uint64                     // hash of the request without its ID; 0: not computed yet
+	cachedPartSubjects atomic.Pointer[[]balance.Subject] // nil: not computed yet
+	arrived            time.Time
+	deadline           time.Time // when the request is given up, by the monotonic clock
 	// Total suspension time of the machine before the request arrived, a time.Duration.
 	suspendedBefore int64
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -10,7 +10,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/route"
 	"github.com/doormast/doormast/wire"
 )
@@ -49,22 +48,6 @@
 	return out
 }
 
-// withheldRow is a verdict as shown to operators.
-func (r *Relay) withheldRow(v balance.Verdict) *wire.WithheldRow {
-	row := &wire.WithheldRow{Ended: uint32(len(v.Crashed)), Left: uint64((v.At + v.Hold - r.now()).Microseconds())}
-	for _, j := range v.Subjects {
-		if j.IsPart() {
-			row.Parts, row.Service = append(row.Parts, formatContentHash(j.Hash)), r.serviceName(j.Service)
-			continue
-		}
-		row.Content = formatContentHash(j.Hash)
-	}
-	for _, key := range v.Crashed {
-		row.Crashes = append(row.Crashes, formatCrash(key))
-	}
-	return row
-}
-
 // limitRow is the limit that an upstream states; nil if it states none. The caller holds the
 // relay's mu.
 func (r *Relay) limitRow(id string) *wire.LimitRow {
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -50,7 +50,7 @@
 			return &refusal{status: fasthttp.StatusServiceUnavailable, reason: serviceGoneReason}
 		}
 		x.service = a.Service
-		x.partSubjects.Store(nil)
+		x.cachedPartSubjects.Store(nil)
 	}
 	isKnown := a.result == origin.Found || a.sole && x.isOnlySoftware(a.Software)
 	if !isKnown {
--- a/relay/withhold.go
+++ b/relay/withhold.go
@@ -1,16 +1,15 @@
 package relay
 
 // This file defines how the box detects requests and parts of prompts that crash upstreams, and how
-// it withholds such requests. A crash is assumed where an upstream closed or reset the connection under a run, and
-// then its address refuses connections or belongs to another incarnation; a reset alone is no
-// evidence, nor is the end of an upstream that was leaving. The invariant: a withheld request
-// is not sent to an upstream, whether it has just arrived, is about to be retried, or waits at
-// an upstream for its first event.
+// it withholds such requests. A crash is assumed where an upstream closed or reset the connection
+// under a run, and then its address refuses connections or belongs to another incarnation; a
+// reset alone is no evidence, nor is the end of an upstream that was leaving. The invariant: a
+// withheld request is not sent to an upstream, whether it has just arrived, is about to be
+// retried, or waits at an upstream for its first event.
 
 import (
 	"context"
 	"errors"
-	"strings"
 	"syscall"
 	"time"
 
@@ -29,20 +28,20 @@
 // endCheckDelay is how long after its connections a crashing upstream may still accept others.
 const endCheckDelay = 50 * time.Millisecond
 
-// parts returns the subjects of the prompt's parts that other prompts may share. The rules for
+// partSubjects returns the subjects of the prompt's parts that other prompts may share. The rules for
 // calls are those of requestHash.
-func (x *exchange) parts() []balance.Subject {
-	if list := x.partSubjects.Load(); list != nil {
+func (x *exchange) partSubjects() []balance.Subject {
+	if list := x.cachedPartSubjects.Load(); list != nil {
 		return *list
 	}
 	list := balance.PartSubjects(x.service, x.request.prompt.Parts)
-	x.partSubjects.Store(&list)
+	x.cachedPartSubjects.Store(&list)
 	return list
 }
 
 // subjects returns what may make upstreams crash under the request.
 func (x *exchange) subjects() []balance.Subject {
-	return append([]balance.Subject{balance.ContentSubject(x.requestHash())}, x.parts()...)
+	return append([]balance.Subject{balance.ContentSubject(x.requestHash())}, x.partSubjects()...)
 }
 
 // refuseWithheld returns the refusal of a request that has arrived and is withheld; nil if it may
@@ -222,7 +221,7 @@
 	succeeded := x.response != nil && x.response.header.StatusCode() < fasthttp.StatusMultipleChoices
 	switch {
 	case succeeded && !r.crashSuspects.Any():
-		r.crashSuspects.Answered(now, x.parts()...)
+		r.crashSuspects.Answered(now, x.partSubjects()...)
 	case succeeded:
 		r.crashSuspects.Answered(now, x.subjects()...)
 	case r.crashSuspects.Any():
@@ -242,7 +241,7 @@
 	r.mu.Lock()
 	now := r.now()
 	r.crashSuspects.NoteConnectionLost(now, balance.LostRun{Subjects: x.subjects(), Incarnation: x.upstream.Incarnation(), Began: x.sentAt, LooksWhole: true})
-	known := r.crashSuspects.KnownSound(now, x.parts()...)
+	known := r.crashSuspects.KnownSound(now, x.partSubjects()...)
 	r.mu.Unlock()
 	if u := x.upstream; !known {
 		time.AfterFunc(endCheckDelay, func() { r.checkEnded(u) })
@@ -257,80 +256,7 @@
 	x.survived = true
 	x.relay.mu.Lock()
 	defer x.relay.mu.Unlock()
-	x.relay.crashSuspects.Survived(x.relay.now(), x.parts()...)
-}
-
-// applyVerdicts logs what is withheld from now on and what no longer is. It also closes the
-// connections of withheld runs that have produced no event yet, since those would crash their
-// upstreams as well.
-func (r *Relay) applyVerdicts(source string) {
-	r.mu.Lock()
-	now := r.now()
-	withheld, withdrawn := r.crashSuspects.TakeVerdicts(now)
-	for _, v := range withheld {
-		for x, c := range r.runConns {
-			if !x.eventsBegan.Load() && v.Holds(x.subjects()) {
-				x.withheldRun.Store(true)
-				_ = c.Close()
-			}
-		}
-	}
-	r.mu.Unlock()
-	for _, v := range withheld {
-		r.stats.count(verdictSubject(v) + "s_withheld")
-		fields := r.verdictFields(v)
-		fields["for_ms"], fields["why"] = (v.At + v.Hold - now).Milliseconds(), source
-		r.cfg.Log.Event(verdictSubject(v), "withheld", fields)
-	}
-	for _, v := range withdrawn {
-		r.stats.count(verdictSubject(v) + "s_released")
-		fields := r.verdictFields(v)
-		fields["why"] = source
-		r.cfg.Log.Event(verdictSubject(v), "no longer withheld", fields)
-	}
-}
-
-// verdictSubject names what a verdict is about in log lines and metrics.
-func verdictSubject(v balance.Verdict) string {
-	if v.Subjects[0].IsPart() {
-		return "part"
-	}
-	return "content"
-}
-
-// verdictFields returns the fields that identify a verdict in log lines: what is withheld, and the
-// crashes held against it, by which the lines of upstreams that ended are found.
-func (r *Relay) verdictFields(v balance.Verdict) Fields {
-	f := Fields{"ended": len(v.Crashed)}
-	var parts, crashes []string
-	for _, j := range v.Subjects {
-		if j.IsPart() {
-			parts = append(parts, formatContentHash(j.Hash))
-			f["service"] = r.serviceName(j.Service)
-			continue
-		}
-		f["content"] = formatContentHash(j.Hash)
-	}
-	for _, key := range v.Crashed {
-		crashes = append(crashes, formatCrash(key))
-	}
-	if len(parts) > 0 {
-		f["parts"] = strings.Join(parts, " ")
-	}
-	f["crashes"] = strings.Join(crashes, " ")
-	return f
-}
-
-// serviceName returns the name of a service in the document in force; empty if it has none.
-func (r *Relay) serviceName(key uint32) string {
-	if d := r.published.document(); d != nil {
-		for _, s := range d.Services {
-			if balance.ServiceKey(s.Name) == key {
-				return s.Name
-			}
-		}
-	}
-	return ""
+	x.relay.crashSuspects.Survived(x.relay.now(), x.partSubjects()...)
 }
 
 // shareSuspects passes this box's evidence to the node, and applies the evidence received from
