--- a/soak/faults.go
+++ b/soak/faults.go
@@ -204,6 +204,13 @@
 // injectFaults injects faults for the duration of the run, then undoes those that remain.
 func (w *harness) injectFaults(ctx context.Context) {
 	end := time.Now().Add(w.cfg.Duration)
+	if w.cfg.OnlyFatal {
+		for time.Now().Before(end) && ctx.Err() == nil {
+			time.Sleep(meanFaultGapMs * time.Millisecond)
+			w.startReplacements()
+		}
+		return
+	}
 	if !w.cfg.OnlyKills {
 		w.scheduleFailures()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -47,6 +47,8 @@
 	// OnlyKills injects no faults other than boxes that are killed, up to half of them at once, and streams that
 	// upstreams break.
 	OnlyKills bool
+	// OnlyFatal injects no faults other than requests under which upstreams crash.
+	OnlyFatal bool
 	// CallerPause is the pause of a caller between two requests; 0: defaultCallerPause. With fewer requests the
 	// slack is a larger part of the retry budget.
 	CallerPause time.Duration
