--- a/group/fatalpart_replay_test.go
+++ b/group/fatalpart_replay_test.go
@@ -32,12 +32,13 @@
 	soundLasts  time.Duration // how long a sound run takes
 	bySelf      time.Duration // between two crashes of other causes; 0: none
 	fatalKinds  [][]uint64    // parts of the fatal prompts, in turn
+	boxes       int
 	upstreams   int
 	spreadParts int // parts each of which some sound prompts have besides
 }
 
 var defaultPartLoad = partLoad{
-	fatalEvery: 100 * time.Millisecond, soundEvery: 5 * time.Millisecond, soundLasts: 300 * time.Millisecond, upstreams: 14, spreadParts: 40,
+	fatalEvery: 100 * time.Millisecond, soundEvery: 5 * time.Millisecond, soundLasts: 300 * time.Millisecond, boxes: 8, upstreams: 14, spreadParts: 40,
 	fatalKinds: [][]uint64{{customerPart, firstPart, fatalPart}},
 }
 
@@ -85,8 +86,8 @@
 	w.seeds = []string{"b00", "b10", "b20"}
 	d := &partReplay{suspectTables: newSuspectTables(w), load: load, next: make(map[string]time.Duration), crashes: make(map[uint64][]time.Duration),
 		fatalSent: make(map[uint64][]time.Duration), first: make(map[string][2][]time.Duration), mayDecide: (*partReplay).mayRun}
-	for i := range 8 {
-		w.start(fmt.Sprintf("b%d%d", i%4, i/4), fmt.Sprint("d", i%4), uint32(20-i), true)
+	for i := range load.boxes {
+		w.start(fmt.Sprintf("b%d%d", i%4, i/4), fmt.Sprint("d", i%4), uint32(1000-i), true)
 	}
 	for range load.upstreams {
 		d.upstreams = append(d.upstreams, d.newUpstream(0))
@@ -462,3 +463,17 @@
 		is.New(t).True(d.beganShare(kindSound, restarted+2*partContact, d.sim.now) >= minBeganShare)
 	}
 }
+
+// Three hundred boxes before a hundred upstreams, with twice the fatal requests and five times the sound ones.
+func TestFatalPartCrashesFewUpstreamsOfThreeHundredBoxes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("slow: simulates 300 boxes")
+	}
+	load := defaultPartLoad
+	load.boxes, load.upstreams, load.fatalEvery, load.soundEvery, load.spreadParts = 300, 100, 50*time.Millisecond, time.Millisecond, 400
+	d := newPartReplay(t, 1, load)
+	d.advance(partWarmUp + 14*time.Second)
+	d.checkRules(t, 1, fatalPart)
+	t.Logf("%d crashes, %d sends, %d late, sound %.2f, first %.2f", len(d.crashes[fatalPart]), len(d.fatalSent[fatalPart]), d.lateFatalSends(fatalPart),
+		d.beganShare(kindSound, d.settledAt(fatalPart), d.sim.now), d.beganShare(kindFirst, d.settledAt(fatalPart), d.sim.now))
+}
