--- a/balance/doc.go
+++ b/balance/doc.go
@@ -28,7 +28,7 @@
 //     limitgate.go, pause.go
 //   - which upstreams are reserved for tight streams: separation.go, lane.go, laneneed.go, lanesize.go, rate.go
 //   - where a stream may go on: software.go; what is left free for it: continuing.go
-//   - which requests are withheld: suspects.go (evidence of crashes), soundparts.go, verdict.go
+//   - which requests are withheld: subject.go, suspects.go (evidence of crashes), soundparts.go, verdict.go
 //   - what boxes report to each other: partreport.go, classreport.go, limitreport.go, suspectreport.go,
 //     reachreport.go
 //   - configuration and switches: tuning.go, mechanism.go
