A tunnel that has ended holds no memory

Hypothesis: a served tunnel leaves the list of open ones first, and its memory is released by the caller of forward after that, so that whoever looks in between (the account of a stop, a metric, the test) sees memory of nothing. Rival: a second connection of the first box, charged and not yet listed.

Change: forward releases the memory before the tunnel leaves the list. The new test looks at the account at once, 500 times.

Conclusion: the order was the cause. Elsewhere: the other two leases, of a caller's connection, are closed by the connection itself, and the open requests that tests wait for are waited for together with the account.

--- a/relay/tunnel_test.go
+++ b/relay/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -283,6 +284,23 @@
 	is.Equal(second.relay.account.Used(), int64(0))
 }
 
+// A tunnel that is no longer listed as open holds no memory, at whatever moment one looks.
+func TestEndedTunnelHeldMemory(t *testing.T) {
+	is := is.New(t)
+	_, second, _ := startTunnelPair(t, unchanged, newStub(t, "u", respondOK("u")))
+	for range 500 {
+		c, err := net.Dial("tcp", second.relay.cfg.Self.Address)
+		is.NoErr(err)
+		is.NoErr(writeMessage(c, &wire.TunnelRequest{Box: "third", Domain: "d", Upstream: "u"}))
+		second.waitFor(func() bool { return second.openTunnels() == 1 })
+		is.NoErr(c.Close())
+		for second.openTunnels() > 0 {
+			runtime.Gosched()
+		}
+		is.Equal(second.relay.account.Used(), int64(0))
+	}
+}
+
 // A box of an earlier version accepts no connections for others: requests end as they did.
 func TestBoxesOfEarlierVersionAreNoWay(t *testing.T) {
 	is := is.New(t)
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -2,8 +2,9 @@
 
 // This file defines how the box connects to upstreams for other boxes. The invariants: it connects
 // only to upstreams that it lists, itself, and never through a third box; what it forwards takes a
-// bounded number of connections and a bounded part of its memory; and it forwards nothing that it
-// held while its process was stopped, which its sender may have given up.
+// bounded number of connections and a bounded part of its memory, which is free again before a
+// tunnel no longer counts as open; and it forwards nothing that it held while its process was
+// stopped, which its sender may have given up.
 
 import (
 	"context"
@@ -232,6 +233,7 @@
 	t.close()
 	toUpstream.Wait()
 	stop()
+	t.lease.Close()
 	s.remove(t)
 	s.relay.stats.count(tunnelsServed)
 	s.relay.cfg.Log.Event("tunnel", "served", Fields{"box": t.request.Box, "domain": t.request.Domain, "upstream": t.request.Upstream, "born": t.request.Born,
