Limits: quotas of boxes that know different totals add up

Hypothesis: b7's earlier requests leave the total of what was sent before the limit, so that one more is left, and the division of one more is no extension of the one before: of 5 the upstream's domain has 3 and the others 1 each, of 6 each has 2. Whoever sent by the first and whoever sends by the second have 7 together. The same holds while boxes hear a total at different times.

Change: the remainder goes one each to the upstream's own domain and then to others by rendezvous, so that nobody has more of fewer.

That the total falls at all is a fault of its own. Elsewhere: cold upstreams and full ones are divided likewise (domainShare), by numbers that the document or the upstream gives to all; not changed.

--- a/balance/limitgate_test.go
+++ b/balance/limitgate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -290,3 +292,42 @@
 		is.Equal(f.placeAndSend(time.Second, 0), "u0")
 	}
 }
+
+// Boxes that knew different totals of the requests sent before a limit divided what these left so
+// differently that they sent more together than the smaller total left: of 5 requests one domain had
+// 3 and the others 1 each, of 6 each had 2, which makes 7.
+func TestQuotasForDifferentTotalsAddUpToMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.SampledFrom([]float64{0.3, 0.5, 1, 3, 12}).Draw(t, "limit")
+		bound := int(testLimitBounds.maxRequests(perSecond))
+		domains := rapid.IntRange(1, 6).Draw(t, "domains")
+		totals := []int{rapid.IntRange(0, bound).Draw(t, "total")}
+		totals = append(totals, totals[0]+rapid.IntRange(0, 3).Draw(t, "more"))
+		regions := make(map[string]string)
+		for i := range domains {
+			regions[fmt.Sprint("d", i)] = "r"
+		}
+		sum := 0
+		for _, domain := range slices.Sorted(maps.Keys(regions)) {
+			boxes := boxNames(rapid.IntRange(1, 8).Draw(t, "boxes"))
+			for _, box := range boxes {
+				most := 0
+				for _, total := range totals {
+					f := NewFleet(Config{Domain: domain, Regions: regions, Tuning: DefaultTuning, LimitBounds: testLimitBounds})
+					f.SetQuotaPeers(QuotaPeers{Box: box, Boxes: boxes})
+					f.Put(0, Upstream{ID: "u0", Service: "s", Address: "10.0.0.1:1", Domain: "d0", Slots: 1000})
+					f.advertiseLimit(time.Second, "u0", perSecond)
+					f.notePriorTotal("u0", total)
+					f.refreshQuotas(time.Second)
+					x := f.limits.active(f.keyOf("u0"))
+					most = max(most, min(x.quota, x.firstQuota))
+				}
+				sum += most
+			}
+		}
+		requests, _ := testLimitBounds.allowance(perSecond)
+		if left := min(requests, bound-totals[0]); sum > left {
+			t.Fatalf("quotas for totals of %v add up to %d, the smaller one leaves %d", totals, sum, left)
+		}
+	})
+}
--- a/balance/limitquota.go
+++ b/balance/limitquota.go
@@ -59,8 +59,9 @@
 
 // domainLimitShare returns how many of the requests that a limit allows the boxes of this domain
 // have together. All domains get the same part, since each of them carries a part of the
-// requests. The upstream's own domain also gets the remainder, and all of it if there is less
-// than one request per domain.
+// requests, and the first ones by domainRank one of the remainder each. Fewer requests thus never
+// leave a domain with more: boxes that differ on how many there are share out no more than the
+// largest number.
 func (f *Fleet) domainLimitShare(m *member, requests int) int {
 	domains := map[string]bool{f.cfg.Domain: true}
 	for domain := range f.cfg.Regions {
@@ -69,9 +70,24 @@
 	for _, other := range f.byService[m.Service] {
 		domains[other.Domain] = true
 	}
-	each := requests / len(domains)
-	if m.Domain != f.cfg.Domain {
-		return each
+	share := requests / len(domains)
+	if f.domainRank(m, domains) < requests%len(domains) {
+		share++
 	}
-	return requests - each*(len(domains)-1)
+	return share
+}
+
+// domainRank returns how many domains precede this box's own for an upstream: the upstream's own
+// one, and then the others in rendezvous order.
+func (f *Fleet) domainRank(m *member, domains map[string]bool) int {
+	if m.Domain == f.cfg.Domain {
+		return 0
+	}
+	others := QuotaPeers{Box: f.cfg.Domain}
+	for domain := range domains {
+		if domain != m.Domain {
+			others.Boxes = append(others.Boxes, domain)
+		}
+	}
+	return 1 + others.rank(m.ID)
 }
