Limits: total of earlier requests fell when a box restarted

Hypothesis: a leader adds up anew what the live boxes report. A box that has started anew reports none of what it sent before, so the total falls and all boxes send as many more, although its requests arrived.

Change: a total of one limit never falls, neither where it is added up nor where it is used.

The other tests of limits and schedules pass.

What a box sent is still lost where it ends before the total is known.

--- a/balance/limitprior.go
+++ b/balance/limitprior.go
@@ -89,7 +89,8 @@
 	return list, true
 }
 
-// NotePriorTotals records counts over all boxes, and returns those that it did not know.
+// NotePriorTotals records counts over all boxes, and returns those that it did not know. What was
+// sent stays sent: a smaller count lacks boxes that have ended since.
 func (f *Fleet) NotePriorTotals(totals []PriorCount) (changed []PriorCount) {
 	for _, c := range totals {
 		x := f.limits.active(c.Life)
@@ -97,7 +98,7 @@
 			continue
 		}
 		before := *x.prior
-		x.prior.all, x.prior.totalKnown = max(c.Sent, x.prior.own), true
+		x.prior.all, x.prior.totalKnown = max(c.Sent, x.prior.own, x.prior.all), true
 		if *x.prior != before {
 			f.quotasStale = true
 			changed = append(changed, c)
--- a/group/priorcounts.go
+++ b/group/priorcounts.go
@@ -57,9 +57,10 @@
 	return balance.PriorCount{Life: c.Life, Start: c.Start, Sent: sent}
 }
 
-// setTotal records the total for a limit, and reports whether it has changed.
+// setTotal records the total for a limit, and reports whether it has changed. A smaller one than
+// before lacks boxes that have ended since, whose requests were sent all the same.
 func (c *priorCounts) setTotal(own *priorCount, total int) bool {
-	if own.hasTotal && own.total == total {
+	if own.hasTotal && own.total >= total {
 		return false
 	}
 	own.hasTotal, own.total = true, total
--- a/group/priorcounts_test.go
+++ b/group/priorcounts_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+// When a box started anew, its requests from before a limit left the total, and the others sent as many
+// more.
+func TestPriorTotalFellWhenBoxRestarted(t *testing.T) {
+	const upstream, limit = "u0", 10.0          // 65 requests may arrive in 4 s
+	for _, name := range []string{"b1", "b4"} { // leads its domain; a member
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(8) {
+				d := idleReplay(t, seed)
+				d.sendBefore(name, upstream, 70)
+				d.respond("b0", upstream, limit)
+				d.advance(500 * time.Millisecond)
+				d.restart(name, 100*time.Millisecond)
+				for range 40 {
+					d.advance(100 * time.Millisecond)
+					may, _ := d.mayUse(upstream)
+					is.Equal(may, 0)
+				}
+			}
+		})
+	}
+}
+
 // Boxes wait for the end of the first span if one of them reports nothing, like an older version.
 func TestBoxThatReportsNoPriorCountDelaysQuotas(t *testing.T) {
 	for _, silent := range []string{"b0", "b3", "b4"} { // the leader of a domain, one of its members, another member
