Group: entries that overtook the answer to a hello were lost

A seed that gets a hello sends its entries at once, beside the answer. Datagrams overtake each other: a box that does not know the sender yet ignores them. It then asks, but the seeds have just sent theirs and send none for the next 400 ms.

Change: a hello is answered without entries. The answer carries digests, the box asks, and then knows who sends.

Contents and parts of prompts that are withheld go the same way and had the same fault.

--- a/group/limits_test.go
+++ b/group/limits_test.go
@@ -164,6 +164,21 @@
 	is.Equal(sentBytes(), first)
 }
 
+// Seeds sent a box that started anew their limits beside the answer to its hello. Where the limits came
+// first, the box did not know their sender, ignored them, and got them with the next heartbeats only.
+func TestLimitsThatOvertookAnswerToHelloWereLost(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		d := idleReplay(t, seed)
+		d.respond("b0", "u0", 2)
+		d.advance(time.Second)
+		d.restart("b4", 500*time.Millisecond)
+		d.advance(100 * time.Millisecond) // four messages of up to 15 ms, and less than between heartbeats
+		know, alive := d.countKnowing("u0", 2)
+		is.Equal(know, alive)
+	}
+}
+
 // Limits from an earlier run of a box, or from an unknown box, are ignored.
 func TestLimitsFromBeforeRestartAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/group/receive.go
+++ b/group/receive.go
@@ -72,11 +72,18 @@
 	n.receiveLoads(now, p, m)
 	n.receiveLanes(now, p, m)
 	n.receiveClasses(now, p, m)
+	if !m.Hello { // the sender may not know this box before the answer, and sends its digests then
+		n.reconcile(now, p, m)
+	}
+	n.reply(now, m, p)
+	n.updatePublished(now, m)
+}
+
+// reconcile compares the digests in a heartbeat with those of this box's entries.
+func (n *Node) reconcile(now time.Duration, p *peer, m *wire.GroupMessage) {
 	n.suspects.reconcile(n, now, p, m.WithheldDigest)
 	n.suspectParts.reconcile(n, now, p, m.PartsEndedDigest)
 	n.limits.reconcile(n, now, p, m.LimitsDigest)
-	n.reply(now, m, p)
-	n.updatePublished(now, m)
 }
 
 // recordListed records a box that another box listed. Only leaders are listed across domains, so
