Box that starts: requests were sent before limits were known

Hypothesis: traced, b7 sends it 0.02 s after its start, before any answer to its hello can have come. What the running boxes withhold or know of limits is of use only if it is known before the first request is placed. A box that runs waits for its document, which comes from the same boxes on another way, and for nothing else.

Change: a box that starts beside others lacks entries until its own match those of a box that it heard, for 0.2 s at the most; requests wait meanwhile as for the document. The replay does the same.

Not shown: how often a real box placed a request so early, since its document needs two round trips where the entries need one, by datagrams that may be lost.

--- a/group/limit_replay_test.go
+++ b/group/limit_replay_test.go
@@ -158,7 +158,8 @@
 	}
 }
 
-// waitingRequest is a request that waits for the total of requests sent before a limit.
+// waitingRequest is a request that waits for the total of requests sent before a limit, or for the
+// entries that its box lacks.
 type waitingRequest struct {
 	box     string
 	request balance.Request
@@ -206,6 +207,10 @@
 // place sends a request that a box has received, lets it wait or refuses it.
 func (d *limitReplay) place(name string, r balance.Request) {
 	b, f, now := d.sim.boxes[name], d.fleetOf(name), d.sim.now
+	if b.node.LacksEntries(now) {
+		d.waitingRequests = append(d.waitingRequests, waitingRequest{name, r})
+		return
+	}
 	choice, ok := f.Place(now, r, nil)
 	switch {
 	case !ok && f.PriorTotalWait(now, r.Service) > 0:
--- a/group/node.go
+++ b/group/node.go
@@ -208,6 +208,7 @@
 	listBudget  linkBudget  // box lists in heartbeats
 	reachBudget linkBudget  // on a leader: reports about connections
 	priorCounts priorCounts // requests sent before limits were known
+	hasEntries  bool        // this box no longer lacks entries after its start
 
 	pendingParts  []pendingPart        // to be sent
 	receivedParts []balance.PartReport // received from other boxes and not drained yet
--- a/group/replicator.go
+++ b/group/replicator.go
@@ -50,6 +50,8 @@
 	received         []T          // from other boxes, not drained yet
 	lastFlush        time.Duration
 	reconciled       map[string]reconciliation // by box name
+	hasHeard         bool                      // another box's digest was received
+	heardDigest      uint64                    // the last one
 }
 
 // reconciliation records when a box was last sent this box's entries, and where to continue.
@@ -181,6 +183,7 @@
 // interval. If they need more than maxReconcileMessages messages, the next call continues with
 // the rest.
 func (r *replicator[T]) reconcile(n *Node, now time.Duration, p *peer, digest uint64) {
+	r.hasHeard, r.heardDigest = true, digest
 	c, isKnown := r.reconciled[p.box.Name]
 	if digest == r.digest || isKnown && now-c.at < n.cfg.Timing.HeartbeatInterval {
 		return
--- a/relay/documentwait.go
+++ b/relay/documentwait.go
@@ -1,6 +1,7 @@
 package relay
 
-// This file defines how requests are handled that arrive before the box has a routing document. The
+// This file defines how requests are handled that arrive before the box has a routing document and
+// knows what the running boxes know: which contents are withheld, and the limits of upstreams. The
 // invariant: such a request waits for a bounded time and is sent to no upstream meanwhile, so that a
 // refusal may state that it did not run.
 
@@ -19,13 +20,23 @@
 	documentWaitDivisor = 4
 )
 
+// isComplete reports whether there is a document and the box no longer lacks entries of the others.
+func (p *published) isComplete() bool {
+	select {
+	case <-p.informed:
+		return p.document() != nil
+	default:
+		return false
+	}
+}
+
 // awaitDocument returns the current document; nil if none arrives in time or if the caller disconnects
 // first. Most callers of a box that has just started lost their connection when its previous process
 // ended, and their next attempt is often the last: a refusal sent 0.2 s before the box could serve
 // would fail the request.
 func (r *Relay) awaitDocument(q *request, conn net.Conn) (doc *route.Document, disconnected bool) {
-	if d := r.published.document(); d != nil {
-		return d, false
+	if r.published.isComplete() {
+		return r.published.document(), false
 	}
 	maxWait := maxDocumentWait
 	if q.timeLeft > 0 {
@@ -36,10 +47,14 @@
 	defer timer.Stop()
 	callerGone := make(chan struct{})
 	watch := watchDisconnect(conn, func() { close(callerGone) })
-	select {
-	case <-r.published.ready:
-	case <-timer.C:
-	case <-callerGone:
+	for _, arrived := range []<-chan struct{}{r.published.ready, r.published.informed} {
+		select {
+		case <-arrived:
+			continue
+		case <-timer.C:
+		case <-callerGone:
+		}
+		break
 	}
 	watch.stop()
 	return r.published.document(), watch.disconnected.Load()
--- a/relay/documentwait_test.go
+++ b/relay/documentwait_test.go
@@ -39,6 +39,22 @@
 	is.Equal(a.body, "fine")
 }
 
+// A request waits while the box may lack what the running boxes know of withheld contents and limits.
+func TestRequestWaitsForEntriesOfRunningBoxes(t *testing.T) {
+	is := is.New(t)
+	s := newStub(t, "u1", respondOK("fine"))
+	b := newTestBox(t, s)
+	is.Equal(b.do(b.request("POST", "/once/a", "")).status, 200)
+	b.relay.published.informed = make(chan struct{})
+	waited := b.waitedForDocument()
+	got := make(chan callerResponse, 1)
+	go func() { got <- b.do(b.request("POST", "/once/b", "")) }()
+	b.waitFor(func() bool { return b.waitedForDocument() == waited+1 })
+	is.Equal(len(s.requests()), 1)
+	close(b.relay.published.informed)
+	is.Equal((<-got).status, 200)
+}
+
 // If no document arrives, the request is refused as not run, with a Retry-After header.
 func TestRequestIsRefusedWithoutDocument(t *testing.T) {
 	is := is.New(t)
--- a/relay/members.go
+++ b/relay/members.go
@@ -59,6 +59,7 @@
 
 	// State of the loop alone, except resumesRead and fullReadStart.
 	pulling       bool
+	informed      bool                     // published.informed is closed
 	cutOffDomains []string                 // domains that the box treated as cut off at the last check
 	lastProbe     time.Duration            // when upstreams of silent domains were last probed
 	peersSetAt    time.Duration            // when the boxes that may be connected through were last set
@@ -181,6 +182,16 @@
 	m.divisor.Store(int64(m.node.Divisor()))
 	m.updateReading()
 	m.updateLeader()
+	m.updateInformed()
+}
+
+// updateInformed lets requests be placed once this box knows what the running boxes know.
+func (m *members) updateInformed() {
+	if m.informed || m.node.LacksEntries(m.relay.now()) {
+		return
+	}
+	m.informed = true
+	close(m.relay.published.informed)
 }
 
 // sendPending sends the node's pending messages, and starts the pull that it requests.
