--- a/relay/documentwait.go
+++ b/relay/documentwait.go
@@ -20,11 +20,11 @@
 	documentWaitDivisor = 4
 )
 
-// isComplete reports whether there is a document and the box no longer lacks entries of the others.
-func (p *published) isComplete() bool {
+// mayPlace reports whether there is a document and the box no longer lacks entries of the others.
+func (r *Relay) mayPlace() bool {
 	select {
-	case <-p.informed:
-		return p.document() != nil
+	case <-r.members.informed:
+		return r.published.document() != nil
 	default:
 		return false
 	}
@@ -35,7 +35,7 @@
 // ended, and their next attempt is often the last: a refusal sent 0.2 s before the box could serve
 // would fail the request.
 func (r *Relay) awaitDocument(q *request, conn net.Conn) (doc *route.Document, disconnected bool) {
-	if r.published.isComplete() {
+	if r.mayPlace() {
 		return r.published.document(), false
 	}
 	maxWait := maxDocumentWait
@@ -47,7 +47,7 @@
 	defer timer.Stop()
 	callerGone := make(chan struct{})
 	watch := watchDisconnect(conn, func() { close(callerGone) })
-	for _, arrived := range []<-chan struct{}{r.published.ready, r.published.informed} {
+	for _, arrived := range []<-chan struct{}{r.published.ready, r.members.informed} {
 		select {
 		case <-arrived:
 			continue
--- a/relay/documentwait_test.go
+++ b/relay/documentwait_test.go
@@ -45,13 +45,13 @@
 	s := newStub(t, "u1", respondOK("fine"))
 	b := newTestBox(t, s)
 	is.Equal(b.do(b.request("POST", "/once/a", "")).status, 200)
-	b.relay.published.informed = make(chan struct{})
+	b.relay.members.informed = make(chan struct{})
 	waited := b.waitedForDocument()
 	got := make(chan callerResponse, 1)
 	go func() { got <- b.do(b.request("POST", "/once/b", "")) }()
 	b.waitFor(func() bool { return b.waitedForDocument() == waited+1 })
 	is.Equal(len(s.requests()), 1)
-	close(b.relay.published.informed)
+	close(b.relay.members.informed)
 	is.Equal((<-got).status, 200)
 }
 
--- a/relay/members.go
+++ b/relay/members.go
@@ -54,12 +54,13 @@
 	watchFor        atomic.Int64  // time.Duration for which a read waits for a change
 	readWake        chan struct{} // readable when shouldRead has become true
 	filled          chan struct{} // closed when the mirror is no longer empty
+	informed        chan struct{} // closed when the box no longer lacks entries of the running boxes
 	loadsChanged    chan struct{} // readable when this box's loads have changed
 	backlogReady    chan struct{} // readable while there is a backlog
 
 	// State of the loop alone, except resumesRead and fullReadStart.
 	pulling       bool
-	informed      bool                     // published.informed is closed
+	isInformed    bool                     // informed is closed
 	cutOffDomains []string                 // domains that the box treated as cut off at the last check
 	lastProbe     time.Duration            // when upstreams of silent domains were last probed
 	peersSetAt    time.Duration            // when the boxes that may be connected through were last set
@@ -79,6 +80,7 @@
 		events:       ring.New[memberEvent](eventQueueSize),
 		readWake:     make(chan struct{}, 1),
 		filled:       make(chan struct{}),
+		informed:     make(chan struct{}),
 		loadsChanged: make(chan struct{}, 1),
 		backlogReady: make(chan struct{}, 1),
 		traffic:      newTraffic(r.stats),
@@ -187,11 +189,11 @@
 
 // updateInformed lets requests be placed once this box knows what the running boxes know.
 func (m *members) updateInformed() {
-	if m.informed || m.node.LacksEntries(m.relay.now()) {
+	if m.isInformed || m.node.LacksEntries(m.relay.now()) {
 		return
 	}
-	m.informed = true
-	close(m.relay.published.informed)
+	m.isInformed = true
+	close(m.informed)
 }
 
 // sendPending sends the node's pending messages, and starts the pull that it requests.
--- a/relay/published.go
+++ b/relay/published.go
@@ -17,14 +17,11 @@
 	mu          sync.Mutex // serializes writers
 	current     atomic.Pointer[route.Document]
 	ready       chan struct{} // closed when there is a document
-	informed    chan struct{} // closed when the box no longer lacks entries of the running boxes; by the members' loop
 	confirmedAt atomic.Int64  // time.Duration since the start
 	lost        bool          // the last read of the publisher failed; used by the members' loop only
 }
 
-func newPublished() published {
-	return published{ready: make(chan struct{}), informed: make(chan struct{})}
-}
+func newPublished() published { return published{ready: make(chan struct{})} }
 
 func (p *published) document() *route.Document { return p.current.Load() }
 
