Parts of prompts: cases that had no test

The replay's datagrams can be late, its upstreams stop as announced, its rare part can come to one box alone.

Measurement: all pass at once. A relay that lets any answer clear parts fails four of six statuses. Boxes that tell nobody of answers with a part pass the new case and fail TestCrashesOfOtherCausesWithholdNoPart; boxes that count announced stops as crashes pass the new case too, which is a load and no proof of that rule.

Conclusion: kept as they are; no fault was found.

--- a/group/fatalpart_replay_test.go
+++ b/group/fatalpart_replay_test.go
@@ -30,7 +30,9 @@
 	soundEvery  time.Duration
 	rareEvery   time.Duration // between two sound requests with the rare part; 0: none
 	soundLasts  time.Duration // how long a sound run takes
+	rareAt      string        // the box that alone gets the sound requests with the rare part in the warm-up; the others get those from rareBreak later on; empty: any
 	bySelf      time.Duration // between two crashes of other causes; 0: none
+	planned     time.Duration // between two stops of upstreams that are announced; 0: none
 	fatalKinds  [][]uint64    // parts of the fatal prompts, in turn
 	boxes       int
 	upstreams   int
@@ -79,6 +81,7 @@
 	kindRare   = "sound with the rare part"
 	kindFatal  = "fatal"
 	kindBySelf = "crash of another cause"
+	kindStop   = "announced stop"
 )
 
 func newPartReplay(t *testing.T, seed uint64, load partLoad) *partReplay {
@@ -92,7 +95,7 @@
 	for range load.upstreams {
 		d.upstreams = append(d.upstreams, d.newUpstream(0))
 	}
-	d.next[kindFatal], d.next[kindBySelf] = partWarmUp, partWarmUp
+	d.next[kindFatal], d.next[kindBySelf], d.next[kindStop] = partWarmUp, partWarmUp, partWarmUp
 	return d
 }
 
@@ -113,8 +116,9 @@
 		d.runTables(step)
 		d.arrive(kindFatal, d.load.fatalEvery, func() { d.sendFatal() })
 		d.arrive(kindSound, d.load.soundEvery, func() { d.sendSound() })
-		d.arrive(kindRare, d.load.rareEvery, func() { d.sendFirst(kindRare, []uint64{customerPart, rarePart}) })
-		d.arrive(kindBySelf, d.load.bySelf, func() { d.crashUpstream(d.upstreams[d.sim.random.IntN(len(d.upstreams))]) })
+		d.arrive(kindRare, d.load.rareEvery, func() { d.sendRare() })
+		d.arrive(kindBySelf, d.load.bySelf, func() { d.crashUpstream(d.anyUpstream()) })
+		d.arrive(kindStop, d.load.planned, func() { d.stopUpstream(d.anyUpstream()) })
 		for _, u := range slices.Clone(d.upstreams) {
 			d.stepUpstream(u)
 		}
@@ -145,20 +149,40 @@
 	if n := d.load.spreadParts; n > 0 {
 		parts = append(parts, uint64(100+d.sim.random.IntN(n)))
 	}
-	d.sendFirst(kind, parts)
+	d.sendFirst(d.anyBox(), kind, parts)
 }
 
-// sendFirst sends a sound request and records whether its first attempt begins.
-func (d *partReplay) sendFirst(kind string, parts []uint64) {
+// sendFirst sends a sound request to a box and records whether its first attempt begins.
+func (d *partReplay) sendFirst(box, kind string, parts []uint64) {
 	d.sent++
 	got := d.first[kind]
 	got[0] = append(got[0], d.sim.now)
-	if d.send(d.anyBox(), append(slices.Clone(parts), uint64(firstOwnPart+d.sent)), false) {
+	if d.send(box, append(slices.Clone(parts), uint64(firstOwnPart+d.sent)), false) {
 		got[1] = append(got[1], d.sim.now)
 	}
 	d.first[kind] = got
 }
 
+// rareBreak is how long after the warm-up no sound requests with the rare part come where one box got
+// them before: the other boxes decide without answers of their own.
+const rareBreak = 4 * time.Second
+
+func (d *partReplay) sendRare() {
+	isWarmUp := d.sim.now < partWarmUp
+	if d.load.rareAt != "" && !isWarmUp && d.sim.now < partWarmUp+rareBreak {
+		return
+	}
+	name := d.anyBox()
+	for d.load.rareAt != "" && (name == d.load.rareAt) != isWarmUp {
+		name = d.anyBox()
+	}
+	d.sendFirst(name, kindRare, []uint64{customerPart, rarePart})
+}
+
+func (d *partReplay) anyUpstream() *partUpstream {
+	return d.upstreams[d.sim.random.IntN(len(d.upstreams))]
+}
+
 func (d *partReplay) anyBox() string { return d.sim.names[d.sim.random.IntN(len(d.sim.names))] }
 
 // send sends a request with the given parts to an upstream; false: it is refused.
@@ -226,7 +250,12 @@
 }
 
 // crashUpstream crashes an upstream, and lets the boxes repeat the runs that were cut off.
-func (d *partReplay) crashUpstream(u *partUpstream) {
+func (d *partReplay) crashUpstream(u *partUpstream) { d.endUpstream(u, false) }
+
+// stopUpstream ends an upstream that has announced it, with the runs that it has.
+func (d *partReplay) stopUpstream(u *partUpstream) { d.endUpstream(u, true) }
+
+func (d *partReplay) endUpstream(u *partUpstream, isPlanned bool) {
 	i := slices.Index(d.upstreams, u)
 	if u.startsAt > d.sim.now || i < 0 {
 		return
@@ -240,7 +269,9 @@
 		}
 	}
 	for name := range told {
-		d.tables[name].Ended(d.sim.now, u.incarnation)
+		if !isPlanned {
+			d.tables[name].Ended(d.sim.now, u.incarnation)
+		}
 	}
 	for _, r := range u.runs {
 		s := d.tables[r.name]
@@ -324,6 +355,19 @@
 		{"two parts at once", func(l *partLoad) {
 			l.fatalKinds = [][]uint64{{customerPart, firstPart, fatalPart}, {customerPart, otherFatal}}
 		}, nil},
+		{"with a part whose sound prompts came to one box", func(l *partLoad) {
+			l.rareEvery, l.rareAt, l.fatalKinds = 250*time.Millisecond, "b00", [][]uint64{{customerPart, rarePart, fatalPart}}
+		}, nil},
+		{"and upstreams that stop as announced", func(l *partLoad) { l.planned = 500 * time.Millisecond }, nil},
+		{"all messages are late", func(*partLoad) {}, func(d *partReplay) {
+			d.sim.datagramDelay = 300 * time.Millisecond
+			d.advance(12 * time.Second)
+		}},
+		{"a domain is cut off from the others", func(*partLoad) {}, func(d *partReplay) {
+			d.sim.cutDomains["d1"] = true
+			d.advance(12 * time.Second)
+			d.sim.cutDomains["d1"] = false
+		}},
 		{"half of all messages are lost", func(*partLoad) {}, func(d *partReplay) {
 			d.sim.lossRate = 0.5
 			d.advance(12 * time.Second)
--- a/group/simulation_test.go
+++ b/group/simulation_test.go
@@ -30,6 +30,7 @@
 	domainCount      int             // number of domains in the settings; 0: not set
 	isolated         map[string]bool // boxes cut off from all others
 	lossRate         float64
+	datagramDelay    time.Duration // additional delay of all datagrams
 	publisherCalls   int
 	totalBytes       int
 	bytesByBox       map[string]int  // bytes, by box
@@ -223,7 +224,7 @@
 		if w.random.Float64() < w.lossRate {
 			continue
 		}
-		delay := time.Duration(w.random.IntN(4))*step + w.queueOnLink(b, len(data))
+		delay := w.datagramDelay + time.Duration(w.random.IntN(4))*step + w.queueOnLink(b, len(data))
 		if o.Reach == ReachOtherRegion {
 			delay += w.regionDelay
 		}
--- a/relay/withholdpart_test.go
+++ b/relay/withholdpart_test.go
@@ -182,6 +182,27 @@
 	is.Equal(served.Load(), int32(400))
 }
 
+// Only an answer that succeeded shows that the upstream ran the request, and so that its parts are sound.
+func TestAnswerWithoutSuccessClearsNoPart(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		clears bool
+	}{{200, true}, {201, true}, {302, false}, {400, false}, {404, false}, {413, false}} {
+		t.Run(fmt.Sprint(test.status), func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBox(t, newStub(t, "u", func(c net.Conn, r stubRequest) bool {
+				writeWire(c, fmt.Sprintf("HTTP/1.1 %d Status\nX-Id: %s\nX-Sign: s\nContent-Length: 4\n\nwell", test.status, r.Header.Get("X-Id")))
+				return true
+			}))
+			is.Equal(b.do(b.request(http.MethodPost, "/safe/x", "body", "X-Parts", "1:100 9:10")).status, test.status)
+			b.waitFor(func() bool { return b.relay.stats.openRequests.Load() == 0 })
+			b.relay.mu.Lock()
+			defer b.relay.mu.Unlock()
+			is.Equal(b.relay.crashSuspects.KnownSound(b.relay.now(), balance.PartSubjects("s", []balance.Part{{ID: 1}, {ID: 9}})...), test.clears)
+		})
+	}
+}
+
 // Where all answers end with their connections, an upstream that accepts another one shows that
 // they were whole, and so that their parts are sound.
 func TestAnswersThatEndWithTheirConnectionsClearParts(t *testing.T) {
