Soak: shares of few requests were compared without chance

Hypothesis: by chance. Which requests share parts is drawn for each, and few of either began, as upstreams were evacuated, muted, paused and limited. Rival: boxes withhold what shares parts.

Change: a share counts as too small where chance (four standard deviations) does not explain it; and, stricter than before, not one sound request that shares parts may be withheld at an undisturbed box.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -62,7 +62,7 @@
 	isUndisturbed := !w.fatal.disturbed(b)
 	got := w.sendWithin(ctx, client, b, o)
 	if isUndisturbed && !leaves && path != healthyPath {
-		w.fatal.countSound(b, isSharing, got.whole || len(got.events) > 0)
+		w.fatal.countSound(b, isSharing, got)
 	}
 	if path != resumablePath || leaves {
 		return
@@ -86,10 +86,14 @@
 	after          int    // the last event of that stream that the caller has
 }
 
+// withheldReason is what a box states in its refusal of a request that it withholds.
+const withheldReason = "upstreams ended under it"
+
 // received is what a caller received.
 type received struct {
-	whole  bool            // a whole response
-	events []streamedEvent // of a stream
+	whole    bool            // a whole response
+	events   []streamedEvent // of a stream
+	withheld bool            // refused because upstreams have crashed under it
 }
 
 // send sends a request and checks its response.
@@ -136,7 +140,7 @@
 // check compares a response with the expected signature and body; a partial body must be a prefix of it.
 func (w *harness) check(o outgoing, resp *http.Response, got string, whole bool) received {
 	if resp.StatusCode != http.StatusOK {
-		return received{}
+		return received{withheld: resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(got, withheldReason)}
 	}
 	if signature := resp.Header.Get(protocol.Signature); !strings.HasSuffix(signature, " "+o.id) {
 		w.checker.reportViolation("%s: caller received a response with signature %q", o.id, signature)
@@ -159,5 +163,5 @@
 		w.checker.reportViolation("%s: response body differs from the expected one (complete: %v, events %d to %d): %.200q", o.id, whole, o.after+1, last, got)
 	}
 	w.streams.received(cmp.Or(o.resumes, o.id), events)
-	return received{whole, events}
+	return received{whole: whole, events: events}
 }
--- a/soak/fatalpart.go
+++ b/soak/fatalpart.go
@@ -3,12 +3,14 @@
 // This file defines requests that share one part of their prompts, under which each upstream crashes that
 // begins to answer them, and sound requests that share all the other parts.
 //
-// Invariant: from 2 propagationTime after the fifth crash on, or the last if there are fewer, the sound requests that
-// share the other parts begin at undisturbed boxes at least minSoundShare as often as those without a prompt.
+// Invariant: from 2 propagationTime after the fifth crash on, or the last if there are fewer, undisturbed boxes withhold
+// none of the sound requests that share the other parts, and these begin at least minSoundShare as often as those
+// without a prompt.
 
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,7 +23,10 @@
 	allowedPartCrashes = 5
 	minSoundShare      = 0.5
 	minSoundRequests   = 20 // that share parts, and of the others that begin, from which the shares are judged
-	fatalPartInterval  = 200 * time.Millisecond
+	// chanceDeviations is how many standard deviations fewer must begin than if all were alike: of
+	// few requests half as many begin by chance.
+	chanceDeviations  = 4
+	fatalPartInterval = 200 * time.Millisecond
 )
 
 // Parts of prompts.
@@ -33,7 +38,10 @@
 )
 
 // soundShares counts the sound requests with and without the parts that fatal ones share.
-type soundShares struct{ sharing, others share }
+type soundShares struct {
+	sharing, others share
+	withheld        int // that share parts
+}
 
 // promptOf returns a prompt with shared parts and one of its own.
 func promptOf(shared ...uint64) []balance.Part {
@@ -85,12 +93,16 @@
 }
 
 // countSound records whether a sound request began at a box that no fault affected meanwhile.
-func (f *fatal) countSound(b *box, sharing, began bool) {
+func (f *fatal) countSound(b *box, sharing bool, got received) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.part.crashes == 0 || !f.undisturbed(b) || time.Since(f.part.settledAt()) < 0 {
 		return
 	}
+	began := got.whole || len(got.events) > 0
+	if sharing && got.withheld {
+		f.sound.withheld++
+	}
 	if sharing {
 		f.sound.sharing.add(began)
 	} else {
@@ -111,11 +123,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sound
+	if s.withheld > 0 {
+		violation("%d of %d sound requests that share parts with fatal ones were withheld", s.withheld, s.sharing.tried)
+	}
 	if s.sharing.tried < minSoundRequests || s.others.brought < minSoundRequests {
 		return
 	}
 	// The shares are compared as products, so that none is divided by 0.
-	if float64(s.sharing.brought*s.others.tried) < minSoundShare*float64(s.others.brought*s.sharing.tried) {
+	if float64(s.sharing.brought*s.others.tried) < minSoundShare*float64(s.others.brought*s.sharing.tried) && s.isNoChance() {
 		violation("of %d sound requests that share parts with fatal ones %d began, of %d others %d", s.sharing.tried, s.sharing.brought, s.others.tried, s.others.brought)
 	}
 }
+
+// isNoChance reports whether fewer of the requests that share parts began than chance explains if they
+// begin as often as the others.
+func (s soundShares) isNoChance() bool {
+	began := float64(s.sharing.brought + s.others.brought)
+	sharing := float64(s.sharing.tried) / float64(s.sharing.tried+s.others.tried)
+	deviation := math.Sqrt(began * sharing * (1 - sharing))
+	return float64(s.sharing.brought) < began*sharing-chanceDeviations*deviation
+}
--- a/soak/fatalpart_test.go
+++ b/soak/fatalpart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,11 +29,13 @@
 	for i, c := range []struct {
 		name    string
 		refuses func(r *http.Request) bool
+		refusal string // its body
 		want    string // part of the violation; empty: none
 	}{
-		{"withholds the part", func(r *http.Request) bool { return holds(r, fatalPart) }, ""},
-		{"forwards all", func(*http.Request) bool { return false }, "still forwarded it"},
-		{"withholds another part", func(r *http.Request) bool { return holds(r, firstPart) }, "sound requests that share parts"},
+		{"withholds the part", func(r *http.Request) bool { return holds(r, fatalPart) }, withheldReason, ""},
+		{"forwards all", func(*http.Request) bool { return false }, "", "still forwarded it"},
+		{"refuses another part", func(r *http.Request) bool { return holds(r, firstPart) }, "", "others"},
+		{"withholds another part at times", func(r *http.Request) bool { return holds(r, fatalPart) || holds(r, firstPart) && rand.IntN(10) == 0 }, withheldReason, "were withheld"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,7 +48,7 @@
 				is.NoErr(w.startUpstream(i, 0))
 				w.upstreams[i].advertisedLimit.set(-1)
 			}
-			server := httptest.NewServer(&standInBox{harness: w, began: make(map[string]string), choose: func(b *standInBox, r *http.Request) *upstream {
+			server := httptest.NewServer(&standInBox{harness: w, refusal: c.refusal, began: make(map[string]string), choose: func(b *standInBox, r *http.Request) *upstream {
 				if c.refuses(r) {
 					return nil
 				}
@@ -86,3 +89,21 @@
 		}
 	}
 }
+
+// Of few requests a third began by chance, where all were refused alike.
+func TestSharesThatDifferByChanceWereViolations(t *testing.T) {
+	for _, c := range []struct {
+		sharing, others share
+		want            bool
+	}{
+		{share{tried: 574, brought: 7}, share{tried: 589, brought: 25}, false},
+		{share{tried: 80, brought: 0}, share{tried: 80, brought: 80}, true},
+		{share{tried: 80, brought: 30}, share{tried: 80, brought: 80}, true},
+		{share{tried: 500, brought: 40}, share{tried: 500, brought: 100}, true},
+	} {
+		f := &fatal{sound: soundShares{sharing: c.sharing, others: c.others}}
+		found := false
+		f.checkSound(func(string, ...any) { found = true })
+		is.New(t).Equal(found, c.want)
+	}
+}
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -20,6 +20,7 @@
 type standInBox struct {
 	harness *harness
 	choose  func(b *standInBox, r *http.Request) *upstream // nil: the request is refused
+	refusal string                                         // body of a refusal
 
 	mu    sync.Mutex
 	began map[string]string // by request id: software version of the upstream that it was sent to
@@ -29,7 +30,7 @@
 func (b *standInBox) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u := b.choose(b, r)
 	if u == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		http.Error(w, b.refusal, http.StatusServiceUnavailable)
 		return
 	}
 	b.mu.Lock()
