--- a/review/stand/box.go
+++ b/review/stand/box.go
@@ -101,6 +101,9 @@
 // Callers returns the address for clients.
 func (b *Box) Callers() string { return fmt.Sprintf("%s:%d", b.IP, portCallers) }
 
+// ReadyURL is where the platform asks whether the box takes clients.
+func (b *Box) ReadyURL() string { return fmt.Sprintf("http://%s:%d/readyz", b.IP, portReady) }
+
 // Start starts the process.
 func (b *Box) Start() error {
 	log, err := os.OpenFile(b.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -151,7 +154,7 @@
 // Ready asks the box whether it takes clients, as the platform's balancer does.
 func (b *Box) Ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/readyz", b.IP, portReady))
+	resp, err := client.Get(b.ReadyURL())
 	if err != nil {
 		return false
 	}
