--- a/review/1/main.go
+++ b/review/1/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -139,7 +140,7 @@
 			return w.stream(c, r, id)
 		default:
 			w.record.Note("runner %s runs %s", r.ID, id)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(time.Duration(5+rand.IntN(80)) * time.Millisecond)
 			answer = stand.Answer(http.StatusOK, id, r.Stamp(id), "text/plain", body(id))
 		}
 		if _, err := c.Write(answer); err != nil {
@@ -291,7 +292,7 @@
 		for k := range 3 {
 			all.Go(func() { w.client(n*10+k, b, "/draft/", 150*time.Millisecond) })
 		}
-		for k := range 4 {
+		for k := range 8 {
 			all.Go(func() { w.client(n*10+k, b, "/lookup/", 40*time.Millisecond) })
 		}
 	}
