--- a/review/stand/box.go
+++ b/review/stand/box.go
@@ -59,12 +59,29 @@
 	Store   string   // IP:port
 	Zones   []string // of the boxes, in order
 	Files   int      // limit of descriptors of a box; 0: as inherited
+	Size    Size     // of a box; the zero value is SmallSize
 }
 
+// Size is what the settings say of a box's machine and the site's bounds.
+type Size struct {
+	MemoryMB, LinkMbps, RetrySlack, ConfigMs int
+	CPUShare                                 float64
+}
+
+// SmallSize is that of the site zlatna-esen, and GrownSize that of most machines of zlatna-esen-now-grown.
+var (
+	SmallSize = Size{284, 1000, 54, 2000, 0.4}
+	GrownSize = Size{184, 10, 214, 3000, 0.192}
+)
+
 // Boxes writes the settings of the boxes, as deploy/box.json has them for a small site.
 func (d Deployment) Boxes() ([]*Box, error) {
 	var list []*Box
 	var seeds []string
+	size := d.Size
+	if size == (Size{}) {
+		size = SmallSize
+	}
 	regions := make(map[string]bool)
 	var zones []string
 	for i, zone := range d.Zones {
@@ -84,12 +101,13 @@
   "box": %q, "domain": %q, "regions": { %s }, "first_start": false,
   "listen": { "callers": "%s:%d", "ready": "%s:%d", "control": "%s:%d", "metrics": "%s:%d", "ip": %q },
   "platform": %q, "seeds": [%s], "peer_ports": [%d, %d],
-  "memory_mb": 284, "max_fds": 4100, "cpu_share": 0.4, "link_mbps": 1000,
-  "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "retry_window_s": 10,
-    "limit_span_s": 4, "limit_overshoot": 1.5, "limit_slack": 5, "document_ms": 2000 }
+  "memory_mb": %d, "max_fds": 4100, "cpu_share": %g, "link_mbps": %d,
+  "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": %d, "retry_window_s": 10,
+    "limit_span_s": 4, "limit_overshoot": 1.5, "limit_slack": 5, "document_ms": %d }
 }
 `, b.Name, zone, strings.Join(zones, ", "), b.IP, portCallers, b.IP, portReady, b.IP, portControl, b.IP, portMetrics, b.IP,
-			d.Store, strings.Join(seeds, ", "), portPeers, portPeers+15)
+			d.Store, strings.Join(seeds, ", "), portPeers, portPeers+15,
+			size.MemoryMB, size.CPUShare, size.LinkMbps, size.RetrySlack, size.ConfigMs)
 		if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
