--- a/review/1/main.go
+++ b/review/1/main.go
@@ -168,7 +168,7 @@
 	e.mu.Unlock()
 	defer close(r.done)
 	e.world.record.Note("runner %s runs %s after event %d, Kv-From %q, without a length: %v", e.ID, id, after, req.Header.Get("Kv-From"), unframed)
-	head, chunk := string(stand.StreamHead(id, e.Stamp(id))), func(text string) []byte { return stand.Chunk(text) }
+	head, chunk := string(stand.StreamHead(id, e.Stamp(id))), stand.Chunk
 	if unframed {
 		e.world.unframed.Add(1)
 		head = strings.Replace(head, "Transfer-Encoding: chunked\r\n", "", 1)
