--- a/review/1/main.go
+++ b/review/1/main.go
@@ -48,6 +48,7 @@
 	record  *stand.Record
 	slows   bool // a runner turns slow at times
 	garbles bool // some of its answers lack a length meanwhile
+	resets  bool // runners reset the connections of such answers where they stop their runs
 	began   time.Time
 	handles atomic.Int64
 
@@ -184,6 +185,9 @@
 		}
 		select {
 		case <-r.stop:
+			if tcp, ok := c.(*net.TCPConn); ok && unframed && e.world.resets {
+				_ = tcp.SetLinger(0)
+			}
 			return errStopped // its stream is closed without its end
 		case <-time.After(pause):
 		}
@@ -300,14 +304,15 @@
 	return list, nil
 }
 
-// run plays the case. trouble 0 leaves both disruptions out, and slow only that answers lack a length.
+// run plays the case. trouble 0 leaves both disruptions out, and slow only that answers lack a length; with reset, runners
+// reset the connections of such answers where they stop their runs.
 func run(program, dir, file, trouble string) (int, error) {
 	out, err := os.Create(file)
 	if err != nil {
 		return 2, err
 	}
 	defer func() { _ = out.Close() }()
-	w := &world{record: stand.NewRecord(out), slows: trouble != "0", garbles: trouble != "0" && trouble != "slow", began: time.Now()}
+	w := &world{record: stand.NewRecord(out), slows: trouble != "0", garbles: trouble != "0" && trouble != "slow", resets: trouble == "reset", began: time.Now()}
 	lo, err := stand.NewNet()
 	if err != nil {
 		return 2, err
