Streams: log what marked their end, and how a move was answered

Hypotheses: (1) the close of a connection by a stopped run is taken for the end of its answer; (2) the upstream marks an end where it stops; (3) a continued run that makes no event ends the stream. Neither logs nor metrics told them apart: the line of a request did not say what marked the end, and a move that was answered had no line.

No decision is changed.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -84,6 +84,7 @@
 	pendingEvents    []byte          // read, but not yet passed to the caller
 	firstEventsAfter time.Duration   // from the arrival to the first events
 	pace             pace            // of its events
+	endedBy          string          // what marked the end of the stream; empty: it has not ended
 	outcome          string          // final outcome as logged; empty while the request is active
 }
 
@@ -167,6 +168,9 @@
 		f["late_pauses"], f["longest_pause_ms"] = x.pace.late, x.pace.longest.Milliseconds()
 		f["events"], f["expected_tokens"] = x.events.total, x.request.prompt.Expected
 	}
+	if x.endedBy != "" {
+		f["ended_by"], f["asked_to_move"] = x.endedBy, x.move != nil
+	}
 	if x.pauseWaited > 0 {
 		f["waited_ms"] = x.pauseWaited.Milliseconds()
 	}
--- a/relay/move.go
+++ b/relay/move.go
@@ -120,6 +120,8 @@
 		return
 	}
 	c := r.cfg.Protocol.ParseMove(m.from.Address, status, body)
+	r.cfg.Log.Event("run", "asked to move", Fields{"id": id, "upstream": m.from.ID, "to": m.to.ID, "status": status,
+		"copy": boundedText(c.Name), "transferred": c.Transferred, "took_ms": time.Since(m.started).Milliseconds()})
 	if c.Name == "" {
 		r.cancelRetry(m.retry)
 	}
