Streams: the end of a run that the box stopped is not the end of its stream

Hypothesis: where an answer has neither a length nor chunks, the close of its connection is its end. A box that had asked the upstream to stop the run took that close for the end as well: exchange.Read looked at the error of the read alone, and at the move only after any other error.

A marked end is the end, at once. A closed connection is the end only where the box has not asked for a stop, or knows that it had no effect: the call was not sent, or the upstream says that there is no such run (it had ended by itself) or that it has not executed the call. Where the run was stopped, the stream continues from the copy. Where nobody knows, it is not complete: it is resumed where the route allows that, and cut off elsewhere.

Conclusion: what a close means is not in the bytes. The call is waited for (1.5 s at the most) only where the end is not marked.

--- a/relay/cutpath_test.go
+++ b/relay/cutpath_test.go
@@ -177,11 +177,18 @@
 // startPathPair starts two boxes of a group. The first one reaches the stubs over paths of its own,
 // and has mechanisms switched off.
 func startPathPair(t *testing.T, l paths, off balance.Off, stubs ...*stub) (first, second *testBox) {
+	t.Helper()
+	return startPathPairWithConfig(t, l, func(c *Config) { c.Disabled = off }, stubs...)
+}
+
+// startPathPairWithConfig is startPathPair with the configuration of the first box modified by change.
+func startPathPairWithConfig(t *testing.T, l paths, change func(*Config), stubs ...*stub) (first, second *testBox) {
 	t.Helper()
 	var self *wire.GroupBox
 	first = newTestBoxWithConfig(t, func(c *Config) {
 		joinGroup(t, c, "first")
-		c.Decode, c.Disabled = l.decode, off
+		c.Decode = l.decode
+		change(c)
 		self = c.Self
 	}, stubs...)
 	second = first.startPeer(self)
--- a/relay/error.go
+++ b/relay/error.go
@@ -8,6 +8,7 @@
 	KindExhausted  Kind = "full"     // a limit of this box or of an upstream is used up
 	KindMalformed  Kind = "garble"   // bytes that are not a valid response
 	KindTruncated  Kind = "cut"      // a response ended early
+	KindStopped    Kind = "stopped"  // this box stopped the run
 	KindReplaced   Kind = "replaced" // another instance of the upstream has taken over its address
 	KindNotReading Kind = "unread"   // a caller does not read its response
 	KindSilent     Kind = "silent"   // a connection delivers nothing although its upstream is working
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -293,7 +293,7 @@
 	u := newStub(t, "u", func(c net.Conn, r stubRequest) bool { return respondWithHeaders("200 OK", limit)(c, r) })
 	b := newTestBox(t, u)
 	call := func() {
-		_, _, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+		_, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
 		is.NoErr(err)
 	}
 	call()
--- a/relay/move.go
+++ b/relay/move.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -23,11 +24,13 @@
 	moveTimeout = 1500 * time.Millisecond
 )
 
-// RunCopy describes the copied memory of a stopped run.
+// RunCopy describes the copied memory of a stopped run. Without a name, the run may have been stopped
+// or not, unless NotStopped is set.
 type RunCopy struct {
 	Name        string // as known to the upstream that made it; empty: there is no copy
 	Memory      string // as named in the request that continues from it
 	Transferred bool   // the copy is at the other upstream; if false, it is still at the first one
+	NotStopped  bool   // the call has not stopped the run: it continues, or had ended before
 }
 
 // move is the move of a stream to another upstream.
@@ -112,58 +115,64 @@
 func (r *Relay) requestCopy(m *move, id, service string) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
 	defer cancel()
-	status, body, err := r.callUpstream(ctx, m.from, service, r.cfg.Protocol.MoveCall(id, m.to.Address))
-	if err != nil {
-		r.cfg.Log.Event("run", "not moved", Fields{"id": id, "upstream": m.from.ID, "error": err.Error()})
-		r.cancelRetry(m.retry) // the stream may go on for long where it is
-		m.copied <- RunCopy{}
-		return
+	resp, err := r.callUpstream(ctx, m.from, service, r.cfg.Protocol.MoveCall(id, m.to.Address))
+	c := RunCopy{NotStopped: !resp.sent || resp.notRun}
+	if err == nil && !resp.notRun {
+		c = r.cfg.Protocol.ParseMove(m.from.Address, resp.status, resp.body)
 	}
-	c := r.cfg.Protocol.ParseMove(m.from.Address, status, body)
-	r.cfg.Log.Event("run", "asked to move", Fields{"id": id, "upstream": m.from.ID, "to": m.to.ID, "status": status,
-		"copy": boundedText(c.Name), "transferred": c.Transferred, "took_ms": time.Since(m.started).Milliseconds()})
+	r.logMoveCall(m, id, resp, c, err)
 	if c.Name == "" {
-		r.cancelRetry(m.retry)
+		r.cancelRetry(m.retry) // the stream may go on for long where it is
 	}
 	m.copied <- c
 }
 
-// callUpstream makes a call of the box itself to an upstream.
-func (r *Relay) callUpstream(
-	ctx context.Context, u balance.Upstream, service string, call UpstreamCall,
-) (status int, body []byte, err error) {
+// logMoveCall logs how the call to move a run ended.
+func (r *Relay) logMoveCall(m *move, id string, resp callResponse, c RunCopy, err error) {
+	f := Fields{"id": id, "upstream": m.from.ID, "to": m.to.ID, "not_stopped": c.NotStopped, "took_ms": time.Since(m.started).Milliseconds()}
+	if err != nil {
+		f["error"] = err.Error()
+		r.cfg.Log.Event("run", "not moved", f)
+		return
+	}
+	f["status"], f["copy"], f["transferred"] = resp.status, boundedText(c.Name), c.Transferred
+	r.cfg.Log.Event("run", "asked to move", f)
+}
+
+// callResponse is the response to a call of the box itself.
+type callResponse struct {
+	sent   bool // a byte of the call may have been sent
+	notRun bool // the upstream states that it has not executed the call
+	status int
+	body   []byte
+}
+
+// callUpstream makes a call of the box itself to an upstream. If it fails, the response tells only
+// whether the call may have been sent.
+func (r *Relay) callUpstream(ctx context.Context, u balance.Upstream, service string, call UpstreamCall) (callResponse, error) {
 	c, err := r.conns.get(ctx, u, service)
 	if err != nil {
-		return 0, nil, err
+		return callResponse{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	resp, err := r.roundTrip(c, r.buildCall(u, call))
 	if err != nil {
 		r.conns.discard(c)
-		return 0, nil, err
+		return callResponse{sent: !errors.Is(err, errNotAccepting)}, err
 	}
-	body, err = io.ReadAll(io.LimitReader(resp.body, maxBufferedResponse))
+	body, err := io.ReadAll(io.LimitReader(resp.body, maxBufferedResponse))
 	r.releaseConn(resp, err == nil && stop())
-	return resp.header.StatusCode(), body, err
+	return callResponse{true, r.saysNotRun(&resp.header), resp.header.StatusCode(), body}, err
 }
 
-// resumeMoved continues the stream where it has moved to, after its first run has ended. False means
-// that it has not moved, and that the end of the run is handled as any other.
-func (x *exchange) resumeMoved() bool {
-	m := x.move
+// continueMoved continues the stream from the copy of the run that was stopped. False means that there
+// is none, or that it could not be used.
+func (x *exchange) continueMoved(end runEnd) bool {
+	m, c := end.move, end.copy
 	if m == nil {
 		return false
 	}
-	c, ok := m.awaitCopy(x.ctx)
-	if !ok {
-		return false // the copy is freed when the exchange is closed
-	}
-	x.move = nil
-	x.relay.closeReservation(m)
-	if c.Name == "" {
-		return false
-	}
 	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) || !x.mayContinueAt(at) {
 		x.relay.cancelRetry(m.retry)
 		x.relay.discardCopy(m, c, x)
@@ -226,7 +235,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
 		defer cancel()
-		if _, _, err := r.callUpstream(ctx, m.from, service, r.cfg.Protocol.DropCall(c.Name)); err != nil {
+		if _, err := r.callUpstream(ctx, m.from, service, r.cfg.Protocol.DropCall(c.Name)); err != nil {
 			r.cfg.Log.Event("run", "copy not freed", Fields{"id": id, "upstream": m.from.ID, "error": err.Error()})
 		}
 	}()
--- a/relay/move_test.go
+++ b/relay/move_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -22,7 +23,7 @@
 		return UpstreamCall{Method: http.MethodPost, Path: "/copy", Body: []byte(`"` + request + " " + to + `"`)}
 	}
 	p.ParseMove = func(from string, status int, body []byte) RunCopy {
-		return RunCopy{Name: string(body), Memory: from + "/" + string(body), Transferred: status == http.StatusOK}
+		return RunCopy{Name: string(body), Memory: from + "/" + string(body), Transferred: status == http.StatusOK, NotStopped: status == http.StatusNotFound}
 	}
 	p.DropCall = func(name string) UpstreamCall { return UpstreamCall{Method: http.MethodDelete, Path: "/copy/" + name} }
 	return p
@@ -39,17 +40,51 @@
 	*testBox
 	slow, fast *stub
 	stopped    chan struct{} // closed to end slow's stream
+	form       streamForm    // of slow's stream
+}
+
+// streamForm is how an upstream writes a stream. The zero value writes chunks.
+type streamForm struct {
+	unframed bool                                   // without a length or chunks
+	end      func(c net.Conn, made int) (keep bool) // called where the stream is ended; nil: the connection is closed
+}
+
+func (f streamForm) start(c net.Conn, r stubRequest) {
+	if !f.unframed {
+		startStream(c, r)
+		return
+	}
+	writeWire(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nContent-Type: text/event-stream\n\n")
+}
+
+func (f streamForm) write(c net.Conn, text string) {
+	if !f.unframed {
+		writeChunk(c, text)
+		return
+	}
+	_, _ = io.WriteString(c, text)
 }
 
 // newMovingTestBox creates the box and its upstreams; copied responds to the call to copy the run.
 func newMovingTestBox(t *testing.T, copied func(c net.Conn, stop func())) *movingTestBox {
-	return newMovingTestBoxWithConfig(t, func(*Config) {}, newRetryArrivals(), copied)
+	return newMovingTestBoxWithConfig(t, func(*Config) {}, newRetryArrivals(), streamForm{}, copied)
 }
 
-// newMovingTestBoxWithConfig is newMovingTestBox with a configuration modified by change. The upstreams
-// fail requests for /safe/, and arrivals records what reaches them but for calls.
-func newMovingTestBoxWithConfig(t *testing.T, change func(*Config), arrivals *retryArrivals, copied func(c net.Conn, stop func())) *movingTestBox {
-	m := &movingTestBox{stopped: make(chan struct{})}
+// newMovingTestBoxWithConfig is newMovingTestBox with a configuration modified by change, and the form of
+// slow's stream.
+func newMovingTestBoxWithConfig(t *testing.T, change func(*Config), arrivals *retryArrivals, form streamForm, copied func(c net.Conn, stop func())) *movingTestBox {
+	m := newMovingUpstreams(t, arrivals, form, copied)
+	m.useBox(newTestBoxWithConfig(t, func(c *Config) {
+		c.Protocol = movingProtocol()
+		change(c)
+	}, m.slow))
+	return m
+}
+
+// newMovingUpstreams creates the upstreams of a movingTestBox without a box. They fail requests for
+// /safe/, and arrivals records what reaches them but for calls.
+func newMovingUpstreams(t *testing.T, arrivals *retryArrivals, form streamForm, copied func(c net.Conn, stop func())) *movingTestBox {
+	m := &movingTestBox{stopped: make(chan struct{}), form: form}
 	m.slow = newStub(t, "slow", func(c net.Conn, r stubRequest) bool {
 		if id := r.Header.Get("X-Id"); id != "" {
 			arrivals.note(id)
@@ -66,28 +101,29 @@
 		case strings.HasPrefix(r.URL.Path, "/safe/"):
 			return respond500(c, r)
 		}
-		startStream(c, r)
+		m.form.start(c, r)
 		for i := 1; i <= 100; i++ {
-			writeChunk(c, event(i))
+			m.form.write(c, event(i))
 			select {
 			case <-m.stopped:
-				return false
+				return m.form.end != nil && m.form.end(c, i)
 			case <-time.After(60 * time.Millisecond):
 			}
 		}
 		return false
 	})
 	m.fast = newStub(t, "fast", arrivals.record(m.respondRest))
-	m.testBox = newTestBoxWithConfig(t, func(c *Config) {
-		c.Protocol = movingProtocol()
-		change(c)
-	}, m.slow)
+	return m
+}
+
+// useBox sets the box, which lists slow alone.
+func (m *movingTestBox) useBox(b *testBox) {
+	m.testBox = b
 	document := testDocument(2)
 	document.Services[0].TransfersKV = true
 	m.publisher.set("document", document, false)
 	m.waitFor(func() bool { return m.relay.documentVersion() == 2 })
 	m.trainFleet()
-	return m
 }
 
 // respondRest sends all events after the last one seen, and the end of the stream.
@@ -196,7 +232,7 @@
 func TestFailedMovesDoNotPayForLaterRetries(t *testing.T) {
 	const streams = 3 // as many as the other upstream has room for
 	arrivals := newRetryArrivals()
-	m := newMovingTestBoxWithConfig(t, func(c *Config) { c.Budget = onlySlack }, arrivals, func(c net.Conn, _ func()) { respondCall(c, 404, "") })
+	m := newMovingTestBoxWithConfig(t, func(c *Config) { c.Budget = onlySlack }, arrivals, streamForm{}, func(c net.Conn, _ func()) { respondCall(c, 404, "") })
 	m.awaitSlack()
 	done := make(chan callerResponse, streams)
 	for i := range streams {
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -89,7 +89,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
 		fields := Fields{"upstream": u.ID, "born": u.StartedAt}
-		if _, _, err := r.callUpstream(ctx, u, u.Service, r.cfg.Protocol.ReportCall()); err != nil {
+		if _, err := r.callUpstream(ctx, u, u.Service, r.cfg.Protocol.ReportCall()); err != nil {
 			fields["error"] = err.Error()
 		}
 		r.cfg.Log.Event("upstream", "asked whether it is leaving", fields)
--- a/relay/notices_test.go
+++ b/relay/notices_test.go
@@ -116,7 +116,7 @@
 	is := is.New(t)
 	u := newStub(t, "u", respondWithHeaders("200 OK", "X-Leaving: 1"))
 	b := newTestBox(t, u)
-	_, _, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+	_, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
 	is.NoErr(err)
 	is.True(b.isLeaving("u"))
 }
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -234,7 +234,7 @@
 	u := newPausingUpstream(t, "30")
 	b := newTestBox(t, u.stub)
 	call := func() error {
-		_, _, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
+		_, err := b.relay.callUpstream(t.Context(), *b.relay.fleet.Get("u"), "s", UpstreamCall{Method: http.MethodGet, Path: "/tell"})
 		return err
 	}
 	is.NoErr(call())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -77,13 +77,10 @@
 			x.pace.observe(time.Now(), x.route.EventGap)
 			x.checkProgress()
 		}
-		if errors.Is(err, io.EOF) {
-			x.noteStreamEnd()
-			x.endRun(true, balance.Answered)
-			x.outcome = "answered"
-			return 0, io.EOF
+		if err == nil {
+			continue
 		}
-		if err != nil && !x.resumeMoved() && !x.resume(err) {
+		if err = x.finishRun(err); err != nil {
 			return 0, err
 		}
 	}
@@ -92,28 +89,6 @@
 	return n, nil
 }
 
-// What marked the end of a stream, in log lines and metric names.
-const (
-	endByFraming    = "framing"    // its length or last chunk
-	endByConnection = "connection" // its upstream closed the connection
-)
-
-// noteStreamEnd records what marked the end of the stream, and whether its upstream had been asked to
-// move the run.
-func (x *exchange) noteStreamEnd() {
-	x.endedBy = endByConnection
-	if x.response.hasFraming() {
-		x.endedBy = endByFraming
-	}
-	x.relay.stats.count("streams_ended_by_" + x.endedBy)
-	if x.move != nil {
-		x.relay.stats.count(streamsEndedInMove)
-	}
-}
-
-// streamsEndedInMove counts streams that ended after their upstream had been asked to move the run.
-const streamsEndedInMove = "streams_ended_in_move"
-
 // endRun releases the connection of the current run and reports its outcome.
 func (x *exchange) endRun(whole bool, o balance.Outcome) {
 	if x.response == nil || x.response.conn == nil {
