Streams: a run that the box stopped is not held against its upstream

Where the copy of a stopped run could not be used, the close of its connection went on as the failure of the run: the upstream counted as one that cuts runs off, and the request as one under which an upstream may have crashed (cut_off, with its content, in its line).

Change: a run that is known to have been stopped ends with an error of its own, which says nothing about the upstream. A run of which nobody knows counts as before.

Measured: TestStoppedRunIsNotHeldAgainstItsUpstream, with chunks and without; both fail with the old cause put back (a trial), and pass.

--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -134,7 +134,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil, errors.Is(err, errTunnelLost), errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), errors.Is(err, errUnproven), errors.Is(err, errWithheld), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
+	case x.ctx.Err() != nil, errors.Is(err, errTunnelLost), errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), errors.Is(err, errUnproven), errors.Is(err, errWithheld), errors.Is(err, errRunStopped), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -104,10 +104,10 @@
 }
 
 // outcomeOfDisconnect returns what an interrupted stream says about its upstream: nothing if the
-// caller disconnected, this box lacked memory, the connection was silent, or it led through another
-// box and was lost there.
+// caller disconnected, this box lacked memory or stopped the run, the connection was silent, or it led
+// through another box and was lost there.
 func (x *exchange) outcomeOfDisconnect(cause error) balance.Outcome {
-	if x.watch.disconnected.Load() || errors.Is(cause, errMemoryShort) || errors.Is(cause, errSilent) || errors.Is(cause, errTunnelLost) {
+	if errors.Is(cause, errRunStopped) || x.watch.disconnected.Load() || errors.Is(cause, errMemoryShort) || errors.Is(cause, errSilent) || errors.Is(cause, errTunnelLost) {
 		return balance.Neutral
 	}
 	if isConnectionLost(cause) {
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -158,6 +159,27 @@
 	}
 }
 
+// A run that the box stopped itself, and whose copy could not be used, was taken for one that its
+// upstream had cut off.
+func TestStoppedRunIsNotHeldAgainstItsUpstream(t *testing.T) {
+	for _, unframed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("unframed=%v", unframed), func(t *testing.T) {
+			is := is.New(t)
+			m := newMovingUpstreams(t, newRetryArrivals(), streamForm{unframed: unframed}, func(c net.Conn, stop func()) {
+				stop()
+				respondCall(c, 200, "h7")
+			})
+			m.fast = newStub(t, "fast", respondNotRun(503)) // the copy comes to nothing
+			m.useBox(newTestBoxWithConfig(t, func(c *Config) { c.Protocol = movingProtocol() }, m.slow))
+			got := <-m.stream("/single/x")
+			is.True(got.err != nil)
+			m.awaitLog(`"request: broken off"`)
+			is.True(!m.closedLogContains(`"cut_off"`))
+			is.True(m.log.contains("relay: read stream: stopped"))
+		})
+	}
+}
+
 // A caller that leaves while the box waits for the copy: the copy is freed.
 func TestCopyIsFreedWhenCallerLeavesDuringMove(t *testing.T) {
 	is := is.New(t)
