Bytes without end, in a head or a body, end the use of their connection

Hypothesis: where a response is read for its connection's sake only, or memory is waited for, nothing bounds what is read.

Responses that do not say how long they are take up to 0.3 of a box's memory together, and wait for it for 300 ms. What ends so is a malformed response: the request goes on elsewhere where its route allows that, otherwise its caller is told at once.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -92,9 +91,9 @@
 	if !r.saysNotRun(&resp.header) {
 		return runAnswered, resp, nil
 	}
-	x.detachConn()
-	_, err = io.Copy(io.Discard, resp.body)
-	r.releaseConn(resp, err == nil)
+	_ = c.SetReadDeadline(time.Now().Add(discardWait)) // the refusal is known
+	isWhole := discardBody(resp) == nil
+	r.releaseConn(resp, x.detachConn() && isWhole)
 	x.refusalStatus = resp.header.StatusCode()
 	x.replacement, err = r.replacedBy(&resp.header, x.upstream.ID)
 	return runRefused, nil, err
--- a/relay/body.go
+++ b/relay/body.go
@@ -67,23 +67,27 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !k.skipTrailer() {
-		return n, io.ErrUnexpectedEOF
+	if err := k.skipTrailer(); err != nil {
+		return n, err
 	}
 	k.done = true
 	return n, io.EOF
 }
 
-// skipTrailer reads up to the empty line after the last chunk. It returns false if the connection
-// ended first.
-func (k *chunkedReader) skipTrailer() bool {
-	for {
+// skipTrailer reads up to the empty line after the last chunk.
+func (k *chunkedReader) skipTrailer() error {
+	for size := 0; size <= maxTrailerBytes; {
 		line, err := k.c.reader.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
 		if err != nil {
-			return false
+			return err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return true
+			return nil
 		}
+		size += len(line)
 	}
+	return errLongBody
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -1,12 +1,14 @@
 package relay
 
-// This file defines how a stream of server-sent events is split. The invariant: next returns only
-// whole events, each once, in the order of their IDs.
+// This file defines how a stream of server-sent events is split. The invariants: next returns only
+// whole events, each once, in the order of their IDs; and of bytes that are no event or nothing new, a
+// bounded number is read.
 
 import (
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -22,17 +24,44 @@
 	hasEvents  bool  // at least one event was returned
 	total      int   // events returned
 	bodyEvents int   // events returned from the current body
+	skipped    int   // bytes since the last event with a new ID, or since the last event if none has an ID
+	failed     error // what is to be returned after the events before it
 
 	reserve  func(n int64) error // charges buffer memory beyond freeResponseBytes; nil: not charged
 	reserved int64               // size of the largest buffer charged
 }
 
-var errLongEvent = &Error{Op: "read event", Kind: KindMalformed, Err: errors.New("event larger than 1 MiB")}
+// Errors for bytes that are no stream of events.
+var (
+	errLongEvent  = &Error{Op: "read event", Kind: KindMalformed, Err: errors.New("event larger than 1 MiB")}
+	errNoEvent    = &Error{Op: "read event", Kind: KindMalformed, Err: errors.New("no field of an event")}
+	errNoNewEvent = &Error{Op: "read event", Kind: KindMalformed, Err: errors.New("1 MiB without a new event")}
+)
+
+// eventFields start the lines of events, a comment's included. An event has at least one of them.
+var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry"), nil}
+
+// hasField reports whether a block of lines is an event.
+func hasField(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		isField := func(field []byte) bool {
+			return len(line) > len(name) && line[len(name)] == ':' && bytes.Equal(field, name)
+		}
+		if slices.ContainsFunc(eventFields, isField) {
+			return true
+		}
+	}
+	return false
+}
 
 // next returns all whole events that have arrived, and waits for at least one. The bytes are valid
 // until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	for {
+		if e.failed != nil {
+			return nil, e.failed
+		}
 		if end := lastEventEnd(e.buf); end > 0 {
 			out := e.newEvents(e.buf[:end])
 			e.buf = bytes.Clone(e.buf[end:])
@@ -103,15 +132,29 @@
 	return end
 }
 
-// newEvents returns the events of b that were not returned before.
+// newEvents returns the events of b that were not returned before. Where b holds what is no event, or
+// where nothing new has come for long, it sets failed and returns the events before.
 func (e *eventReader) newEvents(b []byte) []byte {
 	out := b[:0:0]
 	for len(b) > 0 {
 		n := firstEventEnd(b)
 		event := b[:n]
 		b = b[n:]
+		isEmpty := len(bytes.TrimSpace(event)) == 0
+		if !isEmpty && !hasField(event) {
+			e.failed = errNoEvent
+			return out
+		}
 		id, ok := eventID(event)
-		if ok && e.hasEvents && id <= e.lastID {
+		isOld := ok && e.hasEvents && id <= e.lastID
+		if e.skipped += n; ok && !isOld || e.lastID == 0 && !isEmpty {
+			e.skipped = 0
+		}
+		if e.skipped > maxEvent {
+			e.failed = errNoNewEvent
+			return out
+		}
+		if isOld || isEmpty {
 			continue
 		}
 		if ok {
@@ -155,5 +198,5 @@
 func (e *eventReader) continueWith(src io.Reader) {
 	e.src = src
 	e.buf = nil
-	e.bodyEvents = 0
+	e.bodyEvents, e.skipped, e.failed = 0, 0, nil
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/route"
 )
 
@@ -34,8 +35,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	watch      *disconnectWatch
-	caller     *callerConn // nil if the connection did not come from callerListener
-	detachConn func() bool // unregisters the connection, so that ctx no longer closes it
+	caller     *callerConn    // nil if the connection did not come from callerListener
+	openEnded  *account.Lease // memory for responses that do not say how long they are; nil: none
+	detachConn func() bool    // unregisters the connection, so that ctx no longer closes it
 
 	triedInstances []balance.Incarnation // upstream instances it was sent to, or that could not be reached
 	unverified     []balance.Incarnation // of these, those that could not be verified in time
@@ -148,6 +150,9 @@
 func (x *exchange) close() {
 	r := x.relay
 	x.closeTicket(balance.Neutral)
+	if x.openEnded != nil {
+		x.openEnded.Close()
+	}
 	x.watch.stop()
 	x.cancel()
 	r.stats.openRequests.Add(-1)
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -5,9 +5,13 @@
 // with nothing read; and the most urgent requests are refused last.
 
 import (
+	"context"
 	"errors"
+	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/internal/account"
 )
 
 // Charges, in bytes, in addition to the data received.
@@ -44,6 +48,9 @@
 	maxRequestShare = 0.9
 	// fullShare is for small or more valuable data: headers and responses.
 	fullShare = 1
+	// openEndedShare is the share of the bound that responses may fill together which do not say how
+	// long they are, beyond freeResponseBytes each.
+	openEndedShare = 0.3
 )
 
 // errMemoryShort reports that the box has no memory for a response.
@@ -78,15 +85,37 @@
 }
 
 // chargeResponse charges n bytes of a response to the request's caller. It waits, with nothing
-// read meanwhile, until they fit or the request is given up. While nothing is read, the
-// upstream does not count as silent: its data is held up here.
+// read meanwhile, until they fit or the request is given up.
 func (x *exchange) chargeResponse(n int64) error {
-	if x.caller == nil || x.caller.lease.Grow(n, fullShare) {
+	if x.caller == nil {
+		return nil
+	}
+	return x.charge(x.ctx, x.caller.lease, n)
+}
+
+// chargeOpenEnded is chargeResponse for bytes of a response that does not say how many will follow.
+// Such responses that wait for each other may never end, so each waits for up to memoryWait only.
+func (x *exchange) chargeOpenEnded(n int64) error {
+	if x.openEnded == nil {
+		x.openEnded = x.relay.openEnded.Lease()
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, memoryWait)
+	defer cancel()
+	if err := x.charge(ctx, x.openEnded, n); err != nil {
+		return err
+	}
+	return x.chargeResponse(n)
+}
+
+// charge grows a lease, and waits for that until ctx ends. While nothing is read, the upstream does
+// not count as silent: its data is held up here.
+func (x *exchange) charge(ctx context.Context, lease *account.Lease, n int64) error {
+	if lease.Grow(n, fullShare) {
 		return nil
 	}
 	wasWaiting := x.wait.Load() != nil
 	x.endReadWait()
-	if !x.caller.lease.Await(x.ctx, n, fullShare) {
+	if !lease.Await(ctx, n, fullShare) {
 		return errMemoryShort
 	}
 	if wasWaiting {
@@ -97,21 +126,26 @@
 
 // chargedReader charges the part of a body that exceeds freeResponseBytes.
 type chargedReader struct {
-	exchange *exchange
-	answer   *response
-	read     int64
-	charged  int64 // of the bytes read
+	exchange    *exchange
+	src         io.Reader
+	isOpenEnded bool // nothing says how long the body is
+	read        int64
+	charged     int64 // of the bytes read
 }
 
 // Read implements io.Reader.
 func (k *chargedReader) Read(p []byte) (int, error) {
 	if k.read > freeResponseBytes && k.read > k.charged {
-		if err := k.exchange.chargeResponse(bodyMemoryFactor * (k.read - k.charged)); err != nil {
+		charge := k.exchange.chargeResponse
+		if k.isOpenEnded {
+			charge = k.exchange.chargeOpenEnded
+		}
+		if err := charge(bodyMemoryFactor * (k.read - k.charged)); err != nil {
 			return 0, err
 		}
 		k.charged = k.read
 	}
-	n, err := k.answer.body.Read(p)
+	n, err := k.src.Read(p)
 	k.read += int64(n)
 	return n, err
 }
--- a/relay/move.go
+++ b/relay/move.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -161,7 +160,7 @@
 		r.conns.discard(c)
 		return callResponse{sent: !errors.Is(err, errNotAccepting)}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.body, maxBufferedResponse))
+	body, err := readWhole(resp, maxCallResponse)
 	r.releaseConn(resp, err == nil && stop())
 	return callResponse{true, r.saysNotRun(&resp.header), resp.header.StatusCode(), body}, err
 }
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -22,11 +22,11 @@
 	if x.isStream(resp) {
 		return x.acceptStream(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(&chargedReader{exchange: x, answer: resp}, maxBufferedResponse+1))
+	resp.body = &chargedReader{exchange: x, src: resp.body, isOpenEnded: resp.header.ContentLength() < 0}
+	body, err := readWhole(resp, maxBufferedResponse)
 	x.detachConn()
-	whole := err == nil && len(body) <= maxBufferedResponse
-	x.relay.releaseConn(resp, whole)
-	if !whole {
+	x.relay.releaseConn(resp, err == nil)
+	if err != nil {
 		return runUnknown, nil, err
 	}
 	if x.events != nil {
--- a/relay/proof.go
+++ b/relay/proof.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/doormast/doormast/route"
@@ -76,7 +75,7 @@
 		stop()
 		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.body, maxBufferedResponse))
+	body, err := readWhole(a, maxCallResponse)
 	if !stop() || err != nil || !a.reuse {
 		return 0, errUnproven
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,6 +82,7 @@
 	startWall    atomic.Int64  // wall clock time of the start in Unix ns, as derived when the last request arrived
 	published    published
 	account      *account.Account // memory used for callers and upstreams
+	openEnded    *account.Account // the part of it used for responses that do not say how long they are
 	conns        *connPool
 	stats        stats
 	callerServer *callerServer
@@ -127,6 +128,7 @@
 		startBoot:     cfg.Clock.Boot(),
 		published:     newPublished(),
 		account:       account.New(cfg.Memory),
+		openEnded:     account.New(int64(openEndedShare * float64(cfg.Memory))),
 		cancel:        cancel,
 		endedTasks:    make(chan string, maxTasks),
 		pullClient:    newPullClient(),
--- a/relay/response.go
+++ b/relay/response.go
@@ -56,14 +56,31 @@
 		if skipped == maxForeignResponses || !resp.hasFraming() {
 			return nil, &Error{Op: "read response", Kind: KindMalformed, Err: errors.New("response to another request")}
 		}
-		if _, err := io.Copy(io.Discard, resp.body); err != nil {
+		if err := discardBody(resp); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// readHead reads a header and sets up the reader of the body.
+// readHead reads the header of a final response and sets up the reader of the body.
 func (r *Relay) readHead(c *conn) (*response, error) {
+	for range maxInterimResponses + 1 {
+		resp, err := readHeader(c)
+		if err != nil {
+			return nil, err
+		}
+		if resp.header.StatusCode() < fasthttp.StatusOK {
+			continue // an interim response, which has no body
+		}
+		resp.body = bodyReader(c, &resp.header)
+		resp.reuse = resp.hasFraming() && !resp.header.ConnectionClose()
+		return resp, nil
+	}
+	return nil, &Error{Op: "read response", Kind: KindMalformed, Err: errors.New("too many interim responses")}
+}
+
+// readHeader reads the header of a response, interim ones included.
+func readHeader(c *conn) (*response, error) {
 	if err := checkStatusLine(c); err != nil {
 		return nil, err
 	}
@@ -73,8 +90,6 @@
 	if err := resp.header.Read(c.reader); err != nil {
 		return nil, &Error{Op: "read response", Kind: KindMalformed, Err: err}
 	}
-	resp.body = bodyReader(c, &resp.header)
-	resp.reuse = resp.hasFraming() && !resp.header.ConnectionClose()
 	return resp, nil
 }
 
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -202,7 +201,7 @@
 		r.conns.discard(c)
 		return Report{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.body, maxBufferedResponse))
+	body, err := readWhole(a, maxCallResponse)
 	r.releaseConn(a, stop() && err == nil)
 	if err != nil {
 		return Report{}, err
