Responses: one without an ID belongs to no request that has one

Cause: readResponse took a response without an ID for that of any request. Change: it is taken only for a request without an ID. On related paths: a call of the box itself has none, so the second answer to one call was the answer to the next call on its connection, such as the one that stops a run; a connection now carries one request without an ID in all (connPool.forAnonymous).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,6 +53,12 @@
 	case x.needsNewConn():
 		open = r.conns.openNew
 	}
+	if o.id == "" {
+		reuse := open
+		open = func(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
+			return r.conns.forAnonymous(ctx, u, service, reuse)
+		}
+	}
 	c, err := open(x.ctx, x.upstream, x.service)
 	if err != nil {
 		return runUnsent, nil, err
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -1,9 +1,9 @@
 package relay
 
 // This file defines the pool of connections to upstreams. The invariants: a connection carries
-// one request at a time; it is returned to the pool only after a complete response with no
-// further bytes buffered; and an idle connection is checked before it is reused. Connections
-// through other boxes count like direct ones.
+// one request at a time, and one without an ID in all; it is returned to the pool only after a
+// complete response with no further bytes buffered; and an idle connection is checked before it is
+// reused. Connections through other boxes count like direct ones.
 
 import (
 	"bufio"
@@ -44,6 +44,7 @@
 	sendTimeout time.Duration // how long what is sent may stay unacknowledged
 	idleUntil   time.Time     // it may be reused until then
 	proven      bool          // it leads to the incarnation
+	anonymous   bool          // it has carried a request without an ID
 }
 
 // connPool holds the idle connections to upstreams and counts all open ones.
@@ -102,6 +103,25 @@
 	return p.connect(ctx, u, service)
 }
 
+// openFunc returns a connection to an upstream of a service.
+type openFunc = func(ctx context.Context, u balance.Upstream, service string) (*conn, error)
+
+// forAnonymous returns a connection for a request without an ID, such as a call of the box itself. One
+// that has carried such a request before is closed: a second response to that could not be told apart.
+func (p *connPool) forAnonymous(ctx context.Context, u balance.Upstream, service string, open openFunc) (*conn, error) {
+	for {
+		c, err := open(ctx, u, service)
+		if err != nil {
+			return nil, err
+		}
+		if !c.anonymous {
+			c.anonymous = true
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
 // getTunnelled is get for a connection through another box, which dial opens, whatever is known of
 // direct ones.
 func (p *connPool) getTunnelled(ctx context.Context, u balance.Upstream, service string, dial dialFunc) (*conn, error) {
--- a/relay/move.go
+++ b/relay/move.go
@@ -149,7 +149,7 @@
 // callUpstream makes a call of the box itself to an upstream. If it fails, the response tells only
 // whether the call may have been sent.
 func (r *Relay) callUpstream(ctx context.Context, u balance.Upstream, service string, call UpstreamCall) (callResponse, error) {
-	c, err := r.conns.get(ctx, u, service)
+	c, err := r.conns.forAnonymous(ctx, u, service, r.conns.get)
 	if err != nil {
 		return callResponse{}, err
 	}
--- a/relay/proof.go
+++ b/relay/proof.go
@@ -69,6 +69,7 @@
 func (r *Relay) askStart(ctx context.Context, c *conn, x *exchange) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
+	c.anonymous = true // a second response on it states the same start
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := r.roundTrip(c, r.buildCall(x.upstream, r.cfg.Protocol.ReportCall()))
 	if err != nil {
--- a/relay/response.go
+++ b/relay/response.go
@@ -1,7 +1,7 @@
 package relay
 
 // This file defines an upstream's response: how its header is read, and what happens to its
-// connection. The invariants: a response with the ID of another request is never forwarded, and a
+// connection. The invariants: a response without the ID of the request is never forwarded, and a
 // connection is reused only if its response was read to the end.
 
 import (
@@ -46,13 +46,13 @@
 		resp.sent = sent
 		r.noteNotices(resp, request)
 		id := headerValue(&resp.header, r.cfg.Protocol.RequestID)
-		if id == "" || id == request {
+		if id == request {
 			resp.reuse = resp.reuse && skipped == 0
 			r.noteLimit(resp, request)
 			r.noteBrittle(resp)
 			return resp, nil
 		}
-		// A late response to an earlier request: it is discarded.
+		// A late or second response to an earlier request: it is discarded.
 		if skipped == maxForeignResponses || !resp.hasFraming() {
 			return nil, &Error{Op: "read response", Kind: KindMalformed, Err: errors.New("response to another request")}
 		}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -189,7 +189,7 @@
 func (r *Relay) fetchReport(ctx context.Context, s silentCandidate) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	c, err := r.conns.connect(ctx, s.upstream, s.service)
+	c, err := r.conns.forAnonymous(ctx, s.upstream, s.service, r.conns.connect)
 	if err != nil {
 		return Report{}, err
 	}
