Servers go on accepting after a failure to accept

Cause: fasthttp's Serve and the tunnel server end at the first failure of Accept, and nobody looked at that end. The servers for control and metrics are net/http's, which try again by themselves (read, not run).

--- a/oplog/explain.go
+++ b/oplog/explain.go
@@ -140,6 +140,8 @@
 	"upstream: total sent before its limit": "All boxes together sent the upstream sent_by_all requests before they knew its limit, which began age_ms ago; what they leave of the bound may be sent in the first span under the limit, and this box's part of it at once.",
 	"upstream: names no limit any more":     "The upstream answered a request, sent after the last one whose answer gave its limit, without giving a limit.",
 	"upstream: ended":                       "The upstream broke off a run and its address no longer accepts connections: its crash is counted against the content of the runs it broke off, and against the parts of their prompts; other lines name it by crash.",
+	"box: cannot accept":                    "The box cannot accept connections (error; serves tells of whom); it goes on trying, and is not ready meanwhile if they are callers.",
+	"box: accepts again":                    "The box accepts connections again.",
 	"box: was suspended":                    "The machine was suspended for for_ms: the remaining time of requests in progress is shorter, and the box's state is older, by that much.",
 	"caller: cut off":                       "The caller read nothing of its answer for two seconds, or was still reading long after its deadline (reason); its connection was reset.",
 	"caller: turned away":                   "The box has reached its memory limit (memory_used of memory_bound); the request did not run, and the caller was told when to retry.",
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -178,7 +178,7 @@
 	if r.cfg.TunnelListener != nil {
 		r.startTask("tunnels", func() { r.tunnelServer.serve(ctx, r.cfg.TunnelListener) })
 	}
-	r.startTask("callers", func() { r.callerServer.serve(r.cfg.CallerListener) })
+	r.startTask("callers", func() { r.callerServer.serve() })
 	r.startTask("ready", func() { r.callerServer.serveReady(r.cfg.ReadinessListener) })
 }
 
@@ -218,5 +218,8 @@
 	return max(1, s.MaxConnections/boxes)
 }
 
-// Ready reports whether the box accepts requests: it has a routing document and is not stopping.
-func (r *Relay) Ready() bool { return !r.stopping.Load() && r.published.document() != nil }
+// Ready reports whether the box accepts requests: it has a routing document, can accept connections
+// and is not stopping.
+func (r *Relay) Ready() bool {
+	return !r.stopping.Load() && r.published.document() != nil && !r.callerServer.callers.failing.Load()
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -27,13 +27,14 @@
 
 // callerServer serves callers and the load balancer's readiness checks.
 type callerServer struct {
-	relay  *Relay
-	server *fasthttp.Server
-	ready  *fasthttp.Server
+	relay   *Relay
+	callers *acceptor
+	server  *fasthttp.Server
+	ready   *fasthttp.Server
 }
 
 func newCallerServer(r *Relay) *callerServer {
-	f := &callerServer{relay: r}
+	f := &callerServer{relay: r, callers: &acceptor{Listener: r.cfg.CallerListener, relay: r, serves: "callers"}}
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
 		ErrorHandler:                  f.handleReadError,
@@ -64,12 +65,14 @@
 // Printf implements fasthttp.Logger.
 func (noLogger) Printf(string, ...any) {}
 
-func (f *callerServer) serve(l net.Listener) {
-	setCallerBuffers(l)
-	_ = f.server.Serve(callerListener{l, f.relay})
+func (f *callerServer) serve() {
+	setCallerBuffers(f.callers.Listener)
+	_ = f.server.Serve(callerListener{f.callers, f.relay})
 }
 
-func (f *callerServer) serveReady(l net.Listener) { _ = f.ready.Serve(l) }
+func (f *callerServer) serveReady(l net.Listener) {
+	_ = f.ready.Serve(&acceptor{Listener: l, relay: f.relay, serves: "readiness checks"})
+}
 
 // close stops accepting connections, closes idle ones and waits for the others until ctx ends.
 func (f *callerServer) close(ctx context.Context) error {
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -82,6 +82,7 @@
 // serve accepts other boxes until the listener is closed.
 func (s *tunnelServer) serve(ctx context.Context, l net.Listener) {
 	s.done.Go(func() { s.watchStalls(ctx) })
+	l = &acceptor{Listener: l, relay: s.relay, serves: "connections of other boxes to upstreams"}
 	for {
 		c, err := l.Accept()
 		if err != nil {
