Group: a box that was suspended does not prolong doubt about removals

Cause: the age of the copy is never taken from a message that may have waited; the time left of the doubt was. Found on the way, the same class: a box whose own reads had failed before it froze took its sleep for an outage that no other box could read through, and began the doubt anew.

Change: both count only where agesAreValid; the doubt in a pull's answer counts from the time of the request, as its ages do.

--- a/group/published.go
+++ b/group/published.go
@@ -1,8 +1,9 @@
 package group
 
 // This file defines how published data reaches the boxes: from the publisher to the box that
-// reads it, and from box to box. The invariant: confirmedAt is never later than a time at which
-// the mirror was current.
+// reads it, and from box to box. The invariants: confirmedAt is never later than a time at which
+// the mirror was current; and a box that was suspended does not prolong for others the time
+// during which removed entries may reappear.
 
 import (
 	"time"
@@ -21,7 +22,9 @@
 
 // updatePublished processes what a message says about published data.
 func (n *Node) updatePublished(now time.Duration, m *wire.GroupMessage) {
-	n.extendUncertainty(now, m.DoubtLeft)
+	if n.agesAreValid(now) {
+		n.extendUncertainty(now, m.DoubtLeft)
+	}
 	n.receiveItems(now, m)
 	switch revision := n.cfg.Mirror.Revision(); {
 	case m.Revision > revision && (m.Pull && len(m.PackedItems) == 0 || revision == 0):
@@ -105,11 +108,11 @@
 	return ok
 }
 
-// extendUncertainty adopts the remaining time, in microseconds, during which another box expects
-// that removed entries may reappear.
-func (n *Node) extendUncertainty(now time.Duration, left uint64) {
+// extendUncertainty adopts the time, in microseconds from a moment on, during which another box
+// expects that removed entries may reappear.
+func (n *Node) extendUncertainty(from time.Duration, left uint64) {
 	if left > 0 {
-		n.deletionsUncertainUntil = max(n.deletionsUncertainUntil, now+fromMicros(left))
+		n.deletionsUncertainUntil = max(n.deletionsUncertainUntil, from+fromMicros(left))
 	}
 }
 
@@ -155,7 +158,7 @@
 // mirror's revision, or all items if whole is set. The result was current at the time known. A
 // member that reads on behalf of its leader forwards the result to it.
 func (n *Node) HandleRead(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
-	if n.readFailed && now-n.confirmedAt > n.cfg.Timing.StaleAfter {
+	if n.readFailed && now-n.confirmedAt > n.cfg.Timing.StaleAfter && n.agesAreValid(now) {
 		n.deletionsUncertainUntil = max(n.deletionsUncertainUntil, now+reappearPeriod) // no other box could read either
 	}
 	n.lastReadAt, n.readFailed = now, false
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -79,7 +79,7 @@
 		n.handlePullRefusal(now, r)
 		return
 	}
-	n.extendUncertainty(now, r.DoubtLeft)
+	n.extendUncertainty(asked, r.DoubtLeft)
 	items, ok := unpackItems(r.Items)
 	if len(r.Packed) > 0 {
 		items, ok = decompressItems(r.Packed)
