Chat completions: what follows a stream without end does not delay its end

Cause: after the end marker of a stream the rest of its body was read to keep the connection, without a bound in bytes, for as long as the longest silence allowed; the caller had the end of its answer only then. Change: 4 KiB and 100 ms at the most; a longer rest ends the connection.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -61,13 +61,11 @@
 		}
 		if string(data) == endMarker {
 			r.whole = true
-			_, err := io.Copy(io.Discard, lines)
-			r.clean = err == nil && !resp.ConnectionClose()
+			r.clean = readEnd(k, lines) && !resp.ConnectionClose()
 			return cell.Result{Outcome: decide.Answered, Ran: true}
 		}
 		if bytes.Contains(data, []byte(`"finish_reason":"`+finishPaused+`"`)) {
-			_, err := io.Copy(io.Discard, lines)
-			r.clean = err == nil
+			r.clean = readEnd(k, lines)
 			return cell.Result{Outcome: decide.Paused, Ran: true}
 		}
 		if err := r.sink.Event(data); err != nil {
@@ -80,6 +78,20 @@
 	}
 }
 
+// Bounds of what is read behind the last event of a stream, to keep its connection.
+const (
+	maxStreamRest  = 4 << 10 // bytes
+	streamRestWait = 100 * time.Millisecond
+)
+
+// readEnd reads the rest of a stream behind its last event, and reports whether that has ended. A
+// longer rest is not read: the caller waits for the end of its answer.
+func readEnd(k *conn, rest io.Reader) bool {
+	_ = k.SetReadDeadline(time.Now().Add(streamRestWait))
+	n, err := io.Copy(io.Discard, io.LimitReader(rest, maxStreamRest+1))
+	return err == nil && n <= maxStreamRest
+}
+
 // readLine returns the next line without its line ending. It fails for a line longer
 // than maxEvent. The bytes are only valid until the next read.
 func readLine(r *bufio.Reader) ([]byte, error) {
