Soak: streams without a length, and responses without an end

One in six streams has neither a length nor chunks, written so that a close between two writes ends within an event; one in twenty plain responses does not end until its connection is closed (64 MiB at the most). The check of responses is unchanged. TestCheckOfResponsesFindsBoxThatEndsBrokenStreams: a stand-in for a box that ends as complete what has broken off is found, one that does not is not. Not in the soak: moves, whose streams last longer than the soak's.

--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	harness *harness
 	choose  func(b *standInBox, r *http.Request) *upstream // nil: the request is refused
 	refusal string                                         // body of a refusal
+	endsAll bool                                           // a response that breaks off is ended as complete
 
 	mu    sync.Mutex
 	began map[string]string // by request id: software version of the upstream that it was sent to
@@ -56,7 +58,11 @@
 		w.Header()[name] = values
 	}
 	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
+	var copied bytes.Buffer
+	_, err = io.Copy(io.MultiWriter(w, &copied), resp.Body)
+	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	isCut := err != nil || !isFramed && !bytes.HasSuffix(copied.Bytes(), []byte("\n\n"))
+	if isCut && !b.endsAll {
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
@@ -72,6 +78,35 @@
 	}
 }
 
+// startStandIn starts a harness of four upstreams and a stand-in for the box, and sends requests for streams to it.
+func startStandIn(t *testing.T, net int, b *standInBox) *harness {
+	is := is.New(t)
+	w := newHarness(Config{Net: net, Upstreams: 4})
+	t.Cleanup(w.close)
+	l, err := w.listen(1)
+	is.NoErr(err)
+	w.store = standin.NewStore(l)
+	for i := range w.cfg.Upstreams {
+		is.NoErr(w.startUpstream(i, 0))
+		w.upstreams[i].advertisedLimit.set(-1)
+	}
+	b.harness, b.began = w, make(map[string]string)
+	server := httptest.NewServer(b)
+	t.Cleanup(server.Close)
+	w.boxes = []*box{{name: "stand-in", harness: w, callers: strings.TrimPrefix(server.URL, "http://")}}
+	var callers sync.WaitGroup
+	for n := range 8 {
+		callers.Go(func() {
+			for k := range 60 {
+				w.request(http.DefaultClient, w.boxes[0], fmt.Sprintf("r%d-%d", n, k), resumablePath)
+			}
+		})
+	}
+	callers.Wait()
+	w.boxes = nil
+	return w
+}
+
 // The checks on streams that callers take up find a box that mixes software versions (ORDER), and one that lets
 // none go on (LOST), and nothing at one that keeps the version.
 func TestChecksOfStreamsFindBoxesThatBreakThem(t *testing.T) {
@@ -95,28 +130,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			w := newHarness(Config{Net: 92 + i, Upstreams: 4})
-			defer w.close()
-			l, err := w.listen(1)
-			is.NoErr(err)
-			w.store = standin.NewStore(l)
-			for i := range w.cfg.Upstreams {
-				is.NoErr(w.startUpstream(i, 0))
-				w.upstreams[i].advertisedLimit.set(-1)
-			}
-			server := httptest.NewServer(&standInBox{harness: w, choose: c.choose, began: make(map[string]string)})
-			defer server.Close()
-			w.boxes = []*box{{name: "stand-in", harness: w, callers: strings.TrimPrefix(server.URL, "http://")}}
-			var callers sync.WaitGroup
-			for n := range 8 {
-				callers.Go(func() {
-					for k := range 60 {
-						w.request(http.DefaultClient, w.boxes[0], fmt.Sprintf("r%d-%d", n, k), resumablePath)
-					}
-				})
-			}
-			callers.Wait()
-			w.boxes = nil
+			w := startStandIn(t, 92+i, &standInBox{choose: c.choose})
 			var found []string
 			w.streams.check(func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) })
 			is.True(w.streams.goesOn.tried >= minContinued)
@@ -125,3 +139,24 @@
 		})
 	}
 }
+
+// The check of each response finds a box that ends as complete what has broken off (ORDER).
+func TestCheckOfResponsesFindsBoxThatEndsBrokenStreams(t *testing.T) {
+	for i, endsAll := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ends all=%v", endsAll), func(t *testing.T) {
+			is := is.New(t)
+			keeps := func(b *standInBox, r *http.Request) *upstream {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				return b.anyOf(b.began[r.Header.Get(protocol.Resumes)])
+			}
+			w := startStandIn(t, 96+i, &standInBox{choose: keeps, endsAll: endsAll})
+			w.checker.mu.Lock()
+			defer w.checker.mu.Unlock()
+			isFound := func(v string) bool {
+				return strings.Contains(v, "response body differs from the expected one (complete: true")
+			}
+			is.Equal(slices.ContainsFunc(w.checker.violations, isFound), endsAll)
+		})
+	}
+}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -196,14 +196,30 @@
 		truncateResponse(w, id)
 	case 1:
 		sendStaleResponse(w, u.id, id)
+	case 2:
+		sendWithoutEnd(w)
 	default:
 		_, _ = io.WriteString(w, responseBody(id))
 	}
 }
 
-// One in faultyShare plain responses is truncated, and as many follow a stale response.
+// One in faultyShare plain responses is truncated, as many follow a stale response, and as many have no end.
 const faultyShare = 20
 
+// maxWithoutEnd bounds a response without an end, in bytes, for boxes that read on.
+const maxWithoutEnd = 64 << 20
+
+// sendWithoutEnd sends a response until its connection is closed.
+func sendWithoutEnd(w http.ResponseWriter) {
+	block := []byte(strings.Repeat("without end ", 1<<10))
+	for sent := 0; sent < maxWithoutEnd; sent += len(block) {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+	resetConnection(w)
+}
+
 // truncateResponse sends half of a response body and resets the connection.
 func truncateResponse(w http.ResponseWriter, id string) {
 	body := responseBody(id)
@@ -235,9 +251,14 @@
 	return strings.HasPrefix(path, "/flow/") || strings.HasPrefix(path, "/fixed/")
 }
 
-// stream sends the events after the request's last event id; one in ten streams is truncated within an event.
+// stream sends the events after the request's last event id; one in ten streams is truncated within an event, and
+// one in unframedShare has neither a length nor chunks.
 func (u *upstream) stream(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	isUnframed := rand.IntN(unframedShare) == 0
+	if isUnframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	from, err := strconv.Atoi(r.Header.Get(protocol.LastEvent))
 	if err != nil {
 		from = 0
@@ -251,6 +272,9 @@
 		if n == cut {
 			event = event[:len(event)/2]
 		}
+		if isUnframed {
+			event = shiftEvent(event, n > from+1, n != cut && n < eventsPerStream)
+		}
 		if _, err := io.WriteString(w, event); err != nil {
 			return
 		}
@@ -264,6 +288,24 @@
 	}
 }
 
+// One in unframedShare streams ends with its connection.
+const unframedShare = 6
+
+// eventStart is how each event starts.
+const eventStart = "id: "
+
+// shiftEvent moves the start of each event to the write of the one before, so that a connection that is closed
+// between two writes ends within an event: the end of a whole response could not be told from it.
+func shiftEvent(event string, hasBefore, hasNext bool) string {
+	if hasBefore {
+		event = strings.TrimPrefix(event, eventStart)
+	}
+	if hasNext {
+		event += eventStart
+	}
+	return event
+}
+
 // setProgress records how many events of a running request have been sent.
 func (u *upstream) setProgress(id string, events int) {
 	u.mu.Lock()
