Paths: a run whose request is not acknowledged is looked at more than once

Hypothesis: the path is checked once, 150 ms after the request was sent; if it falls silent after that check (in the test, a starved machine lets the upstream disappear late), nothing looks again until the kernel gives up.

Change: a request that is still not acknowledged is looked at again each time its age has doubled, if the upstream has answered nothing since the last look. One that is acknowledged is not looked at again.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,7 +28,7 @@
 	r := x.relay
 	x.silent.Store(false)
 	r.mu.Lock()
-	c.checked = false
+	c.unacked = unackedCheck{}
 	r.runConns[x] = c
 	x.cancelAtDeadline()
 	r.mu.Unlock()
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -40,7 +40,7 @@
 	address     string              // of the upstream
 	opened      time.Time
 	sentAt      atomic.Int64  // when the request that has no response yet was sent, Unix ns; 0: there is none
-	checked     bool          // the path was checked while that request was not acknowledged; guarded by the relay's mu
+	unacked     unackedCheck  // of that request; guarded by the relay's mu
 	sendTimeout time.Duration // how long what is sent may stay unacknowledged
 	idleUntil   time.Time     // it may be reused until then
 	proven      bool          // it leads to the incarnation
--- a/relay/silentsecond_test.go
+++ b/relay/silentsecond_test.go
@@ -74,6 +74,29 @@
 	}
 }
 
+// Each run was looked at once: a path that fell silent after that look was noticed by the kernel alone.
+func TestPathThatFallsSilentAfterItsCheckIsNoticed(t *testing.T) {
+	is := is.New(t)
+	l := listenWithoutQueue(t)
+	shrinkReceiveBuffer(t, l)
+	u := &darkUpstream{t: t, stub: &stub{id: "u", listener: l}}
+	go acceptStalling(&darkListener{l, u}, "u", 20*time.Second)
+	b := newTestBox(t, u.stub)
+	b.publisher.set("document", longDocument(), false)
+	b.waitFor(func() bool { return b.relay.documentVersion() == 2 })
+	answered := make(chan callerResponse, 1)
+	go func() {
+		answered <- b.do(b.request(http.MethodPost, "/once/x", strings.Repeat("x", 1<<20), "X-Left", "20000"))
+	}()
+	b.waitFor(func() bool { return b.relay.stats.counterValue("paths_checked") == 1 })
+	is.True(!b.isUnreachable("u"))
+	u.disappear()
+	b.waitFor(func() bool { return b.isUnreachable("u") })
+	u.reappear()
+	_ = l.Close()
+	<-answered
+}
+
 // A request on an open connection whose path fell silent was the only sign of that until the kernel
 // gave the connection up; until then, others were sent on open connections as well.
 func TestUnacknowledgedRequestLeadsToCheckOfPath(t *testing.T) {
--- a/relay/unacked.go
+++ b/relay/unacked.go
@@ -34,9 +34,20 @@
 	}
 }
 
+// unackedCheck is what was found out of the acknowledgment of a request.
+type unackedCheck struct {
+	acked bool          // all of it
+	at    time.Duration // for how long the request had been sent when it was last looked at
+}
+
+// due reports whether to look at a request that was sent for a time: after minUnacked, and then each
+// time that has doubled, since a path may fall silent after it was checked.
+func (u unackedCheck) due(sentFor time.Duration) bool {
+	return !u.acked && sentFor >= max(minUnacked, 2*u.at)
+}
+
 // unackedUpstreams returns the upstreams to whose paths a request of this box has not been
-// acknowledged for minUnacked, and that have answered nothing else meanwhile. Each run is considered
-// once.
+// acknowledged for minUnacked, and that have answered nothing else since the path was last checked.
 func (r *Relay) unackedUpstreams(now time.Time) []balance.Upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,12 +55,16 @@
 	found := make(map[string]bool)
 	for _, c := range r.runConns {
 		waited := c.awaitsResponse(now)
-		if waited < minUnacked || found[c.incarnation.ID] || r.fleet.HasAnswered(c.incarnation, r.now()-waited) {
+		if !c.unacked.due(waited) || found[c.incarnation.ID] {
+			continue
+		}
+		since := r.now() - (waited - c.unacked.at)
+		c.unacked = unackedCheck{acked: unacked(c.Conn.(syscall.Conn)) == 0, at: waited}
+		if c.unacked.acked || r.fleet.HasAnswered(c.incarnation, since) {
 			continue
 		}
-		c.checked = true // either all is acknowledged, or the path is checked now
 		u, isListed := r.listedUpstream(c.incarnation.ID)
-		if unacked(c.Conn.(syscall.Conn)) > 0 && isListed && u.Incarnation() == c.incarnation && !r.fleet.IsUnreachable(c.incarnation) {
+		if isListed && u.Incarnation() == c.incarnation && !r.fleet.IsUnreachable(c.incarnation) {
 			found[u.ID] = true
 			list = append(list, u)
 		}
@@ -58,10 +73,10 @@
 }
 
 // awaitsResponse returns for how long the request on a direct connection has been sent without a
-// response; 0 if there is a response, or the path was checked before. The caller holds the relay's mu.
+// response; 0 if there is a response.
 func (c *conn) awaitsResponse(now time.Time) time.Duration {
 	sent := c.sentAt.Load()
-	if sent == 0 || c.checked || c.tunnel() != nil {
+	if sent == 0 || c.tunnel() != nil {
 		return 0
 	}
 	return time.Duration(now.UnixNano() - sent)
