Readiness: a box that could not accept callers is ready again without one

A listener now counts as failing for 0.2 s after its last failure; attempts that fail come each 20 ms, and one that does not fail waits.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -11,8 +11,13 @@
 	"time"
 )
 
-// acceptRetryInterval is the time between two attempts to accept a connection after a failure.
-const acceptRetryInterval = 20 * time.Millisecond
+const (
+	// acceptRetryInterval is the time between two attempts to accept a connection after a failure.
+	acceptRetryInterval = 20 * time.Millisecond
+	// acceptFailureHold is how long after its last failure a listener counts as failing. An attempt
+	// that does not fail waits for a connection, which a box that is not ready does not get.
+	acceptFailureHold = 10 * acceptRetryInterval
+)
 
 // acceptFailures counts failures to accept a connection.
 const acceptFailures = "accept_failures"
@@ -21,8 +26,9 @@
 type acceptor struct {
 	net.Listener
 	relay   *Relay
-	serves  string // whom it accepts, for the log
-	failing atomic.Bool
+	serves  string       // whom it accepts, for the log
+	failed  atomic.Int64 // when it last failed, Unix ns
+	failing atomic.Bool  // it has failed, and not accepted a connection since
 }
 
 var _ net.Listener = (*acceptor)(nil)
@@ -40,8 +46,14 @@
 	}
 }
 
+// isFailing reports whether connections cannot be accepted at present.
+func (a *acceptor) isFailing() bool {
+	return time.Now().UnixNano()-a.failed.Load() < int64(acceptFailureHold)
+}
+
 // noteFailure records a failure. Only the first one of a series is logged.
 func (a *acceptor) noteFailure(err error) {
+	a.failed.Store(time.Now().UnixNano())
 	a.relay.stats.count(acceptFailures)
 	if !a.failing.Swap(true) {
 		a.relay.cfg.Log.Event("box", "cannot accept", Fields{"serves": a.serves, "error": err.Error(), "open": a.relay.stats.openRequests.Load()})
@@ -50,6 +62,7 @@
 
 // noteSuccess records the end of a series of failures.
 func (a *acceptor) noteSuccess() {
+	a.failed.Store(0)
 	if a.failing.Swap(false) {
 		a.relay.cfg.Log.Event("box", "accepts again", Fields{"serves": a.serves})
 	}
--- a/relay/accept_test.go
+++ b/relay/accept_test.go
@@ -21,16 +21,24 @@
 	failed atomic.Int32
 }
 
+// Accept fails at once while descriptors lack, as the kernel does.
 func (l *shortListener) Accept() (net.Conn, error) {
+	if l.lacks.Load() {
+		return nil, l.fail()
+	}
 	c, err := l.Listener.Accept()
 	if err == nil && l.lacks.Load() {
 		_ = c.Close()
-		l.failed.Add(1)
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+		return nil, l.fail()
 	}
 	return c, err
 }
 
+func (l *shortListener) fail() error {
+	l.failed.Add(1)
+	return &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+}
+
 // lack makes the listener fail, and waits until it has.
 func (l *shortListener) lack(b *testBox) {
 	l.lacks.Store(true)
@@ -58,6 +66,7 @@
 		b.waitFor(func() bool { return !b.relay.Ready() })
 		is.Equal(b.readiness(), http.StatusServiceUnavailable)
 		callers.lacks.Store(false)
+		b.waitFor(b.relay.Ready) // without a connection, which nobody opens to a box that is not ready
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		is.Equal(b.do(b.request(http.MethodPost, "/once/x", "x").WithContext(ctx)).body, "u")
 		cancel()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -221,5 +221,5 @@
 // Ready reports whether the box accepts requests: it has a routing document, can accept connections
 // and is not stopping.
 func (r *Relay) Ready() bool {
-	return !r.stopping.Load() && r.published.document() != nil && !r.callerServer.callers.failing.Load()
+	return !r.stopping.Load() && r.published.document() != nil && !r.callerServer.callers.isFailing()
 }
