--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -291,3 +292,43 @@
 		is.Equal(got.body, "ok")
 	}
 }
+
+// BenchmarkEventWithoutEnd measures what an event without an end costs until it is given up. It was
+// searched from its start after each read.
+func BenchmarkEventWithoutEnd(b *testing.B) {
+	for b.Loop() {
+		e := &eventReader{src: &shortReads{strings.NewReader("id: 1\ndata: " + strings.Repeat("a", 2*maxEvent)), readSize}}
+		if _, err := e.next(); !errors.Is(err, errLongEvent) {
+			b.Fatal(err)
+		}
+	}
+}
+
+// The end of an event is found wherever reads divide it.
+func TestEventEndIsFoundAcrossReads(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		for size := 1; size < 9; size++ {
+			is := is.New(t)
+			want := "id: 1" + end + "id: 2" + end
+			e := &eventReader{src: &shortReads{strings.NewReader(want), size}}
+			var got strings.Builder
+			for {
+				part, err := e.next()
+				got.Write(part)
+				if err != nil {
+					is.Equal(err, io.EOF)
+					break
+				}
+			}
+			is.Equal(got.String(), want)
+		}
+	}
+}
+
+// shortReads reads up to size bytes at a time.
+type shortReads struct {
+	src  io.Reader
+	size int
+}
+
+func (s *shortReads) Read(p []byte) (int, error) { return s.src.Read(p[:min(len(p), s.size)]) }
--- a/relay/events.go
+++ b/relay/events.go
@@ -20,6 +20,7 @@
 type eventReader struct {
 	src        io.Reader
 	buf        []byte
+	scanned    int   // no event ends before this offset of buf
 	lastID     int64 // the highest event ID returned
 	hasEvents  bool  // at least one event was returned
 	total      int   // events returned
@@ -62,14 +63,15 @@
 		if e.failed != nil {
 			return nil, e.failed
 		}
-		if end := lastEventEnd(e.buf); end > 0 {
+		if end := lastEventEnd(e.buf, e.scanned); end > 0 {
 			out := e.newEvents(e.buf[:end])
-			e.buf = bytes.Clone(e.buf[end:])
+			e.buf, e.scanned = bytes.Clone(e.buf[end:]), 0
 			if len(out) > 0 {
 				return out, nil
 			}
 			continue
 		}
+		e.scanned = len(e.buf)
 		if len(e.buf) > maxEvent {
 			return nil, errLongEvent
 		}
@@ -120,14 +122,16 @@
 	endCRLF = []byte("\r\n\r\n")
 )
 
-// lastEventEnd returns the offset at which the last whole event in b ends, or 0 if there is none.
-func lastEventEnd(b []byte) int {
+// lastEventEnd returns the offset at which the last whole event in b ends, or 0 if there is none. No
+// event ends before scanned.
+func lastEventEnd(b []byte, scanned int) int {
+	from := max(0, scanned-len(endCRLF))
 	end := 0
-	if i := bytes.LastIndex(b, endLF); i >= 0 {
-		end = i + len(endLF)
+	if i := bytes.LastIndex(b[from:], endLF); i >= 0 {
+		end = from + i + len(endLF)
 	}
-	if i := bytes.LastIndex(b, endCRLF); i >= 0 {
-		end = max(end, i+len(endCRLF))
+	if i := bytes.LastIndex(b[from:], endCRLF); i >= 0 {
+		end = max(end, from+i+len(endCRLF))
 	}
 	return end
 }
@@ -207,6 +211,6 @@
 // one.
 func (e *eventReader) continueWith(src io.Reader) {
 	e.src = src
-	e.buf = nil
+	e.buf, e.scanned = nil, 0
 	e.bodyEvents, e.skipped, e.failed = 0, 0, nil
 }
