Test of ambiguous streams: waits for the record of the second one

Cause: the test asked the second box as soon as both upstreams had got a stream; the record of the later one goes in a datagram, which a starved box had not handled yet. The design sends records before the caller gets the first event, and awaits no answer. The test now waits until the second box holds both records; what it asks for is unchanged.

--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/balance"
+	"github.com/doormast/doormast/origin"
 	"github.com/doormast/doormast/route"
 	"github.com/doormast/doormast/wire"
 )
@@ -36,6 +37,15 @@
 	return b.do(b.request(http.MethodPost, "/flow/x", "", append([]string{"X-Id", id}, header...)...))
 }
 
+// recordOf returns what the box holds of where a stream of the test's customer began.
+func (b *testBox) recordOf(id string) origin.Result {
+	o := b.relay.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, result := o.table.Get(b.relay.now(), origin.KeyOf("customer", id))
+	return result
+}
+
 func (b *testBox) counter(name string) uint64 { return b.relay.stats.counterValue(name) }
 
 // What nobody knows was guessed: a stream that was taken up went on anywhere.
@@ -64,6 +74,7 @@
 			for !stubs[0].got("twice") || !stubs[1].got("twice") {
 				first.begin("twice") // until both versions have begun one
 			}
+			second.waitFor(func() bool { return second.recordOf("twice") == origin.Ambiguous }) // told in a datagram
 			sent := len(stubs[0].requests()) + len(stubs[1].requests())
 			a := second.do(second.request(http.MethodPost, "/flow/x", "", append([]string{"X-Id", "again"}, c.header...)...))
 			is.Equal(a.status, http.StatusServiceUnavailable)
