Test of bytes behind an answer: waits until they have arrived

Cause, by reading: where the bytes come only after the next request was sent on the same connection, they stand where its answer is due, the request may have run, and its caller is told so with 502; the test asked for 200 as well, which nothing promises. It waits now until the box sees that the connection is not to be used again, and asks for the same as before.

--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -223,6 +224,7 @@
 				got := b.awaitAnswer(b.request("POST", fmt.Sprintf("/once/%d", i), "body"))
 				is.Equal(got.status, http.StatusOK)
 				is.Equal(got.body, "ok")
+				b.waitFor(func() bool { return !b.hasUsableConn("bad") }) // the bytes have arrived
 			}
 			b.relay.conns.closeIdle("bad")
 			b.awaitClosed()
@@ -230,6 +232,14 @@
 	}
 }
 
+// hasUsableConn reports whether the box would send a request to an upstream on an idle connection.
+func (b *testBox) hasUsableConn(id string) bool {
+	p := b.relay.conns
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[idleKey{id, false}], (*conn).isUsable)
+}
+
 // The same in the answer to a call of the box itself: the call fails, and its connection is closed.
 func TestCallAnsweredWithoutEndFails(t *testing.T) {
 	for _, e := range append(append([]endless{}, endlessHeads[:9]...), endlessBodies...) {
