--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -103,3 +103,6 @@
 	defer c.Close()
 	return c.Do(call, limit)
 }
+
+// NewClient returns a client on an open connection.
+func NewClient(c net.Conn) *Client { return &Client{Conn: c, reader: bufio.NewReader(c)} }
