Group: what a box bases its uncertainty about removals on is logged

The lines publisher: lost and regained come once an outage and tell none of them apart.

Change: group.Uncertainty names the box that concluded it, the age of its copy and of its last failed read; relay logs each change and counts failed reads. No change of behaviour.

--- a/group/node.go
+++ b/group/node.go
@@ -4,7 +4,8 @@
 // the messages it has to send. leader.go selects the leader and reader.go the box that reads the
 // publisher. count.go counts boxes. send.go, receive.go and hello.go handle membership messages,
 // and linkbudget.go bounds what lists of boxes take of a link.
-// published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data.
+// published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data, and
+// uncertainty.go defines until when removed entries may reappear.
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
@@ -146,13 +147,14 @@
 	expectedLeader string         // the leader whose heartbeats are expected
 	expectedSince  time.Duration  // since when they are
 
-	confirmedAt             time.Duration // when the mirror was last known to be current
-	deletionsUncertainUntil time.Duration // until then, entries removed after an outage of the publisher may reappear
-	lastReadAt              time.Duration // last successful read of the publisher by this box
-	readFailed              bool          // this box's last read failed
-	pullAddress             string        // address to pull from; empty: none
-	pullFailed              bool          // the last pull failed
-	pullWaitFrom            time.Duration // start of the wait for a pull: its first request or last refusal; negative: not requested yet
+	confirmedAt  time.Duration // when the mirror was last known to be current
+	uncertainty  Uncertainty   // whether entries removed after an outage of the publisher may reappear
+	lastReadAt   time.Duration // last successful read of the publisher by this box
+	readFailed   bool          // this box's last read failed
+	readFailedAt time.Duration // its last failed read
+	pullAddress  string        // address to pull from; empty: none
+	pullFailed   bool          // the last pull failed
+	pullWaitFrom time.Duration // start of the wait for a pull: its first request or last refusal; negative: not requested yet
 
 	lastPullAddress       string        // address of the last pull
 	pendingPull           pendingPull   // the pull that waits to be started
@@ -220,20 +222,21 @@
 // NewNode returns the Node of a box that starts now.
 func NewNode(cfg Config, now time.Duration) *Node {
 	n := &Node{
-		cfg:                     cfg,
-		started:                 now,
-		peers:                   make(map[string]*peer),
-		reachByAddress:          make(map[string]Reach),
-		expectedSince:           now,
-		confirmedAt:             never,
-		deletionsUncertainUntil: never,
-		lastReadAt:              never,
-		lastTick:                now,
-		resumedAt:               never,
-		lastHeartbeat:           never,
-		lastChangesRequest:      never,
-		lanesAt:                 never,
-		pullWaitFrom:            never,
+		cfg:                cfg,
+		started:            now,
+		peers:              make(map[string]*peer),
+		reachByAddress:     make(map[string]Reach),
+		expectedSince:      now,
+		confirmedAt:        never,
+		uncertainty:        Uncertainty{Until: never},
+		lastReadAt:         never,
+		readFailedAt:       never,
+		lastTick:           now,
+		resumedAt:          never,
+		lastHeartbeat:      never,
+		lastChangesRequest: never,
+		lanesAt:            never,
+		pullWaitFrom:       never,
 
 		readerHeardAt:         never,
 		readerHeardDirectlyAt: never,
@@ -270,7 +273,7 @@
 
 // DeletionsUncertainUntil returns the time until which entries that were removed after an outage
 // of the publisher may reappear.
-func (n *Node) DeletionsUncertainUntil() time.Duration { return n.deletionsUncertainUntil }
+func (n *Node) DeletionsUncertainUntil() time.Duration { return n.uncertainty.Until }
 
 // Leave announces to the boxes of the domain that this box is about to stop, so that another box
 // takes over. A leader also announces it to the leaders of other domains.
--- a/group/pagedpublisher_test.go
+++ b/group/pagedpublisher_test.go
@@ -41,7 +41,7 @@
 		if b := call.box; b.awaitsPage && call.requestedAt == b.pageRequestedAt && w.now-call.requestedAt > s.timeout {
 			b.awaitsPage = false
 			b.readFailures++
-			b.node.ReadFailed()
+			b.node.ReadFailed(w.now)
 			b.nextCallAt = w.now + b.node.ReadBackoff(b.readFailures)
 		}
 	}
@@ -55,7 +55,7 @@
 		if w.refusedBoxes[b.self.Name] || w.publisherDown {
 			b.awaitsPage = false
 			b.readFailures++
-			b.node.ReadFailed()
+			b.node.ReadFailed(w.now)
 			b.nextCallAt = w.now + b.node.ReadBackoff(b.readFailures)
 			continue
 		}
--- a/group/published.go
+++ b/group/published.go
@@ -1,9 +1,8 @@
 package group
 
 // This file defines how published data reaches the boxes: from the publisher to the box that
-// reads it, and from box to box. The invariants: confirmedAt is never later than a time at which
-// the mirror was current; and a box that was suspended does not prolong for others the time
-// during which removed entries may reappear.
+// reads it, and from box to box. The invariant: confirmedAt is never later than a time at which
+// the mirror was current.
 
 import (
 	"time"
@@ -12,18 +11,13 @@
 	"github.com/doormast/doormast/wire"
 )
 
-const (
-	// changesRequestInterval is the minimum time between two requests for changes.
-	changesRequestInterval = 100 * time.Millisecond
-	// reappearPeriod is how long after the publisher returns a removed entry may reappear: 2 s
-	// plus a margin.
-	reappearPeriod = 2200 * time.Millisecond
-)
+// changesRequestInterval is the minimum time between two requests for changes.
+const changesRequestInterval = 100 * time.Millisecond
 
 // updatePublished processes what a message says about published data.
 func (n *Node) updatePublished(now time.Duration, m *wire.GroupMessage) {
 	if n.agesAreValid(now) {
-		n.extendUncertainty(now, m.DoubtLeft)
+		n.extendUncertainty(now, m.Sender.Name, m.DoubtLeft)
 	}
 	n.receiveItems(now, m)
 	switch revision := n.cfg.Mirror.Revision(); {
@@ -108,14 +102,6 @@
 	return ok
 }
 
-// extendUncertainty adopts the time, in microseconds from a moment on, during which another box
-// expects that removed entries may reappear.
-func (n *Node) extendUncertainty(from time.Duration, left uint64) {
-	if left > 0 {
-		n.deletionsUncertainUntil = max(n.deletionsUncertainUntil, from+fromMicros(left))
-	}
-}
-
 // announceChanges passes changes to this box's owner and, on a leader, to the other boxes.
 func (n *Node) announceChanges(now time.Duration, changes []mirror.Item, from uint64) {
 	if len(changes) == 0 {
@@ -159,7 +145,9 @@
 // member that reads on behalf of its leader forwards the result to it.
 func (n *Node) HandleRead(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
 	if n.readFailed && now-n.confirmedAt > n.cfg.Timing.StaleAfter && n.agesAreValid(now) {
-		n.deletionsUncertainUntil = max(n.deletionsUncertainUntil, now+reappearPeriod) // no other box could read either
+		n.setUncertainty(Uncertainty{ // no other box could read either
+			Until: now + reappearPeriod, Source: n.cfg.Self.Name, CopyAge: now - n.confirmedAt, FailureAge: now - n.readFailedAt,
+		})
 	}
 	n.lastReadAt, n.readFailed = now, false
 	from := n.cfg.Mirror.Revision()
@@ -178,4 +166,6 @@
 
 // ReadFailed records that this box could not read the publisher. A box without any published data
 // lets another box that is reading go first.
-func (n *Node) ReadFailed() { n.readFailed, n.readStarted = true, false }
+func (n *Node) ReadFailed(now time.Duration) {
+	n.readFailed, n.readFailedAt, n.readStarted = true, now, false
+}
--- a/group/send.go
+++ b/group/send.go
@@ -229,7 +229,7 @@
 		Leaving:      n.leaving,
 		Revision:     n.cfg.Mirror.Revision(),
 		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.deletionsUncertainUntil - now),
+		DoubtLeft:    micros(n.uncertainty.Until - now),
 		Reading:      n.readingStatus(now),
 
 		WithheldDigest:   n.suspects.digest,
--- a/group/simulation_test.go
+++ b/group/simulation_test.go
@@ -333,7 +333,7 @@
 	b.callEndsAt = 0
 	switch items, known := w.published.Since(b.callRevision); {
 	case unavailable:
-		b.node.ReadFailed()
+		b.node.ReadFailed(w.now)
 	case b.callReadsAll || !known:
 		b.node.HandleRead(w.now, b.callStartedAt, w.published.Items(), w.published.Revision(), true)
 	case !changed:
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -33,7 +33,7 @@
 	r := &wire.MirrorResponse{
 		Revision:     n.cfg.Mirror.Revision(),
 		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.deletionsUncertainUntil - now),
+		DoubtLeft:    micros(n.uncertainty.Until - now),
 	}
 	if !packed {
 		r.Items, _ = packItems(n.cfg.Mirror.Items())
@@ -79,7 +79,7 @@
 		n.handlePullRefusal(now, r)
 		return
 	}
-	n.extendUncertainty(asked, r.DoubtLeft)
+	n.extendUncertainty(asked, n.lastPullAddress, r.DoubtLeft)
 	items, ok := unpackItems(r.Items)
 	if len(r.Packed) > 0 {
 		items, ok = decompressItems(r.Packed)
--- a/relay/members.go
+++ b/relay/members.go
@@ -71,6 +71,8 @@
 	lastEncoded   encodedMessage           // the last message that was sent
 	missing       map[string]time.Duration // upstreams whose entries were removed while removals are uncertain, and when to drop them
 	rejected      map[string]uint64        // by key: hash of the content last logged as rejected
+
+	loggedUncertainty time.Duration // until when removed entries may reappear, as last logged
 }
 
 func newMembers(r *Relay) (*members, error) {
@@ -98,6 +100,7 @@
 		LinkRate:    r.cfg.LinkBandwidth,
 		DomainCount: len(r.cfg.Regions),
 	}, r.now())
+	m.loggedUncertainty = m.node.Uncertainty().Until
 	return m, m.listen()
 }
 
@@ -182,6 +185,7 @@
 		m.boxes.Store(int64(m.node.BoxCount()))
 	}
 	m.divisor.Store(int64(m.node.Divisor()))
+	m.logUncertainty()
 	m.updateReading()
 	m.updateLeader()
 	m.updateInformed()
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -119,9 +119,10 @@
 		return // another box was faster
 	}
 	if r.err != nil {
+		m.relay.stats.count("publisher_calls_failed")
 		m.failures++
 		r.delay = m.node.ReadBackoff(m.failures)
-		m.node.ReadFailed()
+		m.node.ReadFailed(now)
 		m.relay.published.noteLost(m.relay, r.err)
 		return
 	}
