Group: an outage of the publisher is one of all boxes

Cause: a box concluded from its own past what all boxes could read. "My last read failed, and my copy is old" was taken for an outage, however long ago the failure was, and told to all as a fact.

Hypothesis: if boxes tell each other since when some box has had answers, a claim that others contradict has no effect anywhere.

Change: coverage, a period in which the publisher answered some box again and again; messages carry its age and the outage before it. Periods that touch are joined. An outage holds only for a time that no known period covers; a failed read counts for the gap in which it lies; a box that hears better takes its conclusion back, and drops at once what it kept. doubt_left is still told, for boxes of earlier versions.

Related paths, same change: a domain that returns from a cut no longer claims an outage that others did not have; an outage of 3 to 4 s, in which the first box to read again has not failed yet, is now known to all.

Conclusion: why it works: what lapsed in an outage is kept only where nobody contradicts it, and each box contradicts by what it reads anyway.

--- a/group/node.go
+++ b/group/node.go
@@ -5,7 +5,7 @@
 // publisher. count.go counts boxes. send.go, receive.go and hello.go handle membership messages,
 // and linkbudget.go bounds what lists of boxes take of a link.
 // published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data, and
-// uncertainty.go defines until when removed entries may reappear.
+// coverage.go and uncertainty.go define until when removed entries may reappear.
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
@@ -148,10 +148,12 @@
 	expectedSince  time.Duration  // since when they are
 
 	confirmedAt  time.Duration // when the mirror was last known to be current
+	covered      coverage      // when the publisher is known to have answered boxes of the fleet
+	gapFrom      time.Duration // when it had last answered before that
 	uncertainty  Uncertainty   // whether entries removed after an outage of the publisher may reappear
 	lastReadAt   time.Duration // last successful read of the publisher by this box
 	readFailed   bool          // this box's last read failed
-	readFailedAt time.Duration // its last failed read
+	failure      readFailure   // its last failed read
 	pullAddress  string        // address to pull from; empty: none
 	pullFailed   bool          // the last pull failed
 	pullWaitFrom time.Duration // start of the wait for a pull: its first request or last refusal; negative: not requested yet
@@ -230,7 +232,9 @@
 		confirmedAt:        never,
 		uncertainty:        Uncertainty{Until: never},
 		lastReadAt:         never,
-		readFailedAt:       never,
+		failure:            readFailure{at: never, coveredUntil: never},
+		covered:            noCoverage,
+		gapFrom:            never,
 		lastTick:           now,
 		resumedAt:          never,
 		lastHeartbeat:      never,
@@ -273,7 +277,7 @@
 
 // DeletionsUncertainUntil returns the time until which entries that were removed after an outage
 // of the publisher may reappear.
-func (n *Node) DeletionsUncertainUntil() time.Duration { return n.uncertainty.Until }
+func (n *Node) DeletionsUncertainUntil() time.Duration { return n.covered.uncertainUntil }
 
 // Leave announces to the boxes of the domain that this box is about to stop, so that another box
 // takes over. A leader also announces it to the leaders of other domains.
--- a/group/published.go
+++ b/group/published.go
@@ -17,7 +17,7 @@
 // updatePublished processes what a message says about published data.
 func (n *Node) updatePublished(now time.Duration, m *wire.GroupMessage) {
 	if n.agesAreValid(now) {
-		n.extendUncertainty(now, m.Sender.Name, m.DoubtLeft)
+		n.receiveCoverage(now, m)
 	}
 	n.receiveItems(now, m)
 	switch revision := n.cfg.Mirror.Revision(); {
@@ -144,11 +144,7 @@
 // mirror's revision, or all items if whole is set. The result was current at the time known. A
 // member that reads on behalf of its leader forwards the result to it.
 func (n *Node) HandleRead(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
-	if n.readFailed && now-n.confirmedAt > n.cfg.Timing.StaleAfter && n.agesAreValid(now) {
-		n.setUncertainty(Uncertainty{ // no other box could read either
-			Until: now + reappearPeriod, Source: n.cfg.Self.Name, CopyAge: now - n.confirmedAt, FailureAge: now - n.readFailedAt,
-		})
-	}
+	n.coverRead(now)
 	n.lastReadAt, n.readFailed = now, false
 	from := n.cfg.Mirror.Revision()
 	var changes []mirror.Item
@@ -167,5 +163,6 @@
 // ReadFailed records that this box could not read the publisher. A box without any published data
 // lets another box that is reading go first.
 func (n *Node) ReadFailed(now time.Duration) {
-	n.readFailed, n.readFailedAt, n.readStarted = true, now, false
+	n.readFailed, n.readStarted = true, false
+	n.failure = readFailure{at: now, coveredUntil: n.covered.until}
 }
--- a/group/pull.go
+++ b/group/pull.go
@@ -76,7 +76,9 @@
 	if p := &n.delta; p.bytes == nil || p.revision != revision || p.after != req.After {
 		*p = packedDelta{packedSnapshot{revision, compressItems(changes)}, req.After}
 	}
-	return &wire.MirrorResponse{Revision: revision, From: req.After, Packed: n.delta.bytes, ConfirmedAge: micros(now - n.confirmedAt), DoubtLeft: micros(n.uncertainty.Until - now)}
+	r := n.newMirrorResponse(now)
+	r.From, r.Packed = req.After, n.delta.bytes
+	return r
 }
 
 // linkRate returns the capacity of the box's link in bytes per second.
--- a/group/send.go
+++ b/group/send.go
@@ -229,7 +229,9 @@
 		Leaving:      n.leaving,
 		Revision:     n.cfg.Mirror.Revision(),
 		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.uncertainty.Until - now),
+		DoubtLeft:    micros(n.covered.uncertainUntil - now),
+		CoveredAge:   n.coveredAge(now),
+		Outage:       n.toldOutage(now),
 		Reading:      n.readingStatus(now),
 
 		WithheldDigest:   n.suspects.digest,
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -30,11 +30,7 @@
 // Snapshot returns the answer to a pull with all published data. packed says that the requester
 // accepts the compressed form. The caller must not modify the result.
 func (n *Node) Snapshot(now time.Duration, packed bool) *wire.MirrorResponse {
-	r := &wire.MirrorResponse{
-		Revision:     n.cfg.Mirror.Revision(),
-		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.uncertainty.Until - now),
-	}
+	r := n.newMirrorResponse(now)
 	if !packed {
 		r.Items, _ = packItems(n.cfg.Mirror.Items())
 		return r
@@ -46,6 +42,17 @@
 	return r
 }
 
+// newMirrorResponse returns the response to a pull, without items.
+func (n *Node) newMirrorResponse(now time.Duration) *wire.MirrorResponse {
+	return &wire.MirrorResponse{
+		Revision:     n.cfg.Mirror.Revision(),
+		ConfirmedAge: micros(now - n.confirmedAt),
+		DoubtLeft:    micros(n.covered.uncertainUntil - now),
+		CoveredAge:   n.coveredAge(now),
+		Outage:       n.toldOutage(now),
+	}
+}
+
 // compressItems encodes all items as one compressed block. It returns nil on failure.
 func compressItems(list []mirror.Item) []byte {
 	all := new(wire.MirrorItems)
@@ -79,7 +86,7 @@
 		n.handlePullRefusal(now, r)
 		return
 	}
-	n.extendUncertainty(asked, n.lastPullAddress, r.DoubtLeft)
+	n.cover(now, n.lastPullAddress, coverageOf(now, asked, fromMicros(r.ConfirmedAge), r.CoveredAge, r.Outage, r.DoubtLeft))
 	items, ok := unpackItems(r.Items)
 	if len(r.Packed) > 0 {
 		items, ok = decompressItems(r.Packed)
--- a/group/uncertainty_test.go
+++ b/group/uncertainty_test.go
@@ -64,3 +64,176 @@
 		})
 	}
 }
+
+// setRefused makes the publisher refuse boxes, or serve them again.
+func (w *simulation) setRefused(refused bool, names ...string) {
+	for _, name := range names {
+		w.refusedBoxes[name] = refused
+	}
+}
+
+// Boxes whose last read had failed in an outage, and that had not read since, took the loss of the
+// reader for another outage: removed upstreams were used on by all boxes.
+func TestOldReadFailureIsTakenForOutageWhenReaderIsLost(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		domains, boxes int
+		down           time.Duration // of the publisher, for all boxes
+		longer         time.Duration // for all boxes but the reader, from then on
+	}{
+		{"a box in each domain", 3, 1, 2 * time.Second, 2500 * time.Millisecond},
+		{"three boxes in each domain", 3, 3, 2 * time.Second, 2500 * time.Millisecond},
+		{"a long outage", 2, 2, 6 * time.Second, 3 * time.Second},
+		{"an outage alone", 3, 2, 4 * time.Second, 0},
+		{"no outage, boxes that cannot read", 3, 2, 0, 4 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newSimulation(t, 40+seed)
+				w.failureDelay = 900 * time.Millisecond
+				w.startFleet(test.domains, test.boxes)
+				w.run(5 * time.Second)
+				w.publisherDown = test.down > 0
+				if test.down > 0 {
+					w.run(test.down + time.Duration(seed)*100*time.Millisecond)
+				}
+				w.publisherDown = false
+				w.setRefused(true, w.names[1:]...)
+				w.run(test.longer)
+				w.setRefused(false, w.names...)
+				w.run(5 * time.Second)
+				is.True(w.uncertainUntil() < w.now)
+				w.setRefused(true, w.names[0])
+				w.run(300 * time.Millisecond)
+				removed, lost := w.publish("upstream", ""), w.now
+				second := w.boxes[w.names[len(w.names)-1]]
+				for second.mirror.Revision() < removed && w.now < lost+3*time.Second {
+					w.run(step)
+				}
+				second.node.HandleRead(w.now, w.now, nil, second.mirror.Revision(), false) // soon after another box
+				w.run(lost + 3700*time.Millisecond - w.now)
+				is.True(w.boxes[w.names[1]].mirror.Revision() >= removed) // another box has read
+				is.True(w.uncertainUntil() < w.now-4*time.Second)
+			}
+		})
+	}
+}
+
+// A domain that had been cut off from the publisher and from all others took that for an outage and
+// told the others, which had read all the time: removed upstreams were used on.
+func TestReturningDomainIsTakenForOutage(t *testing.T) {
+	for _, cut := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 9 * time.Second, 20 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newSimulation(t, 60+seed)
+				w.startFleet(3, 2)
+				w.run(5 * time.Second)
+				domain := 1 + int(seed%2)
+				names := []string{boxName(domain, 0), boxName(domain, 1)}
+				w.cutDomains[domainName(domain)] = true
+				w.setRefused(true, names...)
+				w.run(cut + time.Duration(seed)*50*time.Millisecond)
+				clear(w.cutDomains)
+				w.setRefused(false, names...)
+				for range 30 {
+					w.run(100 * time.Millisecond)
+					for _, name := range w.names {
+						if w.boxes[name].self.Domain != domainName(domain) {
+							is.True(w.boxes[name].node.DeletionsUncertainUntil() < w.now) // it has read all the time
+						}
+					}
+				}
+				is.True(w.uncertainUntil() < w.now-1500*time.Millisecond) // the domain has heard the others
+			}
+		})
+	}
+}
+
+// Entries that lapse in an outage of the publisher come back after it: every box has to keep them
+// meanwhile, whichever boxes read before and after.
+func TestEntriesThatLapseInOutageAreDropped(t *testing.T) {
+	lost := boxName(0, 0) // the reader
+	for _, test := range []struct {
+		name    string
+		trouble func(w *simulation)
+	}{
+		{"all boxes run", func(*simulation) {}},
+		{"the reader ends", func(w *simulation) { w.boxes[lost].dead = true }},
+		{"the reader freezes", func(w *simulation) { w.boxes[lost].frozen = true }},
+		{"the reader's domain is cut off", func(w *simulation) { w.cutDomains[domainName(0)] = true }},
+		{"the reader cannot read for longer", func(w *simulation) { w.setRefused(true, lost) }},
+		{"messages are lost", func(w *simulation) { w.lossRate = 0.1 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newSimulation(t, 80+seed)
+				w.failureDelay = 900 * time.Millisecond
+				w.startFleet(3, 3)
+				w.run(5 * time.Second)
+				w.publisherDown = true
+				w.run(time.Second)
+				test.trouble(w)
+				w.run(2*time.Second + time.Duration(seed)*200*time.Millisecond)
+				w.publisherDown = false
+				back := w.now
+				for w.boxes[boxName(1, 0)].node.ConfirmedAt() < back || w.boxes[boxName(2, 0)].node.ConfirmedAt() < back {
+					w.run(step)
+				}
+				w.run(time.Second)
+				for _, name := range w.names {
+					if b := w.boxes[name]; !b.dead && !b.frozen {
+						is.True(b.node.DeletionsUncertainUntil() >= back+2*time.Second)
+					}
+				}
+			}
+		})
+	}
+}
+
+// A failed read that became known after the outage in which it began was taken for a failure in the
+// next time without a read.
+func TestFailedReadCountsForItsOwnGap(t *testing.T) {
+	type event struct {
+		at      int       // ms
+		covered *coverage // told by another box; nil: a read of this box failed
+	}
+	told := func(at int, c coverage) event { return event{at, &c} }
+	failed := func(at int) event { return event{at, nil} }
+	for _, test := range []struct {
+		name      string
+		events    []event
+		readAt    int // ms, of this box
+		uncertain bool
+	}{
+		{"in an outage", []event{told(4000, at(1000, 4000)), failed(6000)}, 9000, true},
+		{"in an outage, another box reads first", []event{told(4000, at(1000, 4000)), failed(6000), told(8800, at(8700, 8700))}, 9000, true},
+		{"in an outage, others read long before", []event{told(4000, at(1000, 4000)), failed(6000), told(7500, at(7000, 7400))}, 9000, false},
+		{"others read all the time", []event{told(4000, at(1000, 4000)), failed(6000), told(8800, at(1000, 8600))}, 9000, false},
+		{"known after the outage", []event{told(4000, at(1000, 4000)), failed(7700), told(7900, afterOutage(7400, 7800, 3400)), told(12000, at(7400, 12000))}, 14000, false},
+		{"long before a gap", []event{failed(2000), told(4000, at(1000, 4000)), told(12000, at(4000, 12000))}, 14000, false},
+		{"long before a gap that another box ended", []event{failed(2000), told(4000, at(1000, 4000)), told(12000, at(4000, 12000)), told(13900, at(13800, 13800))}, 14000, false},
+		{"none", []event{told(4000, at(1000, 4000))}, 9000, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1)
+			n := w.start("box", "domain0", 1, false).node
+			for _, e := range test.events {
+				n.Tick(ms(e.at))
+				if e.covered == nil {
+					n.ReadFailed(ms(e.at))
+					continue
+				}
+				n.cover(ms(e.at), "other", *e.covered)
+			}
+			for at := test.readAt - 300; at <= test.readAt; at += 100 { // it was not suspended
+				n.Tick(ms(at))
+			}
+			n.HandleRead(ms(test.readAt), ms(test.readAt), nil, 0, false)
+			is.Equal(n.DeletionsUncertainUntil() > ms(test.readAt), test.uncertain)
+		})
+	}
+}
--- a/relay/members.go
+++ b/relay/members.go
@@ -60,17 +60,17 @@
 
 	// State of the loop alone, except resumesRead and fullReadStart.
 	pulling       bool
-	isInformed    bool                     // informed is closed
-	cutOffDomains []string                 // domains that the box treated as cut off at the last check
-	lastProbe     time.Duration            // when upstreams of silent domains were last probed
-	peersSetAt    time.Duration            // when the boxes that may be connected through were last set
-	resumesRead   bool                     // used by readLoop only: its last full read failed
-	fullReadStart time.Duration            // used by readLoop only: when the first of a sequence of full reads started
-	failures      int                      // consecutive failed reads
-	backlog       []mirror.Item            // changed items of the mirror that are not applied yet, in order
-	lastEncoded   encodedMessage           // the last message that was sent
-	missing       map[string]time.Duration // upstreams whose entries were removed while removals are uncertain, and when to drop them
-	rejected      map[string]uint64        // by key: hash of the content last logged as rejected
+	isInformed    bool                // informed is closed
+	cutOffDomains []string            // domains that the box treated as cut off at the last check
+	lastProbe     time.Duration       // when upstreams of silent domains were last probed
+	peersSetAt    time.Duration       // when the boxes that may be connected through were last set
+	resumesRead   bool                // used by readLoop only: its last full read failed
+	fullReadStart time.Duration       // used by readLoop only: when the first of a sequence of full reads started
+	failures      int                 // consecutive failed reads
+	backlog       []mirror.Item       // changed items of the mirror that are not applied yet, in order
+	lastEncoded   encodedMessage      // the last message that was sent
+	missing       map[string]struct{} // upstreams whose entries were removed while removals are uncertain
+	rejected      map[string]uint64   // by key: hash of the content last logged as rejected
 
 	loggedUncertainty time.Duration // until when removed entries may reappear, as last logged
 }
@@ -86,7 +86,7 @@
 		loadsChanged: make(chan struct{}, 1),
 		backlogReady: make(chan struct{}, 1),
 		traffic:      newTraffic(r.stats),
-		missing:      make(map[string]time.Duration),
+		missing:      make(map[string]struct{}),
 		rejected:     make(map[string]uint64),
 	}
 	m.boxes.Store(int64(r.cfg.Boxes))
--- a/relay/uncertainty.go
+++ b/relay/uncertainty.go
@@ -15,10 +15,18 @@
 	if (u.Until - m.loggedUncertainty).Abs() < minUncertaintyChange {
 		return
 	}
+	wasUncertain := m.loggedUncertainty > m.relay.now()
 	m.loggedUncertainty = u.Until
-	fields := Fields{"source": u.Source, "left_ms": (u.Until - m.relay.now()).Milliseconds(), "age_ms": m.relay.publishedAge().Milliseconds()}
+	if u.Until <= m.relay.now() {
+		if !wasUncertain {
+			return
+		}
+		m.relay.cfg.Log.Event("publisher", "removals certain", Fields{"source": u.Source, "age_ms": m.relay.publishedAge().Milliseconds()})
+		return
+	}
+	fields := Fields{"source": u.Source, "left_ms": (u.Until - m.relay.now()).Milliseconds(), "outage_ms": u.Outage.Milliseconds(), "age_ms": m.relay.publishedAge().Milliseconds()}
 	if u.Source == m.relay.cfg.Box {
-		fields["copy_age_ms"], fields["failure_age_ms"] = u.CopyAge.Milliseconds(), u.FailureAge.Milliseconds()
+		fields["failure_age_ms"] = u.FailureAge.Milliseconds()
 	}
 	m.relay.stats.count("removals_uncertain")
 	m.relay.cfg.Log.Event("publisher", "removals uncertain", fields)
--- a/relay/update.go
+++ b/relay/update.go
@@ -26,7 +26,7 @@
 
 // applyUpdate applies a published change. An upstream whose entry is removed before
 // uncertainUntil is only recorded in missing, since the entry may come back.
-func (r *Relay) applyUpdate(u Update, uncertainUntil time.Duration, missing map[string]time.Duration) {
+func (r *Relay) applyUpdate(u Update, uncertainUntil time.Duration, missing map[string]struct{}) {
 	switch {
 	case u.Document != nil:
 		r.applyDocument(u.Document)
@@ -42,7 +42,7 @@
 		r.restoreDomain(u.Restored)
 	case u.Removed == "":
 	case r.now() < uncertainUntil:
-		missing[u.Removed] = uncertainUntil
+		missing[u.Removed] = struct{}{}
 	default:
 		r.dropUpstream(u.Removed, "gone from the list")
 	}
@@ -222,13 +222,13 @@
 	}
 }
 
-// dropMissing drops the upstreams whose entries did not come back in time.
+// dropMissing drops the upstreams whose entries did not come back while they might have.
 func (m *members) dropMissing() {
-	now := m.relay.now()
-	for id, due := range m.missing {
-		if now >= due && now >= m.node.DeletionsUncertainUntil() {
-			delete(m.missing, id)
-			m.relay.dropUpstream(id, "gone from the list")
-		}
+	if len(m.missing) == 0 || m.relay.now() < m.node.DeletionsUncertainUntil() {
+		return
+	}
+	for id := range m.missing {
+		m.relay.dropUpstream(id, "gone from the list")
 	}
+	clear(m.missing)
 }
