Group: a leader that failed to read does not say so for good

Found on the related paths of the outage of one box. Hypothesis: a leader that failed to read, and that no longer has to since a stronger one reads, never clears that, and boxes of its domain read on in its place.

Conclusion: it never cleared; what a box could not do is news only for a while.

--- a/group/reader_test.go
+++ b/group/reader_test.go
@@ -156,3 +156,28 @@
 	b.node.PullFailed()
 	is.True(b.node.ShouldRead(w.now))
 }
+
+// A leader that had failed to read, and that no longer had to, said so for good: boxes of its domain
+// read on in its place.
+func TestMembersReadOnForLeaderThatNoLongerHasTo(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10) {
+		w := newSimulation(t, 40+seed)
+		w.failureDelay = 900 * time.Millisecond
+		w.startFleet(3, 3)
+		w.run(8 * time.Second)
+		before := w.publisherCalls
+		w.run(10 * time.Second)
+		calls := w.publisherCalls - before
+		reader, leader := boxName(0, 0), boxName(1, 0)
+		w.setRefused(true, reader, leader)
+		w.run(6 * time.Second)
+		w.setRefused(false, reader)
+		w.run(2 * time.Second)
+		w.setRefused(false, leader)
+		w.run(2 * DefaultTiming.DelegatedReadPeriod)
+		before = w.publisherCalls
+		w.run(10 * time.Second)
+		is.True(w.publisherCalls-before <= calls+1) // one box reads, as before
+	}
+}
--- a/group/send.go
+++ b/group/send.go
@@ -239,7 +239,7 @@
 		LimitsDigest:     n.limits.digest,
 	}
 	if n.IsLeader() {
-		m.Leads, m.Reads = true, !n.readFailed
+		m.Leads, m.Reads = true, !n.cannotRead(now)
 		m.DomainBoxes, m.AllBoxes = uint32(n.domainBoxes(now)), uint32(n.maxBoxes)
 		m.Lanes = n.packLanes(now)
 		m.CutOff = n.unreachable
