Relay: failed reads are counted anew when a box is chosen to read again

Related path of the outage of one box. Hypothesis: the count of failed reads outlives the outage, since only a read of this box clears it, so the first failure of a later time delays its next read by the longest backoff.

Change: the count is cleared when the box is chosen to read again.

Measured: TestFailuresOfEarlierOutageDelayReads fails before, passes now.

Conclusion: delays follow the failures of the present time.

--- a/relay/members.go
+++ b/relay/members.go
@@ -66,7 +66,7 @@
 	peersSetAt    time.Duration       // when the boxes that may be connected through were last set
 	resumesRead   bool                // used by readLoop only: its last full read failed
 	fullReadStart time.Duration       // used by readLoop only: when the first of a sequence of full reads started
-	failures      int                 // consecutive failed reads
+	failures      int                 // consecutive failed reads since this box was last chosen to read
 	backlog       []mirror.Item       // changed items of the mirror that are not applied yet, in order
 	lastEncoded   encodedMessage      // the last message that was sent
 	missing       map[string]struct{} // upstreams whose entries were removed while removals are uncertain
@@ -228,6 +228,7 @@
 	if before := m.shouldRead.Swap(shouldRead); before || !shouldRead {
 		return
 	}
+	m.failures = 0 // others have read since
 	wake(m.readWake)
 }
 
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/doormast/doormast/group"
 	"github.com/doormast/doormast/mirror"
+	"github.com/doormast/doormast/wire"
 )
 
 // flakyPublisher is a publisher whose first full reads fail.
@@ -68,3 +71,22 @@
 	m.filled = make(chan struct{})
 	is.True(!errors.Is(m.readPublisher(ctx).err, mirror.ErrNotNeeded)) // the box stops
 }
+
+// The count of failed reads outlived the outage in which they failed: the first failure of the next
+// time delayed the read after it by seconds.
+func TestFailuresOfEarlierOutageDelayReads(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{startedAt: time.Now(), fleet: newEmptyFleet(), conns: newConnPool(nil), stats: newStats(),
+		cfg: Config{Log: NewLog("box", io.Discard), Decode: decodeItem, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1}, Timing: group.DefaultTiming, Boxes: 1}}
+	m, err := newMembers(r)
+	is.NoErr(err)
+	first := m.node.ReadBackoff(1)
+	m.failures = 5
+	m.shouldRead.Store(false) // another box has read since
+	m.flush(context.Background())
+	is.True(m.shouldRead.Load())
+	result := &readResult{err: errUnavailable, applied: make(chan struct{})}
+	m.applyRead(r.now(), result)
+	is.Equal(result.delay, first)
+	is.NoErr(r.cfg.Log.Close())
+}
