--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -184,6 +184,49 @@
 	is.Equal(b.takeUp("t", "t-again", 2).status, http.StatusOK) // it knows what it has begun itself
 }
 
+// All boxes are killed at once and come back, while two versions serve or just after the last upstream of
+// one has left: streams that callers then took up were joined from both, in answers that looked complete.
+func TestStreamsAreJoinedFromTwoVersionsAfterAllBoxesRestart(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		hasLeft bool // the upstreams of the version that began the streams
+	}{
+		{"both versions serve", false},
+		{"the older version has left", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			older, newer := newSoftwareStub(t, "older", "v1"), newSoftwareStub(t, "newer", "v2")
+			first, second := startSoftwarePair(t, older)
+			var began [streams]string
+			for i := range streams {
+				began[i] = first.begin(fmt.Sprint("s", i)).body
+			}
+			first.relay.members.close()
+			second.relay.members.close()
+			first.listUpstream(newer, false)
+			if test.hasLeft {
+				first.publisher.set("older", nil, true)
+			}
+			third := newTestBoxWithConfig(t, func(c *Config) {
+				c.Publisher, c.FirstStart = first.publisher, false
+				joinGroup(t, c, "third")
+			})
+			fourth := newTestBoxWithConfig(t, func(c *Config) {
+				c.Publisher, c.FirstStart = first.publisher, false
+				joinGroup(t, c, "fourth", third.relay.cfg.Self.Address)
+			})
+			fourth.waitFor(func() bool { return third.relay.Ready() && fourth.relay.Ready() && third.relay.boxes() == 2 })
+			for i := range streams {
+				id := fmt.Sprint("s", i)
+				rest := []*testBox{third, fourth}[i%2].takeUp(id, id+"-again", 2)
+				is.True(rest.status == http.StatusServiceUnavailable || len(versionsIn(began[i]+rest.body)) == 1)
+				is.True(rest.status != http.StatusServiceUnavailable || strings.Contains(rest.body, `"ran":"no"`))
+			}
+		})
+	}
+}
+
 // The version that began a stream has no upstream any more: another failure than an unknown origin.
 func TestStreamOfGoneSoftwareIsRefusedWithItsReason(t *testing.T) {
 	is := is.New(t)
