Relay: a request that was given up does not reach its upstream later

Cause: a given-up run had its connection closed in the ordinary way, and the kernel goes on sending what the peer has not acknowledged. Hypothesis: closing with a reset where bytes are not acknowledged drops them, on all ways to give up.

Measured: TestRequestReachesUpstreamAfterItWasGivenUp fails before on three kinds of routes (the request arrives whole), passes now.

Conclusion: giving up now covers what was sent as well. A reset that the cut swallows is not repeated; the upstream finds out when it writes.

--- a/relay/tunnelframe.go
+++ b/relay/tunnelframe.go
@@ -161,7 +161,7 @@
 	if !t.isClosed.Swap(true) {
 		defer t.onClose()
 	}
-	return t.Conn.Close()
+	return closeUnacknowledged(t.Conn)
 }
 
 // isIdle reports whether the connection can carry another request: nothing was received since the
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -314,7 +314,7 @@
 	return t.write(binary.BigEndian.AppendUint16(nil, kind))
 }
 
-func (t *servedTunnel) close() { _, _ = t.box.Close(), t.upstream.Close() }
+func (t *servedTunnel) close() { _, _ = t.box.Close(), closeUnacknowledged(t.upstream) }
 
 // isIdle reports whether the tunnel has been quiet since the end of a response, as far as bytes
 // tell.
