Relay: a caller that pauses does not lose an answer that the box holds

Cause: a caller that takes nothing for 2 s is disconnected. Hypothesis: the bound is needed for streams and for short memory only; a whole answer costs nothing but its memory.

Change: a whole answer is kept until the request's deadline, as long as the account has room for the least urgent requests.

TestUnreadNonStreamResponseIsCutOff and TestSlowlyReadingCallerIsNotCutOff pass unchanged.

Conclusion: the bound applies where what it protects is short.

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -73,6 +73,7 @@
 	memoryShare    float64     // share of the memory bound up to which the request may allocate
 	requestID      string      // ID of the current request; empty if not known yet
 	writeDeadline  time.Time   // when the response must have been written; zero: not set
+	stallDeadline  time.Time   // until then the caller may read nothing of the response; zero: for writeStallTimeout
 	reused         bool        // a request was awaited on this connection before
 	requestCharged bool        // a request is active, or was since the lease was last shrunk
 	aborted        atomic.Bool // the caller was disconnected because it does not read
@@ -156,7 +157,8 @@
 // releaseRequest releases the memory charged for the previous request.
 func (c *callerConn) releaseRequest() {
 	c.lease.Shrink(callerBytes)
-	c.memoryShare, c.requestID, c.writeDeadline, c.requestCharged = minRequestShare, "", time.Time{}, false
+	c.memoryShare, c.requestID, c.requestCharged = minRequestShare, "", false
+	c.writeDeadline, c.stallDeadline = time.Time{}, time.Time{}
 }
 
 // collect reads a request until it can be passed to the server.
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -104,6 +104,37 @@
 	b.awaitLog("takes nothing")
 }
 
+// A caller that stopped reading for some seconds, with time left, lost the rest of a response that the
+// box held whole. While memory is short it still does.
+func TestCallerThatPausesLosesItsResponse(t *testing.T) {
+	whole := strings.Repeat("x", 3<<20)
+	for _, test := range []struct {
+		name  string
+		held  int64 // by others
+		isCut uint64
+	}{
+		{"memory is free", 0, 0},
+		{"memory is short", 40 << 20, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBoxWithConfig(t, withMemoryBound(64<<20), newStub(t, "u1", respondOK(whole)))
+			c := b.dialBox()
+			_, err := io.WriteString(c, rawRequest("/once/x", ""))
+			is.NoErr(err)
+			_, err = io.ReadFull(c, make([]byte, 32<<10))
+			is.NoErr(err)
+			others := b.relay.account.Lease()
+			defer others.Close()
+			is.True(others.Grow(test.held, fullShare))
+			time.Sleep(writeStallTimeout + 3*writeCheckInterval)
+			is.Equal(b.relay.stats.counterValue(callersCutOff), test.isCut)
+			_, err = io.CopyN(io.Discard, c, int64(len(whole)-32<<10))
+			is.Equal(err != nil, test.isCut > 0)
+		})
+	}
+}
+
 // A caller that reads slowly but steadily gets the whole response, however long it takes.
 func TestSlowlyReadingCallerIsNotCutOff(t *testing.T) {
 	is := is.New(t)
--- a/relay/callerwrite.go
+++ b/relay/callerwrite.go
@@ -2,7 +2,9 @@
 
 // This file defines how a response is written to a caller that may not read it. The invariant: a
 // caller that reads nothing for writeStallTimeout, or has not finished by its deadline, is
-// disconnected; one that keeps reading until then gets the whole response.
+// disconnected; one that keeps reading until then gets the whole response. A response that the box
+// holds whole is kept for a caller that reads nothing until its request's deadline, unless memory is
+// short.
 
 import (
 	"errors"
@@ -74,7 +76,7 @@
 		switch {
 		case sent == len(p) || err != nil:
 			return sent, err
-		case now.Sub(taken) >= writeStallTimeout:
+		case now.Sub(taken) >= writeStallTimeout && !c.mayStall(now):
 			return sent, c.cutOff(len(p)-sent, "takes nothing")
 		case !c.writeDeadline.IsZero() && now.After(c.writeDeadline):
 			return sent, c.cutOff(len(p)-sent, "too slow")
@@ -82,6 +84,19 @@
 	}
 }
 
+// allowStall lets the caller read nothing of its whole response until the request's deadline.
+func (x *exchange) allowStall() {
+	if x.caller != nil {
+		x.caller.stallDeadline = x.deadline
+	}
+}
+
+// mayStall reports whether the caller may go on reading nothing: its whole response is held, its
+// request has time left, and there is memory for the least urgent requests as well.
+func (c *callerConn) mayStall(now time.Time) bool {
+	return now.Before(c.stallDeadline) && c.lease.Fits(0, minRequestShare)
+}
+
 // writeOnce writes for up to writeCheckInterval; reaching this limit is not an error.
 func (c *callerConn) writeOnce(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeCheckInterval)); err != nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -116,6 +116,7 @@
 	default:
 		x.copyHeaders(ctx)
 		ctx.Response.SetBodyRaw(body)
+		x.allowStall()
 		x.outcome = "answered"
 		x.close()
 	}
