Relay: an upstream's 503 is not passed on as "not run" where it may have run

Cause: an upstream's status was passed on whatever callers read in it; that a request has not run is stated by a header, which callers do not see.

Conclusion: a status by which callers repeat a request is now the box's own word.

--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -33,6 +33,9 @@
 		return runUnknown, nil, errNoStream
 	}
 	status := resp.header.StatusCode()
+	if !x.route.CanRepeat() && statesNotRun(status) {
+		return runUnknown, nil, statusError(status)
+	}
 	if status >= fasthttp.StatusInternalServerError && x.route.CanRepeat() {
 		x.failure = &failedResponse{resp, body}
 		return runUnknown, nil, statusError(status)
@@ -42,7 +45,17 @@
 	return runAnswered, body, nil
 }
 
-// statusError is the 5xx status of an upstream's response.
+// statesNotRun reports whether callers take a status for the statement that the request has not run and
+// may be repeated. An upstream states that by a header, and may have run what it answers so without.
+func statesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// statusError is the status of an upstream's response that is not passed on.
 type statusError int
 
 var _ error = statusError(0)
--- a/relay/outcome_test.go
+++ b/relay/outcome_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -73,3 +77,37 @@
 	is.Equal(idleConns(), 0)
 	b.awaitLog("out of reach")
 }
+
+// An upstream that has run a request answered with a status by which callers take it for not run: it was
+// passed on, and the caller sent the request again.
+func TestStatusOfRequestThatHasRunStatesThatItHasNot(t *testing.T) {
+	respond := func(status int) func(net.Conn, stubRequest) bool {
+		return func(c net.Conn, r stubRequest) bool {
+			writeWire(c, fmt.Sprintf("HTTP/1.1 %d No\nX-Id: %s\nX-Sign: s\nRetry-After: 1\nContent-Length: 0\n\n", status, r.Header.Get("X-Id")))
+			return true
+		}
+	}
+	for _, test := range []struct {
+		path         string
+		status, want int
+		signed       bool
+	}{
+		{"/once/x", http.StatusServiceUnavailable, http.StatusBadGateway, false},
+		{"/once/x", http.StatusTooManyRequests, http.StatusBadGateway, false},
+		{"/once/x", http.StatusRequestTimeout, http.StatusBadGateway, false},
+		{"/once/x", http.StatusInternalServerError, http.StatusInternalServerError, true},
+		{"/once/x", http.StatusConflict, http.StatusConflict, true},
+		{"/safe/x", http.StatusServiceUnavailable, http.StatusServiceUnavailable, true},
+		{"/safe/x", http.StatusTooManyRequests, http.StatusTooManyRequests, true},
+	} {
+		t.Run(fmt.Sprint(test.path, " ", test.status), func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBox(t, newStub(t, "u1", respond(test.status)))
+			a := b.do(b.request(http.MethodPost, test.path, ""))
+			is.Equal(a.status, test.want)
+			is.Equal(a.header.Get("X-Sign") != "", test.signed)
+			is.Equal(strings.Contains(a.body, `"ran":"unknown"`), !test.signed)
+			is.True(test.signed || a.header.Get("Retry-After") == "")
+		})
+	}
+}
