Group: a box that takes over reading does not wait for a change

Hypothesis: a call that waits only until the copy is as old as it may get while a box reads gives the first answer at once, and costs nothing in steady operation.

Change: the wait is shortened by the age of the copy.

Conclusion: staleness ends with the turn to read; what is known of the publisher is as fresh as it can be.

--- a/group/reader.go
+++ b/group/reader.go
@@ -85,17 +85,21 @@
 	return p.isLeader && !p.leaving && now-p.lastHeard < n.cfg.Timing.LeaderTimeout
 }
 
-// WatchTimeout returns how long this box's call to the publisher may wait for a change. If other
-// leaders depend on its reads, the wait is one heartbeat shorter: members of their domains learn
-// the result one heartbeat later and so see the same age as with a reader of their own.
+// WatchTimeout returns how long this box's call to the publisher may wait for a change: until the copy
+// is as old as it may get while a box reads. A box that takes over reading has an older copy and does not
+// wait, as nobody knows whether the publisher answers. If other leaders depend on its reads, the wait is
+// one heartbeat shorter: members of their domains learn the result one heartbeat later and so see the
+// same age as with a reader of their own.
 func (n *Node) WatchTimeout(now time.Duration) time.Duration {
 	t := n.cfg.Timing
+	longest := t.WatchTimeout
 	for _, p := range n.peers {
 		if !n.sameDomain(p) && n.isActiveLeader(now, p) {
-			return t.WatchTimeout - t.HeartbeatInterval
+			longest = t.WatchTimeout - t.HeartbeatInterval
+			break
 		}
 	}
-	return t.WatchTimeout
+	return max(0, longest-(now-n.confirmedAt))
 }
 
 // ReadBackoff returns the delay before the next read after the given number of consecutive
--- a/group/reader_test.go
+++ b/group/reader_test.go
@@ -181,3 +181,22 @@
 		is.True(w.publisherCalls-before <= calls+1) // one box reads, as before
 	}
 }
+
+// A box that took over reading waited for a change as one that reads all the time does: meanwhile nobody
+// had an answer, and copies grew as old as in an outage.
+func TestBoxThatTakesOverReadingWaitsForChange(t *testing.T) {
+	is := is.New(t)
+	const tick = step * stepsPerTick
+	for seed := range uint64(20) {
+		w := newSimulation(t, 40+seed)
+		w.failureDelay = 900 * time.Millisecond
+		w.startFleet(3, 3)
+		w.run(6*time.Second + time.Duration(seed)*50*time.Millisecond)
+		w.setRefused(true, boxName(0, 0))
+		leader := w.boxes[boxName(2, 0)]
+		for range 80 {
+			w.run(50 * time.Millisecond)
+			is.True(w.now-leader.node.ConfirmedAt() <= DefaultTiming.StaleAfter+tick) // a leader has the first turn to read
+		}
+	}
+}
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -133,6 +133,7 @@
 		r.delay = m.relay.cfg.Timing.BatchDelay
 	}
 	m.node.HandleRead(now, r.asOf, r.items, r.revision, r.full)
+	m.watchFor.Store(int64(m.node.WatchTimeout(now))) // before the next call
 	m.relay.published.noteRegained(m.relay)
 }
 
