Group: a domain that was cut off keeps the upstreams that could not renew

Cause: an outage was one of all boxes or none. A domain that can neither read nor hear of answers has one of its own: its upstreams cannot renew either. Hypothesis: the same evidence, told in the domain only, keeps just those entries, and no box that is in contact believes it.

Change: one tracker (outageTracker) for two scopes. A domain counts as cut off after the time after which boxes count as gone (3 s). Found by a property test on the way, and mended in the same rules: an outage of all is one only if every box that can read would have had its turn (2.2 s); it cannot be longer than since the last answer that anybody remembers; a failure from before a start or a sleep of the box counts for nothing. The messages group what they tell of answers (GroupCoverage).

Measured: TestEntriesThatLapseWhileDomainIsCutOffAreDropped fails before (the domain's boxes are certain at once), TestUpstreamsOfReturningDomainAreDropped too.

Conclusion: what lapsed for lack of renewal is kept by those who can know it, and by nobody else.

--- a/group/node.go
+++ b/group/node.go
@@ -5,7 +5,8 @@
 // publisher. count.go counts boxes. send.go, receive.go and hello.go handle membership messages,
 // and linkbudget.go bounds what lists of boxes take of a link.
 // published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data, and
-// coverage.go and uncertainty.go define until when removed entries may reappear.
+// coverage.go, outage.go
+// and uncertainty.go define until when removed entries may reappear.
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
@@ -147,16 +148,16 @@
 	expectedLeader string         // the leader whose heartbeats are expected
 	expectedSince  time.Duration  // since when they are
 
-	confirmedAt  time.Duration // when the mirror was last known to be current
-	covered      coverage      // when the publisher is known to have answered boxes of the fleet
-	gapFrom      time.Duration // when it had last answered before that
-	uncertainty  Uncertainty   // whether entries removed after an outage of the publisher may reappear
-	lastReadAt   time.Duration // last successful read of the publisher by this box
-	readFailed   bool          // this box's last read failed
-	failure      readFailure   // its last failed read
-	pullAddress  string        // address to pull from; empty: none
-	pullFailed   bool          // the last pull failed
-	pullWaitFrom time.Duration // start of the wait for a pull: its first request or last refusal; negative: not requested yet
+	confirmedAt   time.Duration // when the mirror was last known to be current
+	fleetAnswers  outageTracker // what all boxes got from the publisher
+	domainAnswers outageTracker // what this box's domain got from it, or heard of
+	uncertainties Uncertainties // whether entries removed after an outage of the publisher may reappear
+	lastReadAt    time.Duration // last successful read of the publisher by this box
+	readFailed    bool          // this box's last read failed
+	readFailedAt  time.Duration // its last failed read
+	pullAddress   string        // address to pull from; empty: none
+	pullFailed    bool          // the last pull failed
+	pullWaitFrom  time.Duration // start of the wait for a pull: its first request or last refusal; negative: not requested yet
 
 	lastPullAddress       string        // address of the last pull
 	pendingPull           pendingPull   // the pull that waits to be started
@@ -230,11 +231,9 @@
 		reachByAddress:     make(map[string]Reach),
 		expectedSince:      now,
 		confirmedAt:        never,
-		uncertainty:        Uncertainty{Until: never},
+		uncertainties:      Uncertainties{Fleet: Uncertainty{Until: never}, Domain: Uncertainty{Until: never}},
 		lastReadAt:         never,
-		failure:            readFailure{at: never, coveredUntil: never},
-		covered:            noCoverage,
-		gapFrom:            never,
+		readFailedAt:       never,
 		lastTick:           now,
 		resumedAt:          never,
 		lastHeartbeat:      never,
@@ -258,6 +257,7 @@
 		loadChanges:           make(Loads),
 		quotaPeers:            make(map[uint32]time.Duration),
 	}
+	n.fleetAnswers, n.domainAnswers = newOutageTrackers(cfg.Timing)
 	if !cfg.FirstStart {
 		n.sendHello(now) // callers are waiting, so running boxes should answer at once
 	}
@@ -275,10 +275,6 @@
 // ConfirmedAt returns the time at which the mirror was last known to be current.
 func (n *Node) ConfirmedAt() time.Duration { return n.confirmedAt }
 
-// DeletionsUncertainUntil returns the time until which entries that were removed after an outage
-// of the publisher may reappear.
-func (n *Node) DeletionsUncertainUntil() time.Duration { return n.covered.uncertainUntil }
-
 // Leave announces to the boxes of the domain that this box is about to stop, so that another box
 // takes over. A leader also announces it to the leaders of other domains.
 func (n *Node) Leave(now time.Duration) {
--- a/group/node_test.go
+++ b/group/node_test.go
@@ -155,7 +155,7 @@
 	w.run(2 * time.Second)
 	is.Equal(w.staleBoxes(), nil)
 	for _, name := range w.names {
-		is.True(w.boxes[name].node.DeletionsUncertainUntil() > w.now-time.Second) // removed entries may reappear
+		is.True(w.boxes[name].node.RemovalUncertainUntil("") > w.now-time.Second) // removed entries may reappear
 	}
 }
 
@@ -240,7 +240,7 @@
 	w.run(2 * time.Second)
 	is.True(leader.node.lastReadAt > w.now-2*time.Second) // it reads again
 	for _, name := range w.names {
-		is.True(w.boxes[name].node.DeletionsUncertainUntil() < 0)
+		is.True(w.boxes[name].node.RemovalUncertainUntil("") < 0)
 	}
 }
 
--- a/group/published.go
+++ b/group/published.go
@@ -144,7 +144,7 @@
 // mirror's revision, or all items if whole is set. The result was current at the time known. A
 // member that reads on behalf of its leader forwards the result to it.
 func (n *Node) HandleRead(now, known time.Duration, items []mirror.Item, revision uint64, whole bool) {
-	n.coverRead(now)
+	n.recordAnswer(now)
 	n.lastReadAt, n.readFailed = now, false
 	from := n.cfg.Mirror.Revision()
 	var changes []mirror.Item
@@ -164,5 +164,7 @@
 // lets another box that is reading go first.
 func (n *Node) ReadFailed(now time.Duration) {
 	n.readFailed, n.readStarted = true, false
-	n.failure = readFailure{at: now, coveredUntil: n.covered.until}
+	n.readFailedAt = now
+	n.fleetAnswers.fail(now)
+	n.domainAnswers.fail(now)
 }
--- a/group/reader.go
+++ b/group/reader.go
@@ -122,7 +122,7 @@
 // cannotRead reports whether this box failed to read the publisher lately. A box that is to read tries
 // again sooner than that; one that no longer is does not know.
 func (n *Node) cannotRead(now time.Duration) bool {
-	return n.readFailed && now-n.failure.at < n.cfg.Timing.DelegatedReadPeriod
+	return n.readFailed && now-n.readFailedAt < n.cfg.Timing.DelegatedReadPeriod
 }
 
 // leaderCannotRead reports whether the leader's last message said that it cannot read the
--- a/group/send.go
+++ b/group/send.go
@@ -225,14 +225,14 @@
 // newMessage returns a message with the fields common to all membership messages.
 func (n *Node) newMessage(now time.Duration) *wire.GroupMessage {
 	m := &wire.GroupMessage{
-		Sender:       n.cfg.Self,
-		Leaving:      n.leaving,
-		Revision:     n.cfg.Mirror.Revision(),
-		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.covered.uncertainUntil - now),
-		CoveredAge:   n.coveredAge(now),
-		Outage:       n.toldOutage(now),
-		Reading:      n.readingStatus(now),
+		Sender:         n.cfg.Self,
+		Leaving:        n.leaving,
+		Revision:       n.cfg.Mirror.Revision(),
+		ConfirmedAge:   micros(now - n.confirmedAt),
+		DoubtLeft:      micros(n.fleetAnswers.covered.uncertainUntil - now),
+		Coverage:       packCoverage(now, n.fleetAnswers.covered),
+		DomainCoverage: packCoverage(now, n.domainAnswers.covered),
+		Reading:        n.readingStatus(now),
 
 		WithheldDigest:   n.suspects.digest,
 		PartsEndedDigest: n.suspectParts.digest,
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -47,9 +47,8 @@
 	return &wire.MirrorResponse{
 		Revision:     n.cfg.Mirror.Revision(),
 		ConfirmedAge: micros(now - n.confirmedAt),
-		DoubtLeft:    micros(n.covered.uncertainUntil - now),
-		CoveredAge:   n.coveredAge(now),
-		Outage:       n.toldOutage(now),
+		DoubtLeft:    micros(n.fleetAnswers.covered.uncertainUntil - now),
+		Coverage:     packCoverage(now, n.fleetAnswers.covered),
 	}
 }
 
@@ -86,7 +85,7 @@
 		n.handlePullRefusal(now, r)
 		return
 	}
-	n.cover(now, n.lastPullAddress, coverageOf(now, asked, fromMicros(r.ConfirmedAge), r.CoveredAge, r.Outage, r.DoubtLeft))
+	n.receivePulledCoverage(now, asked, r)
 	items, ok := unpackItems(r.Items)
 	if len(r.Packed) > 0 {
 		items, ok = decompressItems(r.Packed)
--- a/group/uncertainty.go
+++ b/group/uncertainty.go
@@ -1,9 +1,10 @@
 package group
 
 // This file defines until when entries that were removed after an outage of the publisher may
-// reappear. The invariants: a box concludes an outage only from a failure of its own in a time in
-// which no box is known to have read, and takes it back when it hears of one that has; and a box that
-// was suspended does not prolong the time for others.
+// reappear. An outage of all boxes makes all entries uncertain. One of a failure domain, which could
+// neither read nor hear of others that could, makes the entries of its upstreams uncertain to its own
+// boxes. The invariants: a box takes back what it concluded when it hears of an answer in that time; and
+// a box that was suspended does not prolong the time for others.
 
 import (
 	"time"
@@ -15,105 +16,123 @@
 	// reappearPeriod is how long after the publisher returns a removed entry may reappear: 2 s plus a
 	// margin.
 	reappearPeriod = 2200 * time.Millisecond
-	// maxCoveredAge bounds the age of a coverage in messages.
+	// maxCoveredAge is the age from which a coverage is not told more exactly. It exceeds
+	// reappearPeriod, after which no outage matters any more.
 	maxCoveredAge = 10 * time.Second
 )
 
-// readFailure is this box's last failed read of the publisher.
-type readFailure struct {
-	at           time.Duration
-	coveredUntil time.Duration // until when other boxes were known to have read
-}
-
 // Uncertainty is what a box knows of removed entries that may reappear.
 type Uncertainty struct {
-	Until      time.Duration // until then removed entries may reappear
-	Source     string        // the box whose read, or whose message, has changed Until
-	Outage     time.Duration // how long no box could read before
-	FailureAge time.Duration // since this box's last failed read, at the change
+	Until  time.Duration // until then removed entries may reappear
+	Outage time.Duration // how long nobody had an answer before
+	Source string        // the box whose read, or whose message, has changed Until
+	// FailedAt is this box's last failed read before the change; what it concludes itself is based on
+	// that.
+	FailedAt time.Duration
 }
 
-// Uncertainty returns until when removed entries may reappear, and why.
-func (n *Node) Uncertainty() Uncertainty { return n.uncertainty }
+// Uncertainties are those of all entries, and of the entries of this box's failure domain alone.
+type Uncertainties struct{ Fleet, Domain Uncertainty }
 
-// cover adds to the time in which the publisher is known to have answered. source is the box that says
-// so.
-func (n *Node) cover(now time.Duration, source string, c coverage) {
-	before := n.covered
-	n.covered = n.coverageLimits().merge(before, c)
-	if n.covered.since > before.until {
-		n.gapFrom = before.until
-	}
-	if n.covered.uncertainUntil == n.uncertainty.Until {
-		return
+// Uncertainties returns until when removed entries may reappear, and why.
+func (n *Node) Uncertainties() Uncertainties { return n.uncertainties }
+
+// RemovalUncertainUntil returns the time until which the removed entry of an upstream in a failure domain
+// may reappear.
+func (n *Node) RemovalUncertainUntil(domain string) time.Duration {
+	until := n.fleetAnswers.covered.uncertainUntil
+	if domain == n.cfg.Self.Domain {
+		until = max(until, n.domainAnswers.covered.uncertainUntil)
 	}
-	n.uncertainty = Uncertainty{Until: n.covered.uncertainUntil, Source: source, Outage: n.covered.outage, FailureAge: now - n.failure.at}
+	return until
 }
 
-func (n *Node) coverageLimits() coverageLimits {
-	return coverageLimits{maxGap: n.cfg.Timing.StaleAfter, maxSpread: maxLeaderReadBackoff}
+// takeoverMargin is how much later than its turn a box may have its first answer: a tick, and the call.
+const takeoverMargin = 200 * time.Millisecond
+
+// newOutageTrackers returns the trackers of the fleet and of this box's failure domain. A time without an
+// answer is an outage of the fleet only if each box that can read would have had its turn to. It is one
+// of the domain only if others would count its boxes as gone.
+func newOutageTrackers(t Timing) (fleet, domain outageTracker) {
+	lastTurn := t.StaleAfter + maxStaggerRank*t.Stagger
+	limits := coverageLimits{maxGap: t.StaleAfter, minOutage: lastTurn + takeoverMargin, maxSpread: maxLeaderReadBackoff}
+	fleet = newOutageTracker(limits)
+	limits.minOutage = t.MemberTimeout
+	return fleet, newOutageTracker(limits)
 }
 
-// coverRead adds a successful read of this box.
-func (n *Node) coverRead(now time.Duration) {
-	c := coverage{since: now, until: now, uncertainUntil: never}
-	if outage := n.endedOutage(now); outage > n.cfg.Timing.StaleAfter && n.agesAreValid(now) {
-		c.outage, c.uncertainUntil = outage, now+reappearPeriod
+// recordAnswer records that this box has read the publisher.
+func (n *Node) recordAnswer(now time.Duration) {
+	if n.agesAreValid(now) {
+		n.fleetAnswers.answer(now, n.ranSince())
+		n.domainAnswers.answer(now, n.ranSince())
+		n.noteUncertainties(n.cfg.Self.Name)
 	}
-	n.cover(now, n.cfg.Self.Name, c)
+	n.fleetAnswers.failedAt, n.domainAnswers.failedAt = never, never
 }
 
-// endedOutage returns for how long no box could read before a read of this box whose last read failed,
-// or 0 if others could.
-func (n *Node) endedOutage(now time.Duration) time.Duration {
-	f := n.failure
-	if !n.readFailed {
-		return 0
-	}
-	if n.covered.until <= f.at {
-		return now - n.covered.until // no box is known to have read since the failure
-	}
-	othersReturned := now-n.covered.since <= n.coverageLimits().maxSpread
-	if othersReturned && f.at > n.gapFrom && f.coveredUntil < n.covered.since {
-		return now - n.gapFrom // others could not read at the failure either, and have begun to only just now
+// ranSince returns the time since which this box has run without a suspension.
+func (n *Node) ranSince() time.Duration { return max(n.started, n.resumedAt) }
+
+// receiveCoverage records what another box says about the publisher's answers.
+func (n *Node) receiveCoverage(now time.Duration, m *wire.GroupMessage) {
+	age := fromMicros(m.ConfirmedAge)
+	confirmed := now - age
+	n.fleetAnswers.add(coverageOf(now, now, confirmed, m.Coverage))
+	switch {
+	case m.Sender.Domain != n.cfg.Self.Domain && age <= n.cfg.Timing.StaleAfter:
+		n.domainAnswers.answer(now, n.ranSince()) // this domain hears of answers
+	case m.Sender.Domain == n.cfg.Self.Domain && m.DomainCoverage != nil:
+		n.domainAnswers.add(coverageOf(now, now, confirmed, m.DomainCoverage))
 	}
-	return 0
+	n.noteUncertainties(m.Sender.Name)
 }
 
-// receiveCoverage adds what another box says about the publisher. The sender's copy was current at the
-// time confirmed.
-func (n *Node) receiveCoverage(now time.Duration, m *wire.GroupMessage) {
-	n.cover(now, m.Sender.Name, coverageOf(now, now, fromMicros(m.ConfirmedAge), m.CoveredAge, m.Outage, m.DoubtLeft))
+// receivePulledCoverage records what the response to a pull that was requested at a time says.
+func (n *Node) receivePulledCoverage(now, asked time.Duration, r *wire.MirrorResponse) {
+	n.fleetAnswers.add(coverageOf(now, asked, asked-fromMicros(r.ConfirmedAge), r.Coverage))
+	n.noteUncertainties(n.lastPullAddress)
 }
 
-// coverageOf returns the coverage that a message describes. Its ages count from sent at the earliest,
-// and from now at the latest.
-func coverageOf(now, sent, confirmedAge time.Duration, coveredAge, outage, doubtLeft uint64) coverage {
-	confirmed := sent - confirmedAge
-	c := coverage{since: confirmed, until: confirmed, uncertainUntil: never}
-	if coveredAge > 0 {
-		c.since = now - fromMicros(coveredAge)
-		c.until = max(c.since, confirmed)
-	}
-	if outage > 0 && doubtLeft > 0 {
-		c.outage, c.uncertainUntil = fromMicros(outage), sent+fromMicros(doubtLeft)
+// noteUncertainties records which box has changed until when removed entries may reappear.
+func (n *Node) noteUncertainties(source string) {
+	update := func(u *Uncertainty, c coverage) {
+		if u.Until != c.uncertainUntil {
+			*u = Uncertainty{Until: c.uncertainUntil, Outage: c.outage, Source: source, FailedAt: n.readFailedAt}
+		}
 	}
-	return c
+	update(&n.uncertainties.Fleet, n.fleetAnswers.covered)
+	update(&n.uncertainties.Domain, n.domainAnswers.covered)
 }
 
-// coveredAge returns the age of the coverage in messages, in microseconds; 0 if there is none.
-func (n *Node) coveredAge(now time.Duration) uint64 {
-	if n.covered.since == never {
-		return 0
+// coverageOf returns the coverage that a message describes, whose sender's copy was current at the time
+// confirmed. Its ages count from now, and the time left from sent, which may be earlier.
+func coverageOf(now, sent, confirmed time.Duration, m *wire.GroupCoverage) coverage {
+	if m == nil {
+		return coverageFrom(confirmed, confirmed)
+	}
+	age := maxCoveredAge
+	if m.Age > 0 {
+		age = fromMicros(m.Age)
 	}
-	return max(1, micros(min(now-n.covered.since, maxCoveredAge)))
+	c := coverageFrom(now-age, max(now-age, confirmed))
+	if m.Outage > 0 && m.DoubtLeft > 0 {
+		c.outage, c.uncertainUntil = fromMicros(m.Outage), sent+fromMicros(m.DoubtLeft)
+	}
+	return c
 }
 
-// toldOutage returns the outage in messages, in microseconds; 0 if removed entries do not reappear any
-// more.
-func (n *Node) toldOutage(now time.Duration) uint64 {
-	if n.covered.uncertainUntil <= now {
-		return 0
+// packCoverage returns a coverage for a message; nil if nothing is known.
+func packCoverage(now time.Duration, c coverage) *wire.GroupCoverage {
+	if c.since == never {
+		return nil
+	}
+	m := new(wire.GroupCoverage)
+	if age := now - c.since; age < maxCoveredAge {
+		m.Age = max(1, micros(age))
+	}
+	if c.uncertainUntil > now {
+		m.Outage, m.DoubtLeft = micros(c.outage), micros(c.uncertainUntil-now)
 	}
-	return micros(min(n.covered.outage, maxAge))
+	return m
 }
--- a/group/uncertainty_test.go
+++ b/group/uncertainty_test.go
@@ -13,7 +13,7 @@
 	latest := never
 	for _, b := range w.boxes {
 		if !b.frozen {
-			latest = max(latest, b.node.DeletionsUncertainUntil())
+			latest = max(latest, b.node.RemovalUncertainUntil(b.self.Domain))
 		}
 	}
 	return latest
@@ -141,11 +141,13 @@
 					w.run(100 * time.Millisecond)
 					for _, name := range w.names {
 						if w.boxes[name].self.Domain != domainName(domain) {
-							is.True(w.boxes[name].node.DeletionsUncertainUntil() < w.now) // it has read all the time
+							is.True(w.boxes[name].node.RemovalUncertainUntil(domainName(domain)) < w.now) // it has read all the time
 						}
 					}
 				}
-				is.True(w.uncertainUntil() < w.now-1500*time.Millisecond) // the domain has heard the others
+				for _, name := range names {
+					is.True(w.boxes[name].node.RemovalUncertainUntil("") < w.now-1500*time.Millisecond) // it has heard the others
+				}
 			}
 		})
 	}
@@ -185,7 +187,7 @@
 				w.run(time.Second)
 				for _, name := range w.names {
 					if b := w.boxes[name]; !b.dead && !b.frozen {
-						is.True(b.node.DeletionsUncertainUntil() >= back+2*time.Second)
+						is.True(b.node.RemovalUncertainUntil("") >= back+2*time.Second)
 					}
 				}
 			}
@@ -221,19 +223,95 @@
 			is := is.New(t)
 			w := newSimulation(t, 1)
 			n := w.start("box", "domain0", 1, false).node
-			for _, e := range test.events {
-				n.Tick(ms(e.at))
-				if e.covered == nil {
-					n.ReadFailed(ms(e.at))
-					continue
-				}
-				n.cover(ms(e.at), "other", *e.covered)
-			}
-			for at := test.readAt - 300; at <= test.readAt; at += 100 { // it was not suspended
+			events := test.events
+			for at := 0; at <= test.readAt; at += 100 {
 				n.Tick(ms(at))
+				for ; len(events) > 0 && events[0].at <= at; events = events[1:] {
+					if c := events[0].covered; c != nil {
+						n.fleetAnswers.add(*c)
+					} else {
+						n.ReadFailed(ms(at))
+					}
+				}
 			}
 			n.HandleRead(ms(test.readAt), ms(test.readAt), nil, 0, false)
-			is.Equal(n.DeletionsUncertainUntil() > ms(test.readAt), test.uncertain)
+			is.Equal(n.RemovalUncertainUntil("") > ms(test.readAt), test.uncertain)
+		})
+	}
+}
+
+// The upstreams of a domain that is cut off cannot renew their entries, which lapse. Its boxes dropped them
+// when they were back, though they were reachable all the time.
+func TestEntriesThatLapseWhileDomainIsCutOffAreDropped(t *testing.T) {
+	for _, cut := range []time.Duration{5 * time.Second, 9 * time.Second, 20 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newSimulation(t, 60+seed)
+				w.failureDelay = 900 * time.Millisecond
+				w.startFleet(3, 2)
+				w.run(5 * time.Second)
+				own := domainName(int(seed) % 3)
+				names := []string{boxName(int(seed)%3, 0), boxName(int(seed)%3, 1)}
+				w.cutDomains[own] = true
+				w.setRefused(true, names...)
+				w.run(cut + time.Duration(seed)*50*time.Millisecond)
+				clear(w.cutDomains)
+				w.setRefused(false, names...)
+				back := w.now
+				for w.boxes[names[0]].node.ConfirmedAt() < back || w.boxes[names[1]].node.ConfirmedAt() < back {
+					w.run(step)
+				}
+				for _, name := range names {
+					is.True(w.boxes[name].node.RemovalUncertainUntil(own) >= back+2*time.Second)
+				}
+				w.run(time.Second)
+				for _, name := range w.names {
+					n := w.boxes[name].node
+					is.Equal(n.RemovalUncertainUntil(own) >= back+2*time.Second, w.boxes[name].self.Domain == own)
+					is.True(n.RemovalUncertainUntil("") < w.now)
+				}
+				w.run(2 * time.Second)
+				is.True(w.uncertainUntil() < w.now)
+			}
+		})
+	}
+}
+
+// A box that was cut off alone, or that was frozen, took that for a cut of its domain.
+func TestCutOfOneBoxIsTakenForThatOfItsDomain(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		box    string
+		frozen bool
+	}{
+		{"the reader", boxName(0, 0), false},
+		{"a leader", boxName(1, 0), false},
+		{"a member", boxName(2, 1), false},
+		{"the reader, frozen", boxName(0, 0), true},
+		{"a member, frozen", boxName(2, 1), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newSimulation(t, 60+seed)
+				w.failureDelay = 900 * time.Millisecond
+				w.startFleet(3, 3)
+				w.run(5 * time.Second)
+				w.isolated[test.box], w.boxes[test.box].frozen = !test.frozen, test.frozen
+				w.setRefused(true, test.box)
+				w.run(6*time.Second + time.Duration(seed)*50*time.Millisecond)
+				w.isolated[test.box], w.boxes[test.box].frozen = false, false
+				w.setRefused(false, test.box)
+				for range 30 {
+					w.run(100 * time.Millisecond)
+					for _, name := range w.names {
+						b := w.boxes[name]
+						is.True(name == test.box || b.node.RemovalUncertainUntil(b.self.Domain) < w.now) // it has heard of answers all the time
+					}
+				}
+				is.True(w.uncertainUntil() < w.now-1500*time.Millisecond)
+			}
 		})
 	}
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -72,7 +72,7 @@
 	missing       map[string]struct{} // upstreams whose entries were removed while removals are uncertain
 	rejected      map[string]uint64   // by key: hash of the content last logged as rejected
 
-	loggedUncertainty time.Duration // until when removed entries may reappear, as last logged
+	loggedUncertain group.Uncertainties // as last logged
 }
 
 func newMembers(r *Relay) (*members, error) {
@@ -100,7 +100,7 @@
 		LinkRate:    r.cfg.LinkBandwidth,
 		DomainCount: len(r.cfg.Regions),
 	}, r.now())
-	m.loggedUncertainty = m.node.Uncertainty().Until
+	m.loggedUncertain = m.node.Uncertainties()
 	return m, m.listen()
 }
 
@@ -185,7 +185,7 @@
 		m.boxes.Store(int64(m.node.BoxCount()))
 	}
 	m.divisor.Store(int64(m.node.Divisor()))
-	m.logUncertainty()
+	m.logUncertainties()
 	m.updateReading()
 	m.updateLeader()
 	m.updateInformed()
--- a/relay/update.go
+++ b/relay/update.go
@@ -218,17 +218,27 @@
 			m.logRejected(item, err)
 			update = Update{Invalid: update.Invalid}
 		}
-		m.relay.applyUpdate(update, m.node.DeletionsUncertainUntil(), m.missing)
+		m.relay.applyUpdate(update, m.uncertainUntil(update.Removed), m.missing)
 	}
 }
 
+// uncertainUntil returns the time until which the removed entry of an upstream may reappear.
+func (m *members) uncertainUntil(id string) time.Duration {
+	m.relay.mu.Lock()
+	defer m.relay.mu.Unlock()
+	domain := ""
+	if u := m.relay.fleet.Get(id); u != nil {
+		domain = u.Domain
+	}
+	return m.node.RemovalUncertainUntil(domain)
+}
+
 // dropMissing drops the upstreams whose entries did not come back while they might have.
 func (m *members) dropMissing() {
-	if len(m.missing) == 0 || m.relay.now() < m.node.DeletionsUncertainUntil() {
-		return
-	}
 	for id := range m.missing {
-		m.relay.dropUpstream(id, "gone from the list")
+		if m.relay.now() >= m.uncertainUntil(id) {
+			delete(m.missing, id)
+			m.relay.dropUpstream(id, "gone from the list")
+		}
 	}
-	clear(m.missing)
 }
--- a/relay/update_test.go
+++ b/relay/update_test.go
@@ -87,3 +87,36 @@
 	is.Equal(len(r.fleet.IDs()), 2*maxItemsPerBatch)
 	is.Equal(time.Duration(r.published.confirmedAt.Load()), m.node.ConfirmedAt())
 }
+
+// The upstreams of a domain that was cut off could not renew their entries; its boxes dropped them when
+// they were back.
+func TestUpstreamsOfReturningDomainAreDropped(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{startedAt: time.Now(), fleet: newEmptyFleet(), conns: newConnPool(nil), stats: newStats(),
+		cfg: Config{Box: "box", Log: NewLog("box", io.Discard), Decode: decodeItem, Self: &wire.GroupBox{Name: "box", Domain: "d", Boot: 1}, Timing: group.DefaultTiming, Boxes: 1}}
+	m, err := newMembers(r)
+	is.NoErr(err)
+	items := []mirror.Item{
+		{Key: "own", Revision: 1, Value: []byte(`{"ID":"own","Service":"s","Domain":"d","Address":"10.0.0.1:1"}`)},
+		{Key: "other", Revision: 1, Value: []byte(`{"ID":"other","Service":"s","Domain":"e","Address":"10.0.0.1:2"}`)},
+	}
+	m.node.HandleRead(r.now(), r.now(), items, 1, true)
+	m.applyBacklog()
+	is.Equal(len(r.fleet.IDs()), 2)
+	for i := range items {
+		items[i].Deleted, items[i].Revision = true, 2
+	}
+	lapsed := &wire.GroupMessage{Sender: &wire.GroupBox{Name: "leader", Domain: "d", Boot: 1, Strength: 1}, Leads: true, Revision: 1, Coverage: &wire.GroupCoverage{},
+		DomainCoverage: &wire.GroupCoverage{Age: 1, Outage: uint64((5 * time.Second).Microseconds()), DoubtLeft: uint64(time.Second.Microseconds())}}
+	m.node.Handle(r.now(), lapsed)
+	m.node.HandleRead(r.now(), r.now(), items, 2, false)
+	m.applyBacklog()
+	is.Equal(r.fleet.IDs(), []string{"own"}) // the other one had a publisher all the time
+	m.dropMissing()
+	is.Equal(r.fleet.IDs(), []string{"own"})
+	lapsed.DomainCoverage = &wire.GroupCoverage{} // the domain has heard of answers after all
+	m.node.Handle(r.now(), lapsed)
+	m.dropMissing()
+	is.Equal(len(r.fleet.IDs()), 0)
+	is.NoErr(r.cfg.Log.Close())
+}
