Streams: a box that missed answers of others does not know which versions served

What callers would see: a stream joined from two software versions (ORDER), taken up at a box that had been cut off alone, or stood still, while a version came, began the stream and went.

Cause, on the related paths of the outage of one box: a box took its own list for all that had been listed, however long it had heard nothing; one of the first start for good. Hypothesis: what boxes tell each other of answers shows which of them a box has missed; nothing is missed while nobody has any.

Change: after a gap of its copy in which others had answers, a box's history of versions begins anew, and what another box vouched for before no longer counts. It asks the others, as one that has just started.

Measured: TestBoxThatWasCutOffTakesUpStreamAtTheSoftwareThatItKnows: 200 before, 503 "not run" now.

Conclusion: knowledge of the past is as good as the time in which a box heard of it.

--- a/balance/fleet.go
+++ b/balance/fleet.go
@@ -110,6 +110,7 @@
 	prefillRate      float64                        // prompt tokens that an upstream reads per ms
 	firstListedAt    time.Duration                  // when the first upstream was listed
 	knownSince       time.Duration                  // when any upstream was first listed; longAgo: none was
+	historyLostAt    time.Duration                  // when versions were last listed that this box did not know of; longAgo: never
 	streamSpan       time.Duration                  // the longest time that a stream may last
 	secondSoftware   []string                       // services not yet returned by TakeSecondSoftware
 
@@ -157,6 +158,7 @@
 		memoryShare:    1,
 		priorsUntil:    math.MaxInt64,
 		knownSince:     longAgo,
+		historyLostAt:  longAgo,
 		streamSpan:     defaultStreamSpan,
 	}
 }
--- a/balance/software.go
+++ b/balance/software.go
@@ -102,7 +102,26 @@
 
 // knowsHistory reports whether this box knows every version of a service that may have open streams.
 func (f *Fleet) knowsHistory(now time.Duration, service string) bool {
-	return f.cfg.FirstStart || f.knownSince != longAgo && now-f.knownSince >= f.streamSpan || f.serviceOf(service).software.vouched
+	if f.serviceOf(service).software.vouched {
+		return true
+	}
+	if f.historyLostAt == longAgo && f.cfg.FirstStart {
+		return true
+	}
+	since := max(f.knownSince, f.historyLostAt)
+	return since != longAgo && now-since >= f.streamSpan
+}
+
+// LoseHistory records that until a time versions may have been listed and unlisted that this box does
+// not know of.
+func (f *Fleet) LoseHistory(until time.Duration) {
+	if until <= f.historyLostAt {
+		return
+	}
+	f.historyLostAt = until
+	for _, s := range f.services {
+		s.software.vouched = false
+	}
 }
 
 // Vouch records that, as another box knows, only one version of a service can have begun any open
--- a/group/node.go
+++ b/group/node.go
@@ -6,7 +6,7 @@
 // and linkbudget.go bounds what lists of boxes take of a link.
 // published.go, changes.go, pull.go, snapshot.go and restart.go distribute published data, and
 // coverage.go, outage.go
-// and uncertainty.go define until when removed entries may reappear.
+// and uncertainty.go define until when removed entries may reappear, missed.go what this box missed.
 // load.go, loadchanges.go and recipients.go exchange loads. unreachable.go tracks unreachable
 // domains, and region.go selects the region leader. lane.go exchanges the division of services
 // into lanes, sentparts.go the prompt parts sent to upstreams, suspects.go the requests that
@@ -151,6 +151,8 @@
 	confirmedAt   time.Duration // when the mirror was last known to be current
 	fleetAnswers  outageTracker // what all boxes got from the publisher
 	domainAnswers outageTracker // what this box's domain got from it, or heard of
+	copyGap       copyGap       // when this box's copy was last not confirmed
+	missedUntil   time.Duration // until when others had answers that this box did not know of
 	uncertainties Uncertainties // whether entries removed after an outage of the publisher may reappear
 	lastReadAt    time.Duration // last successful read of the publisher by this box
 	readFailed    bool          // this box's last read failed
@@ -233,6 +235,8 @@
 		confirmedAt:        never,
 		uncertainties:      Uncertainties{Fleet: Uncertainty{Until: never}, Domain: Uncertainty{Until: never}},
 		lastReadAt:         never,
+		copyGap:            copyGap{never, never},
+		missedUntil:        never,
 		readFailedAt:       never,
 		lastTick:           now,
 		resumedAt:          never,
--- a/group/published.go
+++ b/group/published.go
@@ -32,7 +32,7 @@
 		request.Ask = true
 		n.send(m.Sender.Address, request)
 	case m.Revision <= revision && m.Revision > 0 && n.agesAreValid(now):
-		n.confirmedAt = max(n.confirmedAt, now-fromMicros(m.ConfirmedAge))
+		n.confirm(now - fromMicros(m.ConfirmedAge))
 	}
 }
 
@@ -153,7 +153,7 @@
 	} else {
 		changes, _ = n.cfg.Mirror.Apply(from, revision, items)
 	}
-	n.confirmedAt = max(n.confirmedAt, known)
+	n.confirm(known)
 	n.announceChanges(now, changes, from)
 	if !n.IsLeader() {
 		n.sendAll(n.leader().Address, n.itemMessages(now, from, changes))
--- a/group/snapshot.go
+++ b/group/snapshot.go
@@ -105,7 +105,7 @@
 		n.snapshot = packedSnapshot{r.Revision, r.Packed} // the next box that pulls is sent the same bytes, without encoding them again
 	}
 	if r.Revision >= from && n.agesAreValid(now) {
-		n.confirmedAt = max(n.confirmedAt, asked-fromMicros(r.ConfirmedAge))
+		n.confirm(asked - fromMicros(r.ConfirmedAge))
 	}
 	n.announceChanges(now, changes, from)
 }
--- a/group/uncertainty.go
+++ b/group/uncertainty.go
@@ -103,6 +103,7 @@
 	}
 	update(&n.uncertainties.Fleet, n.fleetAnswers.covered)
 	update(&n.uncertainties.Domain, n.domainAnswers.covered)
+	n.noteMissed()
 }
 
 // coverageOf returns the coverage that a message describes, whose sender's copy was current at the time
--- a/relay/members.go
+++ b/relay/members.go
@@ -72,6 +72,7 @@
 	missing       map[string]struct{} // upstreams whose entries were removed while removals are uncertain
 	rejected      map[string]uint64   // by key: hash of the content last logged as rejected
 
+	missedUntil     time.Duration       // until when others had answers that this box did not know of
 	loggedUncertain group.Uncertainties // as last logged
 }
 
@@ -101,6 +102,7 @@
 		DomainCount: len(r.cfg.Regions),
 	}, r.now())
 	m.loggedUncertain = m.node.Uncertainties()
+	m.missedUntil = m.node.MissedUntil()
 	return m, m.listen()
 }
 
@@ -178,6 +180,7 @@
 	m.shareReachReports(ctx)
 	m.sendPending(ctx)
 	m.publishRevision()
+	m.syncMissed()
 	if len(m.backlog) == 0 { // otherwise the box still uses older data
 		m.relay.published.confirmedAt.Store(int64(m.node.ConfirmedAt()))
 	}
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -160,6 +160,13 @@
 	return b
 }
 
+// setUnavailable makes all reads fail, or serves them again.
+func (b *fakePublisher) setUnavailable(unavailable bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unavailable = unavailable
+}
+
 func (b *fakePublisher) set(key string, v any, gone bool) {
 	value, err := json.Marshal(v)
 	if err != nil {
--- a/relay/sync.go
+++ b/relay/sync.go
@@ -36,6 +36,19 @@
 	m.setLimits(m.relay.now())
 }
 
+// syncMissed tells the fleet what this box has missed, before its data counts as current again.
+func (m *members) syncMissed() {
+	missed := m.node.MissedUntil()
+	if missed == m.missedUntil {
+		return
+	}
+	m.missedUntil = missed
+	m.relay.mu.Lock()
+	defer m.relay.mu.Unlock()
+	m.relay.fleet.LoseHistory(missed)
+	m.relay.cfg.Log.Event("publisher", "answers missed", Fields{"until_age_ms": (m.relay.now() - missed).Milliseconds(), "age_ms": m.relay.publishedAge().Milliseconds()})
+}
+
 // updateLoads passes this box's loads to the node as soon as they have changed.
 func (m *members) updateLoads() {
 	m.relay.mu.Lock()
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -227,6 +227,23 @@
 	}
 }
 
+// A box that had been cut off took its list for all that had served meanwhile: a stream that another
+// version had begun, which came and went, was taken up at the one that it knew.
+func TestBoxThatWasCutOffTakesUpStreamAtTheSoftwareThatItKnows(t *testing.T) {
+	is := is.New(t)
+	b := newTestBox(t, newSoftwareStubs(t, 1, "v1")...)
+	is.Equal(b.takeUp("s", "s-again", 2).status, http.StatusOK) // it has known all versions since the first start
+	b.publisher.setUnavailable(true)
+	b.waitFor(func() bool { return b.relay.publishedAge() > 3*time.Second })
+	b.publisher.setUnavailable(false)
+	others := &wire.GroupMessage{Sender: &wire.GroupBox{Name: "other", Domain: "e", Address: "127.0.0.1:1", Boot: 1}, Leads: true, Reads: true,
+		Revision: b.relay.members.revision.Load(), Coverage: &wire.GroupCoverage{}}
+	for b.relay.members.events.TryPush(memberEvent{message: others}); !b.log.contains("answers missed"); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(b.takeUp("t", "t-again", 2).status, http.StatusServiceUnavailable)
+}
+
 // The version that began a stream has no upstream any more: another failure than an unknown origin.
 func TestStreamOfGoneSoftwareIsRefusedWithItsReason(t *testing.T) {
 	is := is.New(t)
