Planned stop: lines tell what callers' connections are doing

The lines of a planned stop told how many admitted requests were not over, and nothing of connections: whether a connection that kept a box from its end was unused, in the middle of a request, or had an answer that its caller did not take could not be told apart, and a request's line did not tell that it came during a stop.

Each connection of a caller has a state by a chart now (relay/caller.chart.json); the lines of a stop count the states and name the connections that are not at rest, and lines of requests tell when in a stop they arrived and on what connection. No decision has changed.

--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -23,8 +23,12 @@
 	if r.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
-	x, refused := r.admit(q, ctx.Conn())
 	c := callerOf(ctx)
+	if c != nil {
+		c.step(callerRead)
+		defer c.step(callerAnswer)
+	}
+	x, refused := r.admit(q, ctx.Conn())
 	if refused == nil {
 		refused = x.refuseWithheld()
 	}
@@ -35,7 +39,7 @@
 		if refused.reason == callerLeft {
 			ctx.SetConnectionClose()
 		}
-		r.logRefused(q, *refused, x)
+		r.logRefused(q, c, *refused, x)
 		r.sendRefusal(ctx, q, *refused)
 		return
 	}
@@ -59,10 +63,12 @@
 	return nil
 }
 
-// logRefused logs and counts a request that was not admitted. x is nil if admit refused it.
-func (r *Relay) logRefused(q *request, refused refusal, x *exchange) {
+// logRefused logs and counts a request that was not admitted. c is nil if the connection did not come
+// from callerListener, x if admit refused the request.
+func (r *Relay) logRefused(q *request, c *callerConn, refused refusal, x *exchange) {
 	fields := Fields{"id": q.id, "status": refused.status, "reason": refused.reason, "host": q.host,
 		"path": q.path(), "version": r.documentVersion(), "age_ms": r.publishedAge().Milliseconds()}
+	r.addStopFields(fields, c, time.Now())
 	if x != nil && refused.reason == withheldReason {
 		r.addVerdictFields(fields, x)
 		fields["content"], fields["route"], fields["customer"] = formatContentHash(x.requestHash()), x.route.Name, x.customerName()
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -54,6 +54,7 @@
 		}
 		c := newCallerConn(l.relay, conn)
 		if c.lease.Grow(callerBytes, fullShare) {
+			l.relay.callerServer.conns.add(c)
 			return c, nil
 		}
 		l.relay.logTurnedAway("", "connection")
@@ -77,6 +78,8 @@
 	reused         bool        // a request was awaited on this connection before
 	requestCharged bool        // a request is active, or was since the lease was last shrunk
 	aborted        atomic.Bool // the caller was disconnected because it does not read
+
+	progress callerProgress
 }
 
 var (
@@ -133,10 +136,12 @@
 		_ = c.SetReadDeadline(time.Now().Add(limits.IdleWait))
 	}
 	c.reused = true
+	c.step(callerAwait)
 	n, err := c.Conn.Read(first)
 	if err != nil {
 		return n, err
 	}
+	c.step(callerReceive)
 	headerWait := limits.HeaderWait
 	if headerWait == 0 {
 		headerWait = readTimeout
@@ -146,6 +151,9 @@
 	return n, nil
 }
 
+// step applies an event to the connection's state.
+func (c *callerConn) step(event int) { c.relay.callerServer.conns.step(c, event) }
+
 // limits returns the limits of the current document.
 func (c *callerConn) limits() route.Limits {
 	if doc := c.relay.published.document(); doc != nil {
@@ -234,6 +242,7 @@
 
 // Close implements net.Conn. It releases all memory charged for the connection.
 func (c *callerConn) Close() error {
+	defer c.step(callerClose)
 	c.lease.Close()
 	if errors.Is(c.readErr, errMemoryShort) {
 		c.drain()
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -7,7 +7,7 @@
 // The files by area:
 //
 //   - start, stop and clocks: relay.go, stop.go, suspension.go
-//   - callers: accept.go, server.go, caller.go, collect.go, request.go, disconnect.go, callerwrite.go, refusal.go
+//   - callers: accept.go, server.go, callerstate.go, caller.go, collect.go, request.go, disconnect.go, callerwrite.go, refusal.go
 //   - a request from its admission (arrival.go, documentwait.go) to its end (exchange.go), with its retries
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
 //   - responses: response.go, bounded.go, body.go, events.go, stream.go, streamend.go, pace.go, and moving a stream between
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -193,6 +193,7 @@
 	if x.runsCut > 0 {
 		f["cut_off"], f["content"] = x.runsCut, formatContentHash(x.requestHash())
 	}
+	x.relay.addStopFields(f, x.caller, x.arrived)
 	if x.response != nil {
 		f["status"] = x.response.header.StatusCode()
 	} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,7 +109,8 @@
 
 	probeWake    chan struct{} // readable when a connection to an upstream has failed
 	stopping     atomic.Bool
-	graceOver    atomic.Bool // the grace period of a planned stop has passed
+	stopBegan    atomic.Int64 // time.Duration since the start; 0: no planned stop has begun
+	graceOver    atomic.Bool  // the grace period of a planned stop has passed
 	cancel       context.CancelFunc
 	endedTasks   chan string // receives the name of each background task that has ended
 	runningTasks int
--- a/relay/server.go
+++ b/relay/server.go
@@ -29,12 +29,13 @@
 type callerServer struct {
 	relay   *Relay
 	callers *acceptor
+	conns   *callerConns
 	server  *fasthttp.Server
 	ready   *fasthttp.Server
 }
 
 func newCallerServer(r *Relay) *callerServer {
-	f := &callerServer{relay: r, callers: &acceptor{Listener: r.cfg.CallerListener, relay: r, serves: "callers"}}
+	f := &callerServer{relay: r, conns: newCallerConns(), callers: &acceptor{Listener: r.cfg.CallerListener, relay: r, serves: "callers"}}
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
 		ErrorHandler:                  f.handleReadError,
@@ -108,9 +109,12 @@
 
 // handleReadError answers input that could not be read as a request.
 func (f *callerServer) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if c := callerOf(ctx); c != nil && errors.Is(c.readErr, errMemoryShort) {
-		f.refuseForMemory(ctx, c)
-		return
+	if c := callerOf(ctx); c != nil {
+		c.step(callerAnswer)
+		if errors.Is(c.readErr, errMemoryShort) {
+			f.refuseForMemory(ctx, c)
+			return
+		}
 	}
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -20,9 +20,10 @@
 // the load balancer has stopped sending them, and then waits for active requests. Idle connections are
 // closed before anything else, so that no request is accepted that would not be answered.
 func (r *Relay) Stop() {
+	r.stopBegan.Store(int64(time.Since(r.startedAt)))
 	r.stopping.Store(true)
 	r.wakeAll()
-	r.cfg.Log.Event("box", "stop", Fields{"open": r.stats.openRequests.Load()})
+	r.cfg.Log.Event("box", "stop", r.callerServer.conns.addStates(Fields{"open": r.stats.openRequests.Load()}))
 	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.StopTimeout-graceMargin)
 	defer cancel()
 	r.members.leave(ctx)
@@ -31,8 +32,10 @@
 	// The server keeps serving its open connections after its shutdown has returned.
 	context.AfterFunc(ctx, func() { r.graceOver.Store(true) })
 	if err := r.callerServer.close(ctx); err != nil {
-		r.cfg.Log.Event("box", "stopped with active requests", Fields{"open": r.stats.openRequests.Load(), "error": err.Error()})
+		fields := Fields{"open": r.stats.openRequests.Load(), "error": err.Error()}
+		r.cfg.Log.Event("box", "stopped with active requests", r.callerServer.conns.addStates(fields))
 		r.logRequestsCut()
+		r.logCallersCut()
 	}
 	r.origins.handOver()
 	r.tunnelServer.drain(ctx)
@@ -62,6 +65,15 @@
 		if x.customer != nil {
 			f["customer"] = x.customer.Name
 		}
+		r.addStopFields(f, x.caller, x.arrived)
 		r.cfg.Log.Event("request", "cut by the stop", f)
 	}
 }
+
+// logCallersCut logs each connection on which a request is arriving, waits or is answered when the
+// grace period ends.
+func (r *Relay) logCallersCut() {
+	for _, f := range r.callerServer.conns.cutFields() {
+		r.cfg.Log.Event("caller", "cut by the stop", f)
+	}
+}
