Planned stop: the box takes only requests that it can be expected to answer

What callers saw: a stream that a box had sent on after SIGTERM was closed without a whole answer when the box ended (LOST).

Cause: what a stopping box takes was decided by which connections were open, and that by the HTTP server, which counts a connection without a request as idle only 5 s after it was opened, and one in the middle of a request not at all. Until the last moment of the grace a request on such a connection was sent on, however long it would run. Evidence: the lines of the reproduction (stopping_ms 5,500 to 7,400, conn_requests 1).

Hypothesis: a box that knows how long requests of a route take can tell which it can still answer, whatever connection they come on.

Change: a request that arrives during a stop is taken if its own time ends within the grace, or if what was answered of its route of late took less: 95 in 100 while load balancers still send, twice the longest afterwards. Else it is refused as not run and may go to another box at once. Lines tell by what it was decided.

Conclusion: whether an answer can still be given is decided where a request is taken. What remains open: connections at rest are still closed by the server's own rules, and what is active at the end of the grace is cut without an answer.

--- /dev/null
+++ b/balance/runtimes.go
@@ -0,0 +1,83 @@
+package balance
+
+// This file defines which requests a box that is about to stop still takes. The invariant: a request
+// is taken only if its own time is over before the box ends, or requests like it have recently taken
+// less time than the box has left.
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// recentRunTimes is how many times are kept of each class.
+	recentRunTimes = 64
+	// minRunTimes is how many of them are needed to judge by.
+	minRunTimes = 8
+	// maxRunTimeClasses bounds the number of classes.
+	maxRunTimeClasses = 1 << 12
+	// usualRunTime is the quantile of the times that decides while load balancers still send requests. A
+	// refusal delays a caller by the way to another box, a cut costs it the work done.
+	usualRunTime = 0.95
+	// lateRunTimeFactor multiplies the longest of the times afterwards: such requests are few, and
+	// their callers do not expect to be cut off by a stop that began seconds before.
+	lateRunTimeFactor = 2
+)
+
+// RunTimes keeps how long the recent requests of each class took from their arrival to the end of
+// their responses.
+type RunTimes struct{ classes map[string]*runTimes }
+
+// runTimes are the recent times of one class.
+type runTimes struct {
+	list []time.Duration
+	next int // index of the oldest one, once the list is full
+}
+
+// NewRunTimes returns an empty RunTimes.
+func NewRunTimes() *RunTimes { return &RunTimes{classes: make(map[string]*runTimes)} }
+
+// Note records that a request of a class was answered.
+func (t *RunTimes) Note(class string, took time.Duration) {
+	c := t.classes[class]
+	if c == nil {
+		if len(t.classes) >= maxRunTimeClasses {
+			clear(t.classes)
+		}
+		c = new(runTimes)
+		t.classes[class] = c
+	}
+	if len(c.list) < recentRunTimes {
+		c.list = append(c.list, took)
+		return
+	}
+	c.list[c.next] = took
+	c.next = (c.next + 1) % recentRunTimes
+}
+
+// StopArrival is a request that arrives at a box that is about to stop.
+type StopArrival struct {
+	Class    string
+	TimeLeft time.Duration // of the request
+	Grace    time.Duration // time until the box ends
+	IsLate   bool          // load balancers send the box no requests any more
+}
+
+// EndsInGrace reports whether the request can be expected to end before the box does. It also returns
+// the time that it is expected to take; 0 if too few requests of its class were answered.
+func (t *RunTimes) EndsInGrace(a StopArrival) (expected time.Duration, ok bool) {
+	if c := t.classes[a.Class]; c != nil && len(c.list) >= minRunTimes {
+		expected = c.expected(a.IsLate)
+	}
+	return expected, a.TimeLeft <= a.Grace || expected > 0 && expected <= a.Grace
+}
+
+// expected returns how long a request of the class is expected to take.
+func (c *runTimes) expected(isLate bool) time.Duration {
+	sorted := slices.Sorted(slices.Values(c.list))
+	if isLate {
+		return max(1, lateRunTimeFactor*sorted[len(sorted)-1])
+	}
+	return max(1, sorted[int(math.Ceil(usualRunTime*float64(len(sorted))))-1])
+}
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -64,11 +64,14 @@
 }
 
 // logRefused logs and counts a request that was not admitted. c is nil if the connection did not come
-// from callerListener, x if admit refused the request.
+// from callerListener, x if the request has no route or no customer.
 func (r *Relay) logRefused(q *request, c *callerConn, refused refusal, x *exchange) {
 	fields := Fields{"id": q.id, "status": refused.status, "reason": refused.reason, "host": q.host,
 		"path": q.path(), "version": r.documentVersion(), "age_ms": r.publishedAge().Milliseconds()}
 	r.addStopFields(fields, c, time.Now())
+	if x != nil && refused.reason == stoppingReason {
+		r.addGraceFields(fields, x)
+	}
 	if x != nil && refused.reason == withheldReason {
 		r.addVerdictFields(fields, x)
 		fields["content"], fields["route"], fields["customer"] = formatContentHash(x.requestHash()), x.route.Name, x.customerName()
@@ -85,7 +88,7 @@
 	r.detectSuspensionBefore(arrived)
 	suspended := r.suspendedFor.Load()
 	if r.graceOver.Load() {
-		return nil, &refusal{fasthttp.StatusServiceUnavailable, "stopping", defaultRetryAfter}
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
 	}
 	doc, disconnected := r.awaitDocument(q, conn)
 	if disconnected {
@@ -121,7 +124,7 @@
 		suspendedBefore: suspended,
 	}
 	x.deadline = x.arrived.Add(requestTimeout(rt, q))
-	return x, nil
+	return x, r.refuseBeforeStop(x)
 }
 
 // requestTimeout returns the time a request may take: the route's timeout, but at most the time that
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -91,6 +91,9 @@
 	outcome          string          // final outcome as logged; empty while the request is active
 }
 
+// outcomeAnswered is the outcome of a request with a whole response of an upstream.
+const outcomeAnswered = "answered"
+
 // serve runs the request and answers its caller.
 func (x *exchange) serve(ctx *fasthttp.RequestCtx) {
 	r := x.relay
@@ -117,7 +120,7 @@
 		x.copyHeaders(ctx)
 		ctx.Response.SetBodyRaw(body)
 		x.allowStall()
-		x.outcome = "answered"
+		x.outcome = outcomeAnswered
 		x.close()
 	}
 }
@@ -156,6 +159,7 @@
 	}
 	x.watch.stop()
 	x.cancel()
+	x.noteRunTime()
 	r.stats.openRequests.Add(-1)
 	r.stats.count("requests_" + x.outcome)
 	r.stats.latency("first_ms_"+x.route.Name, x.firstEventsAfter)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,6 +98,7 @@
 	fleet         *balance.Fleet
 	budgets       *balance.Budgets
 	crashSuspects balance.Suspects       // requests during which upstreams crashed
+	runTimes      *balance.RunTimes      // by route
 	runConns      map[*exchange]*conn    // connection of each active run
 	pauseQueues   map[string]*pauseQueue // requests waiting for the end of a pause, by service
 	priorTotals   chan struct{}          // closed, and replaced, when totals of requests sent before limits arrive
@@ -110,6 +111,7 @@
 	probeWake    chan struct{} // readable when a connection to an upstream has failed
 	stopping     atomic.Bool
 	stopBegan    atomic.Int64 // time.Duration since the start; 0: no planned stop has begun
+	acceptsOver  atomic.Bool  // a planned stop has ended the acceptance of connections
 	graceOver    atomic.Bool  // the grace period of a planned stop has passed
 	cancel       context.CancelFunc
 	endedTasks   chan string // receives the name of each background task that has ended
@@ -135,6 +137,7 @@
 		pullClient:    newPullClient(),
 		probeWake:     make(chan struct{}, 1),
 		runConns:      make(map[*exchange]*conn),
+		runTimes:      balance.NewRunTimes(),
 		pauseQueues:   make(map[string]*pauseQueue),
 		priorTotals:   make(chan struct{}),
 		endChecks:     make(map[balance.Incarnation]chan struct{}),
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -1,11 +1,15 @@
 package relay
 
-// This file defines the planned stop of a box. The invariant: the box accepts no request that it will
-// not answer.
+// This file defines the planned stop of a box. The invariant: the box takes no request that it is not
+// expected to answer before it ends.
 
 import (
 	"context"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/balance"
 )
 
 const (
@@ -14,6 +18,10 @@
 	acceptLinger = 2500 * time.Millisecond
 	// graceMargin is the part of the grace period that is reserved for the end of the process.
 	graceMargin = 500 * time.Millisecond
+	// stoppingReason is the reason of a refusal by a box that stops before it can answer.
+	stoppingReason = "stopping"
+	// stoppingRetryAfter is the time after which such a caller is told to retry: other boxes serve.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // Stop performs a planned stop: the box reports that it is not ready, keeps accepting requests until
@@ -31,6 +39,7 @@
 	sleep(ctx, acceptLinger)
 	// The server keeps serving its open connections after its shutdown has returned.
 	context.AfterFunc(ctx, func() { r.graceOver.Store(true) })
+	r.acceptsOver.Store(true)
 	if err := r.callerServer.close(ctx); err != nil {
 		fields := Fields{"open": r.stats.openRequests.Load(), "error": err.Error()}
 		r.cfg.Log.Event("box", "stopped with active requests", r.callerServer.conns.addStates(fields))
@@ -54,6 +63,55 @@
 	r.cfg.Log.Event("box", "stopped", nil)
 }
 
+// graceLeft returns the time until the grace period of a planned stop is over; false if none has begun.
+func (r *Relay) graceLeft() (time.Duration, bool) {
+	began := r.stopBegan.Load()
+	if began == 0 {
+		return 0, false
+	}
+	ends := r.startedAt.Add(time.Duration(began) + r.cfg.StopTimeout - graceMargin)
+	return max(0, time.Until(ends)), true
+}
+
+// stopArrival describes the request to the decision whether the box takes it before it ends.
+func (x *exchange) stopArrival(grace time.Duration) balance.StopArrival {
+	return balance.StopArrival{Class: x.route.Name, TimeLeft: x.timeLeft(), Grace: grace, IsLate: x.relay.acceptsOver.Load()}
+}
+
+// refuseBeforeStop refuses a request that the box cannot be expected to answer before it ends; nil if
+// it takes the request.
+func (r *Relay) refuseBeforeStop(x *exchange) *refusal {
+	grace, isStopping := r.graceLeft()
+	if !isStopping {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.runTimes.EndsInGrace(x.stopArrival(grace)); ok {
+		return nil
+	}
+	return &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
+}
+
+// addGraceFields adds to the log line of a request that such a box refused what it was decided by.
+func (r *Relay) addGraceFields(f Fields, x *exchange) {
+	grace, _ := r.graceLeft()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	expected, _ := r.runTimes.EndsInGrace(x.stopArrival(grace))
+	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = x.route.Name, x.timeLeft().Milliseconds(), grace.Milliseconds(), expected.Milliseconds()
+}
+
+// noteRunTime records how long the request took, if it was answered.
+func (x *exchange) noteRunTime() {
+	if x.outcome != outcomeAnswered {
+		return
+	}
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	x.relay.runTimes.Note(x.route.Name, time.Since(x.arrived))
+}
+
 // logRequestsCut logs each request that is still running at an upstream when the grace period ends.
 // The process exits before these requests end, so no other line reports them.
 func (r *Relay) logRequestsCut() {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -4,8 +4,11 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/balance"
 )
 
 func TestPlannedStopCompletesRunningRequests(t *testing.T) {
@@ -64,3 +67,50 @@
 	close(release)
 	<-result
 }
+
+// A box that stops refused what it could still have answered, or took what it could not.
+func TestStoppingBoxRefusesRequestsThatEndInGrace(t *testing.T) {
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 6500 * time.Millisecond }, u)
+	d := testDocument(2)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = time.Minute
+	}
+	b.publisher.set("document", d, false)
+	b.waitFor(func() bool { return b.relay.documentVersion() == 2 })
+	r := b.relay
+	for _, c := range []struct {
+		name   string
+		times  time.Duration // of the requests answered before; 0: there were none
+		left   string
+		isLate bool
+		status int
+	}{
+		{"its own time ends first", 0, "4000", true, 200},
+		{"nothing known", 0, "30000", false, 503},
+		{"usually fits", 4 * time.Second, "30000", false, 200},
+		{"usually fits, late", 4 * time.Second, "30000", true, 503},
+		{"fits twice, late", time.Second, "30000", true, 200},
+		{"does not fit", 8 * time.Second, "30000", false, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sentBefore := len(u.requests())
+			r.mu.Lock()
+			r.runTimes = balance.NewRunTimes()
+			for range 20 {
+				if c.times > 0 {
+					r.runTimes.Note("once", c.times)
+				}
+			}
+			r.mu.Unlock()
+			r.acceptsOver.Store(c.isLate)
+			r.stopBegan.Store(int64(time.Since(r.startedAt)))
+			a := b.do(b.request("POST", "/once/x", "", "X-Left", c.left))
+			r.stopBegan.Store(0)
+			is.Equal(a.status, c.status)
+			is.Equal(len(u.requests()) > sentBefore, c.status == 200)
+			is.Equal(strings.Contains(a.body, `"ran":"no"`), c.status == 503)
+		})
+	}
+}
--- a/relay/streamend.go
+++ b/relay/streamend.go
@@ -43,7 +43,7 @@
 	if errors.Is(end.cause, io.EOF) {
 		x.noteStreamEnd(wasAsked)
 		x.endRun(true, balance.Answered)
-		x.outcome = "answered"
+		x.outcome = outcomeAnswered
 		return io.EOF
 	}
 	if x.continueMoved(end) || x.resume(end.cause) {
