Planned stop: connections at rest are closed at once, and by the box itself

What callers saw: a connection that was opened 0.2 s before a box stopped accepting kept the box up to the end of its grace ("stopped with active requests", "open" 0), and was taken for a request seconds later; on a kept connection the head of a request that was arriving was dropped, where it was answered on a new one.

Cause: the HTTP server's shutdown goes by times in whole seconds and counts as idle what has not handed it a first byte: a new connection only 5 s after it was opened, and a kept one also while our reader has half of a request.

Change: the box closes its connections by their states. The wait of those at rest is ended, and each takes what has arrived meanwhile or closes itself; one on which a request is arriving is waited for. The box ends when none is left. A second call of Stop, as in the tests, waits for the first, where it waited for its own grace.

Measured: TestUnusedConnectionDelaysPlannedStop and TestPlannedStopClosesConnectionsWithinRequest (kept) fail on the code before, pass now; TestRequestsThatCrossTheCloseAreLost passes on both (the server claimed connections rightly). All tests of relay pass (430 s beside other load).

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -8,10 +8,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -132,12 +134,7 @@
 func (c *callerConn) readRequest(first []byte) (int, error) {
 	c.releaseRequest()
 	limits := c.limits()
-	if c.reused && limits.IdleWait > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(limits.IdleWait))
-	}
-	c.reused = true
-	c.step(callerAwait)
-	n, err := c.Conn.Read(first)
+	n, err := c.awaitRequest(first, limits.IdleWait)
 	if err != nil {
 		return n, err
 	}
@@ -151,6 +148,37 @@
 	return n, nil
 }
 
+// awaitRequest waits for the first byte of a request; idleWait is the limit of the document, or 0. If
+// the box closes connections at rest, it takes only what has arrived.
+func (c *callerConn) awaitRequest(first []byte, idleWait time.Duration) (int, error) {
+	wait := readTimeout
+	if c.reused {
+		wait = cmp.Or(idleWait, idleTimeout)
+	}
+	c.reused = true
+	conns := c.relay.callerServer.conns
+	if !conns.await(c, time.Now().Add(wait)) {
+		return c.readArrived(first)
+	}
+	n, err := c.Conn.Read(first)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && conns.isClosing() {
+		return c.readArrived(first)
+	}
+	return n, err
+}
+
+// readArrived reads what has arrived without waiting; io.EOF if there is nothing.
+func (c *callerConn) readArrived(p []byte) (n int, err error) {
+	if c.raw == nil {
+		return 0, io.EOF
+	}
+	controlled := c.raw.Control(func(fd uintptr) { n, _, err = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
+	if controlled != nil || err != nil || n <= 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // step applies an event to the connection's state.
 func (c *callerConn) step(event int) { c.relay.callerServer.conns.step(c, event) }
 
@@ -173,8 +201,7 @@
 func (c *callerConn) collect(first byte) {
 	b := requestBuffer{buf: []byte{first}}
 	headOnly := true // only header bytes were read so far
-	// While the box stops, the server closes connections that it considers idle.
-	for !b.complete() && !c.relay.stopping.Load() {
+	for !b.complete() {
 		if headOnly && b.headLen > 0 {
 			headOnly = false
 			_ = c.SetReadDeadline(time.Now().Add(readTimeout))
--- a/relay/callerstate.go
+++ b/relay/callerstate.go
@@ -4,6 +4,7 @@
 // caller is listed, in one state of the chart, from its acceptance until it is closed.
 
 import (
+	"context"
 	_ "embed" // for the chart
 	"sync"
 	"time"
@@ -31,8 +32,10 @@
 
 // callerConns lists the open connections of callers.
 type callerConns struct {
-	mu   sync.Mutex // guards the states of the connections as well
-	open map[*callerConn]struct{}
+	mu      sync.Mutex // guards the states of the connections as well
+	open    map[*callerConn]struct{}
+	closing bool          // connections at rest are closed
+	closed  chan struct{} // readable when a connection was closed
 }
 
 // callerProgress is the state of a caller's connection. It is guarded by callerConns.mu.
@@ -43,7 +46,9 @@
 	requests int // requests that began to arrive
 }
 
-func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
+func newCallerConns() *callerConns {
+	return &callerConns{open: make(map[*callerConn]struct{}), closed: make(chan struct{}, 1)}
+}
 
 // add lists a connection that was just accepted.
 func (l *callerConns) add(c *callerConn) {
@@ -74,7 +79,64 @@
 	}
 	if callerChart.Ended(next) {
 		delete(l.open, c)
+		wake(l.closed)
+	}
+}
+
+// await records that a connection waits for a request, until deadline. False means that connections at
+// rest are closed: the connection may only take what has arrived.
+func (l *callerConns) await(c *callerConn, deadline time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stepLocked(c, callerAwait)
+	if l.closing {
+		return false
 	}
+	_ = c.SetReadDeadline(deadline)
+	return true
+}
+
+// closeAtRest ends the wait of all connections on which no request is active. Each closes itself unless
+// a request has arrived meanwhile, so that none is lost between the two.
+func (l *callerConns) closeAtRest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	for c := range l.open {
+		if c.isAtRest() {
+			_ = c.SetReadDeadline(expiredDeadline)
+		}
+	}
+}
+
+// isAtRest reports whether no request is active on the connection. The caller holds callerConns.mu.
+func (c *callerConn) isAtRest() bool {
+	return c.progress.state == callerUnused || c.progress.state == callerIdle
+}
+
+// isClosing reports whether connections at rest are closed.
+func (l *callerConns) isClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closing
+}
+
+// awaitClosed waits until all connections are closed; the error is that of ctx if it ends before.
+func (l *callerConns) awaitClosed(ctx context.Context) error {
+	for l.count() > 0 {
+		select {
+		case <-l.closed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (l *callerConns) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
 // addStates adds the number of connections in each state to the fields of a log line.
@@ -97,10 +159,10 @@
 	defer l.mu.Unlock()
 	var list []Fields
 	for c := range l.open {
-		p := &c.progress
-		if p.state == callerUnused || p.state == callerIdle {
+		if c.isAtRest() {
 			continue
 		}
+		p := &c.progress
 		list = append(list, Fields{"state": callerChart.StateName(p.state), "state_ms": time.Since(p.since).Milliseconds(),
 			"opened_ms": time.Since(p.opened).Milliseconds(), "requests": p.requests})
 	}
--- /dev/null
+++ b/relay/callerstate_test.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// dialCaller opens a connection of a caller.
+func (b *testBox) dialCaller() net.Conn {
+	b.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// callerRequest returns a request as sent.
+func callerRequest(path, id, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nX-Key: secret\r\nX-Left: 1000\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+}
+
+// readRaw reads a response; status 0: there was none.
+func readRaw(in *bufio.Reader) callerResponse {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return callerResponse{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// awaitClosing waits until the box closes connections at rest.
+func (b *testBox) awaitClosing() { b.waitFor(b.relay.callerServer.conns.isClosing) }
+
+// stop begins a planned stop; the channel is closed at its end.
+func (b *testBox) stop() <-chan struct{} {
+	ended := make(chan struct{})
+	go func() { b.relay.Stop(); close(ended) }()
+	return ended
+}
+
+// A connection that was opened shortly before a box ended its acceptance kept the box from its end,
+// until the grace was over: "stopped with active requests" with none.
+func TestUnusedConnectionDelaysPlannedStop(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 6 * time.Second }, u)
+	ended := b.stop()
+	time.Sleep(acceptLinger * 9 / 10)
+	unused, kept := b.dialCaller(), b.dialCaller()
+	_, err := io.WriteString(kept, callerRequest("/safe/x", "kept", ""))
+	is.NoErr(err)
+	is.Equal(readRaw(bufio.NewReader(kept)).status, 200)
+	<-ended
+	_, err = unused.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.True(!b.closedLogContains("stopped with active requests"))
+}
+
+// A box that stopped closed connections on which a request was arriving, while it answered others that
+// arrived later.
+func TestPlannedStopClosesConnectionsWithinRequest(t *testing.T) {
+	for _, isKept := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kept %v", isKept), func(t *testing.T) {
+			is := is.New(t)
+			u := newStub(t, "u1", respondOK("ok"))
+			b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, u)
+			c := b.dialCaller()
+			in := bufio.NewReader(c)
+			if isKept {
+				_, err := io.WriteString(c, callerRequest("/safe/x", "first", ""))
+				is.NoErr(err)
+				is.Equal(readRaw(in).status, 200)
+			}
+			text := callerRequest("/safe/x", "second", "the body")
+			_, err := io.WriteString(c, text[:20])
+			is.NoErr(err)
+			b.waitFor(func() bool { return b.relay.callerServer.conns.addStates(Fields{})["callers_sending"] == 1 })
+			ended := b.stop()
+			b.awaitClosing()
+			_, err = io.WriteString(c, text[20:])
+			is.NoErr(err)
+			a := readRaw(in)
+			is.Equal(a.status, 200)
+			<-ended // although the caller has not closed its connection
+		})
+	}
+}
+
+// A request that arrived at the moment at which a stopping box closed its connection was read and got no
+// answer.
+func TestRequestsThatCrossTheCloseAreLost(t *testing.T) {
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, u)
+	const callers = 200
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		conns[i] = b.dialCaller()
+	}
+	ended := b.stop()
+	closes := time.Now().Add(acceptLinger)
+	var all sync.WaitGroup
+	results := make([]callerResponse, callers)
+	for i, c := range conns {
+		all.Go(func() {
+			time.Sleep(time.Until(closes.Add(time.Duration(i-callers/2) * 100 * time.Microsecond)))
+			if _, err := io.WriteString(c, callerRequest("/once/x", fmt.Sprint(i), "")); err == nil {
+				results[i] = readRaw(bufio.NewReader(c))
+			}
+		})
+	}
+	all.Wait()
+	<-ended
+	for _, q := range u.requests() {
+		var i int
+		if _, err := fmt.Sscan(q.Header.Get("X-Id"), &i); err != nil || results[i].status != 200 {
+			t.Errorf("request %s was sent on, and got %+v", q.Header.Get("X-Id"), results[i])
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,6 +109,7 @@
 	verifications map[balance.Incarnation]chan struct{}
 
 	probeWake    chan struct{} // readable when a connection to an upstream has failed
+	stopOnce     sync.Once
 	stopping     atomic.Bool
 	stopBegan    atomic.Int64 // time.Duration since the start; 0: no planned stop has begun
 	acceptsOver  atomic.Bool  // a planned stop has ended the acceptance of connections
--- a/relay/server.go
+++ b/relay/server.go
@@ -51,7 +51,6 @@
 		NoDefaultServerHeader:         true,
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
-		CloseOnShutdown:               true,
 		Logger:                        noLogger{},
 	}
 	f.ready = &fasthttp.Server{Handler: f.handleReady, NoDefaultServerHeader: true, ReduceMemoryUsage: true, Logger: noLogger{}}
@@ -75,9 +74,14 @@
 	_ = f.ready.Serve(&acceptor{Listener: l, relay: f.relay, serves: "readiness checks"})
 }
 
-// close stops accepting connections, closes idle ones and waits for the others until ctx ends.
+// close stops accepting connections, closes those at rest and waits for the others until ctx ends. It
+// does not leave that to the server, which does not know on which connections a request is arriving.
 func (f *callerServer) close(ctx context.Context) error {
-	err := f.server.ShutdownWithContext(ctx)
+	err := f.callers.Close()
+	f.conns.closeAtRest()
+	if waitErr := f.conns.awaitClosed(ctx); err == nil {
+		err = waitErr
+	}
 	if closeErr := f.relay.cfg.ReadinessListener.Close(); err == nil {
 		err = closeErr
 	}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -25,9 +25,11 @@
 )
 
 // Stop performs a planned stop: the box reports that it is not ready, keeps accepting requests until
-// the load balancer has stopped sending them, and then waits for active requests. Idle connections are
-// closed before anything else, so that no request is accepted that would not be answered.
-func (r *Relay) Stop() {
+// the load balancer has stopped sending them, and then waits for active requests. A further call waits
+// for the end of the first.
+func (r *Relay) Stop() { r.stopOnce.Do(r.stop) }
+
+func (r *Relay) stop() {
 	r.stopBegan.Store(int64(time.Since(r.startedAt)))
 	r.stopping.Store(true)
 	r.wakeAll()
