Planned stop: a request without a response gets one at the end of the grace

What callers saw: where a request that a stopping box had sent on had no response by the end of the grace, as behind a silent upstream, its connection was closed. Its caller could not tell whether it may have run.

Cause: the end of the grace ended the process only.

Change: it ends the requests without a response first. Those that were sent get 502 (may have run), the others 503 (not run), reason "stopping", within the half second that is kept for the end of the process. Streams that have begun go on until then.

Conclusion: what a box takes ends with a response, but for streams in the middle and callers that do not take theirs.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -38,6 +38,7 @@
 	caller     *callerConn    // nil if the connection did not come from callerListener
 	openEnded  *account.Lease // memory for responses that do not say how long they are; nil: none
 	detachConn func() bool    // unregisters the connection, so that ctx no longer closes it
+	detachStop func() bool    // the end of the grace period no longer ends the request
 
 	triedInstances []balance.Incarnation // upstream instances it was sent to, or that could not be reached
 	unverified     []balance.Incarnation // of these, those that could not be verified in time
@@ -103,6 +104,7 @@
 	r.mu.Unlock()
 	x.ctx, x.cancel = context.WithDeadline(context.Background(), x.deadline)
 	x.watch = watchDisconnect(ctx.Conn(), x.cancel)
+	x.detachStop = context.AfterFunc(r.graceEnd, x.endWithoutResponse)
 	if x.route.Repeat == route.Stream || len(x.request.body) > asyncBodyBytes {
 		// The body may still be sent after the handler has returned and the server reuses its buffer: a
 		// stream may be sent again, and a response may arrive before a large body has been sent
@@ -153,6 +155,7 @@
 // close releases what the exchange holds and logs the request.
 func (x *exchange) close() {
 	r := x.relay
+	x.detachStop()
 	x.closeTicket(balance.Neutral)
 	if x.openEnded != nil {
 		x.openEnded.Close()
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -36,6 +36,9 @@
 		return &refusal{status: fasthttp.StatusBadGateway, reason: callerLeft}
 	}
 	late := x.deadlinePassed()
+	if x.relay.graceOver.Load() {
+		reason = stoppingReason
+	}
 	switch {
 	case x.mayHaveRun && late:
 		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -111,9 +111,11 @@
 	probeWake    chan struct{} // readable when a connection to an upstream has failed
 	stopOnce     sync.Once
 	stopping     atomic.Bool
-	stopBegan    atomic.Int64 // time.Duration since the start; 0: no planned stop has begun
-	acceptsOver  atomic.Bool  // a planned stop has ended the acceptance of connections
-	graceOver    atomic.Bool  // the grace period of a planned stop has passed
+	stopBegan    atomic.Int64    // time.Duration since the start; 0: no planned stop has begun
+	acceptsOver  atomic.Bool     // a planned stop has ended the acceptance of connections
+	graceOver    atomic.Bool     // the grace period of a planned stop has passed
+	graceEnd     context.Context // done when it has
+	endGrace     context.CancelFunc
 	cancel       context.CancelFunc
 	endedTasks   chan string // receives the name of each background task that has ended
 	runningTasks int
@@ -146,6 +148,7 @@
 		stats:         newStats(),
 	}
 	r.startWall.Store(r.startedAt.UnixNano())
+	r.graceEnd, r.endGrace = context.WithCancel(context.Background())
 	r.fleet = balance.NewFleet(balance.Config{Domain: cfg.Domain, Regions: cfg.Regions, Tuning: cfg.Tuning, LimitBounds: cfg.Limits, Off: cfg.Disabled, FirstStart: cfg.FirstStart})
 	cfg.Budget.Transit = retryTimeout // the kernel delivers nothing later
 	r.budgets = balance.NewBudgets(cfg.Budget, r.now())
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -16,8 +16,11 @@
 	// acceptLinger is how long a stopping box still accepts connections: two missed readiness
 	// checks, one per second, and a margin.
 	acceptLinger = 2500 * time.Millisecond
-	// graceMargin is the part of the grace period that is reserved for the end of the process.
+	// graceMargin is the part of the grace period that is reserved for the last responses and the end of
+	// the process.
 	graceMargin = 500 * time.Millisecond
+	// lastResponseWait is the part of it in which requests without a response are still answered.
+	lastResponseWait = 250 * time.Millisecond
 	// stoppingReason is the reason of a refusal by a box that stops before it can answer.
 	stoppingReason = "stopping"
 	// stoppingRetryAfter is the time after which such a caller is told to retry: other boxes serve.
@@ -40,9 +43,9 @@
 	r.tunnelServer.announceStop()
 	sleep(ctx, acceptLinger)
 	// The server keeps serving its open connections after its shutdown has returned.
-	context.AfterFunc(ctx, func() { r.graceOver.Store(true) })
+	context.AfterFunc(ctx, r.overGrace)
 	r.acceptsOver.Store(true)
-	if err := r.callerServer.close(ctx); err != nil {
+	if err := r.closeCallers(ctx); err != nil {
 		fields := Fields{"open": r.stats.openRequests.Load(), "error": err.Error()}
 		r.cfg.Log.Event("box", "stopped with active requests", r.callerServer.conns.addStates(fields))
 		r.logRequestsCut()
@@ -65,6 +68,24 @@
 	r.cfg.Log.Event("box", "stopped", nil)
 }
 
+// overGrace ends the grace period: requests without a response get one, and no more are taken.
+func (r *Relay) overGrace() {
+	r.graceOver.Store(true)
+	r.endGrace()
+}
+
+// closeCallers closes callers' connections once no request is active on them. Those that are active at
+// the end of the grace period have lastResponseWait to get their responses.
+func (r *Relay) closeCallers(ctx context.Context) error {
+	err := r.callerServer.close(ctx)
+	if ctx.Err() != nil {
+		last, cancel := context.WithTimeout(context.Background(), lastResponseWait)
+		defer cancel()
+		err = r.callerServer.conns.awaitClosed(last)
+	}
+	return err
+}
+
 // graceLeft returns the time until the grace period of a planned stop is over; false if none has begun.
 func (r *Relay) graceLeft() (time.Duration, bool) {
 	began := r.stopBegan.Load()
@@ -104,6 +125,14 @@
 	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = x.route.Name, x.timeLeft().Milliseconds(), grace.Milliseconds(), expected.Milliseconds()
 }
 
+// endWithoutResponse ends a request without a response when the box ends, so that its caller is told
+// whether it may have run.
+func (x *exchange) endWithoutResponse() {
+	if !x.eventsBegan.Load() {
+		x.cancel()
+	}
+}
+
 // noteRunTime records how long the request took, if it was answered.
 func (x *exchange) noteRunTime() {
 	if x.outcome != outcomeAnswered {
