Planned stop: a request behind another is answered too

What callers saw: a caller that sent its next request without waiting for the response got a response with "Connection: close" from a stopping box, and its next request, which the box had read, was dropped without a word.

Cause: whether a connection is closed was decided without regard to what has arrived on it.

Change: a stopping box closes a connection after a response only if no bytes of another request have arrived, neither read with the one it answers nor still unread. The next request is decided on like any other.

Measured: TestRequestBehindAnotherIsLostInPlannedStop fails before for requests sent together and one by one (no response to the second), and passes.

Conclusion: what the box has read gets a response. Requests read behind a long or chunked body are not known to it; they are dropped as before.

--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -20,12 +20,9 @@
 func (f *callerServer) handle(ctx *fasthttp.RequestCtx) {
 	r := f.relay
 	q := r.readRequest(ctx)
-	if r.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
 	c := callerOf(ctx)
 	if c != nil {
-		c.step(callerRead)
+		c.noteRead()
 		defer c.step(callerAnswer)
 	}
 	x, refused := r.admit(q, ctx.Conn())
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -28,8 +28,8 @@
 	// memoryWait is how long a request's header waits for memory; callers give up on what has not been
 	// read after a second.
 	memoryWait = 300 * time.Millisecond
-	// drainTimeout and maxDrainBytes limit how much a box still reads of a body that it has refused:
-	// closing the connection at once would also discard the response.
+	// drainTimeout and maxDrainBytes limit how much a box still reads of what it does not serve: closing
+	// a connection with unread bytes resets it, which would also discard the response.
 	drainTimeout  = 500 * time.Millisecond
 	maxDrainBytes = 1 << 20
 	// initialBufferBytes is the initial size of the buffer for a request, in bytes.
@@ -80,6 +80,7 @@
 	reused         bool        // a request was awaited on this connection before
 	requestCharged bool        // a request is active, or was since the lease was last shrunk
 	aborted        atomic.Bool // the caller was disconnected because it does not read
+	behind         []byte      // requests that were read together with the current one
 
 	progress callerProgress
 }
@@ -218,6 +219,7 @@
 		}
 	}
 	c.pending = b.buf[1:]
+	c.behind = b.behind()
 	if b.headLen > 0 && b.bodyFollows {
 		c.checkAnnouncedBody(b.buf[:b.headLen], b.bodyLen)
 	}
@@ -257,6 +259,30 @@
 	}
 }
 
+// noteRead records that a request has been read.
+func (c *callerConn) noteRead() {
+	if c.relay.callerServer.conns.read(c) {
+		return
+	}
+	// It was read together with the previous one.
+	b := requestBuffer{buf: c.behind}
+	b.complete()
+	c.behind = b.behind()
+}
+
+// hasNext reports whether bytes of another request have arrived, as far as they were not read with a
+// long body.
+func (c *callerConn) hasNext() bool { return len(c.behind) > 0 || c.hasUnread() }
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *callerConn) hasUnread() bool {
+	isClosed, isKnown := true, false
+	if c.raw != nil {
+		_ = c.raw.Control(func(fd uintptr) { isClosed, isKnown = peekClosed(int(fd)) })
+	}
+	return isKnown && !isClosed
+}
+
 // readBody reads part of a body that was not buffered with the header.
 func (c *callerConn) readBody(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -277,7 +303,7 @@
 	return c.Conn.Close()
 }
 
-// drain keeps reading for up to drainTimeout, so that the caller can read the refusal.
+// drain keeps reading for up to drainTimeout, so that the caller can read its response.
 func (c *callerConn) drain() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
--- a/relay/callerstate.go
+++ b/relay/callerstate.go
@@ -23,6 +23,7 @@
 var (
 	callerUnused  = callerChart.State("unused")
 	callerIdle    = callerChart.State("idle")
+	callerSending = callerChart.State("sending")
 	callerAwait   = callerChart.Event("await")
 	callerReceive = callerChart.Event("receive")
 	callerRead    = callerChart.Event("read")
@@ -66,6 +67,16 @@
 	l.stepLocked(c, event)
 }
 
+// read records that a request has been read. False means that it was read together with the previous
+// one.
+func (l *callerConns) read(c *callerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wasSending := c.progress.state == callerSending
+	l.stepLocked(c, callerRead)
+	return wasSending
+}
+
 func (l *callerConns) stepLocked(c *callerConn, event int) {
 	next, ok := callerChart.Step(c.progress.state, event)
 	if !ok {
--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -129,3 +129,39 @@
 		}
 	}
 }
+
+// A stopping box closed a connection with a request that it had read behind the one that it answered.
+func TestRequestBehindAnotherIsLostInPlannedStop(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprintf("sent together %v", together), func(t *testing.T) {
+			is := is.New(t)
+			release, started := make(chan struct{}), make(chan struct{}, 3)
+			u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+				started <- struct{}{}
+				<-release
+				return respondOK("answer to "+r.Header.Get("X-Id"))(c, r)
+			})
+			b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, u)
+			c := b.dialCaller()
+			first, rest := callerRequest("/once/x", "1", "body"), callerRequest("/once/x", "2", "body")+callerRequest("/once/x", "3", "")
+			if together {
+				first, rest = first+rest, ""
+			}
+			_, err := io.WriteString(c, first)
+			is.NoErr(err)
+			<-started
+			_, err = io.WriteString(c, rest)
+			is.NoErr(err)
+			ended := b.stop()
+			b.waitFor(b.relay.stopping.Load)
+			close(release)
+			in := bufio.NewReader(c)
+			for _, id := range []string{"1", "2", "3"} {
+				a := readRaw(in)
+				is.Equal(a.status, 200)
+				is.Equal(a.body, "answer to "+id)
+			}
+			<-ended
+		})
+	}
+}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -30,6 +30,14 @@
 	return b.bodyFollows || len(b.buf) >= b.headLen+b.bodyLen
 }
 
+// behind returns what was read behind a complete request.
+func (b *requestBuffer) behind() []byte {
+	if b.headLen == 0 || b.bodyFollows || len(b.buf) < b.headLen+b.bodyLen {
+		return nil
+	}
+	return b.buf[b.headLen+b.bodyLen:]
+}
+
 // headEnd returns the offset at which the header ends, or 0 if it is incomplete. No header ends before
 // from.
 func headEnd(b []byte, from int) int {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -140,9 +140,7 @@
 // copyHeaders copies the status and headers of the upstream's response.
 func (x *exchange) copyHeaders(ctx *fasthttp.RequestCtx) {
 	out := &ctx.Response.Header
-	if x.relay.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
+	x.relay.closeIfStopping(ctx)
 	ctx.SetStatusCode(x.response.header.StatusCode())
 	out.SetNoDefaultContentType(true)
 	for name, value := range x.response.header.All() {
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -24,6 +24,7 @@
 	if q.id != "" {
 		ctx.Response.Header.Set(r.cfg.Protocol.RequestID, q.id)
 	}
+	r.closeIfStopping(ctx)
 	writeRefusal(ctx, refused)
 }
 
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// closeIfStopping closes the connection after this response if the box is stopping, unless another
+// request has arrived on it.
+func (r *Relay) closeIfStopping(ctx *fasthttp.RequestCtx) {
+	if c := callerOf(ctx); r.stopping.Load() && (c == nil || !c.hasNext()) {
+		ctx.SetConnectionClose()
+	}
+}
+
 // noteRunTime records how long the request took, if it was answered.
 func (x *exchange) noteRunTime() {
 	if x.outcome != outcomeAnswered {
