--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -165,3 +165,40 @@
 		})
 	}
 }
+
+// A box closed a connection on which bytes had arrived that it did not read: that reset the connection,
+// and its caller lost the rest of its response.
+func TestResponseIsLostIfCallerSendsMore(t *testing.T) {
+	is := is.New(t)
+	whole := strings.Repeat("x", 1<<20)
+	release, started := make(chan struct{}), make(chan struct{})
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		close(started)
+		<-release
+		return respondOK(whole)(c, r)
+	})
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, u)
+	c := b.dialCaller()
+	is.NoErr(c.(*net.TCPConn).SetReadBuffer(16 << 10)) // the rest of the response stays at the box
+	_, err := io.WriteString(c, callerRequest("/once/x", "1", ""))
+	is.NoErr(err)
+	<-started
+	ended := b.stop()
+	b.waitFor(b.relay.stopping.Load)
+	close(release)
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	is.NoErr(err)
+	is.True(resp.Close)
+	_, err = io.WriteString(c, "more")
+	is.NoErr(err)
+	got := make([]byte, len(whole)-64<<10)
+	_, err = io.ReadFull(resp.Body, got)
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond) // the box has written all of it
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(got)+len(rest), len(whole))
+	is.NoErr(c.Close())
+	<-ended
+}
