Planned stop: a box that knows nothing of a route takes its requests while balancers send

Cause: fewer than eight answered requests of a route counted as nothing known, and what is not known was refused.

Change: from the first answered request on, twice the longest counts until eight are known; of a route of which nothing is known requests are taken while load balancers send, and refused afterwards. The tests that asked for the old rule ask for this one, with the cases of few known requests besides.

Conclusion: a refusal needs grounds.

--- a/balance/runtimes.go
+++ b/balance/runtimes.go
@@ -1,8 +1,8 @@
 package balance
 
 // This file defines which requests a box that is about to stop still takes. The invariant: a request
-// is taken only if its own time is over before the box ends, or requests like it have recently taken
-// less time than the box has left.
+// of a class that has recently taken longer than the box has left is taken only if its own time is
+// over before the box ends.
 
 import (
 	"math"
@@ -13,16 +13,17 @@
 const (
 	// recentRunTimes is how many times are kept of each class.
 	recentRunTimes = 64
-	// minRunTimes is how many of them are needed to judge by.
+	// minRunTimes is how many of them are needed to judge by a quantile.
 	minRunTimes = 8
 	// maxRunTimeClasses bounds the number of classes.
 	maxRunTimeClasses = 1 << 12
 	// usualRunTime is the quantile of the times that decides while load balancers still send requests. A
 	// refusal delays a caller by the way to another box, a cut costs it the work done.
 	usualRunTime = 0.95
-	// lateRunTimeFactor multiplies the longest of the times afterwards: such requests are few, and
-	// their callers do not expect to be cut off by a stop that began seconds before.
-	lateRunTimeFactor = 2
+	// longestRunTimeFactor multiplies the longest of the times where few are known, and for requests that
+	// come afterwards: such requests are few, and their callers do not expect to be cut off by a stop that
+	// began seconds before.
+	longestRunTimeFactor = 2
 )
 
 // RunTimes keeps how long the recent requests of each class took from their arrival to the end of
@@ -65,19 +66,25 @@
 }
 
 // EndsInGrace reports whether the request can be expected to end before the box does. It also returns
-// the time that it is expected to take; 0 if too few requests of its class were answered.
+// the time that it is expected to take; 0 if no request of its class was answered. Such a request is
+// taken while load balancers send, as by a box that has just started and has to stop.
 func (t *RunTimes) EndsInGrace(a StopArrival) (expected time.Duration, ok bool) {
-	if c := t.classes[a.Class]; c != nil && len(c.list) >= minRunTimes {
-		expected = c.expected(a.IsLate)
+	c := t.classes[a.Class]
+	switch {
+	case a.TimeLeft <= a.Grace:
+		return 0, true
+	case c == nil:
+		return 0, !a.IsLate
 	}
-	return expected, a.TimeLeft <= a.Grace || expected > 0 && expected <= a.Grace
+	expected = c.expected(a.IsLate)
+	return expected, expected <= a.Grace
 }
 
 // expected returns how long a request of the class is expected to take.
 func (c *runTimes) expected(isLate bool) time.Duration {
-	sorted := slices.Sorted(slices.Values(c.list))
-	if isLate {
-		return max(1, lateRunTimeFactor*sorted[len(sorted)-1])
+	if isLate || len(c.list) < minRunTimes {
+		return longestRunTimeFactor * slices.Max(c.list)
 	}
-	return max(1, sorted[int(math.Ceil(usualRunTime*float64(len(sorted))))-1])
+	sorted := slices.Sorted(slices.Values(c.list))
+	return sorted[int(math.Ceil(usualRunTime*float64(len(sorted))))-1]
 }
