Callers: a connection that is turned away does not hold up the others

What callers would see: a box short of memory accepted two connections a second where callers had sent a request with their connection, and did not close it.

Change: it reads on only where a response was written.

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -297,7 +297,7 @@
 func (c *callerConn) Close() error {
 	defer c.step(callerClose)
 	c.lease.Close()
-	if errors.Is(c.readErr, errMemoryShort) || !c.aborted.Load() && c.hasUnread() {
+	if errors.Is(c.readErr, errMemoryShort) || c.isTaking() && !c.aborted.Load() && c.hasUnread() {
 		c.drain()
 	}
 	return c.Conn.Close()
--- a/relay/callerstate.go
+++ b/relay/callerstate.go
@@ -24,6 +24,7 @@
 	callerUnused  = callerChart.State("unused")
 	callerIdle    = callerChart.State("idle")
 	callerSending = callerChart.State("sending")
+	callerTaking  = callerChart.State("taking")
 	callerAwait   = callerChart.Event("await")
 	callerReceive = callerChart.Event("receive")
 	callerRead    = callerChart.Event("read")
@@ -125,6 +126,14 @@
 	return c.progress.state == callerUnused || c.progress.state == callerIdle
 }
 
+// isTaking reports whether a response was written on the connection, and nothing else has begun.
+func (c *callerConn) isTaking() bool {
+	l := c.relay.callerServer.conns
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.progress.state == callerTaking
+}
+
 // isClosing reports whether connections at rest are closed.
 func (l *callerConns) isClosing() bool {
 	l.mu.Lock()
--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -202,3 +202,31 @@
 	is.NoErr(c.Close())
 	<-ended
 }
+
+// A connection that was turned away for lack of memory held up the acceptance of all others, when its
+// caller had sent a request.
+func TestTurnedAwayConnectionHoldsUpOthers(t *testing.T) {
+	const callers = 40
+	conns := make([]net.Conn, callers)
+	u := newStub(t, "u1", respondOK("ok"))
+	newTestBoxWithConfig(t, func(cfg *Config) {
+		cfg.Memory = 1
+		for i := range conns {
+			var err error
+			if conns[i], err = net.Dial("tcp", cfg.CallerListener.Addr().String()); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = conns[i].Close() })
+			if _, err := io.WriteString(conns[i], callerRequest("/once/x", fmt.Sprint(i), "")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}, u)
+	began := time.Now()
+	for _, c := range conns {
+		_, _ = c.Read(make([]byte, 1)) // closed or reset by the box; its caller does not close it
+	}
+	if took := time.Since(began); took > callers/4*drainTimeout {
+		t.Errorf("%d connections were turned away in %v", callers, took)
+	}
+}
