Planned stop: the box does not end while a connection is being accepted

What callers would see: a request on a connection that a stopping box was just accepting was sent on, and cut when the box ended at once.

Cause: the box waits for the connections that it lists, and one is listed only after the call that accepts it has returned. Found by review.

Change: the box waits for the end of the loop that accepts before it looks at its list.

--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -230,3 +230,35 @@
 		t.Errorf("%d connections were turned away in %v", callers, took)
 	}
 }
+
+// slowListener returns accepted connections late, as on a busy processor.
+type slowListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(l.delay)
+	}
+	return c, err
+}
+
+// A box ended while a connection was being accepted, whose request was then sent on.
+func TestPlannedStopEndsWhileConnectionIsBeingAccepted(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) {
+		cfg.StopTimeout = 20 * time.Second
+		cfg.CallerListener = slowListener{cfg.CallerListener, 300 * time.Millisecond}
+	}, u)
+	ended := b.stop()
+	time.Sleep(acceptLinger - 150*time.Millisecond)
+	c := b.dialCaller()
+	_, err := io.WriteString(c, callerRequest("/once/x", "accepted", ""))
+	is.NoErr(err)
+	<-ended
+	is.Equal(b.relay.callerServer.conns.count(), 0) // the process ends now
+	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -31,11 +31,12 @@
 	callers *acceptor
 	conns   *callerConns
 	server  *fasthttp.Server
+	served  chan struct{} // closed when no connection is accepted any more
 	ready   *fasthttp.Server
 }
 
 func newCallerServer(r *Relay) *callerServer {
-	f := &callerServer{relay: r, conns: newCallerConns(), callers: &acceptor{Listener: r.cfg.CallerListener, relay: r, serves: "callers"}}
+	f := &callerServer{relay: r, conns: newCallerConns(), served: make(chan struct{}), callers: &acceptor{Listener: r.cfg.CallerListener, relay: r, serves: "callers"}}
 	f.server = &fasthttp.Server{
 		Handler:                       f.handle,
 		ErrorHandler:                  f.handleReadError,
@@ -67,6 +68,7 @@
 
 func (f *callerServer) serve() {
 	setCallerBuffers(f.callers.Listener)
+	defer close(f.served)
 	_ = f.server.Serve(callerListener{f.callers, f.relay})
 }
 
@@ -78,6 +80,7 @@
 // does not leave that to the server, which does not know on which connections a request is arriving.
 func (f *callerServer) close(ctx context.Context) error {
 	err := f.callers.Close()
+	<-f.served // the last accepted connection is listed
 	f.conns.closeAtRest()
 	if waitErr := f.conns.awaitClosed(ctx); err == nil {
 		err = waitErr
