Planned stop: a new connection is kept for its first request

What callers would see: a connection that was opened 0.1 s before a stopping box ended its acceptance was closed while its first request was on its way; that request had been answered before connections at rest were closed at once.

Change: a connection on which nothing has arrived is kept for a second from its opening, which is what callers give a new connection. Whether its request is taken is decided when it arrives.

Measured: TestPlannedStopClosesNewConnectionBeforeItsFirstRequest (the review's form fails before, EOF) passes.

--- a/relay/callerstate.go
+++ b/relay/callerstate.go
@@ -32,6 +32,10 @@
 	callerClose   = callerChart.Event("close")
 )
 
+// firstRequestWait is how long a new connection is kept for its first request by a box that closes
+// connections at rest: callers give a new connection a second to come up.
+const firstRequestWait = time.Second
+
 // callerConns lists the open connections of callers.
 type callerConns struct {
 	mu      sync.Mutex // guards the states of the connections as well
@@ -102,10 +106,19 @@
 	defer l.mu.Unlock()
 	l.stepLocked(c, callerAwait)
 	if l.closing {
-		return false
+		deadline = c.closesAt()
 	}
 	_ = c.SetReadDeadline(deadline)
-	return true
+	return deadline.After(time.Now())
+}
+
+// closesAt returns until when a connection at rest is kept where such connections are closed: a new one
+// until its first request must have arrived. The caller holds callerConns.mu.
+func (c *callerConn) closesAt() time.Time {
+	if c.progress.state == callerUnused {
+		return c.progress.opened.Add(firstRequestWait)
+	}
+	return expiredDeadline
 }
 
 // closeAtRest ends the wait of all connections on which no request is active. Each closes itself unless
@@ -116,7 +129,7 @@
 	l.closing = true
 	for c := range l.open {
 		if c.isAtRest() {
-			_ = c.SetReadDeadline(expiredDeadline)
+			_ = c.SetReadDeadline(c.closesAt())
 		}
 	}
 }
--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -262,3 +262,19 @@
 	is.Equal(b.relay.callerServer.conns.count(), 0) // the process ends now
 	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
 }
+
+// A connection that was opened shortly before a stopping box ended its acceptance was closed before its
+// first request.
+func TestPlannedStopClosesNewConnectionBeforeItsFirstRequest(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, u)
+	ended := b.stop()
+	time.Sleep(acceptLinger * 9 / 10)
+	c := b.dialCaller()
+	b.awaitClosing()
+	_, err := io.WriteString(c, callerRequest("/once/x", "first", ""))
+	is.NoErr(err)
+	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
+	<-ended
+}
