Callers: what is read behind a request holds no buffer, and empty lines are no request

And each connection at rest held the buffer of its last request, which is not charged any more.

Change: line ends are cut off from what is behind a request, and where nothing is left nothing is kept.

--- a/relay/callerstate_test.go
+++ b/relay/callerstate_test.go
@@ -278,3 +278,44 @@
 	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
 	<-ended
 }
+
+// An empty line behind a request, as some callers send it, kept a stopping box up to the end of its
+// grace.
+func TestEmptyLineBehindRequestDelaysPlannedStop(t *testing.T) {
+	is := is.New(t)
+	release, started := make(chan struct{}), make(chan struct{})
+	u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+		close(started)
+		<-release
+		return respondOK("ok")(c, r)
+	})
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 5 * time.Second }, u)
+	c := b.dialCaller()
+	_, err := io.WriteString(c, callerRequest("/once/x", "1", "body")+"\r\n")
+	is.NoErr(err)
+	<-started
+	ended := b.stop()
+	b.waitFor(b.relay.stopping.Load)
+	close(release)
+	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
+	<-ended
+	is.True(!b.closedLogContains("stopped with active requests"))
+}
+
+// A connection at rest held the buffer of its last request, which was no longer charged.
+func TestConnectionAtRestHoldsBufferOfItsLastRequest(t *testing.T) {
+	is := is.New(t)
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBox(t, u)
+	c := b.dialCaller()
+	_, err := io.WriteString(c, callerRequest("/once/x", "1", strings.Repeat("x", 30<<10)))
+	is.NoErr(err)
+	is.Equal(readRaw(bufio.NewReader(c)).status, 200)
+	conns := b.relay.callerServer.conns
+	b.waitFor(func() bool { return conns.addStates(Fields{})["callers_idle"] == 1 })
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	for k := range conns.open {
+		is.True(k.behind == nil)
+	}
+}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -30,14 +30,21 @@
 	return b.bodyFollows || len(b.buf) >= b.headLen+b.bodyLen
 }
 
-// behind returns what was read behind a complete request.
+// behind returns what was read behind a complete request, but for empty lines, which some callers send;
+// nil if there is nothing.
 func (b *requestBuffer) behind() []byte {
 	if b.headLen == 0 || b.bodyFollows || len(b.buf) < b.headLen+b.bodyLen {
 		return nil
 	}
-	return b.buf[b.headLen+b.bodyLen:]
+	if rest := bytes.TrimLeft(b.buf[b.headLen+b.bodyLen:], emptyLine); len(rest) > 0 {
+		return rest
+	}
+	return nil // it would hold the buffer of the whole request
 }
 
+// emptyLine is what may precede a request.
+const emptyLine = "\r\n"
+
 // headEnd returns the offset at which the header ends, or 0 if it is incomplete. No header ends before
 // from.
 func headEnd(b []byte, from int) int {
