Planned stop: failures and requests that were given up make no route quick

What callers would see: after an upstream had failed some requests at once, a box that stopped took long requests in its last second, and cut them.

Cause: any response of an upstream counted as the time that requests of the route take; requests without an answer did not count at all. Found by review.

Change: only successes count. What ended without one counts with the time it lasted where that is longer than usual.

--- a/balance/runtimes.go
+++ b/balance/runtimes.go
@@ -57,6 +57,14 @@
 	c.next = (c.next + 1) % recentRunTimes
 }
 
+// NoteUnanswered records that a request of a class that was sent to an upstream has ended without an
+// answer. It would have taken longer: that counts where it is longer than usual.
+func (t *RunTimes) NoteUnanswered(class string, lasted time.Duration) {
+	if c := t.classes[class]; c != nil && lasted > c.expected(false) {
+		t.Note(class, lasted)
+	}
+}
+
 // StopArrival is a request that arrives at a box that is about to stop.
 type StopArrival struct {
 	Class    string
--- a/balance/runtimes_test.go
+++ b/balance/runtimes_test.go
@@ -52,3 +52,24 @@
 	}
 	is.True(len(times.classes) <= maxRunTimeClasses)
 }
+
+// Requests that were given up counted for nothing, so that a class of which the long ones are given up
+// seemed to be quick.
+func TestRequestsWithoutAnswerMakeNoClassQuick(t *testing.T) {
+	is := is.New(t)
+	times := NewRunTimes()
+	times.NoteUnanswered("", time.Second)
+	is.Equal(len(times.classes), 0) // nothing tells how much longer it would have taken
+	for range minRunTimes {
+		times.Note("", 100*time.Millisecond)
+	}
+	a := StopArrival{TimeLeft: 12 * time.Second, Grace: 3 * time.Second}
+	times.NoteUnanswered("", 50*time.Millisecond) // its caller left early
+	_, takes := times.EndsInGrace(a)
+	is.True(takes)
+	for range minRunTimes {
+		times.NoteUnanswered("", 5*time.Second)
+	}
+	_, takes = times.EndsInGrace(a)
+	is.True(!takes)
+}
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -141,14 +141,17 @@
 	}
 }
 
-// noteRunTime records how long the request took, if it was answered.
+// noteRunTime records how long the request took. A failure of an upstream says nothing of that.
 func (x *exchange) noteRunTime() {
-	if x.outcome != outcomeAnswered {
-		return
-	}
+	took := time.Since(x.arrived)
 	x.relay.mu.Lock()
 	defer x.relay.mu.Unlock()
-	x.relay.runTimes.Note(x.route.Name, time.Since(x.arrived))
+	switch {
+	case x.outcome == outcomeAnswered && x.response.header.StatusCode() < fasthttp.StatusMultipleChoices:
+		x.relay.runTimes.Note(x.route.Name, took)
+	case x.runsSent > 0:
+		x.relay.runTimes.NoteUnanswered(x.route.Name, took)
+	}
 }
 
 // logRequestsCut logs each request that is still running at an upstream when the grace period ends.
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -172,3 +173,22 @@
 		})
 	}
 }
+
+// Failures of upstreams counted as run times, so that a box took long requests in its last second.
+func TestFailuresOfUpstreamsCountAsRunTimes(t *testing.T) {
+	for _, status := range []int{400, 500} {
+		is := is.New(t)
+		u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+			writeWire(c, fmt.Sprintf("HTTP/1.1 %d Failed\nX-Id: %s\nX-Sign: s\nContent-Length: 0\n\n", status, r.Header.Get("X-Id")))
+			return true
+		})
+		b := newTestBox(t, u)
+		for i := range 20 {
+			is.NoErr(b.do(b.request("POST", "/once/x", "", "X-Id", fmt.Sprint(i))).err)
+		}
+		b.relay.mu.Lock()
+		_, takes := b.relay.runTimes.EndsInGrace(balance.StopArrival{Class: "once", TimeLeft: 12 * time.Second, Grace: time.Second, IsLate: true})
+		b.relay.mu.Unlock()
+		is.True(!takes)
+	}
+}
