Streams: one that goes on needs a proven connection also while one version is listed

What callers would see: a stream that was taken up, or resumed, at an upstream which had started again under its id and address with another version: events of both (ORDER).

Cause: while a box listed one version, it took each new connection for one to that version. A list that is behind, of a box that was out of step or before the store told, lists one version as well. Hypothesis: that nothing else is listed proves nothing of a process; its report does.

Change: the shortcut holds for streams that begin only.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -199,11 +199,14 @@
 	return err == nil && !readable
 }
 
-// hasProven reports whether an idle connection is open that is proven to lead to an incarnation.
-func (p *connPool) hasProven(inc balance.Incarnation) bool {
+// hasProven reports whether an idle connection is open that is proven to lead to an incarnation: by its
+// report, or since the connection is older than provenAfter.
+func (p *connPool) hasProven(inc balance.Incarnation, provenAfter time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isProven := func(c *conn) bool { return c.proven && c.incarnation == inc && c.isUsable() }
+	isProven := func(c *conn) bool {
+		return c.incarnation == inc && (c.proven || time.Since(c.opened) > provenAfter) && c.isUsable()
+	}
 	return slices.ContainsFunc(p.idle[idleKey{inc.ID, false}], isProven) || slices.ContainsFunc(p.idle[idleKey{inc.ID, true}], isProven)
 }
 
--- a/relay/proof.go
+++ b/relay/proof.go
@@ -46,7 +46,8 @@
 }
 
 // needsProof reports whether the connection may lead to a software version that the list does not
-// name yet. Where entries state no start, a restart changes the ID, which the upstream compares.
+// name yet. Where entries state no start, a restart changes the ID, which the upstream compares. That
+// one version only is listed proves nothing to a stream that goes on: the list may be behind.
 func (x *exchange) needsProof(c *conn) bool {
 	r := x.relay
 	if c.proven || c.incarnation.StartedAt == 0 || r.cfg.Protocol.ReportCall == nil || x.route.Repeat != route.Stream {
@@ -55,12 +56,13 @@
 	r.mu.Lock()
 	_, isSole := r.fleet.SoleSoftware(r.now(), x.service)
 	r.mu.Unlock()
-	if isSole {
+	if isSole && x.origin == nil {
 		return false
 	}
 	// The list would have told of an incarnation that started before the connection was opened; and while
 	// an older connection is open, no other process has its address.
-	c.proven = time.Since(c.opened) > r.publishedAge()+entryDelay || r.conns.hasProven(c.incarnation)
+	provenAfter := r.publishedAge() + entryDelay
+	c.proven = time.Since(c.opened) > provenAfter || r.conns.hasProven(c.incarnation, provenAfter)
 	return !c.proven
 }
 
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -401,6 +402,36 @@
 	b.awaitLog(`"msg":"upstream: start differs"`)
 }
 
+// One version alone was listed, and an upstream of it had started again under its id and address with
+// another one: a stream that was taken up went on there.
+func TestStreamIsTakenUpAtUpstreamThatStartedAgain(t *testing.T) {
+	is := is.New(t)
+	honest, restarted := newStartedStub(t, "honest", "v1", 1), newStartedStub(t, "restarted", "v2", 2)
+	restarted.software = "v1" // by its entry
+	b := newTestBoxWithProtocol(t, reportingProtocol(), honest.stub, restarted.stub)
+	for _, u := range []*startedStub{honest, restarted} {
+		b.publisher.set(u.id, balance.Upstream{ID: u.id, StartedAt: 1, Service: "s", Address: u.listener.Addr().String(), Domain: "d", Slots: 8, Software: "v1"}, false)
+	}
+	b.waitFor(func() bool { return b.listedStart("honest") == 1 && b.listedStart("restarted") == 1 })
+	var all sync.WaitGroup
+	var wentOn atomic.Int64
+	for i := range streams {
+		all.Go(func() {
+			rest := b.takeUp("s", fmt.Sprint("s-", i), 2)
+			isRefused := rest.status == http.StatusServiceUnavailable && strings.Contains(rest.body, `"ran":"no"`)
+			if versionsIn(rest.body)["v2"] || rest.status != http.StatusOK && !isRefused {
+				t.Errorf("status %d: %s", rest.status, rest.body)
+			}
+			if rest.status == http.StatusOK {
+				wentOn.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	is.True(wentOn.Load() > 0)
+	b.awaitLog(`"msg":"upstream: start differs"`)
+}
+
 // startedStub is an upstream that tells when it started.
 type startedStub struct {
 	*stub
