Streams: a box alone does not know that one version only can have begun a stream

Cause: a box took a list of up to 2 s of age for complete, and its own word for proof; and a lookup took the first fresh word of any box, also one that is behind, before the record of a slower one. Hypothesis: a box cannot tell from within that it is in step; only others can, or a list that was current after the request arrived.

Change: a box takes its own word only if it never knew another one. Else it asks, for all answers: any box that has seen another version objects, one at least has to know that there was none, and one of another domain has to answer if there ever was any. If nobody objects and an answer is missing, it waits until its list is confirmed, while that is fresh, or refuses with a Retry-After. Boxes that have just started say which version they have seen, in a field that earlier boxes ignore. An answer to a question that is no longer open, or that was asked before the box missed something, vouches for nothing: it may have lain in a socket. A domain does not forget that there are others. A record of a version that the box has not listed yet is refused with a Retry-After.

Tests: While one version serves, nothing was asked. That cannot be kept: no box knows by itself that there is no second one yet. TestOneSoftwareVersionCostsNothing counts exactly one question for each stream that is taken up now, and nothing told or refused, as before; TestStartedBoxRefusesStreamsOfTheOnlySoftware likewise.

TestBoxOutOfStepRefusesStreamsOfTheOnlySoftware holds before and after: only boxes that hear of nobody refuse.

Conclusion: what a box knows of others has a time, and a stream is judged by what was known after its caller came.

--- a/balance/software.go
+++ b/balance/software.go
@@ -124,9 +124,12 @@
 	}
 }
 
-// Vouch records that, as another box knows, only one version of a service can have begun any open
-// stream. It has no effect if this box has seen others.
-func (f *Fleet) Vouch(now time.Duration, service, software string) {
+// Vouch records that, as another box knew when it was asked at a time, only one version of a service can
+// have begun any open stream. It has no effect if this box has seen others, or has missed versions since.
+func (f *Fleet) Vouch(now, asked time.Duration, service, software string) {
+	if asked < f.historyLostAt {
+		return
+	}
 	if versions := f.RecentSoftware(now, service); len(versions) == 1 && versions[0] == software {
 		f.serviceOf(service).software.vouched = true
 	}
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -60,16 +60,6 @@
 	return n
 }
 
-// HasOtherDomains reports whether boxes of other domains are known that may hold records.
-func (p *Peers) HasOtherDomains(mayHold func(domain string) bool) bool {
-	for domain := range p.leaders {
-		if mayHold(domain) {
-			return true
-		}
-	}
-	return false
-}
-
 // Holders returns the addresses of the boxes to tell of a stream; mayHold says in which domains its
 // record may be kept.
 func (p *Peers) Holders(key Key, mayHold func(domain string) bool) []string {
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -36,10 +36,10 @@
 	originTick = 250 * time.Millisecond
 	// maxHandedOver bounds the records that a box sends when it stops, some 160 KB for each holder.
 	maxHandedOver = 1 << 12
-	// historyNonce marks answers about versions that belong to no lookup.
-	historyNonce = 0
-	// freshList is the age up to which a list of upstreams is taken to hold every version that streams
-	// can have begun at: changes reach all boxes in that time.
+	// historyWait is how long answers about versions are waited for, while more boxes are asked.
+	historyWait = time.Second
+	// freshList is the age up to which a list of upstreams is taken to hold every version that a box in
+	// step with the others can know of: changes reach all boxes in that time.
 	freshList = 2 * time.Second
 	// originsPerMessage bounds the records in a message, which stays within 6 KB.
 	originsPerMessage = 60
@@ -61,17 +61,19 @@
 	events *ring.Ring[*wire.GroupMessage]
 	lease  *account.Lease
 
-	mu      sync.Mutex
-	table   *origin.Table
-	peers   origin.Peers
-	limiter *origin.Limiter
-	lookups map[uint64]chan<- originReply // by nonce
-	nonce   uint64
+	mu           sync.Mutex
+	table        *origin.Table
+	peers        origin.Peers
+	hasMet       bool                // another box has been known since the start
+	otherDomains map[string]struct{} // domains of other boxes that have been known since the start
+	limiter      *origin.Limiter
+	questions    map[uint64]question // by nonce
+	nonce        uint64
 }
 
 func newOrigins(r *Relay) *origins {
 	o := &origins{relay: r, events: ring.New[*wire.GroupMessage](originQueueSize), lease: r.account.Lease(),
-		limiter: origin.NewLimiter(), lookups: make(map[uint64]chan<- originReply), nonce: uint64(r.startedAt.UnixNano())}
+		otherDomains: make(map[string]struct{}), limiter: origin.NewLimiter(), questions: make(map[uint64]question), nonce: uint64(r.startedAt.UnixNano())}
 	o.table = origin.NewTable(origin.TableConfig{Max: maxOrigins,
 		Reserve: func(n int64) bool { return o.lease.Grow(n, originShare) },
 		Release: func(n int64) { o.lease.Shrink(n) }})
@@ -103,6 +105,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(o.relay.now())
+	for nonce, q := range o.questions {
+		if q.answers == nil && o.relay.now()-q.askedAt > historyWait {
+			delete(o.questions, nonce)
+		}
+	}
 }
 
 // push queues a received message, on the socket's goroutine.
@@ -118,6 +125,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.peers = peers
+	o.hasMet = o.hasMet || len(list) > 0
+	for _, p := range list {
+		if p.Domain != o.relay.cfg.Domain {
+			o.otherDomains[p.Domain] = struct{}{}
+		}
+	}
 }
 
 // syncOriginPeers passes the boxes that the node knows to the origins.
@@ -132,6 +145,15 @@
 	return o.peers.Len() > 0
 }
 
+// isAlone reports whether no other box can have begun a stream: there is none among the seeds, and none
+// has been known since the start.
+func (o *origins) isAlone() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	self := o.relay.cfg.Self.Address
+	return !o.hasMet && !slices.ContainsFunc(o.relay.cfg.Seeds, func(seed string) bool { return seed != self })
+}
+
 func (o *origins) handle(m *wire.GroupMessage) {
 	switch {
 	case m.OriginQuery != nil:
@@ -165,6 +187,23 @@
 	*wire.GroupOriginReply
 }
 
+// onlySoftware returns the only version that the box has seen within the time that a stream may last, or
+// false if it has seen several, or none.
+func (a originReply) onlySoftware() (string, bool) {
+	switch {
+	case a.Sole:
+		return a.SoleSoftware, true
+	case a.Result == wire.GroupOriginReply_NOT_FOUND && a.Origin != nil:
+		return a.Origin.Software, true
+	}
+	return "", false
+}
+
+// hasFreshList reports whether the list of the box was fresh.
+func (a originReply) hasFreshList() bool {
+	return time.Duration(a.ListAge)*time.Microsecond <= freshList
+}
+
 // answer answers a question of another box.
 func (o *origins) answer(q *wire.GroupOriginQuery) {
 	r := o.relay
@@ -174,10 +213,14 @@
 	o.mu.Unlock()
 	r.mu.Lock()
 	a.SoleSoftware, a.Sole = r.fleet.SoleSoftware(r.now(), q.Service)
+	seen := r.fleet.RecentSoftware(r.now(), q.Service)
 	r.mu.Unlock()
 	a.Result = wire.GroupOriginReply_Result(result)
-	if result == origin.Found {
+	switch {
+	case result == origin.Found:
 		a.Origin = &wire.GroupOrigin{Stream: q.Stream, Service: found.Service, Software: found.Software}
+	case result == origin.NotFound && !a.Sole && len(seen) == 1:
+		a.Origin = &wire.GroupOrigin{Service: q.Service, Software: seen[0]}
 	}
 	m := group.OriginMessage(r.cfg.Self)
 	m.OriginReply = a
@@ -191,28 +234,37 @@
 	r.mu.Lock()
 	services := r.fleet.ServicesToVouch(r.now())
 	r.mu.Unlock()
+	if len(services) == 0 {
+		return
+	}
+	o.mu.Lock()
+	nonce := o.addQuestion(nil)
+	o.mu.Unlock()
 	for _, service := range services {
 		asked, _ := o.asked(origin.KeyOf("", service), func(string) bool { return true })
 		m := group.OriginMessage(r.cfg.Self)
-		m.OriginQuery = &wire.GroupOriginQuery{Nonce: historyNonce, Service: service, ReplyTo: r.cfg.Self.Address}
+		m.OriginQuery = &wire.GroupOriginQuery{Nonce: nonce, Service: service, ReplyTo: r.cfg.Self.Address}
 		o.send(asked, m)
 	}
 }
 
-// deliver passes an answer to the lookup that waits for it.
+// deliver passes an answer to the lookup that waits for it. One that this box no longer waits for says
+// nothing: it may have lain in a socket while the box stood still.
 func (o *origins) deliver(a originReply) {
-	if a.Sole && time.Duration(a.ListAge)*time.Microsecond <= freshList {
+	o.mu.Lock()
+	q, isAsked := o.questions[a.Nonce]
+	o.mu.Unlock()
+	if !isAsked {
+		return
+	}
+	if a.Sole && a.hasFreshList() {
 		o.relay.mu.Lock()
-		o.relay.fleet.Vouch(o.relay.now(), a.Service, a.SoleSoftware)
+		o.relay.fleet.Vouch(o.relay.now(), q.askedAt, a.Service, a.SoleSoftware)
 		o.relay.mu.Unlock()
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if c := o.lookups[a.Nonce]; c != nil {
-		select {
-		case c <- a:
-		default: // more answers than boxes were asked
-		}
+	select {
+	case q.answers <- a:
+	default: // more answers than boxes were asked, or none is waited for
 	}
 }
 
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -35,15 +36,16 @@
 		return nil
 	}
 	r := x.relay
-	r.mu.Lock()
-	software, isSole := r.fleet.SoleSoftware(r.now(), x.service)
-	r.mu.Unlock()
-	if isSole && r.publishedAge() <= freshList {
-		x.setOrigin(software)
+	arrived, own := r.now(), x.ownWord()
+	if own.isSole && own.isFresh && r.origins.isAlone() {
+		x.setOrigin(own.software)
 		return nil
 	}
 	// A caller that names no attempt finds no record, but may be told that there is one version only.
-	a := r.origins.lookup(x.ctx, x.customerName(), origin.KeyOf(x.customerName(), x.request.resumes), x.service, x.mayHoldOrigin)
+	a := r.origins.lookup(x.ctx, x.customerName(), origin.KeyOf(x.customerName(), x.request.resumes), x.service, own, x.mayHoldOrigin)
+	if x.mayAwaitList(a) {
+		a = x.awaitList(arrived, a)
+	}
 	x.logOrigin(a)
 	if a.Service != "" && a.Service != x.service {
 		if !slices.ContainsFunc(x.route.Targets, func(t route.Target) bool { return t.Service == a.Service }) {
@@ -55,8 +57,8 @@
 	isKnown := a.result == origin.Found || a.sole && x.isOnlySoftware(a.Software)
 	if !isKnown {
 		unknown := &refusal{status: fasthttp.StatusServiceUnavailable, reason: originUnknownReason}
-		if a.limited {
-			unknown.retryAfter = defaultRetryAfter
+		if a.limited || own.isSole && !a.split {
+			unknown.retryAfter = defaultRetryAfter // this box, or another one, may know it later
 		}
 		return unknown
 	}
@@ -64,6 +66,50 @@
 	return nil
 }
 
+// ownWord returns what this box knows of the versions of the request's service.
+func (x *exchange) ownWord() ownWord {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	software, isSole := r.fleet.SoleSoftware(r.now(), x.service)
+	return ownWord{software, isSole, r.publishedAge() <= freshList}
+}
+
+// mayAwaitList reports whether this box may soon know by its own list that one version only can have begun
+// the stream: no box knows of several, and this one is not cut off as far as it knows.
+func (x *exchange) mayAwaitList(a originAnswer) bool {
+	isOpen := a.result == origin.NotFound && !a.sole && !a.split
+	return isOpen && (a.limited || a.answered > 0 || x.relay.members.shouldRead.Load())
+}
+
+const (
+	// messageTime is longer than a message takes that says how old a list is.
+	messageTime = 100 * time.Millisecond
+	// listPoll is how often the age of the list is looked at.
+	listPoll = 20 * time.Millisecond
+)
+
+// awaitList waits until the list of this box is known to have been current after the request arrived.
+// It holds every version then that can have begun the stream. It gives up as soon as the list is no longer
+// fresh.
+func (x *exchange) awaitList(arrived time.Duration, a originAnswer) originAnswer {
+	r := x.relay
+	a.awaited = true
+	for {
+		a.took = r.now() - arrived
+		confirmed := time.Duration(r.published.confirmedAt.Load()) // before the versions of that list, or of a later one
+		own := x.ownWord()
+		switch {
+		case x.ctx.Err() != nil || !own.isSole || !own.isFresh:
+			return a
+		case confirmed > arrived+messageTime:
+			a.Software, a.sole = own.software, true
+			return a
+		}
+		sleep(x.ctx, listPoll)
+	}
+}
+
 // setOrigin sets where a stream that its caller takes up began.
 func (x *exchange) setOrigin(software string) {
 	x.relay.mu.Lock()
@@ -96,20 +142,25 @@
 	r.stats.count(counter)
 	r.stats.latency("origin_lookup_ms", a.took)
 	r.cfg.Log.Event("origin", event, Fields{"id": x.request.id, "resumes": boundedText(x.request.resumes), "service": x.service, "software": a.Software, "sole": a.sole,
-		"ambiguous": a.result == origin.Ambiguous, "limited": a.limited, "asked": a.asked, "answered": a.answered, "took_ms": a.took.Milliseconds(), "age_ms": r.publishedAge().Milliseconds()})
+		"ambiguous": a.result == origin.Ambiguous, "limited": a.limited, "awaited": a.awaited, "asked": a.asked, "answered": a.answered, "took_ms": a.took.Milliseconds(), "age_ms": r.publishedAge().Milliseconds()})
 }
 
 // refuseTakenUp returns the refusal of a stream that its caller takes up, where no upstream of its
-// software took it. It may succeed later only while one is listed.
+// software took it. It may succeed later unless the last one has gone.
 func (x *exchange) refuseTakenUp(otherwise *refusal) *refusal {
 	if x.origin == nil || !x.isTakenUp() || otherwise.status != fasthttp.StatusServiceUnavailable {
 		return otherwise
 	}
-	x.relay.mu.Lock()
-	isListed := x.relay.fleet.ListsSoftware(x.service, x.origin.Software)
-	x.relay.mu.Unlock()
-	if !isListed {
+	r := x.relay
+	r.mu.Lock()
+	isListed := r.fleet.ListsSoftware(x.service, x.origin.Software)
+	hasGone := slices.Contains(r.fleet.RecentSoftware(r.now(), x.service), x.origin.Software)
+	r.mu.Unlock()
+	switch {
+	case !isListed && hasGone:
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: noSoftwareReason}
+	case !isListed: // the list is behind
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: noSoftwareReason, retryAfter: defaultRetryAfter}
 	}
 	return &refusal{status: fasthttp.StatusServiceUnavailable, reason: softwareFullReason, retryAfter: otherwise.retryAfter}
 }
