Soak: odd entries in the store, and answers that stop within their head

What is checked: that boxes start, follow the list and serve beside 17 odd entries (no base64, no text, nested, numbers and ports out of range, a zone, half a megabyte of version) in the first page that they read, one of which changes now and then; and that an upstream that stops within the head of an answer gives its caller no success. The checks of answers hold for these under any interleaving; the keys are those of nobody.

Conclusion: the stand-ins break both rules now.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/doormast/doormast/platform"
+	"github.com/doormast/doormast/platform/standin"
 )
 
 // fault is a named fault; inject applies it and returns the function that undoes it, or nil.
@@ -101,6 +102,10 @@
 	{"announce in responses only that an upstream is leaving", announceLeaving},
 	{"request pauses from an upstream", requestPauses},
 	{"discard the store's history", func(w *harness) func() { w.store.DiscardHistory(); return nil }},
+	{"publish an odd entry", func(w *harness) func() {
+		w.store.PutOdd("odd0", w.random.IntN(standin.OddEntries))
+		return nil
+	}},
 	{"publish a new document version", func(w *harness) func() {
 		w.document.Version += 1 + uint64(w.random.IntN(3))
 		if err := w.publish(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -208,6 +208,9 @@
 		return err
 	}
 	w.store = standin.NewStore(l)
+	for n := range standin.OddEntries {
+		w.store.PutOdd(fmt.Sprint("odd", n), n)
+	}
 	w.document = testDocument()
 	if err := w.publish(); err != nil {
 		return err
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -198,12 +198,15 @@
 		sendStaleResponse(w, u.id, id)
 	case 2:
 		sendWithoutEnd(w)
+	case 3:
+		cutHead(w, u.id, id)
 	default:
 		_, _ = io.WriteString(w, responseBody(id))
 	}
 }
 
-// One in faultyShare plain responses is truncated, as many follow a stale response, and as many have no end.
+// One in faultyShare plain responses is truncated, as many follow a stale response, as many have no end, and as
+// many stop within their head.
 const faultyShare = 20
 
 // maxWithoutEnd bounds a response without an end, in bytes, for boxes that read on.
@@ -229,6 +232,18 @@
 	resetConnection(w)
 }
 
+// cutHead stops within the header of a response, and closes the connection.
+func cutHead(w http.ResponseWriter, upstream, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s %s\r\nContent-Length: %d\r\n\r\n",
+		protocol.RequestID, id, protocol.Signature, upstream, id, len(responseBody(id)))
+	_, _ = io.WriteString(c, head[:rand.IntN(len(head))])
+	_ = c.Close()
+}
+
 // sendStaleResponse sends a late response to an earlier request, followed by the response to this one. Both
 // advertise the limit in the header of w, if there is one: an answer without it would end the limit.
 func sendStaleResponse(w http.ResponseWriter, upstream, id string) {
