Answers: a success without a length whose connection ends behind its head lacks its body

What callers would see, from a report of other operators: a 200 with an empty body, framed as whole, from an upstream that wrote its head, and ended before its body.

Cause: an answer without a length ends with its connection, so that one whose connection ended at once counted as whole, with no byte. That an empty stream of events is not complete was known (nothing says that there are none); for other answers it was not.

Hypothesis: an HTTP/1.1 upstream that means to send no body says so, by a length, a last chunk or its status. One that has sent nothing behind the head of a success broke off.

Ruled out: a bound on the other side. An upstream of HTTP/1.0 has no other way to end an empty answer, and a failure says what it has to say by its status: both are passed on as before, as are 204 and HEAD. The cost of a wrong guess is a 502 in place of an empty success; the cost of the other is an answer that looks whole and is not. An answer of that kind that ends within its body can't be told from a whole one.

Change: such an answer is a run that was cut off: it may have run, callers whose request may run again are answered elsewhere, the others get a 502. The same at boxes of chat completions, for plain services.

Measured: with the answers of the tests before given a body, nine of their cases fail before at the offset behind the head (./relay: closed connections, directly, through another box, and where another upstream could answer) and two of ./internal/upstream; they pass after. TestAnswerWithoutBodyIsWhole has five ways to say that there is none, for both: they pass before and after.

Conclusion: no success is whole by its head alone, unless it says so.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -30,7 +30,7 @@
 // complete. A refusal by the upstream, which did not run the request, is not passed on.
 func (h *HTTP) readWhole(resp *fasthttp.Response, r *run) cell.Result {
 	body, err := io.ReadAll(io.LimitReader(bodyOf(resp), int64(h.cfg.MaxAnswer)+1))
-	if err != nil || len(body) > h.cfg.MaxAnswer {
+	if err != nil || len(body) > h.cfg.MaxAnswer || len(body) == 0 && r.call.Method != fasthttp.MethodHead && lacksBody(resp) {
 		return cell.Result{Outcome: decide.Failed, Ran: true}
 	}
 	r.clean, r.whole = !resp.ConnectionClose(), true
@@ -44,6 +44,15 @@
 	return cell.Result{Outcome: decide.Answered, Ran: true}
 }
 
+// lacksBody reports whether an answer whose connection ended behind its header is incomplete: it is a success, and
+// nothing says that it has no body. HTTP/1.0 has no other way to end one.
+func lacksBody(resp *fasthttp.Response) bool {
+	const endsWithConnection = -2 // what fasthttp returns where a header states no length
+	status := resp.StatusCode()
+	isSuccess := status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices
+	return isSuccess && status != fasthttp.StatusNoContent && resp.Header.ContentLength() == endsWithConnection && resp.Header.IsHTTP11()
+}
+
 // readStream passes the events of a stream to the sink. A stream that ends without
 // its end marker or the marker of a paused run has failed.
 func (h *HTTP) readStream(k *conn, resp *fasthttp.Response, r *run) cell.Result {
--- a/internal/upstream/cutanswer_test.go
+++ b/internal/upstream/cutanswer_test.go
@@ -47,16 +47,17 @@
 	for _, c := range []struct {
 		name, answer string
 		isPlain      bool
+		unread       int // bytes at its end whose lack nothing shows
 	}{
-		{"length", head + "Content-Length: 12\r\n\r\nabcdefghijkl", true},
-		{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-A: 1\r\n\r\nabcdefghijkl", true},
-		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n0c\r\nabcdefghijkl\r\n3;x=y\r\nmno\r\n0\r\nX-T: 1\r\n\r\n", true},
-		{"bare line ends", "HTTP/1.1 200 OK\nX-A: 1\nContent-Length: 12\r\n\r\nabcdefghijkl", true},
-		{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", true},
-		{"connection", head + "Connection: close\r\n\r\n", true},
-		{"nothing", head + "\r\n", true},
-		{"stream", chunked("a", "b"), false},
-		{"stream without a length", head + "Content-Type: text/event-stream\r\n\r\ndata: a\n\n", false},
+		{"length", head + "Content-Length: 12\r\n\r\nabcdefghijkl", true, 0},
+		{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-A: 1\r\n\r\nabcdefghijkl", true, 0},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n0c\r\nabcdefghijkl\r\n3;x=y\r\nmno\r\n0\r\nX-T: 1\r\n\r\n", true, 0},
+		{"bare line ends", "HTTP/1.1 200 OK\nX-A: 1\nContent-Length: 12\r\n\r\nabcdefghijkl", true, 0},
+		{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", true, 0},
+		{"connection", head + "Connection: close\r\n\r\nabc", true, 2},
+		{"nothing", head + "\r\nabc", true, 2},
+		{"stream", chunked("a", "b"), false, 0},
+		{"stream without a length", head + "Content-Type: text/event-stream\r\n\r\ndata: a\n\n", false, 0},
 	} {
 		for _, isReset := range []bool{false, true} {
 			t.Run(fmt.Sprint(c.name, " reset=", isReset), func(t *testing.T) {
@@ -65,7 +66,7 @@
 				l := serveCut(t, c.answer, isReset, &offset)
 				h := runner()
 				defer func() { is.NoErr(h.Close()) }()
-				for int(offset.Load()) < len(c.answer) {
+				for int(offset.Load()) < len(c.answer)-c.unread {
 					call := callTo(l.Addr().String(), c.isPlain)
 					call.Fresh = true
 					var sink collector
@@ -79,3 +80,17 @@
 		}
 	}
 }
+
+// An answer without a body is whole where its status, its length or its version says so.
+func TestAnswerWithoutBodyIsWhole(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 404 Not Found\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+	} {
+		is := is.New(t)
+		s := serve(t, true, answer)
+		h := runner()
+		is.Equal(h.Run(context.Background(), callTo(s.Addr().String(), true), &collector{}).Outcome, decide.Answered)
+		is.NoErr(h.Close())
+	}
+}
--- a/relay/cuthead_test.go
+++ b/relay/cuthead_test.go
@@ -20,27 +20,27 @@
 type cutAnswer struct {
 	name string
 	text string // %s is the request's ID
-	body string // of the whole answer; empty if that ends with its connection
+	body string // of the whole answer
+	ends bool   // with its connection
 }
 
 // cutHead is the part of a head that the answers have in common.
 const cutHead = "X-Sign: s\r\nX-A: " + "0123456789" + "\r\n"
 
-// Answers by what marks their end. Where that is the end of the connection, an answer without a body is
-// whole as soon as its head is.
+// Answers by what marks their end.
 var (
-	lengthAnswer   = cutAnswer{"length", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Content-Length: 12\r\n\r\nabcdefghijkl", "abcdefghijkl"}
-	lengthFirst    = cutAnswer{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: %s\r\n" + cutHead + "\r\nabcdefghijkl", "abcdefghijkl"}
-	chunkedAnswer  = cutAnswer{"chunks", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Transfer-Encoding: chunked\r\n\r\n0c\r\nabcdefghijkl\r\n3;x=y\r\nmno\r\n0\r\nX-T: 1\r\n\r\n", "abcdefghijklmno"}
-	bareLineAnswer = cutAnswer{"bare line ends", "HTTP/1.1 200 OK\nX-Id: %s\nX-Sign: s\nContent-Length: 12\r\n\r\nabcdefghijkl", "abcdefghijkl"}
-	interimAnswer  = cutAnswer{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + lengthAnswer.text, lengthAnswer.body}
-	closeAnswer    = cutAnswer{"connection", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Connection: close\r\n\r\n", ""}
-	unframedAnswer = cutAnswer{"nothing", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "\r\n", ""}
+	lengthAnswer   = cutAnswer{"length", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Content-Length: 12\r\n\r\nabcdefghijkl", "abcdefghijkl", false}
+	lengthFirst    = cutAnswer{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: %s\r\n" + cutHead + "\r\nabcdefghijkl", "abcdefghijkl", false}
+	chunkedAnswer  = cutAnswer{"chunks", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Transfer-Encoding: chunked\r\n\r\n0c\r\nabcdefghijkl\r\n3;x=y\r\nmno\r\n0\r\nX-T: 1\r\n\r\n", "abcdefghijklmno", false}
+	bareLineAnswer = cutAnswer{"bare line ends", "HTTP/1.1 200 OK\nX-Id: %s\nX-Sign: s\nContent-Length: 12\r\n\r\nabcdefghijkl", "abcdefghijkl", false}
+	interimAnswer  = cutAnswer{"interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + lengthAnswer.text, lengthAnswer.body, false}
+	closeAnswer    = cutAnswer{"connection", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Connection: close\r\n\r\nabc", "abc", true}
+	unframedAnswer = cutAnswer{"nothing", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "\r\nabc", "abc", true}
 	chunkedEvents  = cutAnswer{"stream", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" + cutHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
-		"f\r\nid: 1\ndata: d1\n\r\n1\r\n\n\r\n0\r\n\r\n", event(1)}
+		"f\r\nid: 1\ndata: d1\n\r\n1\r\n\n\r\n0\r\n\r\n", event(1), false}
 )
 
-// cutAnswers are answers of which each part is too short.
+// cutAnswers are answers of which each part up to cuts is too short.
 var cutAnswers = []cutAnswer{lengthAnswer, lengthFirst, chunkedAnswer, bareLineAnswer, interimAnswer, closeAnswer, unframedAnswer, chunkedEvents}
 
 // cutID is the ID of all requests that are cut off.
@@ -49,6 +49,15 @@
 // wire returns the bytes of the answer.
 func (a cutAnswer) wire() string { return strings.ReplaceAll(a.text, "%s", cutID) }
 
+// cuts returns the number of offsets at which the answer can be told to be cut off. One that ends with its
+// connection has to have a body.
+func (a cutAnswer) cuts() int {
+	if a.ends {
+		return len(a.wire()) - len(a.body) + 1
+	}
+	return len(a.wire())
+}
+
 // cutScript returns a script that stops within an answer, at the offset that the request's path ends with.
 // The first runs requests are cut off, and later ones answered; so are requests to another path.
 func cutScript(a cutAnswer, isReset bool, cuts *atomic.Int32, runs int) func(net.Conn, stubRequest) bool {
@@ -65,7 +74,7 @@
 		mu.Unlock()
 		if !isCut {
 			_, _ = io.WriteString(c, a.wire())
-			return a.body != "" // otherwise the answer ends with its connection
+			return !a.ends
 		}
 		cuts.Add(1)
 		_, _ = io.WriteString(c, a.wire()[:offset])
@@ -98,7 +107,7 @@
 				is := is.New(t)
 				var cuts atomic.Int32
 				b := newTestBox(t, newStub(t, "u", cutScript(a, c.isReset, &cuts, math.MaxInt)))
-				for offset := range len(a.wire()) {
+				for offset := range a.cuts() {
 					got := b.requestCutAt(c.route, offset)
 					if got.status == http.StatusOK && got.err != nil && a.name == chunkedEvents.name && c.route == "flow" {
 						continue // cut off after its event
@@ -107,7 +116,7 @@
 						t.Fatalf("cut at %d of %q: %d %q %v", offset, a.text, got.status, got.body, got.err)
 					}
 				}
-				is.Equal(int(cuts.Load()), len(a.wire()))
+				is.Equal(int(cuts.Load()), a.cuts())
 			})
 		}
 	}
@@ -122,13 +131,13 @@
 				is := is.New(t)
 				var cuts atomic.Int32
 				first, _, _ := startTunnelPair(t, unchanged, newStub(t, "u", cutScript(a, isReset, &cuts, math.MaxInt)))
-				for offset := range len(a.wire()) {
+				for offset := range a.cuts() {
 					got := first.requestCutAt("once", offset)
 					if got.status != http.StatusBadGateway || got.err != nil {
 						t.Fatalf("cut at %d of %q: %d %q %v", offset, a.text, got.status, got.body, got.err)
 					}
 				}
-				is.Equal(int(cuts.Load()), len(a.wire()))
+				is.Equal(int(cuts.Load()), a.cuts())
 			})
 		}
 	}
@@ -144,14 +153,44 @@
 				var cuts atomic.Int32
 				script := cutScript(a, false, &cuts, 1)
 				b := newTestBox(t, newStub(t, "u", script), newStub(t, "v", script))
-				for offset := range len(a.wire()) {
+				for offset := range a.cuts() {
 					got := b.requestCutAt(route, offset)
 					if got.status != http.StatusOK || got.err != nil || got.body != a.body {
 						t.Fatalf("cut at %d of %q: %d %q %v", offset, a.text, got.status, got.body, got.err)
 					}
 				}
-				is.Equal(int(cuts.Load()), len(a.wire()))
+				is.Equal(int(cuts.Load()), a.cuts())
 			})
 		}
 	}
 }
+
+// An answer without a body is whole where its status, its length or its version says so.
+func TestAnswerWithoutBodyIsWhole(t *testing.T) {
+	for _, c := range []struct {
+		name, start string
+		status      int
+	}{
+		{"length", "HTTP/1.1 200 OK\nContent-Length: 0\n", http.StatusOK},
+		{"chunks", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n", http.StatusOK},
+		{"no content", "HTTP/1.1 204 No Content\n", http.StatusNoContent},
+		{"failure", "HTTP/1.1 404 Not Found\n", http.StatusNotFound},
+		{"version without chunks", "HTTP/1.0 200 OK\n", http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBox(t, newStub(t, "u", func(conn net.Conn, r stubRequest) bool {
+				writeWire(conn, c.start+"X-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\n\n")
+				if c.name == "chunks" {
+					writeChunk(conn, "")
+				}
+				return false
+			}))
+			got := b.do(b.request("POST", "/once/x", "body"))
+			is.NoErr(got.err)
+			is.Equal(got.status, c.status)
+			is.Equal(got.header.Get("X-Sign"), "s")
+			is.Equal(got.body, "")
+		})
+	}
+}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -24,6 +24,9 @@
 	}
 	resp.body = &chargedReader{exchange: x, src: resp.body, isOpenEnded: resp.header.ContentLength() < 0}
 	body, err := readWhole(resp, maxBufferedResponse)
+	if err == nil && len(body) == 0 && x.request.method != fasthttp.MethodHead && resp.lacksBody() {
+		err = errNoBody
+	}
 	x.detachConn()
 	x.relay.releaseConn(resp, err == nil)
 	if err != nil {
--- a/relay/response.go
+++ b/relay/response.go
@@ -118,6 +118,17 @@
 // hasFraming reports whether the end of the body can be found without the connection being closed.
 func (r *response) hasFraming() bool { return r.header.ContentLength() != lengthUnknown }
 
+// errNoBody reports that the connection of a response ended where its body is due.
+var errNoBody = &Error{Op: "read response", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
+
+// lacksBody reports whether a response whose connection ended behind its header is incomplete: it is a success, and
+// nothing says that it has no body. HTTP/1.0 has no other way to end one.
+func (r *response) lacksBody() bool {
+	status := r.header.StatusCode()
+	isSuccess := status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices
+	return isSuccess && status != fasthttp.StatusNoContent && !r.hasFraming() && r.header.IsHTTP11()
+}
+
 // releaseConn ends the use of a response's connection. The connection is kept for reuse if the whole
 // response was read, the request was written completely, and the response allows reuse.
 func (r *Relay) releaseConn(resp *response, whole bool) {
