Fleet: the state of services that no entry names any more is forgotten

Cause: a service's state is made for each name that stands in an entry, also where the document does not name it, and was kept for good.

Hypothesis: a service that the document does not name, without an upstream, without a removed one that has requests open, and without a version that may have open streams, has no state that is used again.

Not changed: what is kept for a failure domain is made by connections to its upstreams only, not by entries.

Conclusion: what entries name costs as much as there are entries.

--- a/balance/history.go
+++ b/balance/history.go
@@ -71,6 +71,7 @@
 	if now-f.historiesSweptAt >= historyFor {
 		f.historiesSweptAt = now
 		f.forgetHistories(now)
+		f.forgetServices(now)
 	}
 }
 
--- a/balance/service.go
+++ b/balance/service.go
@@ -41,3 +41,20 @@
 	}
 	return s
 }
+
+// forgetServices drops the state of services that the document does not name, once they have no upstream and
+// no version that may have open streams. Names of services stand in entries, which other writers may change
+// without end.
+func (f *Fleet) forgetServices(now time.Duration) {
+	inUse := make(map[*service]bool)
+	for _, m := range f.unlisted {
+		inUse[m.service] = true
+	}
+	for name, s := range f.services {
+		if f.serves(name) || inUse[s] || len(f.byService[name]) > 0 || len(s.software.recent(now, f.streamSpan)) > 0 {
+			continue
+		}
+		delete(f.services, name)
+		delete(f.byService, name)
+	}
+}
