Soak: callers that hold connections around planned stops

The soak had no check for it, sent each request on a connection at once, waited with all other faults until a box had stopped, and so had one signal at a time.

Change: callers that open connections in advance, keep them, send a header or a body in parts, or a second request behind the first, and use them at random moments until the process is gone; the check that a request that ran is answered whole, unless its box was killed or frozen, its time was over, or it was sent no later than 3.5 s after SIGTERM and still ran at the end; the check that a process ends within 10 s of SIGTERM. Planned stops no longer hold up other faults, so that signals and changes overlap.

--- a/soak/box.go
+++ b/soak/box.go
@@ -2,7 +2,7 @@
 
 // This file defines a box, which runs as a daemon process and can be killed and restarted.
 //
-// Invariant: the process ends only after the run has asked it to; any other exit is a violation.
+// Invariant: the process ends only after the run has asked it to, and within exitWithin; any other exit is a violation.
 
 import (
 	"fmt"
@@ -26,6 +26,7 @@
 	ended            chan struct{}
 	stopRequested    *atomic.Bool // whether the run has asked the process to end
 	starts           atomic.Int64
+	life             atomic.Pointer[life] // its latest process; nil before the first
 }
 
 // Ports of a box. Each box has its own IP address.
@@ -70,18 +71,25 @@
 	b.cmd.Stdout, b.cmd.Stderr = log, log
 	// The kernel kills the box if the soak process dies.
 	b.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	b.life.Store(new(life))
 	b.starts.Add(1) // before the process can send anything
 	if err := b.cmd.Start(); err != nil {
 		return err
 	}
 	b.ended, b.stopRequested = make(chan struct{}), new(atomic.Bool)
-	go b.wait(b.cmd, b.ended, b.stopRequested)
+	go b.wait(b.cmd, b.ended, b.stopRequested, b.life.Load())
 	return nil
 }
 
-// wait waits for a process to exit, and reports a violation if no stop was requested.
-func (b *box) wait(cmd *exec.Cmd, ended chan<- struct{}, stopRequested *atomic.Bool) {
+// exitWithin is the time after SIGTERM in which a process ends: the grace period and a margin for a busy machine.
+const exitWithin = 10 * time.Second
+
+// wait waits for a process to exit, and reports a violation if no stop was requested or the stop took too long.
+func (b *box) wait(cmd *exec.Cmd, ended chan<- struct{}, stopRequested *atomic.Bool, l *life) {
 	err := cmd.Wait()
+	if stopped := l.terminated.Load(); stopped != nil && l.harms.Load() == 0 && time.Since(*stopped) > exitWithin {
+		b.harness.checker.reportViolation("%s exited %v after SIGTERM", b.name, time.Since(*stopped))
+	}
 	if !stopRequested.Load() {
 		b.harness.checker.reportViolation("%s exited unexpectedly: %v; see its log", b.name, err)
 	}
@@ -90,6 +98,7 @@
 
 func (b *box) signal(s syscall.Signal) {
 	if b.cmd != nil && b.cmd.Process != nil {
+		b.life.Load().signaled(s)
 		_ = b.cmd.Process.Signal(s)
 	}
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -131,7 +131,7 @@
 	if e.notExecuted {
 		c.addViolation("%s: request runs after its caller was told that it was not executed", id)
 	}
-	if e.runs > 1 && (hasPrefix(e.path, "/once/") || hasPrefix(e.path, "/fixed/")) {
+	if e.runs > 1 && (hasPrefix(e.path, "/once/") || hasPrefix(e.path, "/fixed/") || hasPrefix(e.path, heldPath)) {
 		c.addViolation("%s: request may run once but ran %d times", id, e.runs)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -41,22 +41,8 @@
 		}
 	}},
 	{"shut a box down gracefully", func(w *harness) func() {
-		b := pick(w, w.boxes)
-		if b.cmd == nil {
-			return nil
-		}
-		stopped, ended, endDisruption := b.cmd, b.ended, w.fatal.beginDisruption(b)
-		b.stopRequested.Store(true)
-		b.signal(syscall.SIGTERM)
-		return func() {
-			b.signal(syscall.SIGCONT)
-			<-ended
-			if b.cmd == stopped { // no other fault has restarted the box
-				b.cmd = nil
-				w.restartBox(b)
-			}
-			endDisruption()
-		}
+		w.stopBox(pick(w, w.boxes))
+		return nil
 	}},
 	{"reload a box's settings", func(w *harness) func() {
 		pick(w, w.boxes).signal(syscall.SIGHUP)
@@ -211,7 +197,7 @@
 		}
 		return
 	}
-	if !w.cfg.OnlyKills {
+	if !w.cfg.OnlyKills && !w.cfg.OnlyStops {
 		w.scheduleFailures()
 	}
 	if w.cfg.OnlyFailures {
@@ -219,7 +205,7 @@
 		return
 	}
 	var pending []pendingUndo
-	if !w.cfg.OnlyKills {
+	if !w.cfg.OnlyKills && !w.cfg.OnlyStops {
 		pending = w.scheduleNotices()
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -231,14 +217,19 @@
 		}
 		pending = runDue(pending, time.Now())
 		w.startReplacements()
+		w.restartStopped()
 	}
 	runDue(pending, end.Add(time.Hour))
+	w.awaitStopped()
 }
 
 // faultKinds are the faults of this run.
 func (w *harness) faultKinds() []fault {
-	if w.cfg.OnlyKills {
+	switch {
+	case w.cfg.OnlyKills:
 		return killFaults
+	case w.cfg.OnlyStops:
+		return stopFaults
 	}
 	return faults
 }
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -85,7 +85,7 @@
 
 // serviceOf returns the service that serves a path.
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, healthyPath) {
+	if strings.HasPrefix(path, healthyPath) || strings.HasPrefix(path, heldPath) {
 		return healthyService
 	}
 	return service
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,9 @@
 	OnlyKills bool
 	// OnlyFatal injects no faults other than requests under which upstreams crash.
 	OnlyFatal bool
+	// OnlyStops injects no faults other than planned stops of boxes, up to half of them at once, with reloads and
+	// changes beside them. Callers hold more connections.
+	OnlyStops bool
 	// CallerPause is the pause of a caller between two requests; 0: defaultCallerPause. With fewer requests the
 	// slack is a larger part of the retry budget.
 	CallerPause time.Duration
@@ -59,19 +62,21 @@
 // Report is the result of a run.
 type Report struct {
 	Requests, Answered, Refused, Runs int
-	Retries                           int      // arrivals at upstreams beyond the first of each request
-	TakenUp, Continued                int      // streams that callers took up while two upstreams of their version served, and those that went on
-	Tried, Began                      int      // requests for new streams at undisturbed boxes, and those that brought events
-	Sharing, SharingBegan             int      // sound requests that share parts with fatal ones, once those must be withheld, and those that began
-	Others, OthersBegan               int      // likewise those without a prompt
+	Retries                           int // arrivals at upstreams beyond the first of each request
+	TakenUp, Continued                int // streams that callers took up while two upstreams of their version served, and those that went on
+	Tried, Began                      int // requests for new streams at undisturbed boxes, and those that brought events
+	Sharing, SharingBegan             int // sound requests that share parts with fatal ones, once those must be withheld, and those that began
+	Others, OthersBegan               int // likewise those without a prompt
+	Held                              heldCounts
 	Crashes, LateSends                int      // upstreams crashed by fatal requests, and such requests that were sent too late
 	Faults                            []string // descriptions, each with its time since the start of the run
 	Violations                        []string
 }
 
 func (r *Report) String() string {
-	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d crashes under fatal requests, %d of these sent late, %d of %d sound ones that share parts began (%d of %d others), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
-		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, r.Crashes, r.LateSends, r.SharingBegan, r.Sharing, r.OthersBegan, r.Others, len(r.Faults), len(r.Violations))
+	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d crashes under fatal requests, %d of these sent late, %d of %d sound ones that share parts began (%d of %d others), %d on held connections (to stopping boxes %d: %d answered, %d refused, %d closed), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
+		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, r.Crashes, r.LateSends, r.SharingBegan, r.Sharing, r.OthersBegan, r.Others,
+		r.Held.sent, r.Held.late, r.Held.lateAnswered, r.Held.lateRefused, r.Held.lateCut, len(r.Faults), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return text
 	}
@@ -93,6 +98,8 @@
 	faults        []string
 	fatal         *fatal
 	streams       *streamRecord
+	held          *heldRecord
+	stopping      []stoppingBox
 	mu            sync.Mutex           // guards upstreamsByID
 	upstreamsByID map[string]*upstream // the latest incarnation of each
 	evacuated     map[string]bool      // by domain; guarded by mu as well
@@ -157,14 +164,21 @@
 			done <- struct{}{}
 		}()
 	}
+	holders := w.holders()
+	for i := range holders {
+		go func() {
+			w.hold(callers, i)
+			done <- struct{}{}
+		}()
+	}
 	go func() {
-		if !cfg.OnlyFailures && !cfg.OnlyKills {
+		if w.sendsFatal() {
 			w.sendFatal(callers)
 		}
 		done <- struct{}{}
 	}()
 	go func() {
-		if !cfg.OnlyFailures && !cfg.OnlyKills {
+		if w.sendsFatal() {
 			w.sendFatalPart(callers)
 		}
 		done <- struct{}{}
@@ -172,28 +186,34 @@
 	w.injectFaults(ctx)
 	time.Sleep(settleTime)
 	stop()
-	for range cfg.Callers + 2 {
+	for range cfg.Callers + holders + 2 {
 		<-done
 	}
 	return w.report(), nil
 }
 
+// sendsFatal reports whether callers send requests under which upstreams crash.
+func (w *harness) sendsFatal() bool {
+	return !w.cfg.OnlyFailures && !w.cfg.OnlyKills && !w.cfg.OnlyStops
+}
+
 // newHarness returns the state of a run in which nothing is started yet.
 func newHarness(cfg Config) *harness {
 	return &harness{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), startedAt: time.Now(), checker: newChecker(), storeProxies: make(map[string]*proxy),
-		fatal: newFatal(), evacuated: make(map[string]bool), streams: newStreamRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
+		fatal: newFatal(), evacuated: make(map[string]bool), streams: newStreamRecord(), held: newHeldRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
 }
 
 func (w *harness) report() *Report {
 	w.streams.check(w.checker.reportViolation)
 	w.fatal.checkSound(w.checker.reportViolation)
+	counts := w.held.check(w.checker.reportViolation)
 	r := w.checker.report(w.retryWindow())
 	r.TakenUp, r.Continued = w.streams.goesOn.tried, w.streams.goesOn.brought
 	r.Tried, r.Began = w.streams.began.tried, w.streams.began.brought
 	r.Crashes, r.LateSends = w.fatal.request.crashes+w.fatal.part.crashes, w.fatal.request.lateSends+w.fatal.part.lateSends
 	r.Sharing, r.SharingBegan = w.fatal.sound.sharing.tried, w.fatal.sound.sharing.brought
 	r.Others, r.OthersBegan = w.fatal.sound.others.tried, w.fatal.sound.others.brought
-	r.Faults = w.faults
+	r.Held, r.Faults = counts, w.faults
 	return r
 }
 
@@ -249,6 +269,7 @@
 			{Name: "safe", Host: host, Prefix: "/safe/", Repeat: route.Repeatable, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 			{Name: "flow", Host: host, Prefix: "/flow/", Repeat: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 			{Name: "sound", Host: host, Prefix: healthyPath, Repeat: route.Repeatable, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: []route.Target{{Service: healthyService, Weight: 1}}},
+			{Name: "held", Host: host, Prefix: heldPath, MaxAttempts: 3, Timeout: heldWait, Targets: []route.Target{{Service: healthyService, Weight: 1}}},
 			{Name: "fixed", Host: host, Prefix: "/fixed/", Repeat: route.Stream, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 		},
 		Services: []route.Service{{Name: service, MaxConnections: 400, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -190,6 +190,10 @@
 		u.stream(w, r, id)
 		return
 	}
+	if hasPrefix(r.URL.Path, heldPath) {
+		u.runHeld(w, r, id)
+		return
+	}
 	time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
 	switch rand.IntN(faultyShare) {
 	case 0:
