Planned stop: what arrives until the end is answered

What callers would see, at a box that serves chat completions: while callers kept using their connections, a planned stop did not end before its deadline (15 min), since some request was always open; and requests that came on open connections when no request was open, or after the deadline, got nothing until the process was gone: neither an answer nor a close.

Cause: the box waited for the first moment without an open request, ended its core, and only then closed the server, which went on reading from open connections; a request that was queued after the core's last look at its ring had nobody to answer it. Answers did not tell callers to leave the connection. fasthttp counts a connection as idle only 5 s after it was opened, and forgets that it stops when its shutdown gives up.

Hypothesis: if the server ends first, and the core after it, nothing arrives that is not answered.

Change: from the drain on each answer ends its connection; after the notice the server stops accepting, closes unused and idle connections and answers the rest, until all are closed or the deadline passes; then the core ends, and its ring refuses what comes later. Unused connections are claimed before the first bytes are read from them, as fasthttp does with idle ones.

Conclusion: a planned stop ends by itself, and refuses nothing that it can answer.

--- a/core.go
+++ b/core.go
@@ -83,6 +83,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			b.refuseArrivals()
 			b.endRuns()
 			return nil
 		case <-ticks:
--- a/core_test.go
+++ b/core_test.go
@@ -15,11 +15,13 @@
 	"github.com/doormast/doormast/settings"
 )
 
-// TestMain checks for leaked goroutines. Those of gnet's worker pool are ignored, since they run
-// until the process ends.
+// TestMain checks for leaked goroutines. Those of gnet's worker pool and fasthttp's background goroutines are
+// ignored, since they run until the process ends or sleep for 10 s before they end.
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
-		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
 }
 
 // A run that is cancelled while its caller still waits, as happens after a pause, must keep
--- a/doormast.go
+++ b/doormast.go
@@ -223,34 +223,29 @@
 // Table returns the current table, or nil.
 func (b *Box) Table() *table.Table { return b.table.Load() }
 
-// Drain starts a planned stop: the health check fails, so that the balancer sends no more
-// requests, other boxes take over the box's sets, and requests in progress continue.
+// Drain starts a planned stop: the health check fails and each answer ends its connection, so that
+// callers go to other boxes, other boxes take over the box's sets, and requests in progress continue.
 func (b *Box) Drain() {
 	if b.leaving.CompareAndSwap(false, true) {
 		b.logFor("box").Infof("planned stop started")
+		b.callers.Leave()
 		b.notify(notice{kind: noticeDrain})
 	}
 }
 
-// Stop performs a planned stop: it drains the box, waits until the last response is complete, ctx
-// ends or the configured deadline passes, and then closes the box. The error is an Error of
-// KindDeadline if requests were aborted.
+// Stop performs a planned stop: it drains the box, stops accepting connections, waits until the last
+// answer has been written, ctx ends or the configured deadline passes, and then closes the box. The
+// error is an Error of KindDeadline if connections with requests were left.
 func (b *Box) Stop(ctx context.Context) error {
 	b.Drain()
 	deadline, cancel := context.WithTimeout(ctx, b.cfg.Settings.Stop.Deadline.Std())
 	defer cancel()
 	wait(deadline, b.cfg.Settings.Stop.Notice.Std())
-	ticks := b.timers.Subscribe(tickInterval)
-	for b.callers.Open() > 0 && deadline.Err() == nil {
-		select {
-		case <-ticks:
-		case <-deadline.Done():
-		}
-	}
+	timeout := b.callers.Shutdown(deadline)
 	left := b.callers.Open()
 	err := b.Close()
-	if left > 0 {
-		b.logFor("box").Warnf("planned stop aborted %d requests", left)
+	if timeout != nil {
+		b.logFor("box").Warnf("planned stop ended before its requests; aborted %d", left)
 		return &Error{Op: "stop", Kind: KindDeadline, Err: context.DeadlineExceeded}
 	}
 	b.logFor("box").Infof("planned stop completed")
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -87,13 +87,16 @@
 
 // Server serves callers.
 type Server struct {
-	cfg      Config
-	server   *fasthttp.Server
-	listener net.Listener
-	done     chan error
-	open     atomic.Int64 // requests being answered
-	mu       sync.Mutex
-	watched  map[uint64]*watch // open requests by id
+	cfg         Config
+	server      *fasthttp.Server
+	listener    net.Listener
+	connections *connections
+	served      chan struct{} // closed when no connection is accepted any more
+	leaving     atomic.Bool   // each answer ends its connection
+	shutdown    shutdown
+	open        atomic.Int64 // requests being answered
+	mu          sync.Mutex
+	watched     map[uint64]*watch // open requests by id
 }
 
 // Listen starts a server. The caller must call Close.
@@ -102,7 +105,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, listener: l, done: make(chan error, 1), watched: make(map[uint64]*watch)}
+	s := &Server{cfg: cfg, listener: l, connections: &connections{unused: make(map[*conn]bool)}, served: make(chan struct{}),
+		shutdown: shutdown{ended: make(chan struct{})}, watched: make(map[uint64]*watch)}
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "doormast",
@@ -118,7 +122,10 @@
 		ErrorHandler:          s.badRequest,
 		Logger:                discardLogger{},
 	}
-	go func() { s.done <- s.server.Serve(l) }()
+	go func() {
+		defer close(s.served)
+		_ = s.server.Serve(listener{l, s.connections}) // ends when Shutdown closes the listener
+	}()
 	return s, nil
 }
 
@@ -134,18 +141,6 @@
 // Open returns the number of requests being answered.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
-// Close stops accepting connections and waits up to wait until the requests in
-// progress are answered.
-func (s *Server) Close(wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	err := s.server.ShutdownWithContext(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return errors.Join(err, <-s.done)
-}
-
 // badRequest handles a request that fasthttp could not read.
 func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
 	s.cfg.Core.Refused(decide.BadRequest)
@@ -172,6 +167,7 @@
 
 // handle dispatches a request by its path.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer s.endConnectionIfLeaving(ctx)
 	path := string(ctx.Path())
 	switch {
 	case path == pathHealth:
@@ -192,6 +188,14 @@
 	}
 }
 
+// endConnectionIfLeaving makes the answer end its connection if the server leaves, also if it began to after the
+// request had come.
+func (s *Server) endConnectionIfLeaving(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
 	if !s.cfg.Core.Healthy() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- /dev/null
+++ b/internal/caller/conn.go
@@ -0,0 +1,160 @@
+package caller
+
+// This file defines the connections of callers, and the shutdown of their server. The invariant: the shutdown closes
+// no connection from which part of a request was read before that is answered.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// listener accepts connections of callers.
+type listener struct {
+	net.Listener
+	connections *connections
+}
+
+var _ net.Listener = listener{}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.connections.add(c), nil
+}
+
+// connections holds the open connections.
+type connections struct {
+	open   sync.WaitGroup
+	mu     sync.Mutex
+	unused map[*conn]bool // those from which nothing was read yet
+}
+
+func (s *connections) add(c net.Conn) *conn {
+	s.open.Add(1)
+	out := &conn{Conn: c, connections: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unused[out] = true
+	return out
+}
+
+// takeUnused reports whether nothing was read from a connection before.
+func (s *connections) takeUnused(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isUnused := s.unused[c]
+	delete(s.unused, c)
+	return isUnused
+}
+
+// closeUnused closes the connections from which nothing was read. fasthttp considers them idle only 5 s after they
+// were opened.
+func (s *connections) closeUnused() {
+	s.mu.Lock()
+	unused := s.unused
+	s.unused = make(map[*conn]bool)
+	s.mu.Unlock()
+	for c := range unused {
+		_ = c.Conn.Close()
+	}
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	connections *connections
+	isUsed      bool // something was read; owned by the goroutine that reads
+	closing     sync.Once
+}
+
+var (
+	_ net.Conn     = (*conn)(nil)
+	_ syscall.Conn = (*conn)(nil)
+)
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
+// Read implements net.Conn. What was read from a connection that the shutdown closes is discarded.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.isUsed {
+		if !c.connections.takeUnused(c) {
+			return 0, net.ErrClosed
+		}
+		c.isUsed = true
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.closing.Do(func() {
+		defer c.connections.open.Done()
+		c.connections.takeUnused(c)
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// shutdown is the end of a server, which goes on until it is complete or given up.
+type shutdown struct {
+	begin  sync.Once
+	giveUp context.CancelFunc
+	ended  chan struct{}
+}
+
+// Leave makes each answer from now on end its connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Shutdown stops accepting connections, closes those without a request and waits until all requests are answered, or
+// until ctx ends. The server then goes on answering what it has read; a further call waits for it again.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Leave()
+	s.shutdown.begin.Do(func() {
+		all, giveUp := context.WithCancel(context.Background())
+		s.shutdown.giveUp = giveUp
+		go s.endConnections(all)
+	})
+	select {
+	case <-s.shutdown.ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// endConnections waits until all connections have ended, or until ctx does.
+func (s *Server) endConnections(ctx context.Context) {
+	_ = s.listener.Close()
+	<-s.served // nothing is accepted any more
+	s.connections.closeUnused()
+	if s.server.ShutdownWithContext(ctx) != nil && ctx.Err() != nil {
+		return
+	}
+	s.connections.open.Wait()
+	close(s.shutdown.ended)
+}
+
+// Close shuts the server down and waits up to wait until the requests in progress are answered.
+func (s *Server) Close(wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	err := s.Shutdown(ctx)
+	s.shutdown.giveUp()
+	return err
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -17,6 +17,7 @@
 	items   []T
 	head    int
 	count   int
+	closed  bool
 	ready   chan struct{}
 	dropped atomic.Uint64
 }
@@ -26,11 +27,11 @@
 	return &Ring[T]{items: make([]T, max(size, 1)), ready: make(chan struct{}, 1)}
 }
 
-// TryPush appends an item. If the ring is full it counts the item as dropped and
+// TryPush appends an item. If the ring is full or closed it counts the item as dropped and
 // returns false.
 func (r *Ring[T]) TryPush(item T) bool {
 	r.mu.Lock()
-	if r.count == len(r.items) {
+	if r.closed || r.count == len(r.items) {
 		r.mu.Unlock()
 		r.dropped.Add(1)
 		return false
@@ -48,6 +49,13 @@
 // Ready returns a channel that receives a value when there may be items.
 func (r *Ring[T]) Ready() <-chan struct{} { return r.ready }
 
+// Close makes all further writes fail.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
 // Drain removes all items, appends them to buf and returns it.
 func (r *Ring[T]) Drain(buf []T) []T {
 	r.mu.Lock()
--- a/run.go
+++ b/run.go
@@ -156,6 +156,14 @@
 	}()
 }
 
+// refuseArrivals refuses the requests that are queued when the box closes; later ones are refused on arrival.
+func (b *Box) refuseArrivals() {
+	b.arrivals.Close()
+	for _, a := range b.arrivals.Drain(nil) {
+		a.Exchange.Refuse(cell.Final{Reason: decide.Stopping, RetryAfter: time.Second})
+	}
+}
+
 // endRuns cancels all runs when the box closes. It refuses their requests and reports to each
 // caller whether the request may have been executed.
 func (b *Box) endRuns() {
