Callers: an answer reaches its caller whole beside an unread request

What callers would see: at the planned stop of a box that serves chat completions, the end of a long answer lost by a reset, where the caller had sent another request behind.

Cause: closing a connection whose kernel buffer holds unread bytes resets it, and what the caller has not acknowledged is discarded.

Hypothesis and change: after an answer the box ends only its direction, and reads on for at most 0.5 s and 1 MB, before it closes the connection. The shutdown waits for it.

Conclusion: what was written is not taken back.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -1,17 +1,26 @@
 package caller
 
-// This file defines the connections of callers, and the shutdown of their server. The invariant: the shutdown closes
-// no connection from which part of a request was read before that is answered.
+// This file defines the connections of callers, and the shutdown of their server. The invariants: the shutdown closes
+// no connection from which part of a request was read before that is answered; and closing a connection does not
+// discard what was written to it because its caller has sent more.
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+const (
+	// lingerTimeout and maxLingerBytes limit what is still read from a connection after its last answer.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
+)
+
 // listener accepts connections of callers.
 type listener struct {
 	net.Listener
@@ -70,7 +79,8 @@
 type conn struct {
 	net.Conn
 	connections *connections
-	isUsed      bool // something was read; owned by the goroutine that reads
+	isUsed      bool        // something was read; owned by the goroutine that reads
+	answered    atomic.Bool // nothing was read since the last write
 	closing     sync.Once
 }
 
@@ -90,6 +100,7 @@
 
 // Read implements net.Conn. What was read from a connection that the shutdown closes is discarded.
 func (c *conn) Read(p []byte) (int, error) {
+	c.answered.Store(false)
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.isUsed {
 		if !c.connections.takeUnused(c) {
@@ -100,17 +111,37 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.answered.Store(true)
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := net.ErrClosed
 	c.closing.Do(func() {
 		defer c.connections.open.Done()
 		c.connections.takeUnused(c)
+		if c.answered.Load() {
+			c.linger()
+		}
 		err = c.Conn.Close()
 	})
 	return err
 }
 
+// linger reads what the caller has sent after its answered request: closing a connection with unread bytes resets it,
+// and the caller may lose the end of the answer.
+func (c *conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
+}
+
 // shutdown is the end of a server, which goes on until it is complete or given up.
 type shutdown struct {
 	begin  sync.Once
