Signals: SIGTERM is not lost behind SIGHUPs

What callers would see: a box that was told to stop while several SIGHUPs waited does not stop, and is killed at the end of its grace with all that it carries.

Cause: all signals waited in one queue of 4, and the runtime drops what does not fit. A box reads none while it starts, nor while it reads its settings file again.

Change: signals to end have a queue of their own; SIGHUPs that wait count as one, and the settings are read again beside the wait for a signal to end, so that a file that is slow to read does not hold up a stop.

Conclusion: no number of reloads keeps a box from its planned stop.

--- a/cmd/doormastd/main.go
+++ b/cmd/doormastd/main.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"os"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -49,34 +48,25 @@
 	if err != nil {
 		return err
 	}
-	stopRequests := notifyStop(log)
+	go logReloads(log)
 	select {
-	case <-stopRequests:
+	case <-signals.Ends():
 	case <-box.DrainAsked():
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-stopRequests
+		<-signals.Ends()
 		cancel()
 	}()
 	return box.Stop(ctx)
 }
 
-// notifyStop returns a channel that receives one value per termination signal.
-// SIGHUP is logged and otherwise ignored.
-func notifyStop(log *logrus.Logger) <-chan struct{} {
-	stopRequests := make(chan struct{})
-	go func() {
-		for s := range signals.Channel() {
-			if s == syscall.SIGHUP {
-				log.Info("SIGHUP ignored: settings are read only at startup")
-				continue
-			}
-			stopRequests <- struct{}{}
-		}
-	}()
-	return stopRequests
+// logReloads logs each SIGHUP, which has no other effect.
+func logReloads(log *logrus.Logger) {
+	for range signals.Reloads() {
+		log.Info("SIGHUP ignored: settings are read only at startup")
+	}
 }
 
 func newLogger(s settings.Log) *logrus.Logger {
--- a/cmd/doormastd/relay.go
+++ b/cmd/doormastd/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -74,16 +73,19 @@
 	if err != nil {
 		return err
 	}
-	for sig := range signals.Channel() {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		revalidate(file, log)
-	}
+	go revalidateAtReloads(file, log)
+	<-signals.Ends()
 	box.Stop()
 	return nil
 }
 
+// revalidateAtReloads calls revalidate at each SIGHUP. A file that is slow to load does not hold up a stop.
+func revalidateAtReloads(file string, log *relay.Log) {
+	for range signals.Reloads() {
+		revalidate(file, log)
+	}
+}
+
 // revalidate loads the settings file and logs the result. Settings take effect only
 // at startup; the check reports an invalid file before the next restart.
 func revalidate(file string, log *relay.Log) {
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -1,5 +1,6 @@
-// Package signals receives the signals of a daemon from package initialization on. The invariant: a signal that arrives while other
-// packages are initialized or the settings are read is queued instead of ending the process.
+// Package signals receives the signals of a daemon from package initialization on. The invariant: a signal to end that
+// arrives while other packages are initialized, the settings are read or any number of SIGHUPs wait is queued instead of
+// ending the process or being lost.
 package signals
 
 import (
@@ -8,12 +9,21 @@
 	"syscall"
 )
 
-// queueSize is the number of signals that may wait while one is handled.
-const queueSize = 4
+// maxEnds is the number of signals to end that are told apart: the second one ends a planned stop at once.
+const maxEnds = 2
 
-var channel = make(chan os.Signal, queueSize)
+var (
+	ends    = make(chan os.Signal, maxEnds)
+	reloads = make(chan os.Signal, 1)
+)
+
+func init() {
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+}
 
-func init() { signal.Notify(channel, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) }
+// Ends returns the channel that receives SIGTERM and SIGINT.
+func Ends() <-chan os.Signal { return ends }
 
-// Channel returns the channel that receives SIGTERM, SIGINT and SIGHUP.
-func Channel() <-chan os.Signal { return channel }
+// Reloads returns the channel that receives SIGHUP. Those that arrive while one waits count as one.
+func Reloads() <-chan os.Signal { return reloads }
