Planned stop: a signal after an operator's drain cuts off nothing

What callers would see: requests that a drained box was still finishing were refused as perhaps run (503) when the platform then stopped the process with SIGTERM.

Cause: the drain counted as the first signal, and the second one ends a planned stop at once.

Change: after a drain the first signal changes nothing, and the next one ends the stop.

Conclusion: a drain and the planned stop that follows it are one.

--- a/cmd/doormastd/main.go
+++ b/cmd/doormastd/main.go
@@ -1,7 +1,7 @@
 // Command doormastd is the daemon that runs on each entry box.
 //
 // It loads the settings file and serves until it receives SIGTERM or SIGINT, or
-// until an operator requests a drain. It then stops gracefully; a further signal
+// until an operator requests a drain. It then stops gracefully; a second signal
 // ends the graceful stop immediately.
 package main
 
@@ -49,14 +49,18 @@
 		return err
 	}
 	go logReloads(log)
+	endsAtOnce := 1 // signals from here on after which the stop ends at once
 	select {
 	case <-signals.Ends():
 	case <-box.DrainAsked():
+		endsAtOnce = 2
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-signals.Ends()
+		for range endsAtOnce {
+			<-signals.Ends()
+		}
 		cancel()
 	}()
 	return box.Stop(ctx)
