Tunnels: a stopping box waits for paused answers, and is told of idle tunnels

What callers would see: a stream that led through another box broke off when that box stopped, well within its grace, if its upstream had paused for 2.5 s; one that may not be taken up elsewhere was lost.

Cause: a stopping box closed the tunnels that had been quiet for 2.5 s after some bytes of an answer. It cannot see where an answer ends; the box that uses the tunnel can.

Hypothesis: if that box closes the tunnels that it does not use, no guess is needed.

Change: a box closes its idle tunnels once it is told that the box between is about to stop, at its next look, every 0.1 s; the stopping box waits, until its grace ends, for all tunnels to be closed by those who use them. A box that does not answer at all holds up the stop of another until the end of its grace, which it did not before.

Conclusion: silence on a tunnel is no reason to end it.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -256,7 +256,7 @@
 	c.idleUntil = time.Now().Add(idleTimeout - idleTimeoutMargin)
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
-	if !p.closed && c.reader.Buffered() == 0 && !p.hasEnded(c.incarnation) {
+	if !p.closed && c.reader.Buffered() == 0 && !p.hasEnded(c.incarnation) && !c.leadsThroughStopping() {
 		p.idle[c.key()] = append(p.idle[c.key()], c)
 		p.mu.Unlock()
 		return
@@ -265,6 +265,13 @@
 	p.discard(c)
 }
 
+// leadsThroughStopping reports whether the connection leads through a box that is about to stop, as far as
+// was read.
+func (c *conn) leadsThroughStopping() bool {
+	t := c.tunnel()
+	return t != nil && t.stopping.Load()
+}
+
 // hasEnded reports whether an incarnation of an upstream is known to have ended.
 func (p *connPool) hasEnded(inc balance.Incarnation) bool {
 	start, ended := p.endedStart[inc.ID]
@@ -296,6 +303,17 @@
 
 // closeIdleThrough closes the idle connections that lead through a box.
 func (p *connPool) closeIdleThrough(via string) {
+	p.closeTunnelledIf(func(c *conn) bool { return c.tunnel().via == via })
+}
+
+// closeUnusableTunnels closes the idle connections through other boxes that can carry no further request. A
+// box that is about to stop waits for them.
+func (p *connPool) closeUnusableTunnels() {
+	p.closeTunnelledIf(func(c *conn) bool { return !c.isUsable() })
+}
+
+// closeTunnelledIf closes the idle connections through other boxes that fit.
+func (p *connPool) closeTunnelledIf(fits func(*conn) bool) {
 	p.mu.Lock()
 	var conns []*conn
 	for key, list := range p.idle {
@@ -303,11 +321,11 @@
 			continue
 		}
 		p.idle[key] = slices.DeleteFunc(list, func(c *conn) bool {
-			leads := c.tunnel().via == via
-			if leads {
+			isClosed := fits(c)
+			if isClosed {
 				conns = append(conns, c)
 			}
-			return leads
+			return isClosed
 		})
 	}
 	p.mu.Unlock()
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -53,9 +53,11 @@
 	urgentPeerInterval = 500 * time.Millisecond
 )
 
-// syncTunnelPeers passes the boxes that the node knows to the tunnels.
+// syncTunnelPeers passes the boxes that the node knows to the tunnels, and closes idle tunnels that boxes which
+// are about to stop wait for.
 func (m *members) syncTunnelPeers() {
 	r := m.relay
+	r.conns.closeUnusableTunnels()
 	now := r.now()
 	r.mu.Lock()
 	isUrgent := r.fleet.AnyUnreachable()
--- a/relay/tunnel_test.go
+++ b/relay/tunnel_test.go
@@ -49,12 +49,7 @@
 func unchanged(*Config) {}
 
 // openTunnels returns how many connections of other boxes lead through the box.
-func (b *testBox) openTunnels() int {
-	s := b.relay.tunnelServer
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
+func (b *testBox) openTunnels() int { return b.relay.tunnelServer.openCount() }
 
 // A response without a length ends with its connection. If the box between fails, it is not complete.
 func TestResponseCutByEndOfOtherBoxIsNotComplete(t *testing.T) {
@@ -66,7 +61,7 @@
 		{"the upstream ends it", func(_ *testBox, c net.Conn) { _ = c.Close() }, "part"},
 		{"the upstream resets it", func(_ *testBox, c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }, ""},
 		{"the other box ends", func(second *testBox, _ net.Conn) {
-			second.relay.tunnelServer.closeAll(func(*servedTunnel) bool { return true })
+			second.relay.tunnelServer.closeAll()
 		}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -37,9 +37,6 @@
 	// longest gap between two notes before it counts as stopped.
 	tunnelTick     = 100 * time.Millisecond
 	maxTunnelStall = 500 * time.Millisecond
-	// idleBeforeStop is how long a tunnel must have been quiet after a response to be closed by a
-	// planned stop.
-	idleBeforeStop = 2500 * time.Millisecond
 )
 
 // Counters of tunnels for other boxes.
@@ -68,7 +65,6 @@
 	request  *wire.TunnelRequest
 	lease    *account.Lease
 	writing  sync.Mutex   // guards writes to box
-	lastSent atomic.Int64 // when bytes were last forwarded to the box; 0: the upstream got some since
 	toBox    atomic.Int64 // bytes
 	fromBox  atomic.Int64 // bytes
 }
@@ -227,7 +223,6 @@
 	began := time.Now()
 	s.add(t)
 	stop := context.AfterFunc(ctx, t.close)
-	t.lastSent.Store(int64(s.relay.now()))
 	var toUpstream sync.WaitGroup
 	toUpstream.Go(t.copyToUpstream)
 	end := t.copyToBox()
@@ -263,7 +258,6 @@
 			return
 		}
 		if n > 0 {
-			t.lastSent.Store(0)
 			t.fromBox.Add(int64(n))
 			if _, err := t.upstream.Write(b[:n]); err != nil {
 				return
@@ -286,7 +280,6 @@
 				return werr
 			}
 			t.toBox.Add(int64(n))
-			t.lastSent.Store(int64(t.server.relay.now()))
 		}
 		switch {
 		case err == nil:
@@ -316,19 +309,12 @@
 
 func (t *servedTunnel) close() { _, _ = t.box.Close(), closeUnacknowledged(t.upstream) }
 
-// isIdle reports whether the tunnel has been quiet since the end of a response, as far as bytes
-// tell.
-func (t *servedTunnel) isIdle(now time.Duration) bool {
-	last := time.Duration(t.lastSent.Load())
-	return last > 0 && now-last >= idleBeforeStop
-}
-
 // watchStalls closes all tunnels when the process was stopped for a while, until ctx ends.
 func (s *tunnelServer) watchStalls(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, tunnelTick)
 		if s.hasStalled() {
-			s.closeAll(func(*servedTunnel) bool { return true })
+			s.closeAll()
 		}
 		s.lastTick.Store(int64(s.relay.now()))
 	}
@@ -339,17 +325,12 @@
 	return s.relay.now()-time.Duration(s.lastTick.Load()) > maxTunnelStall
 }
 
-func (s *tunnelServer) closeAll(fits func(*servedTunnel) bool) (left int) {
+func (s *tunnelServer) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.open {
-		if fits(t) {
-			t.close()
-		} else {
-			left++
-		}
+		t.close()
 	}
-	return left
 }
 
 // announceStop refuses new tunnels, and tells the boxes at the others not to reuse them.
@@ -358,17 +339,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.open {
-		go func() { _ = t.writeFrame(frameStopping) }()
+		go t.announceStop()
 	}
 }
 
-// drain waits, until ctx ends, for the requests on tunnels.
+func (t *servedTunnel) announceStop() { _ = t.writeFrame(frameStopping) }
+
+// drain waits, until ctx ends, for the boxes at the tunnels to close them. Each closes those that it does not
+// use: only it knows which.
 func (s *tunnelServer) drain(ctx context.Context) {
-	for ctx.Err() == nil && s.closeAll(func(t *servedTunnel) bool { return t.isIdle(s.relay.now()) }) > 0 {
+	for ctx.Err() == nil && s.openCount() > 0 {
 		sleep(ctx, tunnelTick)
 	}
 }
 
+func (s *tunnelServer) openCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // setSmallBuffers bounds what the kernel holds for a tunnel.
 func setSmallBuffers(c net.Conn) {
 	sc, ok := c.(syscall.Conn)
