Tunnels: one that is opened during the announcement of a stop is told of it

What callers would see: requests of another box cut off at the end of a box's grace, since that box went on using a tunnel that it had got in the moment of the announcement.

Cause: the announcement goes to the tunnels that are open; one between its admission and its entry in the list (up to 0.2 s, a connection attempt) was never told.

Change: a tunnel that is entered after the announcement is told at once.

Measured: TestTunnelOpenedDuringAnnouncementIsToldOfStop fails before (no such frame in 10 s), passes now.

Conclusion: every tunnel of a stopping box is told.

--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -236,10 +236,14 @@
 		"ms": time.Since(began).Milliseconds(), "bytes_from_box": t.fromBox.Load(), "bytes_to_box": t.toBox.Load(), "end": end.Error()})
 }
 
+// add counts a tunnel as open. One that was being opened when the stop was announced is told now.
 func (s *tunnelServer) add(t *servedTunnel) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[t] = true
+	if s.stopping.Load() {
+		go t.announceStop()
+	}
 }
 
 func (s *tunnelServer) remove(t *servedTunnel) {
--- a/relay/tunnelstop_test.go
+++ b/relay/tunnelstop_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/wire"
 )
 
 // A stream whose upstream paused was cut off by the stop of the box that it leads through.
@@ -56,3 +58,37 @@
 	second.relay.tunnelServer.announceStop()
 	first.waitFor(func() bool { return first.relay.conns.tunnelled() == 0 && second.openTunnels() == 0 })
 }
+
+// A tunnel that was being opened when the stop was announced was never told of it.
+func TestTunnelOpenedDuringAnnouncementIsToldOfStop(t *testing.T) {
+	is := is.New(t)
+	_, second, _ := startTunnelPair(t, unchanged, newStub(t, "u", respondOK("answer")))
+	s := second.relay.tunnelServer
+	s.announceStop()
+	boxEnd, box := tcpPair(t)
+	upstreamEnd, _ := tcpPair(t)
+	tunnel := newTunnelConn(box, "second", func() {}, func() {})
+	defer func() { _ = tunnel.Close() }()
+	go s.forward(t.Context(), &servedTunnel{server: s, box: boxEnd, upstream: upstreamEnd, request: new(wire.TunnelRequest), lease: second.relay.account.Lease()})
+	_ = tunnel.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for !tunnel.stopping.Load() {
+		is.NoErr(tunnel.nextFrame())
+	}
+}
+
+// tcpPair returns the ends of a TCP connection.
+func tcpPair(t *testing.T) (accepted, dialed net.Conn) {
+	t.Helper()
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = accepted.Close(), dialed.Close() })
+	return accepted, dialed
+}
