Planned stop: a request that broke off is not refused as not run

What callers would see: at the deadline of a planned stop, or after a second signal, a request whose run had broken off and that waited for the next one was refused with "not run" (X-Doormast-Ran: no), though an engine had run it.

Cause: the box looked only whether a run was under way.

Change: a request remembers whether a run of it that has ended may have been executed.

Measured: TestRequestThatBrokeOffIsNotRefusedAsNotRun (a run that breaks off after a token, then an engine that asks for a pause): "no" before, 3 of 3; "unknown" now.

--- a/core.go
+++ b/core.go
@@ -178,7 +178,7 @@
 	if r == nil {
 		return
 	}
-	r.cancel = nil
+	r.cancel, r.mayHaveRun = nil, r.mayHaveRun || result.Ran
 	b.stats.wastedTokens(b.class(r.request.Class), result, r.delivered)
 	r.delivered = result.Tokens
 	if result.Outcome == decide.Answered {
--- a/run.go
+++ b/run.go
@@ -26,6 +26,7 @@
 	cancel         context.CancelFunc
 	address        string
 	delivered      int  // tokens delivered by runs that have ended
+	mayHaveRun     bool // a run that has ended may have been executed
 	firstTokenSeen bool // the first token has arrived
 	callerDone     bool // its caller has disconnected or got its final response
 }
@@ -168,10 +169,10 @@
 // caller whether the request may have been executed.
 func (b *Box) endRuns() {
 	for _, r := range b.runs {
-		ran := r.cancel != nil
-		if ran {
+		isRunning := r.cancel != nil
+		if isRunning {
 			r.cancel()
 		}
-		r.exchange.Refuse(cell.Final{Reason: decide.Stopping, Ran: ran, RetryAfter: time.Second})
+		r.exchange.Refuse(cell.Final{Reason: decide.Stopping, Ran: isRunning || r.mayHaveRun, RetryAfter: time.Second})
 	}
 }
--- a/stop_test.go
+++ b/stop_test.go
@@ -43,7 +43,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() { _ = e.Close() })
 	p.SetTable(&table.Table{
-		Classes:   []table.Class{{Name: "c", Tier: 1, FirstToken: jsonc.Duration(time.Minute), Weight: 1, Floor: 0.1, OnLate: table.Wait, Set: "s", Scope: table.ScopeDomain}},
+		Classes:   []table.Class{{Name: "c", Tier: 1, FirstToken: jsonc.Duration(time.Minute), Weight: 1, Floor: 0.1, Repeatable: true, OnLate: table.Wait, Set: "s", Scope: table.ScopeDomain}},
 		Customers: []table.Customer{{Name: "u", DefaultClass: "c", KeyHashes: []string{table.HashKey(stopKey)}, Scope: table.ScopeDomain}},
 		Upstreams: []table.Upstream{{Name: "e", Domain: "d", Address: e.Address(), Kind: table.Engine, Set: "s", Model: "m", Slots: 64}},
 	})
@@ -198,3 +198,25 @@
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.Equal(a.ran, "unknown")
 }
+
+// A request that waited for its next run was refused as not run, though an earlier run of it had broken off.
+func TestRequestThatBrokeOffIsNotRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newStopSystem(t, 10*time.Millisecond, 50*time.Millisecond, 500*time.Millisecond)
+	c := s.dial()
+	defer c.close()
+	answer := make(chan stopAnswer, 1)
+	before := s.startedAtEngine()
+	go func() { answer <- c.ask(100_000) }()
+	for s.startedAtEngine() == before {
+		time.Sleep(time.Millisecond)
+	}
+	s.engine.SetFaults(standin.Faults{CutAfter: 1, Pause: 60})
+	for s.engine.Counts().Refused == 0 { // the next run
+		time.Sleep(time.Millisecond)
+	}
+	is.True(s.box.Stop(context.Background()) != nil)
+	a := <-answer
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(a.ran, "unknown")
+}
