Planned stop: tests of connections in each state

Guards the mend of what arrives until the end is answered: a connection that is unused, kept, within a header, within a body, within a body in chunks, or with a request behind, when the box stops accepting connections. A request of which a part was read is answered whole and its connection ends; the others end and nothing reaches an engine.

Measured: on the code before that mend, requests within a header, a body and a body in chunks got neither an answer nor a close in 60 s, and the unused connection was not closed; the kept one was.

--- a/stop_test.go
+++ b/stop_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -220,3 +221,57 @@
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.Equal(a.ran, "unknown")
 }
+
+// What becomes of a connection depends on its state when the box stops accepting connections.
+func TestConnectionsWhenBoxStopsAccepting(t *testing.T) {
+	request := chatRequest(3)
+	head := strings.Index(request, "\r\n\r\n") + 4
+	body := request[head:]
+	chunkedHead := strings.Replace(request[:head], fmt.Sprintf("Content-Length: %d", len(body)), "Transfer-Encoding: chunked", 1)
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for _, c := range []struct {
+		name         string
+		before, rest string
+		answers      int // after the rest was sent
+	}{
+		{"unused", "", request, 0},
+		{"after a request", request, request, 0},
+		{"within a header", request[:20], request[20:], 1},
+		{"within a body", request[:head+10], request[head+10:], 1},
+		{"within a body in chunks", chunkedHead + chunk(body[:10]), chunk(body[10:]) + "0\r\n\r\n", 1},
+		{"within a header, with a request behind", request[:20], request[20:] + request, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStopSystem(t, time.Millisecond, 50*time.Millisecond, time.Minute)
+			k := s.dial()
+			defer k.close()
+			_, err := io.WriteString(k.conn, c.before)
+			is.NoErr(err)
+			if c.before == request {
+				is.Equal(k.read().status, http.StatusOK)
+			}
+			time.Sleep(100 * time.Millisecond) // the box has read the part
+			before := s.startedAtEngine()
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.box.Stop(context.Background()) }()
+			for probe := s.dial(); probe != nil; probe = s.dial() {
+				probe.close()
+			}
+			if c.answers == 0 {
+				is.NoErr(<-stopped)
+			}
+			_, _ = io.WriteString(k.conn, c.rest)
+			for range c.answers {
+				a := k.read()
+				is.Equal(a.status, http.StatusOK)
+				is.True(a.closes)
+			}
+			is.Equal(k.read(), stopAnswer{})
+			is.Equal(s.startedAtEngine()-before, c.answers)
+			if c.answers > 0 {
+				is.NoErr(<-stopped)
+			}
+		})
+	}
+}
