Upstreams: an idle connection is looked at before it is used

What callers would see, at a box that serves chat completions: a request that may run once ended as perhaps run (502) where an engine had closed an idle connection, as at its keep-alive limit or its own restart; and bytes that an engine had sent unasked, such as a 408 before it closes, were taken for the answer to the next request.

Cause: before reuse a connection was read with a deadline in the past. Go's reads then fail before they look at the socket, so that every idle connection counted as open.

Hypothesis and change: a look at the socket that does not wait (as in relay) tells a close and unasked bytes; such a connection is closed, and another one is used.

Measured: TestConnectionThatUpstreamClosedIsNotUsed: before, the request failed on the closed connection, and got the empty 408 as its answer on the other; both are answered on a new connection now.

Conclusion: a close that has arrived costs no request. One that is still on its way while the request is sent does, as before.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,7 +9,7 @@
 	"context"
 	"errors"
 	"net"
-	"time"
+	"syscall"
 )
 
 // conn is a buffered connection to an upstream.
@@ -58,13 +58,24 @@
 }
 
 // alive reports whether an idle connection is still usable: the upstream has
-// neither closed it nor sent unexpected bytes.
+// neither closed it nor sent unexpected bytes. A read with a deadline in the past
+// would not look.
 func (c *conn) alive() bool {
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	_, err := c.r.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.r.Buffered() > 0 {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isQuiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		isQuiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && isQuiet
 }
 
 // open returns a connection that is either new or was just checked to be open, so
