Upstreams: a connection that was idle for long is not used

What callers would see, at a box that serves chat completions: a request that may run once ended as perhaps run (502) where it crossed an engine's close of an idle connection.

Cause: idle connections were kept without a limit, so that requests at a low rate met the moment at which servers close them (many after 5 s).

The time counts what the machine slept.

Measured: TestConnectionIdleForLongIsNotUsed (an engine that closes on the second request, 5 s later by the clock): failed before, answered on a new connection now.

Conclusion: a crossing takes an engine that closes within 2.5 s.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -103,7 +103,7 @@
 	}
 	active := h.activeNotice(c.Address) // one may have arrived while the connection was opened
 	if active.HasContent() || h.cfg.Clock.Boot() > c.StartBy || ctx.Err() != nil || !s.Sending() {
-		h.put(c.Address, k)
+		h.putUnused(c.Address, k)
 		return cell.Result{Outcome: decide.Unused, Tokens: c.From, Notice: active}
 	}
 	// Closing the connection interrupts a blocked read when ctx ends.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // conn is a buffered connection to an upstream.
@@ -17,9 +18,15 @@
 	net.Conn
 	r      *bufio.Reader
 	w      *bufio.Writer
-	reused bool // taken from the pool
+	reused bool          // taken from the pool
+	usedAt time.Duration // when it was opened or its last answer ended
 }
 
+// maxIdleTime is how long a connection may have been idle to be used again. Servers
+// close idle connections after some seconds, and a request that crosses the close is
+// lost.
+const maxIdleTime = 2500 * time.Millisecond
+
 // get returns the most recently used idle connection, which may be closed by now, or
 // a new one.
 func (h *HTTP) get(ctx context.Context, address string) (*conn, error) {
@@ -42,12 +49,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer)}, nil
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer), usedAt: h.cfg.Clock.Boot()}, nil
 }
 
-// put returns a connection to the pool, or closes it if the pool is full or closed, or
-// if unread bytes are left. The last answer must have been read to its end.
+// put returns a connection to the pool whose last answer was read to its end.
 func (h *HTTP) put(address string, c *conn) {
+	c.usedAt = h.cfg.Clock.Boot()
+	h.putUnused(address, c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent. It closes the
+// connection if the pool is full or closed, or if unread bytes are left.
+func (h *HTTP) putUnused(address string, c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed || len(h.idle[address]) >= maxIdle || c.r.Buffered() > 0 {
@@ -78,12 +91,12 @@
 	return err == nil && isQuiet
 }
 
-// open returns a connection that is either new or was just checked to be open, so
-// that a later failure concerns the request.
+// open returns a connection that is either new or was used a short time ago and just
+// checked to be open, so that a later failure concerns the request.
 func (h *HTTP) open(ctx context.Context, address string) (*conn, error) {
 	for {
 		c, err := h.get(ctx, address)
-		if err != nil || !c.reused || c.alive() {
+		if err != nil || !c.reused || h.cfg.Clock.Boot()-c.usedAt <= maxIdleTime && c.alive() {
 			return c, err
 		}
 		_ = c.Close()
