Group: boxes that all leave do not answer each other without end

Cause: a box that leaves leads only if no other box can. Where all leave each leads, and a leader answers a message of another one of its domain, which does not know of it yet; the answer is such a message too. Neither yields.

Change: a leader that leaves gets no such answer; it has nothing to learn from it.

Measured: TestLeavingBoxesAnswerEachOtherWithoutEnd, three boxes, 2 s: 30 messages while all serve; while all leave 6,417 before, 64 now.

Conclusion: only what can end a disagreement is answered.

--- a/group/node_test.go
+++ b/group/node_test.go
@@ -137,6 +137,31 @@
 	is.Equal(w.boxes[boxName(0, 3)].node.LeaderName(), boxName(0, 1))
 }
 
+// The last boxes of a domain, all of them about to stop, answered each other's messages without end.
+func TestLeavingBoxesAnswerEachOtherWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 8)
+	w.startFleet(1, 3)
+	w.run(5 * time.Second)
+	count := func() (sum int) {
+		for _, n := range w.messagesByKind {
+			sum += n
+		}
+		return sum
+	}
+	before := count()
+	w.run(2 * time.Second)
+	calm := count() - before
+	for _, name := range w.names {
+		w.boxes[name].node.Leave(w.now)
+	}
+	before = count()
+	w.run(2 * time.Second)
+	leaving := count() - before
+	t.Logf("%d messages while all serve, %d while all leave", calm, leaving)
+	is.True(leaving <= 3*calm)
+}
+
 func TestAgeIsNeverUnderstated(t *testing.T) {
 	is := is.New(t)
 	w := newSimulation(t, 9)
--- a/group/receive.go
+++ b/group/receive.go
@@ -148,8 +148,9 @@
 		n.sendChanges(now, p.box.Address, m.Revision)
 	case m.Hello:
 		n.answerHello(now, p)
-	case m.Leads && n.sameDomain(p) && n.IsLeader():
-		n.send(p.box.Address, n.newMessage(now)) // it does not know of this box yet
+	case m.Leads && !m.Leaving && n.sameDomain(p) && n.IsLeader():
+		// It does not know of this box yet. Of two that leave neither yields to the other.
+		n.send(p.box.Address, n.newMessage(now))
 	case n.needsLeaderRedirect(now, p, m):
 		response := n.newMessage(now)
 		response.Boxes = []*wire.GroupBox{n.leader()}
