Planned stop: one mark for the end of the grace, and refusals at it say when to return

The end of the grace was kept as a flag and as a context; it is the context now. Lines of connections that a stop cuts tell where their callers are (from).

The test that set the flag calls what sets it.

--- a/relay/callerstate.go
+++ b/relay/callerstate.go
@@ -210,7 +210,7 @@
 			continue
 		}
 		p := &c.progress
-		list = append(list, Fields{"id": p.request, "state": callerChart.StateName(p.state), "state_ms": time.Since(p.since).Milliseconds(),
+		list = append(list, Fields{"id": p.request, "from": c.RemoteAddr().String(), "state": callerChart.StateName(p.state), "state_ms": time.Since(p.since).Milliseconds(),
 			"opened_ms": time.Since(p.opened).Milliseconds(), "requests": p.requests})
 	}
 	return list
--- a/relay/callerwrite.go
+++ b/relay/callerwrite.go
@@ -68,7 +68,7 @@
 	sent, taken := 0, time.Now()
 	isHandedOver := false
 	for {
-		if !isHandedOver && c.relay.graceOver.Load() {
+		if !isHandedOver && c.relay.isGraceOver() {
 			isHandedOver = true
 			c.enlargeSendBuffer(len(p) - sent)
 		}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -37,7 +37,8 @@
 		return &refusal{status: fasthttp.StatusBadGateway, reason: callerLeft}
 	}
 	late := x.deadlinePassed()
-	if x.relay.graceOver.Load() {
+	isStopping := x.relay.isGraceOver()
+	if isStopping {
 		reason = stoppingReason
 	}
 	switch {
@@ -45,6 +46,8 @@
 		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
 	case x.mayHaveRun:
 		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
+	case isStopping:
+		return &refusal{fasthttp.StatusServiceUnavailable, reason, stoppingRetryAfter}
 	case x.withheldFor() > 0:
 		return &refusal{fasthttp.StatusServiceUnavailable, withheldReason, x.withheldFor()}
 	case x.tooLarge:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -113,8 +113,7 @@
 	stopping     atomic.Bool
 	stopBegan    atomic.Int64    // time.Duration since the start; 0: no planned stop has begun
 	acceptsOver  atomic.Bool     // a planned stop has ended the acceptance of connections
-	graceOver    atomic.Bool     // the grace period of a planned stop has passed
-	graceEnd     context.Context // done when it has
+	graceEnd     context.Context // done when the grace period of a planned stop is over
 	endGrace     context.CancelFunc
 	cancel       context.CancelFunc
 	endedTasks   chan string // receives the name of each background task that has ended
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -70,11 +70,13 @@
 
 // overGrace ends the grace period: requests without a response get one, and no more are taken.
 func (r *Relay) overGrace() {
-	r.graceOver.Store(true)
 	r.endGrace()
 	r.callerServer.conns.wakeWriters()
 }
 
+// isGraceOver reports whether the grace period of a planned stop is over.
+func (r *Relay) isGraceOver() bool { return r.graceEnd.Err() != nil }
+
 // closeCallers closes callers' connections once no request is active on them. Those that are active at
 // the end of the grace period have lastResponseWait to get their responses.
 func (r *Relay) closeCallers(ctx context.Context) error {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	u := newStub(t, "u1", respondOK("ok"))
 	b := newTestBox(t, u)
-	b.relay.graceOver.Store(true)
+	b.relay.overGrace()
 	a := b.do(b.request("POST", "/once/x", ""))
 	is.Equal(a.status, 503)
 	is.True(strings.Contains(a.body, `"ran":"no"`))
