Soak: a process that is told to stop ends with success

A process that panicked after SIGTERM passed for one that had stopped: what ended it after the signal was not looked at. A failing exit status is a violation now; ends by a signal, as of a process that is killed or has no handlers yet, are judged as before.

--- a/soak/box.go
+++ b/soak/box.go
@@ -2,9 +2,10 @@
 
 // This file defines a box, which runs as a daemon process and can be killed and restarted.
 //
-// Invariant: the process ends only after the run has asked it to, and within exitWithin; any other exit is a violation.
+// Invariant: the process ends only after the run has asked it to, within exitWithin and with success; any other exit is a violation.
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -90,6 +91,9 @@
 	if stopped := l.terminated.Load(); stopped != nil && l.harms.Load() == 0 && time.Since(*stopped) > exitWithin {
 		b.harness.checker.reportViolation("%s exited %v after SIGTERM", b.name, time.Since(*stopped))
 	}
+	if failed := new(exec.ExitError); errors.As(err, &failed) && failed.ExitCode() > 0 { // no signal has ended it
+		b.harness.checker.reportViolation("%s failed: %v; see its log", b.name, err)
+	}
 	if !stopRequested.Load() {
 		b.harness.checker.reportViolation("%s exited unexpectedly: %v; see its log", b.name, err)
 	}
