Planned stop: what a stopping box takes has a file of its own

stop.go held the course of a stop and the decision on requests that arrive in it. No behaviour changes.

--- a/relay/doc.go
+++ b/relay/doc.go
@@ -6,7 +6,7 @@
 // A run is one execution of a request on one upstream; a request may have several.
 // The files by area:
 //
-//   - start, stop and clocks: relay.go, stop.go, suspension.go
+//   - start, stop and clocks: relay.go, stop.go, stoparrival.go, suspension.go
 //   - callers: accept.go, server.go, callerstate.go, caller.go, collect.go, request.go, disconnect.go, callerwrite.go, refusal.go
 //   - a request from its admission (arrival.go, documentwait.go) to its end (exchange.go), with its retries
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -1,15 +1,13 @@
 package relay
 
-// This file defines the planned stop of a box. The invariant: the box takes no request that it is not
-// expected to answer before it ends.
+// This file defines the planned stop of a box. The invariant: the box ends once no connection of a
+// caller is open, or its grace period is over; requests without a response get one before.
 
 import (
 	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/doormast/doormast/balance"
 )
 
 const (
@@ -21,10 +19,6 @@
 	graceMargin = 500 * time.Millisecond
 	// lastResponseWait is the part of it in which requests without a response are still answered.
 	lastResponseWait = 250 * time.Millisecond
-	// stoppingReason is the reason of a refusal by a box that stops before it can answer.
-	stoppingReason = "stopping"
-	// stoppingRetryAfter is the time after which such a caller is told to retry: other boxes serve.
-	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // Stop performs a planned stop: the box reports that it is not ready, keeps accepting requests until
@@ -42,7 +36,6 @@
 	r.members.leave(ctx)
 	r.tunnelServer.announceStop()
 	sleep(ctx, acceptLinger)
-	// The server keeps serving its open connections after its shutdown has returned.
 	context.AfterFunc(ctx, r.overGrace)
 	r.acceptsOver.Store(true)
 	if err := r.closeCallers(ctx); err != nil {
@@ -89,45 +82,6 @@
 	return err
 }
 
-// graceLeft returns the time until the grace period of a planned stop is over; false if none has begun.
-func (r *Relay) graceLeft() (time.Duration, bool) {
-	began := r.stopBegan.Load()
-	if began == 0 {
-		return 0, false
-	}
-	ends := r.startedAt.Add(time.Duration(began) + r.cfg.StopTimeout - graceMargin)
-	return max(0, time.Until(ends)), true
-}
-
-// stopArrival describes the request to the decision whether the box takes it before it ends.
-func (x *exchange) stopArrival(grace time.Duration) balance.StopArrival {
-	return balance.StopArrival{Class: x.route.Name, TimeLeft: x.timeLeft(), Grace: grace, IsLate: x.relay.acceptsOver.Load()}
-}
-
-// refuseBeforeStop refuses a request that the box cannot be expected to answer before it ends; nil if
-// it takes the request.
-func (r *Relay) refuseBeforeStop(x *exchange) *refusal {
-	grace, isStopping := r.graceLeft()
-	if !isStopping {
-		return nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.runTimes.EndsInGrace(x.stopArrival(grace)); ok {
-		return nil
-	}
-	return &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
-}
-
-// addGraceFields adds to the log line of a request that such a box refused what it was decided by.
-func (r *Relay) addGraceFields(f Fields, x *exchange) {
-	grace, _ := r.graceLeft()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	expected, _ := r.runTimes.EndsInGrace(x.stopArrival(grace))
-	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = x.route.Name, x.timeLeft().Milliseconds(), grace.Milliseconds(), expected.Milliseconds()
-}
-
 // endWithoutResponse ends a request without a response when the box ends, so that its caller is told
 // whether it may have run.
 func (x *exchange) endWithoutResponse() {
@@ -144,19 +98,6 @@
 	}
 }
 
-// noteRunTime records how long the request took. A failure of an upstream says nothing of that.
-func (x *exchange) noteRunTime() {
-	took := time.Since(x.arrived)
-	x.relay.mu.Lock()
-	defer x.relay.mu.Unlock()
-	switch {
-	case x.outcome == outcomeAnswered && x.response.header.StatusCode() < fasthttp.StatusMultipleChoices:
-		x.relay.runTimes.Note(x.route.Name, took)
-	case x.runsSent > 0:
-		x.relay.runTimes.NoteUnanswered(x.route.Name, took)
-	}
-}
-
 // logRequestsCut logs each request that is still running at an upstream when the grace period ends.
 // The process exits before these requests end, so no other line reports them.
 func (r *Relay) logRequestsCut() {
