Tests of relay: boxes of finished tests stop at once

Each box of a test was stopped at its end with half a second of accepting connections, most of the package's time: 484 s beside a load of 14, with go test's limit at 600 s. The end of a test leaves 20 ms for it; tests of stops call Stop themselves as before.

--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -329,13 +329,20 @@
 		t.Fatal(err)
 	}
 	b.url, b.ready = "http://"+callers.Addr().String(), "http://"+ready.Addr().String()
-	t.Cleanup(func() { b.relay.Stop(); _ = log.Close() })
+	t.Cleanup(func() { b.stopSoon(); _ = log.Close() })
 	if stubs != nil {
 		b.waitFor(func() bool { return b.relay.Ready() && b.upstreamCount() == len(stubs) })
 	}
 	return b
 }
 
+// stopSoon stops the box at the end of a test, without the time for which a stopping box accepts
+// connections.
+func (b *testBox) stopSoon() {
+	b.relay.cfg.StopTimeout = min(b.relay.cfg.StopTimeout, graceMargin+20*time.Millisecond)
+	b.relay.Stop()
+}
+
 func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
