--- a/relay/server.go
+++ b/relay/server.go
@@ -80,7 +80,10 @@
 // does not leave that to the server, which does not know on which connections a request is arriving.
 func (f *callerServer) close(ctx context.Context) error {
 	err := f.callers.Close()
-	<-f.served // the last accepted connection is listed
+	select {
+	case <-f.served: // the last accepted connection is listed
+	case <-ctx.Done():
+	}
 	f.conns.closeAtRest()
 	if waitErr := f.conns.awaitClosed(ctx); err == nil {
 		err = waitErr
