Relay: lines of plain responses tell that only the close of the connection ended them

Lines of streams named what marked the end, lines of other responses did not, so a truncated body could not be told from a whole one in the logs. They have `ended_by` now where it is the connection, and `responses_ended_by_connection` counts them. No decision changes.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -87,7 +87,7 @@
 	pendingEvents    []byte          // read, but not yet passed to the caller
 	firstEventsAfter time.Duration   // from the arrival to the first events
 	pace             pace            // of its events
-	endedBy          string          // what marked the end of the stream; empty: it is not complete
+	endedBy          string          // what marked the end of the response; empty: it is not complete, or no stream and framed
 	endedInMove      bool            // its upstream had been asked to move the run
 	outcome          string          // final outcome as logged; empty while the request is active
 }
@@ -181,7 +181,10 @@
 		f["events"], f["expected_tokens"] = x.events.total, x.request.prompt.Expected
 	}
 	if x.endedBy != "" {
-		f["ended_by"], f["asked_to_move"] = x.endedBy, x.endedInMove
+		f["ended_by"] = x.endedBy
+	}
+	if x.endedBy != "" && x.events != nil {
+		f["asked_to_move"] = x.endedInMove
 	}
 	if x.pauseWaited > 0 {
 		f["waited_ms"] = x.pauseWaited.Milliseconds()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -44,6 +44,10 @@
 		return runUnknown, nil, statusError(status)
 	}
 	x.response = resp
+	if resp.endsWithConnection() {
+		x.endedBy = endByConnection
+		x.relay.stats.count(responsesEndedByConnection)
+	}
 	x.closeTicket(x.outcomeOf(status))
 	return runAnswered, body, nil
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -118,6 +118,12 @@
 // hasFraming reports whether the end of the body can be found without the connection being closed.
 func (r *response) hasFraming() bool { return r.header.ContentLength() != lengthUnknown }
 
+// endsWithConnection reports whether the response has a body whose end nothing marks but the close of the connection.
+func (r *response) endsWithConnection() bool {
+	status := r.header.StatusCode()
+	return !r.hasFraming() && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 // errNoBody reports that the connection of a response ended where its body is due.
 var errNoBody = &Error{Op: "read response", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
 
--- a/relay/runs_test.go
+++ b/relay/runs_test.go
@@ -128,6 +128,7 @@
 	a := b.do(b.request("POST", "/once/x", ""))
 	is.Equal(a.status, 200)
 	is.Equal(a.body, "all of it")
+	b.awaitLog(`"ended_by":"connection"`)
 }
 
 func TestEarlyResponseIsForwardedAndConnectionDropped(t *testing.T) {
--- a/relay/streamend.go
+++ b/relay/streamend.go
@@ -19,12 +19,15 @@
 	errEndUnknown = &Error{Op: "read stream", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
 )
 
-// What marked the end of a stream, in log lines and metric names.
+// What marked the end of a response, in log lines and metric names.
 const (
 	endByFraming    = "framing"    // its length or last chunk
 	endByConnection = "connection" // its upstream closed the connection
 )
 
+// responsesEndedByConnection counts responses, other than streams, that ended with their connections.
+const responsesEndedByConnection = "responses_ended_by_connection"
+
 // streamsEndedInMove counts streams that ended after their upstream had been asked to move the run.
 const streamsEndedInMove = "streams_ended_in_move"
 
