Responses without a length: whole only if their upstream answers after the close

What callers saw: streams that ended as complete (last chunk) with events missing, and plain answers with a part of their body as 200.

Cause: a response without a length or chunks ends with its connection, and the box took every close in order for the end. The system of a killed process closes its connections in order too, where all that arrived was read; it resets them only otherwise. Class of fault: the absence of an error is taken for the statement that something is complete.

Change: after such a close the upstream is asked whether the process that wrote the response still runs: by a call on an idle connection that is older than the request, else on a new one, where it has to state the listed start or the listed ID (by its health path, which the document names). What is not confirmed has broken off: resumed or retried where the route allows it, else cut off or 502. An upstream that does not say in time is not held responsible.

Why it works: a call that is answered was read after the close, so that the process was there to close the connection itself.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -143,6 +143,24 @@
 	return nil
 }
 
+// reuseOlder returns a usable idle connection that was opened before a time and has carried no request without an ID;
+// nil if there is none.
+func (p *connPool) reuseOlder(u balance.Upstream, before time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, key := range []idleKey{{u.ID, false}, {u.ID, true}} {
+		i := slices.IndexFunc(p.idle[key], func(c *conn) bool {
+			return c.incarnation == u.Incarnation() && !c.anonymous && c.opened.Before(before) && time.Now().Before(c.idleUntil) && c.isUsable()
+		})
+		if i >= 0 {
+			c := p.idle[key][i]
+			p.idle[key] = slices.Delete(p.idle[key], i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // putUnused returns a connection to the pool on which nothing was sent.
 func (p *connPool) putUnused(c *conn) {
 	if c.idleUntil.IsZero() {
--- a/relay/lostrequest_test.go
+++ b/relay/lostrequest_test.go
@@ -55,10 +55,13 @@
 }
 
 // connectToAll sends requests beside each other, which are spread over the upstreams.
-func (b *testBox) connectToAll(count int) {
+func (b *testBox) connectToAll(count int) { b.connectBy("/safe/x", count) }
+
+// connectBy is connectToAll by requests for a path.
+func (b *testBox) connectBy(path string, count int) {
 	var all sync.WaitGroup
 	for range count {
-		all.Go(func() { b.do(b.request(http.MethodPost, "/safe/x", "x")) })
+		all.Go(func() { b.do(b.request(http.MethodPost, path, "x")) })
 	}
 	all.Wait()
 }
--- a/relay/move.go
+++ b/relay/move.go
@@ -140,16 +140,22 @@
 
 // callResponse is the response to a call of the box itself.
 type callResponse struct {
-	sent   bool // a byte of the call may have been sent
-	notRun bool // the upstream states that it has not executed the call
-	status int
-	body   []byte
+	sent     bool // a byte of the call may have been sent
+	notRun   bool // the upstream states that it has not executed the call
+	status   int
+	body     []byte
+	instance string // the ID by which the upstream names itself; empty: it does not
 }
 
 // callUpstream makes a call of the box itself to an upstream. If it fails, the response tells only
 // whether the call may have been sent.
 func (r *Relay) callUpstream(ctx context.Context, u balance.Upstream, service string, call UpstreamCall) (callResponse, error) {
-	c, err := r.conns.forAnonymous(ctx, u, service, r.conns.get)
+	return r.callUpstreamOn(ctx, r.conns.get, u, service, call)
+}
+
+// callUpstreamOn is callUpstream on a connection that open returns.
+func (r *Relay) callUpstreamOn(ctx context.Context, open openFunc, u balance.Upstream, service string, call UpstreamCall) (callResponse, error) {
+	c, err := r.conns.forAnonymous(ctx, u, service, open)
 	if err != nil {
 		return callResponse{}, err
 	}
@@ -162,7 +168,7 @@
 	}
 	body, err := readWhole(resp, maxCallResponse)
 	r.releaseConn(resp, err == nil && stop())
-	return callResponse{true, r.saysNotRun(&resp.header), resp.header.StatusCode(), body}, err
+	return callResponse{true, r.saysNotRun(&resp.header), resp.header.StatusCode(), body, headerValue(&resp.header, r.cfg.Protocol.CurrentInstance)}, err
 }
 
 // continueMoved continues the stream from the copy of the run that was stopped. False means that there
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -27,6 +27,9 @@
 	if err == nil && len(body) == 0 && x.request.method != fasthttp.MethodHead && resp.lacksBody() {
 		err = errNoBody
 	}
+	if err == nil && x.needsConfirmation(resp) {
+		err = x.confirmEnd(resp)
+	}
 	x.detachConn()
 	x.relay.releaseConn(resp, err == nil)
 	if err != nil {
@@ -154,7 +157,7 @@
 func (x *exchange) outcomeOfFailure(state runState, err error) balance.Outcome {
 	var status statusError
 	switch {
-	case x.ctx.Err() != nil, errors.Is(err, errTunnelLost), errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), errors.Is(err, errUnproven), errors.Is(err, errWithheld), errors.Is(err, errRunStopped), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
+	case x.ctx.Err() != nil, errors.Is(err, errTunnelLost), errors.Is(err, errMemoryShort), errors.Is(err, errNotAccepting), errors.Is(err, errLimit), errors.Is(err, errBudget), errors.Is(err, errUnverified), errors.Is(err, errUnproven), errors.Is(err, errWithheld), errors.Is(err, errRunStopped), errors.Is(err, errEndUnconfirmed), x.silent.Load() && state == runUnknown, x.withheldRun.Load():
 		return balance.Neutral
 	case errors.As(err, &status):
 		return x.outcomeOf(int(status))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -107,7 +107,7 @@
 // caller disconnected, this box lacked memory or stopped the run, the connection was silent, or it led
 // through another box and was lost there.
 func (x *exchange) outcomeOfDisconnect(cause error) balance.Outcome {
-	if errors.Is(cause, errRunStopped) || x.watch.disconnected.Load() || errors.Is(cause, errMemoryShort) || errors.Is(cause, errSilent) || errors.Is(cause, errTunnelLost) {
+	if errors.Is(cause, errRunStopped) || errors.Is(cause, errEndUnconfirmed) || x.watch.disconnected.Load() || errors.Is(cause, errMemoryShort) || errors.Is(cause, errSilent) || errors.Is(cause, errTunnelLost) {
 		return balance.Neutral
 	}
 	if isConnectionLost(cause) {
--- a/relay/streamend.go
+++ b/relay/streamend.go
@@ -2,7 +2,7 @@
 
 // This file defines what the end of a run's body means for its stream. The invariant: a stream is
 // complete only if its upstream marked the end, or closed the connection of a run that this box has
-// not stopped; where the box does not know whether it has, the stream is not complete.
+// not stopped, and runs on; where the box does not know whether it has, the stream is not complete.
 
 import (
 	"errors"
@@ -43,6 +43,11 @@
 func (x *exchange) finishRun(err error) error {
 	wasAsked := x.move != nil
 	end := x.judgeEnd(err)
+	if errors.Is(end.cause, io.EOF) && x.needsConfirmation(x.response) {
+		if err := x.confirmEnd(x.response); err != nil {
+			end.cause = err
+		}
+	}
 	if errors.Is(end.cause, io.EOF) {
 		x.noteStreamEnd(wasAsked)
 		x.endRun(true, balance.Answered)
--- a/relay/stub_test.go
+++ b/relay/stub_test.go
@@ -54,6 +54,7 @@
 	listener net.Listener
 	script   func(c net.Conn, r stubRequest) bool // returns false to close the connection
 	software string                               // stated in its entry
+	started  int64                                // the same, Unix ms; 0: not stated
 
 	mu       sync.Mutex
 	received []stubRequest
@@ -284,7 +285,7 @@
 			{Name: "single", Host: "h.example", Prefix: "/single/", Repeat: route.Stream, MaxAttempts: 1, Timeout: 5 * time.Second, Targets: service},
 			{Name: "open", Host: "h.example", Prefix: "/open/", Public: true, MaxAttempts: 1, Timeout: 5 * time.Second, Targets: service},
 		},
-		Services:  []route.Service{{Name: "s", MaxConnections: 100}},
+		Services:  []route.Service{{Name: "s", MaxConnections: 100, HealthPath: "/health"}},
 		Customers: []route.Customer{{Name: "customer", Keys: []string{"secret"}}},
 		Limits:    route.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20},
 	}
@@ -353,7 +354,7 @@
 }
 
 func (b *testBox) listUpstream(s *stub, leaving bool) {
-	b.publisher.set(s.id, balance.Upstream{ID: s.id, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Leaving: leaving, Software: s.software}, false)
+	b.publisher.set(s.id, balance.Upstream{ID: s.id, Service: "s", Address: s.listener.Addr().String(), Domain: "d", Slots: 8, Leaving: leaving, Software: s.software, StartedAt: s.started}, false)
 }
 
 func (b *testBox) upstreamCount() int {
--- a/route/document.go
+++ b/route/document.go
@@ -23,6 +23,7 @@
 	ColdPerSecond  float64       // requests per second that a cold upstream can take; 0: no limit
 	KVCapacity     int           // capacity of an upstream's KV cache in tokens; 0: unknown
 	TransfersKV    bool          // its upstreams can transfer KV cache contents to each other
+	HealthPath     string        // path at which an upstream tells its state and names itself; empty: none
 }
 
 // Customer is a sender of requests, identified by API keys.
