Planned stop: lines tell by what a request was taken

Callers saw connections closed by stopping boxes. The lines of requests that arrived during a stop told when, but not whether the box had taken them because their own time ends before it does, or because it expected them to.

Lines of such requests have taken_by now: "own time" or "estimate". No decision has changed.

--- a/balance/runtimes.go
+++ b/balance/runtimes.go
@@ -73,13 +73,17 @@
 	IsLate   bool          // load balancers send the box no requests any more
 }
 
+// EndsByItself reports whether the request's own time is over before the box ends, however long it
+// runs.
+func (a StopArrival) EndsByItself() bool { return a.TimeLeft <= a.Grace }
+
 // EndsInGrace reports whether the request can be expected to end before the box does. It also returns
 // the time that it is expected to take; 0 if no request of its class was answered. Such a request is
 // taken while load balancers send, as by a box that has just started and has to stop.
 func (t *RunTimes) EndsInGrace(a StopArrival) (expected time.Duration, ok bool) {
 	c := t.classes[a.Class]
 	switch {
-	case a.TimeLeft <= a.Grace:
+	case a.EndsByItself():
 		return 0, true
 	case c == nil:
 		return 0, !a.IsLate
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -65,6 +65,7 @@
 	leftRoom       bool          // what is free is kept for streams that go on
 	allLimited     bool          // the remaining upstreams have reached their rate limits
 	tooLarge       bool          // it fits into no upstream's memory
+	takenBy        string        // what a stopping box took it by; empty: it did not arrive during a stop
 	cameBack       bool          // the caller probably retried after a refusal, judging by its remaining time
 	retryAfter     time.Duration // estimated time until a retry can succeed; 0: unknown
 	pausedFor      time.Duration // time until the pause of an upstream ends; 0: pauses are not the reason that none is available
@@ -198,7 +199,7 @@
 	if x.runsCut > 0 {
 		f["cut_off"], f["content"] = x.runsCut, formatContentHash(x.requestHash())
 	}
-	x.relay.addStopFields(f, x.caller, x.arrived)
+	x.addStopFields(f)
 	if x.response != nil {
 		f["status"] = x.response.header.StatusCode()
 	} else {
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -109,7 +109,7 @@
 		if x.customer != nil {
 			f["customer"] = x.customer.Name
 		}
-		r.addStopFields(f, x.caller, x.arrived)
+		x.addStopFields(f)
 		r.cfg.Log.Event("request", "cut by the stop", f)
 	}
 }
--- a/relay/stoparrival.go
+++ b/relay/stoparrival.go
@@ -18,6 +18,12 @@
 	stoppingRetryAfter = 10 * time.Millisecond
 )
 
+// What a stopping box took a request by, in log lines.
+const (
+	takenByOwnTime  = "own time"
+	takenByEstimate = "estimate"
+)
+
 // graceLeft returns the time until the grace period of a planned stop is over; false if none has begun.
 func (r *Relay) graceLeft() (time.Duration, bool) {
 	began := r.stopBegan.Load()
@@ -42,12 +48,26 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.runTimes.EndsInGrace(x.stopArrival(grace)); ok {
+	a := x.stopArrival(grace)
+	if _, ok := r.runTimes.EndsInGrace(a); ok {
+		x.takenBy = takenByEstimate
+		if a.EndsByItself() {
+			x.takenBy = takenByOwnTime
+		}
 		return nil
 	}
 	return &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
 }
 
+// addStopFields adds to the log line of a request that arrived during a planned stop when it did, on
+// what connection, and by what it was taken.
+func (x *exchange) addStopFields(f Fields) {
+	x.relay.addStopFields(f, x.caller, x.arrived)
+	if x.takenBy != "" {
+		f["taken_by"] = x.takenBy
+	}
+}
+
 // addGraceFields adds to the log line of a request that such a box refused what it was decided by.
 func (r *Relay) addGraceFields(f Fields, x *exchange) {
 	grace, _ := r.graceLeft()
--- /dev/null
+++ b/relay/stoparrival_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lateCall is a request that arrives at a stopping box after load balancers have stopped sending.
+type lateCall struct {
+	box  *testBox
+	conn net.Conn
+	rest string // the part of it that was not sent before the stop
+}
+
+// beginLateCall sends the first part of a request.
+func (b *testBox) beginLateCall(path, left string) lateCall {
+	text := strings.Replace(callerRequest(path, "late", "body"), "X-Left: 1000", "X-Left: "+left, 1)
+	c := lateCall{box: b, conn: b.dialCaller(), rest: text[20:]}
+	if _, err := io.WriteString(c.conn, text[:20]); err != nil {
+		b.t.Fatal(err)
+	}
+	b.waitFor(func() bool { return b.relay.callerServer.conns.addStates(Fields{})["callers_sending"] == 1 })
+	return c
+}
+
+// finish sends the rest of the request; it returns the response and whether that ends the connection.
+func (c lateCall) finish() (callerResponse, bool) {
+	if _, err := io.WriteString(c.conn, c.rest); err != nil {
+		c.box.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		return callerResponse{err: err}, true
+	}
+	body, err := io.ReadAll(resp.Body)
+	return callerResponse{resp.StatusCode, resp.Header, string(body), err}, resp.Close
+}
+
+// No line told whether a stopping box had taken a request by its own time or by an estimate.
+func TestLinesTellByWhatStoppingBoxTookRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second }, newStub(t, "u1", respondOK("ok")))
+	d := testDocument(2)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = time.Minute
+	}
+	b.publisher.set("document", d, false)
+	b.waitFor(func() bool { return b.relay.documentVersion() == 2 })
+	late := b.beginLateCall("/once/x", "1000")
+	ended := b.stop()
+	b.waitFor(b.relay.stopping.Load)
+	is.Equal(b.do(b.request("POST", "/once/x", "", "X-Left", "30000")).status, 200)
+	b.awaitLog(`"taken_by":"estimate"`)
+	b.awaitClosing()
+	a, closes := late.finish()
+	is.Equal(a.status, 200)
+	is.True(closes)
+	b.awaitLog(`"taken_by":"own time"`)
+	<-ended
+}
