Planned stop: late requests are taken by promise only

Callers saw streams cut by stopping boxes, and 502 for plain requests, that they had sent seconds after the signal on connections that were open or in the middle of a request.

After load balancers have stopped sending, a box took what twice the longest of the recent times of its route let it hope to answer. Nothing bounds how long a request takes: runs that get longer, a wait for a slot, a second run each broke it.

A real box whose runs took 50 ms before the signal and 5 s afterwards: of 32 requests that arrived 2.7 to 6 s after it and had 12 s left, 24 were sent on and not answered, 16 streams cut and 8 answered with 502 (8 of a route that stayed quick were answered). In the relay four of four kinds: a longer plain run, a longer stream, one that waits for its slot, one that is sent again. Now none of them is sent on: they get 503, not run, Retry-After 0.01 and the end of the connection; the requests whose own time ends within the grace are answered.

The decision uses only times that the request itself is bounded by, so that nothing that happens after it can break it.

Changed tests: rows of two tables that expected late requests to be taken by the estimate expect the refusal, which is the fault itself. The test that failures do not count as run times judged by a late request, which would pass with any times now; it asks for the time that is expected (it fails where failures do count: 0.8 ms instead of 0).

--- a/balance/runtimes.go
+++ b/balance/runtimes.go
@@ -1,8 +1,8 @@
 package balance
 
-// This file defines which requests a box that is about to stop still takes. The invariant: a request
-// of a class that has recently taken longer than the box has left is taken only if its own time is
-// over before the box ends.
+// This file defines which requests a box that is about to stop still takes. The invariants: a request
+// that arrives after load balancers have stopped sending is taken only if its own time is over before
+// the box ends; so is one before, if its class has recently taken longer than the box has left.
 
 import (
 	"math"
@@ -20,9 +20,7 @@
 	// usualRunTime is the quantile of the times that decides while load balancers still send requests. A
 	// refusal delays a caller by the way to another box, a cut costs it the work done.
 	usualRunTime = 0.95
-	// longestRunTimeFactor multiplies the longest of the times where few are known, and for requests that
-	// come afterwards: such requests are few, and their callers do not expect to be cut off by a stop that
-	// began seconds before.
+	// longestRunTimeFactor multiplies the longest of the times where few are known.
 	longestRunTimeFactor = 2
 )
 
@@ -60,7 +58,7 @@
 // NoteUnanswered records that a request of a class that was sent to an upstream has ended without an
 // answer. It would have taken longer: that counts where it is longer than usual.
 func (t *RunTimes) NoteUnanswered(class string, lasted time.Duration) {
-	if c := t.classes[class]; c != nil && lasted > c.expected(false) {
+	if c := t.classes[class]; c != nil && lasted > c.expected() {
 		t.Note(class, lasted)
 	}
 }
@@ -77,24 +75,20 @@
 // runs.
 func (a StopArrival) EndsByItself() bool { return a.TimeLeft <= a.Grace }
 
-// EndsInGrace reports whether the request can be expected to end before the box does. It also returns
-// the time that it is expected to take; 0 if no request of its class was answered. Such a request is
-// taken while load balancers send, as by a box that has just started and has to stop.
+// EndsInGrace reports whether the box may take the request. It also returns the time that the request
+// is expected to take; 0 if no request of its class was answered. Such a request is taken while load
+// balancers send, as by a box that has just started and has to stop. Afterwards past times decide
+// nothing: how long a request runs, waits or is sent again is not known before.
 func (t *RunTimes) EndsInGrace(a StopArrival) (expected time.Duration, ok bool) {
-	c := t.classes[a.Class]
-	switch {
-	case a.EndsByItself():
-		return 0, true
-	case c == nil:
-		return 0, !a.IsLate
+	if c := t.classes[a.Class]; c != nil {
+		expected = c.expected()
 	}
-	expected = c.expected(a.IsLate)
-	return expected, expected <= a.Grace
+	return expected, a.EndsByItself() || !a.IsLate && expected <= a.Grace
 }
 
 // expected returns how long a request of the class is expected to take.
-func (c *runTimes) expected(isLate bool) time.Duration {
-	if isLate || len(c.list) < minRunTimes {
+func (c *runTimes) expected() time.Duration {
+	if len(c.list) < minRunTimes {
 		return longestRunTimeFactor * slices.Max(c.list)
 	}
 	sorted := slices.Sorted(slices.Values(c.list))
--- a/balance/runtimes_test.go
+++ b/balance/runtimes_test.go
@@ -28,8 +28,9 @@
 		{"few known, twice the longest does not fit", usual[:minRunTimes-1], StopArrival{TimeLeft: 12000 * ms, Grace: 130 * ms}, false},
 		{"usually fits", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 970 * ms}, true},
 		{"usually does not fit", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 960 * ms}, false},
-		{"late, twice the longest fits", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 2000 * ms, IsLate: true}, true},
-		{"late, twice the longest does not fit", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 1990 * ms, IsLate: true}, false},
+		{"late, its own time ends first", usual, StopArrival{TimeLeft: 500 * ms, Grace: 500 * ms, IsLate: true}, true},
+		{"late, twice the longest fits", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 2000 * ms, IsLate: true}, false},
+		{"late, its own time ends just behind", usual, StopArrival{TimeLeft: 7001 * ms, Grace: 7000 * ms, IsLate: true}, false},
 		{"no time left", usual, StopArrival{TimeLeft: 12000 * ms, Grace: 0, IsLate: true}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -152,7 +152,7 @@
 		{"nothing known, late", 0, "30000", true, 503},
 		{"usually fits", 4 * time.Second, "30000", false, 200},
 		{"usually fits, late", 4 * time.Second, "30000", true, 503},
-		{"fits twice, late", time.Second, "30000", true, 200},
+		{"fits twice, late", time.Second, "30000", true, 503},
 		{"does not fit", 8 * time.Second, "30000", false, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -177,7 +177,7 @@
 	}
 }
 
-// Failures of upstreams counted as run times, so that a box took long requests in its last second.
+// Failures of upstreams counted as run times, so that a box that stops took long requests.
 func TestFailuresOfUpstreamsCountAsRunTimes(t *testing.T) {
 	t.Parallel()
 	for _, status := range []int{400, 500} {
@@ -191,8 +191,8 @@
 			is.NoErr(b.do(b.request("POST", "/once/x", "", "X-Id", fmt.Sprint(i))).err)
 		}
 		b.relay.mu.Lock()
-		_, takes := b.relay.runTimes.EndsInGrace(balance.StopArrival{Class: "once", TimeLeft: 12 * time.Second, Grace: time.Second, IsLate: true})
+		expected, _ := b.relay.runTimes.EndsInGrace(balance.StopArrival{Class: "once", TimeLeft: 12 * time.Second, Grace: time.Second})
 		b.relay.mu.Unlock()
-		is.True(!takes)
+		is.Equal(expected, time.Duration(0)) // none is known
 	}
 }
--- a/relay/stoparrival.go
+++ b/relay/stoparrival.go
@@ -1,7 +1,8 @@
 package relay
 
 // This file defines which requests a box takes during its planned stop. The invariant: it takes none
-// that it is not expected to answer before it ends, whatever connection the request comes on.
+// that it is not expected to answer before it ends, and, once load balancers have stopped sending, none
+// whose own time ends later, whatever connection the request comes on.
 
 import (
 	"time"
@@ -73,7 +74,9 @@
 	grace, _ := r.graceLeft()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	expected, _ := r.runTimes.EndsInGrace(x.stopArrival(grace))
+	a := x.stopArrival(grace)
+	expected, _ := r.runTimes.EndsInGrace(a)
+	f["late"] = a.IsLate
 	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = x.route.Name, x.timeLeft().Milliseconds(), grace.Milliseconds(), expected.Milliseconds()
 }
 
--- a/relay/stoparrival_test.go
+++ b/relay/stoparrival_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +45,66 @@
 	return callerResponse{resp.StatusCode, resp.Header, string(body), err}, resp.Close
 }
 
+// A stopping box took requests late because earlier ones of their route were quick, and did not answer
+// them before it ended.
+func TestStoppingBoxTakesLateRequestsByEstimate(t *testing.T) {
+	t.Parallel()
+	block := func(release <-chan struct{}, begin func(net.Conn, stubRequest)) func(net.Conn, stubRequest) bool {
+		return func(c net.Conn, r stubRequest) bool {
+			begin(c, r)
+			<-release
+			return false
+		}
+	}
+	nothing := func(net.Conn, stubRequest) {}
+	for _, c := range []struct {
+		name, path string
+		begin      func(net.Conn, stubRequest) // what an upstream sends at once
+		resets     int32                       // runs that fail before
+	}{
+		{"plain run is longer", "/once/x", nothing, 0},
+		{"stream is longer", "/flow/x", func(c net.Conn, r stubRequest) { startStream(c, r); writeChunk(c, event(1)) }, 0},
+		{"stream waits for a slot", "/flow/x", nothing, 0},
+		{"run is sent again", "/safe/x", nothing, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			release := make(chan struct{})
+			defer close(release)
+			var isSlow atomic.Bool
+			var runs atomic.Int32
+			script := func(conn net.Conn, r stubRequest) bool {
+				switch {
+				case !isSlow.Load():
+					return respondOK("ok")(conn, r)
+				case runs.Add(1) <= c.resets:
+					return false
+				}
+				return block(release, c.begin)(conn, r)
+			}
+			u, v := newStub(t, "u1", script), newStub(t, "u2", script)
+			b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 4 * time.Second }, u, v)
+			for i := range 20 {
+				is.Equal(b.do(b.request("POST", c.path, "", "X-Id", fmt.Sprint(i))).status, 200)
+			}
+			isSlow.Store(true)
+			late := b.beginLateCall(c.path, "30000")
+			ended := b.stop()
+			b.awaitClosing()
+			a, closes := late.finish()
+			<-ended
+			if n := runs.Load(); n > 0 {
+				t.Fatalf("sent on %d times, and got %+v", n, a)
+			}
+			is.Equal(a.status, 503)
+			is.True(strings.Contains(a.body, `"ran":"no"`))
+			is.Equal(a.header.Get("Retry-After"), "0.01")
+			is.True(closes)
+		})
+	}
+}
+
 // No line told whether a stopping box had taken a request by its own time or by an estimate.
 func TestLinesTellByWhatStoppingBoxTookRequest(t *testing.T) {
 	t.Parallel()
--- a/soak/plannedstop_test.go
+++ b/soak/plannedstop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"iter"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -63,22 +66,29 @@
 
 // startTimed starts an upstream of timedService and publishes it with its routes.
 func (w *harness) startTimed(is *is.I) *timedUpstream {
-	l, err := w.listen(100)
-	is.NoErr(err)
 	u := &timedUpstream{seen: make(map[string]bool)}
-	go func() { _ = http.Serve(l, u) }()
+	w.publishTimed(is, maps.Keys(runTimes), u)
+	return u
+}
+
+// publishTimed publishes upstreams of timedService and a route for each path.
+func (w *harness) publishTimed(is *is.I, paths iter.Seq[string], upstreams ...http.Handler) {
 	w.document.Version++
 	w.document.Services = append(w.document.Services, route.Service{Name: timedService, MaxConnections: 1000})
-	for prefix := range runTimes {
+	for prefix := range paths {
 		w.document.Routes = append(w.document.Routes, route.Route{Name: strings.Trim(prefix, "/"), Host: host, Prefix: prefix, Repeat: route.Stream, Resumable: true, MaxAttempts: 2,
 			Timeout: 12 * time.Second, Targets: []route.Target{{Service: timedService, Weight: 1}}})
 	}
 	w.document.Limits.HeaderWait = 12 * time.Second
 	is.NoErr(w.publish())
-	it, err := platform.UpstreamItem(balance.Upstream{ID: "timed-1", StartedAt: time.Now().UnixMilli(), Service: timedService, Address: l.Addr().String(), Domain: domain(0), Slots: 500})
-	is.NoErr(err)
-	w.store.Put(it)
-	return u
+	for i, u := range upstreams {
+		l, err := w.listen(100)
+		is.NoErr(err)
+		go func() { _ = http.Serve(l, u) }()
+		it, err := platform.UpstreamItem(balance.Upstream{ID: fmt.Sprintf("timed-%d", i+1), StartedAt: time.Now().UnixMilli(), Service: timedService, Address: l.Addr().String(), Domain: domain(0), Slots: 500})
+		is.NoErr(err)
+		w.store.Put(it)
+	}
 }
 
 // stopCall is a request on a connection that is open when a planned stop begins.
@@ -90,8 +100,12 @@
 	path   string
 	isKept bool // an earlier request was answered on the connection
 	chunks bool // the body is sent in chunks
+	left   int  // time that its caller waits, in ms; 0: stopCallLeft
 }
 
+// stopCallLeft exceeds the grace period.
+const stopCallLeft = 12000
+
 // stopCalls returns all kinds of connections, used for the first time at all moments of a stop.
 func stopCalls() []stopCall {
 	var list []stopCall
@@ -121,7 +135,7 @@
 	if s.chunks {
 		length, body = "Transfer-Encoding: chunked\r\n", "3\r\ndef\r\n0\r\n\r\n"
 	}
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 12000\r\n%s\r\n", s.path+id, host, protocol.RequestID, id, protocol.Key, goodKey, protocol.TimeLeft, length)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n", s.path+id, host, protocol.RequestID, id, protocol.Key, goodKey, protocol.TimeLeft, cmp.Or(s.left, stopCallLeft), length)
 	if s.chunks {
 		return head + "3\r\nabc\r\n", body
 	}
@@ -176,14 +190,7 @@
 // A box that was told to stop sent requests on that arrived late, and cut them off when it ended.
 func TestRequestsThatArriveLateInPlannedStopAreCutOff(t *testing.T) {
 	is := is.New(t)
-	cfg := Config{Daemon: buildDaemon(t), Dir: t.ArtifactDir(), Boxes: 1, Net: 95}
-	guard, err := reserveAddresses(cfg)
-	is.NoErr(err)
-	defer func() { _ = guard.Close() }()
-	w := newHarness(cfg)
-	defer w.close()
-	is.NoErr(w.start())
-	is.NoErr(w.awaitReady(context.Background()))
+	w := startOneBox(t, 95)
 	u, b := w.startTimed(is), w.boxes[0]
 	for known := false; !known; time.Sleep(10 * time.Millisecond) {
 		known = stopCall{path: "/brief/"}.play(b.callers, "first", time.Now()).status == http.StatusOK
@@ -203,9 +210,28 @@
 		})
 	}
 	time.Sleep(time.Until(signalled))
-	b.stopRequested.Store(true)
-	b.signal(syscall.SIGTERM)
+	b.beginStop()
 	callers.Wait()
 	<-b.ended
 	b.cmd = nil
 }
+
+// startOneBox starts a harness with one box.
+func startOneBox(t *testing.T, network int) *harness {
+	is := is.New(t)
+	cfg := Config{Daemon: buildDaemon(t), Dir: t.ArtifactDir(), Boxes: 1, Net: network}
+	guard, err := reserveAddresses(cfg)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = guard.Close() })
+	w := newHarness(cfg)
+	t.Cleanup(w.close)
+	is.NoErr(w.start())
+	is.NoErr(w.awaitReady(context.Background()))
+	return w
+}
+
+// beginStop asks a box to stop.
+func (b *box) beginStop() {
+	b.stopRequested.Store(true)
+	b.signal(syscall.SIGTERM)
+}
