Planned stop: late begins 2.5 s after the signal

Suspected of what callers saw, not shown by a record: requests sent more than 3 s after the signal that a stopping box took and cut.

The box counted the time for which it accepts connections, and by it which requests are late, from the moment at which it had told the other boxes. Where that took long, late requests counted as early, and were taken by an estimate, or because nothing was known of their route.

The test, in which the stop stands still for 3 s after the signal, got 200 for a request with 30 s left that came 3 s after it; now 503, not run.

Both are counted from the signal, as the end of the grace is.

Changed test: the table of requests that a stopping box takes set a flag that is gone; it sets the begin of the stop back instead, with a longer grace, so that all cases have as much of it left as their names say.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,7 +112,6 @@
 	stopOnce     sync.Once
 	stopping     atomic.Bool
 	stopBegan    atomic.Int64    // time.Duration since the start; 0: no planned stop has begun
-	acceptsOver  atomic.Bool     // a planned stop has ended the acceptance of connections
 	graceEnd     context.Context // done when the grace period of a planned stop is over
 	endGrace     context.CancelFunc
 	cancel       context.CancelFunc
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -27,17 +27,17 @@
 func (r *Relay) Stop() { r.stopOnce.Do(r.stop) }
 
 func (r *Relay) stop() {
-	r.stopBegan.Store(int64(time.Since(r.startedAt)))
+	began := time.Now()
+	r.stopBegan.Store(int64(began.Sub(r.startedAt)))
 	r.stopping.Store(true)
 	r.wakeAll()
 	r.cfg.Log.Event("box", "stop", r.callerServer.conns.addStates(Fields{"open": r.stats.openRequests.Load()}))
-	ctx, cancel := context.WithTimeout(context.Background(), r.cfg.StopTimeout-graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.cfg.StopTimeout-graceMargin))
 	defer cancel()
 	r.members.leave(ctx)
 	r.tunnelServer.announceStop()
-	sleep(ctx, acceptLinger)
+	sleep(ctx, acceptLinger-time.Since(began))
 	context.AfterFunc(ctx, r.overGrace)
-	r.acceptsOver.Store(true)
 	if err := r.closeCallers(ctx); err != nil {
 		fields := Fields{"open": r.stats.openRequests.Load(), "error": err.Error()}
 		r.cfg.Log.Event("box", "stopped with active requests", r.callerServer.conns.addStates(fields))
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -132,7 +132,7 @@
 func TestStoppingBoxRefusesRequestsThatEndInGrace(t *testing.T) {
 	t.Parallel()
 	u := newStub(t, "u1", respondOK("ok"))
-	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 6500 * time.Millisecond }, u)
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 9 * time.Second }, u)
 	d := testDocument(2)
 	for i := range d.Routes {
 		d.Routes[i].Timeout = time.Minute
@@ -153,7 +153,7 @@
 		{"usually fits", 4 * time.Second, "30000", false, 200},
 		{"usually fits, late", 4 * time.Second, "30000", true, 503},
 		{"fits twice, late", time.Second, "30000", true, 503},
-		{"does not fit", 8 * time.Second, "30000", false, 503},
+		{"does not fit", 9 * time.Second, "30000", false, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -166,8 +166,11 @@
 				}
 			}
 			r.mu.Unlock()
-			r.acceptsOver.Store(c.isLate)
-			r.stopBegan.Store(int64(time.Since(r.startedAt)))
+			began := time.Since(r.startedAt)
+			if c.isLate {
+				began -= acceptLinger
+			}
+			r.stopBegan.Store(int64(began))
 			a := b.do(b.request("POST", "/once/x", "", "X-Left", c.left))
 			r.stopBegan.Store(0)
 			is.Equal(a.status, c.status)
--- a/relay/stoparrival.go
+++ b/relay/stoparrival.go
@@ -25,31 +25,28 @@
 	takenByEstimate = "estimate"
 )
 
-// graceLeft returns the time until the grace period of a planned stop is over; false if none has begun.
-func (r *Relay) graceLeft() (time.Duration, bool) {
+// stoppingFor returns how long ago a planned stop began; false if none has.
+func (r *Relay) stoppingFor() (time.Duration, bool) {
 	began := r.stopBegan.Load()
-	if began == 0 {
-		return 0, false
-	}
-	ends := r.startedAt.Add(time.Duration(began) + r.cfg.StopTimeout - graceMargin)
-	return max(0, time.Until(ends)), true
+	return time.Since(r.startedAt) - time.Duration(began), began != 0
 }
 
-// stopArrival describes the request to the decision whether the box takes it before it ends.
-func (x *exchange) stopArrival(grace time.Duration) balance.StopArrival {
-	return balance.StopArrival{Class: x.route.Name, TimeLeft: x.timeLeft(), Grace: grace, IsLate: x.relay.acceptsOver.Load()}
+// stopArrival describes a request that arrives now to the decision whether the stopping box takes it.
+func (x *exchange) stopArrival() balance.StopArrival {
+	since, _ := x.relay.stoppingFor()
+	grace := max(0, x.relay.cfg.StopTimeout-graceMargin-since)
+	return balance.StopArrival{Class: x.route.Name, TimeLeft: x.timeLeft(), Grace: grace, IsLate: since >= acceptLinger}
 }
 
 // refuseBeforeStop refuses a request that the box cannot be expected to answer before it ends; nil if
 // it takes the request.
 func (r *Relay) refuseBeforeStop(x *exchange) *refusal {
-	grace, isStopping := r.graceLeft()
-	if !isStopping {
+	if _, isStopping := r.stoppingFor(); !isStopping {
 		return nil
 	}
+	a := x.stopArrival()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := x.stopArrival(grace)
 	if _, ok := r.runTimes.EndsInGrace(a); ok {
 		x.takenBy = takenByEstimate
 		if a.EndsByItself() {
@@ -71,13 +68,12 @@
 
 // addGraceFields adds to the log line of a request that such a box refused what it was decided by.
 func (r *Relay) addGraceFields(f Fields, x *exchange) {
-	grace, _ := r.graceLeft()
+	a := x.stopArrival()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := x.stopArrival(grace)
 	expected, _ := r.runTimes.EndsInGrace(a)
 	f["late"] = a.IsLate
-	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = x.route.Name, x.timeLeft().Milliseconds(), grace.Milliseconds(), expected.Milliseconds()
+	f["route"], f["left_ms"], f["grace_ms"], f["expected_ms"] = a.Class, a.TimeLeft.Milliseconds(), a.Grace.Milliseconds(), expected.Milliseconds()
 }
 
 // noteRunTime records how long the request took. A failure of an upstream says nothing of that.
--- a/relay/stoparrival_test.go
+++ b/relay/stoparrival_test.go
@@ -105,6 +105,31 @@
 	}
 }
 
+// A stopping box that was slow to tell the other boxes of its stop counted requests as early that came
+// more than three seconds after the signal.
+func TestLateRequestsCountAsEarlyIfStopBeginsSlowly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	u := newStub(t, "u1", respondOK("ok"))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 8 * time.Second }, u)
+	d := testDocument(2)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = time.Minute
+	}
+	b.publisher.set("document", d, false)
+	b.waitFor(func() bool { return b.relay.documentVersion() == 2 })
+	late := b.beginLateCall("/once/x", "30000")
+	b.relay.mu.Lock()
+	ended := b.stop()
+	b.waitFor(func() bool { return b.relay.stopBegan.Load() > 0 })
+	time.Sleep(acceptLinger + 500*time.Millisecond)
+	b.relay.mu.Unlock()
+	a, _ := late.finish()
+	is.Equal(a.status, 503)
+	is.Equal(len(u.requests()), 0)
+	<-ended
+}
+
 // No line told whether a stopping box had taken a request by its own time or by an estimate.
 func TestLinesTellByWhatStoppingBoxTookRequest(t *testing.T) {
 	t.Parallel()
