Planned stop: no run is begun that outlasts the box

Callers of a stopping box learned at the end of its grace, with 502, that there was no answer, although the first run of their request had ended before, in part with its upstream's word that it had not run.

A request whose run failed was sent again at any moment of a stop, also when requests of its route take longer than the box has left. The decision on what a stopping box can still answer was made at the arrival only.

The test: requests of a route that takes 2 s, first runs that end 2 s after the signal, 1.9 s before its end. Before, both kinds were sent a second time, and cut. Now the one that its upstream has refused gets 503, not run, at once, and may be sent to another box whatever its route; the other, which may have run, gets 502 at once as well.

A further run is decided on like an arrival while load balancers send. Streams that have begun are taken up by another run as before.

--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -37,8 +37,7 @@
 		return &refusal{status: fasthttp.StatusBadGateway, reason: callerLeft}
 	}
 	late := x.deadlinePassed()
-	isStopping := x.relay.isGraceOver()
-	if isStopping {
+	if x.relay.isGraceOver() {
 		reason = stoppingReason
 	}
 	switch {
@@ -46,7 +45,7 @@
 		return &refusal{status: fasthttp.StatusGatewayTimeout, reason: "out of time"}
 	case x.mayHaveRun:
 		return &refusal{status: fasthttp.StatusBadGateway, reason: reason}
-	case isStopping:
+	case reason == stoppingReason:
 		return &refusal{fasthttp.StatusServiceUnavailable, reason, stoppingRetryAfter}
 	case x.withheldFor() > 0:
 		return &refusal{fasthttp.StatusServiceUnavailable, withheldReason, x.withheldFor()}
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -46,8 +46,11 @@
 		if state == runAnswered {
 			return body, nil
 		}
-		if !x.mayRetry(state) {
+		switch {
+		case !x.mayRetry(state):
 			return x.unanswered("no answer")
+		case x.outlastsStop():
+			return x.unanswered(stoppingReason)
 		}
 	}
 }
--- a/relay/stoparrival.go
+++ b/relay/stoparrival.go
@@ -57,6 +57,21 @@
 	return &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
 }
 
+// outlastsStop reports whether a further run of the request is expected to take longer than the stopping
+// box has left. Without it the caller learns sooner, and for certain where the request has not run, that
+// another box is to be asked.
+func (x *exchange) outlastsStop() bool {
+	if _, isStopping := x.relay.stoppingFor(); !isStopping {
+		return false
+	}
+	a := x.stopArrival()
+	a.IsLate = false // the request was taken before
+	x.relay.mu.Lock()
+	defer x.relay.mu.Unlock()
+	_, ok := x.relay.runTimes.EndsInGrace(a)
+	return !ok
+}
+
 // addStopFields adds to the log line of a request that arrived during a planned stop when it did, on
 // what connection, and by what it was taken.
 func (x *exchange) addStopFields(f Fields) {
--- a/relay/stoparrival_test.go
+++ b/relay/stoparrival_test.go
@@ -105,6 +105,52 @@
 	}
 }
 
+// A stopping box sent a request again although it ended before such a run does: its caller learned late
+// that there was no answer, and often not that the request had not run.
+func TestStoppingBoxBeginsRunThatOutlastsIt(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, route string
+		first       func(net.Conn, stubRequest) bool
+		status      int
+		ran         string
+	}{
+		{"refused by its upstream", "once", respondNotRun(503), 503, "no"},
+		{"broken off", "safe", func(net.Conn, stubRequest) bool { return false }, 502, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			release := make(chan struct{})
+			defer close(release)
+			const usual = 2 * time.Second
+			var runs atomic.Int32
+			script := func(conn net.Conn, r stubRequest) bool {
+				if runs.Add(1) == 1 {
+					time.Sleep(usual)
+					return c.first(conn, r)
+				}
+				<-release
+				return false
+			}
+			b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 2*usual + graceMargin - 100*time.Millisecond }, newStub(t, "u1", script), newStub(t, "u2", script))
+			r := b.relay
+			r.mu.Lock()
+			for range 20 {
+				r.runTimes.Note(c.route, usual)
+			}
+			r.mu.Unlock()
+			ended := b.stop()
+			b.waitFor(r.stopping.Load)
+			a := b.do(b.request("POST", "/"+c.route+"/x", "", "X-Left", "30000"))
+			is.Equal(runs.Load(), int32(1))
+			is.Equal(a.status, c.status)
+			is.True(strings.Contains(a.body, `"ran":"`+c.ran+`"`))
+			<-ended
+		})
+	}
+}
+
 // A stopping box that was slow to tell the other boxes of its stop counted requests as early that came
 // more than three seconds after the signal.
 func TestLateRequestsCountAsEarlyIfStopBeginsSlowly(t *testing.T) {
