Soak: requests that grow late in planned stops, and a check as strict as LOST

The soak of planned stops found nothing on the code that the users' report is about: its requests took as long during a stop as before, so that an estimate held, few arrived after load balancers had stopped sending, and none was a stream, whose end a caller sees.

Half of the requests that are sent to a stopping box take up to 6 s now, most are completed at a random moment of the stop, half are streams, and a quarter have less time than the box has left. The check counts from 3 s after the signal (3.5 before) and owes responses that were complete at their upstream up to the last sixth of the grace (5 s before); one that was sent later with more time than the box has left may not end in a failure of the box either.

Changed checks: both bounds are stricter; requests record how long their callers wait, which was the same for all.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -82,9 +82,10 @@
 type outgoing struct {
 	id, path, body string
 	prompt         []balance.Part
-	resumes        string // the id of the request that brought the first event of the stream that it takes up
-	isUnnamed      bool   // the caller does not name that request
-	after          int    // the last event of that stream that the caller has
+	resumes        string        // the id of the request that brought the first event of the stream that it takes up
+	isUnnamed      bool          // the caller does not name that request
+	after          int           // the last event of that stream that the caller has
+	left           time.Duration // how long the caller of a held connection waits
 }
 
 // withheldReason is what a box states in its refusal of a request that it withholds.
--- a/soak/held.go
+++ b/soak/held.go
@@ -4,6 +4,7 @@
 //
 // Invariant: a request that ran at an upstream gets a whole response, unless its box was killed or frozen, its
 // time was over, or it was sent no later than lateAfter after SIGTERM and still ran near the end of the grace period.
+// One that was sent later with more time than the box has left does not run without getting its upstream's response.
 
 import (
 	"fmt"
@@ -15,13 +16,13 @@
 
 const (
 	// lateAfter is the time after SIGTERM from which a request is answered whole or does not run.
-	lateAfter = 3500 * time.Millisecond
+	lateAfter = 3 * time.Second
 	// cutAfter is the time after SIGTERM before which no connection is closed under a request: the grace
 	// period less a margin.
 	cutAfter = 7 * time.Second
-	// finishedBy is the time after SIGTERM by which a response must be complete at its upstream to be owed to
-	// its caller.
-	finishedBy = 5 * time.Second
+	// finishedBy is the time after SIGTERM, five sixths of the grace period, by which a response must be complete
+	// at its upstream to be owed to its caller.
+	finishedBy = 8 * time.Second * 5 / 6
 	// heldWait is how long a caller waits for a response; it exceeds the grace period.
 	heldWait = 12 * time.Second
 )
@@ -48,13 +49,15 @@
 // heldRequest is a request on a held connection.
 type heldRequest struct {
 	life      *life
-	harms     int64     // of its box when the connection was opened
-	sentAt    time.Time // before its last bytes were sent
-	reached   bool      // an upstream ran it
-	finished  time.Time // when an upstream had written the whole response; zero: none has
-	cutAt     time.Time // when its connection was found closed without a whole response; zero: it was not
+	harms     int64         // of its box when the connection was opened
+	sentAt    time.Time     // before its last bytes were sent
+	left      time.Duration // time that its caller waits
+	reached   bool          // an upstream ran it
+	finished  time.Time     // when an upstream had written the whole response; zero: none has
+	cutAt     time.Time     // when its connection was found closed without a whole response; zero: it was not
 	responded bool
 	refused   bool // the response states that the request has not run
+	failed    bool // the response is the box's own and states that the request may have run
 }
 
 // heldRecord holds the requests on held connections by their ids.
@@ -66,10 +69,10 @@
 func newHeldRecord() *heldRecord { return &heldRecord{requests: make(map[string]*heldRequest)} }
 
 // sent records a request whose last bytes are about to be sent.
-func (h *heldRecord) sent(id string, l *life, harms int64) {
+func (h *heldRecord) sent(id string, left time.Duration, l *life, harms int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.requests[id] = &heldRequest{life: l, harms: harms, sentAt: time.Now()}
+	h.requests[id] = &heldRequest{life: l, harms: harms, sentAt: time.Now(), left: left}
 }
 
 // update changes the record of a request.
@@ -83,12 +86,16 @@
 
 // isLost reports whether a request breaks the invariant.
 func (r *heldRequest) isLost() bool {
-	if r.cutAt.IsZero() || !r.reached || r.life.frozen.Load() || r.life.harms.Load() != r.harms || r.cutAt.Sub(r.sentAt) >= heldWait {
-		return false
-	}
 	stopped := r.life.terminated.Load()
+	isLate := stopped != nil && r.sentAt.Sub(*stopped) > lateAfter
 	switch {
-	case stopped == nil, r.sentAt.Sub(*stopped) > lateAfter, r.cutAt.Sub(*stopped) < cutAfter:
+	case !r.reached, r.life.frozen.Load(), r.life.harms.Load() != r.harms:
+		return false
+	case r.failed:
+		return isLate && r.left >= heldWait
+	case r.cutAt.IsZero(), r.cutAt.Sub(r.sentAt) >= r.left:
+		return false
+	case stopped == nil, isLate, r.cutAt.Sub(*stopped) < cutAfter:
 		return true
 	}
 	return !r.finished.IsZero() && r.finished.Sub(*stopped) < finishedBy
@@ -104,7 +111,11 @@
 	if !r.finished.IsZero() {
 		finished = fmt.Sprintf("finished at %.2f s", r.finished.Sub(*stopped).Seconds())
 	}
-	return fmt.Sprintf("sent %.2f s after SIGTERM, %s, closed at %.2f s", r.sentAt.Sub(*stopped).Seconds(), finished, r.cutAt.Sub(*stopped).Seconds())
+	ended := "got a failure of the box"
+	if !r.failed {
+		ended = fmt.Sprintf("closed at %.2f s", r.cutAt.Sub(*stopped).Seconds())
+	}
+	return fmt.Sprintf("sent %.2f s after SIGTERM with %v left, %s, %s", r.sentAt.Sub(*stopped).Seconds(), r.left, finished, ended)
 }
 
 // heldCounts counts requests on held connections, and those that were sent to a stopping box.
@@ -117,7 +128,7 @@
 	c := heldCounts{sent: len(h.requests)}
 	for id, r := range h.requests {
 		if r.isLost() {
-			violation("%s: ran at an upstream, but its connection was closed without a whole response (%v)", id, r)
+			violation("%s: ran at an upstream, but got no whole response of it (%v)", id, r)
 		}
 		stopped := r.life.terminated.Load()
 		if stopped == nil || r.sentAt.Before(*stopped) {
--- a/soak/idleconns.go
+++ b/soak/idleconns.go
@@ -23,6 +23,8 @@
 
 const (
 	heldPath = "/held/"
+	// heldStreamPath begins the path of a stream, whose events are spread over the time that it takes.
+	heldStreamPath = heldPath + "stream/"
 	// maxPatience is how long a caller waits at most for a stop before it uses its connection.
 	maxPatience = 4 * time.Second
 	// useSpan is the time after SIGTERM in which connections are used.
@@ -31,8 +33,11 @@
 	partPause = 1200 * time.Millisecond
 	watchStep = 10 * time.Millisecond
 	// Time that a request takes at its upstream: for most up to maxWorkMs, for some up to middleWorkMs, and for
-	// a few longWorkMs, which exceeds the grace period.
-	middleWorkMs, longWorkMs = 1000, 9000
+	// a few that are no streams longWorkMs, which exceeds the grace period. Those that are sent to a box that is
+	// stopping take up to grownWorkMs.
+	middleWorkMs, longWorkMs, grownWorkMs = 1000, 9000, 6000
+	// briefWait is how long the callers of one request in four wait: less than a late one has until its box ends.
+	briefWait = 1500 * time.Millisecond
 )
 
 // heldConn is a connection that a caller holds.
@@ -120,12 +125,12 @@
 	parts, requests := c.compose(id)
 	for i, part := range parts {
 		if i > 0 {
-			time.Sleep(time.Duration(rand.Int64N(int64(partPause))))
+			c.pause()
 		}
 		if i == len(parts)-1 {
 			for _, o := range requests {
 				c.harness.checker.requestSent(o.id, o.path, o.body, c.box)
-				c.harness.held.sent(o.id, c.life, c.harms)
+				c.harness.held.sent(o.id, o.left, c.life, c.harms)
 			}
 		}
 		if _, err := io.WriteString(c.conn, part); err != nil {
@@ -144,10 +149,24 @@
 	return true
 }
 
+// pause waits within a request: for a short time, or until a random moment after its box was asked to stop.
+func (c *heldConn) pause() {
+	wait := time.Duration(rand.Int64N(int64(partPause)))
+	if stopped := c.life.terminated.Load(); stopped != nil && rand.IntN(4) > 0 {
+		wait = time.Until(momentAfter(*stopped))
+	}
+	time.Sleep(wait)
+}
+
 // compose returns one or two requests, and the parts in which they are sent.
 func (c *heldConn) compose(id string) (parts []string, requests []outgoing) {
-	o := newHeldRequest(id)
-	switch rand.IntN(5) {
+	isStopping := c.life.terminated.Load() != nil
+	o := newHeldRequest(id, isStopping)
+	kind := rand.IntN(5)
+	if isStopping {
+		kind = rand.IntN(3) // most that arrive late have begun before
+	}
+	switch kind {
 	case 0: // slow header
 		text := formatHeld(o, false)
 		n := 1 + rand.IntN(strings.Index(text, "\r\n\r\n")+2)
@@ -158,28 +177,39 @@
 		m := n + rand.IntN(len(text)-n)
 		return []string{text[:n], text[n:m], text[m:]}, []outgoing{o}
 	case 2: // a second request behind the first
-		second := newHeldRequest(id + "-behind")
+		second := newHeldRequest(id+"-behind", isStopping)
 		return []string{formatHeld(o, false) + formatHeld(second, false)}, []outgoing{o, second}
 	}
 	return []string{formatHeld(o, false)}, []outgoing{o}
 }
 
 // newHeldRequest returns a request whose path tells the upstream how long it is to take.
-func newHeldRequest(id string) outgoing {
+func newHeldRequest(id string, isStopping bool) outgoing {
+	prefix := heldPath
+	if rand.IntN(2) == 0 {
+		prefix = heldStreamPath
+	}
 	work := rand.IntN(maxWorkMs)
 	switch share := rand.IntN(40); {
-	case share == 0:
+	case isStopping && share < 20:
+		work = rand.IntN(grownWorkMs)
+	case share == 0 && prefix == heldPath:
 		work = longWorkMs
 	case share < 16:
 		work = rand.IntN(middleWorkMs)
 	}
-	return outgoing{id: id, path: fmt.Sprintf("%s%d/%s", heldPath, work, id), body: strings.Repeat("body of "+id+" ", 1+rand.IntN(100))}
+	o := outgoing{id: id, left: heldWait, body: strings.Repeat("body of "+id+" ", 1+rand.IntN(100))}
+	if rand.IntN(4) == 0 {
+		o.left = briefWait
+	}
+	o.path = fmt.Sprintf("%s%d/%s", prefix, work, id)
+	return o
 }
 
 // formatHeld returns a request as it is sent.
 func formatHeld(o outgoing, isChunked bool) string {
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n", o.path, host, protocol.RequestID, o.id,
-		protocol.Key, goodKey, protocol.TimeLeft, heldWait.Milliseconds())
+		protocol.Key, goodKey, protocol.TimeLeft, o.left.Milliseconds())
 	if !isChunked {
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(o.body), o.body)
 	}
@@ -197,14 +227,34 @@
 	if ctx.Err() != nil || err != nil {
 		return false
 	}
-	_ = c.harness.check(o, resp, string(body), true)
+	if strings.HasPrefix(o.path, heldStreamPath) {
+		c.checkStream(o, resp, string(body))
+	} else {
+		_ = c.harness.check(o, resp, string(body), true)
+	}
 	c.harness.checker.responseReceived(o.id, resp.StatusCode, true)
 	c.harness.held.update(o.id, func(r *heldRequest) {
-		r.responded, r.refused = true, resp.StatusCode == http.StatusServiceUnavailable
+		r.responded, r.refused, r.failed = true, resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusBadGateway
 	})
 	return !resp.Close
 }
 
+// checkStream checks a stream that ended as whole.
+func (c *heldConn) checkStream(o outgoing, resp *http.Response, got string) {
+	if resp.StatusCode == http.StatusOK && got != heldEvents(o.id, 1, eventsPerStream) {
+		c.harness.checker.reportViolation("%s: stream ended as whole, but differs from the expected one (%d bytes): %.200q", o.id, len(got), got)
+	}
+}
+
+// heldEvents returns some events of the stream of a request.
+func heldEvents(id string, first, last int) string {
+	var events strings.Builder
+	for n := first; n <= last; n++ {
+		events.WriteString(streamEvent(id, n, ""))
+	}
+	return events.String()
+}
+
 // markCut records that the connection of a request has ended, unless the run has or the request got its response.
 func (c *heldConn) markCut(ctx context.Context, id string) {
 	now := time.Now()
@@ -222,20 +272,32 @@
 func (u *upstream) runHeld(w http.ResponseWriter, r *http.Request, id string) {
 	record := u.harness.held
 	record.update(id, func(h *heldRequest) { h.reached = true })
-	text, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, heldPath), "/")
+	path, isStream := strings.CutPrefix(r.URL.Path, heldStreamPath)
+	text, _, _ := strings.Cut(strings.TrimPrefix(path, heldPath), "/")
 	work, err := strconv.Atoi(text)
 	if err != nil {
 		u.harness.checker.reportViolation("%s: path was changed on the way to %s", id, u.id)
 	}
-	select {
-	case <-time.After(time.Duration(work) * time.Millisecond):
-	case <-r.Context().Done():
-		return
+	took := time.Duration(work) * time.Millisecond
+	parts := []string{responseBody(id)}
+	if isStream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		parts = parts[:0]
+		for n := range eventsPerStream {
+			parts = append(parts, heldEvents(id, n+1, n+1))
+		}
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(parts[0])))
 	}
-	body := responseBody(id)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if _, err := io.WriteString(w, body); err != nil || http.NewResponseController(w).Flush() != nil {
-		return
+	for _, part := range parts {
+		select {
+		case <-time.After(took / time.Duration(len(parts))):
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := io.WriteString(w, part); err != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
 	}
 	record.update(id, func(h *heldRequest) { h.finished = time.Now() })
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -273,6 +273,7 @@
 			{Name: "flow", Host: host, Prefix: "/flow/", Repeat: route.Stream, Resumable: true, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 			{Name: "sound", Host: host, Prefix: healthyPath, Repeat: route.Repeatable, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: []route.Target{{Service: healthyService, Weight: 1}}},
 			{Name: "held", Host: host, Prefix: heldPath, MaxAttempts: 3, Timeout: heldWait, Targets: []route.Target{{Service: healthyService, Weight: 1}}},
+			{Name: "held streams", Host: host, Prefix: heldStreamPath, Repeat: route.Stream, MaxAttempts: 3, Timeout: heldWait, Targets: []route.Target{{Service: healthyService, Weight: 1}}},
 			{Name: "fixed", Host: host, Prefix: "/fixed/", Repeat: route.Stream, MaxAttempts: 3, Timeout: 3 * time.Second, Targets: to},
 		},
 		Services: []route.Service{{Name: service, MaxConnections: 400, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
