Planned stop: finished streams are handed to the system as well

A caller that reads slowly lost the rest of a stream when its box ended, although the upstream had finished long before.

At the end of the grace a box enlarges the send buffer of a connection that takes nothing, to the size of the part that is being written. For a plain answer that is all of it. For a stream it is a few KB, less than the buffer holds: that made no room, and what had arrived of the stream stayed in the box.

The buffer is enlarged to the largest request or answer that the box takes, within what the system allows, so that the rest behind the current part fits too.

--- a/relay/callerwrite.go
+++ b/relay/callerwrite.go
@@ -4,7 +4,7 @@
 // caller that reads nothing for writeStallTimeout, or has not finished by its deadline, is
 // disconnected; one that keeps reading until then gets the whole response. A response that the box
 // holds whole is kept for a caller that reads nothing until its request's deadline, unless memory is
-// short; when the box ends, it is handed to the system.
+// short; when the box ends, it is handed to the system, as is what has arrived of a stream.
 
 import (
 	"errors"
@@ -22,6 +22,8 @@
 	// lateWriteTimeout is how long after its deadline a request's response may still be written,
 	// however slowly.
 	lateWriteTimeout = 10 * time.Second
+	// handOverBytes is how much of a response the system is asked to take when the box ends.
+	handOverBytes = maxBodyBytes
 )
 
 // errNotReading reports that a caller does not read its response.
@@ -70,7 +72,7 @@
 	for {
 		if !isHandedOver && c.relay.isGraceOver() {
 			isHandedOver = true
-			c.enlargeSendBuffer(len(p) - sent)
+			c.enlargeSendBuffer()
 		}
 		n, err := c.writeOnce(p[sent:])
 		sent += n
@@ -90,10 +92,13 @@
 }
 
 // enlargeSendBuffer makes room for the rest of a response when the box ends: the system delivers what it
-// has taken also after the process is gone, within the size that it allows.
-func (c *callerConn) enlargeSendBuffer(size int) {
+// has taken also after the process is gone, within the size that it allows. The rest may be more than
+// the part that is being written, and a size below what the buffer holds would make no room.
+func (c *callerConn) enlargeSendBuffer() {
 	if c.raw != nil {
-		_ = c.raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, size) })
+		_ = c.raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, handOverBytes)
+		})
 	}
 }
 
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -199,3 +201,42 @@
 		is.Equal(expected, time.Duration(0)) // none is known
 	}
 }
+
+// A stream that its upstream had finished was cut when the box ended, if its caller had not taken it yet.
+func TestUntakenStreamIsLostAtEndOfGrace(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/once/x", "/flow/x"} {
+		for _, size := range []int{60 << 10, 150 << 10, 300 << 10} {
+			t.Run(fmt.Sprintf("%s %d", path, size), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				sent := make(chan struct{})
+				const eventSize = 1 << 10
+				data := strings.Repeat("x", eventSize)
+				u := newStub(t, "u1", func(c net.Conn, r stubRequest) bool {
+					defer close(sent)
+					if path == "/once/x" {
+						return respondOK(strings.Repeat("x", size))(c, r)
+					}
+					startStream(c, r)
+					for n := 1; n <= size/eventSize; n++ {
+						writeChunk(c, fmt.Sprintf("id: %d\ndata: %s\n\n", n, data))
+					}
+					writeWire(c, "0\n\n")
+					return true
+				})
+				b := newTestBox(t, u)
+				c := b.dialCaller()
+				is.NoErr(c.(*net.TCPConn).SetReadBuffer(16 << 10))
+				_, err := io.WriteString(c, strings.Replace(callerRequest(path, "untaken", ""), "X-Left: 1000", "X-Left: 30000", 1))
+				is.NoErr(err)
+				<-sent
+				b.relay.Stop()
+				is.Equal(b.relay.callerServer.conns.count(), 0) // the process ends now
+				a := readRaw(bufio.NewReader(c))
+				is.NoErr(a.err)
+				is.True(len(a.body) >= size)
+			})
+		}
+	}
+}
