Planned stop: a test of late requests at boxes of chat completions

Requests of chat completions state no time, so that a box cannot promise that they end before it does. The test, which holds on the code as it is, shows that one that outlasts the stop gets a refusal that says that it may have run, or an error within its stream, not a closed connection.

--- a/stop_test.go
+++ b/stop_test.go
@@ -275,3 +275,38 @@
 		})
 	}
 }
+
+// A request that arrives after the box has stopped accepting connections and outlasts its stop is told so: it gets a
+// refusal or, within a stream, an error, not a closed connection.
+func TestLateRequestThatOutlastsStopIsToldOfIt(t *testing.T) {
+	for _, isStream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream %v", isStream), func(t *testing.T) {
+			is := is.New(t)
+			s := newStopSystem(t, 10*time.Millisecond, 50*time.Millisecond, 700*time.Millisecond)
+			body := fmt.Sprintf(`{"stream":%v,"messages":[{"role":"user","content":"len=100000"}]}`, isStream)
+			request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", stopKey, len(body), body)
+			c := s.dial()
+			defer c.close()
+			_, err := io.WriteString(c.conn, request[:20])
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond) // the box has read the part
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.box.Stop(context.Background()) }()
+			for probe := s.dial(); probe != nil; probe = s.dial() {
+				probe.close()
+			}
+			_, err = io.WriteString(c.conn, request[20:])
+			is.NoErr(err)
+			a := c.read()
+			is.True(<-stopped != nil)
+			is.True(!a.isTruncated)
+			is.True(a.closes)
+			if isStream {
+				is.True(strings.Contains(a.body, `"error"`) && !strings.Contains(a.body, "[DONE]"))
+				return
+			}
+			is.Equal(a.status, http.StatusServiceUnavailable)
+			is.Equal(a.ran, "unknown")
+		})
+	}
+}
