Planned stop: a box that stops during its start refuses at once

Callers of a box that was told to stop before it had a document waited up to 0.5 s, or a quarter of their time, for a document that did not come, and were told to come back in a second, to a box that was gone by then.

The test, a box without a document that was told to stop: before, the request is held and refused as starting, with Retry-After 1.00; now it is refused as stopping at once, with 0.01, so that its caller goes to another box.

--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -84,7 +84,7 @@
 	arrived := time.Now()
 	r.detectSuspensionBefore(arrived)
 	suspended := r.suspendedFor.Load()
-	if r.isGraceOver() {
+	if r.isGraceOver() || r.stopping.Load() && !r.mayPlace() {
 		return nil, &refusal{fasthttp.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}
 	}
 	doc, disconnected := r.awaitDocument(q, conn)
--- a/relay/stoparrival_test.go
+++ b/relay/stoparrival_test.go
@@ -99,7 +99,7 @@
 			}
 			is.Equal(a.status, 503)
 			is.True(strings.Contains(a.body, `"ran":"no"`))
-			is.Equal(a.header.Get("Retry-After"), "0.01")
+is.Equal(a.header.Get("Retry-After"), "0.01")
 			is.True(closes)
 		})
 	}
@@ -176,6 +176,21 @@
 	<-ended
 }
 
+// A box that was told to stop while it started held requests, and told their callers to come back to it.
+func TestBoxThatStopsDuringItsStartHoldsRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.StopTimeout = 20 * time.Second })
+	ended := b.stop()
+	b.waitFor(b.relay.stopping.Load)
+	a := b.do(b.request("POST", "/once/x", ""))
+	is.Equal(a.status, 503)
+	is.True(strings.Contains(a.body, `"ran":"no"`))
+is.Equal(a.header.Get("Retry-After"), "0.01")
+	is.Equal(b.waitedForDocument(), uint64(0))
+	<-ended
+}
+
 // No line told whether a stopping box had taken a request by its own time or by an estimate.
 func TestLinesTellByWhatStoppingBoxTookRequest(t *testing.T) {
 	t.Parallel()
