--- a/soak/plannedstop_test.go
+++ b/soak/plannedstop_test.go
@@ -190,7 +190,7 @@
 // A box that was told to stop sent requests on that arrived late, and cut them off when it ended.
 func TestRequestsThatArriveLateInPlannedStopAreCutOff(t *testing.T) {
 	is := is.New(t)
-	w := startOneBox(t, 95)
+	w := startBoxes(t, 95, 1)
 	u, b := w.startTimed(is), w.boxes[0]
 	for known := false; !known; time.Sleep(10 * time.Millisecond) {
 		known = stopCall{path: "/brief/"}.play(b.callers, "first", time.Now()).status == http.StatusOK
@@ -216,10 +216,10 @@
 	b.cmd = nil
 }
 
-// startOneBox starts a harness with one box.
-func startOneBox(t *testing.T, network int) *harness {
+// startBoxes starts a harness with some boxes.
+func startBoxes(t *testing.T, network, boxes int) *harness {
 	is := is.New(t)
-	cfg := Config{Daemon: buildDaemon(t), Dir: t.ArtifactDir(), Boxes: 1, Net: network}
+	cfg := Config{Daemon: buildDaemon(t), Dir: t.ArtifactDir(), Boxes: boxes, Net: network}
 	guard, err := reserveAddresses(cfg)
 	is.NoErr(err)
 	t.Cleanup(func() { _ = guard.Close() })
