A stream goes on only after an event that its ID names

Cause: the position of a stream was a number that is 0 where no ID was seen, and a run that broke off was gone on with from event 0: - a stream that its caller takes up after event 5 begins with a comment or a retry time, and breaks: the next run was asked for all events after 0; - a stream whose events have no IDs, or none that is a number, was run again from its start behind what the caller had; - an event with ID 0 behind a comment was taken for one that had come before, and dropped.

Now the position is the last ID that was returned, if there is one, else that which the caller named. A stream of which an event without an ID was returned after that goes on nowhere: the caller gets an incomplete answer, and may take it up itself. Such a stream is not asked to move either.

Comments and retry times are no events, so that a keep-alive comment behind an ID stops nothing.

--- a/relay/events.go
+++ b/relay/events.go
@@ -21,8 +21,10 @@
 	src        io.Reader
 	buf        []byte
 	scanned    int   // no event ends before this offset of buf
-	lastID     int64 // the highest event ID returned
+	lastID     int64 // the highest event ID returned, if hasIDs
+	hasIDs     bool  // an event with an ID was returned
 	hasEvents  bool  // at least one event was returned
+	isPastID   bool  // an event without an ID was returned after that; comments and retry times are none
 	total      int   // events returned
 	bodyEvents int   // events returned from the current body
 	skipped    int   // bytes since the last event with a new ID, or since the last event if none has an ID
@@ -39,17 +41,18 @@
 	errNoNewEvent = &Error{Op: "read event", Kind: KindMalformed, Err: errors.New("1 MiB without a new event")}
 )
 
-// eventFields start the lines of events, a comment's included. An event has at least one of them.
-var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry"), nil}
+// The names of the fields of events. An event has at least one of them.
+var (
+	fieldData  = []byte("data")
+	fieldEvent = []byte("event")
+	fieldNames = [][]byte{fieldData, fieldEvent, []byte("id"), []byte("retry"), nil} // nil: a comment
+)
 
-// hasField reports whether a block of lines is an event.
-func hasField(block []byte) bool {
+// hasField reports whether a block of lines has one of the named fields.
+func hasField(block []byte, names ...[]byte) bool {
 	for line := range bytes.Lines(block) {
-		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		isField := func(field []byte) bool {
-			return len(line) > len(name) && line[len(name)] == ':' && bytes.Equal(field, name)
-		}
-		if slices.ContainsFunc(eventFields, isField) {
+		name, _, isField := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if isField && slices.ContainsFunc(names, func(n []byte) bool { return bytes.Equal(n, name) }) {
 			return true
 		}
 	}
@@ -163,25 +166,32 @@
 // event or nothing new has come for long.
 func (e *eventReader) examine(block []byte) bool {
 	isEmpty := len(bytes.TrimSpace(block)) == 0
-	if !isEmpty && !hasField(block) {
+	if !isEmpty && !hasField(block, fieldNames...) {
 		e.failed = errNoEvent
 		return false
 	}
 	id, hasID := eventID(block)
-	isOld := hasID && e.hasEvents && id <= e.lastID
-	isProgress := !isEmpty && !isOld && (hasID || e.lastID == 0)
+	isOld := hasID && e.hasIDs && id <= e.lastID
+	isProgress := !isEmpty && !isOld && (hasID || !e.hasIDs)
 	if e.skipped += len(block); isProgress {
 		e.skipped = 0
 	}
 	if e.skipped > maxEvent {
 		e.failed = errNoNewEvent
 	}
-	if hasID && !isOld {
-		e.lastID = id
+	switch {
+	case hasID && !isOld:
+		e.lastID, e.hasIDs, e.isPastID = id, true, false
+	case !hasID && hasField(block, fieldData, fieldEvent):
+		e.isPastID = true
 	}
 	return !isEmpty && !isOld
 }
 
+// canContinue reports whether another run can continue the stream behind what was returned. What came
+// after the last ID would come again.
+func (e *eventReader) canContinue() bool { return !e.isPastID }
+
 // firstEventEnd returns the offset at which the first event in b ends.
 func firstEventEnd(b []byte) int {
 	lf, crlf := bytes.Index(b, endLF), bytes.Index(b, endCRLF)
--- a/relay/move.go
+++ b/relay/move.go
@@ -66,7 +66,7 @@
 // startMoveIfLate starts to move the stream if it would end too late where it is.
 func (x *exchange) startMoveIfLate() {
 	r := x.relay
-	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || x.withheldFor() > 0 {
+	if r.cfg.Protocol.MoveCall == nil || x.move != nil || x.moved || !x.events.canContinue() || x.withheldFor() > 0 {
 		return
 	}
 	if r.isPaused(x.upstream.Incarnation()) || !x.route.Resumable && r.rejectsRequests(x.upstream) {
@@ -172,7 +172,7 @@
 	if m == nil {
 		return false
 	}
-	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) || !x.mayContinueAt(at) {
+	if at := m.copyHolder(c); x.relay.isReplaced(at) || x.relay.rejectsRequests(at) || !x.mayContinueAt(at) || !x.events.canContinue() {
 		x.relay.cancelRetry(m.retry)
 		x.relay.discardCopy(m, c, x)
 		return false
--- a/relay/runs.go
+++ b/relay/runs.go
@@ -180,7 +180,7 @@
 		fetchFrom:   fetch,
 		lastEventID: x.request.lastEventID,
 	}
-	if x.events != nil && x.events.hasEvents {
+	if x.events != nil && x.events.hasIDs {
 		params.lastEventID = formatID(x.events.lastID)
 	}
 	return params
@@ -192,6 +192,9 @@
 	if x.ctx.Err() != nil || x.timeLeft() < minTimeLeft || x.withheldFor() > 0 {
 		return false
 	}
+	if x.events != nil && !x.events.canContinue() {
+		return false
+	}
 	if state == runUnknown && !x.mayRepeat() {
 		return false
 	}
