The end of an event is found whatever ends its lines

What callers saw (trial runs of the new test): with an empty line that ends with CRLF behind a line that ends with LF two events were taken for one with the first one's ID: after a break the second came twice. A byte order mark hid the first ID, and event 1 came twice.

Cause: an event ended with LF LF or CRLF CRLF only, and a line with a byte order mark before it was none of the known fields.

Now an empty line ends an event with either ending, whatever the line before had. Each text is also read split in two at each byte. Lines that end with CR alone are not supported, as before.

--- a/relay/eventids_test.go
+++ b/relay/eventids_test.go
@@ -85,3 +85,48 @@
 		t.Run(c.name, c.check)
 	}
 }
+
+// Lines of one event that end in two ways hid its end, and a byte order mark hid an ID: callers got events
+// twice, or late.
+func TestLineEndingHidesEvent(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string // events 1 and 2
+	}{
+		{"LF", numbered(1, 2)},
+		{"CRLF", strings.ReplaceAll(numbered(1, 2), "\n", "\r\n")},
+		{"LF, empty lines with CRLF", strings.ReplaceAll(numbered(1, 2), "\n\n", "\n\r\n")},
+		{"CRLF, empty lines with LF", strings.ReplaceAll(strings.ReplaceAll(numbered(1, 2), "\n", "\r\n"), "\r\n\r\n", "\r\n\n")},
+		{"one of each", event(1) + "id: 2\r\ndata: d2\r\n\r\n"},
+		{"one with an empty line with CRLF", "id: 1\ndata: d1\n\r\n" + event(2)},
+		{"byte order mark", "\ufeff" + numbered(1, 2)},
+		{"byte order mark before a comment", "\ufeff: ping\n\n" + numbered(1, 2)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			checkSplits(t, c.first)
+			brokenRun{"", "", c.first, numbered(1, 4), []string{"", "2"}, c.first + numbered(3, 4)}.check(t)
+		})
+	}
+	t.Run("byte order mark before the only event", func(t *testing.T) {
+		brokenRun{"", "", "\ufeff" + event(1), numbered(2, 4), []string{"", "1"}, "\ufeff" + numbered(1, 4)}.check(t)
+	})
+}
+
+// checkSplits reads two events whose bytes arrive in two parts, split at each byte.
+func checkSplits(t *testing.T, text string) {
+	is := is.New(t)
+	for at := range len(text) {
+		e := &eventReader{src: io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:]))}
+		var got strings.Builder
+		for {
+			events, err := e.next()
+			if err != nil {
+				is.Equal(err, io.EOF)
+				break
+			}
+			got.Write(events)
+		}
+		is.Equal(got.String(), text)
+		is.Equal(e.lastID, int64(2))
+	}
+}
--- a/relay/events.go
+++ b/relay/events.go
@@ -50,7 +50,7 @@
 
 // hasField reports whether a block of lines has one of the named fields.
 func hasField(block []byte, names ...[]byte) bool {
-	for line := range bytes.Lines(block) {
+	for line := range bytes.Lines(bytes.TrimPrefix(block, byteOrderMark)) {
 		name, _, isField := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		if isField && slices.ContainsFunc(names, func(n []byte) bool { return bytes.Equal(n, name) }) {
 			return true
@@ -119,12 +119,15 @@
 	return e.reserve(n)
 }
 
-// An empty line ends an event, with either line ending.
+// An empty line ends an event. A line ends with LF or CRLF, and the lines of an event need not agree.
 var (
 	endLF   = []byte("\n\n")
-	endCRLF = []byte("\r\n\r\n")
+	endCRLF = []byte("\n\r\n")
 )
 
+// byteOrderMark may precede the first event of a body.
+var byteOrderMark = []byte("\ufeff")
+
 // lastEventEnd returns the offset at which the last whole event in b ends, or 0 if there is none. No
 // event ends before scanned.
 func lastEventEnd(b []byte, scanned int) int {
@@ -206,6 +209,7 @@
 
 // eventID parses the ID of an event.
 func eventID(event []byte) (int64, bool) {
+	event = bytes.TrimPrefix(event, byteOrderMark)
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
 		event = rest
