A stream that its caller takes up begins behind what the caller has

Cause: the reader of a taken up stream's events began without a position, though its caller names one.

Now it begins at the caller's Last-Event-Id, where that is a number and the route lets streams be taken up. An upstream that does not heed it brings the caller what it lacks all the same. A caller that names an event beyond the end gets a complete stream without events.

--- a/relay/eventids_test.go
+++ b/relay/eventids_test.go
@@ -130,3 +130,17 @@
 		is.Equal(e.lastID, int64(2))
 	}
 }
+
+// Where an upstream began with events that the caller of a taken up stream had, the caller got them twice.
+func TestStreamTakenUpBeginsWithEarlierEvents(t *testing.T) {
+	for _, c := range []brokenRun{
+		{"the last event", "5", numbered(5, 6), numbered(7, 8), []string{"5", "6"}, numbered(6, 8)},
+		{"the last event alone", "5", numbered(5, 5), numbered(6, 8), []string{"5", "5"}, numbered(6, 8)},
+		{"all events, as it does not go on", "5", numbered(1, 6), numbered(1, 8), []string{"5", "6"}, numbered(6, 8)},
+		{"the last event, with ID 0", "0", numbered(0, 1), numbered(2, 2), []string{"0", "1"}, numbered(1, 2)},
+		{"the last event behind a comment", "5", ": ping\n\n" + numbered(5, 5), numbered(5, 6), []string{"5", "5"}, ": ping\n\n" + numbered(6, 6)},
+		{"no event, as there are no more", "8", "", "", []string{"8", "8"}, ""},
+	} {
+		t.Run(c.name, c.check)
+	}
+}
--- a/relay/events.go
+++ b/relay/events.go
@@ -21,8 +21,8 @@
 	src        io.Reader
 	buf        []byte
 	scanned    int   // no event ends before this offset of buf
-	lastID     int64 // the highest event ID returned, if hasIDs
-	hasIDs     bool  // an event with an ID was returned
+	lastID     int64 // the highest event ID returned, or that the caller has, if hasIDs
+	hasIDs     bool  // an event with an ID was returned, or the caller has one
 	hasEvents  bool  // at least one event was returned
 	isPastID   bool  // an event without an ID was returned after that; comments and retry times are none
 	total      int   // events returned
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,7 +30,7 @@
 // acceptStream waits for the first events of a stream, so that a run that fails before them can still
 // be answered otherwise.
 func (x *exchange) acceptStream(resp *response) (runState, []byte, error) {
-	e := &eventReader{src: resp.body, reserve: x.chargeOpenEnded}
+	e := x.newEventReader(resp.body)
 	if x.events != nil {
 		e = x.events
 		e.continueWith(resp.body)
--- a/relay/takeup.go
+++ b/relay/takeup.go
@@ -5,7 +5,9 @@
 // is refused as not run.
 
 import (
+	"io"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,6 +31,16 @@
 	return x.request.lastEventID != "" && x.isResumable()
 }
 
+// newEventReader returns the reader of the stream's events. Of one that its caller takes up it skips what the
+// caller has: an upstream may begin with events that came before.
+func (x *exchange) newEventReader(body io.Reader) *eventReader {
+	e := &eventReader{src: body, reserve: x.chargeOpenEnded}
+	if id, err := strconv.ParseInt(x.request.lastEventID, 10, 64); err == nil && x.isTakenUp() {
+		e.lastID, e.hasIDs = id, true
+	}
+	return e
+}
+
 // findOrigin finds out where a stream that its caller takes up began; the refusal is nil if that is
 // known, or if the request begins a stream.
 func (x *exchange) findOrigin() *refusal {
