--- a/relay/streamend.go
+++ b/relay/streamend.go
@@ -2,7 +2,7 @@
 
 // This file defines what the end of a run's body means for its stream. The invariant: a stream is
 // complete only if its upstream marked the end, or closed the connection of a run that this box has
-// not stopped; where the box does not know whether it has, the stream is not complete.
+// not stopped, and runs on; where the box does not know whether it has, the stream is not complete.
 
 import (
 	"errors"
@@ -19,12 +19,15 @@
 	errEndUnknown = &Error{Op: "read stream", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
 )
 
-// What marked the end of a stream, in log lines and metric names.
+// What marked the end of a response, in log lines and metric names.
 const (
 	endByFraming    = "framing"    // its length or last chunk
 	endByConnection = "connection" // its upstream closed the connection
 )
 
+// responsesEndedByConnection counts responses, other than streams, that ended with their connections.
+const responsesEndedByConnection = "responses_ended_by_connection"
+
 // streamsEndedInMove counts streams that ended after their upstream had been asked to move the run.
 const streamsEndedInMove = "streams_ended_in_move"
 
@@ -40,6 +43,11 @@
 func (x *exchange) finishRun(err error) error {
 	wasAsked := x.move != nil
 	end := x.judgeEnd(err)
+	if errors.Is(end.cause, io.EOF) && x.needsConfirmation(x.response) {
+		if err := x.confirmEnd(x.response); err != nil {
+			end.cause = err
+		}
+	}
 	if errors.Is(end.cause, io.EOF) {
 		x.noteStreamEnd(wasAsked)
 		x.endRun(true, balance.Answered)
