Callers of chat completions: no empty success for a half-closed caller

A caller that closes only its sending direction, and reads on, counts as disconnected. On real connections it got: "200, Content-Length: 0" instead of a plain answer or of a completion, with or without "stream", and for a stream under way the last chunk, without [DONE] and without an error event. What was cut looked whole.

Cause: serveWhole and serveStream returned without a status, for which fasthttp writes an empty 200, and the function that writes a stream returned without an error, for which fasthttp writes the last chunk.

The connection is now closed first; what fasthttp writes then is not sent.

Conclusion: a caller that counts as disconnected gets no end of an answer.

--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -56,7 +56,7 @@
 		e, ok := x.next()
 		switch {
 		case !ok || e.kind == endDisconnected:
-			ctx.SetConnectionClose()
+			breakOff(ctx.Conn())
 			return
 		case e.kind == endRefused:
 			refuse(ctx, statusOf(e.final), refusalOf(e.final))
@@ -85,7 +85,7 @@
 	}
 	if !ok || first.kind == endDisconnected {
 		done()
-		ctx.SetConnectionClose()
+		breakOff(ctx.Conn())
 		return
 	}
 	if first.kind == endRefused {
@@ -118,13 +118,18 @@
 			return
 		}
 		next, ok := x.next()
-		if !ok {
+		if !ok || next.kind == endDisconnected {
+			breakOff(conn)
 			return
 		}
 		e = next
 	}
 }
 
+// breakOff closes the connection of a caller before its answer is complete. fasthttp ends every
+// answer, and what it writes from now on is not sent.
+func breakOff(conn net.Conn) { _ = conn.Close() }
+
 // writePiece writes a piece as a server-sent event and flushes it.
 func writePiece(w *bufio.Writer, e piece) error {
 	switch e.kind {
