Plain services: an answer without a length that a kill cut is not whole

Trial with upstreams as processes that were killed (SIGKILL) 50 ms after the first bytes of an answer: plain answers without a length (no header, with Connection: close, HTTP/1.0, and a 500) were passed on as whole, in 4 of 4 forms; "half of" came with a length. Streams of chat completions broke off in all forms, within an event, between two, and before [DONE].

Cause: the system closes the connections of a killed process in order, and the end of the connection was taken for the end of the answer.

Where only its connection ended an answer, the box now looks whether the upstream still accepts connections, as it does after every failed run. If it refuses them, the run has failed and the upstream counts as crashed. An upstream that has said that it is leaving may refuse connections and still end its answers: its word stands.

Not told apart: an upstream whose next life accepts connections at the same address at once; an upstream that closes its listener before it ends its answers and does not say that it is leaving now loses such an answer.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -2,11 +2,13 @@
 
 // This file defines how an upstream's answer is read and passed to the sink, as a whole or
 // event by event. The invariant: only a stream with its end marker, or a body that was read to
-// its end, counts as answered.
+// its end, counts as answered; the end of a connection is the end of a body only if the upstream
+// is still there or had said that it is leaving.
 
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,11 +30,14 @@
 
 // readWhole reads the answer of a plain service and passes it to the sink once it is
 // complete. A refusal by the upstream, which did not run the request, is not passed on.
-func (h *HTTP) readWhole(resp *fasthttp.Response, r *run) cell.Result {
+func (h *HTTP) readWhole(ctx context.Context, resp *fasthttp.Response, r *run) cell.Result {
 	body, err := io.ReadAll(io.LimitReader(bodyOf(resp), int64(h.cfg.MaxAnswer)+1))
 	if err != nil || len(body) > h.cfg.MaxAnswer || len(body) == 0 && r.call.Method != fasthttp.MethodHead && lacksBody(resp) {
 		return cell.Result{Outcome: decide.Failed, Ran: true}
 	}
+	if h.isCutByEnd(ctx, resp, r) {
+		return cell.Result{Outcome: decide.Failed, Ran: true}
+	}
 	r.clean, r.whole = !resp.ConnectionClose(), true
 	refused := resp.StatusCode() >= 500 && string(resp.Header.Peek(HeaderRan)) == "no"
 	if refused {
@@ -44,13 +49,31 @@
 	return cell.Result{Outcome: decide.Answered, Ran: true}
 }
 
+// isCutByEnd reports whether the connection ended with the process of the upstream, rather than with
+// the answer: the system closes the connections of a process that was killed as the process would.
+// One that is leaving may accept no connection either, and ends its answers.
+func (h *HTTP) isCutByEnd(ctx context.Context, resp *fasthttp.Response, r *run) bool {
+	if r.call.Method == fasthttp.MethodHead || !endsWithConnection(resp) {
+		return false
+	}
+	isLeaving := r.notice.Leaving || h.activeNotice(r.call.Address).Leaving
+	return !isLeaving && h.refusesConnections(ctx, r.call.Address)
+}
+
+// endsWithConnection reports whether only the end of its connection ends an answer.
+func endsWithConnection(resp *fasthttp.Response) bool {
+	const noLength = -2 // what fasthttp returns where a header states none
+	status := resp.StatusCode()
+	hasBody := status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+	return hasBody && resp.Header.ContentLength() == noLength
+}
+
 // lacksBody reports whether an answer whose connection ended behind its header is incomplete: it is a success, and
 // nothing says that it has no body. HTTP/1.0 has no other way to end one.
 func lacksBody(resp *fasthttp.Response) bool {
-	const endsWithConnection = -2 // what fasthttp returns where a header states no length
 	status := resp.StatusCode()
 	isSuccess := status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices
-	return isSuccess && status != fasthttp.StatusNoContent && resp.Header.ContentLength() == endsWithConnection && resp.Header.IsHTTP11()
+	return isSuccess && endsWithConnection(resp) && resp.Header.IsHTTP11()
 }
 
 // readStream passes the events of a stream to the sink. A stream that ends without
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -108,7 +108,7 @@
 	}
 	// Closing the connection interrupts a blocked read when ctx ends.
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
-	r := h.runOn(k, run)
+	r := h.runOn(ctx, k, run)
 	r.Tokens, r.Notice = run.tokens, run.notice
 	r.TimePerToken = run.pace(h.cfg.Clock.Boot())
 	if run.first > 0 {
@@ -172,7 +172,7 @@
 }
 
 // runOn sends the request on a connection and reads the answer.
-func (h *HTTP) runOn(k *conn, r *run) cell.Result {
+func (h *HTTP) runOn(ctx context.Context, k *conn, r *run) cell.Result {
 	failed := cell.Result{Outcome: decide.Failed, Ran: true}
 	r.sent = h.cfg.Clock.Boot()
 	if err := writeRequest(k, r.call); err != nil {
@@ -187,7 +187,7 @@
 	defer func() { _ = resp.CloseBodyStream() }()
 	r.notice = h.recordNotice(r.call.Address, &resp)
 	if r.call.Plain {
-		return h.readWhole(&resp, r)
+		return h.readWhole(ctx, &resp, r)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		refused := string(resp.Header.Peek(HeaderRan)) == "no"
