Plain services: an answer to HEAD has no body

What callers saw: a HEAD at a plain service failed (502) after the longest silence of its upstream (5 s in the test), whatever framing its answer had.

Cause: the box read the body that the header describes, which an answer to HEAD does not bring.

Evidence: TestAnswerToHeadHasNoBody, three forms; each failed after 5 s before. A connection whose answer has a length or chunks is used again.

Conclusion: the end of an answer to HEAD is that of its header.

--- a/internal/upstream/cutanswer_test.go
+++ b/internal/upstream/cutanswer_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/decide"
 )
@@ -94,3 +95,29 @@
 		is.NoErr(h.Close())
 	}
 }
+
+// The box waited for a body that an answer to HEAD does not have, until the upstream counted as silent.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	for _, c := range []struct {
+		name, framing string
+		connections   int // opened for two requests
+	}{
+		{"length", "Content-Length: 5\r\n", 1},
+		{"chunks", "Transfer-Encoding: chunked\r\n", 1},
+		{"connection", "", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			answer := "HTTP/1.1 200 OK\r\n" + c.framing + "\r\n"
+			s := serve(t, false, answer, answer)
+			h := runner()
+			call := callTo(s.Addr().String(), true)
+			call.Method, call.Body = fasthttp.MethodHead, nil
+			for range 2 {
+				is.Equal(h.Run(context.Background(), call, &collector{}).Outcome, decide.Answered)
+			}
+			is.Equal(s.connections(), c.connections)
+			is.NoErr(h.Close())
+		})
+	}
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -181,6 +181,7 @@
 	_ = k.SetReadDeadline(time.Now().Add(h.cfg.MaxSilence))
 	var resp fasthttp.Response
 	resp.StreamBody = true
+	resp.SkipBody = r.call.Method == fasthttp.MethodHead
 	if err := resp.ReadLimitBody(k.r, 0); err != nil && !errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return failed
 	}
