Relay: a box that was stopped states no end of an upstream's response

What callers would see: part of an answer without a length as whole, where the connection to its upstream leads through another box whose process was stopped for a while (frozen). An upstream that gives up a reader that stands still closes its connection in order; the box between wakes up, reads what is left and the end, and states the end before its own check closes the connections that it held.

Not shown with real processes that are frozen: which of the two goroutines is first is up to the scheduler.

Why it works: without the end frame the box that asked takes its connection for lost, as for all other tunnels of the box between after a stop. Answers with a length or chunks are whole without the frame.

Conclusion: the end frame is sent only by a process that was running when the upstream closed the connection, as far as the check of stops can tell.

--- a/relay/tunnelend_test.go
+++ b/relay/tunnelend_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -42,3 +43,37 @@
 		is.NoErr(conn.Close())
 	}
 }
+
+// An upstream gives up a response that is not read, and closes the connection in order. The box between
+// that was stopped meanwhile stated this as the end of the response.
+func TestEndInStallIsNotStated(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		stalled time.Duration
+		want    []byte // frames
+	}{
+		{"running", 0, []byte{0, 4, 'p', 'a', 'r', 't', frameEnd >> 8, frameEnd & 0xff}},
+		{"stopped", 2 * maxTunnelStall, []byte{0, 4, 'p', 'a', 'r', 't'}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBox(t, newStub(t, "u", respondOK("u")))
+			s := newTunnelServer(b.relay)
+			s.lastTick.Store(int64(b.relay.now() - c.stalled))
+			box, asker := net.Pipe()
+			upstream, sender := net.Pipe()
+			served := &servedTunnel{server: s, box: box, upstream: upstream}
+			go func() {
+				_ = served.copyToBox()
+				_ = box.Close()
+			}()
+			go func() {
+				_, _ = io.WriteString(sender, "part")
+				_ = sender.Close()
+			}()
+			got, err := io.ReadAll(asker)
+			is.NoErr(err)
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -273,6 +273,10 @@
 	}
 }
 
+// errEndInStall reports that an upstream closed its connection while this process was stopped: it may
+// have given up a response that nobody read, so that its end is not stated.
+var errEndInStall = &Error{Op: "read for other box", Kind: KindTruncated, Err: io.ErrUnexpectedEOF}
+
 // copyToBox copies what the upstream sends, in frames, and returns why that ended.
 func (t *servedTunnel) copyToBox() error {
 	b := make([]byte, frameHeader+maxFrameData)
@@ -287,6 +291,8 @@
 		}
 		switch {
 		case err == nil:
+		case errors.Is(err, io.EOF) && t.server.hasStalled():
+			return errEndInStall
 		case errors.Is(err, io.EOF):
 			_ = t.writeFrame(frameEnd)
 			return err
