soak: the proxy closes a connection in order only if its other side was

Hypothesis: the proxy closes both sides in order whatever ended the connection, so a reset by an upstream, or of the proxy itself, could reach a box as the end of an answer.

Change: what ends in another way than by a close in order is reset.

Conclusion: a close in order at a box is one of its upstream.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,9 +4,11 @@
 // blocks one or both directions, refuses new connections, stands for a host that does not respond at all, or permanently
 // mutes existing connections while new ones work.
 //
-// Invariant: bytes are forwarded in order or not at all.
+// Invariant: bytes are forwarded in order or not at all, and a connection is closed in order only if its other side was.
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -94,14 +96,18 @@
 	p.mu.Lock()
 	p.conns[a], p.conns[b] = true, true
 	p.mu.Unlock()
-	done := make(chan struct{}, 2)
+	done := make(chan bool, 2) // whether a direction ended in order
 	connNumber := p.accepted.Add(1)
 	go p.copyBytes(a, b, connNumber, false, done)
 	go p.copyBytes(b, a, connNumber, true, done)
-	<-done
+	isInOrder := <-done
 	if p.isMuted(connNumber) {
-		<-done
-		done <- struct{}{}
+		isInOrder = <-done
+		done <- isInOrder
+	}
+	if !isInOrder {
+		reset(a)
+		reset(b)
 	}
 	_, _ = a.Close(), b.Close()
 	<-done
@@ -173,8 +179,9 @@
 	return p.disruptions.Load(), proxyMode(p.mode.Load()) == modeOpen
 }
 
-func (p *proxy) copyBytes(from, to net.Conn, connNumber int64, responses bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+func (p *proxy) copyBytes(from, to net.Conn, connNumber int64, responses bool, done chan<- bool) {
+	isInOrder := false
+	defer func() { done <- isInOrder }()
 	buf := make([]byte, 16<<10) // holds most requests, so that they are delayed once
 	for {
 		n, err := from.Read(buf)
@@ -193,6 +200,7 @@
 			}
 		}
 		if err != nil {
+			isInOrder = errors.Is(err, io.EOF)
 			return
 		}
 	}
@@ -200,7 +208,7 @@
 
 // reset closes a connection with a TCP reset.
 func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
