soak: upstreams end as processes do, with answers without a length

Hypothesis: the soak misses answers that look whole and are not, since its upstreams move the start of each event into the write of the one before, and their plain answers without a whole body have a length.

Change: events are written whole; a third of the streams and of the plain answers have neither a length nor chunks. Upstreams end in four ways: killed, with all connections closed at once or one after the other; stopped, closing connections while they live on; killed just after an answer. The next life, or another upstream, listens at the address at once or later.

--- a/cmd/doormast/soak.go
+++ b/cmd/doormast/soak.go
@@ -48,6 +48,7 @@
 	cmd.Flags().DurationVar(&cfg.RetryWindow, "retry-window", 10*time.Second, "window of the retry budget; a third of --for should exceed it")
 	cmd.Flags().BoolVar(&cfg.OnlyFailures, "only-failures", false, "no faults other than failing upstreams that requests are slow to reach")
 	cmd.Flags().BoolVar(&cfg.OnlyKills, "only-kills", false, "no faults other than boxes that are killed, up to half at once, and streams that break")
+	cmd.Flags().BoolVar(&cfg.OnlyEnds, "only-ends", false, "no faults other than upstreams that end, and boxes that are killed or stopped")
 	cmd.Flags().BoolVar(&cfg.OnlyStops, "only-stops", false, "no faults other than planned stops of boxes, up to half at once, with reloads and changes beside them")
 	cmd.Flags().BoolVar(&cfg.OnlyFatal, "only-fatal", false, "no faults other than requests under which upstreams crash")
 	cmd.Flags().DurationVar(&cfg.CallerPause, "caller-pause", 10*time.Millisecond, "pause of a caller between two requests")
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -64,6 +64,9 @@
 	if isUndisturbed && !leaves && path != healthyPath {
 		w.fatal.countSound(b, isSharing, got)
 	}
+	if isUndisturbed && !leaves && !w.fatal.disturbed(b) {
+		w.unframed.received(id, got.whole)
+	}
 	if path != resumablePath || leaves {
 		return
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -22,7 +23,7 @@
 	meanFaultMs    = 900 // mean duration of a fault
 )
 
-var faults = []fault{
+var faults = append([]fault{
 	{"freeze a box", func(w *harness) func() {
 		b := pick(w, w.boxes)
 		endDisruption := w.fatal.beginDisruption(b)
@@ -108,15 +109,6 @@
 			w.setEvacuated(d, false)
 		}
 	}},
-	{"crash an upstream and restart it under its id", func(w *harness) func() {
-		u := pick(w, w.upstreams)
-		u.crash()
-		return func() {
-			if err := w.restartUpstream(u); err != nil {
-				w.checker.reportViolation("restart upstream: %v", err)
-			}
-		}
-	}},
 	{"replace an upstream", func(w *harness) func() {
 		i := w.random.IntN(len(w.upstreams))
 		old := w.upstreams[i]
@@ -133,7 +125,7 @@
 			old.close()
 		}
 	}},
-}
+}, endFaults...)
 
 // setEvacuated records whether a domain is evacuated.
 func (w *harness) setEvacuated(domain string, evacuated bool) {
@@ -202,7 +194,7 @@
 		}
 		return
 	}
-	if !w.cfg.OnlyKills && !w.cfg.OnlyStops {
+	if !w.isSelective() {
 		w.scheduleFailures()
 	}
 	if w.cfg.OnlyFailures {
@@ -210,7 +202,7 @@
 		return
 	}
 	var pending []pendingUndo
-	if !w.cfg.OnlyKills && !w.cfg.OnlyStops {
+	if !w.isSelective() {
 		pending = w.scheduleNotices()
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -235,6 +227,8 @@
 		return killFaults
 	case w.cfg.OnlyStops:
 		return stopFaults
+	case w.cfg.OnlyEnds:
+		return slices.Concat(endFaults, killFaults[:1], stopFaults[:1])
 	}
 	return faults
 }
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -47,7 +47,7 @@
 // newAdvertisedLimit returns the initial limit of a new upstream; some upstreams advertise one from the start.
 func (w *harness) newAdvertisedLimit() *advertisedLimit {
 	l := &advertisedLimit{limit: -1, seenBy: make(map[*box]time.Time)}
-	if w.random.IntN(limitedShare) == 0 && !w.cfg.OnlyKills {
+	if w.random.IntN(limitedShare) == 0 && !w.cfg.OnlyKills && !w.cfg.OnlyEnds {
 		l.set(pick(w, limitChoices))
 	}
 	return l
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,9 @@
 	// OnlyStops injects no faults other than planned stops of boxes, up to half of them at once, with reloads and
 	// changes beside them. Callers hold more connections.
 	OnlyStops bool
+	// OnlyEnds injects no faults other than upstreams that end or break streams, and boxes that are killed or
+	// stopped.
+	OnlyEnds bool
 	// CallerPause is the pause of a caller between two requests; 0: defaultCallerPause. With fewer requests the
 	// slack is a larger part of the retry budget.
 	CallerPause time.Duration
@@ -67,6 +70,7 @@
 	Tried, Began                      int // requests for new streams at undisturbed boxes, and those that brought events
 	Sharing, SharingBegan             int // sound requests that share parts with fatal ones, once those must be withheld, and those that began
 	Others, OthersBegan               int // likewise those without a prompt
+	Unframed, UnframedWhole           int // sound answers without a length at undisturbed boxes, and those that their callers got whole by one run
 	Held                              heldCounts
 	Crashes, LateSends                int      // upstreams crashed by fatal requests, and such requests that were sent too late
 	Faults                            []string // descriptions, each with its time since the start of the run
@@ -74,9 +78,9 @@
 }
 
 func (r *Report) String() string {
-	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d crashes under fatal requests, %d of these sent late, %d of %d sound ones that share parts began (%d of %d others), %d on held connections (to stopping boxes %d: %d answered, %d refused, %d closed), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
+	text := fmt.Sprintf("%d requests: %d answered, %d refused; %d runs, %d retries, %d of %d streams taken up went on (%d of %d new ones began), %d crashes under fatal requests, %d of these sent late, %d of %d sound ones that share parts began (%d of %d others), %d of %d sound answers without a length were whole, %d on held connections (to stopping boxes %d: %d answered, %d refused, %d closed), %d faults, %d violations", r.Requests, r.Answered, r.Refused,
 		r.Runs, r.Retries, r.Continued, r.TakenUp, r.Began, r.Tried, r.Crashes, r.LateSends, r.SharingBegan, r.Sharing, r.OthersBegan, r.Others,
-		r.Held.sent, r.Held.late, r.Held.lateAnswered, r.Held.lateRefused, r.Held.lateCut, len(r.Faults), len(r.Violations))
+		r.UnframedWhole, r.Unframed, r.Held.sent, r.Held.late, r.Held.lateAnswered, r.Held.lateRefused, r.Held.lateCut, len(r.Faults), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return text
 	}
@@ -98,6 +102,7 @@
 	faults        []string
 	fatal         *fatal
 	streams       *streamRecord
+	unframed      *unframedRecord
 	held          *heldRecord
 	stopping      []stoppingBox
 	mu            sync.Mutex           // guards upstreamsByID
@@ -194,25 +199,29 @@
 
 // sendsFatal reports whether callers send requests under which upstreams crash.
 func (w *harness) sendsFatal() bool {
-	return !w.cfg.OnlyFailures && !w.cfg.OnlyKills && !w.cfg.OnlyStops
+	return !w.cfg.OnlyFailures && !w.isSelective()
 }
 
+// isSelective reports whether the run injects one group of the faults only.
+func (w *harness) isSelective() bool { return w.cfg.OnlyKills || w.cfg.OnlyStops || w.cfg.OnlyEnds }
+
 // newHarness returns the state of a run in which nothing is started yet.
 func newHarness(cfg Config) *harness {
 	return &harness{cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 0)), startedAt: time.Now(), checker: newChecker(), storeProxies: make(map[string]*proxy),
-		fatal: newFatal(), evacuated: make(map[string]bool), streams: newStreamRecord(), held: newHeldRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
+		fatal: newFatal(), evacuated: make(map[string]bool), streams: newStreamRecord(), unframed: newUnframedRecord(), held: newHeldRecord(), upstreamsByID: make(map[string]*upstream), replacements: make(chan *upstream, maxReplacements)}
 }
 
 func (w *harness) report() *Report {
 	w.streams.check(w.checker.reportViolation)
 	w.fatal.checkSound(w.checker.reportViolation)
-	counts := w.held.check(w.checker.reportViolation)
+	counts, unframed := w.held.check(w.checker.reportViolation), w.unframed.check(w.checker.reportViolation)
 	r := w.checker.report(w.retryWindow())
 	r.TakenUp, r.Continued = w.streams.goesOn.tried, w.streams.goesOn.brought
 	r.Tried, r.Began = w.streams.began.tried, w.streams.began.brought
 	r.Crashes, r.LateSends = w.fatal.request.crashes+w.fatal.part.crashes, w.fatal.request.lateSends+w.fatal.part.lateSends
 	r.Sharing, r.SharingBegan = w.fatal.sound.sharing.tried, w.fatal.sound.sharing.brought
 	r.Others, r.OthersBegan = w.fatal.sound.others.tried, w.fatal.sound.others.brought
+	r.Unframed, r.UnframedWhole = unframed.tried, unframed.brought
 	r.Held, r.Faults = counts, w.faults
 	return r
 }
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -23,6 +23,8 @@
 	choose  func(b *standInBox, r *http.Request) *upstream // nil: the request is refused
 	refusal string                                         // body of a refusal
 	endsAll bool                                           // a response that breaks off is ended as complete
+	// confirms decides whether a close in order ends an answer without a length; nil: after a whole event.
+	confirms func(u *upstream) bool
 
 	mu    sync.Mutex
 	began map[string]string // by request id: software version of the upstream that it was sent to
@@ -61,7 +63,11 @@
 	var copied bytes.Buffer
 	_, err = io.Copy(io.MultiWriter(w, &copied), resp.Body)
 	isFramed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	isCut := err != nil || !isFramed && !bytes.HasSuffix(copied.Bytes(), []byte("\n\n"))
+	isEnd := bytes.HasSuffix(copied.Bytes(), []byte("\n\n"))
+	if b.confirms != nil {
+		isEnd = b.confirms(u)
+	}
+	isCut := err != nil || !isFramed && !isEnd
 	if isCut && !b.endsAll {
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -80,8 +86,18 @@
 
 // startStandIn starts a harness of four upstreams and a stand-in for the box, and sends requests for streams to it.
 func startStandIn(t *testing.T, net int, b *standInBox) *harness {
+	t.Helper()
+	w := serveStandIn(t, net, b)
+	w.callStandIn(resumablePath)
+	w.boxes = nil
+	return w
+}
+
+// serveStandIn starts a harness of four upstreams and a stand-in for the box.
+func serveStandIn(t *testing.T, net int, b *standInBox) *harness {
+	t.Helper()
 	is := is.New(t)
-	w := newHarness(Config{Net: net, Upstreams: 4})
+	w := newHarness(Config{Net: net, Upstreams: 4, OnlyEnds: true})
 	t.Cleanup(w.close)
 	l, err := w.listen(1)
 	is.NoErr(err)
@@ -94,17 +110,21 @@
 	server := httptest.NewServer(b)
 	t.Cleanup(server.Close)
 	w.boxes = []*box{{name: "stand-in", harness: w, callers: strings.TrimPrefix(server.URL, "http://")}}
+	t.Cleanup(func() { w.boxes = nil })
+	return w
+}
+
+// callStandIn sends requests to the stand-in, with the paths in turn.
+func (w *harness) callStandIn(paths ...string) {
 	var callers sync.WaitGroup
 	for n := range 8 {
 		callers.Go(func() {
 			for k := range 60 {
-				w.request(http.DefaultClient, w.boxes[0], fmt.Sprintf("r%d-%d", n, k), resumablePath)
+				w.request(http.DefaultClient, w.boxes[0], fmt.Sprintf("r%d-%d", n, k), paths[(n+k)%len(paths)])
 			}
 		})
 	}
 	callers.Wait()
-	w.boxes = nil
-	return w
 }
 
 // The checks on streams that callers take up find a box that mixes software versions (ORDER), and one that lets
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,7 +32,10 @@
 	leaving         atomic.Bool // announce leaving in responses
 	pausing         atomic.Bool // refuse requests and request a pause
 
-	stopped atomic.Bool // it has ended, or is published as leaving
+	stopped         atomic.Bool // it has ended, or is published as leaving
+	conns           *processConns
+	endedAt         atomic.Int64 // Unix time in nanoseconds; 0: it has not ended
+	endsAfterAnswer atomic.Bool  // it ends after its next answer without a length
 
 	mu   sync.Mutex
 	runs map[string]int // by id of a running request, the number of events sent
@@ -87,7 +89,8 @@
 
 func (u *upstream) serve(l net.Listener) {
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
-	go func() { _ = u.server.Serve(l) }()
+	u.conns = newProcessConns(l)
+	go func() { _ = u.server.Serve(u.conns) }()
 }
 
 func (u *upstream) close() {
@@ -95,31 +98,8 @@
 	u.crash()
 }
 
-// crash closes the server and all its connections immediately, without notice to the store or the boxes.
-func (u *upstream) crash() {
-	u.stopped.Store(true)
-	_ = u.server.Close()
-}
-
-// restartUpstream starts a new incarnation of a crashed upstream under the same id and address. It
-// does nothing if the upstream has been replaced or restarted meanwhile.
-func (w *harness) restartUpstream(previous *upstream) error {
-	i := slices.Index(w.upstreams, previous)
-	if i < 0 {
-		return nil
-	}
-	l, err := net.Listen("tcp", previous.proxy.target)
-	if err != nil {
-		return err
-	}
-	u := &upstream{id: previous.id, service: previous.service, software: pick(w, softwareVersions), domain: previous.domain, startedAt: max(time.Now().UnixMilli(), previous.startedAt+1), harness: w, proxy: previous.proxy,
-		advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int)}
-	u.serve(l)
-	w.registerUpstream(u)
-	w.upstreams[i] = u
-	w.publishUpstream(u, false)
-	return nil
-}
+// crash ends the upstream at once, without notice to the store or the boxes.
+func (u *upstream) crash() { u.end(ending{}, nil) }
 
 const (
 	eventsPerStream = 6
@@ -183,6 +163,7 @@
 	}
 	u.harness.checker.checkColdRate(u)
 	u.harness.checker.executed(id)
+	u.harness.unframed.executed(id)
 	u.setProgress(id, 0)
 	defer u.clearProgress(id)
 	w.Header().Set(protocol.Signature, u.id+" "+id)
@@ -195,6 +176,10 @@
 		return
 	}
 	time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
+	if u.harness.cfg.OnlyEnds {
+		u.sendWhole(w, id)
+		return
+	}
 	switch rand.IntN(faultyShare) {
 	case 0:
 		truncateResponse(w, id)
@@ -205,10 +190,33 @@
 	case 3:
 		cutHead(w, u.id, id)
 	default:
-		_, _ = io.WriteString(w, responseBody(id))
+		u.sendWhole(w, id)
 	}
 }
 
+// sendWhole sends a whole plain response; one in unframedShare has neither a length nor chunks.
+func (u *upstream) sendWhole(w http.ResponseWriter, id string) {
+	body := responseBody(id)
+	if rand.IntN(unframedShare) > 0 {
+		_, _ = io.WriteString(w, body)
+		return
+	}
+	w.Header().Set("Transfer-Encoding", "identity")
+	for _, part := range []string{body[:len(body)/2], body[len(body)/2:]} {
+		if !sendPart(w, part) {
+			return
+		}
+		time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
+	}
+	u.finished(id)
+}
+
+// sendPart sends a part of a body, and reports whether it was written.
+func sendPart(w http.ResponseWriter, part string) bool {
+	_, err := io.WriteString(w, part)
+	return err == nil && http.NewResponseController(w).Flush() == nil
+}
+
 // One in faultyShare plain responses is truncated, as many follow a stale response, as many have no end, and as
 // many stop within their head.
 const faultyShare = 20
@@ -291,13 +299,9 @@
 		if n == cut {
 			event = event[:len(event)/2]
 		}
-		if isUnframed {
-			event = shiftEvent(event, n > from+1, n != cut && n < eventsPerStream)
-		}
-		if _, err := io.WriteString(w, event); err != nil {
+		if !sendPart(w, event) {
 			return
 		}
-		_ = http.NewResponseController(w).Flush()
 		u.setProgress(id, n)
 		if n == cut {
 			resetConnection(w)
@@ -305,26 +309,14 @@
 		}
 		time.Sleep(eventPause)
 	}
-}
-
-// One in unframedShare streams ends with its connection.
-const unframedShare = 6
-
-// eventStart is how each event starts.
-const eventStart = "id: "
-
-// shiftEvent moves the start of each event to the write of the one before, so that a connection that is closed
-// between two writes ends within an event: the end of a whole response could not be told from it.
-func shiftEvent(event string, hasBefore, hasNext bool) string {
-	if hasBefore {
-		event = strings.TrimPrefix(event, eventStart)
-	}
-	if hasNext {
-		event += eventStart
+	if isUnframed {
+		u.finished(id)
 	}
-	return event
 }
 
+// One in unframedShare streams and plain responses ends with its connection.
+const unframedShare = 3
+
 // setProgress records how many events of a running request have been sent.
 func (u *upstream) setProgress(id string, events int) {
 	u.mu.Lock()
