soak: upstreams that stop themselves close the listener first, or last

Hypothesis: a box that asks an upstream after the close is deceived by one that closes the connections of unfinished answers itself and still answers: on an idle connection if it has closed the listener, also on a new one if it closes the listener last.

Change: two faults in place of one; connections are closed one after the other over some ms in both.

Conclusion: a new connection tells all but upstreams that listen on after they have closed the connections; no immediate call tells those from sound ones.

--- a/soak/endings.go
+++ b/soak/endings.go
@@ -113,6 +113,7 @@
 	{"kill an upstream", endUpstream(kills)},
 	{"kill an upstream whose connections end one after the other", endUpstream(slowKills)},
 	{"stop an upstream that finishes nothing", endUpstream(stops)},
+	{"stop an upstream that finishes nothing and listens on", endUpstream(lateStops)},
 	{"kill an upstream after an answer", endAfterAnswer},
 }
 
@@ -132,9 +133,20 @@
 	return e
 }
 
-// stops are the endings of upstreams that close their connections themselves and finish no answer.
+// stops are the endings of upstreams that stop to listen, then close their connections themselves and finish no
+// answer. They answer on those that are open still.
 func stops(w *harness) ending {
-	return ending{livesOn: time.Duration(1+w.random.IntN(maxLivesOnMs)) * time.Millisecond}
+	e := slowKills(w)
+	e.listenerFirst = true
+	e.livesOn = time.Duration(1+w.random.IntN(maxLivesOnMs)) * time.Millisecond
+	return e
+}
+
+// lateStops are those of upstreams that stop to listen after that.
+func lateStops(w *harness) ending {
+	e := stops(w)
+	e.listenerFirst = false
+	return e
 }
 
 // end ends an upstream; atFree, if set, is called once its address is free.
