soak: which answers without a length are sound

Hypothesis: the bound of 95 of 100 can be missed by a sound box: boxes cannot know of a next life that serves before the store lists it, and a report that comes late affects several answers at once.

--- a/soak/endings.go
+++ b/soak/endings.go
@@ -246,7 +246,7 @@
 		return nil
 	}
 	u := &upstream{id: id, service: service, software: pick(w, softwareVersions), domain: previous.domain, startedAt: max(time.Now().UnixMilli(), previous.startedAt+1), harness: w, proxy: previous.proxy,
-		advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int)}
+		advertisedLimit: w.newAdvertisedLimit(), runs: make(map[string]int), isNextLife: true}
 	u.serve(l)
 	w.registerUpstream(u)
 	w.upstreams[i] = u
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -309,6 +309,7 @@
 		return
 	}
 	w.store.Put(it)
+	u.listedAt.CompareAndSwap(0, time.Now().UnixNano())
 }
 
 func (w *harness) awaitReady(ctx context.Context) error {
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -35,6 +35,8 @@
 	stopped         atomic.Bool // it has ended, or is published as leaving
 	conns           *processConns
 	endedAt         atomic.Int64 // Unix time in nanoseconds; 0: it has not ended
+	isNextLife      bool         // another upstream listened at its address before
+	listedAt        atomic.Int64 // when the store got its entry, as endedAt
 	endsAfterAnswer atomic.Bool  // it ends after its next answer without a length
 
 	mu   sync.Mutex
