Responses without a length: their upstream is asked 100 ms after the close

Cause: an upstream that was told to stop, and finishes nothing, closes its connections while it still listens, and ends some ms later. Asked 0 to 19 ms after the close it stated the listed start, and the response counted as whole.

Change: the call is made 100 ms after the close. Streams lose nothing by it, their last event is delivered before; a plain response without a length is answered that much later.

Conclusion: one that closes within its answer and runs on for longer looks whole; nothing on the connection tells it from one that has ended its answer.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -2,7 +2,7 @@
 
 // This file defines when a response is whole whose end nothing marks but the close of its connection. An upstream
 // closes the connection at the end, but so does the system of one that was killed. The invariant: the response is whole
-// only if the process that wrote it has answered a call after the close.
+// only if the process that wrote it has answered a call that was made endConfirmDelay after the close.
 
 import (
 	"context"
@@ -17,6 +17,9 @@
 )
 
 const (
+	// endConfirmDelay is how long after the close the upstream is asked: one that is told to stop may close its
+	// connections, answers under way included, and end afterwards.
+	endConfirmDelay = 100 * time.Millisecond
 	// endConfirmTimeout limits how long an upstream is asked whether it still runs.
 	endConfirmTimeout = time.Second
 	// endConfirmInterval is the pause after a call that was not answered, as by an upstream with too many connections.
@@ -56,6 +59,7 @@
 	ctx, cancel := context.WithTimeout(x.ctx, endConfirmTimeout)
 	defer cancel()
 	began := time.Now()
+	sleep(ctx, endConfirmDelay)
 	calls := &confirmCalls{exchange: x, olderThan: resp.sent.began}
 	proof, err := calls.repeat(ctx)
 	f := Fields{"id": x.request.id, "upstream": x.upstream.ID, "born": x.upstream.StartedAt, "service": x.service, "took_ms": time.Since(began).Milliseconds()}
--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -135,6 +135,8 @@
 		{"killed, start stated", 1000, func(_ *testing.T, s *endingStub) { s.end() }},
 		{"next life listens at once", 1000, func(t *testing.T, s *endingStub) { s.end(); startAgain(t, s, "u1", 2000) }},
 		{"another upstream has the address", 0, func(t *testing.T, s *endingStub) { s.end(); startAgain(t, s, "u9", 0) }},
+		{"stopped, and listens on for a while", 1000, func(_ *testing.T, s *endingStub) { time.AfterFunc(endConfirmDelay/5, s.end) }},
+		{"stopped, and listens on for a while, no start stated", 0, func(_ *testing.T, s *endingStub) { time.AfterFunc(endConfirmDelay/5, s.end) }},
 		{"another upstream has the address, start stated", 1000, func(t *testing.T, s *endingStub) { s.end(); startAgain(t, s, "u9", 2000) }},
 	} {
 		for _, c := range []struct {
