Relay: an upstream that closes its connections confirms no end on an older one

What callers saw: streams and plain answers that broke off and looked whole, where their upstream had closed its listener and was closing its connections one after the other, unfinished answers among them.

Cause: the call after the close went on an idle connection that the upstream had not closed yet, which it answered. Class of fault: that a process runs is taken for the statement that it ended the answer itself.

Change: the upstream is always asked on a new connection, which it refuses once its listener is closed.

Cost: a new connection for each response without a length.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -94,30 +94,28 @@
 	}
 }
 
-// ask asks once. An answer on a connection that the process had accepted before proves that it runs; on a new one, the
-// process has to state its start or its ID, as another one may listen at its address already.
+// ask asks once, on a new connection: a process that is about to end has closed its listener, but may answer on
+// connections that it has not closed yet. It has to state its start or its ID, or to answer on a connection that
+// it had accepted before as well, as another one may listen at its address already.
 func (q *confirmCalls) ask(ctx context.Context) (proof string, err error) {
 	if q.relay.isPaused(q.upstream.Incarnation()) {
 		return "", errNotAccepting
 	}
-	if started, err := q.askStart(ctx, q.openOlder); err == nil {
-		return proofOlderConn, q.same(started == 0 || q.upstream.StartedAt == 0 || started == q.upstream.StartedAt)
-	}
 	open := q.relay.conns.connect
-	if q.upstream.StartedAt != 0 {
-		started, err := q.askStart(ctx, open)
-		if err != nil {
-			return "", err
-		}
-		if started != 0 {
-			return proofStart, q.same(started == q.upstream.StartedAt)
-		}
+	started, err := q.askStart(ctx, open)
+	if err != nil {
+		return "", err
+	}
+	if started != 0 && q.upstream.StartedAt != 0 {
+		return proofStart, q.same(started == q.upstream.StartedAt)
+	}
+	if _, err := q.askStart(ctx, q.openOlder); err == nil {
+		return proofOlderConn, nil
 	}
 	if s := q.doc.Service(q.service); s != nil && s.HealthPath != "" {
 		return q.askInstance(ctx, open, s.HealthPath)
 	}
-	_, err = q.askStart(ctx, open)
-	return proofAnswer, err
+	return proofAnswer, nil
 }
 
 // askInstance asks the upstream for its ID.
--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -241,6 +241,30 @@
 	}
 }
 
+// An upstream that had closed its listener and was closing its connections still answered on an older one, so that
+// responses it had not finished were whole.
+func TestUpstreamThatClosesItsConnectionsConfirmsNoEnd(t *testing.T) {
+	for _, startedAt := range []int64{0, 1000} {
+		for _, path := range []string{"/fixed/x", "/once/x"} {
+			t.Run(fmt.Sprint(startedAt, path), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				u := newEndingStub(t, listen(t), "u", startedAt, respondWithoutLength(func(s *endingStub) bool {
+					_ = s.listener.Close()
+					return true
+				}))
+				b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u.stub)
+				b.waitFor(func() bool {
+					b.connectBy("/once/first", 4)
+					return b.relay.conns.idleCount("u") > 1
+				})
+				got := b.do(b.request("POST", path, "body"))
+				is.True(got.err != nil || got.status == http.StatusBadGateway)
+			})
+		}
+	}
+}
+
 // idleCount returns the number of idle connections to an upstream.
 func (p *connPool) idleCount(id string) int {
 	p.mu.Lock()
