A reset that only the write of a request was told of ends no answer as complete

Cause: the kernel tells of a reset once. Long bodies are written in the background, and where the write is told, the read finds the end of the connection as if it had been closed in order. The same holds for a connection that the kernel gives up (ETIMEDOUT).

Now the end of the connection ends a body only if the request was written whole, if the socket is in the state that it has behind an orderly close, or if the write failed since the upstream had closed before (EPIPE). Through another box, that box reads the end; it is not changed here.

--- a/relay/body.go
+++ b/relay/body.go
@@ -1,20 +1,24 @@
 package relay
 
 // This file defines how the body of a response is read. The invariant: io.EOF is returned only after
-// the whole body, if its framing marks the end.
+// the whole body, if its framing marks the end, and otherwise only if the upstream closed the connection in order.
 
 import (
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http/httputil"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // bodyReader returns a reader for the body: of known length, chunked, or until the connection is
 // closed.
-func bodyReader(c *conn, h *fasthttp.ResponseHeader) io.Reader {
+func bodyReader(resp *response) io.Reader {
+	c, h := resp.conn, &resp.header
 	switch n := h.ContentLength(); {
 	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
 		return bytes.NewReader(nil)
@@ -23,15 +27,59 @@
 	case n == lengthChunked:
 		return &chunkedReader{c: c, r: httputil.NewChunkedReader(c.reader)}
 	default:
-		return c.reader
+		return &closedReader{resp}
 	}
 }
 
 var (
 	_ io.Reader = (*fixedLengthReader)(nil)
 	_ io.Reader = (*chunkedReader)(nil)
+	_ io.Reader = (*closedReader)(nil)
 )
 
+// closedReader reads a body that ends when the connection is closed; a reset is an error.
+type closedReader struct{ resp *response }
+
+// Read implements io.Reader.
+func (r *closedReader) Read(p []byte) (int, error) {
+	n, err := r.resp.conn.reader.Read(p)
+	if errors.Is(err, io.EOF) && !r.resp.isClosedInOrder() {
+		err = errReset
+	}
+	return n, err
+}
+
+// errReset reports that the connection of a response was reset, which its reader was not told.
+var errReset = &Error{Op: "read response", Kind: KindTruncated, Err: syscall.ECONNRESET}
+
+// isClosedInOrder reports whether the upstream closed the connection whose end was read. The kernel tells of a reset
+// once: if a write of the request was told, a read finds the end of the connection.
+func (r *response) isClosedInOrder() bool {
+	if r.sent.succeeded() || r.conn.tunnel() != nil || isHalfClosed(r.conn.Conn) {
+		return true
+	}
+	err := r.sent.wait() // the connection is down, so that the write has ended
+	return err == nil || errors.Is(err, syscall.EPIPE)
+}
+
+// isHalfClosed reports whether the peer has closed a connection on which it can still be written to.
+func isHalfClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isHalf := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isHalf = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return isHalf
+}
+
 // fixedLengthReader reads a body of known length; an earlier end is an error.
 type fixedLengthReader struct {
 	r    io.Reader
--- a/relay/outgoing.go
+++ b/relay/outgoing.go
@@ -107,6 +107,13 @@
 	s.done <- err
 }
 
+// wait waits for the end of the write and returns its error.
+func (s *requestWrite) wait() error {
+	err := <-s.done
+	s.done <- err
+	return err
+}
+
 // succeeded reports whether the whole request has been written without an error.
 func (s *requestWrite) succeeded() bool {
 	select {
--- a/relay/response.go
+++ b/relay/response.go
@@ -72,7 +72,7 @@
 		if resp.header.StatusCode() < fasthttp.StatusOK {
 			continue // an interim response, which has no body
 		}
-		resp.body = bodyReader(c, &resp.header)
+		resp.body = bodyReader(resp)
 		resp.reuse = resp.hasFraming() && !resp.header.ConnectionClose()
 		return resp, nil
 	}
