Streams that go on by a drawn plan: callers that read slowly

An eighth of the streams is read in pieces of 4 KiB with pauses of up to 3 ms, through a small receive buffer, so that runs are cut off while the box holds unread bytes of them.

--- a/relay/streamplan_test.go
+++ b/relay/streamplan_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -27,6 +29,7 @@
 	comment string
 	path    string
 	body    string
+	pace    time.Duration // between the caller's reads of 4 KiB
 
 	mu             sync.Mutex
 	rand           *rand.Rand
@@ -51,6 +54,9 @@
 		id += int64(1 + r.IntN(1+r.IntN(3)))
 	}
 	p.comment = []string{"", ": ping" + eol + eol, "retry: 100" + eol + eol}[r.IntN(3)]
+	if r.IntN(8) == 0 {
+		p.pace = time.Duration(r.IntN(4)) * time.Millisecond
+	}
 	if r.IntN(3) == 0 {
 		p.body = strings.Repeat("b", 9<<10)
 	}
@@ -170,7 +176,7 @@
 		} else {
 			first = id
 		}
-		got := b.do(r)
+		got := b.read(r, p.pace)
 		rest := ""
 		if got.status == http.StatusOK {
 			at, rest = p.take(at, got.body)
@@ -206,6 +212,31 @@
 	return at, ""
 }
 
+// read sends a request and reads its answer slowly.
+func (b *testBox) read(r *http.Request, pace time.Duration) callerResponse {
+	if pace == 0 {
+		return b.do(r)
+	}
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10) })
+	}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialer.DialContext}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var body strings.Builder
+	for err == nil {
+		_, err = io.CopyN(&body, resp.Body, 4<<10)
+		time.Sleep(pace)
+	}
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return callerResponse{resp.StatusCode, resp.Header, body.String(), err}
+}
+
 // Whatever runs leave of a stream, and wherever it goes on, its caller gets each event once, in order, and an answer
 // that is complete only with the last one.
 func TestPlannedStreams(t *testing.T) {
