The media type of a stream has no case

What callers saw (trial runs of the new test): an answer of the type Text/Event-Stream was held until its end, and a break of it was the end of the request on a route that does not resume, without the events that had come. TestHeadInOtherLettersHidesStream fails in 1 of 8 cases on the code before (no case, no space and other letters of names held); all pass now.

Cause: the type was compared by its bytes.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -23,8 +23,9 @@
 
 // isStream reports whether a response is a stream of events.
 func (x *exchange) isStream(resp *response) bool {
+	media, _, _ := bytes.Cut(resp.header.ContentType(), []byte(";"))
 	return x.route.Repeat == route.Stream && resp.header.StatusCode() == fasthttp.StatusOK &&
-		bytes.HasPrefix(resp.header.ContentType(), []byte("text/event-stream"))
+		bytes.EqualFold(bytes.TrimSpace(media), []byte("text/event-stream"))
 }
 
 // acceptStream waits for the first events of a stream, so that a run that fails before them can still
