Relay: a response to HEAD has no body

What callers saw: 504 (or 502, once the upstream closed the connection) for a HEAD that its upstream had answered with a length or chunks; found while each kind of caller and of response was tried with real connections.

Cause: the box waited for the body that the header describes, which the response to HEAD does not bring.

Why it works: what ends such a response is the end of its header; bytes behind it keep the connection from being used again, as before.

Conclusion: answers to HEAD are whole without a body.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 // upstream says so.
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -94,6 +95,9 @@
 		r.conns.discard(c)
 		return runUnknown, nil, err
 	}
+	if x.request.method == fasthttp.MethodHead {
+		resp.body = bytes.NewReader(nil) // whatever the header describes
+	}
 	if !r.saysNotRun(&resp.header) {
 		return runAnswered, resp, nil
 	}
