Callers of chat completions: no whole answer from a stream with an error

What callers saw: without "stream", a 200 with the text so far and finish_reason "stop" where the engine had failed within its stream, said so in an event with "error" and ended the stream with [DONE]. The same where an event could not be read: its piece was left out. Callers of streams get those events themselves.

Cause: the answer was assembled from the events that were understood, and the end of the stream was taken for the end of the answer.

Conclusion: an answer is assembled only from events all understood.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,7 +3,7 @@
 // This file defines the formats of answers: the JSON error body that clients of
 // language models parse, the status codes of refusals, and the complete answer that
 // is assembled from a stream. The invariant: each refusal says whether the request
-// may have run.
+// may have run, and an answer is assembled only from events that were all understood.
 
 import (
 	"encoding/json"
@@ -130,6 +130,7 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
+	Error json.RawMessage `json:"error"` // an engine that fails within a stream may still end it
 }
 
 // aggregate assembles a complete answer from the events of a stream.
@@ -138,11 +139,13 @@
 	model        string
 	finishReason string
 	tokens       int
+	isBroken     bool // some event brought an error, or nothing that can be read: the answer lacks a part
 }
 
 func (a *aggregate) add(event []byte) {
 	var c chunk
-	if json.Unmarshal(event, &c) != nil {
+	if json.Unmarshal(event, &c) != nil || len(c.Error) > 0 && string(c.Error) != "null" {
+		a.isBroken = true
 		return
 	}
 	a.model = c.Model
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -66,6 +66,10 @@
 			ctx.SetContentType(e.contentType)
 			ctx.SetBody(e.data)
 			return
+		case e.kind == endWhole && parts.isBroken:
+			broken := cell.Final{Reason: decide.UpstreamFailed, Ran: true}
+			refuse(ctx, statusOf(broken), refusalOf(broken))
+			return
 		case e.kind == endWhole:
 			writeJSON(ctx, fasthttp.StatusOK, parts.answer(timeline.RequestText(x.ID)))
 			return
