--- a/relay/stoparrival_test.go
+++ b/relay/stoparrival_test.go
@@ -99,7 +99,7 @@
 			}
 			is.Equal(a.status, 503)
 			is.True(strings.Contains(a.body, `"ran":"no"`))
-is.Equal(a.header.Get("Retry-After"), "0.01")
+			is.Equal(a.header.Get("Retry-After"), "0.01")
 			is.True(closes)
 		})
 	}
@@ -186,7 +186,7 @@
 	a := b.do(b.request("POST", "/once/x", ""))
 	is.Equal(a.status, 503)
 	is.True(strings.Contains(a.body, `"ran":"no"`))
-is.Equal(a.header.Get("Retry-After"), "0.01")
+	is.Equal(a.header.Get("Retry-After"), "0.01")
 	is.Equal(b.waitedForDocument(), uint64(0))
 	<-ended
 }
