--- a/soak/latearrival_test.go
+++ b/soak/latearrival_test.go
@@ -88,7 +88,7 @@
 // A stopping box took requests late by how long earlier ones had taken, and cut off those that took longer.
 func TestStoppingBoxTakesLateRequestsThatTakeLonger(t *testing.T) {
 	is := is.New(t)
-	w := startBoxes(t, 94, 1)
+	w := startBoxes(t, 58, 1)
 	u, b := &growingUpstreams{runs: make(map[string]int)}, w.boxes[0]
 	w.publishTimed(is, slices.Values(growingPaths), u, u)
 	for _, path := range growingPaths {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -21,7 +21,7 @@
 		{hup, term, hup, term},
 		append(slices.Repeat([]syscall.Signal{hup}, 50), term),
 	}
-	w := startBoxes(t, 93, len(series))
+	w := startBoxes(t, 59, len(series))
 	u := &growingUpstreams{runs: make(map[string]int)}
 	w.publishTimed(is, slices.Values([]string{longerPath}), u)
 	answers := make(chan stopResult, len(series))
