--- a/soak/streams.go
+++ b/soak/streams.go
@@ -115,7 +115,7 @@
 
 // serves reports whether the upstream takes requests.
 func (u *upstream) serves() bool {
-	return !u.stopped.Load() && !u.leaving.Load() && !u.pausing.Load() && !u.advertisedLimit.isSet() &&
+	return !u.stopped.Load() && u.listedAt.Load() > 0 && !u.leaving.Load() && !u.pausing.Load() && !u.advertisedLimit.isSet() &&
 		u.harness.failing.Load() == 0 && time.Now().After(u.coldUntil)
 }
 
