soak: announcements of a next life that is not listed are not judged

Hypothesis: a box that does not know yet that another process has the address takes the pause that this process asks for as one of the process before, and forgets it with that.

Change: pauses and leaving announcements of a next life are judged once boxes must know of it, as its answers are.

Conclusion: the check is the same for all upstreams that boxes know.

--- a/soak/notices.go
+++ b/soak/notices.go
@@ -6,7 +6,8 @@
 // Invariants: after a box has read a leaving announcement, it routes no further request to that incarnation of
 // the upstream; after it has read a pause request, it routes at most two requests there until the pause ends.
 // A box is known to have read a response once a caller has received it or the request has reached another
-// upstream. Routing decisions made before that are not counted.
+// upstream. Routing decisions made before that are not counted, nor
+// are announcements of a next life that boxes need not know of yet: they take them for those of the life before.
 
 import (
 	"math/rand/v2"
@@ -75,7 +76,7 @@
 // Responses that the upstream's proxy may delay or drop are not recorded.
 func (n *notices) pauseRequested(u *upstream, id string, incarnation boxIncarnation, length time.Duration) {
 	disruptions, open := u.proxy.state()
-	if !open {
+	if !open || !u.isKnown() {
 		return
 	}
 	p := &pause{upstream: u, incarnation: incarnation, disruptions: disruptions, end: time.Now().Add(length)}
@@ -112,7 +113,7 @@
 	e := w.checker.entries[id]
 	w.checker.notices.markRead(id)
 	name, _, _ := strings.Cut(h.Get(protocol.Signature), " ")
-	if u := w.checker.lastUpstream[id]; u != nil && u.id == name && h.Get(protocol.Leaving) != "" {
+	if u := w.checker.lastUpstream[id]; u != nil && u.id == name && u.isKnown() && h.Get(protocol.Leaving) != "" {
 		w.checker.notices.leavingDelivered(u, e.incarnation)
 	}
 }
