soak: upstreams that listen on while they stop are a fault of every run again

Hypothesis: a box that asks 100 ms after the close is not deceived by upstreams that end up to 46 ms after their connections.

Change: the fault is back among those of every run.

--- a/soak/endings.go
+++ b/soak/endings.go
@@ -108,14 +108,12 @@
 	livesOn       time.Duration // for which it answers on new connections after that; 0: it is killed before
 }
 
-// lateStopFault is a fault of runs with OnlyEnds: no call tells such an upstream from one that has finished its answer.
-var lateStopFault = fault{"stop an upstream that finishes nothing and listens on", endUpstream(lateStops)}
-
 // endFaults are the faults by which upstreams end.
 var endFaults = []fault{
 	{"kill an upstream", endUpstream(kills)},
 	{"kill an upstream whose connections end one after the other", endUpstream(slowKills)},
 	{"stop an upstream that finishes nothing", endUpstream(stops)},
+	{"stop an upstream that finishes nothing and listens on", endUpstream(lateStops)},
 	{"kill an upstream after an answer", endAfterAnswer},
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -228,7 +228,7 @@
 	case w.cfg.OnlyStops:
 		return stopFaults
 	case w.cfg.OnlyEnds:
-		return slices.Concat(endFaults, []fault{lateStopFault}, killFaults[:1], stopFaults[:1])
+		return slices.Concat(endFaults, killFaults[:1], stopFaults[:1])
 	}
 	return faults
 }
