--- a/relay/tunnelend_test.go
+++ b/relay/tunnelend_test.go
@@ -45,15 +45,19 @@
 }
 
 // An upstream gives up a response that is not read, and closes the connection in order. The box between
-// that was stopped meanwhile stated this as the end of the response.
+// that was stopped meanwhile stated this as the end of the response. It also stated as such a reset of which the
+// kernel had told a write of the request.
 func TestEndInStallIsNotStated(t *testing.T) {
+	part := []byte{0, 4, 'p', 'a', 'r', 't'}
 	for _, c := range []struct {
 		name    string
 		stalled time.Duration
+		isReset bool
 		want    []byte // frames
 	}{
-		{"running", 0, []byte{0, 4, 'p', 'a', 'r', 't', frameEnd >> 8, frameEnd & 0xff}},
-		{"stopped", 2 * maxTunnelStall, []byte{0, 4, 'p', 'a', 'r', 't'}},
+		{"running", 0, false, append(part, frameEnd>>8, frameEnd&0xff)},
+		{"stopped", 2 * maxTunnelStall, false, part},
+		{"reset", 0, true, append(part, frameReset>>8, frameReset&0xff)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -61,19 +65,40 @@
 			s := newTunnelServer(b.relay)
 			s.lastTick.Store(int64(b.relay.now() - c.stalled))
 			box, asker := net.Pipe()
-			upstream, sender := net.Pipe()
+			upstream, sender := connectTCP(t)
+			_, err := io.WriteString(sender, "part")
+			is.NoErr(err)
+			if c.isReset {
+				is.NoErr(sender.SetLinger(0))
+			}
+			is.NoErr(sender.Close())
+			for c.isReset && err == nil {
+				_, err = io.WriteString(upstream, "request")
+			}
 			served := &servedTunnel{server: s, box: box, upstream: upstream}
 			go func() {
 				_ = served.copyToBox()
 				_ = box.Close()
 			}()
-			go func() {
-				_, _ = io.WriteString(sender, "part")
-				_ = sender.Close()
-			}()
 			got, err := io.ReadAll(asker)
 			is.NoErr(err)
 			is.Equal(got, c.want)
+			is.NoErr(upstream.Close())
 		})
 	}
 }
+
+// connectTCP returns both ends of a connection.
+func connectTCP(t *testing.T) (one, other *net.TCPConn) {
+	l := listen(t)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.(*net.TCPConn), accepted.(*net.TCPConn)
+}
