Responses without a length: their upstream is asked also at the limit of connections

What callers saw, in a review's tests: sound responses without a length ended in 502, or broke off, after 1 s, where the box had no room for a further connection to the upstream.

Cause: the closed connection was still counted while the upstream was asked, and idle connections that prove nothing kept the places of the limit.

Change: the closed connection is released first, and an idle one gives way to the call where the limit is reached.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -105,7 +105,7 @@
 	if q.relay.isPaused(q.upstream.Incarnation()) {
 		return "", errNotAccepting
 	}
-	open := q.relay.conns.connect
+	open := q.relay.conns.connectInPlace
 	started, err := q.askStart(ctx, open)
 	if err != nil {
 		return "", err
--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -314,3 +314,58 @@
 		}
 	}
 }
+
+// limitConnections publishes a document in which the box may open count connections to each upstream.
+func (b *testBox) limitConnections(count int) {
+	b.t.Helper()
+	doc := testDocument(2)
+	doc.Services[0].MaxConnections = count
+	b.publisher.set("document", doc, false)
+	b.waitFor(func() bool { return b.relay.published.document().Version == 2 })
+}
+
+// Sound responses without a length were broken off where this box has no room for a further connection to their
+// upstream: the one that was closed still counts.
+func TestEndIsConfirmedAtLimitOfConnections(t *testing.T) {
+	for _, limit := range []int{1, 4} {
+		for _, path := range []string{"/once/x", "/fixed/x"} {
+			t.Run(fmt.Sprint(path, " limit=", limit), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				u := newEndingStub(t, listen(t), "u", 1000, respondWithoutLength(neverEnds))
+				b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u.stub)
+				b.limitConnections(limit)
+				got := make([]callerResponse, limit)
+				var all sync.WaitGroup
+				for i := range got {
+					all.Go(func() { got[i] = b.do(b.request("POST", path, "body", "X-Id", fmt.Sprint("r", i))) })
+				}
+				all.Wait()
+				for _, g := range got {
+					is.NoErr(g.err)
+					is.Equal(g.status, http.StatusOK)
+				}
+			})
+		}
+	}
+}
+
+// The same where idle connections fill the limit that cannot show that the upstream runs on.
+func TestEndIsConfirmedBesideIdleConnectionsAtLimit(t *testing.T) {
+	is := is.New(t)
+	const limit = 4
+	u := newEndingStub(t, listen(t), "u", 1000, respondWithoutLength(neverEnds))
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u.stub)
+	b.limitConnections(limit)
+	b.waitFor(func() bool {
+		b.connectBy("/once/first", limit)
+		return b.relay.conns.idleCount("u") == limit
+	})
+	b.relay.conns.mu.Lock()
+	for _, c := range b.relay.conns.idle[idleKey{"u", false}] {
+		c.anonymous = true // as after a report each
+	}
+	b.relay.conns.mu.Unlock()
+	got := b.do(b.request("POST", "/once/x", "body"))
+	is.Equal(got.status, http.StatusOK)
+}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -178,6 +179,15 @@
 	return p.connect(ctx, u, service)
 }
 
+// connectInPlace opens a connection, if need be in place of an idle one.
+func (p *connPool) connectInPlace(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
+	c, err := p.connect(ctx, u, service)
+	if errors.Is(err, errConnLimit) {
+		return p.openNew(ctx, u, service)
+	}
+	return c, err
+}
+
 // connect opens a connection. It returns errConnLimit if this box already has as many
 // connections to the upstream as it may open.
 func (p *connPool) connect(ctx context.Context, u balance.Upstream, service string) (*conn, error) {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -27,11 +27,11 @@
 	if err == nil && len(body) == 0 && x.request.method != fasthttp.MethodHead && resp.lacksBody() {
 		err = errNoBody
 	}
+	x.detachConn()
+	x.relay.releaseConn(resp, err == nil)
 	if err == nil && x.needsConfirmation(resp) {
 		err = x.confirmEnd(resp)
 	}
-	x.detachConn()
-	x.relay.releaseConn(resp, err == nil)
 	if err != nil {
 		return runUnknown, nil, err
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -92,6 +92,13 @@
 
 // endRun releases the connection of the current run and reports its outcome.
 func (x *exchange) endRun(whole bool, o balance.Outcome) {
+	x.releaseRunConn(whole)
+	x.reportPace(o == balance.Answered)
+	x.closeTicket(o)
+}
+
+// releaseRunConn releases the connection of the current run, unless that was done before.
+func (x *exchange) releaseRunConn(whole bool) {
 	if x.response == nil || x.response.conn == nil {
 		return
 	}
@@ -100,8 +107,6 @@
 	}
 	x.relay.releaseConn(x.response, whole)
 	x.response.conn = nil
-	x.reportPace(o == balance.Answered)
-	x.closeTicket(o)
 }
 
 // outcomeOfDisconnect returns what an interrupted stream says about its upstream: nothing if the
--- a/relay/streamend.go
+++ b/relay/streamend.go
@@ -44,6 +44,7 @@
 	wasAsked := x.move != nil
 	end := x.judgeEnd(err)
 	if errors.Is(end.cause, io.EOF) && x.needsConfirmation(x.response) {
+		x.releaseRunConn(true) // the call may need its place
 		if err := x.confirmEnd(x.response); err != nil {
 			end.cause = err
 		}
