Streams: one whose next upstream has nothing to add is whole

What callers saw, in a review's test: a stream that was cut off although all its events had come, where its upstream was killed right behind the last one.

Cause: the stream goes on at another upstream, which has nothing to add and answers without a length. A run without an event counted as broken off, since nothing said that there were none; the other upstream was held responsible.

Evidence: the test failed before and passes now.

Change: such a run is judged like each that ends with its connection: its upstream is asked. A stream of which no event has come is judged as before.

--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -369,3 +369,26 @@
 	got := b.do(b.request("POST", "/once/x", "body"))
 	is.Equal(got.status, http.StatusOK)
 }
+
+// A stream whose upstream was killed behind its last event goes on at one that has nothing to add.
+func TestStreamIsWholeIfOtherUpstreamHasNothingToAdd(t *testing.T) {
+	is := is.New(t)
+	var once sync.Once
+	script := func(s *endingStub, c net.Conn, r stubRequest) bool {
+		if r.URL.Path == "/once/first" {
+			return respondOK("first")(c, r)
+		}
+		writeWire(c, "HTTP/1.1 200 OK\nX-Id: "+r.Header.Get("X-Id")+"\nX-Sign: s\nContent-Type: text/event-stream\n\n")
+		from, _ := strconv.Atoi(r.Header.Get("X-Last"))
+		for i := from + 1; i <= eventsOfStream; i++ {
+			_, _ = c.Write([]byte(event(i)))
+		}
+		once.Do(s.end)
+		return false
+	}
+	u1, u2 := newEndingStub(t, listen(t), "u1", 0, script), newEndingStub(t, listen(t), "u2", 0, script)
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u1.stub, u2.stub)
+	got := b.do(b.request("POST", "/flow/x", "body"))
+	is.Equal(got.body, event(1)+event(2)+event(3))
+	is.NoErr(got.err)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,7 +39,7 @@
 	x.startReadWait(nil)
 	pending, err := e.next()
 	x.endReadWait()
-	if errors.Is(err, io.EOF) && !resp.hasFraming() {
+	if errors.Is(err, io.EOF) && !resp.hasFraming() && !(e.hasEvents && x.needsConfirmation(resp)) {
 		err = io.ErrUnexpectedEOF // no event, and nothing says that there are none
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
