Responses without a length: no call for a caller that has left

What was seen, in a review's test: a caller that left while its upstream was being asked cost an idle connection, as the call was begun and ended at once: 5 idle connections before, 3 after, where 4 are right.

Change: whether the request goes on is looked at before each call.

Evidence: the test failed before and passes now.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -83,7 +83,7 @@
 
 // repeat asks until there is proof, the upstream is found to have ended, or ctx ends.
 func (q *confirmCalls) repeat(ctx context.Context) (proof string, err error) {
-	for {
+	for ctx.Err() == nil {
 		proof, err = q.ask(ctx)
 		switch {
 		case err == nil:
@@ -92,10 +92,8 @@
 			return "", errUpstreamEnded
 		}
 		sleep(ctx, endConfirmInterval)
-		if ctx.Err() != nil {
-			return "", errEndUnconfirmed
-		}
 	}
+	return "", errEndUnconfirmed
 }
 
 // ask asks once, on a new connection: a process that is about to end has closed its listener, but may answer on
--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -392,3 +393,32 @@
 	is.Equal(got.body, event(1)+event(2)+event(3))
 	is.NoErr(got.err)
 }
+
+// A caller that leaves while an end is being confirmed costs no idle connection.
+func TestLeavingCallerCostsNoIdleConnection(t *testing.T) {
+	is := is.New(t)
+	responded := make(chan struct{}, 1)
+	u := newEndingStub(t, listen(t), "u", 1000, func(s *endingStub, c net.Conn, r stubRequest) bool {
+		more := respondWithoutLength(neverEnds)(s, c, r)
+		if r.URL.Path == "/once/x" {
+			responded <- struct{}{}
+		}
+		return more
+	})
+	b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u.stub)
+	b.waitFor(func() bool {
+		b.connectBy("/once/first", 8)
+		return b.relay.conns.idleCount("u") >= 3
+	})
+	before := b.relay.conns.idleCount("u")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-responded
+		time.Sleep(endConfirmDelay / 4)
+		cancel()
+	}()
+	b.do(b.request("POST", "/once/x", "body").WithContext(ctx))
+	b.awaitLog("end not confirmed")
+	after := b.relay.conns.idleCount("u")
+	is.Equal(after, before-1) // the one that carried the request
+}
