Responses without a length: a pause of their upstream does not break them off

What callers would have seen: 502, or a stream that breaks off at its end, for sound responses without a length of an upstream that had asked the box for a pause of a second or more (found by reading, in a review).

Cause: within a pause the box makes no calls, and what is not confirmed within a second counts as broken off.

Evidence: the test, a pause of 1.5 s: both cases failed before, and pass now.

Change: the second begins with the end of the pause; the request's own time still bounds the wait.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -56,10 +56,11 @@
 // confirmEnd makes sure that the upstream has ended the response whose connection it closed; the error says that it has
 // not, or that this is not known.
 func (x *exchange) confirmEnd(resp *response) error {
+	began := time.Now()
+	sleep(x.ctx, endConfirmDelay)
+	x.awaitCallAllowed()
 	ctx, cancel := context.WithTimeout(x.ctx, endConfirmTimeout)
 	defer cancel()
-	began := time.Now()
-	sleep(ctx, endConfirmDelay)
 	calls := &confirmCalls{exchange: x, olderThan: resp.sent.began}
 	proof, err := calls.repeat(ctx)
 	f := Fields{"id": x.request.id, "upstream": x.upstream.ID, "born": x.upstream.StartedAt, "service": x.service, "took_ms": time.Since(began).Milliseconds()}
@@ -75,6 +76,14 @@
 	return nil
 }
 
+// awaitCallAllowed waits for the end of a pause that the upstream has asked for: that it wants no calls meanwhile does
+// not say that its responses have broken off.
+func (x *exchange) awaitCallAllowed() {
+	for x.relay.isPaused(x.upstream.Incarnation()) && x.ctx.Err() == nil {
+		sleep(x.ctx, endConfirmInterval)
+	}
+}
+
 // confirmCalls are the calls that find out whether the upstream of a run still runs.
 type confirmCalls struct {
 	*exchange
--- a/relay/closedend_test.go
+++ b/relay/closedend_test.go
@@ -422,3 +422,33 @@
 	after := b.relay.conns.idleCount("u")
 	is.Equal(after, before-1) // the one that carried the request
 }
+
+// Sound responses without a length were broken off where their upstream had asked for a pause of a second or more.
+func TestEndIsConfirmedAfterPause(t *testing.T) {
+	for _, path := range []string{"/once/x", "/fixed/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			began, paused := make(chan struct{}), make(chan struct{})
+			u := newEndingStub(t, listen(t), "u", 1000, func(s *endingStub, c net.Conn, r stubRequest) bool {
+				if r.URL.Path == "/safe/pause" {
+					writeWire(c, "HTTP/1.1 503 No\nX-Id: "+r.Header.Get("X-Id")+"\nX-Not-Run: 1\nRetry-After: 1.5\nContent-Length: 0\n\n")
+					return true
+				}
+				close(began)
+				<-paused
+				return respondWithoutLength(neverEnds)(s, c, r)
+			})
+			b := newTestBoxWithConfig(t, func(cfg *Config) { cfg.Protocol = reportingProtocol() }, u.stub)
+			done := make(chan callerResponse, 1)
+			go func() { done <- b.do(b.request("POST", path, "body")) }()
+			<-began
+			go b.do(b.request("POST", "/safe/pause", "body", "X-Left", "500"))
+			b.waitFor(func() bool { return b.relay.isPaused(balance.Incarnation{ID: "u", StartedAt: 1000}) })
+			close(paused)
+			got := <-done
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+		})
+	}
+}
