Responses without a length: one that was long unread may have been given up

What callers saw, in a review's test: a stream as complete with 170,658 of its 1,500,000 events, where the caller took nothing for a second: the box stopped reading, the upstream's write timed out, and it closed the connection in order and ran on.

Cause: that the upstream answers after the close says that it closed the connection itself, not that it had written all.

Change: where the box has left a full receive buffer unread for half a second, the close is not the end: the stream goes on elsewhere where its route allows it, else it is cut off, and the upstream is not held responsible. An upstream that pauses is not affected, since its buffer is empty.

Open: a box whose process stood still is not told apart by this.

--- a/relay/body.go
+++ b/relay/body.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http/httputil"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
@@ -27,7 +28,7 @@
 	case n == lengthChunked:
 		return &chunkedReader{c: c, r: httputil.NewChunkedReader(c.reader)}
 	default:
-		return &closedReader{resp}
+		return &closedReader{resp: resp, readAt: time.Now()}
 	}
 }
 
@@ -37,18 +38,56 @@
 	_ io.Reader = (*closedReader)(nil)
 )
 
-// closedReader reads a body that ends when the connection is closed; a reset is an error.
-type closedReader struct{ resp *response }
+// closedReader reads a body that ends when the connection is closed; a reset is an error, and so is the end of a body
+// that its upstream may have given up since it was not read.
+type closedReader struct {
+	resp     *response
+	readAt   time.Time // when the last read returned
+	isHeldUp bool
+}
+
+// maxHeldUp is how long a full receive buffer may stay unread before its upstream may give the response up.
+const maxHeldUp = 500 * time.Millisecond
 
 // Read implements io.Reader.
 func (r *closedReader) Read(p []byte) (int, error) {
+	if time.Since(r.readAt) > maxHeldUp && unreadBytesOf(r.resp.conn.Conn) >= fullReceiveBuffer {
+		r.isHeldUp = true
+	}
 	n, err := r.resp.conn.reader.Read(p)
-	if errors.Is(err, io.EOF) && !r.resp.isClosedInOrder() {
+	r.readAt = time.Now()
+	switch {
+	case !errors.Is(err, io.EOF):
+	case r.isHeldUp:
+		err = errHeldUp
+	case !r.resp.isClosedInOrder():
 		err = errReset
 	}
 	return n, err
 }
 
+// errHeldUp reports that the end of a response may be that of its upstream's patience.
+var errHeldUp = &Error{Op: "read response", Kind: KindNotReading, Err: errEndUnconfirmed}
+
+// fullReceiveBuffer is how many unread bytes, at the least, fill the receive buffer so far that an upstream has to
+// wait: the kernel counts more for a segment than the bytes in it.
+const fullReceiveBuffer = upstreamReceiveBuffer / 4
+
+// unreadBytesOf returns how many bytes have been received on a connection and not read.
+func unreadBytesOf(c net.Conn) int {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	return n
+}
+
 // errReset reports that the connection of a response was reset, which its reader was not told.
 var errReset = &Error{Op: "read response", Kind: KindTruncated, Err: syscall.ECONNRESET}
 
