--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,7 +39,8 @@
 	x.startReadWait(nil)
 	pending, err := e.next()
 	x.endReadWait()
-	if errors.Is(err, io.EOF) && !resp.hasFraming() && !(e.hasEvents && x.needsConfirmation(resp)) {
+	isJudgedByCall := e.hasEvents && x.needsConfirmation(resp)
+	if errors.Is(err, io.EOF) && !resp.hasFraming() && !isJudgedByCall {
 		err = io.ErrUnexpectedEOF // no event, and nothing says that there are none
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
