Soak: the stand-in of unframed answers is killed within plain ones

Cause: the upstreams were killed at fixed times. Whether one of the 24 kills fell between the halves of a plain answer without a length, which is under way for 15 ms on average, was left to chance.

Change: each second kill waits for an upstream that is between the halves. What the test asks of all three stand-ins is as before; they meet more kills within answers, so it is stricter for the one that asks the upstream.

--- a/soak/unframed_test.go
+++ b/soak/unframed_test.go
@@ -38,18 +38,35 @@
 	return nil
 }
 
-// killUpstreams kills the first two upstreams, one after the other, and starts their next lives.
+// killUpstreams kills the first two upstreams, one after the other, each second time within a plain answer without a
+// length, and starts their next lives.
 func (w *harness) killUpstreams() {
+	killed := slices.Clone(w.upstreams[:2])
 	others := w.upstreams[2:]
-	w.upstreams = slices.Clone(w.upstreams[:2])
-	defer func() { w.upstreams = append(w.upstreams, others...) }()
+	defer func() { w.upstreams = slices.Concat(killed, others) }()
 	for n := range 24 {
 		time.Sleep(4 * eventPause)
-		inject := endFaults[n%2].inject // those that kill
-		if undo := inject(w); undo != nil {
+		i := n / 2 % 2
+		if n%2 == 0 {
+			i = awaitPlainAnswer(killed)
+		}
+		w.upstreams = killed[i : i+1 : i+1]
+		if undo := endFaults[n%2].inject(w); undo != nil { // those that kill
 			undo()
 		}
+		killed[i] = w.upstreams[0]
+	}
+}
+
+// awaitPlainAnswer waits for an upstream that is within a plain answer without a length, for a second at most.
+func awaitPlainAnswer(list []*upstream) int {
+	for range 1000 {
+		if i := slices.IndexFunc(list, func(u *upstream) bool { return u.unfinishedPlain.Load() > 0 }); i >= 0 {
+			return i
+		}
+		time.Sleep(time.Millisecond)
 	}
+	return 0
 }
 
 // The checks of answers without a length find a box that takes each close for the end (ORDER, MIXED), and one that
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -38,6 +38,7 @@
 	isNextLife      bool         // another upstream listened at its address before
 	listedAt        atomic.Int64 // when the store got its entry, as endedAt
 	endsAfterAnswer atomic.Bool  // it ends after its next answer without a length
+	unfinishedPlain atomic.Int32 // plain answers without a length of which a part is missing
 
 	mu   sync.Mutex
 	runs map[string]int // by id of a running request, the number of events sent
@@ -204,12 +205,16 @@
 		return
 	}
 	w.Header().Set("Transfer-Encoding", "identity")
-	for _, part := range []string{body[:len(body)/2], body[len(body)/2:]} {
-		if !sendPart(w, part) {
-			return
-		}
-		time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
+	if !sendPart(w, body[:len(body)/2]) {
+		return
 	}
+	u.unfinishedPlain.Add(1)
+	time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
+	u.unfinishedPlain.Add(-1)
+	if !sendPart(w, body[len(body)/2:]) {
+		return
+	}
+	time.Sleep(time.Duration(rand.IntN(maxWorkMs)) * time.Millisecond)
 	u.finished(id)
 }
 
