Parts: crashes of one moment withheld a part that had been answered

Callers would get 503 for all requests with that part, for 15 s to 60 s; the part may be in every prompt of a customer.

Cause: a part that was answered lately is withheld after five crashes of which four are in succession, each of a run that was sent after the crash before. A run that is cut off is repeated at once, and may meet the next of several upstreams that end at the same moment: then that crash is in succession too. Crashes of which other boxes told had to be 0.2 s apart, own ones did not.

Change: for a part that was answered lately, all crashes in succession are 0.2 s apart. Ruled out by a trial: 20 or 5 ms between own crashes of any part.

--- a/balance/suspectreport.go
+++ b/balance/suspectreport.go
@@ -84,7 +84,7 @@
 		}
 	}
 	if j.IsPart() {
-		t.InSuccession = max(x.inSuccession, succession(x.crashes))
+		t.InSuccession = max(x.inSuccession, succession(x.crashes, x.wasSound))
 	}
 	if j.IsPart() && x.wasSound {
 		t.SoundAge = max(now-x.soundAt, 1)
@@ -153,7 +153,7 @@
 			s.verdicts.invalidate()
 		}
 	}
-	if t.InSuccession > max(x.inSuccession, succession(x.crashes)) {
+	if t.InSuccession > max(x.inSuccession, succession(x.crashes, x.wasSound)) {
 		x.inSuccession = t.InSuccession
 		s.noteChange(j)
 	}
--- a/balance/verdict.go
+++ b/balance/verdict.go
@@ -30,8 +30,10 @@
 	partSuccession    = 3
 	partCrashes       = 5
 	partMinSuccession = 2
-	// minCrashGap is the least time between two crashes in succession of which other boxes told:
-	// boxes hear of the same moment at different times.
+	// minCrashGap is the least time between two crashes in succession of which other boxes told,
+	// since boxes hear of the same moment at different times; and between any two for a part that
+	// was answered lately, since runs that are repeated at once may meet the next of several
+	// upstreams that end at the same moment, and such a part is in most of them.
 	minCrashGap = 200 * time.Millisecond
 	// soundPartSuccession applies, with partCrashes, to a part that was answered lately.
 	soundPartSuccession = 4
@@ -169,17 +171,17 @@
 // succession returns how many of the unexplained crashes are in succession, by the times that this
 // box knows or as a box with better knowledge has told.
 func (c candidate) succession() int {
-	return max(succession(c.unexplained), min(c.entry.inSuccession, len(c.unexplained)))
+	return max(succession(c.unexplained, c.isSound), min(c.entry.inSuccession, len(c.unexplained)))
 }
 
 // succession returns the largest number of crashes of which each cut off a run that was sent after
-// the one before.
-func succession(crashes []crash) int {
+// the one before. isSound says that the part was answered lately.
+func succession(crashes []crash, isSound bool) int {
 	byEnd := slices.SortedFunc(slices.Values(crashes), func(a, b crash) int { return cmp.Compare(a.ended, b.ended) })
 	n := 0
 	var last crash
 	for _, c := range byEnd {
-		if n == 0 || c.follows(last) {
+		if n == 0 || c.follows(last, isSound) {
 			n, last = n+1, c
 		}
 	}
@@ -187,8 +189,9 @@
 }
 
 // follows reports whether the run that a crash cut off was sent after another crash.
-func (c crash) follows(last crash) bool {
-	return c.began >= last.ended && (!c.told && !last.told || c.ended-last.ended >= minCrashGap)
+func (c crash) follows(last crash, isSound bool) bool {
+	needsGap := isSound || c.told || last.told
+	return c.began >= last.ended && (!needsGap || c.ended-last.ended >= minCrashGap)
 }
 
 func sameCrashes(a, b []crash) bool {
--- a/balance/verdict_test.go
+++ b/balance/verdict_test.go
@@ -67,6 +67,21 @@
 			}
 			crashUnder(s, 2*time.Second, 5, subjectsOf(5, crashPart))
 		}, []uint64{crashPart}},
+		{"a part that was answered before and is in runs that are repeated at upstreams that crash at the same moment", func(s *Suspects) {
+			s.Answered(time.Millisecond, subjectsOf(50, crashPart)...)
+			for n := range 6 {
+				began := 17*time.Second + time.Duration(n)*10*time.Millisecond
+				s.NoteConnectionLost(began+5*time.Millisecond, lostRunOf(began, n, subjectsOf(uint64(n), crashPart)...))
+				s.Ended(began+5*time.Millisecond, incarnationOf(n))
+			}
+		}, nil},
+		{"a part without answers that crashes upstreams in quick succession", func(s *Suspects) {
+			for n := range 3 {
+				began := time.Second + time.Duration(n)*10*time.Millisecond
+				s.NoteConnectionLost(began+5*time.Millisecond, lostRunOf(began, n, subjectsOf(uint64(n), crashPart)...))
+				s.Ended(began+5*time.Millisecond, incarnationOf(n))
+			}
+		}, []uint64{crashPart}},
 		{"one run that is cut off long after others crashed", func(s *Suspects) {
 			for n := range 3 {
 				s.NoteConnectionLost(time.Duration(n+1)*time.Second, lostRunOf(0, n, subjectsOf(uint64(n), crashPart)...))
