Responses without a length: one given up while the box stood still is not whole

What callers saw (hypothesis): a stream or a plain answer without a length or chunks that ends as complete with events or bytes missing, from an upstream that runs on.

Cause: whether an upstream had to wait was measured between two reads of the box. A box that is stopped (SIGSTOP) in a read that waits for bytes sees nothing of it: the read returns a part, the time between reads is short again, and behind the rest comes the end in order of an upstream that gave the answer up and answers calls. A pause that is spent in a read is no pause.

Fix: after each read the kernel is asked for the age of the last data. A full receive buffer whose last data are older than 0.5 s was full for that long, whatever the process did meanwhile. An end that has arrived already was not held up. The reads are small, so that the rest and the end cannot arrive within the read that makes room for them. The check by the box's own clock stands.

Cost: a sound answer of more than the receive buffer whose box stands still for longer than that is broken off too, as when its caller holds it up.

--- a/relay/body.go
+++ b/relay/body.go
@@ -49,13 +49,18 @@
 // maxHeldUp is how long a full receive buffer may stay unread before its upstream may give the response up.
 const maxHeldUp = 500 * time.Millisecond
 
-// Read implements io.Reader.
+// Read implements io.Reader. It reads little at a time: the upstream sends the rest of what it gave up, and the end, once
+// there is room for them.
 func (r *closedReader) Read(p []byte) (int, error) {
-	if time.Since(r.readAt) > maxHeldUp && unreadBytesOf(r.resp.conn.Conn) >= fullReceiveBuffer {
+	c := r.resp.conn
+	if time.Since(r.readAt) > maxHeldUp && receiveStateOf(c.Conn).unread >= fullReceiveBuffer {
 		r.isHeldUp = true
 	}
-	n, err := r.resp.conn.reader.Read(p)
+	n, err := c.reader.Read(p[:min(len(p), readBufferSize)])
 	r.readAt = time.Now()
+	if c.wasHeldUp(n) {
+		r.isHeldUp = true
+	}
 	switch {
 	case !errors.Is(err, io.EOF):
 	case r.isHeldUp:
@@ -73,19 +78,38 @@
 // wait: the kernel counts more for a segment than the bytes in it.
 const fullReceiveBuffer = upstreamReceiveBuffer / 4
 
-// unreadBytesOf returns how many bytes have been received on a connection and not read.
-func unreadBytesOf(c net.Conn) int {
+// wasHeldUp reports whether, before a read that returned n bytes, the receive buffer was full for long: the process may
+// have stood still, which its own clock does not tell from a wait for the upstream. An end that has arrived was not held up.
+func (c *conn) wasHeldUp(n int) bool {
+	s := receiveStateOf(c.Conn)
+	return n+c.reader.Buffered()+s.unread >= fullReceiveBuffer && s.age > maxHeldUp && !s.hasEnd
+}
+
+// receiveState is what the kernel tells of the receiving direction of a connection.
+type receiveState struct {
+	unread int           // bytes that were received and not read
+	age    time.Duration // of the last data
+	hasEnd bool          // the peer's end was received
+}
+
+// receiveStateOf returns the state of a connection; zero if the kernel does not tell.
+func receiveStateOf(c net.Conn) (s receiveState) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return 0
+		return s
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0
+		return s
 	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-	return n
+	_ = raw.Control(func(fd uintptr) {
+		s.unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			s.age = time.Duration(info.Last_data_recv) * time.Millisecond
+			s.hasEnd = info.State == unix.BPF_TCP_CLOSE_WAIT
+		}
+	})
+	return s
 }
 
 // errReset reports that the connection of a response was reset, which its reader was not told.
@@ -94,31 +118,13 @@
 // isClosedInOrder reports whether the upstream closed the connection whose end was read. The kernel tells of a reset
 // once: if a write of the request was told, a read finds the end of the connection.
 func (r *response) isClosedInOrder() bool {
-	if r.sent.succeeded() || r.conn.tunnel() != nil || isHalfClosed(r.conn.Conn) {
+	if r.sent.succeeded() || r.conn.tunnel() != nil || receiveStateOf(r.conn.Conn).hasEnd {
 		return true
 	}
 	err := r.sent.wait() // the connection is down, so that the write has ended
 	return err == nil || errors.Is(err, syscall.EPIPE)
 }
 
-// isHalfClosed reports whether the peer has closed a connection on which it can still be written to.
-func isHalfClosed(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isHalf := false
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isHalf = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
-	})
-	return isHalf
-}
-
 // fixedLengthReader reads a body of known length; an earlier end is an error.
 type fixedLengthReader struct {
 	r    io.Reader
--- a/relay/tunnelserver.go
+++ b/relay/tunnelserver.go
@@ -293,7 +293,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && t.server.hasStalled():
 			return errEndInStall
-		case errors.Is(err, io.EOF) && isHalfClosed(t.upstream):
+		case errors.Is(err, io.EOF) && receiveStateOf(t.upstream).hasEnd:
 			_ = t.writeFrame(frameEnd)
 			return err
 		case errors.Is(err, net.ErrClosed):
