Soak: upstreams that are killed, or give answers up, while a box stands still

Real boxes that are stopped for 0.5 to 5 s: long answers with a length, with chunks and without either, and killed upstream processes with the four kinds of next life.

--- a/soak/standstill_test.go
+++ b/soak/standstill_test.go
@@ -19,8 +19,8 @@
 	"github.com/doormast/doormast/platform"
 )
 
-// impatientUpstream sends long answers without a length, and gives one up that is not read: it closes the connection
-// in order and runs on.
+// impatientUpstream sends long answers in all framings, and gives one up that is not read: it closes the connection in
+// order and runs on.
 type impatientUpstream struct {
 	startedAt int64
 	patience  time.Duration
@@ -52,18 +52,63 @@
 		_ = t.SetWriteBuffer(32 << 10)
 	}
 	u.begun.Add(1)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nConnection: close\r\n", protocol.RequestID, r.Header.Get(protocol.RequestID), protocol.Signature)
+	f := framingOf(r.URL.Path)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nConnection: close\r\n%s", protocol.RequestID, r.Header.Get(protocol.RequestID), protocol.Signature, f.header(u))
 	if isStream(r.URL.Path) {
 		head += "Content-Type: text/event-stream\r\n"
 	}
 	_, _ = io.WriteString(c, head+"\r\n")
 	for n := range u.pieces {
 		time.Sleep(u.pause)
-		if !u.sendPiece(c, longPiece(n+1)) {
+		if !u.sendPiece(c, f.frame(longPiece(n+1))) {
 			u.gaveUp.Add(1)
 			return
 		}
 	}
+	_, _ = io.WriteString(c, f.frame(""))
+}
+
+// framing is what marks the end of a long answer.
+type framing int
+
+const (
+	framedByClose framing = iota
+	framedByChunks
+	framedByLength
+	framings
+)
+
+// framingOf returns the framing of the answer to the nth request with a path.
+func framingOf(path string) framing {
+	return framing(path[len(path)-1]) % framings
+}
+
+// header returns the header line of the framing.
+func (f framing) header(u *impatientUpstream) string {
+	switch f {
+	case framedByChunks:
+		return "Transfer-Encoding: chunked\r\n"
+	case framedByLength:
+		return fmt.Sprintf("Content-Length: %d\r\n", len(u.answer()))
+	}
+	return ""
+}
+
+// frame returns a piece as it is sent; the empty one ends the answer.
+func (f framing) frame(piece string) string {
+	if f == framedByChunks {
+		return fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+	}
+	return piece
+}
+
+// answer returns the body of a whole answer.
+func (u *impatientUpstream) answer() string {
+	var b strings.Builder
+	for n := range u.pieces {
+		b.WriteString(longPiece(n + 1))
+	}
+	return b.String()
 }
 
 // sendPiece sends a piece, and reports whether it was taken in time.
@@ -136,10 +181,12 @@
 func (w *harness) callFrozen(b *box, u *impatientUpstream, name string, spell time.Duration) []longAnswer {
 	var all sync.WaitGroup
 	paths := []string{"/fixed/", "/once/", "/flow/"}
-	answers := make([]longAnswer, 4*len(paths))
+	answers := make([]longAnswer, 2*len(paths)*int(framings))
 	begun := u.begun.Load() + int64(len(answers))
 	for i := range answers {
-		all.Go(func() { answers[i] = w.callLong(b, fmt.Sprint(name, "-", i), paths[i%len(paths)]) })
+		all.Go(func() {
+			answers[i] = w.callLong(b, fmt.Sprint(name, "-", i%len(paths), "-", i/len(paths)), paths[i%len(paths)])
+		})
 	}
 	for until := time.Now().Add(5 * time.Second); u.begun.Load() < begun && time.Now().Before(until); {
 		time.Sleep(watchStep)
@@ -155,18 +202,15 @@
 // countWhole returns how many answers are whole, and fails the test for those that look whole and are not.
 func (u *impatientUpstream) countWhole(t *testing.T, answers []longAnswer) (whole int) {
 	t.Helper()
-	var want strings.Builder
-	for i := range u.pieces {
-		want.WriteString(longPiece(i + 1))
-	}
+	want := u.answer()
 	for _, a := range answers {
 		switch {
 		case a.err != nil || a.status != http.StatusOK:
 			t.Logf("%s: %d %v, %d bytes %.80q", a.path, a.status, a.err, len(a.body), a.body)
-		case a.body == want.String():
+		case a.body == want:
 			whole++
 		default:
-			t.Errorf("%s: looks whole with %d of %d bytes", a.path, len(a.body), want.Len())
+			t.Errorf("%s: looks whole with %d of %d bytes", a.path, len(a.body), len(want))
 		}
 	}
 	return whole
@@ -202,3 +246,34 @@
 		})
 	}
 }
+
+// Upstream processes were killed while a box stood still, and something else listened at their addresses when it went
+// on: no caller gets what broke off as complete.
+func TestAnswersOfUpstreamsKilledWhileBoxStandsStillDoNotLookWhole(t *testing.T) {
+	daemon := buildDaemon(t)
+	for i, life := range nextLives {
+		t.Run(life.name, func(t *testing.T) {
+			w := startHarness(t, daemon, 123+i, 0)
+			processes := w.startProcesses(t, 3)
+			ctx, stop := context.WithCancel(context.Background())
+			var callers sync.WaitGroup
+			for n := range 24 {
+				callers.Go(func() { w.call(ctx, n) })
+			}
+			for n := range 4 {
+				w.awaitAnswers(60)
+				frozen := w.boxes[n%3]
+				frozen.signal(syscall.SIGSTOP)
+				ends := time.Now().Add(standstills[n%2])
+				processes[n%3] = w.replaceProcess(t, processes[n%3], life)
+				time.Sleep(time.Until(ends))
+				frozen.signal(syscall.SIGCONT)
+			}
+			stop()
+			callers.Wait()
+			report := w.report()
+			t.Log(report)
+			is.New(t).Equal(len(report.Violations), 0) // see the log above
+		})
+	}
+}
