Responses without a length: a standstill of the box does not break them off

What callers saw (hypothesis): a sound answer without a length that is cut off, or 502, after its box was stopped for a second or more.

Cause: the box gives its upstream 1 s to show that it runs on. Where the process is stopped meanwhile, the time is over when it goes on, and the answer to its call that has arrived is not read any more: the timer that closes the connection fires first.

Fix: a time limit that is noticed 250 ms late or later was not a time in which the upstream was asked; the calls begin again, within the request's own time. The proof is asked for anew, so nothing is confirmed by the delay.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -24,6 +24,8 @@
 	endConfirmTimeout = time.Second
 	// endConfirmInterval is the pause after a call that was not answered, as by an upstream with too many connections.
 	endConfirmInterval = 50 * time.Millisecond
+	// minStandstill is how late, at the least, a timer fires in a process that was stopped.
+	minStandstill = 250 * time.Millisecond
 )
 
 // Errors for responses that are not known to be whole.
@@ -59,10 +61,8 @@
 	began := time.Now()
 	sleep(x.ctx, endConfirmDelay)
 	x.awaitCallAllowed()
-	ctx, cancel := context.WithTimeout(x.ctx, endConfirmTimeout)
-	defer cancel()
 	calls := &confirmCalls{exchange: x, olderThan: resp.sent.began}
-	proof, err := calls.repeat(ctx)
+	proof, err := calls.repeatInTime()
 	f := Fields{"id": x.request.id, "upstream": x.upstream.ID, "born": x.upstream.StartedAt, "service": x.service, "took_ms": time.Since(began).Milliseconds()}
 	if err != nil {
 		f["error"] = err.Error()
@@ -90,6 +90,20 @@
 	olderThan time.Time // connections opened before this lead to the process that wrote the response, or an earlier one
 }
 
+// repeatInTime is repeat for endConfirmTimeout. It begins again if the process stood still at the end of that: answers
+// may have arrived meanwhile, at connections that have timed out.
+func (q *confirmCalls) repeatInTime() (proof string, err error) {
+	for {
+		deadline := time.Now().Add(endConfirmTimeout)
+		ctx, cancel := context.WithDeadline(q.ctx, deadline)
+		proof, err = q.repeat(ctx)
+		cancel()
+		if err == nil || errors.Is(err, errUpstreamEnded) || q.ctx.Err() != nil || time.Since(deadline) < minStandstill {
+			return proof, err
+		}
+	}
+}
+
 // repeat asks until there is proof, the upstream is found to have ended, or ctx ends.
 func (q *confirmCalls) repeat(ctx context.Context) (proof string, err error) {
 	for ctx.Err() == nil {
--- a/soak/standstill_test.go
+++ b/soak/standstill_test.go
@@ -26,6 +26,7 @@
 	patience  time.Duration
 	pieces    int           // of an answer
 	pause     time.Duration // between two pieces
+	reportsIn time.Duration // how long a report takes
 	begun     atomic.Int64  // answers
 	gaveUp    atomic.Int64
 }
@@ -38,6 +39,7 @@
 // ServeHTTP implements http.Handler.
 func (u *impatientUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if call := protocol.ReportCall(); r.Method == call.Method && r.URL.Path == call.Path {
+		time.Sleep(u.reportsIn)
 		body, _ := platform.EncodeReport(u.startedAt, nil)
 		_, _ = w.Write(body)
 		return
@@ -247,6 +249,20 @@
 	}
 }
 
+// A box stood still while it asked upstreams whether they had ended their answers: its calls had timed out when it went
+// on, and sound answers were broken off.
+func TestAnswerIsWholeIfBoxStoodStillWhileItAskedUpstream(t *testing.T) {
+	w := startHarness(t, buildDaemon(t), 127, 0)
+	u := &impatientUpstream{startedAt: time.Now().UnixMilli(), patience: heldWait, pieces: 5, reportsIn: 600 * time.Millisecond}
+	w.startImpatient(t, u)
+	for n, spell := range standstills {
+		t.Run(spell.String(), func(t *testing.T) {
+			answers := w.callFrozen(w.boxes[n%3], u, fmt.Sprint("r", n), spell)
+			is.New(t).Equal(u.countWhole(t, answers), len(answers))
+		})
+	}
+}
+
 // Upstream processes were killed while a box stood still, and something else listened at their addresses when it went
 // on: no caller gets what broke off as complete.
 func TestAnswersOfUpstreamsKilledWhileBoxStandsStillDoNotLookWhole(t *testing.T) {
