Chunks of HTTP/1.0 reach callers decoded, or not at all

What callers saw (hypothesis): answers with the sizes of their chunks in the body, status 200, and events torn apart by them; with the last chunk missing, they looked whole too. With "Connection: keep-alive" the caller waited for the end of a connection that does not end.

Cause: HTTP/1.0 has no transfer codings, and the header parser drops Transfer-Encoding of any version but HTTP/1.1. The body was read up to the close, or by a length that does not apply.

Decision, by RFC 9112, section 6.1: such a message is to be treated as if its framing were faulty, even if it has a length, and its connection is to be closed after it was processed. It is decoded, so that its last chunk is the end mark; what does not decode, and any other coding, is no response, as in HTTP/1.1; the connection carries nothing else. A body that is stated to be chunked and is not was passed on before, and is 502 now: its framing is wrong, and nothing tells whether it is whole.

--- a/relay/response.go
+++ b/relay/response.go
@@ -84,12 +84,18 @@
 	if err := checkStatusLine(c); err != nil {
 		return nil, err
 	}
+	codings := namedCodings(c)
 	resp := &response{conn: c}
 	resp.header.DisableNormalizing()
 	resp.header.SetNoDefaultContentType(true)
 	if err := resp.header.Read(c.reader); err != nil {
 		return nil, &Error{Op: "read response", Kind: KindMalformed, Err: err}
 	}
+	if len(codings) > 0 {
+		if err := decodeCodings(&resp.header, codings); err != nil {
+			return nil, err
+		}
+	}
 	return resp, nil
 }
 
