Streams: a refused connection does not end runs of an upstream that stops

Callers saw streams cut off in the middle, at several boxes at once and at the same upstream, while that upstream went on to write them. Around a planned stop of a box such a stream counts as lost.

Cause: an upstream that is told to stop closes its listener first and finishes its runs, as HTTP servers do. A request placed there before the list names it as leaving is refused. The box then marks the upstream as unreachable and probes it; the probe is refused too, and the box closed the connections of all its resumable streams there. Each cost a retry to go on elsewhere, and broke off where the retry budget was used up or no upstream of its software was left.

A refused connection shows that the host is up. Its system closes the connections of a process that has ended, and answers for those of before a restart with a reset, at the keep-alive probe after 1 s at the latest. So there is nothing to end: runs are closed after a probe only if that was not answered.

TestStreamLeavesUnreachableUpstream closed the listener of an upstream to make a probe fail, which asked for the fault.

--- a/relay/probe.go
+++ b/relay/probe.go
@@ -72,10 +72,7 @@
 	inc := u.Incarnation()
 	c, err := dial(ctx, u.Address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) && !r.reachedByOther(ctx, u) {
-			r.noteEnd(inc)
-		}
-		r.closeRetriableRuns(inc)
+		r.handleFailedProbe(ctx, u, err)
 		r.probeTunnel(ctx, u)
 		return // the next round probes it again
 	}
@@ -90,10 +87,23 @@
 	}
 }
 
-// closeRetriableRuns closes the connections of the runs on an incarnation that is unreachable
-// or has ended, where the request may run again: it is retried on another upstream at once
-// instead of after the TCP timeout. It is called only after a probe has failed as well, since
-// overloaded engines let connections wait too.
+// handleFailedProbe ends what is lost with an upstream to which a probe failed. A host that refuses
+// connections closes those of a process that has ended itself, and a process that is about to stop
+// finishes its runs after it has closed its listener.
+func (r *Relay) handleFailedProbe(ctx context.Context, u balance.Upstream, err error) {
+	inc := u.Incarnation()
+	switch {
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		r.closeRetriableRuns(inc)
+	case !r.reachedByOther(ctx, u):
+		r.noteEnd(inc)
+	}
+}
+
+// closeRetriableRuns closes the connections of the runs on an incarnation that is unreachable,
+// where the request may run again: it is retried on another upstream at once instead of after the
+// TCP timeout. It is called only after a probe has failed as well, since overloaded engines let
+// connections wait too.
 func (r *Relay) closeRetriableRuns(inc balance.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -101,8 +101,9 @@
 		writeChunk(c, "")
 		return true
 	}
-	u1, u2 := newStub(t, "u1", script), newStub(t, "u2", script)
-	b := newTestBox(t, u1, u2)
+	u1, u2 := newDarkUpstream(t, "u1"), newDarkUpstream(t, "u2")
+	u1.script, u2.script = script, script
+	b := newTestBox(t, u1.stub, u2.stub)
 	resp, err := http.DefaultClient.Do(b.request("POST", "/flow/x", ""))
 	is.NoErr(err)
 	defer func() { _ = resp.Body.Close() }()
@@ -114,8 +115,8 @@
 	if len(u1.requests()) == 0 {
 		first = u2
 	}
-	is.NoErr(first.listener.Close())
-	b.relay.probeUnreachable(context.Background(), balance.Upstream{ID: first.id, Address: first.listener.Addr().String()}) // a connection trial that fails
+	first.disappear()
+	b.relay.probeUnreachable(context.Background(), balance.Upstream{ID: first.id, Address: first.listener.Addr().String()})
 	rest, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.Equal(string(rest), event(2))
