Streams: a listener that is closed does not end runs at an upstream's earlier address

Callers saw streams cut off, at several boxes at once, when an upstream that was finishing its runs was listed as started again at another address.

Cause: the box tries the earlier address and took any failed attempt for the end of the earlier incarnation. One that is told to stop refuses connections while it finishes its runs. As with probes, a refused connection shows a host that is up, and whose system ends the connections of a process that has ended; only an attempt that is not answered ends the runs.

TestRunsAtEarlierAddress asked for the fault: with the listener closed and the run alive it expected the stream to be sent again. It now has three cases.

--- a/relay/incarnation.go
+++ b/relay/incarnation.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,8 @@
 
 // endEarlierRuns ends those runs on earlier incarnations of an upstream whose requests may run
 // again. At the upstream's current address nothing answers them any more; at another address
-// the earlier incarnation may still finish its runs, unless a connection attempt there fails.
+// the earlier incarnation may still finish its runs, unless its host does not respond. A refused
+// connection does not say that: the incarnation may have closed its listener first.
 func (r *Relay) endEarlierRuns(u balance.Upstream) {
 	for address, list := range r.earlierRuns(u) {
 		if address == u.Address {
@@ -39,11 +41,12 @@
 		}
 		go func() {
 			c, err := dial(context.Background(), address)
-			if err != nil {
+			switch {
+			case err == nil:
+				_ = c.Close()
+			case !errors.Is(err, syscall.ECONNREFUSED):
 				closeAll(list)
-				return
 			}
-			_ = c.Close()
 		}()
 	}
 }
--- a/relay/incarnation_test.go
+++ b/relay/incarnation_test.go
@@ -365,40 +365,48 @@
 	is.Equal(len(u.requests()), 1)
 }
 
-// An earlier incarnation at another address may still finish its runs; if nothing listens
-// there, they are ended.
+// An earlier incarnation at another address may still finish its runs, also after it has closed its
+// listener; if its host does not respond, they are ended.
 func TestRunsAtEarlierAddress(t *testing.T) {
-	for _, listens := range []bool{true, false} {
-		t.Run(fmt.Sprint("listens ", listens), func(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		withdraw func(*darkUpstream)
+		goesOn   bool
+	}{
+		{"listens", func(*darkUpstream) {}, true},
+		{"has closed its listener", func(u *darkUpstream) { _ = u.listener.Close() }, true},
+		{"does not respond", (*darkUpstream).disappear, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			proceed := make(chan struct{})
-			first := newStub(t, "u", twoEvents(proceed))
+			first := newDarkUpstream(t, "u")
+			first.script = twoEvents(proceed)
 			next := newStub(t, "u", func(c net.Conn, r stubRequest) bool {
 				startStream(c, r)
 				writeChunk(c, event(2))
 				writeChunk(c, "")
 				return true
 			})
-			b := newTestBox(t, first)
-			b.listIncarnation(first, 100, false)
+			b := newTestBox(t, first.stub)
+			b.listIncarnation(first.stub, 100, false)
 			b.awaitIncarnation("u", 100)
 			done := make(chan callerResponse, 1)
 			go func() { done <- b.do(b.request("POST", "/flow/x", "")) }()
 			b.waitFor(func() bool { return len(first.requests()) == 1 })
-			if !listens {
-				is.NoErr(first.listener.Close())
-			}
+			test.withdraw(first)
 			born := time.Now().UnixMilli() + 1
 			b.listIncarnation(next, born, false)
 			b.awaitIncarnation("u", born)
-			if listens {
-				is.Equal(b.do(b.request("POST", "/fixed/y", "")).status, 200) // the check of the earlier address may still be in progress
+			if test.goesOn {
+				is.Equal(b.do(b.request("POST", "/fixed/y", "")).status, 200)
+				time.Sleep(balance.DialWait / 4) // the check of the earlier address may still be in progress
 				close(proceed)
 			}
 			is.Equal((<-done).body, event(1)+event(2))
 			is.Equal(len(first.requests()), 1)
-			is.Equal(len(next.requests()), 1)
-			if !listens {
+			is.Equal(len(next.requests()), 1) // the other stream, or the rest of this one
+			if !test.goesOn {
 				close(proceed)
 			}
 		})
