Streams: the next incarnation of a leaving upstream does not end its runs

Callers saw streams cut off, at several boxes at once, when an upstream that was finishing its runs was listed as started again under its ID and at its address.

Cause: for the address of the next incarnation the box assumed that nothing answers the runs of the one before. A process that stops closes its listener first, so that the next one can listen at its address while it finishes. Where the box knows that the earlier incarnation was leaving, its runs are kept now; a host that has lost them ends their connections at the keep-alive probe. Where it was not leaving, they are ended at once as before (TestRestartDuringStreams).

Evidence: TestStreamOfLeavingUpstreamIsCutOffByNextIncarnation failed before in 3 of 3 plays with an unexpected EOF, 3 of 3 pass now.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -45,6 +45,7 @@
 	sendTimeout time.Duration // how long what is sent may stay unacknowledged
 	idleUntil   time.Time     // it may be reused until then
 	proven      bool          // it leads to the incarnation
+	finishing   bool          // the incarnation was leaving, and another one is listed; guarded by the relay's mu
 	anonymous   bool          // it has carried a request without an ID
 }
 
--- a/relay/incarnation.go
+++ b/relay/incarnation.go
@@ -30,10 +30,14 @@
 }
 
 // endEarlierRuns ends those runs on earlier incarnations of an upstream whose requests may run
-// again. At the upstream's current address nothing answers them any more; at another address
-// the earlier incarnation may still finish its runs, unless its host does not respond. A refused
-// connection does not say that: the incarnation may have closed its listener first.
-func (r *Relay) endEarlierRuns(u balance.Upstream) {
+// again; before is its entry before. At the upstream's current address nothing answers them any
+// more, unless the incarnation was leaving; at another address the earlier incarnation may still
+// finish its runs, unless its host does not respond. A refused connection does not say that: the
+// incarnation may have closed its listener first.
+func (r *Relay) endEarlierRuns(before, u balance.Upstream) {
+	if before.Leaving {
+		r.letFinish(before.Incarnation())
+	}
 	for address, list := range r.earlierRuns(u) {
 		if address == u.Address {
 			closeAll(list)
@@ -51,6 +55,16 @@
 	}
 }
 
+// letFinish keeps the runs on an incarnation that was leaving: it may finish them at an address where
+// the next one already listens.
+func (r *Relay) letFinish(inc balance.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.runConns {
+		c.finishing = c.finishing || c.incarnation == inc
+	}
+}
+
 // earlierRuns returns the connections of runs on earlier incarnations of an upstream whose
 // requests may run again, by address. A connection that was opened after the current
 // incarnation had started already leads to it, though this box learned of the restart later;
@@ -62,7 +76,8 @@
 	defer r.mu.Unlock()
 	runs := make(map[string][]*conn)
 	for x, c := range r.runConns {
-		if x.route.CanRepeat() && u.Incarnation().After(c.incarnation) && c.openedBefore(now, u.StartedAt) {
+		isEarlier := u.Incarnation().After(c.incarnation) && c.openedBefore(now, u.StartedAt)
+		if isEarlier && x.route.CanRepeat() && !(c.finishing && c.address == u.Address) {
 			runs[c.address] = append(runs[c.address], c)
 		}
 	}
--- a/relay/incarnation_test.go
+++ b/relay/incarnation_test.go
@@ -412,3 +412,30 @@
 		})
 	}
 }
+
+// A stream was cut off when its upstream, which finished its runs after it had announced that it was leaving, was
+// listed as started again at the same address.
+func TestStreamOfLeavingUpstreamIsCutOffByNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	first := newStub(t, "u", twoEvents(proceed))
+	b := newTestBox(t, first)
+	b.listIncarnation(first, 100, false)
+	b.awaitIncarnation("u", 100)
+	done := make(chan callerResponse, 1)
+	go func() { done <- b.do(b.request("POST", "/flow/x", "")) }()
+	b.waitFor(func() bool { return len(first.requests()) == 1 })
+	b.listIncarnation(first, 100, true)
+	b.awaitLog(`"leaving":true`)
+	next := first.restart(t, respondOK("next"))
+	born := time.Now().UnixMilli() + 1
+	b.listIncarnation(next, born, false)
+	b.awaitLog(fmt.Sprintf(`"born":%d`, born))
+	b.listIncarnation(next, born, true) // an update of the next one changes nothing
+	b.waitFor(func() bool { return b.log.count(`"leaving":true`) == 2 })
+	close(proceed)
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(got.body, event(1)+event(2))
+	is.Equal(len(next.requests()), 0)
+}
--- a/relay/update.go
+++ b/relay/update.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if c.serviceKnown {
-		r.endEarlierRuns(u)
+		r.endEarlierRuns(c.before, u)
 	}
 	if c.before.ID != "" && c.before.Software != u.Software {
 		r.conns.closeIdle(u.ID) // they may lead to its earlier process
