--- a/relay/oldversion.go
+++ b/relay/oldversion.go
@@ -18,11 +18,11 @@
 // namedCodings returns the transfer codings that the next response names if its version has none: the header parser
 // passes over them.
 func namedCodings(c *conn) (codings []string) {
-	head := peekHead(c)
-	if bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
+	const codingVersion = "HTTP/1.1 "
+	if b, _ := c.reader.Peek(len(codingVersion)); string(b) == codingVersion {
 		return nil
 	}
-	for line := range bytes.Lines(head) {
+	for line := range bytes.Lines(peekHead(c)) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
 			codings = append(codings, splitList(string(value))...)
