Dial: a connection that the kernel has established in time is used

With other upstreams in the list the request goes elsewhere, but the upstream counts as unreachable here and is reported to other boxes.

Cause: the limit of 350 ms for a connection ran in the process. One whose goroutines got no core, or that was stopped, found the limit passed when it ran again, closed the connection that the kernel had established at once, and took the upstream for unreachable.

Change: at the limit the box asks the kernel. If it still waits for the peer's answer (SYN_SENT), the attempt ends as before, with the same error. Else the answer is there, or connecting has not begun, and the box looks again after the same time.

--- a/relay/dial.go
+++ b/relay/dial.go
@@ -1,21 +1,89 @@
 package relay
 
 // This file defines how connections to upstreams are opened, and the socket options by which
-// the kernel monitors them. The invariant: an unresponsive upstream host is detected within
-// seconds, whether or not sent data is unacknowledged.
+// the kernel monitors them. The invariants: an unresponsive upstream host is detected within
+// seconds, whether or not sent data is unacknowledged; and a connection that was established in time
+// is used, also by a box that learns of it late because its process did not run.
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/doormast/doormast/balance"
 )
 
+// dial opens a connection within balance.DialWait.
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: balance.DialWait, KeepAliveConfig: keepAlive, Control: setSocketOptions}
-	return d.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &dialAttempt{ctx: ctx, cancel: cancel}
+	timer := time.AfterFunc(balance.DialWait, a.checkTimeout)
+	defer timer.Stop()
+	d := net.Dialer{KeepAliveConfig: keepAlive, Control: a.control}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil && a.timedOut.Load() {
+		return nil, timeoutOf(err)
+	}
+	return c, err
+}
+
+// dialAttempt is a connection that is being opened.
+type dialAttempt struct {
+	ctx      context.Context // ends with the attempt
+	cancel   context.CancelFunc
+	socket   atomic.Pointer[syscall.RawConn] // nil: not created yet
+	timedOut atomic.Bool
+}
+
+// control sets the options of the socket before it connects.
+func (a *dialAttempt) control(network, address string, raw syscall.RawConn) error {
+	a.socket.Store(&raw)
+	return setSocketOptions(network, address, raw)
+}
+
+// checkTimeout ends the attempt if the peer has not answered. Otherwise the process did not run: it has
+// not begun to connect, or not noticed the answer.
+func (a *dialAttempt) checkTimeout() {
+	switch {
+	case a.ctx.Err() != nil: // the attempt has ended
+	case a.isUnanswered():
+		a.timedOut.Store(true)
+		a.cancel()
+	default:
+		time.AfterFunc(balance.DialWait, a.checkTimeout)
+	}
+}
+
+// isUnanswered reports whether the kernel waits for the peer's answer.
+func (a *dialAttempt) isUnanswered() bool {
+	raw := a.socket.Load()
+	if raw == nil {
+		return false
+	}
+	const synSent = 2 // TCP_SYN_SENT of tcp_states.h
+	unanswered := false
+	_ = (*raw).Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		unanswered = err != nil || info.State == synSent
+	})
+	return unanswered
+}
+
+// timeoutOf returns the error of an attempt that has timed out, given that of its cancellation.
+func timeoutOf(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		op.Err = os.ErrDeadlineExceeded
+		return op
+	}
+	return os.ErrDeadlineExceeded
 }
 
 // usesTunnel reports whether connections to an upstream lead through another box.
