--- a/relay/incarnation.go
+++ b/relay/incarnation.go
@@ -77,7 +77,8 @@
 	runs := make(map[string][]*conn)
 	for x, c := range r.runConns {
 		isEarlier := u.Incarnation().After(c.incarnation) && c.openedBefore(now, u.StartedAt)
-		if isEarlier && x.route.CanRepeat() && !(c.finishing && c.address == u.Address) {
+		finishes := c.finishing && c.address == u.Address
+		if isEarlier && !finishes && x.route.CanRepeat() {
 			runs[c.address] = append(runs[c.address], c)
 		}
 	}
