Callers: a request that arrives while the box stands still is answered

What callers saw: a connection that is reset, or 408, for a request that was sent in time. The cause is shown; that a reported request was lost by it is not.

Cause: a wait for a request, or for the rest of its header, has a deadline. In a process that was stopped (SIGSTOP) the timer fires as soon as it goes on, often before the poller tells that bytes have arrived. The connection was closed with the request unread, so that the system reset it.

Fix: at the end of the wait, what has arrived is read without waiting, as was done already where a stopping box closes connections at rest. A sender that is slow in a running box gets no further time.

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -161,13 +161,26 @@
 	if !conns.await(c, time.Now().Add(wait)) {
 		return c.readArrived(first)
 	}
-	n, err := c.Conn.Read(first)
+	n, err := c.readInTime(first)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && conns.isClosing() {
-		return c.readArrived(first)
+		return 0, io.EOF
 	}
 	return n, err
 }
 
+// readInTime is Read of the connection, but for bytes that arrived while the process stood still: its deadline has
+// passed as well when it goes on.
+func (c *callerConn) readInTime(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if arrived, _ := c.readArrived(p); arrived > 0 {
+		return arrived, nil
+	}
+	return 0, err
+}
+
 // readArrived reads what has arrived without waiting; io.EOF if there is nothing.
 func (c *callerConn) readArrived(p []byte) (n int, err error) {
 	if c.raw == nil {
@@ -211,7 +224,7 @@
 			c.readErr = errMemoryShort
 			break
 		}
-		n, err := c.Conn.Read(b.buf[len(b.buf):cap(b.buf)])
+		n, err := c.readInTime(b.buf[len(b.buf):cap(b.buf)])
 		b.buf = b.buf[:len(b.buf)+n]
 		if err != nil {
 			c.readErr = err
@@ -285,7 +298,7 @@
 
 // readBody reads part of a body that was not buffered with the header.
 func (c *callerConn) readBody(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.readInTime(p)
 	if n > 0 && !c.lease.Grow(bodyMemoryFactor*int64(n), c.memoryShare) {
 		c.readErr = errMemoryShort
 		return 0, errMemoryShort
