Responses without a length: small segments fill the receive buffer

What callers saw: on a busy machine a stream without a length that its upstream gave up, since it was not read, ended as complete.

Cause: whether the upstream may have had to wait was told by the number of unread bytes, 16 KB of a buffer of 64 KB. The kernel charges small segments more than their bytes: traced plays show a window of 0 with 3,875 and 11,649 unread bytes, for which 124,871 of 131,072 bytes of the buffer were charged.

Change: the kernel is asked what share of the buffer the unread segments take up (SO_MEMINFO); half of it counts as full. Where the kernel does not tell, the bytes decide as before.

--- a/relay/body.go
+++ b/relay/body.go
@@ -53,7 +53,7 @@
 // there is room for them.
 func (r *closedReader) Read(p []byte) (int, error) {
 	c := r.resp.conn
-	if time.Since(r.readAt) > maxHeldUp && receiveStateOf(c.Conn).unread >= fullReceiveBuffer {
+	if time.Since(r.readAt) > maxHeldUp && receiveStateOf(c.Conn).isFull(0) {
 		r.isHeldUp = true
 	}
 	n, err := c.reader.Read(p[:min(len(p), readBufferSize)])
@@ -82,16 +82,22 @@
 // have stood still, which its own clock does not tell from a wait for the upstream. An end that has arrived was not held up.
 func (c *conn) wasHeldUp(n int) bool {
 	s := receiveStateOf(c.Conn)
-	return n+c.reader.Buffered()+s.unread >= fullReceiveBuffer && s.age > maxHeldUp && !s.hasEnd
+	return s.isFull(n+c.reader.Buffered()) && s.age > maxHeldUp && !s.hasEnd
 }
 
 // receiveState is what the kernel tells of the receiving direction of a connection.
 type receiveState struct {
 	unread int           // bytes that were received and not read
+	memory float64       // share of the receive buffer that they take, with the overhead of their segments
 	age    time.Duration // of the last data
 	hasEnd bool          // the peer's end was received
 }
 
+// isFull reports whether the peer may have to wait, or had to before so many bytes were read.
+func (s receiveState) isFull(read int) bool {
+	return read+s.unread >= fullReceiveBuffer || s.memory >= 0.5
+}
+
 // receiveStateOf returns the state of a connection; zero if the kernel does not tell.
 func receiveStateOf(c net.Conn) (s receiveState) {
 	sc, ok := c.(syscall.Conn)
@@ -104,6 +110,7 @@
 	}
 	_ = raw.Control(func(fd uintptr) {
 		s.unread, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		s.memory = receiveMemory(int(fd))
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			s.age = time.Duration(info.Last_data_recv) * time.Millisecond
 			s.hasEnd = info.State == unix.BPF_TCP_CLOSE_WAIT
@@ -112,6 +119,16 @@
 	return s
 }
 
+// receiveMemory returns the share of a socket's receive buffer that is in use; 0 if the kernel does not tell.
+func receiveMemory(fd int) float64 {
+	const used, size = 0, 1                                                        // SK_MEMINFO_RMEM_ALLOC, SK_MEMINFO_RCVBUF
+	info, err := unix.GetsockoptICMPv6Filter(fd, unix.SOL_SOCKET, unix.SO_MEMINFO) // any array of numbers
+	if err != nil || info.Data[size] == 0 {
+		return 0
+	}
+	return float64(info.Data[used]) / float64(info.Data[size])
+}
+
 // errReset reports that the connection of a response was reset, which its reader was not told.
 var errReset = &Error{Op: "read response", Kind: KindTruncated, Err: syscall.ECONNRESET}
 
