Domains: refused connections do not make a domain count as cut off

What callers saw: resumable streams of a failure domain cut off, or moved at the cost of a retry, at once, while its boxes were all stopped and two of its upstreams, about to stop, refused connections.

Cause: two upstreams in a row that are out of reach make a domain count as cut off where none of its boxes is heard, and its runs are closed. A refused connection counted, though it shows that the host answers; an upstream that stops closes its listener first and finishes its runs.

Change: a refusal puts that upstream out of reach, as before, and says nothing of its domain. One that is not answered, or goes silent, counts as before.

--- a/balance/reach.go
+++ b/balance/reach.go
@@ -71,14 +71,23 @@
 	}
 	d := f.domainReachOf(m.Domain)
 	d.recordFailure(now, !m.unreachable)
+	f.recordRefused(now, m)
+	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
+		f.markDomainCutOff(m.Domain, m.ID)
+	}
+}
+
+// recordRefused notes that the host of an upstream refused a connection. Its domain does not count as
+// failing: the host answers, and its upstream may have closed its listener to stop.
+func (f *Fleet) recordRefused(now time.Duration, m *member) {
+	if !f.isListed(m) {
+		return
+	}
 	isNew := !m.unreachable
 	f.lose(m, false, m.ID)
 	if isNew {
 		f.doubtPaths(now, m)
 	}
-	if m.Domain != f.cfg.Domain && d.consecutive >= cutOffThreshold && d.inferred == 0 && !f.cfg.Off[DomainCutOff] {
-		f.markDomainCutOff(m.Domain, m.ID)
-	}
 }
 
 // CutOffDomains returns the sorted names of the failure domains that this box treats as cut off.
--- a/balance/ticket.go
+++ b/balance/ticket.go
@@ -160,7 +160,7 @@
 		}
 	case ConnectionRefused:
 		if !t.tunnelled {
-			t.fleet.recordUnreachable(now, t.member)
+			t.fleet.recordRefused(now, t.member)
 		}
 		t.fleet.suspectRestart(now, t.member)
 	case ConnectionLost:
--- a/balance/tunnel.go
+++ b/balance/tunnel.go
@@ -188,7 +188,7 @@
 		f.lose(m, false, m.ID)
 		f.doubtPaths(now, m)
 	case o == ConnectionRefused:
-		f.recordUnreachable(now, m)
+		f.recordRefused(now, m)
 	}
 }
 
