Chunks of HTTP/1.0 from plain services and engines are decoded, or no response

What callers saw (hypothesis): answers of plain services with the sizes of their chunks in the body, as answered, and cut off ones as whole; with "Connection: keep-alive" no answer, as the box waited for the end of the connection. Streams of engines whose events are split over chunks were answered with events torn apart, and control calls failed.

Cause: as in the relay, the header parser drops Transfer-Encoding of any version but HTTP/1.1, so that the body was read up to the close or by a length that does not apply.

Change: the relay's decision by RFC 9112, section 6.1, moves to internal/framing, which both use; relay/oldversion_test.go is unchanged. internal/upstream reads headers one by one, since the response behind an interim one may be of another version, and reads runs and control calls the same way. Connections that a response asks to close are no longer kept after control calls and paused runs, which had not looked at that. Empty lines before a response, which the parser of internal/upstream skips, hide no coding. A body that is stated to be chunked and is not was answered before, and is a failure now.

Requests of HTTP/1.0 with a coding are refused by the server's parser (read, not run).

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -18,6 +18,7 @@
 
 	"github.com/doormast/doormast/cell"
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/framing"
 )
 
 // bodyOf returns a reader of the body of a response, streamed or not.
@@ -72,10 +73,7 @@
 
 // endsWithConnection reports whether only the end of its connection ends an answer.
 func endsWithConnection(resp *fasthttp.Response) bool {
-	const noLength = -2 // what fasthttp returns where a header states none
-	status := resp.StatusCode()
-	hasBody := status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
-	return hasBody && resp.Header.ContentLength() == noLength
+	return hasBody(resp) && resp.Header.ContentLength() == framing.LengthUnknown
 }
 
 // lacksBody reports whether an answer whose connection ended behind its header is incomplete: it is a success, and
@@ -107,7 +105,7 @@
 			return cell.Result{Outcome: decide.Answered, Ran: true}
 		}
 		if bytes.Contains(data, []byte(`"finish_reason":"`+finishPaused+`"`)) {
-			r.clean = readEnd(k, lines)
+			r.clean = readEnd(k, lines) && !resp.ConnectionClose()
 			return cell.Result{Outcome: decide.Paused, Ran: true}
 		}
 		if err := r.sink.Event(data); err != nil {
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -28,14 +28,18 @@
 	_ = k.SetDeadline(deadline)
 	var resp fasthttp.Response
 	if err = writeRequest(k, Call{Address: address, Method: method, Path: path, Body: body, Type: "application/json"}); err == nil {
-		err = resp.ReadLimitBody(k.r, 1<<20)
+		err = readResponse(k.r, &resp, 1<<20)
 	}
 	if err != nil {
 		_ = k.Close()
 		return nil, err
 	}
 	_ = k.SetDeadline(time.Time{})
-	h.put(address, k)
+	if resp.ConnectionClose() {
+		_ = k.Close()
+	} else {
+		h.put(address, k)
+	}
 	h.recordNotice(address, &resp)
 	if resp.StatusCode() >= 300 {
 		return resp.Body(), fmt.Errorf("upstream %s: %s %s: status %d", address, method, path, resp.StatusCode())
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -182,7 +182,7 @@
 	var resp fasthttp.Response
 	resp.StreamBody = true
 	resp.SkipBody = r.call.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(k.r, 0); err != nil && !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	if err := readResponse(k.r, &resp, 0); err != nil {
 		return failed
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
--- a/relay/body.go
+++ b/relay/body.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"github.com/doormast/doormast/internal/framing"
 )
 
 // bodyReader returns a reader for the body: of known length, chunked, or until the connection is
@@ -25,7 +27,7 @@
 		return bytes.NewReader(nil)
 	case n >= 0:
 		return &fixedLengthReader{r: c.reader, left: n}
-	case n == lengthChunked:
+	case n == framing.LengthChunked:
 		return &chunkedReader{c: c, r: httputil.NewChunkedReader(c.reader)}
 	default:
 		return &closedReader{resp: resp, readAt: time.Now()}
--- a/relay/collect.go
+++ b/relay/collect.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/doormast/doormast/internal/framing"
 )
 
 // requestBuffer holds the part of a request read so far.
@@ -21,7 +23,7 @@
 // is not buffered.
 func (b *requestBuffer) complete() bool {
 	if b.headLen == 0 {
-		if b.headLen = headEnd(b.buf, b.scanned); b.headLen == 0 {
+		if b.headLen = framing.HeaderEnd(b.buf, b.scanned); b.headLen == 0 {
 			b.scanned = max(0, len(b.buf)-len("\n\r"))
 			return len(b.buf) >= maxHeaderBytes // the server refuses the header as too long
 		}
@@ -45,24 +47,6 @@
 // emptyLine is what may precede a request.
 const emptyLine = "\r\n"
 
-// headEnd returns the offset at which the header ends, or 0 if it is incomplete. No header ends before
-// from.
-func headEnd(b []byte, from int) int {
-	for i := from; ; i++ {
-		n := bytes.IndexByte(b[i:], '\n')
-		if n < 0 {
-			return 0
-		}
-		i += n
-		switch rest := b[i+1:]; {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return i + len("\n\n")
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return i + len("\n\r\n")
-		}
-	}
-}
-
 // parseBodyLength reads the length of the body from a header. bodyFollows is true if the body is not
 // to be buffered: it is long, of unknown length, or sent only after a 100 Continue.
 func parseBodyLength(head []byte) (length int, bodyFollows bool) {
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -10,7 +10,7 @@
 //   - callers: accept.go, server.go, callerstate.go, caller.go, collect.go, request.go, disconnect.go, callerwrite.go, refusal.go
 //   - a request from its admission (arrival.go, documentwait.go) to its end (exchange.go), with its retries
 //     (runs.go, retry.go, pausequeue.go), each run (attempt.go, outgoing.go) and the outcome of a run (outcome.go)
-//   - responses: response.go, oldversion.go, bounded.go, body.go, events.go, stream.go, streamend.go, closedend.go, pace.go, and moving a stream between
+//   - responses: response.go, bounded.go, body.go, events.go, stream.go, streamend.go, closedend.go, pace.go, and moving a stream between
 //     upstreams: move.go
 //   - upstreams: conns.go, dial.go, probe.go, silence.go, incarnation.go, unacked.go, limit.go,
 //     notices.go, withhold.go, content.go, cutoff.go, verify.go
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/doormast/doormast/balance"
 	"github.com/doormast/doormast/internal/account"
+	"github.com/doormast/doormast/internal/framing"
 	"github.com/doormast/doormast/route"
 )
 
@@ -118,7 +119,7 @@
 		x.endWithRefusal(ctx, *refused)
 	case x.events != nil:
 		x.copyHeaders(ctx)
-		ctx.Response.SetBodyStream(x, lengthChunked) // the server calls Close at its end
+		ctx.Response.SetBodyStream(x, framing.LengthChunked) // the server calls Close at its end
 	default:
 		x.copyHeaders(ctx)
 		ctx.Response.SetBodyRaw(body)
--- a/relay/response.go
+++ b/relay/response.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/doormast/doormast/internal/framing"
 )
 
 // response is an upstream's response whose header has been read.
@@ -84,18 +86,12 @@
 	if err := checkStatusLine(c); err != nil {
 		return nil, err
 	}
-	codings := namedCodings(c)
 	resp := &response{conn: c}
 	resp.header.DisableNormalizing()
 	resp.header.SetNoDefaultContentType(true)
-	if err := resp.header.Read(c.reader); err != nil {
+	if err := framing.ReadHeader(c.reader, &resp.header); err != nil {
 		return nil, &Error{Op: "read response", Kind: KindMalformed, Err: err}
 	}
-	if len(codings) > 0 {
-		if err := decodeCodings(&resp.header, codings); err != nil {
-			return nil, err
-		}
-	}
 	return resp, nil
 }
 
@@ -115,14 +111,8 @@
 	return nil
 }
 
-// The lengths that fasthttp returns for a body whose header states none.
-const (
-	lengthChunked = -1 // chunked encoding
-	lengthUnknown = -2 // the body ends when the connection is closed
-)
-
 // hasFraming reports whether the end of the body can be found without the connection being closed.
-func (r *response) hasFraming() bool { return r.header.ContentLength() != lengthUnknown }
+func (r *response) hasFraming() bool { return r.header.ContentLength() != framing.LengthUnknown }
 
 // endsWithConnection reports whether the response has a body whose end nothing marks but the close of the connection.
 func (r *response) endsWithConnection() bool {
