Streams: the next incarnation does not end runs of one whose leaving entry is gone

Callers see (hypothesis) a stream cut off whose upstream was leaving, whose entry was removed while it finished its runs, and whose next incarnation is listed at the same address.

Cause: whether the earlier incarnation was leaving was asked of its entry at that moment. With the entry gone the box took it for one that had ended unannounced. The fleet keeps that state longer than the entry; it is asked now.

Evidence: TestStreamOfRemovedLeavingUpstreamIsCutOffByNextIncarnation failed before in 3 of 3 plays with an unexpected EOF, and passes in 2 of 2 now, with the other tests of incarnations and restarts. Not shown with real processes: whether a platform removes an entry before the process ends.

--- a/balance/incarnation.go
+++ b/balance/incarnation.go
@@ -136,6 +136,13 @@
 	return last.entry.StartedAt == l.StartedAt && last.leaving
 }
 
+// LeavingIncarnation returns the latest known incarnation of an upstream, also one whose entry has been
+// removed; false if it is not known to be leaving.
+func (f *Fleet) LeavingIncarnation(id string) (Incarnation, bool) {
+	last := f.incarnations[id]
+	return last.entry.Incarnation(), last.leaving
+}
+
 // NoteLeaving records that an incarnation reported in an answer that it takes no new requests. It
 // returns whether that is new. No entry reverts it: entries are older than answers.
 func (f *Fleet) NoteLeaving(l Incarnation) bool {
--- a/relay/incarnation.go
+++ b/relay/incarnation.go
@@ -30,13 +30,13 @@
 }
 
 // endEarlierRuns ends those runs on earlier incarnations of an upstream whose requests may run
-// again; before is its entry before. At the upstream's current address nothing answers them any
-// more, unless the incarnation was leaving; at another address the earlier incarnation may still
-// finish its runs, unless its host does not respond. A refused connection does not say that: the
-// incarnation may have closed its listener first.
-func (r *Relay) endEarlierRuns(before, u balance.Upstream) {
-	if before.Leaving {
-		r.letFinish(before.Incarnation())
+// again; left is the incarnation before if that was leaving, else nil. At the upstream's current
+// address nothing answers them any more, unless the incarnation was leaving, though its entry may be
+// gone; at another address the earlier incarnation may still finish its runs, unless its host does not
+// respond. A refused connection does not say that: the incarnation may have closed its listener first.
+func (r *Relay) endEarlierRuns(left *balance.Incarnation, u balance.Upstream) {
+	if left != nil {
+		r.letFinish(*left)
 	}
 	for address, list := range r.earlierRuns(u) {
 		if address == u.Address {
--- a/relay/incarnation_test.go
+++ b/relay/incarnation_test.go
@@ -439,3 +439,29 @@
 	is.Equal(got.body, event(1)+event(2))
 	is.Equal(len(next.requests()), 0)
 }
+
+// A stream was cut off in the same way where the entry of the leaving upstream had been removed meanwhile.
+func TestStreamOfRemovedLeavingUpstreamIsCutOffByNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	first := newStub(t, "u", twoEvents(proceed))
+	b := newTestBox(t, first)
+	b.listIncarnation(first, 100, false)
+	b.awaitIncarnation("u", 100)
+	done := make(chan callerResponse, 1)
+	go func() { done <- b.do(b.request("POST", "/flow/x", "")) }()
+	b.waitFor(func() bool { return len(first.requests()) == 1 })
+	b.listIncarnation(first, 100, true)
+	b.awaitLog(`"leaving":true`)
+	b.publisher.set("u", balance.Upstream{ID: "u"}, true)
+	b.awaitIncarnation("u", -1)
+	next := first.restart(t, respondOK("next"))
+	born := time.Now().UnixMilli() + 1
+	b.listIncarnation(next, born, false)
+	b.awaitLog(fmt.Sprintf(`"born":%d`, born))
+	close(proceed)
+	got := <-done
+	is.NoErr(got.err)
+	is.Equal(got.body, event(1)+event(2))
+	is.Equal(len(next.requests()), 0)
+}
--- a/relay/update.go
+++ b/relay/update.go
@@ -59,7 +59,8 @@
 
 // entryChange is the effect of an upstream's entry on the fleet.
 type entryChange struct {
-	before       balance.Upstream // zero if it was not listed
+	before       balance.Upstream     // zero if it was not listed
+	left         *balance.Incarnation // the latest one known before, if it was leaving; its entry may have been removed
 	current      balance.Upstream
 	isListed     bool
 	serviceKnown bool   // the document names its service
@@ -75,6 +76,9 @@
 	defer r.mu.Unlock()
 	var c entryChange
 	c.before, _ = r.listedUpstream(u.ID)
+	if inc, isLeaving := r.fleet.LeavingIncarnation(u.ID); isLeaving {
+		c.left = &inc
+	}
 	c.displaced = r.fleet.Put(r.now(), u)
 	if other, known := r.fleet.Entry(c.displaced); known && !other.Leaving {
 		inc := other.Incarnation()
@@ -113,7 +117,7 @@
 		return
 	}
 	if c.serviceKnown {
-		r.endEarlierRuns(c.before, u)
+		r.endEarlierRuns(c.left, u)
 	}
 	if c.before.ID != "" && c.before.Software != u.Software {
 		r.conns.closeIdle(u.ID) // they may lead to its earlier process
