Parts: an answered part that turns fatal was withheld late

Change: 0.02 s between own crashes of such a part, 0.2 s between those of which other boxes told. Upstreams that end within some ms are still one in succession (TestWithheldParts, with crashes 2 ms apart).

TestFatalPart*, the tests of verdicts and TestCrashesOfOtherCausesWithholdNoPart in ./group pass, once.

--- a/balance/verdict.go
+++ b/balance/verdict.go
@@ -30,11 +30,13 @@
 	partSuccession    = 3
 	partCrashes       = 5
 	partMinSuccession = 2
-	// minCrashGap is the least time between two crashes in succession of which other boxes told,
-	// since boxes hear of the same moment at different times; and between any two for a part that
-	// was answered lately, since runs that are repeated at once may meet the next of several
-	// upstreams that end at the same moment, and such a part is in most of them.
-	minCrashGap = 200 * time.Millisecond
+	// minToldCrashGap is the least time between two crashes in succession of which other boxes
+	// told: boxes hear of the same moment at different times.
+	minToldCrashGap = 200 * time.Millisecond
+	// minSoundCrashGap is the least time between any two for a part that was answered lately: runs
+	// that are repeated at once may meet the next of several upstreams that end at the same
+	// moment, and such a part is in most of them.
+	minSoundCrashGap = 20 * time.Millisecond
 	// soundPartSuccession applies, with partCrashes, to a part that was answered lately.
 	soundPartSuccession = 4
 	// withholdBase is how long a subject is withheld after the first crashes that are enough;
@@ -190,8 +192,14 @@
 
 // follows reports whether the run that a crash cut off was sent after another crash.
 func (c crash) follows(last crash, isSound bool) bool {
-	needsGap := isSound || c.told || last.told
-	return c.began >= last.ended && (!needsGap || c.ended-last.ended >= minCrashGap)
+	var gap time.Duration
+	switch {
+	case c.told || last.told:
+		gap = minToldCrashGap
+	case isSound:
+		gap = minSoundCrashGap
+	}
+	return c.began >= last.ended && c.ended-last.ended >= gap
 }
 
 func sameCrashes(a, b []crash) bool {
