Responses without a length: calls begin again twice at the most

Found by review, by reading: on a machine where each time limit is noticed late, the calls by which an upstream confirms the end of an answer began again until the request's own time was over, which left none for a resume.

--- a/relay/closedend.go
+++ b/relay/closedend.go
@@ -26,6 +26,8 @@
 	endConfirmInterval = 50 * time.Millisecond
 	// minStandstill is how late, at the least, a timer fires in a process that was stopped.
 	minStandstill = 250 * time.Millisecond
+	// maxStandstills bounds what the calls take in a process that is always late.
+	maxStandstills = 2
 )
 
 // Errors for responses that are not known to be whole.
@@ -90,15 +92,15 @@
 	olderThan time.Time // connections opened before this lead to the process that wrote the response, or an earlier one
 }
 
-// repeatInTime is repeat for endConfirmTimeout. It begins again if the process stood still at the end of that: answers
-// may have arrived meanwhile, at connections that have timed out.
+// repeatInTime is repeat for endConfirmTimeout. It begins again, up to maxStandstills times, if the process stood still at
+// the end of that: answers may have arrived meanwhile, at connections that have timed out.
 func (q *confirmCalls) repeatInTime() (proof string, err error) {
-	for {
+	for standstills := 0; ; standstills++ {
 		deadline := time.Now().Add(endConfirmTimeout)
 		ctx, cancel := context.WithDeadline(q.ctx, deadline)
 		proof, err = q.repeat(ctx)
 		cancel()
-		if err == nil || errors.Is(err, errUpstreamEnded) || q.ctx.Err() != nil || time.Since(deadline) < minStandstill {
+		if err == nil || errors.Is(err, errUpstreamEnded) || q.ctx.Err() != nil || time.Since(deadline) < minStandstill || standstills == maxStandstills {
 			return proof, err
 		}
 	}
