--- a/relay/body.go
+++ b/relay/body.go
@@ -76,8 +76,7 @@
 // errHeldUp reports that the end of a response may be that of its upstream's patience.
 var errHeldUp = &Error{Op: "read response", Kind: KindNotReading, Err: errEndUnconfirmed}
 
-// fullReceiveBuffer is how many unread bytes, at the least, fill the receive buffer so far that an upstream has to
-// wait: the kernel counts more for a segment than the bytes in it.
+// fullReceiveBuffer is how many unread bytes count as a full receive buffer. Small segments fill it with fewer.
 const fullReceiveBuffer = upstreamReceiveBuffer / 4
 
 // wasHeldUp reports whether, before a read that returned n bytes, the receive buffer was full for long: the process may
@@ -123,8 +122,9 @@
 
 // receiveMemory returns the share of a socket's receive buffer that is in use; 0 if the kernel does not tell.
 func receiveMemory(fd int) float64 {
-	const used, size = 0, 1                                                        // SK_MEMINFO_RMEM_ALLOC, SK_MEMINFO_RCVBUF
-	info, err := unix.GetsockoptICMPv6Filter(fd, unix.SOL_SOCKET, unix.SO_MEMINFO) // any array of numbers
+	const used, size = 0, 1 // SK_MEMINFO_RMEM_ALLOC, SK_MEMINFO_RCVBUF
+	// The only getter for an option that is an array of numbers.
+	info, err := unix.GetsockoptICMPv6Filter(fd, unix.SOL_SOCKET, unix.SO_MEMINFO)
 	if err != nil || info.Data[size] == 0 {
 		return 0
 	}
