Headers of responses: names that are no tokens reached callers

What callers saw: 200 from an upstream in trouble, in whose header the name of a field had a blank: the line was passed on ("X A: 1"), or, with a blank before the colon, was taken for the field without it, so that a length, a coding or the end of the connection came from a line that has none ("Content-Length : 1").

Cause: the header parser of fasthttp tolerates blanks within names and drops those before the colon; package framing, which reads all responses of upstreams in both interfaces, left the grammar to it.

Handled before, tests kept: control characters, separators, bytes above 0x7f and empty names, lines without a colon, control characters in values.

Change: framing checks each line of a header by RFC 9112 as it arrives, and the parser only sees headers that pass. Names are tokens up to the colon; a line without a colon, a control character in a value, white space before the first field and a header whose last lines do not end with CRLF (where the parser reads on behind it) are no response.

Why it works: relay and internal/upstream have no other way to a header, so runs, interim responses, reports and what other boxes hand on pass the same check. A rejected header is an error of the read, which closes the connection; requests that may be repeated go on elsewhere.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,12 +1,14 @@
-// Package framing reads the headers of HTTP responses, and decides what ends the bodies that follow. The invariant: a response
-// whose version has no transfer codings, such as HTTP/1.0, but that names one is decoded, whatever length it states, and its
-// connection is not used again, as RFC 9112 (section 6.1) asks; or it is no response. Its encoding reaches no caller.
+// Package framing reads the headers of HTTP messages, and decides what ends the bodies that follow. The invariants: what is not
+// in the grammar of RFC 9112 is no response, whatever the parser accepts; and a response whose version has no transfer codings,
+// such as HTTP/1.0, but that names one is decoded, whatever length it states, and its connection is not used again, as section 6.1
+// asks; or it is no response. Its encoding reaches no caller.
 package framing
 
 import (
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 
 	"github.com/valyala/fasthttp"
 )
@@ -20,9 +22,16 @@
 // errCoding reports that a response names another transfer coding than chunked, or several.
 var errCoding = errors.New("unknown transfer coding")
 
-// ReadHeader reads the header of a response, interim ones included.
+// errHeaderEnd reports a header whose last two lines do not end with CRLF. The parser reads on behind it.
+var errHeaderEnd = errors.New("the end of a header is not CRLF CRLF")
+
+// ReadHeader reads the header of a response, interim ones included. Empty lines before it are skipped.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	codings := namedCodings(r)
+	head, err := peekHeader(r)
+	if err != nil {
+		return err
+	}
+	codings := namedCodings(head)
 	if err := h.Read(r); err != nil {
 		return err
 	}
@@ -37,34 +46,77 @@
 	return nil
 }
 
-// namedCodings returns the values of Transfer-Encoding in the next response unless it is of HTTP/1.1: the header parser
-// passes over them in other versions.
-func namedCodings(r *bufio.Reader) (values [][]byte) {
-	const codingVersion = "HTTP/1.1 "
-	if b, _ := r.Peek(len(codingVersion)); string(b) == codingVersion {
+// namedCodings returns the values of Transfer-Encoding in the header of a response unless it is of HTTP/1.1: the parser passes
+// over them in other versions.
+func namedCodings(head []byte) (values [][]byte) {
+	if bytes.HasPrefix(head, []byte("HTTP/1.1 ")) {
 		return nil
 	}
-	for line := range bytes.Lines(peekHeader(r)) {
+	for line := range bytes.Lines(head) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			values = append(values, bytes.Clone(bytes.TrimSpace(value)))
 		}
 	}
 	return values
 }
 
-// peekHeader returns the header of the next response, or the part of it that can be read.
-func peekHeader(r *bufio.Reader) []byte {
-	for scanned := 0; ; {
+// peekHeader waits for the header of the next response and returns it, without the empty lines before it. It fails at the first
+// line that is not in the grammar.
+func peekHeader(r *bufio.Reader) ([]byte, error) {
+	var h responseHeader
+	for {
 		b, _ := r.Peek(r.Buffered())
-		emptyLines := len(b) - len(bytes.TrimLeft(b, "\r\n")) // the header parser skips those before a response
-		if n := HeaderEnd(b, max(scanned, emptyLines)); n > 0 {
-			return b[:n]
+		isComplete, err := h.scan(b)
+		if err != nil {
+			return nil, err
+		}
+		if isComplete {
+			return b[h.start:h.next], nil
 		}
-		scanned = max(0, len(b)-len("\n\r"))
 		if _, err := r.Peek(len(b) + 1); err != nil {
-			return b // the header parser reports the error
+			if errors.Is(err, io.EOF) && len(b) > h.start {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+}
+
+// responseHeader is the header of a response of which a part has arrived.
+type responseHeader struct {
+	start    int // offset of the status line
+	next     int // offset of the first line that was not checked
+	fields   fieldLines
+	endsCRLF bool // the last line that was checked does
+}
+
+// scan checks the lines that have arrived since the last call, and reports whether the header is complete. b starts with what it
+// was called with before.
+func (h *responseHeader) scan(b []byte) (isComplete bool, err error) {
+	for {
+		line, n := nextLine(b[h.next:])
+		if n == 0 {
+			return false, nil
+		}
+		endsCRLF := n == len(line)+len("\r\n")
+		switch {
+		case h.next > h.start && len(line) == 0:
+			if !endsCRLF || !h.endsCRLF {
+				return false, errHeaderEnd
+			}
+			h.next += n
+			return true, nil
+		case h.next > h.start:
+			err = h.fields.check(line)
+		case len(line) == 0:
+			h.start += n
+		}
+		if err != nil {
+			return false, err
 		}
+		h.next += n
+		h.endsCRLF = endsCRLF
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/malformedheader_test.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/framing/framingtest"
+)
+
+// Parts of answers.
+const (
+	statusOK   = "HTTP/1.1 200 OK\r\n"
+	plainBody  = "Content-Length: 4\r\n\r\nbody"
+	reportBody = "Content-Length: 13\r\n\r\n{\"running\":2}"
+	eventsBody = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n13\r\ndata: a\n\ndata: [DON\r\n4\r\nE]\n\n\r\n" + lastChunk
+)
+
+// oddAnswer is an answer with an unusual line, malformed or not.
+type oddAnswer struct{ name, text string }
+
+// oddAnswers returns answers with a body that have one of the lines: first, last, or in an interim response.
+func oddAnswers(fields []framingtest.Line, body string) (all []oddAnswer) {
+	const interim = "HTTP/1.1 103 Early Hints\r\n"
+	for _, l := range fields {
+		line := l.Text + "\r\n"
+		all = append(all, oddAnswer{l.Name + ", first line", statusOK + line + body},
+			oddAnswer{l.Name + ", last line", statusOK + strings.Replace(body, "\r\n\r\n", "\r\n"+line+"\r\n", 1)},
+			oddAnswer{l.Name + ", interim response", interim + line + "\r\n" + statusOK + body})
+	}
+	return all
+}
+
+// malformedAnswers returns answers whose headers are not in the grammar.
+func malformedAnswers(body string) []oddAnswer {
+	return slices.Concat(oddAnswers(framingtest.MalformedFields(), body),
+		[]oddAnswer{{"white space before the first field", statusOK + " X-A: 1\r\n" + body}})
+}
+
+// Answers with a malformed line reached callers, or with a body that was not the upstream's.
+func TestMalformedHeaderIsNoAnswer(t *testing.T) {
+	for _, isPlain := range []bool{true, false} {
+		body := plainBody
+		if !isPlain {
+			body = eventsBody
+		}
+		for _, a := range malformedAnswers(body) {
+			s := serve(t, false, a.text, a.text)
+			h := runner()
+			for range 2 {
+				var sink collector
+				r := h.Run(context.Background(), callTo(s.Addr().String(), isPlain), &sink)
+				if r.Outcome != decide.Failed || !r.Ran || sink.whole != "" || sink.events != nil {
+					t.Errorf("%s, plain %v: outcome %v, ran %v, %q %q", a.name, isPlain, r.Outcome, r.Ran, sink.whole, sink.events)
+				}
+			}
+			if s.connections() < 2 {
+				t.Errorf("%s, plain %v: the connection was kept", a.name, isPlain)
+			}
+			if err := h.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// The same in answers to control calls.
+func TestReportWithMalformedHeaderFails(t *testing.T) {
+	for _, a := range malformedAnswers(reportBody) {
+		s := serve(t, false, a.text)
+		h := runner()
+		if got, err := h.Report(context.Background(), s.Addr().String()); err == nil {
+			t.Errorf("%s: %+v", a.name, got)
+		}
+		if err := h.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse an answer.
+func TestUnusualHeaderIsAnswer(t *testing.T) {
+	for _, a := range oddAnswers(framingtest.SoundFields(), plainBody) {
+		is := is.New(t)
+		s := serve(t, false, a.text, a.text)
+		h := runner()
+		for range 2 {
+			var sink collector
+			if r := h.Run(context.Background(), callTo(s.Addr().String(), true), &sink); r.Outcome != decide.Answered || sink.whole != "body" {
+				t.Errorf("%s: outcome %v, %q", a.name, r.Outcome, sink.whole)
+			}
+		}
+		is.Equal(s.connections(), 1)
+		is.NoErr(h.Close())
+	}
+}
