Status lines: 000 and others that are none reached callers of chat completions

What callers saw: answers of plain services with the status 000, 099, 600 or 999, and reports that were taken over from such answers; in both interfaces, answers whose reason has control characters.

Cause: the parser of fasthttp takes each status of three digits, several blanks before it, each version of two digits, and any reason. The relay looked at the first digit of the status itself, internal/upstream at nothing.

Change: the status line is part of the grammar in framing: HTTP/1 with a digit, one blank, a status from 100 to 599, and a reason of text or none. It is compared as its bytes arrive, so that bytes that start no response end the read at once, as in the relay before, whose own check is left with the empty line that may precede a response. Sound lines (no reason, no blank behind the status, obs-text) are accepted, before and now.

Why it works: both interfaces read status lines by the same function, before the parser does.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -97,6 +97,9 @@
 	for {
 		line, n := nextLine(b[h.next:])
 		if n == 0 {
+			if h.next == h.start && !startsStatusLine(b[h.next:]) && !bytes.Equal(b[h.next:], []byte("\r")) {
+				return false, errStatusLine
+			}
 			return false, nil
 		}
 		endsCRLF := n == len(line)+len("\r\n")
@@ -111,6 +114,8 @@
 			err = h.fields.check(line)
 		case len(line) == 0:
 			h.start += n
+		default:
+			err = checkStatusLine(line)
 		}
 		if err != nil {
 			return false, err
--- a/internal/framing/framingtest/framingtest.go
+++ b/internal/framing/framingtest/framingtest.go
@@ -64,3 +64,55 @@
 		{"bare line end", "X-A: 1\nX-B: 2"},
 	}
 }
+
+// MalformedStatusLines returns lines that are no status lines of HTTP/1, or whose status is none.
+func MalformedStatusLines() []Line {
+	return []Line{
+		{"status 000", "HTTP/1.1 000 OK"},
+		{"status 000, no reason", "HTTP/1.1 000 "},
+		{"status 000 of HTTP/1.0", "HTTP/1.0 000 OK"},
+		{"status 001", "HTTP/1.1 001 OK"},
+		{"status 099", "HTTP/1.1 099 OK"},
+		{"status 600", "HTTP/1.1 600 OK"},
+		{"status 999", "HTTP/1.1 999 OK"},
+		{"two digits", "HTTP/1.1 20 OK"},
+		{"two digits, no reason", "HTTP/1.1 20"},
+		{"four digits", "HTTP/1.1 2000 OK"},
+		{"four digits, no reason", "HTTP/1.1 2000"},
+		{"zero before the status", "HTTP/1.1 0200 OK"},
+		{"sign", "HTTP/1.1 +20 OK"},
+		{"minus", "HTTP/1.1 -20 OK"},
+		{"letter in the status", "HTTP/1.1 2O0 OK"},
+		{"hexadecimal status", "HTTP/1.1 0xc OK"},
+		{"no status", "HTTP/1.1 OK"},
+		{"version only", "HTTP/1.1"},
+		{"two blanks before the status", "HTTP/1.1  200 OK"},
+		{"tab before the status", "HTTP/1.1\t200 OK"},
+		{"tab behind the status", "HTTP/1.1 200\tOK"},
+		{"no blank before the reason", "HTTP/1.1 200OK"},
+		{"blank before the version", " HTTP/1.1 200 OK"},
+		{"control character before the version", "\x01HTTP/1.1 200 OK"},
+		{"control character in the reason", "HTTP/1.1 200 O\x01K"},
+		{"NUL in the reason", "HTTP/1.1 200 O\x00K"},
+		{"bare carriage return in the reason", "HTTP/1.1 200 O\rK"},
+		{"lower-case version", "http/1.1 200 OK"},
+		{"letter in the version", "HTTP/1.x 200 OK"},
+		{"version of one digit", "HTTP/1 200 OK"},
+		{"version of two digits", "HTTP/1.10 200 OK"},
+		{"another major version", "HTTP/2.0 200 OK"},
+		{"another protocol", "ICY 200 OK"},
+		{"text", "all is well"},
+	}
+}
+
+// SoundStatusLines returns unusual status lines of a success.
+func SoundStatusLines() []Line {
+	return []Line{
+		{"no reason", "HTTP/1.1 200 "},
+		{"no blank behind the status", "HTTP/1.1 200"},
+		{"reason of several words", "HTTP/1.1 200 All is well"},
+		{"bytes above 0x7f in the reason", "HTTP/1.1 200 \xc3\xa9\xff"},
+		{"tab in the reason", "HTTP/1.1 200 O\tK"},
+		{"another status", "HTTP/1.1 299 Mine"},
+	}
+}
--- a/internal/framing/grammar.go
+++ b/internal/framing/grammar.go
@@ -1,8 +1,8 @@
 package framing
 
 // This file defines the grammar of the headers of messages, by RFC 9112. The invariant: a header that it accepts is split into the
-// same lines, names and values by every parser. Of what the RFC leaves to recipients, it accepts lines that end with a bare LF
-// and folded values.
+// same lines, names and values by every parser. Of what the RFC leaves to recipients, it accepts lines that end with a bare LF,
+// folded values, and status lines without the space behind the status.
 
 import (
 	"bytes"
@@ -11,13 +11,14 @@
 
 // Errors for what the grammar does not have.
 var (
+	errStatusLine = errors.New("not a status line of HTTP/1")
 	errFieldLine  = errors.New("a line of the header has no colon")
 	errFieldName  = errors.New("the name of a header field is not a token")
 	errFieldValue = errors.New("a control character in a header")
 	errFirstFold  = errors.New("the first line of a header starts with white space")
 )
 
-// tokenBytes are the bytes of tokens, which names are.
+// tokenBytes are the bytes of tokens, which names and methods are.
 var tokenBytes = byteSet("!#$%&'*+-.^_`|~" + digits + letters)
 
 const (
@@ -42,7 +43,7 @@
 	return len(b) > 0
 }
 
-// isText reports whether b may stand in a value: it has no control characters other than tabs.
+// isText reports whether b may stand in a value or a reason: it has no control characters other than tabs.
 func isText(b []byte) bool {
 	for _, c := range b {
 		if c < ' ' && c != '\t' || c == 0x7f {
@@ -80,6 +81,40 @@
 	return nil
 }
 
+// statusPattern is how a status line starts. A digit stands for all digits, the first of the status for 1 to 5.
+const statusPattern = "HTTP/1.0 100"
+
+// startsStatusLine reports whether a line that starts with b may be a status line.
+func startsStatusLine(b []byte) bool {
+	for i, c := range b[:min(len(b), len(statusPattern))] {
+		switch want := statusPattern[i]; {
+		case i == len("HTTP/1.0 "):
+			if c < '1' || c > '5' {
+				return false
+			}
+		case want == '0':
+			if c < '0' || c > '9' {
+				return false
+			}
+		case c != want:
+			return false
+		}
+	}
+	return true
+}
+
+// checkStatusLine checks a status line, without its line end.
+func checkStatusLine(line []byte) error {
+	if len(line) < len(statusPattern) || !startsStatusLine(line) {
+		return errStatusLine
+	}
+	reason := line[len(statusPattern):]
+	if len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
+		return errStatusLine
+	}
+	return nil
+}
+
 // nextLine returns the first line of b without its line end, and the offset behind it; 0 if it is incomplete.
 func nextLine(b []byte) (line []byte, next int) {
 	n := bytes.IndexByte(b, '\n')
--- a/internal/upstream/malformedheader_test.go
+++ b/internal/upstream/malformedheader_test.go
@@ -23,8 +23,8 @@
 // oddAnswer is an answer with an unusual line, malformed or not.
 type oddAnswer struct{ name, text string }
 
-// oddAnswers returns answers with a body that have one of the lines: first, last, or in an interim response.
-func oddAnswers(fields []framingtest.Line, body string) (all []oddAnswer) {
+// oddAnswers returns answers with a body and its fields that have one of the lines: first, last, or in an interim response.
+func oddAnswers(fields, statusLines []framingtest.Line, body string) (all []oddAnswer) {
 	const interim = "HTTP/1.1 103 Early Hints\r\n"
 	for _, l := range fields {
 		line := l.Text + "\r\n"
@@ -32,12 +32,16 @@
 			oddAnswer{l.Name + ", last line", statusOK + strings.Replace(body, "\r\n\r\n", "\r\n"+line+"\r\n", 1)},
 			oddAnswer{l.Name + ", interim response", interim + line + "\r\n" + statusOK + body})
 	}
+	for _, l := range statusLines {
+		all = append(all, oddAnswer{l.Name, l.Text + "\r\n" + body},
+			oddAnswer{l.Name + ", behind an interim response", interim + "\r\n" + l.Text + "\r\n" + body})
+	}
 	return all
 }
 
 // malformedAnswers returns answers whose headers are not in the grammar.
 func malformedAnswers(body string) []oddAnswer {
-	return slices.Concat(oddAnswers(framingtest.MalformedFields(), body),
+	return slices.Concat(oddAnswers(framingtest.MalformedFields(), framingtest.MalformedStatusLines(), body),
 		[]oddAnswer{{"white space before the first field", statusOK + " X-A: 1\r\n" + body}})
 }
 
@@ -84,7 +88,7 @@
 
 // Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse an answer.
 func TestUnusualHeaderIsAnswer(t *testing.T) {
-	for _, a := range oddAnswers(framingtest.SoundFields(), plainBody) {
+	for _, a := range oddAnswers(framingtest.SoundFields(), framingtest.SoundStatusLines(), plainBody) {
 		is := is.New(t)
 		s := serve(t, false, a.text, a.text)
 		h := runner()
--- a/relay/malformedheader_test.go
+++ b/relay/malformedheader_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,9 +44,18 @@
 	return all
 }
 
+// withStatusLines returns responses that start with one of the lines.
+func withStatusLines(lines []framingtest.Line) (all []oddResponse) {
+	for _, l := range lines {
+		all = append(all, oddResponse{l.Name, l.Text + "\r\n" + oddFields + oddBody},
+			oddResponse{l.Name + ", behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + l.Text + "\r\n" + oddFields + oddBody})
+	}
+	return all
+}
+
 // malformedResponses returns responses whose headers are not in the grammar.
 func malformedResponses() []oddResponse {
-	all := withFields(framingtest.MalformedFields())
+	all := slices.Concat(withFields(framingtest.MalformedFields()), withStatusLines(framingtest.MalformedStatusLines()))
 	return append(all, oddResponse{"white space before the first field", oddStatus + " X-A: 1\r\n" + oddFields + oddBody},
 		oddResponse{"tab before the first field", oddStatus + "\tX-A: 1\r\n" + oddFields + oddBody},
 		oddResponse{"empty line before the status line", "\r\n" + oddStatus + oddFields + oddBody})
@@ -153,7 +163,7 @@
 
 // Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse a response.
 func TestUnusualHeaderIsResponse(t *testing.T) {
-	responses := withFields(framingtest.SoundFields())
+	responses := slices.Concat(withFields(framingtest.SoundFields()), withStatusLines(framingtest.SoundStatusLines()))
 	o := newOddUpstreams(t, responses, 0)
 	b := newTestBox(t, newStub(t, "u", o.respond))
 	for n, odd := range responses {
--- a/relay/response.go
+++ b/relay/response.go
@@ -5,7 +5,6 @@
 // connection is reused only if its response was read to the end.
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -83,7 +82,7 @@
 
 // readHeader reads the header of a response, interim ones included.
 func readHeader(c *conn) (*response, error) {
-	if err := checkStatusLine(c); err != nil {
+	if err := checkStart(c); err != nil {
 		return nil, err
 	}
 	resp := &response{conn: c}
@@ -95,18 +94,15 @@
 	return resp, nil
 }
 
-// statusPrefix starts every response.
-var statusPrefix = []byte("HTTP/1.")
-
-// checkStatusLine rejects bytes that do not start a response; the header parser is more lenient.
-func checkStatusLine(c *conn) error {
+// checkStart rejects what a response does not start with before its header has arrived: the end of the connection, and an empty
+// line, which may be the rest of an earlier response.
+func checkStart(c *conn) error {
 	b, err := c.reader.Peek(len("HTTP/1.1 200"))
 	if err != nil {
 		return &Error{Op: "read response", Kind: KindTruncated, Err: err}
 	}
-	space, class := b[len("HTTP/1.1")], b[len("HTTP/1.1 ")]
-	if !bytes.HasPrefix(b, statusPrefix) || space != ' ' || class < '1' || class > '5' {
-		return &Error{Op: "read response", Kind: KindMalformed, Err: errors.New("no status line")}
+	if b[0] == '\r' || b[0] == '\n' {
+		return &Error{Op: "read response", Kind: KindMalformed, Err: errors.New("empty line before the response")}
 	}
 	return nil
 }
