Trailers: malformed lines behind the last chunk ended a response as complete

What callers saw: 200 with the body, and streams that ended as complete, from upstreams whose chunked responses go on with lines that are no fields; such bytes may be the start of something else, and the connection was used again.

Cause: the relay skipped whatever came up to an empty line; internal/upstream read trailers by fasthttp's parser, which tolerates blanks in names. The grammar of headers applies to trailers as well (RFC 9112, section 7.1.2).

Change: chunked bodies of both interfaces are read by one reader in framing, which checks each line of the trailer as those of a header. Fields of trailers reach no caller, as before.

--- a/internal/upstream/malformedheader_test.go
+++ b/internal/upstream/malformedheader_test.go
@@ -86,9 +86,41 @@
 	}
 }
 
+// chunkedAnswers returns answers whose trailers have one of the lines: first or last.
+func chunkedAnswers(lines []framingtest.Line, body string) (all []oddAnswer) {
+	for _, l := range lines {
+		chunks := statusOK + "Transfer-Encoding: chunked\r\n\r\n" + chunksOf(body) + "0\r\n"
+		all = append(all, oddAnswer{l.Name + ", first line", chunks + l.Text + "\r\n\r\n"},
+			oddAnswer{l.Name + ", last line", chunks + "X-T: 1\r\n" + l.Text + "\r\n\r\n"})
+	}
+	return all
+}
+
+// The same in a trailer.
+func TestMalformedTrailerIsNoAnswer(t *testing.T) {
+	lines := append(framingtest.MalformedFields(), framingtest.Line{Name: "white space", Text: " X-A: 1"})
+	for n, a := range chunkedAnswers(lines, "body") {
+		if strings.HasSuffix(a.name, "white space, last line") {
+			continue // it continues the line before
+		}
+		s := serve(t, false, a.text, chunkedAnswers(lines, `{"running":2}`)[n].text)
+		h := runner()
+		var sink collector
+		if r := h.Run(context.Background(), callTo(s.Addr().String(), true), &sink); r.Outcome != decide.Failed || !r.Ran || sink.whole != "" {
+			t.Errorf("%s: outcome %v, ran %v, %q", a.name, r.Outcome, r.Ran, sink.whole)
+		}
+		if got, err := h.Report(context.Background(), s.Addr().String()); err == nil {
+			t.Errorf("%s: %+v", a.name, got)
+		}
+		if err := h.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse an answer.
 func TestUnusualHeaderIsAnswer(t *testing.T) {
-	for _, a := range oddAnswers(framingtest.SoundFields(), framingtest.SoundStatusLines(), plainBody) {
+	for _, a := range append(oddAnswers(framingtest.SoundFields(), framingtest.SoundStatusLines(), plainBody), chunkedAnswers(framingtest.SoundFields(), "body")...) {
 		is := is.New(t)
 		s := serve(t, false, a.text, a.text)
 		h := runner()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -1,11 +1,12 @@
 package upstream
 
-// This file defines how a response is read from a connection. The invariant: what ends its body is decided by package
-// framing, for runs as for control calls.
+// This file defines how a response is read from a connection. The invariant: its header, what ends its body and
+// the trailer are judged by package framing, for runs as for control calls.
 
 import (
 	"bufio"
 	"errors"
+	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -26,13 +27,20 @@
 	if resp.SkipBody || !hasBody(resp) {
 		return nil
 	}
-	if err := resp.ReadBody(r, maxBody); err != nil {
-		return err
+	if resp.Header.ContentLength() != framing.LengthChunked {
+		return resp.ReadBody(r, maxBody)
 	}
-	if resp.StreamBody || resp.Header.ContentLength() != framing.LengthChunked {
+	chunks := framing.NewChunkedReader(r)
+	if resp.StreamBody {
+		resp.SetBodyStream(chunks, framing.LengthChunked)
 		return nil
 	}
-	return resp.Header.ReadTrailer(r)
+	body, err := io.ReadAll(io.LimitReader(chunks, int64(maxBody)+1))
+	if err == nil && len(body) > maxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	resp.SetBody(body)
+	return err
 }
 
 // readFinalHeader reads the header of a response and those of the interim ones before it.
--- a/relay/body.go
+++ b/relay/body.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http/httputil"
 	"syscall"
 	"time"
 
@@ -28,7 +27,7 @@
 	case n >= 0:
 		return &fixedLengthReader{r: c.reader, left: n}
 	case n == framing.LengthChunked:
-		return &chunkedReader{c: c, r: httputil.NewChunkedReader(c.reader)}
+		return framing.NewChunkedReader(c.reader)
 	default:
 		return &closedReader{resp: resp, readAt: time.Now()}
 	}
@@ -36,7 +35,6 @@
 
 var (
 	_ io.Reader = (*fixedLengthReader)(nil)
-	_ io.Reader = (*chunkedReader)(nil)
 	_ io.Reader = (*closedReader)(nil)
 )
 
@@ -162,44 +160,3 @@
 	}
 	return n, err
 }
-
-// chunkedReader reads a chunked body and the trailer after it.
-type chunkedReader struct {
-	c    *conn
-	r    io.Reader
-	done bool
-}
-
-// Read implements io.Reader.
-func (k *chunkedReader) Read(p []byte) (int, error) {
-	if k.done {
-		return 0, io.EOF
-	}
-	n, err := k.r.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if err := k.skipTrailer(); err != nil {
-		return n, err
-	}
-	k.done = true
-	return n, io.EOF
-}
-
-// skipTrailer reads up to the empty line after the last chunk.
-func (k *chunkedReader) skipTrailer() error {
-	for size := 0; size <= maxTrailerBytes; {
-		line, err := k.c.reader.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-		size += len(line)
-	}
-	return errLongBody
-}
--- a/relay/bounded.go
+++ b/relay/bounded.go
@@ -18,8 +18,6 @@
 	maxDiscardedBody = 64 << 10
 	// discardWait is how long the body of a refusal is waited for.
 	discardWait = 100 * time.Millisecond
-	// maxTrailerBytes bounds the trailer of a chunked body, in bytes.
-	maxTrailerBytes = readBufferSize
 	// maxCallResponse bounds the body of a response to a call of the box itself, in bytes. A report has
 	// some 40 for each run.
 	maxCallResponse = 256 << 10
--- a/relay/malformedheader_test.go
+++ b/relay/malformedheader_test.go
@@ -30,15 +30,19 @@
 	oddStatus = "HTTP/1.1 200 OK\r\n"
 	oddFields = "X-Id: %s\r\nX-Sign: s\r\n"
 	oddBody   = "Content-Length: 4\r\n\r\nbody"
+	oddChunks = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
 )
 
-// withFields returns responses that have one of the lines in their headers: first, last, or in an interim response.
+// withFields returns responses that have one of the lines in their headers: first, last, or in an interim response; or in a
+// trailer.
 func withFields(lines []framingtest.Line) (all []oddResponse) {
 	for _, l := range lines {
 		line := l.Text + "\r\n"
 		all = append(all, oddResponse{l.Name + ", first line", oddStatus + line + oddFields + oddBody},
 			oddResponse{l.Name + ", within", oddStatus + oddFields + line + oddBody},
 			oddResponse{l.Name + ", last line", oddStatus + oddFields + strings.Replace(oddBody, "\r\n", "\r\n"+line, 1)},
+			oddResponse{l.Name + ", trailer", oddStatus + oddFields + oddChunks + line + "\r\n"},
+			oddResponse{l.Name + ", last line of a trailer", oddStatus + oddFields + oddChunks + "X-T: 1\r\n" + line + "\r\n"},
 			oddResponse{l.Name + ", interim response", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + oddStatus + oddFields + oddBody})
 	}
 	return all
@@ -58,6 +62,7 @@
 	all := slices.Concat(withFields(framingtest.MalformedFields()), withStatusLines(framingtest.MalformedStatusLines()))
 	return append(all, oddResponse{"white space before the first field", oddStatus + " X-A: 1\r\n" + oddFields + oddBody},
 		oddResponse{"tab before the first field", oddStatus + "\tX-A: 1\r\n" + oddFields + oddBody},
+		oddResponse{"white space before the first field of a trailer", oddStatus + oddFields + oddChunks + " X-A: 1\r\n\r\n"},
 		oddResponse{"empty line before the status line", "\r\n" + oddStatus + oddFields + oddBody})
 }
 
@@ -161,6 +166,22 @@
 	}
 }
 
+// A stream with a malformed line in its trailer ended as if it were complete.
+func TestStreamWithMalformedTrailerIsNotComplete(t *testing.T) {
+	var responses []oddResponse
+	for _, l := range framingtest.MalformedFields() {
+		responses = append(responses, oddResponse{l.Name, oddStatus + oddFields + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(event(1)), event(1), l.Text)})
+	}
+	o := newOddUpstreams(t, responses, 2)
+	b := newTestBox(t, newStub(t, "u", o.respond))
+	for n, odd := range responses {
+		if got := b.requestOdd("fixed", n); got.err == nil || got.body != event(1) {
+			t.Errorf("%s: %d %q %v", odd.name, got.status, got.body, got.err)
+		}
+	}
+}
+
 // Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse a response.
 func TestUnusualHeaderIsResponse(t *testing.T) {
 	responses := slices.Concat(withFields(framingtest.SoundFields()), withStatusLines(framingtest.SoundStatusLines()))
