Bytes without end: streams of chat completions without a further event

Report of other operators: bytes that are no answer, without end, that the machine keeps until it is out of memory.

Cause: lines without data were skipped without a bound, and each begins the wait for the next one anew.

Change: 1 MiB of them behind an event, as in the relay, ends the run as failed, and the connection is closed. Comments that keep a connection open are some bytes each.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -84,12 +84,15 @@
 	return isSuccess && endsWithConnection(resp) && resp.Header.IsHTTP11()
 }
 
+// maxSkipped bounds the lines without data between two events of a stream, in bytes.
+const maxSkipped = 1 << 20
+
 // readStream passes the events of a stream to the sink. A stream that ends without
-// its end marker or the marker of a paused run has failed.
+// its end marker or the marker of a paused run has failed, and so has one without a further event.
 func (h *HTTP) readStream(k *conn, resp *fasthttp.Response, r *run) cell.Result {
 	failed := cell.Result{Outcome: decide.Failed, Ran: true}
 	lines := bufio.NewReaderSize(bodyOf(resp), lineBuffer)
-	for {
+	for skipped := 0; skipped <= maxSkipped; {
 		_ = k.SetReadDeadline(time.Now().Add(h.cfg.MaxSilence))
 		line, err := readLine(lines)
 		if err != nil {
@@ -97,8 +100,10 @@
 		}
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
+			skipped += len(line) + len("\n")
 			continue
 		}
+		skipped = 0
 		if string(data) == endMarker {
 			r.whole = true
 			r.clean = readEnd(k, lines) && !resp.ConnectionClose()
@@ -116,6 +121,7 @@
 			r.first = h.cfg.Clock.Boot()
 		}
 	}
+	return failed
 }
 
 // Bounds of what is read behind the last event of a stream, to keep its connection.
