Bytes without end: answers assembled from events kept them all

What callers saw: an engine that goes on with events, whatever max_tokens says: a box of chat completions kept the text for a caller that had asked for a whole answer, until its deadline or the end of its memory; with events that cannot be read it knew that there would be no answer, and waited for the end all the same.

Cause: the bound on an answer (MaxAnswer, 4 MiB) applies to plain services; what is assembled from a stream had none.

Change: more than 4 MiB of text, or of events that bring none, ends the run and is answered as a failed upstream (may have run). Streams that are passed on hold no more than their buffer, as before.

After: under 8 MiB sent in each case, which includes what is under way; the longest answer within the bound is whole (TestLongAnswerIsWhole).

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -139,18 +139,27 @@
 	model        string
 	finishReason string
 	tokens       int
+	kept         int  // bytes of text, and of events that brought none
 	isBroken     bool // some event brought an error, or nothing that can be read: the answer lacks a part
 }
 
+// maxWholeAnswer bounds an answer that is assembled from a stream, in bytes.
+const maxWholeAnswer = 4 << 20
+
+// isTooLong reports whether the events have come without an end.
+func (a *aggregate) isTooLong() bool { return a.kept > maxWholeAnswer }
+
 func (a *aggregate) add(event []byte) {
 	var c chunk
 	if json.Unmarshal(event, &c) != nil || len(c.Error) > 0 && string(c.Error) != "null" {
 		a.isBroken = true
+		a.kept += len(event)
 		return
 	}
 	a.model = c.Model
 	for _, choice := range c.Choices {
 		a.text.WriteString(choice.Delta.Content)
+		a.kept += len(choice.Delta.Content)
 		if choice.FinishReason != nil {
 			a.finishReason = *choice.FinishReason
 		}
--- /dev/null
+++ b/internal/caller/longanswer_test.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// An answer that is assembled from events without end was kept until the box ran out of memory.
+func TestEventsWithoutEndAreNoAnswer(t *testing.T) {
+	const most = 16 * maxWholeAnswer // of bytes that the upstream sends
+	text := strings.Repeat("a", 32<<10)
+	for _, c := range []struct{ name, event string }{
+		{"text", `{"model":"m","choices":[{"delta":{"content":"` + text + `"}}]}`},
+		{"not JSON", text},
+		{"error", `{"error":{"message":"` + text + `"}}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			ended := make(chan error, 1)
+			s, core := start(t, func(a Arrival) {
+				for sent.Load() < most {
+					if err := a.Exchange.Event([]byte(c.event)); err != nil {
+						ended <- err
+						return
+					}
+					sent.Add(int64(len(c.event)))
+				}
+				ended <- nil
+				a.Exchange.Done()
+			})
+			resp := post(t, s, chat)
+			is.Equal(resp.status, http.StatusBadGateway)
+			is.Equal(resp.ran, "unknown")
+			is.Equal(<-ended, ErrDisconnected) // the run is told to end
+			is.True(sent.Load() < 2*maxWholeAnswer)
+			select {
+			case id := <-core.left:
+				is.Equal(id, uint64(7))
+			case <-time.After(20 * time.Second):
+				t.Fatal("the core is not told")
+			}
+		})
+	}
+}
+
+// The longest answer is whole.
+func TestLongAnswerIsWhole(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("a", 32<<10)
+	s, _ := start(t, func(a Arrival) {
+		for range maxWholeAnswer / len(text) {
+			_ = a.Exchange.Event([]byte(`{"model":"m","choices":[{"delta":{"content":"` + text + `"}}]}`))
+		}
+		a.Exchange.Done()
+	})
+	resp := post(t, s, chat)
+	is.Equal(resp.status, http.StatusOK)
+	is.Equal(strings.Count(resp.body, text), maxWholeAnswer/len(text))
+}
+
+// posted is what the caller of a chat completion got.
+type posted struct {
+	status    int
+	ran, body string
+}
+
+// post sends a chat completion.
+func post(t *testing.T, s *Server, body string) posted {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+pathChat, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return posted{resp.StatusCode, resp.Header.Get(HeaderRan), string(text)}
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -67,18 +67,29 @@
 			ctx.SetBody(e.data)
 			return
 		case e.kind == endWhole && parts.isBroken:
-			broken := cell.Final{Reason: decide.UpstreamFailed, Ran: true}
-			refuse(ctx, statusOf(broken), refusalOf(broken))
+			refuseBroken(ctx)
 			return
 		case e.kind == endWhole:
 			writeJSON(ctx, fasthttp.StatusOK, parts.answer(timeline.RequestText(x.ID)))
 			return
 		default:
 			parts.add(e.data)
+			if parts.isTooLong() {
+				x.Disconnect() // ends the run
+				s.cfg.Core.Disconnected(x.ID)
+				refuseBroken(ctx)
+				return
+			}
 		}
 	}
 }
 
+// refuseBroken answers a request whose upstream sent no answer that can be read.
+func refuseBroken(ctx *fasthttp.RequestCtx) {
+	broken := cell.Final{Reason: decide.UpstreamFailed, Ran: true}
+	refuse(ctx, statusOf(broken), refusalOf(broken))
+}
+
 // serveStream answers with server-sent events. It sends the status code only with
 // the first piece, so that a request refused before that gets the refusal's status.
 func (s *Server) serveStream(ctx *fasthttp.RequestCtx, x *Exchange) {
