Soak: upstreams answer with malformed headers

Hypothesis: the stand-in breaks the rule that a malformed header is no response, as strictly as the rule: one in twenty plain responses has a line of framingtest in its header, or as its status line, and a body that is not the request's.

--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/doormast/doormast/internal/framing/framingtest"
 	"github.com/doormast/doormast/platform"
 )
 
@@ -192,6 +193,8 @@
 		sendWithoutEnd(w)
 	case 3:
 		cutHead(w, u.id, id)
+	case 4:
+		sendMalformedHead(w, u.id, id)
 	default:
 		u.sendWhole(w, id)
 	}
@@ -224,8 +227,8 @@
 	return err == nil && http.NewResponseController(w).Flush() == nil
 }
 
-// One in faultyShare plain responses is truncated, as many follow a stale response, as many have no end, and as
-// many stop within their head.
+// One in faultyShare plain responses is truncated, as many follow a stale response, as many have no end, as
+// many stop within their head, and as many have a malformed line in it.
 const faultyShare = 20
 
 // maxWithoutEnd bounds a response without an end, in bytes, for boxes that read on.
@@ -263,6 +266,27 @@
 	_ = c.Close()
 }
 
+// sendMalformedHead sends a response with a line in its header that is not in the grammar, and a body that is not that of
+// the request.
+func sendMalformedHead(w http.ResponseWriter, upstream, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	status, field := "HTTP/1.1 200 OK", ""
+	if rand.IntN(2) == 0 {
+		status = anyLine(framingtest.MalformedStatusLines())
+	} else {
+		field = anyLine(framingtest.MalformedFields()) + "\r\n"
+	}
+	body := "behind a malformed header"
+	_, _ = fmt.Fprintf(c, "%s\r\n%s%s: %s\r\n%s: %s %s\r\nContent-Length: %d\r\n\r\n%s", status, field, protocol.RequestID, id, protocol.Signature, upstream, id, len(body), body)
+	_ = c.Close()
+}
+
+// anyLine returns the text of one of the lines.
+func anyLine(lines []framingtest.Line) string { return lines[rand.IntN(len(lines))].Text }
+
 // sendStaleResponse sends a late response to an earlier request, followed by the response to this one. Both
 // advertise the limit in the header of w, if there is one: an answer without it would end the limit.
 func sendStaleResponse(w http.ResponseWriter, upstream, id string) {
