Requests: a blank before the colon in a trailer was accepted

What callers saw: a request in chunks with "X-A : 1" in its trailer was served, though a server has to refuse it (RFC 9112, section 5.1). No field of such a trailer is sent on.

Cause: the parser trims the names of trailers and does not keep their bytes, so that framing.CheckRequest could look at trimmed names only.

Evidence, on the code of before: 4 requests with such lines, each alone and behind another request that was sent with it (12 cases), reached an upstream through the relay; 2 were submitted to chat completions.

Change: framing.TrailerCheck follows the bytes that a server reads from a connection from request to request, and checks the lines of trailers as all other ones. Both servers ask it before they admit a request. The check of trimmed names is out.

Why it works: it finds the ends of requests where the parser does.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -169,7 +169,7 @@
 // handle dispatches a request by its path.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	defer s.endConnectionIfLeaving(ctx)
-	if err := framing.CheckRequest(&ctx.Request.Header); err != nil {
+	if err := checkRequest(ctx); err != nil {
 		s.badRequest(ctx, err)
 		return
 	}
@@ -193,6 +193,18 @@
 	}
 }
 
+// checkRequest checks the header and the trailer of a request against the grammar.
+func checkRequest(ctx *fasthttp.RequestCtx) error {
+	if err := framing.CheckRequest(&ctx.Request.Header); err != nil {
+		return err
+	}
+	c, ok := ctx.Conn().(*conn)
+	if !ok {
+		return nil
+	}
+	return c.trailers.Err(ctx.ConnRequestNum())
+}
+
 // endConnectionIfLeaving makes the answer end its connection if the server leaves, also if it began to after the
 // request had come.
 func (s *Server) endConnectionIfLeaving(ctx *fasthttp.RequestCtx) {
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/doormast/doormast/internal/framing"
 )
 
 const (
@@ -79,7 +81,8 @@
 type conn struct {
 	net.Conn
 	connections *connections
-	isUsed      bool        // something was read; owned by the goroutine that reads
+	isUsed      bool // something was read; owned by the goroutine that reads
+	trailers    framing.TrailerCheck
 	answered    atomic.Bool // nothing was read since the last write
 	closing     sync.Once
 }
@@ -108,6 +111,7 @@
 		}
 		c.isUsed = true
 	}
+	_, _ = c.trailers.Write(p[:n])
 	return n, err
 }
 
--- a/internal/caller/malformedrequest_test.go
+++ b/internal/caller/malformedrequest_test.go
@@ -19,7 +19,8 @@
 func oddRequests(fields, requestLines []framingtest.Line) (all []oddRequest) {
 	const rest = "Host: b\r\nAuthorization: Bearer k\r\nContent-Length: 4\r\n"
 	for _, l := range fields {
-		all = append(all, oddRequest{l.Name, "POST /services/c/do HTTP/1.1\r\n" + l.Text + "\r\n" + rest + "\r\nbody"})
+		all = append(all, oddRequest{l.Name, "POST /services/c/do HTTP/1.1\r\n" + l.Text + "\r\n" + rest + "\r\nbody"},
+			oddRequest{l.Name + ", trailer", "POST /services/c/do HTTP/1.1\r\nHost: b\r\nAuthorization: Bearer k\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + l.Text + "\r\n\r\n"})
 	}
 	for _, l := range requestLines {
 		all = append(all, oddRequest{l.Name, strings.ReplaceAll(l.Text, "%s", "services/c/do") + "\r\n" + rest + "\r\nbody"})
@@ -48,8 +49,7 @@
 // Requests with a malformed line were submitted.
 func TestMalformedRequestIsRefused(t *testing.T) {
 	s, core := start(t, func(a Arrival) { _ = a.Exchange.Whole(http.StatusOK, "text/x", []byte("ok")) })
-	trailer := oddRequest{"blank in a name of a trailer", "POST /services/c/do HTTP/1.1\r\nHost: b\r\nAuthorization: Bearer k\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: 1\r\n\r\n"}
-	for _, odd := range append(oddRequests(framingtest.MalformedFields(), framingtest.MalformedRequestLines()), trailer) {
+	for _, odd := range oddRequests(framingtest.MalformedFields(), framingtest.MalformedRequestLines()) {
 		if status, isClosed := odd.send(t, s); status != http.StatusBadRequest || !isClosed {
 			t.Errorf("%s: %d, closed: %v", odd.name, status, isClosed)
 		}
--- a/internal/framing/request.go
+++ b/internal/framing/request.go
@@ -27,7 +27,7 @@
 	hexBytes       = byteSet(digits + "ABCDEFabcdef")
 )
 
-// CheckRequest checks the request line, the header fields and the names in the trailer of a request that a server has read.
+// CheckRequest checks the request line and the header fields of a request that a server has read.
 func CheckRequest(h *fasthttp.RequestHeader) error {
 	switch {
 	case !isToken(h.Method()):
@@ -37,11 +37,6 @@
 	case !isEncoded(h.Host(), &hostBytes):
 		return errHost
 	}
-	for name := range h.Trailers() {
-		if !isToken(name) {
-			return errFieldName
-		}
-	}
 	return checkFieldLines(h.RawHeaders())
 }
 
--- a/relay/arrival.go
+++ b/relay/arrival.go
@@ -26,7 +26,7 @@
 		c.noteRead(q.id)
 		defer c.step(callerAnswer)
 	}
-	if err := framing.CheckRequest(&ctx.Request.Header); err != nil {
+	if err := checkRequest(ctx, c); err != nil {
 		f.refuseMalformed(ctx, fasthttp.StatusBadRequest, err)
 		return
 	}
@@ -48,6 +48,15 @@
 	x.serve(ctx)
 }
 
+// checkRequest checks the header and the trailer of a request against the grammar. c is nil if its connection did not come from
+// callerListener.
+func checkRequest(ctx *fasthttp.RequestCtx, c *callerConn) error {
+	if err := framing.CheckRequest(&ctx.Request.Header); err != nil || c == nil {
+		return err
+	}
+	return c.trailers.Err(ctx.ConnRequestNum())
+}
+
 // chargeMemory charges the memory that an active request needs beyond what was read of it.
 func (x *exchange) chargeMemory(c *callerConn) *refusal {
 	r := x.relay
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/doormast/doormast/internal/account"
+	"github.com/doormast/doormast/internal/framing"
 	"github.com/doormast/doormast/route"
 )
 
@@ -82,6 +83,8 @@
 	aborted        atomic.Bool // the caller was disconnected because it does not read
 	behind         []byte      // requests that were read together with the current one
 
+	trailers framing.TrailerCheck
+
 	progress callerProgress
 }
 
@@ -115,6 +118,12 @@
 // Read implements net.Conn. fasthttp reads the first byte of a request with a buffer of length 1,
 // unless that byte was already read together with the previous request.
 func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	_, _ = c.trailers.Write(p[:n])
+	return n, err
+}
+
+func (c *callerConn) read(p []byte) (int, error) {
 	switch {
 	case len(c.pending) > 0:
 		n := copy(p, c.pending)
--- a/relay/malformedrequest_test.go
+++ b/relay/malformedrequest_test.go
@@ -23,7 +23,9 @@
 	for _, l := range fields {
 		first, rest, _ := strings.Cut(rawRequest("/"+path(len(all)), "body"), "\r\n")
 		all = append(all, oddRequest{l.Name + ", first field", first + "\r\n" + l.Text + "\r\n" + rest},
-			oddRequest{l.Name + ", last field", rawRequest("/"+path(len(all)+1), "body", l.Text)})
+			oddRequest{l.Name + ", last field", rawRequest("/"+path(len(all)+1), "body", l.Text)},
+			oddRequest{l.Name + ", trailer", inChunks("/"+path(len(all)+2), l.Text+"\r\n")},
+			oddRequest{l.Name + ", last line of a trailer", inChunks("/"+path(len(all)+3), "X-T: 1\r\n"+l.Text+"\r\n")})
 	}
 	for _, l := range requestLines {
 		_, rest, _ := strings.Cut(rawRequest("/"+path(len(all)), "body"), "\r\n")
@@ -42,7 +44,15 @@
 		oddRequest{"path in the host", host("h.example/x")},
 		oddRequest{"blank in a name, body to be asked for", strings.TrimSuffix(rawRequest("/once/x", "body", "X A: 1", "Expect: 100-continue"), "body")},
 		oddRequest{"blank in a name, body in chunks", rawRequest("/once/x", "", "X A: 1", "Transfer-Encoding: chunked") + "4\r\nbody\r\n0\r\n\r\n"},
-		oddRequest{"blank in a name of a trailer", rawRequest("/once/x", "", "Transfer-Encoding: chunked") + "4\r\nbody\r\n0\r\nX A: 1\r\n\r\n"})
+		oddRequest{"white space before the first field of a trailer", inChunks("/once/x", " X-A: 1\r\n")},
+		oddRequest{"control character late in a trailer", inChunks("/once/x", "X-A: "+strings.Repeat("a", 9<<10)+"\x01a\r\n")},
+		oddRequest{"carriage return late in a trailer", inChunks("/once/x", "X-A: "+strings.Repeat("a", 9<<10)+"\ra\r\n")})
+}
+
+// inChunks returns a request with a body in chunks, of the lengths of which one is long, and a trailer.
+func inChunks(path, trailer string) string {
+	long := strings.Repeat("l", 2*maxCollectedBody)
+	return rawRequest(path, "", "Transfer-Encoding: chunked") + fmt.Sprintf("4;a=b\r\nbody\r\n%x\r\n%s\r\n0\r\n%s\r\n", len(long), long, trailer)
 }
 
 // Requests with a malformed line reached upstreams, with that line or without it.
@@ -50,7 +60,7 @@
 	u := newStub(t, "u", respondOK("ok"))
 	b := newTestBox(t, u)
 	for _, odd := range malformedRequests() {
-		for _, before := range []string{"", rawRequest("/once/sound", "")} { // behind another one that was sent with it
+		for _, before := range []string{"", rawRequest("/once/sound", ""), inChunks("/once/sound", "X-T: 1\r\n")} { // sent with it
 			c := b.dialBox()
 			_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 			_, _ = io.WriteString(c, before+odd.text)
@@ -87,7 +97,8 @@
 	b := newTestBox(t, newStub(t, "u", respondOK("ok")))
 	c := b.dialBox()
 	in := bufio.NewReader(c)
-	for _, odd := range oddRequests(framingtest.SoundFields(), framingtest.SoundRequestLines()) {
+	long := oddRequest{"long trailer", inChunks("/once/x", "X-A: "+strings.Repeat("a", 9<<10)+"\r\n")}
+	for _, odd := range append(oddRequests(framingtest.SoundFields(), framingtest.SoundRequestLines()), long) {
 		is := is.New(t)
 		_, err := io.WriteString(c, odd.text)
 		is.NoErr(err)
