Framing: a name for headers that are too long; connections of malformed trailers

The error of a header that fills its reader's buffer said so in the words of bufio. TestConnectionOfMalformedTrailerIsNotUsed: a stream of chat completions is whole with its end marker; where a malformed trailer follows, its connection is not used again.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -25,6 +25,9 @@
 // errHeaderEnd reports a header whose last two lines do not end with CRLF. The parser reads on behind it.
 var errHeaderEnd = errors.New("the end of a header is not CRLF CRLF")
 
+// errLongHeader reports a header that is longer than the buffer of its reader.
+var errLongHeader = errors.New("the header is too long")
+
 // ReadHeader reads the header of a response, interim ones included. Empty lines before it are skipped.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	head, err := peekHeader(r)
@@ -75,7 +78,10 @@
 			return b[h.start:h.next], nil
 		}
 		if _, err := r.Peek(len(b) + 1); err != nil {
-			if errors.Is(err, io.EOF) && len(b) > h.start {
+			switch {
+			case errors.Is(err, bufio.ErrBufferFull):
+				err = errLongHeader
+			case errors.Is(err, io.EOF) && len(b) > h.start:
 				err = io.ErrUnexpectedEOF
 			}
 			return nil, err
--- a/internal/upstream/malformedheader_test.go
+++ b/internal/upstream/malformedheader_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// A stream is whole with its end marker, but the connection of one with a malformed trailer is not used again.
+func TestConnectionOfMalformedTrailerIsNotUsed(t *testing.T) {
+	for _, l := range framingtest.MalformedFields() {
+		answer := chunked("a", endMarker) + "0\r\n" + l.Text + "\r\n\r\n"
+		s := serve(t, false, answer, answer)
+		h := runner()
+		for range 2 {
+			if r := h.Run(context.Background(), callTo(s.Addr().String(), false), &collector{}); r.Outcome != decide.Answered {
+				t.Errorf("%s: outcome %v", l.Name, r.Outcome)
+			}
+		}
+		if s.connections() != 2 {
+			t.Errorf("%s: the connection was kept", l.Name)
+		}
+		if err := h.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Unusual lines that are in the grammar, or that recipients may accept, are no reason to refuse an answer.
 func TestUnusualHeaderIsAnswer(t *testing.T) {
 	for _, a := range append(oddAnswers(framingtest.SoundFields(), framingtest.SoundStatusLines(), plainBody), chunkedAnswers(framingtest.SoundFields(), "body")...) {
