Requests: folded lengths and codings put the check of trailers out of step

What callers saw: nothing yet (found in review, before a landing). Behind a request whose Transfer-Encoding or Content-Length is folded, the check of trailers took the body for requests, so that it might have refused a sound request on that connection.

Evidence: two new seeds of FuzzTrailerCheck fail on the code before (request 1 ends at byte 69, and the check counts 2 requests).

Change: lines that continue such a field are part of its value, as for the parser.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,7 +1,7 @@
 // Package framing reads the headers of HTTP messages, and decides what ends the bodies that follow. The invariants: what is not
-// in the grammar of RFC 9112 is no response, whatever the parser accepts; and a response whose version has no transfer codings,
-// such as HTTP/1.0, but that names one is decoded, whatever length it states, and its connection is not used again, as section 6.1
-// asks; or it is no response. Its encoding reaches no caller.
+// in the grammar of RFC 9112 is no response and no request, whatever the parser accepts; and a response whose version has no
+// transfer codings, such as HTTP/1.0, but that names one is decoded, whatever length it states, and its connection is not used
+// again, as section 6.1 asks; or it is no response. Its encoding reaches no caller.
 package framing
 
 import (
--- a/internal/framing/trailercheck.go
+++ b/internal/framing/trailercheck.go
@@ -11,11 +11,13 @@
 // TrailerCheck follows the requests that a server reads from a connection. The zero value is at the start of a connection.
 type TrailerCheck struct {
 	part      requestPart
-	line      []byte // the part of the current line that has been read
-	left      int64  // bytes left of a body or chunk
-	isChunked bool   // the body of the current request
-	length    int64  // the same
-	requests  uint64 // whose headers were read
+	line      []byte    // the part of the current line that has been read
+	left      int64     // bytes left of a body or chunk
+	field     bodyField // that a folded line goes on with
+	value     []byte    // its value so far
+	isChunked bool      // the body of the current request
+	length    int64     // the same
+	requests  uint64    // whose headers were read
 	fields    fieldLines
 	failed    uint64 // the first request whose trailer is malformed; 0: none
 	err       error  // why it is
@@ -34,6 +36,15 @@
 	partUnknown                      // the parser reports an error
 )
 
+// bodyField is a field that says what ends a body.
+type bodyField uint8
+
+const (
+	fieldOther bodyField = iota
+	fieldCoding
+	fieldLength
+)
+
 // maxKeptLine bounds the part of a line that is kept, in bytes. What it says of a body is within that.
 const maxKeptLine = 4 << 10
 
@@ -125,16 +136,33 @@
 	}
 }
 
-// noteField notes what a field says about the body.
+// noteField notes what a line of a header says about the body. The parser reports values that are malformed.
 func (t *TrailerCheck) noteField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimSpace(value)
+	rest := line
+	if line[0] != ' ' && line[0] != '\t' {
+		var name []byte
+		name, rest, _ = bytes.Cut(line, []byte(":"))
+		t.field, t.value = bodyFieldOf(name), t.value[:0]
+	}
+	switch t.value = append(t.value, bytes.TrimSpace(rest)...); t.field {
+	case fieldCoding:
+		t.isChunked = bytes.EqualFold(t.value, []byte("chunked"))
+	case fieldLength:
+		t.length, _ = strconv.ParseInt(string(t.value), 10, 64)
+	default:
+		t.value = t.value[:0]
+	}
+}
+
+// bodyFieldOf returns which field a name is that of.
+func bodyFieldOf(name []byte) bodyField {
 	switch {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		t.isChunked = bytes.EqualFold(value, []byte("chunked"))
+		return fieldCoding
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		t.length, _ = strconv.ParseInt(string(value), 10, 64) // the parser reports an error
+		return fieldLength
 	}
+	return fieldOther
 }
 
 // beginBody goes on behind a header.
--- a/internal/framing/trailercheck_test.go
+++ b/internal/framing/trailercheck_test.go
@@ -46,6 +46,8 @@
 		f.Add([]byte(chunkedRequest(l.Text+"\r\n") + chunkedRequest("")))
 	}
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n0\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n \r\n\t3\r\n\r\nabc"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		if len(text) > 4<<10 {
 			return
