Bytes without end: plain and assembled answers shared no bound on memory

Report of other operators: a runner that sends without end, and a machine that keeps it all and runs out of memory, with the requests of other clients.

What callers saw: the end of a box of chat completions.

Cause: the bound of one answer does not follow how many there are. The relay charges such answers to an account; this interface had none.

Change: answers that are held until they are complete, plain or assembled from events, are charged to one account of 64 MiB, those that do not say how long they are to half of it. The first 16 KiB of each are free, so that usual answers never wait. One that finds the account used up for 0.3 s is given up as failed (may have run), as in the relay: answers that wait for each other may never end. Buffers double, and both are charged while one is copied.

Tests: TestAnswersWithoutEndLeaveMemoryToOthers, TestEventsWithoutEndLeaveMemoryToOthers (sound answers beside them are whole, the account is never exceeded), TestAnswersAreHeldWithinLimit, TestAnswerWaitsForMemory.

What is left: an answer is charged until it is handed to the server, not until its caller has taken it. A sound answer of more than 16 KiB may be given up beside many without end.

--- a/doormast.go
+++ b/doormast.go
@@ -17,6 +17,7 @@
 
 	"github.com/doormast/doormast/cell"
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/internal/caller"
 	"github.com/doormast/doormast/internal/control"
 	"github.com/doormast/doormast/internal/ops"
@@ -67,6 +68,7 @@
 	watched    atomic.Pointer[[]watchedUpstream]
 	leaving    atomic.Bool
 	requests   atomic.Uint64
+	answers    *account.Account          // memory of the answers that are held until they are complete
 	runs       map[uint64]*run           // owned by the core goroutine
 	outbox     map[string][]cell.Message // owned by the core goroutine
 	stop       context.CancelFunc        // ends the duties
@@ -88,6 +90,8 @@
 	reportInterval = 250 * time.Millisecond // between load reports of an engine
 	noticeRingSize = 1 << 13                // capacity of the ring of notices
 	smallRingSize  = 64                     // capacity of the rings of reads and of pulls
+
+	maxAnswerMemory = 64 << 20 // bytes
 )
 
 // Start starts a box, which serves requests when Start returns; Close or Stop ends it. The
@@ -127,6 +131,7 @@
 		events:     timeline.NewRing(s.Timeline),
 		stats:      newStats(),
 		runs:       make(map[uint64]*run),
+		answers:    account.New(maxAnswerMemory),
 		dutyEnds:   make(chan dutyEnd, 8),
 		drainAsked: make(chan struct{}, 1),
 	}
@@ -142,6 +147,7 @@
 		DialTimeout: time.Second,
 		CallTimeout: time.Second,
 		MaxAnswer:   4 << 20,
+		Memory:      b.answers,
 		MaxSilence:  s.Limits.Silence.Std(),
 	})
 	return b
@@ -177,6 +183,7 @@
 		ReadTimeout:  s.Limits.ReadWait.Std(),
 		WriteTimeout: s.Limits.WriteWait.Std(),
 		Buffer:       s.Limits.Buffer,
+		Memory:       b.answers,
 	})
 	return err
 }
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -149,6 +149,12 @@
 // isTooLong reports whether the events have come without an end.
 func (a *aggregate) isTooLong() bool { return a.kept > maxWholeAnswer }
 
+// wholeAnswerCopies is how many times the memory of its text an answer takes: for a buffer that grows, and for its JSON form.
+const wholeAnswerCopies = 3
+
+// memory returns how much memory the answer takes, in bytes.
+func (a *aggregate) memory() int64 { return wholeAnswerCopies * int64(a.text.Len()) }
+
 func (a *aggregate) add(event []byte) {
 	var c chunk
 	if json.Unmarshal(event, &c) != nil || len(c.Error) > 0 && string(c.Error) != "null" {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,6 +20,7 @@
 
 	"github.com/doormast/doormast/cell"
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/internal/framing"
 	"github.com/doormast/doormast/table"
 )
@@ -78,12 +79,13 @@
 type Config struct {
 	Address      string // IP:port to listen on, TCP
 	Core         Core
-	MaxBody      int           // largest body of a request, in bytes
-	MaxHeaders   int           // largest size of a request's headers, in bytes
-	MaxConns     int           // connections of all callers together
-	ReadTimeout  time.Duration // timeout for reading a whole request
-	WriteTimeout time.Duration // timeout for writing one piece of a stream
-	Buffer       int           // pieces buffered for each request
+	MaxBody      int              // largest body of a request, in bytes
+	MaxHeaders   int              // largest size of a request's headers, in bytes
+	MaxConns     int              // connections of all callers together
+	ReadTimeout  time.Duration    // timeout for reading a whole request
+	WriteTimeout time.Duration    // timeout for writing one piece of a stream
+	Buffer       int              // pieces buffered for each request
+	Memory       *account.Account // of the answers that are assembled; nil: no limit
 }
 
 // Server serves callers.
@@ -102,6 +104,9 @@
 
 // Listen starts a server. The caller must call Close.
 func Listen(cfg Config) (*Server, error) {
+	if cfg.Memory == nil {
+		cfg.Memory = account.New(0)
+	}
 	l, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, err
--- a/internal/caller/longanswer_test.go
+++ b/internal/caller/longanswer_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/doormast/doormast/internal/account"
 )
 
 // An answer that is assembled from events without end was kept until the box ran out of memory.
@@ -50,6 +52,38 @@
 	}
 }
 
+// Many answers that are assembled from events without end were held together. Sound ones beside them are answered.
+func TestEventsWithoutEndLeaveMemoryToOthers(t *testing.T) {
+	const bad = 20
+	is := is.New(t)
+	event := []byte(`{"model":"m","choices":[{"delta":{"content":"` + strings.Repeat("a", 32<<10) + `"}}]}`)
+	var arrived atomic.Int32
+	s, core := start(t, func(a Arrival) {
+		if arrived.Add(1) > bad {
+			_ = a.Exchange.Event([]byte(`{"model":"m","choices":[{"delta":{"content":"sound"}}]}`))
+			a.Exchange.Done()
+			return
+		}
+		for a.Exchange.Event(event) == nil {
+		}
+	})
+	core.left = make(chan uint64, bad)
+	s.cfg.Memory = account.New(2 * maxWholeAnswer)
+	statuses := make(chan int, bad)
+	for range bad {
+		go func() { statuses <- post(t, s, chat).status }()
+	}
+	for arrived.Load() < bad {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(post(t, s, chat).status, http.StatusOK)
+	for range bad {
+		is.Equal(<-statuses, http.StatusBadGateway)
+	}
+	is.True(s.cfg.Memory.Peak() > 0)
+	is.True(s.cfg.Memory.Peak() <= s.cfg.Memory.Bound())
+}
+
 // The longest answer is whole.
 func TestLongAnswerIsWhole(t *testing.T) {
 	is := is.New(t)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"time"
 
@@ -52,6 +53,8 @@
 // serveWhole waits for the end of the exchange and writes the answer as a whole.
 func (s *Server) serveWhole(ctx *fasthttp.RequestCtx, x *Exchange) {
 	var parts aggregate
+	memory := s.cfg.Memory.Answer(true)
+	defer memory.Close()
 	for {
 		e, ok := x.next()
 		switch {
@@ -74,7 +77,7 @@
 			return
 		default:
 			parts.add(e.data)
-			if parts.isTooLong() {
+			if parts.isTooLong() || !memory.Hold(context.Background(), parts.memory()) {
 				x.Disconnect() // ends the run
 				s.cfg.Core.Disconnected(x.ID)
 				refuseBroken(ctx)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -18,6 +18,7 @@
 
 	"github.com/doormast/doormast/cell"
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/internal/framing"
 )
 
@@ -32,8 +33,10 @@
 // readWhole reads the answer of a plain service and passes it to the sink once it is
 // complete. A refusal by the upstream, which did not run the request, is not passed on.
 func (h *HTTP) readWhole(ctx context.Context, resp *fasthttp.Response, r *run) cell.Result {
-	body, err := io.ReadAll(io.LimitReader(bodyOf(resp), int64(h.cfg.MaxAnswer)+1))
-	if err != nil || len(body) > h.cfg.MaxAnswer || len(body) == 0 && r.call.Method != fasthttp.MethodHead && lacksBody(resp) {
+	memory := h.cfg.Memory.Answer(resp.Header.ContentLength() < 0)
+	defer memory.Close()
+	body, err := h.readBody(ctx, resp, memory)
+	if err != nil || len(body) == 0 && r.call.Method != fasthttp.MethodHead && lacksBody(resp) {
 		return cell.Result{Outcome: decide.Failed, Ran: true}
 	}
 	if h.isCutByEnd(ctx, resp, r) {
@@ -50,6 +53,41 @@
 	return cell.Result{Outcome: decide.Answered, Ran: true}
 }
 
+// Errors for answers that are given up.
+var (
+	errLongAnswer  = errors.New("upstream: answer too long")
+	errMemoryShort = errors.New("upstream: answers take all the memory that they may")
+)
+
+// initialBody is the size of the first buffer for a body, in bytes.
+const initialBody = 4 << 10
+
+// readBody reads the body of an answer of up to MaxAnswer bytes.
+func (h *HTTP) readBody(ctx context.Context, resp *fasthttp.Response, memory *account.Answer) ([]byte, error) {
+	src := bodyOf(resp)
+	body := make([]byte, 0, initialBody)
+	for {
+		n, err := src.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > h.cfg.MaxAnswer || resp.BodyStream() != nil && resp.Header.ContentLength() > h.cfg.MaxAnswer:
+			return nil, errLongAnswer
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		}
+		size := 2 * cap(body)
+		if !memory.Hold(ctx, int64(cap(body)+size)) {
+			return nil, errMemoryShort
+		}
+		body = append(make([]byte, 0, size), body...)
+		memory.Shrink(int64(size))
+	}
+}
+
 // isCutByEnd reports whether the connection ended with the process of the upstream, rather than with
 // the answer: the system closes the connections of a process that was killed as the process would.
 // One that is leaving may accept no connection either, and ends its answers.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/account"
 )
 
 // serveEndless starts an upstream that answers with start and then sends rest again and again until the connection is
@@ -96,3 +98,33 @@
 		})
 	}
 }
+
+// Many answers without end were held together until the box ran out of memory. Sound ones beside them are answered.
+func TestAnswersWithoutEndLeaveMemoryToOthers(t *testing.T) {
+	const bad = 40
+	is := is.New(t)
+	h := runner()
+	defer func() { is.NoErr(h.Close()) }()
+	h.cfg.MaxAnswer, h.cfg.MaxSilence = 1<<20, time.Minute
+	h.cfg.Memory = account.New(4 << 20)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // much less than MaxSilence
+	defer cancel()
+	ended := make(chan decide.Outcome, bad)
+	for range bad {
+		address, _ := serveEndless(t, endlessStatus+"\r\n", "a")
+		go func() { ended <- h.Run(ctx, callTo(address, true), &collector{}).Outcome }()
+	}
+	for _, size := range []int{1, account.FreeAnswer / 4, 256 << 10} {
+		s := serve(t, false, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", endlessStatus, size, strings.Repeat("b", size)))
+		var sink collector
+		is.Equal(h.Run(ctx, callTo(s.Addr().String(), true), &sink).Outcome, decide.Answered)
+		is.Equal(len(sink.whole), size)
+	}
+	for range bad {
+		is.Equal(<-ended, decide.Failed)
+	}
+	is.NoErr(ctx.Err())
+	is.True(h.cfg.Memory.Peak() > 0)
+	is.True(h.cfg.Memory.Peak() <= h.cfg.Memory.Bound())
+	is.Equal(h.cfg.Memory.Used(), int64(0))
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -18,6 +18,7 @@
 
 	"github.com/doormast/doormast/cell"
 	"github.com/doormast/doormast/decide"
+	"github.com/doormast/doormast/internal/account"
 	"github.com/doormast/doormast/internal/timer"
 )
 
@@ -48,9 +49,10 @@
 type HTTPConfig struct {
 	Clock       timer.Clock
 	DialTimeout time.Duration
-	CallTimeout time.Duration // for control calls
-	MaxAnswer   int           // longest answer of a plain service, in bytes
-	MaxSilence  time.Duration // longest wait for the next data; then the run has failed
+	CallTimeout time.Duration    // for control calls
+	MaxAnswer   int              // longest answer of a plain service, in bytes
+	Memory      *account.Account // of the answers that are held; nil: no limit
+	MaxSilence  time.Duration    // longest wait for the next data; then the run has failed
 }
 
 // HTTP runs calls over HTTP. It is safe for concurrent use.
@@ -67,6 +69,9 @@
 
 // NewHTTP returns a runner.
 func NewHTTP(cfg HTTPConfig) *HTTP {
+	if cfg.Memory == nil {
+		cfg.Memory = account.New(0)
+	}
 	return &HTTP{cfg: cfg, idle: make(map[string][]*conn), seq: make(map[string]uint64), notices: make(map[string]notice)}
 }
 
