Bytes without end: queues of slow callers were bounded by events, not by bytes

What callers saw: the end of a box of chat completions whose engine sends large events without end.

Cause: the queue counts pieces.

Change: it also holds no more than 64 KiB, unless a single piece is larger; the run waits, which applies the caller's back pressure to the engine, as a full queue does. Usual events (some 200 bytes) fill the queue by their number, as before.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -3,11 +3,13 @@
 // This file defines Exchange, the queue of answer pieces for one request: the core
 // and the runner of the upstream write it, and the server reads it. The invariants:
 // pieces are read in the order written, the end is last and occurs once, and the
-// queue holds at most the buffer's size of pieces.
+// queue holds at most the buffer's size of pieces and, unless it is a single one,
+// maxQueued bytes.
 
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"github.com/doormast/doormast/cell"
 )
@@ -34,6 +36,9 @@
 	final       cell.Final
 }
 
+// maxQueued bounds the pieces that wait for a slow caller, in bytes.
+const maxQueued = 64 << 10
+
 // Exchange holds one HTTP request and the queue of the pieces of its answer.
 type Exchange struct {
 	ID     uint64
@@ -44,6 +49,8 @@
 	Body   []byte
 
 	pieces       chan piece
+	queued       atomic.Int64  // bytes of the pieces
+	taken        chan struct{} // readable when a piece was taken
 	disconnected chan struct{} // closed when the caller has disconnected
 	disconnect   sync.Once
 	end          sync.Once
@@ -51,7 +58,7 @@
 
 // NewExchange returns an exchange whose queue holds up to buffer pieces.
 func NewExchange(buffer int) *Exchange {
-	return &Exchange{pieces: make(chan piece, buffer), disconnected: make(chan struct{})}
+	return &Exchange{pieces: make(chan piece, buffer), taken: make(chan struct{}, 1), disconnected: make(chan struct{})}
 }
 
 // Event queues a copy of an event of the stream. It blocks while the queue is full
@@ -102,6 +109,9 @@
 		return ErrDisconnected
 	default:
 	}
+	if err := x.awaitRoom(int64(len(p.data))); err != nil {
+		return err
+	}
 	select {
 	case x.pieces <- p:
 		return nil
@@ -110,10 +120,28 @@
 	}
 }
 
+// awaitRoom waits until the queue may hold n more bytes, and counts them.
+func (x *Exchange) awaitRoom(n int64) error {
+	for queued := x.queued.Load(); n > 0 && queued > 0 && queued+n > maxQueued; queued = x.queued.Load() {
+		select {
+		case <-x.taken:
+		case <-x.disconnected:
+			return ErrDisconnected
+		}
+	}
+	x.queued.Add(n)
+	return nil
+}
+
 // next waits for the next piece. It returns false if the caller has disconnected.
 func (x *Exchange) next() (piece, bool) {
 	select {
 	case p := <-x.pieces:
+		x.queued.Add(-int64(len(p.data)))
+		select {
+		case x.taken <- struct{}{}:
+		default:
+		}
 		return p, true
 	case <-x.disconnected:
 		return piece{}, false
