--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -330,6 +330,24 @@
 	is.Equal(executed["y"], 1) // once, without a retry
 }
 
+// Answers with a malformed header reached callers.
+func TestAnswerWithMalformedHeaderIsFailure(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, config{domains: 1, boxes: 1, engines: 1, slots: 4, pace: time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), eventTimeout)
+	defer cancel()
+	for _, c := range []struct {
+		start  string
+		status int
+	}{{"HTTP/1.1 200 OK", 200}, {"HTTP/1.1 200 OK\r\nX A: 1", 502}, {"HTTP/1.1 200 OK\r\nX\x01A: 1", 502}, {"HTTP/1.1 200 OK\r\nX-A : 1", 502}, {"HTTP/1.1 000 OK", 502}} {
+		s.plain.SetFaults(standin.PlainFaults{Start: c.start})
+		a := send(ctx, s.boxes[0], call{prompt: c.start, path: "/services/pay/do"})
+		is.Equal(a.status, c.status)
+		is.Equal(a.header.Get("X-Doormast-Ran") == "unknown", c.status != 200)
+		is.Equal(s.plain.Executions()[c.start], 1) // once, without a retry
+	}
+}
+
 // TestInvalidKeysRejected checks that callers and operators with an invalid key are rejected, and so is
 // a request for an unknown class.
 func TestInvalidKeysRejected(t *testing.T) {
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -16,6 +17,8 @@
 	DropAfter bool `json:"drop_after"` // execute, then close the connection without a response
 	Refuse    bool `json:"refuse"`     // reject requests as not executed
 	DelayMS   int  `json:"delay_ms"`   // delay before the response, in milliseconds
+	// What the header of a response starts with, such as a malformed status line or field; empty: what it has to.
+	Start string `json:"start"`
 }
 
 // Plain is a stand-in for a plain HTTP service.
@@ -90,5 +93,19 @@
 	if f.DropAfter {
 		panic(http.ErrAbortHandler)
 	}
+	if f.Start != "" {
+		writeStart(w, f.Start, string(body))
+		return
+	}
 	writeJSON(w, map[string]any{"executed": n, "echo": string(body)})
 }
+
+// writeStart writes a response whose header starts with the lines of start, and ends its connection.
+func writeStart(w http.ResponseWriter, start, body string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "%s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", start, len(body), body)
+}
