Answers held: how much needs no memory, as measured

Measurement (TestShortAnswerNeedsNoMemory in both packages, with an account that is used up): a plain answer of 8 KiB less a byte is read, one of 8 KiB and a byte is given up; an assembled one of 5 KiB of text is whole, one of 6 KiB is given up.

--- a/internal/account/answer.go
+++ b/internal/account/answer.go
@@ -1,7 +1,7 @@
 package account
 
-// This file defines the memory of answers that are held until they are complete. The invariant: small answers are held in any
-// case; larger ones within the limit of the account, and those that do not say how long they are within a part of it.
+// This file defines the memory of answers that are held until they are complete. The invariant: answers that take no more than
+// FreeAnswer are held in any case; larger ones within the limit of the account, and those that do not say how long they are within a part of it.
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 )
 
 const (
-	// FreeAnswer is how much of an answer is not charged, in bytes.
+	// FreeAnswer is the memory up to which an answer is not charged, in bytes, with all copies of what it holds.
 	FreeAnswer = 16 << 10
 	// openEndedShare is the part of an account for answers that do not say how long they are.
 	openEndedShare = 0.5
--- a/internal/caller/longanswer_test.go
+++ b/internal/caller/longanswer_test.go
@@ -84,6 +84,19 @@
 	is.True(s.cfg.Memory.Peak() <= s.cfg.Memory.Bound())
 }
 
+// An assembled answer of 5 KiB is whole though the account is used up; one of 6 KiB is given up.
+func TestShortAnswerNeedsNoMemory(t *testing.T) {
+	for _, c := range []struct{ size, status int }{{5 << 10, http.StatusOK}, {6 << 10, http.StatusBadGateway}} {
+		is := is.New(t)
+		s, _ := start(t, func(a Arrival) {
+			_ = a.Exchange.Event([]byte(`{"model":"m","choices":[{"delta":{"content":"` + strings.Repeat("a", c.size) + `"}}]}`))
+			a.Exchange.Done()
+		})
+		s.cfg.Memory = account.New(1)
+		is.Equal(post(t, s, chat).status, c.status)
+	}
+}
+
 // The longest answer is whole.
 func TestLongAnswerIsWhole(t *testing.T) {
 	is := is.New(t)
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// A plain answer below 8 KiB is read though the account is used up; a longer one is given up.
+func TestShortAnswerNeedsNoMemory(t *testing.T) {
+	for _, c := range []struct {
+		size int
+		want decide.Outcome
+	}{{8<<10 - 1, decide.Answered}, {8<<10 + 1, decide.Failed}} {
+		is := is.New(t)
+		h := runner()
+		h.cfg.MaxAnswer, h.cfg.Memory = 1<<20, account.New(1)
+		s := serve(t, true, endlessStatus+"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"+chunksOf(strings.Repeat("b", c.size))+lastChunk)
+		is.Equal(h.Run(t.Context(), callTo(s.Addr().String(), true), &collector{}).Outcome, c.want)
+		is.NoErr(h.Close())
+	}
+}
+
 // Many answers without end were held together until the box ran out of memory. Sound ones beside them are answered.
 func TestAnswersWithoutEndLeaveMemoryToOthers(t *testing.T) {
 	const bad = 40
